--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: load, experiments and comparisons."""
--- /dev/null
+++ b/src/lovagesaddle/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The lovagesaddle command line."""
--- /dev/null
+++ b/src/lovagesaddle/control/__init__.py
@@ -0,0 +1,1 @@
+"""The lovagesaddle-control program."""
--- /dev/null
+++ b/src/lovagesaddle/core/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of the product, without input or output."""
--- /dev/null
+++ b/src/lovagesaddle/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Service files checked and applied to the replicated state."""
--- /dev/null
+++ b/src/lovagesaddle/core/configuration/digest.py
@@ -0,0 +1,69 @@
+"""Digest of a snapshot that a delta updates at the cost of its own size.
+
+The digest is the sum, modulo 2**128, of one BLAKE2b hash for each item. An
+item that changes is subtracted and added again, so checking a delta costs the
+delta and not the fleet. It guards against lost, crossed and damaged updates;
+forged updates are kept out by the encrypted links.
+"""
+
+import dataclasses
+import hashlib
+
+import msgspec
+
+from lovagesaddle.core.model import services
+from lovagesaddle.core.model import snapshots
+
+DIGEST_BYTES = 16
+_MODULUS = 1 << (8 * DIGEST_BYTES)
+_ENCODER = msgspec.msgpack.Encoder()
+
+Item = (
+    services.Service
+    | snapshots.Node
+    | snapshots.BackendServer
+    | snapshots.Shard
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accumulator:
+    """Running sum of item hashes.
+
+    Attributes:
+      total: Sum modulo 2**128.
+    """
+
+    total: int = 0
+
+    def add(self, item: Item) -> "Accumulator":
+        """Returns the sum with one more item."""
+        return Accumulator((self.total + hash_item(item)) % _MODULUS)
+
+    def remove(self, item: Item) -> "Accumulator":
+        """Returns the sum without an item that was added before."""
+        return Accumulator((self.total - hash_item(item)) % _MODULUS)
+
+    def to_bytes(self) -> bytes:
+        """Returns the digest, `DIGEST_BYTES` long."""
+        return self.total.to_bytes(DIGEST_BYTES, "big")
+
+
+def hash_item(item: Item) -> int:
+    """Returns the hash of one item, which covers its class and content."""
+    data = type(item).__name__.encode() + _ENCODER.encode(item)
+    return int.from_bytes(
+        hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest(), "big"
+    )
+
+
+def accumulate(snapshot: snapshots.Snapshot) -> Accumulator:
+    """Returns the sum over all items of a snapshot."""
+    groups: tuple[tuple[Item, ...], ...] = (
+        snapshot.services,
+        snapshot.nodes,
+        snapshot.servers,
+        snapshot.shards,
+    )
+    total = sum(hash_item(item) for group in groups for item in group)
+    return Accumulator(total % _MODULUS)
--- /dev/null
+++ b/src/lovagesaddle/core/configuration/state.py
@@ -0,0 +1,305 @@
+"""The replicated state machine: commands applied in log order.
+
+Applying is deterministic and free of input and output, so every replica that
+applied the same log holds the same state.
+"""
+
+import dataclasses
+
+from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.configuration import digest
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import operator_messages
+from lovagesaddle.core.model import services
+from lovagesaddle.core.model import snapshots
+
+KEPT_PUBLICATIONS = 64
+KEPT_PUBLISH_RESULTS = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KeptPublication:
+    """A publication with the services it brought.
+
+    Attributes:
+      publication: Its line in the history.
+      services: Its complete set of services.
+    """
+
+    publication: operator_messages.Publication
+    services: tuple[services.Service, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KeptResult:
+    """The first answer to a publish ID, repeated for every resend."""
+
+    publish_id: str
+    result: commands.PublishResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class State:
+    """Everything that the replicated log determines.
+
+    Attributes:
+      snapshot: What nodes route by.
+      publications: The newest publications, oldest first.
+      results: Answers to the newest publish IDs, oldest first.
+    """
+
+    snapshot: snapshots.Snapshot
+    publications: tuple[KeptPublication, ...] = ()
+    results: tuple[KeptResult, ...] = ()
+
+    @property
+    def publication_version(self) -> int:
+        """Version of the last publication; 0 before the first."""
+        if not self.publications:
+            return 0
+        return self.publications[-1].publication.version
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Applied:
+    """State after one command.
+
+    Attributes:
+      state: The new state.
+      result: Answer to a PublishServices command, else None.
+    """
+
+    state: State
+    result: commands.PublishResult | None
+
+
+def found_state() -> State:
+    """Returns the state before the first entry."""
+    return State(snapshot=snapshots.Snapshot(cluster_id="", version=0))
+
+
+def apply_command(
+    state: State, version: int, command: commands.Command | None
+) -> Applied:
+    """Applies the entry at `version`.
+
+    Args:
+      state: State at an earlier version.
+      version: Log index of the entry.
+      command: The entry's command; None for entries of the consensus itself.
+
+    Returns:
+      The state at `version`, and the answer if the command is a publish.
+    """
+    match command:
+        case commands.FoundCluster():
+            snapshot = _advance(state, version, cluster_id=command.cluster_id)
+            return _keep(state, snapshot)
+        case commands.PublishServices():
+            return _publish(state, version, command)
+        case commands.ChangeMembership():
+            return _keep(state, _change_members(state, version, command))
+        case commands.AssignShards():
+            return _keep(state, _assign_shards(state, version, command))
+        case None:
+            return _keep(state, _advance(state, version))
+
+
+def _advance(
+    state: State, version: int, *, cluster_id: str | None = None
+) -> snapshots.Snapshot:
+    return dataclasses.replace(
+        state.snapshot,
+        version=version,
+        cluster_id=(
+            state.snapshot.cluster_id if cluster_id is None else cluster_id
+        ),
+    )
+
+
+def _keep(state: State, snapshot: snapshots.Snapshot) -> Applied:
+    changed = dataclasses.replace(state, snapshot=snapshot)
+    return Applied(state=changed, result=None)
+
+
+def _publish(
+    state: State, version: int, command: commands.PublishServices
+) -> Applied:
+    for kept in reversed(state.results):
+        if kept.publish_id == command.publish_id:
+            unchanged = dataclasses.replace(
+                state, snapshot=_advance(state, version)
+            )
+            return Applied(state=unchanged, result=kept.result)
+    result = _judge(state, version, command)
+    results = (
+        *state.results,
+        KeptResult(publish_id=command.publish_id, result=result),
+    )[-KEPT_PUBLISH_RESULTS:]
+    if result.outcome is not commands.PublishOutcome.ACCEPTED:
+        refused = dataclasses.replace(
+            state, snapshot=_advance(state, version), results=results
+        )
+        return Applied(state=refused, result=result)
+    accepted = State(
+        snapshot=dataclasses.replace(
+            state.snapshot,
+            version=version,
+            services=_reuse(state.snapshot.services, command.services),
+        ),
+        publications=(
+            *state.publications,
+            _record_publication(version, command),
+        )[-KEPT_PUBLICATIONS:],
+        results=results,
+    )
+    return Applied(state=accepted, result=result)
+
+
+def _judge(
+    state: State, version: int, command: commands.PublishServices
+) -> commands.PublishResult:
+    if command.base_version != state.publication_version:
+        return _describe_conflict(state)
+    causes = check_references(command.services)
+    if causes:
+        return commands.PublishResult(
+            outcome=commands.PublishOutcome.REJECTED, version=0, causes=causes
+        )
+    return commands.PublishResult(
+        outcome=commands.PublishOutcome.ACCEPTED, version=version
+    )
+
+
+def _describe_conflict(state: State) -> commands.PublishResult:
+    if not state.publications:
+        return commands.PublishResult(
+            outcome=commands.PublishOutcome.CONFLICT,
+            version=0,
+            causes=("nothing has been published yet; the base is 0",),
+        )
+    winner = state.publications[-1].publication
+    return commands.PublishResult(
+        outcome=commands.PublishOutcome.CONFLICT,
+        version=winner.version,
+        winner_id=winner.publish_id,
+        winner_operator=winner.operator,
+        causes=(f"the last publication is version {winner.version}",),
+    )
+
+
+def check_references(
+    published: tuple[services.Service, ...],
+) -> tuple[str, ...]:
+    """Returns one sentence for each reference to a service that is absent."""
+    names = {service.name for service in published}
+    causes: list[str] = []
+    for service in published:
+        for needed in service.depends_on:
+            if needed not in names:
+                causes.append(
+                    f'service "{needed}" does not exist but is needed by'
+                    f' service "{service.name}"'
+                )
+        for route in service.routes:
+            causes.extend(
+                f'service "{client}" does not exist but may use route'
+                f' "{route.name}" of service "{service.name}"'
+                for client in route.services
+                if client not in names
+            )
+    return tuple(causes)
+
+
+def _record_publication(
+    version: int, command: commands.PublishServices
+) -> KeptPublication:
+    return KeptPublication(
+        publication=operator_messages.Publication(
+            version=version,
+            publish_id=command.publish_id,
+            operator=command.operator,
+            base_version=command.base_version,
+            revisions=tuple(
+                f"{service.name}={service.revision}"
+                for service in command.services
+            ),
+        ),
+        services=command.services,
+    )
+
+
+def _reuse(
+    held: tuple[services.Service, ...], new: tuple[services.Service, ...]
+) -> tuple[services.Service, ...]:
+    by_name = {service.name: service for service in held}
+    reused = (
+        by_name[service.name]
+        if by_name.get(service.name) == service
+        else service
+        for service in new
+    )
+    return tuple(sorted(reused, key=lambda service: service.name))
+
+
+def _change_members(
+    state: State, version: int, command: commands.ChangeMembership
+) -> snapshots.Snapshot:
+    old = state.snapshot
+    nodes = {node.node_id: node for node in old.nodes}
+    servers = {server.server_id: server for server in old.servers}
+    for gone in command.gone_servers:
+        held = servers.get(gone.member_id)
+        if held is not None and held.incarnation <= gone.incarnation:
+            del servers[gone.member_id]
+    for gone in command.gone_nodes:
+        held_node = nodes.get(gone.member_id)
+        if held_node is not None and held_node.incarnation <= gone.incarnation:
+            del nodes[gone.member_id]
+    for node in command.nodes:
+        held_node = nodes.get(node.node_id)
+        if held_node is None or held_node.incarnation <= node.incarnation:
+            nodes[node.node_id] = node
+    for server in command.servers:
+        held = servers.get(server.server_id)
+        if held is None or held.incarnation <= server.incarnation:
+            servers[server.server_id] = server
+    kept_servers = (
+        server for server in servers.values() if server.node_id in nodes
+    )
+    return dataclasses.replace(
+        old,
+        version=version,
+        nodes=tuple(nodes[key] for key in sorted(nodes)),
+        servers=tuple(
+            sorted(kept_servers, key=lambda server: server.server_id)
+        ),
+    )
+
+
+def _assign_shards(
+    state: State, version: int, command: commands.AssignShards
+) -> snapshots.Snapshot:
+    held = {shard.number: shard for shard in state.snapshot.shards}
+    newer = tuple(
+        shard
+        for shard in command.shards
+        if shard.number not in held or held[shard.number].epoch < shard.epoch
+    )
+    return dataclasses.replace(
+        state.snapshot,
+        version=version,
+        shards=delta.merge(state.snapshot.shards, newer, ()),
+    )
+
+
+def restamp_state(base: delta.Stamped, state: State) -> delta.Stamped:
+    """Returns the state's snapshot with its digest, reusing the base's."""
+    return delta.restamp(base, state.snapshot)
+
+
+def stamp_nothing() -> delta.Stamped:
+    """Returns the stamped snapshot before the first entry."""
+    return delta.Stamped(
+        snapshot=found_state().snapshot, accumulator=digest.Accumulator()
+    )
--- /dev/null
+++ b/src/lovagesaddle/core/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: elections, replication, membership of replicas."""
--- /dev/null
+++ b/src/lovagesaddle/core/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration carried from the replicas to every node."""
--- /dev/null
+++ b/src/lovagesaddle/core/errors.py
@@ -0,0 +1,73 @@
+"""Errors that cross the boundaries of the product's parts.
+
+Every error names the step that failed and the peer it failed with.
+"""
+
+import dataclasses
+
+
+class LovagesaddleError(Exception):
+    """Base of all errors raised by this package.
+
+    Attributes:
+      step: The operation that failed, such as "decode message".
+      peer: The process, file or server it failed with; "self" if none.
+      cause: What went wrong, in one sentence.
+    """
+
+    def __init__(self, *, step: str, peer: str, cause: str) -> None:
+        super().__init__(f"{step}: peer={peer}: {cause}")
+        self.step = step
+        self.peer = peer
+        self.cause = cause
+
+
+class CodecError(LovagesaddleError):
+    """Raised for bytes that are not a known message; drop the message."""
+
+
+class StorageError(LovagesaddleError):
+    """Raised when a file can't be written, synced or trusted.
+
+    The replica must stop: nothing may be answered as accepted afterwards.
+    """
+
+
+class TransportError(LovagesaddleError):
+    """Raised when a link can't be opened; check addresses and keys."""
+
+
+class SettingsError(LovagesaddleError):
+    """Raised for a settings file with mistakes; every mistake is listed."""
+
+
+class DigestMismatchError(LovagesaddleError):
+    """Raised when a delta's result differs from the announced digest.
+
+    The follower keeps what it holds and asks for the full snapshot.
+    """
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FileProblem:
+    """One mistake in an INI file.
+
+    Attributes:
+      file: Name of the file as given by the operator.
+      line: Line of the mistake, counted from 1; 0 when the file is missing.
+      section: INI section, empty when the mistake is outside a section.
+      key: INI key, empty when the mistake concerns the whole section.
+      cause: What is wrong, in one sentence.
+    """
+
+    file: str
+    line: int
+    section: str
+    key: str
+    cause: str
+
+    def format(self) -> str:
+        """Returns `file:line: section/key: cause`."""
+        return (
+            f"{self.file}:{self.line}: {self.section}/{self.key}: {self.cause}"
+        )
--- /dev/null
+++ b/src/lovagesaddle/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Leases and expiry of nodes and backend servers."""
--- /dev/null
+++ b/src/lovagesaddle/core/model/__init__.py
@@ -0,0 +1,1 @@
+"""Frozen data shared by every part: services, snapshots, messages."""
--- /dev/null
+++ b/src/lovagesaddle/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, admission, retry and idempotency of calls."""
--- /dev/null
+++ b/src/lovagesaddle/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers, backend servers and operators."""
--- /dev/null
+++ b/src/lovagesaddle/node/__init__.py
@@ -0,0 +1,1 @@
+"""The lovagesaddle-node program."""
--- /dev/null
+++ b/src/lovagesaddle/node/ports.py
@@ -0,0 +1,81 @@
+"""What the two halves of a node offer each other.
+
+The control half follows the configuration on a thread of its own; the HTTP
+half answers callers on waitress's threads.
+"""
+
+import abc
+from collections.abc import Callable
+import dataclasses
+
+from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.model import snapshots
+from lovagesaddle.transport import endpoint
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CrashMark:
+    """Says that a backend server died while it ran a request.
+
+    Attributes:
+      fingerprint: Digest of method, route and body.
+      mark_id: Unique for each death, so that a mark counts once.
+      age_s: Seconds since the death, when it was sent.
+    """
+
+    fingerprint: bytes
+    mark_id: bytes
+    age_s: float
+
+
+class SnapshotSink(abc.ABC):
+    """Takes accepted configuration; implemented by the HTTP half."""
+
+    @abc.abstractmethod
+    def install(self, stamped: delta.Stamped, *, joined: bool) -> None:
+        """Swaps the routing table; called on the control thread.
+
+        Args:
+          stamped: The snapshot, newer than every one installed before.
+          joined: Whether the join floor is reached, so that callers may be
+            answered from it.
+        """
+
+    @abc.abstractmethod
+    def take_marks(self, marks: tuple[CrashMark, ...]) -> None:
+        """Takes crash marks of other nodes; called on the control thread."""
+
+
+class ControlPort(abc.ABC):
+    """Handle on the control half, for any thread."""
+
+    @abc.abstractmethod
+    def announce_server(self, server: snapshots.BackendServer) -> None:
+        """Reports that the local backend server joined, changed or drains."""
+
+    @abc.abstractmethod
+    def withdraw_server(self, server_id: str, incarnation: int) -> None:
+        """Reports that the local backend server is gone."""
+
+    @abc.abstractmethod
+    def spread_marks(self, marks: tuple[CrashMark, ...]) -> None:
+        """Sends crash marks to every node, with the next heartbeats."""
+
+    @abc.abstractmethod
+    def send(
+        self, node_id: str, channel: endpoint.Channel, data: bytes
+    ) -> bool:
+        """Sends a message to another node of the snapshot.
+
+        Returns:
+          False when the node is unknown.
+        """
+
+    @abc.abstractmethod
+    def subscribe(
+        self, channel: endpoint.Channel, handler: Callable[[str, bytes], None]
+    ) -> None:
+        """Calls `handler(sender_id, data)` for each message of a channel.
+
+        The handler runs on the control thread and must not block.
+        """
--- /dev/null
+++ b/src/lovagesaddle/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and counters."""
--- /dev/null
+++ b/src/lovagesaddle/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files of the three programs."""
--- /dev/null
+++ b/src/lovagesaddle/settings/schema.py
@@ -0,0 +1,139 @@
+"""Settings of the programs, as frozen data with their bounds."""
+
+import dataclasses
+from typing import Annotated
+
+import msgspec
+
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Identifier = Annotated[
+    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")
+]
+PositiveSeconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaAddress:
+    """A replica that a process connects to at first.
+
+    Attributes:
+      replica_id: Its name.
+      address: `tcp://ip:port`.
+      public_key: CurveZMQ public key, Z85; empty when links are plain.
+    """
+
+    replica_id: Identifier
+    address: str
+    public_key: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KeySettings:
+    """CurveZMQ keys of a process.
+
+    Attributes:
+      secret_key_file: File with the process's own key pair; empty for links
+        without encryption, which is for trials on one machine only.
+      allowed_keys_file: File with the public keys that may connect, one a
+        line.
+    """
+
+    secret_key_file: str = ""
+    allowed_keys_file: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LogSettings:
+    """Where and how much a program logs.
+
+    Attributes:
+      level: "debug", "info", "warning" or "error".
+      file: Path, or empty for standard error.
+    """
+
+    level: str = "info"
+    file: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ControlSettings:
+    """Settings of lovagesaddle-control.
+
+    Attributes:
+      replica_id: Name of this replica.
+      address: `tcp://ip:port` that it binds.
+      failure_domain: Where it runs.
+      data_folder: Folder for the log and the snapshots.
+      cluster_id: Identity that the first start founds the cluster with.
+      replicas: The founding replicas, this one among them.
+      keys: Keys of its links.
+      log: Logging.
+      election_timeout_s: Silence of the leader before a pre-vote.
+      lease_s: Lifetime of a node's lease without a heartbeat.
+      expiry_share: Largest share of a failure domain to expire at once.
+    """
+
+    replica_id: Identifier
+    address: str
+    failure_domain: Identifier
+    data_folder: str
+    cluster_id: Identifier
+    replicas: tuple[ReplicaAddress, ...]
+    keys: KeySettings = KeySettings()
+    log: LogSettings = LogSettings()
+    election_timeout_s: PositiveSeconds = 0.5
+    lease_s: PositiveSeconds = 6.0
+    expiry_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.34
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NodeSettings:
+    """Settings of lovagesaddle-node.
+
+    Attributes:
+      node_id: Name of this node.
+      failure_domain: Where it runs.
+      region: Region of the failure domain.
+      http_address: `ip:port` for callers and other nodes.
+      admin_address: `ip:port` for the local backend server's announcements,
+        /metrics and /healthz.
+      control_address: `tcp://ip:port` that the control half binds.
+      cluster_id: Identity of the cluster to follow.
+      replicas: Replicas to join through.
+      keys: Keys of its links.
+      log: Logging.
+      heartbeat_s: Time between heartbeats.
+      max_body_bytes: Largest request body that is read.
+      threads: Threads that answer callers.
+    """
+
+    node_id: Identifier
+    failure_domain: Identifier
+    region: Identifier
+    http_address: str
+    admin_address: str
+    control_address: str
+    cluster_id: Identifier
+    replicas: tuple[ReplicaAddress, ...]
+    keys: KeySettings = KeySettings()
+    log: LogSettings = LogSettings()
+    heartbeat_s: PositiveSeconds = 1.0
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=0)] = 16 * 1024 * 1024
+    threads: Annotated[int, msgspec.Meta(ge=1, le=512)] = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OperatorSettings:
+    """Settings of the command line.
+
+    Attributes:
+      replicas: Replicas to ask, in any order.
+      operator: Name that the history shows.
+      keys: Keys of its links.
+      timeout_s: Time to wait for one answer.
+    """
+
+    replicas: tuple[ReplicaAddress, ...]
+    operator: str
+    keys: KeySettings = KeySettings()
+    timeout_s: PositiveSeconds = 10.0
--- /dev/null
+++ b/src/lovagesaddle/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable files under one data folder."""
--- /dev/null
+++ b/src/lovagesaddle/transport/__init__.py
@@ -0,0 +1,1 @@
+"""ZeroMQ links between the processes of the product."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of lovagesaddle, one module for each module of the package."""
--- /dev/null
+++ b/tests/test_architecture.py
@@ -0,0 +1,85 @@
+"""Rules of the house style that no linter checks."""
+
+import ast
+from collections.abc import Iterator
+import pathlib
+
+from tests import fixtures
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SOURCE = ROOT / "src" / "lovagesaddle"
+IO_MODULES = frozenset(
+    [
+        "socket",
+        "threading",
+        "time",
+        "os",
+        "zmq",
+        "random",
+        "http",
+        "waitress",
+        "logging",
+        "select",
+        "subprocess",
+        "asyncio",
+        "multiprocessing",
+        "secrets",
+        "tempfile",
+        "shutil",
+    ]
+)
+NAME_IMPORTS_ALLOWED = frozenset({"typing", "collections.abc"})
+
+
+def test_core_has_no_input_or_output() -> None:
+    """The core imports no clock, socket, file, thread or random source."""
+    found = [
+        f"{path.relative_to(ROOT)}: {name}"
+        for path, name in _list_imports(SOURCE / "core")
+        if name.split(".")[0] in IO_MODULES
+    ]
+    assert not found, found
+
+
+def test_core_does_not_import_the_shells() -> None:
+    """The core imports nothing of the package but the core."""
+    found = [
+        f"{path.relative_to(ROOT)}: {name}"
+        for path, name in _list_imports(SOURCE / "core")
+        if name.startswith("lovagesaddle")
+        and not name.startswith("lovagesaddle.core")
+    ]
+    assert not found, found
+
+
+def test_modules_are_imported_and_not_names() -> None:
+    """Every `from a import b` brings a module, except for typing names."""
+    found: list[str] = []
+    for path in sorted(ROOT.glob("[stb]*/**/*.py")):
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if isinstance(node, ast.ImportFrom):
+                found.extend(_list_name_imports(path, node))
+    assert not found, found
+
+
+def _list_name_imports(
+    path: pathlib.Path, node: ast.ImportFrom
+) -> Iterator[str]:
+    module = node.module or ""
+    if module in NAME_IMPORTS_ALLOWED:
+        return
+    for alias in node.names:
+        if alias.name[:1].isupper():
+            yield f"{path.relative_to(ROOT)}:{node.lineno}: {alias.name}"
+
+
+def _list_imports(folder: pathlib.Path) -> Iterator[tuple[pathlib.Path, str]]:
+    for path in sorted(folder.rglob("*.py")):
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if isinstance(node, ast.Import):
+                yield from ((path, alias.name) for alias in node.names)
+            elif isinstance(node, ast.ImportFrom) and node.module:
+                yield path, node.module
+
+
+load_tests = fixtures.collect(__name__)
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,184 @@
+"""Tests of the replicated state machine and of deltas."""
+
+import dataclasses
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.configuration import state as state_lib
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import services
+from lovagesaddle.core.model import snapshots
+from tests import fixtures
+
+ACCEPTED = commands.PublishOutcome.ACCEPTED
+
+
+def _service(
+    name: str, *, revision: int = 1, depends_on: tuple[str, ...] = ()
+) -> services.Service:
+    return services.Service(
+        name=name,
+        revision=revision,
+        callers=(),
+        routes=(),
+        depends_on=depends_on,
+    )
+
+
+def _publish(
+    publish_id: str, base: int, *published: services.Service
+) -> commands.PublishServices:
+    return commands.PublishServices(
+        publish_id=publish_id,
+        operator="ana",
+        base_version=base,
+        services=published,
+    )
+
+
+def _node(node_id: str, incarnation: int = 1) -> snapshots.Node:
+    return snapshots.Node(
+        node_id=node_id,
+        incarnation=incarnation,
+        failure_domain="a",
+        region="r",
+        http_address="127.0.0.1:1",
+        control_address="tcp://127.0.0.1:2",
+        public_key="",
+    )
+
+
+def _server(node_id: str, incarnation: int = 1) -> snapshots.BackendServer:
+    return snapshots.BackendServer(
+        server_id=f"{node_id}/orderdesk",
+        incarnation=incarnation,
+        service="orderdesk",
+        node_id=node_id,
+        slots=20,
+        connections=100,
+        state=snapshots.ServerState.SERVING,
+    )
+
+
+def test_equal_base_lets_one_publish_win() -> None:
+    """Of two publishes with the same base one wins and the other learns it."""
+    state = state_lib.found_state()
+    first = state_lib.apply_command(
+        state, 1, _publish("p1", 0, _service("orderdesk"))
+    )
+    second = state_lib.apply_command(
+        first.state, 2, _publish("p2", 0, _service("artwork"))
+    )
+    assert first.result is not None and second.result is not None
+    assert first.result.outcome is ACCEPTED
+    assert second.result.outcome is commands.PublishOutcome.CONFLICT
+    assert second.result.winner_id == "p1"
+    assert second.result.winner_operator == "ana"
+    assert second.result.version == 1
+    assert second.state.snapshot.services == first.state.snapshot.services
+
+
+def test_resent_publish_gets_the_first_answer() -> None:
+    """A publish ID is applied once however often it is sent."""
+    command = _publish("p1", 0, _service("orderdesk"))
+    first = state_lib.apply_command(state_lib.found_state(), 3, command)
+    later = state_lib.apply_command(
+        first.state, 4, _publish("p2", 3, _service("artwork"))
+    )
+    again = state_lib.apply_command(later.state, 5, command)
+    assert again.result == first.result
+    assert again.state.snapshot.services == later.state.snapshot.services
+
+
+def test_removing_a_needed_service_is_rejected() -> None:
+    """A publish without a service that another one needs changes nothing."""
+    state = state_lib.found_state()
+    applied = state_lib.apply_command(
+        state, 1, _publish("p", 0, _service("a", depends_on=("b",)))
+    )
+    assert applied.result is not None
+    assert applied.result.outcome is commands.PublishOutcome.REJECTED
+    assert applied.result.causes == (
+        'service "b" does not exist but is needed by service "a"',
+    )
+    assert applied.state.snapshot.services == ()
+
+
+def test_older_incarnation_does_not_revive_a_member() -> None:
+    """A message of an earlier life of a server changes nothing."""
+    state = state_lib.found_state()
+    state = state_lib.apply_command(
+        state,
+        1,
+        commands.ChangeMembership(
+            nodes=(_node("n1", 2),), servers=(_server("n1", 5),)
+        ),
+    ).state
+    old = commands.ChangeMembership(
+        servers=(_server("n1", 4),),
+        gone_nodes=(commands.Incarnation(member_id="n1", incarnation=1),),
+    )
+    after = state_lib.apply_command(state, 2, old).state
+    assert after.snapshot.servers[0].incarnation == 5
+    assert after.snapshot.nodes[0].incarnation == 2
+
+
+def test_servers_leave_with_their_node() -> None:
+    """No snapshot holds a server whose node it lacks."""
+    joined = commands.ChangeMembership(
+        nodes=(_node("n1"),), servers=(_server("n1"), _server("n2"))
+    )
+    state = state_lib.apply_command(state_lib.found_state(), 1, joined).state
+    assert [s.node_id for s in state.snapshot.servers] == ["n1"]
+    gone = commands.ChangeMembership(
+        gone_nodes=(commands.Incarnation(member_id="n1", incarnation=1),)
+    )
+    assert state_lib.apply_command(state, 2, gone).state.snapshot.servers == ()
+
+
+def test_delta_reproduces_the_target() -> None:
+    """A delta turns its base into its target, with the same digest."""
+    base, target = _two_versions()
+    change = delta.compute_delta(base, target)
+    result = delta.apply_delta(base, change)
+    assert result == target
+    assert result.digest == delta.stamp(target.snapshot).digest
+
+
+def test_delta_on_another_base_is_refused() -> None:
+    """A crossed, damaged or older delta is refused whole."""
+    base, target = _two_versions()
+    change = delta.compute_delta(base, target)
+    damaged = (
+        dataclasses.replace(change, base_version=9),
+        dataclasses.replace(change, base_digest=b"x" * 16),
+        dataclasses.replace(change, cluster_id="other"),
+        dataclasses.replace(change, removed_nodes=()),
+        dataclasses.replace(change, version=1),
+    )
+    for wrong in damaged:
+        try:
+            delta.apply_delta(base, wrong)
+        except errors.DigestMismatchError:
+            continue
+        raise AssertionError(f"applied {wrong}")
+
+
+def _two_versions() -> tuple[delta.Stamped, delta.Stamped]:
+    before = snapshots.Snapshot(
+        cluster_id="c",
+        version=1,
+        services=(_service("a"), _service("b")),
+        nodes=(_node("n1"), _node("n2")),
+        servers=(_server("n1"),),
+    )
+    after = dataclasses.replace(
+        before,
+        version=4,
+        services=(_service("a", revision=2), _service("c")),
+        nodes=(before.nodes[0],),
+    )
+    return delta.stamp(before), delta.stamp(after)
+
+
+load_tests = fixtures.collect(__name__)
