--- a/src/lovagesaddle/core/errors.py
+++ b/src/lovagesaddle/core/errors.py
@@ -48,6 +48,10 @@
     """
 
 
+class ChainError(LovagesaddleError):
+    """Raised for malformed chain headers; the request is answered 400."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FileProblem:
     """One mistake in an INI file.
--- /dev/null
+++ b/src/lovagesaddle/core/routing/admission.py
@@ -0,0 +1,305 @@
+"""Owner side: admits requests to the local backend server, or refuses them.
+
+A refusal is made before a byte of the request is sent to the backend server,
+so it proves that the request did not run.
+"""
+
+import dataclasses
+import enum
+
+from lovagesaddle.core import part
+from lovagesaddle.core.model import services
+from lovagesaddle.core.routing import feedback
+from lovagesaddle.core.routing import limits
+from lovagesaddle.core.routing import queues
+
+QUEUE_SHARE = 1.0
+RUN_WEIGHT = 0.1
+MIN_RETRY_AFTER_S = 0.05
+
+
+class RefusalReason(enum.Enum):
+    """Why an owner refuses a request that it did not start."""
+
+    QUEUE_FULL = "queue-full"
+    DEADLINE = "deadline"
+    DRAINING = "draining"
+    SERVER_DOWN = "server-down"
+    DUPLICATE = "duplicate"
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Arrived:
+    """A request asks for a slot.
+
+    Attributes:
+      request_id: Unique among the attempts that this owner holds.
+      priority: Of its route.
+      deadline: Monotonic time by which its answer must be there, in seconds.
+    """
+
+    request_id: str
+    priority: services.Priority
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ended:
+    """A run ended, for whatever reason; its slot is free.
+
+    Attributes:
+      request_id: Of the request.
+      failed: Whether the backend server shed or failed it.
+    """
+
+    request_id: str
+    failed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Cancelled:
+    """The entry gave up on a request, waiting or running.
+
+    A slot is freed at once: the shell closes the connection to the backend
+    server first.
+    """
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Drain:
+    """The backend server leaves: nothing new is admitted any more."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerDown:
+    """The backend server can't be reached; what waits is refused."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerUp:
+    """The backend server announced itself, possibly cold.
+
+    Attributes:
+      slots: Requests that it runs at a time.
+    """
+
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Tick:
+    """Time passed."""
+
+
+Event = Arrived | Ended | Cancelled | Drain | ServerDown | ServerUp | Tick
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Admitted:
+    """The request holds a slot: hand it over now.
+
+    Attributes:
+      request_id: Of the request.
+      waited_s: Time in the queue, in seconds.
+    """
+
+    request_id: str
+    waited_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refused:
+    """The request did not run and will not.
+
+    Attributes:
+      request_id: Of the request.
+      reason: Why.
+      retry_after_s: When room is expected, in seconds.
+    """
+
+    request_id: str
+    reason: RefusalReason
+    retry_after_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Drained:
+    """Nothing waits or runs any more after a Drain."""
+
+
+Action = Admitted | Refused | Drained
+
+
+class Admission(part.Part[Event, Action]):
+    """Slots and the short queue of one backend server.
+
+    Args:
+      limit: How many requests may run at a time.
+      order: Order of the queue.
+      queue_share: Length of the queue, in shares of the limit.
+    """
+
+    def __init__(
+        self,
+        *,
+        limit: limits.LimitPolicy,
+        order: queues.QueueOrder,
+        queue_share: float = QUEUE_SHARE,
+    ) -> None:
+        self._limit = limit
+        self._order = order
+        self._queue_share = queue_share
+        self._running: dict[str, float] = {}
+        self._waiting: dict[str, queues.Waiting] = {}
+        self._arrivals = 0
+        self._run_s = 0.0
+        self._draining = False
+        self._drained = False
+        self._down = False
+
+    @property
+    def running(self) -> int:
+        """Requests that hold a slot."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return len(self._waiting)
+
+    def report(self) -> feedback.Feedback:
+        """Returns what goes with each answer to the entry."""
+        return feedback.Feedback(
+            running=len(self._running),
+            queued=len(self._waiting),
+            limit=self._limit.limit,
+            latency_s=self._run_s,
+            draining=self._draining,
+        )
+
+    def step(self, event: Event, now: float) -> tuple[Action, ...]:
+        """Handles one event."""
+        actions: list[Action] = []
+        match event:
+            case Arrived():
+                self._arrive(event, now, actions)
+            case Ended():
+                self._end(event, now)
+            case Cancelled():
+                self._waiting.pop(event.request_id, None)
+                self._running.pop(event.request_id, None)
+            case Drain():
+                self._draining = True
+                self._refuse_waiting(RefusalReason.DRAINING, actions)
+            case ServerDown():
+                self._down = True
+                self._refuse_waiting(RefusalReason.SERVER_DOWN, actions)
+            case ServerUp():
+                self._down = False
+                self._draining = False
+                self._drained = False
+            case Tick():
+                pass
+        self._serve(now, actions)
+        return tuple(actions)
+
+    def _arrive(
+        self, event: Arrived, now: float, actions: list[Action]
+    ) -> None:
+        reason = self._judge(event)
+        if reason is not None:
+            actions.append(self._refuse(event.request_id, reason))
+            return
+        self._arrivals += 1
+        waiting = queues.Waiting(
+            request_id=event.request_id,
+            priority=event.priority,
+            deadline=event.deadline,
+            arrived_at=now,
+            number=self._arrivals,
+        )
+        self._waiting[event.request_id] = waiting
+        self._drop_hopeless(now, actions)
+        free = self._limit.limit - len(self._running)
+        room = max(0, free) + int(self._limit.limit * self._queue_share)
+        if len(self._waiting) > room:
+            self._drop_last(actions)
+
+    def _judge(self, event: Arrived) -> RefusalReason | None:
+        if self._draining:
+            return RefusalReason.DRAINING
+        if self._down:
+            return RefusalReason.SERVER_DOWN
+        held = self._waiting.keys() | self._running.keys()
+        if event.request_id in held:
+            return RefusalReason.DUPLICATE
+        return None
+
+    def _end(self, event: Ended, now: float) -> None:
+        started_at = self._running.pop(event.request_id, None)
+        if started_at is None:
+            return
+        run_s = now - started_at
+        if not event.failed:
+            if not self._run_s:
+                self._run_s = run_s
+            self._run_s += RUN_WEIGHT * (run_s - self._run_s)
+        self._limit.observe(
+            latency_s=run_s,
+            running=len(self._running) + 1,
+            failed=event.failed,
+            now=now,
+        )
+
+    def _serve(self, now: float, actions: list[Action]) -> None:
+        self._drop_hopeless(now, actions)
+        while self._waiting and len(self._running) < self._limit.limit:
+            first = min(self._waiting.values(), key=self._order.rank)
+            del self._waiting[first.request_id]
+            self._running[first.request_id] = now
+            actions.append(
+                Admitted(
+                    request_id=first.request_id,
+                    waited_s=now - first.arrived_at,
+                )
+            )
+        empty = not self._waiting and not self._running
+        if self._draining and empty and not self._drained:
+            self._drained = True
+            actions.append(Drained())
+
+    def _drop_hopeless(self, now: float, actions: list[Action]) -> None:
+        # An idle server is tried whatever its last runs took: only a run
+        # can bring the expected time down again.
+        run_s = self._run_s if self._running else 0.0
+        hopeless = [
+            waiting.request_id
+            for waiting in self._waiting.values()
+            if self._order.is_hopeless(waiting, run_s, now)
+        ]
+        for request_id in hopeless:
+            del self._waiting[request_id]
+            actions.append(self._refuse(request_id, RefusalReason.DEADLINE))
+
+    def _drop_last(self, actions: list[Action]) -> None:
+        last = max(self._waiting.values(), key=self._order.rank)
+        del self._waiting[last.request_id]
+        actions.append(self._refuse(last.request_id, RefusalReason.QUEUE_FULL))
+
+    def _refuse_waiting(
+        self, reason: RefusalReason, actions: list[Action]
+    ) -> None:
+        for request_id in tuple(self._waiting):
+            del self._waiting[request_id]
+            actions.append(self._refuse(request_id, reason))
+
+    def _refuse(self, request_id: str, reason: RefusalReason) -> Refused:
+        rounds = len(self._waiting) / self._limit.limit + 1
+        return Refused(
+            request_id=request_id,
+            reason=reason,
+            retry_after_s=max(MIN_RETRY_AFTER_S, rounds * self._run_s),
+        )
--- /dev/null
+++ b/src/lovagesaddle/core/routing/balancer.py
@@ -0,0 +1,294 @@
+"""Entry side: picks a backend server for each attempt of a call."""
+
+from collections.abc import Sequence
+import dataclasses
+import enum
+import math
+
+from lovagesaddle.core import part
+from lovagesaddle.core.routing import feedback as feedback_lib
+from lovagesaddle.core.routing import loads
+from lovagesaddle.core.routing import pick_policies
+from lovagesaddle.core.routing import table
+
+MIN_AVAILABLE_SHARE = 0.5
+
+
+class PickReason(enum.Enum):
+    """Why a backend server was picked, or none."""
+
+    OWN_DOMAIN = "own-domain"
+    OTHER_DOMAIN = "other-domain"
+    ANY_DOMAIN = "any-domain"
+    HINTED_UNHEALTHY = "hinted-unhealthy"
+    NO_ROOM = "no-room"
+    NO_SERVER = "no-server"
+    ALL_TRIED = "all-tried"
+
+
+class AttemptResult(enum.Enum):
+    """What an attempt showed about its backend server.
+
+    ANSWERED: a whole answer that is not the server's own failure.
+    REFUSED: the owner refused the request for want of room.
+    DRAINING: the owner refused it because the server is leaving.
+    UNREACHABLE: the owner could not be connected to.
+    FAILED: the request was handed over and the server failed it.
+    ABANDONED: the entry gave up for a reason that blames nobody.
+    """
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    DRAINING = "draining"
+    UNREACHABLE = "unreachable"
+    FAILED = "failed"
+    ABANDONED = "abandoned"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Pick:
+    """Asks for a server; a server that is returned counts as in use.
+
+    Attributes:
+      service: Name of the service, for the log.
+      version: Version of the table that the candidates come from.
+      candidates: The serving servers of the service.
+      tried: Server IDs that earlier attempts of the call used.
+    """
+
+    service: str
+    version: int
+    candidates: tuple[table.Candidate, ...]
+    tried: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Finished:
+    """Ends the use of a picked server; exactly one for each pick.
+
+    Attributes:
+      server_id: The picked server.
+      incarnation: Its incarnation when it was picked.
+      result: What the attempt showed.
+      feedback: Report of the owner, when one came.
+    """
+
+    server_id: str
+    incarnation: int
+    result: AttemptResult
+    feedback: feedback_lib.Feedback | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HealthHinted:
+    """A health endpoint spoke; it may lag or lie, so it only ranks."""
+
+    server_id: str
+    healthy: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Installed:
+    """A new table is in force.
+
+    Attributes:
+      candidates: Every serving server of the table.
+    """
+
+    candidates: tuple[table.Candidate, ...]
+
+
+Event = Pick | Finished | HealthHinted | Installed
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Decision:
+    """Answer to a Pick, for the call and for the log line.
+
+    Attributes:
+      server: The picked server, or None.
+      reason: Why.
+      service: Name of the service.
+      version: Version of the table.
+      candidates: Servers of the table.
+      eligible: Servers left after the tried, draining and ejected ones.
+    """
+
+    server: table.Candidate | None
+    reason: PickReason
+    service: str
+    version: int
+    candidates: int
+    eligible: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BalancerOptions:
+    """How an entry balances.
+
+    Attributes:
+      failure_domain: The entry's own.
+      prefer_own_domain: Whether servers of the own failure domain go first
+        while they have room.
+      min_available_share: Share of a service's servers that stays available
+        however many fail.
+    """
+
+    failure_domain: str
+    prefer_own_domain: bool = True
+    min_available_share: float = MIN_AVAILABLE_SHARE
+
+
+class Balancer(part.Part[Event, Decision]):
+    """Picks servers by what this entry and the owners see of them.
+
+    Args:
+      options: How to balance.
+      policy: Chooses one server out of a pool.
+      source: Random numbers.
+    """
+
+    def __init__(
+        self,
+        *,
+        options: BalancerOptions,
+        policy: pick_policies.PickPolicy,
+        source: pick_policies.RandomSource,
+    ) -> None:
+        self._options = options
+        self._policy = policy
+        self._source = source
+        self._loads: dict[str, loads.ServerLoad] = {}
+        self._installed = False
+
+    def step(self, event: Event, now: float) -> tuple[Decision, ...]:
+        """Handles one event; a Pick is answered by one Decision."""
+        match event:
+            case Pick():
+                return (self.pick(event, now),)
+            case Finished():
+                self._finish(event, now)
+            case HealthHinted():
+                load = self._loads.get(event.server_id)
+                if load is not None:
+                    load.hinted_unhealthy = not event.healthy
+            case Installed():
+                self._install(event, now)
+        return ()
+
+    def pick(self, event: Pick, now: float) -> Decision:
+        """Answers one Pick."""
+        eligible = self._list_eligible(event, now)
+        if not eligible:
+            tried = bool(event.tried)
+            reason = PickReason.ALL_TRIED if tried else PickReason.NO_SERVER
+            return _decide(event, None, reason, 0)
+        server, reason = self._choose(eligible, now)
+        self._loads[server.server_id].outstanding += 1
+        return _decide(event, server, reason, len(eligible))
+
+    def _choose(
+        self, eligible: Sequence[table.Candidate], now: float
+    ) -> tuple[table.Candidate, PickReason]:
+        def cost(candidate: table.Candidate) -> float:
+            return self._loads[candidate.server_id].estimate_cost(now)
+
+        fallback: list[table.Candidate] = []
+        for pool, reason in self._list_tiers(eligible):
+            if not pool:
+                continue
+            server = self._policy.choose(pool, cost, self._source)
+            if self._loads[server.server_id].has_room(now):
+                return server, reason
+            fallback.append(server)
+        return min(fallback, key=cost), PickReason.NO_ROOM
+
+    def _list_tiers(
+        self, eligible: Sequence[table.Candidate]
+    ) -> tuple[tuple[list[table.Candidate], PickReason], ...]:
+        sound: list[table.Candidate] = []
+        hinted: list[table.Candidate] = []
+        for server in eligible:
+            load = self._loads[server.server_id]
+            (hinted if load.hinted_unhealthy else sound).append(server)
+        last = (hinted, PickReason.HINTED_UNHEALTHY)
+        if not self._options.prefer_own_domain:
+            return (sound, PickReason.ANY_DOMAIN), last
+        domain = self._options.failure_domain
+        own = [each for each in sound if each.failure_domain == domain]
+        other = [each for each in sound if each.failure_domain != domain]
+        return (
+            (own, PickReason.OWN_DOMAIN),
+            (other, PickReason.OTHER_DOMAIN),
+            last,
+        )
+
+    def _list_eligible(self, event: Pick, now: float) -> list[table.Candidate]:
+        available: list[table.Candidate] = []
+        ejected: list[table.Candidate] = []
+        for candidate in event.candidates:
+            load = self._find_load(candidate, now)
+            if now < load.draining_until:
+                continue
+            (ejected if load.is_ejected(now) else available).append(candidate)
+        floor = math.ceil(
+            self._options.min_available_share * (len(available) + len(ejected))
+        )
+        missing = floor - len(available)
+        if missing > 0:
+            ejected.sort(
+                key=lambda each: self._loads[each.server_id].ejected_at
+            )
+            available.extend(ejected[:missing])
+        return [each for each in available if each.server_id not in event.tried]
+
+    def _find_load(
+        self, candidate: table.Candidate, now: float
+    ) -> loads.ServerLoad:
+        load = self._loads.get(candidate.server_id)
+        if load is None or load.incarnation < candidate.incarnation:
+            load = loads.create_load(candidate, now, warm=not self._installed)
+            self._loads[candidate.server_id] = load
+        return load
+
+    def _finish(self, event: Finished, now: float) -> None:
+        load = self._loads.get(event.server_id)
+        if load is None or load.incarnation != event.incarnation:
+            return
+        load.outstanding = max(0, load.outstanding - 1)
+        if event.feedback is not None:
+            load.take_report(event.feedback, now)
+        match event.result:
+            case AttemptResult.ANSWERED:
+                load.count_success()
+            case AttemptResult.DRAINING:
+                load.draining_until = now + loads.DRAIN_MEMORY_S
+            case AttemptResult.UNREACHABLE | AttemptResult.FAILED:
+                load.count_failure(now)
+            case AttemptResult.REFUSED | AttemptResult.ABANDONED:
+                pass
+
+    def _install(self, event: Installed, now: float) -> None:
+        for candidate in event.candidates:
+            self._find_load(candidate, now)
+        kept = {candidate.server_id for candidate in event.candidates}
+        for server_id in [key for key in self._loads if key not in kept]:
+            if not self._loads[server_id].outstanding:
+                del self._loads[server_id]
+        self._installed = True
+
+
+def _decide(
+    event: Pick,
+    server: table.Candidate | None,
+    reason: PickReason,
+    eligible: int,
+) -> Decision:
+    return Decision(
+        server=server,
+        reason=reason,
+        service=event.service,
+        version=event.version,
+        candidates=len(event.candidates),
+        eligible=eligible,
+    )
--- /dev/null
+++ b/src/lovagesaddle/core/routing/call.py
@@ -0,0 +1,348 @@
+"""Entry side: one call from its arrival to its one answer.
+
+The call owns the attempts, the deadline and what its caller may be told. It
+is driven by one thread at a time.
+"""
+
+import dataclasses
+
+from lovagesaddle.core import part
+from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.model import services
+from lovagesaddle.core.routing import balancer
+from lovagesaddle.core.routing import call_events as events
+from lovagesaddle.core.routing import chain as chain_lib
+from lovagesaddle.core.routing import retries
+from lovagesaddle.core.routing import table
+
+MAX_MOVES = 3
+MAX_CRASH_RETRIES = 1
+OWNER_MARGIN_S = 0.02
+OWNER_MARGIN_SHARE = 0.1
+HEDGE_DELAY_S = 0.1
+RETRIED_STATUSES = frozenset({502, 503, 504})
+FIRST_FAILURE_STATUS = 500
+
+_NOT_RUN = frozenset(
+    {
+        events.Ending.UNREACHABLE,
+        events.Ending.REFUSED,
+        events.Ending.DRAINING,
+        events.Ending.SERVER_DOWN,
+        events.Ending.QUARANTINED,
+    }
+)
+_RESULTS = {
+    events.Ending.UNREACHABLE: balancer.AttemptResult.UNREACHABLE,
+    events.Ending.REFUSED: balancer.AttemptResult.REFUSED,
+    events.Ending.DRAINING: balancer.AttemptResult.DRAINING,
+    events.Ending.SERVER_DOWN: balancer.AttemptResult.UNREACHABLE,
+    events.Ending.QUARANTINED: balancer.AttemptResult.ABANDONED,
+    events.Ending.ANSWERED: balancer.AttemptResult.ANSWERED,
+    events.Ending.LOST: balancer.AttemptResult.FAILED,
+    events.Ending.CRASHED: balancer.AttemptResult.FAILED,
+    events.Ending.TIMED_OUT: balancer.AttemptResult.FAILED,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallOptions:
+    """Choices of an entry that hold for each of its calls.
+
+    Attributes:
+      hedge: Whether idempotent urgent calls are sent a second time when the
+        first answer is late.
+      hedge_delay_s: How late, in seconds.
+      max_moves: Times that a request which did not run may go elsewhere.
+    """
+
+    hedge: bool = False
+    hedge_delay_s: float = HEDGE_DELAY_S
+    max_moves: int = MAX_MOVES
+
+
+class Call(part.Part[events.Event, events.Action]):
+    """One request of one caller.
+
+    Args:
+      request: What to do.
+      options: Choices of the entry.
+      retry_policy: Shared by the calls of the service.
+    """
+
+    def __init__(
+        self,
+        *,
+        request: events.CallRequest,
+        options: CallOptions,
+        retry_policy: retries.RetryPolicy,
+    ) -> None:
+        self._request = request
+        self._options = options
+        self._policy = retry_policy
+        self._deadline = request.arrived_at + _find_timeout(request)
+        self._open: dict[int, table.Candidate] = {}
+        self._tried: frozenset[str] = frozenset()
+        self._attempts = 0
+        self._moves = 0
+        self._reruns = 0
+        self._crashes = 0
+        self._may_have_run = False
+        self._over = False
+        self._hedged = False
+        self._held: events.AttemptEnded | None = None
+        self._last: events.AttemptEnded | None = None
+
+    @property
+    def deadline(self) -> float:
+        """Monotonic time by which the caller has its answer, in seconds."""
+        return self._deadline
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the call has had its last action."""
+        return self._over
+
+    @property
+    def attempts(self) -> int:
+        """Attempts sent so far."""
+        return self._attempts
+
+    def step(
+        self, event: events.Event, now: float
+    ) -> tuple[events.Action, ...]:
+        """Handles one event; events after the end change nothing."""
+        if self._over:
+            return self._release_late(event)
+        match event:
+            case events.Started():
+                return self._start(now)
+            case events.Picked():
+                return self._send(event.decision, now)
+            case events.AttemptEnded():
+                return self._end_attempt(event, now)
+            case events.TimerFired():
+                return self._fire(now)
+            case events.CallerGone():
+                return self._abandon()
+
+    def _start(self, now: float) -> tuple[events.Action, ...]:
+        if self._request.chain.depth >= chain_lib.MAX_DEPTH:
+            return self._fail(508, events.FailureReason.DEPTH)
+        if now >= self._deadline:
+            return self._fail(504, events.FailureReason.DEADLINE)
+        self._policy.count_call()
+        return (self._set_timer(now), self._pick(newest=False))
+
+    def _pick(self, *, newest: bool) -> events.PickServer:
+        return events.PickServer(
+            service=self._request.service, newest=newest, tried=self._tried
+        )
+
+    def _send(
+        self, decision: balancer.Decision, now: float
+    ) -> tuple[events.Action, ...]:
+        server = decision.server
+        if server is None:
+            return self._give_up()
+        self._attempts += 1
+        self._open[self._attempts] = server
+        self._tried |= {server.server_id}
+        remaining_s = max(0.0, self._deadline - now)
+        margin_s = min(OWNER_MARGIN_S, remaining_s * OWNER_MARGIN_SHARE)
+        owner_s = remaining_s - margin_s
+        return (
+            events.SendAttempt(
+                number=self._attempts,
+                attempt_id=f"{self._request.request_id}.{self._attempts}",
+                server=server,
+                chain=chain_lib.descend(
+                    self._request.chain, remaining_s=owner_s
+                ),
+                deadline=now + owner_s,
+            ),
+        )
+
+    def _end_attempt(
+        self, event: events.AttemptEnded, now: float
+    ) -> tuple[events.Action, ...]:
+        server = self._open.pop(event.number, None)
+        if server is None:
+            return ()
+        released = _release(server, event)
+        if event.ending is events.Ending.ANSWERED:
+            self._may_have_run = True
+            if not self._is_retried_status(event):
+                return (released, *self._answer(event))
+            self._held = event
+        elif event.ending not in _NOT_RUN:
+            self._may_have_run = True
+        self._last = event
+        if self._may_try_again(event, now):
+            return (released, self._pick(newest=True))
+        if self._open:
+            return (released,)
+        return (released, *self._give_up())
+
+    def _may_try_again(self, event: events.AttemptEnded, now: float) -> bool:
+        if now >= self._deadline or event.ending is events.Ending.QUARANTINED:
+            return False
+        if event.ending in _NOT_RUN:
+            return self._may_move(event)
+        return self._may_rerun(event)
+
+    def _may_move(self, event: events.AttemptEnded) -> bool:
+        if self._moves >= self._options.max_moves:
+            return False
+        # A server that is gone or leaving adds no load by refusing; a full
+        # one says that its peers may be full too.
+        if event.ending is events.Ending.REFUSED and not self._policy.allow(
+            self._moves + self._reruns
+        ):
+            return False
+        self._moves += 1
+        return True
+
+    def _may_rerun(self, event: events.AttemptEnded) -> bool:
+        if event.ending is events.Ending.CRASHED:
+            self._crashes += 1
+        route = self._request.route
+        if not route.idempotent or not self._request.chain.may_retry:
+            return False
+        if self._reruns >= route.retries or self._crashes > MAX_CRASH_RETRIES:
+            return False
+        if not self._policy.allow(self._moves + self._reruns):
+            return False
+        self._reruns += 1
+        return True
+
+    def _is_retried_status(self, event: events.AttemptEnded) -> bool:
+        return event.status in RETRIED_STATUSES
+
+    def _answer(self, event: events.AttemptEnded) -> tuple[events.Action, ...]:
+        cancelled = self._cancel_open()
+        self._over = True
+        failed = event.status >= FIRST_FAILURE_STATUS
+        outcome = outcomes.RequestOutcome.UNKNOWN if failed else None
+        answer = events.AnswerCaller(number=event.number, outcome=outcome)
+        return (*cancelled, answer)
+
+    def _give_up(self) -> tuple[events.Action, ...]:
+        if self._open:
+            return ()
+        if self._held is not None:
+            return self._answer(self._held)
+        last = self._last
+        if last is None:
+            return self._fail(503, events.FailureReason.NO_SERVER)
+        if last.ending is events.Ending.QUARANTINED:
+            return self._fail(503, events.FailureReason.QUARANTINED)
+        if self._may_have_run:
+            return self._fail(502, events.FailureReason.LOST)
+        return self._fail(503, events.FailureReason.REFUSED, last.retry_after_s)
+
+    def _fire(self, now: float) -> tuple[events.Action, ...]:
+        if now >= self._deadline:
+            # An attempt in progress may have been handed over by now.
+            self._may_have_run |= bool(self._open)
+            cancelled = self._cancel_open()
+            failed = self._fail(504, events.FailureReason.DEADLINE)
+            return (*cancelled, *failed)
+        timer = events.SetTimer(at=self._deadline)
+        if not self._may_hedge():
+            return (timer,)
+        self._hedged = True
+        self._reruns += 1
+        return (timer, self._pick(newest=True))
+
+    def _may_hedge(self) -> bool:
+        return (
+            self._is_hedged_route()
+            and not self._hedged
+            and bool(self._open)
+            and self._policy.allow(self._moves + self._reruns)
+        )
+
+    def _is_hedged_route(self) -> bool:
+        route = self._request.route
+        return (
+            self._options.hedge
+            and route.idempotent
+            and route.priority is services.Priority.URGENT
+            and self._request.chain.may_retry
+        )
+
+    def _set_timer(self, now: float) -> events.SetTimer:
+        hedge_at = now + self._options.hedge_delay_s
+        if self._is_hedged_route() and hedge_at < self._deadline:
+            return events.SetTimer(at=hedge_at)
+        return events.SetTimer(at=self._deadline)
+
+    def _abandon(self) -> tuple[events.Action, ...]:
+        self._may_have_run |= bool(self._open)
+        cancelled = self._cancel_open()
+        self._over = True
+        return (*cancelled, events.EndCall(outcome=self._find_outcome()))
+
+    def _cancel_open(self) -> tuple[events.Action, ...]:
+        actions: list[events.Action] = []
+        for number, server in self._open.items():
+            actions.append(events.CancelAttempt(number=number))
+            actions.append(_abandon_server(server))
+        self._open.clear()
+        return tuple(actions)
+
+    def _fail(
+        self,
+        status: int,
+        reason: events.FailureReason,
+        retry_after_s: float = 0.0,
+    ) -> tuple[events.Action, ...]:
+        self._over = True
+        failure = events.FailCaller(
+            status=status,
+            outcome=self._find_outcome(),
+            reason=reason,
+            retry_after_s=retry_after_s,
+        )
+        return (failure,)
+
+    def _find_outcome(self) -> outcomes.RequestOutcome:
+        if self._may_have_run:
+            return outcomes.RequestOutcome.UNKNOWN
+        return outcomes.RequestOutcome.NOT_RUN
+
+    def _release_late(self, event: events.Event) -> tuple[events.Action, ...]:
+        if isinstance(event, events.Picked) and event.decision.server:
+            return (_abandon_server(event.decision.server),)
+        return ()
+
+
+def _find_timeout(request: events.CallRequest) -> float:
+    remaining_s = request.chain.remaining_s
+    if remaining_s is None:
+        return request.route.timeout_s
+    return min(request.route.timeout_s, remaining_s)
+
+
+def _release(
+    server: table.Candidate, event: events.AttemptEnded
+) -> events.ReleaseServer:
+    return events.ReleaseServer(
+        finished=balancer.Finished(
+            server_id=server.server_id,
+            incarnation=server.incarnation,
+            result=_RESULTS[event.ending],
+            feedback=event.feedback,
+        )
+    )
+
+
+def _abandon_server(server: table.Candidate) -> events.ReleaseServer:
+    return events.ReleaseServer(
+        finished=balancer.Finished(
+            server_id=server.server_id,
+            incarnation=server.incarnation,
+            result=balancer.AttemptResult.ABANDONED,
+        )
+    )
--- /dev/null
+++ b/src/lovagesaddle/core/routing/feedback.py
@@ -0,0 +1,59 @@
+"""What an owner reports about its backend server on each answer."""
+
+import dataclasses
+
+LOAD_HEADER = "Owner-Load"
+FIELD_COUNT = 5
+MAX_FIELD_DIGITS = 12
+US_PER_S = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Feedback:
+    """State of a backend server as its owner sees it.
+
+    Attributes:
+      running: Requests in progress.
+      queued: Requests that wait for a slot.
+      limit: Requests that the owner admits at a time now.
+      latency_s: Recent mean time of a run, in seconds; 0 when unknown.
+      draining: Whether the owner refuses all new work.
+    """
+
+    running: int
+    queued: int
+    limit: int
+    latency_s: float
+    draining: bool = False
+
+
+def format_feedback(feedback: Feedback) -> str:
+    """Returns the value of the Owner-Load header."""
+    latency_us = int(feedback.latency_s * US_PER_S)
+    return (
+        f"{feedback.running},{feedback.queued},{feedback.limit},"
+        f"{latency_us},{int(feedback.draining)}"
+    )
+
+
+def parse_feedback(value: str) -> Feedback | None:
+    """Reads the value of an Owner-Load header; None when it is malformed.
+
+    The header is a hint only, so a malformed one is no error.
+    """
+    fields = value.split(",")
+    if len(fields) != FIELD_COUNT:
+        return None
+    if not all(
+        field.isascii() and field.isdigit() and len(field) <= MAX_FIELD_DIGITS
+        for field in fields
+    ):
+        return None
+    running, queued, limit, latency_us, draining = map(int, fields)
+    return Feedback(
+        running=running,
+        queued=queued,
+        limit=limit,
+        latency_s=latency_us / US_PER_S,
+        draining=draining == 1,
+    )
--- /dev/null
+++ b/src/lovagesaddle/core/routing/loads.py
@@ -0,0 +1,136 @@
+"""What an entry knows about the load and the faults of one backend server."""
+
+import dataclasses
+
+from lovagesaddle.core.routing import feedback as feedback_lib
+from lovagesaddle.core.routing import table
+
+REPORT_MEMORY_S = 1.0
+LATENCY_MEMORY_S = 10.0
+SLOW_START_S = 5.0
+SLOW_START_SHARE = 0.1
+MIN_LATENCY_S = 0.001
+ROOM_SHARE = 0.8
+
+FAILURES_TO_EJECT = 3
+EJECTION_S = 2.0
+MAX_EJECTION_S = 30.0
+DRAIN_MEMORY_S = 30.0
+TRIAL_OUTSTANDING = 1
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ServerLoad:
+    """Mutable record of one incarnation of a backend server.
+
+    Attributes:
+      incarnation: Life of the server that the record is about.
+      slots: Its slots by the table.
+      seen_at: When this entry first saw it, in seconds.
+      warm: Whether it was there when the entry started.
+      outstanding: Requests this entry has there now.
+      report: Newest report of its owner.
+      reported_at: When that report arrived.
+      outstanding_then: `outstanding` when the report arrived.
+      failures: Failures in a row.
+      ejections: Ejections in a row.
+      ejected_at: When the current ejection began.
+      ejected_until: When it ends; 0 when the server is not ejected.
+      draining_until: Until when a refusal as draining is believed.
+      hinted_unhealthy: Whether its health endpoint says it is not well.
+    """
+
+    incarnation: int
+    slots: int
+    seen_at: float
+    warm: bool
+    outstanding: int = 0
+    report: feedback_lib.Feedback | None = None
+    reported_at: float = 0.0
+    outstanding_then: int = 0
+    failures: int = 0
+    ejections: int = 0
+    ejected_at: float = 0.0
+    ejected_until: float = 0.0
+    draining_until: float = 0.0
+    hinted_unhealthy: bool = False
+
+    def take_report(self, report: feedback_lib.Feedback, now: float) -> None:
+        """Keeps the newest report of the owner."""
+        self.report = report
+        self.reported_at = now
+        self.outstanding_then = self.outstanding
+        if report.draining:
+            self.draining_until = now + DRAIN_MEMORY_S
+
+    def count_failure(self, now: float) -> None:
+        """Counts a failure; enough of them in a row eject the server."""
+        self.failures += 1
+        if self.failures < FAILURES_TO_EJECT and not self.ejections:
+            return
+        length_s = min(EJECTION_S * 2**self.ejections, MAX_EJECTION_S)
+        self.ejected_at = now
+        self.ejected_until = now + length_s
+        self.ejections = min(self.ejections + 1, 16)
+
+    def count_success(self) -> None:
+        """Forgets failures, ejections and hints: the server answered."""
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until = 0.0
+        self.hinted_unhealthy = False
+
+    def is_ejected(self, now: float) -> bool:
+        """Returns whether an ejection holds, or its one trial is running."""
+        if now < self.ejected_until:
+            return True
+        return bool(self.ejections) and self.outstanding >= TRIAL_OUTSTANDING
+
+    def estimate_load(self, now: float) -> float:
+        """Returns the requests expected at the server, of every entry."""
+        if self.report is None:
+            return float(self.outstanding)
+        total = self.report.running + self.report.queued
+        others = max(0, total - self.outstanding_then)
+        freshness = max(0.0, 1 - (now - self.reported_at) / REPORT_MEMORY_S)
+        return self.outstanding + others * freshness
+
+    def estimate_limit(self, now: float) -> float:
+        """Returns the requests to send at a time; less while it is cold."""
+        limit = self.slots
+        if self.report is not None:
+            limit = min(limit, self.report.limit)
+        return max(1, limit) * self._warm_share(now)
+
+    def estimate_cost(self, now: float) -> float:
+        """Returns the expected time of one more request, in seconds."""
+        latency_s = 0.0
+        if self.report is not None:
+            age_s = now - self.reported_at
+            freshness = max(0.0, 1 - age_s / LATENCY_MEMORY_S)
+            latency_s = self.report.latency_s * freshness
+        queue = (self.estimate_load(now) + 1) / self.estimate_limit(now)
+        return queue * max(latency_s, MIN_LATENCY_S)
+
+    def has_room(self, now: float) -> bool:
+        """Returns whether one more request would find a slot."""
+        limit = self.estimate_limit(now)
+        return self.estimate_load(now) + 1 <= max(1.0, limit * ROOM_SHARE)
+
+    def _warm_share(self, now: float) -> float:
+        if self.warm:
+            return 1.0
+        age_share = (now - self.seen_at) / SLOW_START_S
+        return min(1.0, max(SLOW_START_SHARE, age_share))
+
+
+def create_load(
+    candidate: table.Candidate, now: float, *, warm: bool
+) -> ServerLoad:
+    """Returns the record of a server that this entry sees first."""
+    return ServerLoad(
+        incarnation=candidate.incarnation,
+        slots=candidate.slots,
+        seen_at=now,
+        warm=warm,
+    )
--- /dev/null
+++ b/src/lovagesaddle/core/routing/table.py
@@ -0,0 +1,302 @@
+"""Routing table: a snapshot compiled for fast, lock-free lookups.
+
+A table never changes; a newer snapshot is compiled into another one, and the
+shell swaps one reference.
+"""
+
+import dataclasses
+import enum
+from urllib import parse
+
+from lovagesaddle.core.model import services as services_lib
+from lovagesaddle.core.model import snapshots
+
+ROOT = "/"
+FORBIDDEN_IN_PATH = ("\\", "%2f", "%5c", "%25")
+DOT_SEGMENTS = frozenset({".", ".."})
+
+
+class MissReason(enum.Enum):
+    """Why no route takes a request."""
+
+    UNKNOWN_HOST = "unknown-host"
+    UNKNOWN_PATH = "unknown-path"
+    MALFORMED_PATH = "malformed-path"
+    METHOD_NOT_ALLOWED = "method-not-allowed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Match:
+    """The route that takes a request.
+
+    Attributes:
+      service: Name of the service.
+      route: The route.
+      version: Version of the snapshot that decided.
+    """
+
+    service: str
+    route: services_lib.Route
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Miss:
+    """No route takes a request; it did not run.
+
+    Attributes:
+      reason: Why.
+      status: HTTP status to answer: 400, 404 or 405.
+      allow: Methods of the path for the Allow header of a 405, sorted.
+      version: Version of the snapshot that decided.
+    """
+
+    reason: MissReason
+    status: int
+    allow: tuple[str, ...] = ()
+    version: int
+
+
+class AccessReason(enum.Enum):
+    """Why a request may or may not use a route."""
+
+    CALLER = "caller"
+    SERVICE = "service"
+    NO_CREDENTIAL = "no-credential"
+    UNKNOWN_CREDENTIAL = "unknown-credential"
+    FORBIDDEN = "forbidden"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Credential:
+    """Who sends a request, as far as the entry could establish it.
+
+    Attributes:
+      token_digest: `sha256:<hex>` of the bearer token; empty without one.
+      service: Local service that the request came from; empty for a caller.
+    """
+
+    token_digest: str = ""
+    service: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Access:
+    """Whether a request may use the route that it matches.
+
+    Attributes:
+      allowed: The verdict.
+      status: 401 or 403 when not allowed, else 0.
+      client: Name of the caller or service; empty when unknown.
+      reason: Why.
+    """
+
+    allowed: bool
+    status: int
+    client: str
+    reason: AccessReason
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Candidate:
+    """A backend server that may be picked.
+
+    Attributes:
+      server_id: `<node_id>/<service>`.
+      incarnation: Of the backend server.
+      node_id: Its owner.
+      failure_domain: Of the owner.
+      http_address: `ip:port` of the owner.
+      slots: Requests that it runs at a time.
+    """
+
+    server_id: str
+    incarnation: int
+    node_id: str
+    failure_domain: str
+    http_address: str
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Target:
+    match: Match
+    callers: dict[str, str]
+    service_callers: dict[str, str]
+
+
+_Methods = dict[str, _Target]
+
+
+class Table:
+    """What one snapshot says about every request.
+
+    Args:
+      snapshot: The state to compile.
+    """
+
+    def __init__(self, snapshot: snapshots.Snapshot) -> None:
+        self._version = snapshot.version
+        self._hosts: dict[str, dict[str, _Methods]] = {}
+        self._targets: dict[tuple[str, str], _Target] = {}
+        for service in snapshot.services:
+            self._add_service(service)
+        self._candidates = _compile_candidates(snapshot)
+
+    @property
+    def version(self) -> int:
+        """Version of the compiled snapshot."""
+        return self._version
+
+    def match(self, *, host: str, path: str, method: str) -> Match | Miss:
+        """Finds the route of a request; the longest path prefix wins.
+
+        A method that the longest prefix lacks is not looked for under a
+        shorter one, since that may belong to another service.
+
+        Args:
+          host: Host header, with or without a port, in any case.
+          path: Path without the query, as sent.
+          method: HTTP method in upper case.
+        """
+        prefixes = self._hosts.get(_normalise_host(host))
+        if prefixes is None:
+            return self._miss(MissReason.UNKNOWN_HOST, 404)
+        decoded = _decode_path(path)
+        if decoded is None:
+            return self._miss(MissReason.MALFORMED_PATH, 400)
+        methods = _find_longest(prefixes, decoded)
+        if methods is None:
+            return self._miss(MissReason.UNKNOWN_PATH, 404)
+        target = methods.get(method)
+        if target is None:
+            return self._miss(
+                MissReason.METHOD_NOT_ALLOWED, 405, tuple(sorted(methods))
+            )
+        return target.match
+
+    def authorise(self, match: Match, credential: Credential) -> Access:
+        """Returns whether the sender of a request may use its route."""
+        target = self._targets[match.service, match.route.name]
+        if credential.service:
+            return _judge_service(match.route, credential.service)
+        digest = credential.token_digest
+        if not digest:
+            return _deny(401, AccessReason.NO_CREDENTIAL)
+        name = target.callers.get(digest)
+        if name is not None:
+            return Access(
+                allowed=True, status=0, client=name, reason=AccessReason.CALLER
+            )
+        known = target.service_callers.get(digest)
+        if known is not None:
+            return _deny(403, AccessReason.FORBIDDEN, known)
+        return _deny(401, AccessReason.UNKNOWN_CREDENTIAL)
+
+    def list_candidates(self, service: str) -> tuple[Candidate, ...]:
+        """Returns the serving backend servers of a service, by server ID."""
+        return self._candidates.get(service, ())
+
+    def _miss(
+        self, reason: MissReason, status: int, allow: tuple[str, ...] = ()
+    ) -> Miss:
+        return Miss(
+            reason=reason, status=status, allow=allow, version=self._version
+        )
+
+    def _add_service(self, service: services_lib.Service) -> None:
+        known = {
+            digest: caller.name
+            for caller in service.callers
+            for digest in caller.digests
+        }
+        for route in service.routes:
+            target = _Target(
+                match=Match(
+                    service=service.name, route=route, version=self._version
+                ),
+                callers={
+                    digest: name
+                    for digest, name in known.items()
+                    if name in route.callers
+                },
+                service_callers=known,
+            )
+            self._targets[service.name, route.name] = target
+            prefixes = self._hosts.setdefault(route.host, {})
+            methods = prefixes.setdefault(_normalise_prefix(route), {})
+            for method in route.methods:
+                methods.setdefault(method, target)
+
+
+def _compile_candidates(
+    snapshot: snapshots.Snapshot,
+) -> dict[str, tuple[Candidate, ...]]:
+    nodes = {node.node_id: node for node in snapshot.nodes}
+    found: dict[str, list[Candidate]] = {}
+    for server in snapshot.servers:
+        node = nodes.get(server.node_id)
+        if node is None or server.state is not snapshots.ServerState.SERVING:
+            continue
+        found.setdefault(server.service, []).append(
+            Candidate(
+                server_id=server.server_id,
+                incarnation=server.incarnation,
+                node_id=server.node_id,
+                failure_domain=node.failure_domain,
+                http_address=node.http_address,
+                slots=server.slots,
+            )
+        )
+    return {service: tuple(servers) for service, servers in found.items()}
+
+
+def _judge_service(route: services_lib.Route, service: str) -> Access:
+    if service in route.services:
+        return Access(
+            allowed=True, status=0, client=service, reason=AccessReason.SERVICE
+        )
+    return _deny(403, AccessReason.FORBIDDEN, service)
+
+
+def _deny(status: int, reason: AccessReason, client: str = "") -> Access:
+    return Access(allowed=False, status=status, client=client, reason=reason)
+
+
+def _normalise_host(host: str) -> str:
+    name = host.lower()
+    if name.startswith("["):
+        return name.partition("]")[0] + "]"
+    return name.partition(":")[0]
+
+
+def _normalise_prefix(route: services_lib.Route) -> str:
+    return route.path_prefix.rstrip("/") or ROOT
+
+
+def _decode_path(path: str) -> str | None:
+    """Returns the path as a backend server will read it, or None.
+
+    Without decoding, an encoded letter would slip past the longest prefix
+    and be judged by the callers of a shorter one.
+    """
+    if not path.startswith(ROOT):
+        return None
+    lowered = path.lower()
+    if any(text in lowered for text in FORBIDDEN_IN_PATH):
+        return None
+    decoded = parse.unquote(path, errors="replace") if "%" in path else path
+    segments = decoded.split("/")
+    if not DOT_SEGMENTS.isdisjoint(segments) or "" in segments[1:-1]:
+        return None
+    return decoded if decoded.isprintable() else None
+
+
+def _find_longest(prefixes: dict[str, _Methods], path: str) -> _Methods | None:
+    prefix = path.rstrip("/")
+    while prefix:
+        methods = prefixes.get(prefix)
+        if methods is not None:
+            return methods
+        prefix = prefix.rpartition("/")[0]
+    return prefixes.get(ROOT)
