--- /dev/null
+++ b/tests/test_results.py
@@ -0,0 +1,54 @@
+"""Tests of the results of measurements."""
+
+import pathlib
+import tempfile
+
+from bench import results
+
+from tests import fixtures
+
+
+def _sample(
+    variant: str, seed: int, value: float, bound: float | None = None
+) -> results.Sample:
+    figure = results.Figure(name="p99", value=value, unit="ms", bound=bound)
+    return results.Sample(
+        experiment="e", variant=variant, seed=seed, figures=(figure,)
+    )
+
+
+def test_samples_survive_the_file() -> None:
+    """Samples are read back as they were written."""
+    samples = (_sample("a", 1, 2.5, 3.0), _sample("b", 2, 4.0))
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "new" / "r.jsonl"
+        results.write_samples(path, samples)
+        assert results.read_samples(path) == samples
+
+
+def test_breach_of_a_bound_is_listed() -> None:
+    """A figure beyond its bound is named with both values."""
+    met, broken = _sample("a", 1, 3.0, 3.0), _sample("b", 7, 3.1, 3.0)
+    assert results.list_breaches((met, broken)) == (
+        "e/b seed 7: p99 is 3.1 ms, bound 3",
+    )
+
+
+def test_table_shows_the_spread_over_seeds() -> None:
+    """Several runs of a variant are one cell with median and extremes."""
+    table = results.format_table(
+        _sample("a", seed, value) for seed, value in ((1, 1), (2, 9), (3, 2))
+    )
+    assert table.splitlines()[1].split("  ")[-1] == "2 [1..9]"
+
+
+def test_comparison_tells_overlap_from_difference() -> None:
+    """A change is called apart only when no run overlaps."""
+    before = (_sample("a", 1, 10), _sample("a", 2, 12))
+    apart = results.compare(before, (_sample("a", 1, 5), _sample("a", 2, 6)))
+    overlap = results.compare(before, (_sample("a", 1, 11),))
+    assert apart.splitlines()[1].endswith("-50%    apart")
+    assert overlap.splitlines()[1].endswith("overlaps")
+
+
+load_tests = fixtures.collect(__name__)
