Leave untouched groups alone when a delta is applied

Cause: applying a delta of one server at 1,100 nodes took 3.7 ms, most of it merging and comparing services and nodes that had not changed. Change: a group without changes keeps its tuple, which the digest and the comparison then pass over by identity.

--- /dev/null
+++ b/bench/state_cost.py
@@ -0,0 +1,75 @@
+"""Cost of the state against fleet size: `python -m bench.state_cost`.
+
+Prints, for several fleet sizes, the encoded size of the snapshot and of one
+change, and the processor time to digest, change and check them.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import pathlib
+import time
+
+import msgspec
+
+from bench import fleet_state
+from bench import results
+from lovagesaddle.core.configuration import delta
+
+SIZES = (100, 200, 550, 1_100)
+REPEATS = 15
+RESULTS_FILE = pathlib.Path("results") / "state_cost.jsonl"
+
+
+def measure(node_count: int) -> results.Sample:
+    """Returns the figures of one fleet size."""
+    snapshot = fleet_state.build_snapshot(node_count)
+    base = delta.stamp(snapshot)
+    drained = dataclasses.replace(snapshot.servers[0], slots=19)
+    target_snapshot = dataclasses.replace(
+        snapshot, version=2, servers=(drained, *snapshot.servers[1:])
+    )
+    target = delta.restamp(base, target_snapshot)
+    change = delta.compute_delta(base, target)
+    encoder = msgspec.msgpack.Encoder()
+    return results.Sample(
+        experiment="state_cost",
+        variant=f"{node_count} nodes",
+        seed=1,
+        figures=(
+            _size("snapshot", encoder.encode(snapshot)),
+            _size("delta of one server", encoder.encode(change)),
+            _time("digest of the whole", lambda: delta.stamp(snapshot)),
+            _time(
+                "digest of one change",
+                lambda: delta.restamp(base, target_snapshot),
+            ),
+            _time("compute delta", lambda: delta.compute_delta(base, target)),
+            _time("apply delta", lambda: delta.apply_delta(base, change)),
+        ),
+    )
+
+
+def main() -> int:
+    """Prints the table and writes the samples."""
+    samples = tuple(measure(size) for size in SIZES)
+    results.write_samples(RESULTS_FILE, samples)
+    print(results.format_table(samples))
+    return 0
+
+
+def _size(name: str, data: bytes) -> results.Figure:
+    return results.Figure(name=name, value=len(data), unit="B")
+
+
+def _time(name: str, work: Callable[[], object]) -> results.Figure:
+    spent: list[float] = []
+    for _ in range(REPEATS):
+        begun = time.perf_counter()
+        work()
+        spent.append(time.perf_counter() - begun)
+    middle = sorted(spent)[REPEATS // 2]
+    return results.Figure(name=name, value=middle * 1_000, unit="ms")
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/src/lovagesaddle/core/configuration/delta.py
+++ b/src/lovagesaddle/core/configuration/delta.py
@@ -126,7 +126,14 @@
     changed: Iterable[ItemT],
     removed: Iterable[str],
 ) -> tuple[ItemT, ...]:
-    """Returns `items` with changes and removals, sorted by key."""
+    """Returns `items` with changes and removals, sorted by key.
+
+    Without any, the very same tuple comes back, so that its digest need not
+    be computed again.
+    """
+    changed, removed = tuple(changed), tuple(removed)
+    if not changed and not removed:
+        return items
     by_key = {key_item(item): item for item in items}
     for name in removed:
         by_key.pop(name, None)
@@ -156,6 +163,8 @@
 def _list_changed(
     old: tuple[ItemT, ...], new: tuple[ItemT, ...]
 ) -> tuple[ItemT, ...]:
+    if old is new:
+        return ()
     before = {key_item(item): item for item in old}
     return tuple(
         item
@@ -167,6 +176,8 @@
 def _list_removed(
     old: tuple[ItemT, ...], new: tuple[ItemT, ...]
 ) -> tuple[str, ...]:
+    if old is new:
+        return ()
     kept = {key_item(item) for item in new}
     return tuple(key_item(item) for item in old if key_item(item) not in kept)
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -145,6 +145,20 @@
     assert result.digest == delta.stamp(target.snapshot).digest
 
 
+def test_unchanged_groups_are_kept_by_identity() -> None:
+    """A delta of one group leaves the other groups' tuples as they are."""
+    base = _two_versions()[0]
+    changed = dataclasses.replace(base.snapshot.servers[0], slots=1)
+    target = delta.restamp(
+        base,
+        dataclasses.replace(base.snapshot, version=2, servers=(changed,)),
+    )
+    result = delta.apply_delta(base, delta.compute_delta(base, target))
+    assert result.snapshot.nodes is base.snapshot.nodes
+    assert result.snapshot.services is base.snapshot.services
+    assert result.snapshot.servers == (changed,)
+
+
 def test_delta_on_another_base_is_refused() -> None:
     """A crossed, damaged or older delta is refused whole."""
     base, target = _two_versions()
