Load settings files and set up logs, counters and latencies

The programs need their settings, their log and their metrics. INI files are read with a line index beside configparser, so that every mistake is located; each value is checked through msgspec against the schema. Log lines are rendered and written by a thread of their own.

--- /dev/null
+++ b/src/lovagesaddle/core/configuration/units.py
@@ -0,0 +1,67 @@
+"""Turns the text of an INI value into a plain value of its unit."""
+
+import enum
+import re
+
+_DURATION = re.compile(r"^(?P<amount>\d+(\.\d+)?)\s*(?P<unit>ms|s|m)$")
+_SECONDS_OF = {"ms": 0.001, "s": 1.0, "m": 60.0}
+_SIZE = re.compile(r"^(?P<amount>\d+)\s*(?P<unit>B|KB|MB|GB)$")
+_BYTES_OF = {"B": 1, "KB": 1024, "MB": 1024**2, "GB": 1024**3}
+_SWITCH = {"yes": True, "no": False}
+
+
+class Unit(enum.Enum):
+    """How the text of a value is read."""
+
+    PLAIN = "plain"
+    DURATION = "duration"
+    SIZE = "size"
+    SWITCH = "switch"
+    WORDS = "words"
+
+
+Plain = str | float | int | bool | tuple[str, ...]
+
+
+def parse_value(text: str, unit: Unit) -> Plain:
+    """Returns the value of `text`.
+
+    Args:
+      text: Value as it stands in the file.
+      unit: How to read it; durations become seconds, sizes bytes.
+
+    Raises:
+      ValueError: The text is not of that unit; the message is the cause.
+    """
+    match unit:
+        case Unit.PLAIN:
+            return text
+        case Unit.DURATION:
+            return _parse_duration(text)
+        case Unit.SIZE:
+            return _parse_size(text)
+        case Unit.SWITCH:
+            return _parse_switch(text)
+        case Unit.WORDS:
+            return tuple(text.replace(",", " ").split())
+
+
+def _parse_duration(text: str) -> float:
+    match = _DURATION.match(text)
+    if match is None:
+        raise ValueError(f'"{text}" is not a duration such as 150ms, 2s or 1m')
+    return round(float(match["amount"]) * _SECONDS_OF[match["unit"]], 6)
+
+
+def _parse_size(text: str) -> int:
+    match = _SIZE.match(text)
+    if match is None:
+        raise ValueError(f'"{text}" is not a size such as 512B, 64KB or 16MB')
+    return int(match["amount"]) * _BYTES_OF[match["unit"]]
+
+
+def _parse_switch(text: str) -> bool:
+    value = _SWITCH.get(text)
+    if value is None:
+        raise ValueError(f'"{text}" is neither yes nor no')
+    return value
--- /dev/null
+++ b/src/lovagesaddle/settings/loader.py
@@ -0,0 +1,201 @@
+"""Loads the settings file of a program and checks all of it at once."""
+
+from collections.abc import Callable
+import dataclasses
+import pathlib
+from typing import Any, TypeVar
+
+from returns import result
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.configuration import ini
+from lovagesaddle.core.configuration import sections
+from lovagesaddle.settings import schema
+
+T = TypeVar("T")
+
+Problems = tuple[errors.FileProblem, ...]
+
+_REPLICA = "replica"
+_SHARED_FIELDS = ("replicas", "keys", "log")
+
+
+def load_control(
+    path: pathlib.Path,
+) -> result.Result[schema.ControlSettings, Problems]:
+    """Returns the settings of lovagesaddle-control, or every mistake."""
+    return _load(
+        path, schema.ControlSettings, "control", _check_founding_replicas
+    )
+
+
+def load_node(
+    path: pathlib.Path,
+) -> result.Result[schema.NodeSettings, Problems]:
+    """Returns the settings of lovagesaddle-node, or every mistake."""
+    return _load(path, schema.NodeSettings, "node", _accept)
+
+
+def load_operator(
+    path: pathlib.Path,
+) -> result.Result[schema.OperatorSettings, Problems]:
+    """Returns the settings of the command line, or every mistake."""
+    return _load(path, schema.OperatorSettings, "operator", _accept)
+
+
+def list_lines(problems: Problems) -> str:
+    """Returns the problems for standard error, one a line."""
+    return "\n".join(problem.format() for problem in problems)
+
+
+def _load(
+    path: pathlib.Path,
+    kind: type[T],
+    main: str,
+    check: Callable[[ini.Section, T], Problems],
+) -> result.Result[T, Problems]:
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return result.Failure((_locate_file(path, f"can't be read: {error}"),))
+    return _check_text(text, str(path), kind, main, check)
+
+
+def _check_text(
+    text: str,
+    file: str,
+    kind: type[T],
+    main: str,
+    check: Callable[[ini.Section, T], Problems],
+) -> result.Result[T, Problems]:
+    document = ini.parse_document(text, file=file)
+    draft = _Draft(document, problems=list(document.problems))
+    names = {field.name for field in dataclasses.fields(kind)}  # type: ignore[arg-type]
+    shared: dict[str, Any] = {"replicas": draft.take_replicas()}
+    shared["keys"] = draft.take_single("keys", schema.KeySettings)
+    if "log" in names:
+        shared["log"] = draft.take_single("log", schema.LogSettings)
+    section = draft.take_main(main)
+    draft.report_unknown()
+    value = None
+    if section is not None:
+        value = draft.take(
+            sections.convert_section(section, kind, given=shared)
+        )
+        if value is not None:
+            draft.problems.extend(check(section, value))
+    if draft.problems or value is None:
+        ordered = sorted(draft.problems, key=lambda problem: problem.line)
+        return result.Failure(tuple(ordered))
+    return result.Success(value)
+
+
+class _Draft:
+    """Sections of a document that are not used yet, and its problems."""
+
+    def __init__(
+        self, document: ini.Document, *, problems: list[errors.FileProblem]
+    ) -> None:
+        self._file = document.file
+        self._left = list(document.sections)
+        self.problems = problems
+
+    def take(self, converted: sections.Converted[T]) -> T | None:
+        self.problems.extend(converted.problems)
+        return converted.value
+
+    def take_single(self, kind: str, schema_class: type[T]) -> T:
+        section = self._pop(kind)
+        if section is None:
+            return schema_class()
+        converted = self.take(sections.convert_section(section, schema_class))
+        return schema_class() if converted is None else converted
+
+    def take_replicas(self) -> tuple[schema.ReplicaAddress, ...]:
+        replicas: list[schema.ReplicaAddress] = []
+        for section in [s for s in self._left if s.kind == _REPLICA]:
+            self._left.remove(section)
+            replica = self.take(
+                sections.convert_section(
+                    section,
+                    schema.ReplicaAddress,
+                    given={"replica_id": section.label},
+                )
+            )
+            if not section.label:
+                self.problems.append(
+                    section.report("", "section needs a name: [replica NAME]")
+                )
+            if replica is not None:
+                replicas.append(replica)
+        self._check_addresses(replicas)
+        return tuple(replicas)
+
+    def take_main(self, kind: str) -> ini.Section | None:
+        section = self._pop(kind)
+        if section is None:
+            self.problems.append(
+                _locate(self._file, kind, f"section [{kind}] is missing")
+            )
+        return section
+
+    def report_unknown(self) -> None:
+        self.problems.extend(
+            section.report("", "section is unknown") for section in self._left
+        )
+
+    def _pop(self, kind: str) -> ini.Section | None:
+        for section in self._left:
+            if section.name == kind:
+                self._left.remove(section)
+                return section
+        return None
+
+    def _check_addresses(self, replicas: list[schema.ReplicaAddress]) -> None:
+        if not replicas:
+            self.problems.append(
+                _locate(self._file, _REPLICA, "no [replica NAME] is given")
+            )
+        addresses = [replica.address for replica in replicas]
+        for address in sorted({a for a in addresses if addresses.count(a) > 1}):
+            self.problems.append(
+                _locate(
+                    self._file,
+                    _REPLICA,
+                    f"address {address} stands at several replicas",
+                )
+            )
+
+
+def _accept(section: ini.Section, settings: Any) -> Problems:
+    del section, settings
+    return ()
+
+
+def _check_founding_replicas(
+    section: ini.Section, settings: schema.ControlSettings
+) -> Problems:
+    own = [
+        replica
+        for replica in settings.replicas
+        if replica.replica_id == settings.replica_id
+    ]
+    if not own:
+        # A replacement joins under a new name that no founder bears.
+        return ()
+    if own[0].address != settings.address:
+        cause = (
+            f"differs from {own[0].address} in [replica {own[0].replica_id}]"
+        )
+        return (section.report("address", cause),)
+    return ()
+
+
+def _locate_file(path: pathlib.Path, cause: str) -> errors.FileProblem:
+    return _locate(str(path), "", cause)
+
+
+def _locate(file: str, section: str, cause: str) -> errors.FileProblem:
+    return errors.FileProblem(
+        file=file, line=0, section=section, key="", cause=cause
+    )
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -1,15 +1,29 @@
 """Settings of the programs, as frozen data with their bounds."""
 
 import dataclasses
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
+from lovagesaddle.core.configuration import units
+
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Identifier = Annotated[
     str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")
 ]
-PositiveSeconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+PositiveSeconds = Annotated[
+    float, msgspec.Meta(gt=0, le=3600, extra={"unit": units.Unit.DURATION})
+]
+Size = Annotated[int, msgspec.Meta(ge=0, extra={"unit": units.Unit.SIZE})]
+ControlAddress = Annotated[
+    str, msgspec.Meta(pattern=r"^tcp://[0-9]+(\.[0-9]+){3}:[0-9]{1,5}$")
+]
+HttpAddress = Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9]+(\.[0-9]+){3}:[0-9]{1,5}$")
+]
+PublicKey = Annotated[str, msgspec.Meta(pattern=r"^(\S{40})?$")]
+NonEmpty = Annotated[str, msgspec.Meta(min_length=1)]
+LogLevel = Literal["debug", "info", "warning", "error"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -23,8 +37,8 @@
     """
 
     replica_id: Identifier
-    address: str
-    public_key: str = ""
+    address: ControlAddress
+    public_key: PublicKey = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -51,7 +65,7 @@
       file: Path, or empty for standard error.
     """
 
-    level: str = "info"
+    level: LogLevel = "info"
     file: str = ""
 
 
@@ -74,9 +88,9 @@
     """
 
     replica_id: Identifier
-    address: str
+    address: ControlAddress
     failure_domain: Identifier
-    data_folder: str
+    data_folder: NonEmpty
     cluster_id: Identifier
     replicas: tuple[ReplicaAddress, ...]
     keys: KeySettings = KeySettings()
@@ -110,15 +124,15 @@
     node_id: Identifier
     failure_domain: Identifier
     region: Identifier
-    http_address: str
-    admin_address: str
-    control_address: str
+    http_address: HttpAddress
+    admin_address: HttpAddress
+    control_address: ControlAddress
     cluster_id: Identifier
     replicas: tuple[ReplicaAddress, ...]
     keys: KeySettings = KeySettings()
     log: LogSettings = LogSettings()
     heartbeat_s: PositiveSeconds = 1.0
-    max_body_bytes: Annotated[int, msgspec.Meta(ge=0)] = 16 * 1024 * 1024
+    max_body_bytes: Size = 16 * 1024 * 1024
     threads: Annotated[int, msgspec.Meta(ge=1, le=512)] = 32
 
 
@@ -134,6 +148,6 @@
     """
 
     replicas: tuple[ReplicaAddress, ...]
-    operator: str
+    operator: Identifier
     keys: KeySettings = KeySettings()
     timeout_s: PositiveSeconds = 10.0
--- /dev/null
+++ b/tests/test_observability.py
@@ -0,0 +1,78 @@
+"""Tests of logs, counters and latencies."""
+
+import io
+
+from lovagesaddle.observability import latencies
+from lovagesaddle.observability import logs
+from lovagesaddle.observability import metrics
+from tests import fixtures
+
+
+def test_event_is_one_line_of_pairs() -> None:
+    """An event becomes one key=value line, whatever its values hold."""
+    stream = io.StringIO()
+    with logs.LogWriter(stream, level="info", owned=False):
+        log = logs.get_logger("proxy")
+        log.info(
+            "server_picked",
+            candidates=("n1/desk", "n2/desk"),
+            reason="own domain\nfirst",
+            ok=True,
+        )
+    line = stream.getvalue()
+    assert line.count("\n") == 1, line
+    stamp, _, rest = line.partition(" ")
+    assert stamp.startswith("ts=") and rest == (
+        "level=info event=server_picked part=proxy"
+        ' candidates=n1/desk,n2/desk reason="own domain\\nfirst" ok=yes\n'
+    ), line
+
+
+def test_lines_under_the_level_are_left_out() -> None:
+    """A line below the level of the settings is not written."""
+    stream = io.StringIO()
+    with logs.LogWriter(stream, level="warning", owned=False):
+        logs.get_logger("x").info("quiet")
+        logs.get_logger("x").warning("loud")
+    assert "quiet" not in stream.getvalue()
+    assert "loud" in stream.getvalue()
+
+
+def test_closed_log_drops_events() -> None:
+    """Logging after the log was closed neither fails nor writes."""
+    stream = io.StringIO()
+    with logs.LogWriter(stream, level="info", owned=False):
+        log = logs.get_logger("x")
+    log.info("late")
+    logs.get_logger("x").info("late")
+    assert stream.getvalue() == ""
+
+
+def test_metrics_are_rendered_in_order() -> None:
+    """Counters, gauges and latencies come out as exposition text."""
+    registry = metrics.Metrics()
+    registry.get_counter("calls_total", "Calls.", labels={"o": 'a"b'}).add(2)
+    registry.get_counter("calls_total", "Calls.", labels={"o": 'a"b'}).add()
+    registry.set_gauge("version", "Version held.", lambda: 7)
+    recorder = registry.get_latency("call_seconds", "Whole call.")
+    for millisecond in range(1, 101):
+        recorder.record(millisecond / 1000)
+    text = registry.render()
+    assert 'calls_total{o="a\\"b"} 3\n' in text
+    assert "version 7\n" in text
+    assert "call_seconds_count 100\n" in text
+    assert 'call_seconds{quantile="0.5"} 0.05' in text, text
+
+
+def test_percentiles_survive_encoding() -> None:
+    """A recorder that merges an encoded one has its percentiles."""
+    one = latencies.LatencyRecorder("a", "")
+    for millisecond in range(1, 1001):
+        one.record(millisecond / 1000)
+    other = latencies.LatencyRecorder("b", "")
+    other.merge(one.encode())
+    assert other.find_percentile(99) == one.find_percentile(99)
+    assert abs(one.find_percentile(99) - 0.99) < 0.002
+
+
+load_tests = fixtures.collect(__name__)
