Refuse requests that crash backend servers

A request that kills each server that runs it took down the whole service when its caller sent it again. Each death now marks what ran there; a marked request runs as the one suspect of a server, a second death as the suspect refuses it, an answer clears it.

Tried first: refusing at two marks of any kind.

--- a/src/lovagesaddle/core/routing/admission.py
+++ b/src/lovagesaddle/core/routing/admission.py
@@ -37,11 +37,13 @@
       request_id: Unique among the attempts that this owner holds.
       priority: Of its route.
       deadline: Monotonic time by which its answer must be there, in seconds.
+      suspect: Whether it may crash the server; one suspect runs at a time.
     """
 
     request_id: str
     priority: services.Priority
     deadline: float
+    suspect: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -153,6 +155,7 @@
         self._queue = queues.Queue(order)
         self._queue_share = queue_share
         self._running: dict[str, float] = {}
+        self._running_suspect = ""
         self._arrivals = 0
         self._run_s = 0.0
         self._draining = False
@@ -219,6 +222,7 @@
             deadline=event.deadline,
             arrived_at=now,
             number=self._arrivals,
+            suspect=event.suspect,
         )
         self._queue.add(waiting)
         self._drop_hopeless(now, actions)
@@ -255,8 +259,13 @@
 
     def _serve(self, now: float, actions: list[Action]) -> None:
         self._drop_hopeless(now, actions)
-        while self._queue and len(self._running) < self._limit.limit:
-            first = self._queue.take_first()
+        while len(self._running) < self._limit.limit:
+            suspects = self._running_suspect not in self._running
+            first = self._queue.take_first(suspects=suspects)
+            if first is None:
+                break
+            if first.suspect:
+                self._running_suspect = first.request_id
             self._running[first.request_id] = now
             actions.append(
                 Admitted(
--- /dev/null
+++ b/src/lovagesaddle/core/routing/quarantine.py
@@ -0,0 +1,302 @@
+"""Keeps requests that crash backend servers away from further ones.
+
+When a backend server dies, every request that it ran gets a mark. A marked
+request is a suspect: an owner runs one suspect at a time, so that the next
+death tells the guilty one from its companions. A request that was running as
+a suspect when a server died is refused for a time; one that is answered is
+cleared. A request that was answered shortly before is no suspect at once,
+since one that is sent often runs beside every crash.
+"""
+
+import collections
+import dataclasses
+import enum
+import hashlib
+
+from lovagesaddle.core import part
+
+FINGERPRINT_BYTES = 16
+MARK_MEMORY_S = 60.0
+REFUSAL_S = 60.0
+MAX_REFUSAL_S = 3600.0
+MARKS_TO_REFUSE = 2
+UNSUSPECTED_MARKS_TO_REFUSE = 4
+MAX_RECORDS = 4096
+ANSWER_MEMORY_S = 60.0
+MAX_ANSWERS = 4096
+DEATH_BYTES = 16
+SUSPECTED = b"\x01"
+UNSUSPECTED = b"\x00"
+MARK_ID_FINGERPRINT_BYTES = 8
+SUSPECT_HEADER = "Request-Suspect"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CrashMark:
+    """Says that a backend server died while it ran a request.
+
+    Attributes:
+      fingerprint: Digest of method, route, target and body.
+      mark_id: Unique for the death, the fingerprint and whether it was a
+        suspect, so that carriers pass each mark on once.
+      age_s: Seconds since the death, when it was sent.
+    """
+
+    fingerprint: bytes
+    mark_id: bytes
+    age_s: float
+
+    @property
+    def death_id(self) -> bytes:
+        """Digest of the server's life; a death counts once for a request."""
+        return self.mark_id[:DEATH_BYTES]
+
+    @property
+    def suspected(self) -> bool:
+        """Whether the owner ran the request as its one suspect."""
+        return self.mark_id[DEATH_BYTES : DEATH_BYTES + 1] == SUSPECTED
+
+
+class Verdict(enum.Enum):
+    """What may be done with a request.
+
+    CLEAR: run it.
+    SUSPECT: run it, one suspect at a time on a server.
+    REFUSED: answer 503 with not-run.
+    """
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    REFUSED = "refused"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RunningRequest:
+    """A request that a server ran when it died.
+
+    Attributes:
+      fingerprint: Of the request.
+      suspected: Whether it was admitted as a suspect.
+    """
+
+    fingerprint: bytes
+    suspected: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerDied:
+    """The local backend server died, other than by a planned stop.
+
+    Attributes:
+      server_id: Of the server.
+      incarnation: Its life that ended.
+      running: Requests that were handed over and not answered.
+    """
+
+    server_id: str
+    incarnation: int
+    running: tuple[RunningRequest, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Marked:
+    """Marks came from other nodes, or an owner told the entry of a crash."""
+
+    marks: tuple[CrashMark, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Answered:
+    """A request was answered as a whole, so it did not crash its server."""
+
+    fingerprint: bytes
+
+
+Event = ServerDied | Marked | Answered
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SpreadMarks:
+    """Sends marks to every node."""
+
+    marks: tuple[CrashMark, ...]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Record:
+    marks: dict[bytes, bool]
+    last_at: float
+    trusted: bool
+    refused_until: float = 0.0
+    refusals: int = 0
+
+
+class Quarantine(part.Part[Event, SpreadMarks]):
+    """What one node knows of requests that crash servers."""
+
+    def __init__(self) -> None:
+        self._records: dict[bytes, _Record] = {}
+        self._answers: collections.OrderedDict[bytes, float] = (
+            collections.OrderedDict()
+        )
+
+    def judge(
+        self, fingerprint: bytes, now: float, *, hinted: bool = False
+    ) -> Verdict:
+        """Returns what may be done with a request now.
+
+        Args:
+          fingerprint: Of the request.
+          now: Monotonic time in seconds.
+          hinted: Whether its entry sent it as a suspect.
+        """
+        record = self._records.get(fingerprint)
+        if record is None:
+            trusted = not hinted or self._is_trusted(fingerprint, now)
+            return Verdict.CLEAR if trusted else Verdict.SUSPECT
+        if now < record.refused_until:
+            return Verdict.REFUSED
+        if self._is_forgotten(record, now):
+            del self._records[fingerprint]
+            return self.judge(fingerprint, now, hinted=hinted)
+        return Verdict.CLEAR if record.trusted else Verdict.SUSPECT
+
+    def step(self, event: Event, now: float) -> tuple[SpreadMarks, ...]:
+        """Handles one event."""
+        match event:
+            case ServerDied():
+                marks = _mark_running(event)
+                for mark in marks:
+                    self._take(mark, now)
+                return (SpreadMarks(marks=marks),) if marks else ()
+            case Marked():
+                for mark in event.marks:
+                    self._take(mark, now)
+            case Answered():
+                self._clear(event.fingerprint, now)
+        return ()
+
+    def _take(self, mark: CrashMark, now: float) -> None:
+        if mark.age_s > MARK_MEMORY_S:
+            return
+        at = now - max(0.0, mark.age_s)
+        if at < self._answers.get(mark.fingerprint, float("-inf")):
+            # It has been answered since, so another request was guilty.
+            return
+        record = self._records.get(mark.fingerprint)
+        if record is None or self._is_forgotten(record, now):
+            self._make_room(now)
+            trusted = self._is_trusted(mark.fingerprint, now)
+            record = _Record(marks={}, last_at=at, trusted=trusted)
+            self._records[mark.fingerprint] = record
+        suspected = record.marks.get(mark.death_id, False) or mark.suspected
+        record.marks[mark.death_id] = suspected
+        record.last_at = max(record.last_at, at)
+        if now >= record.refused_until and _is_guilty(record):
+            self._refuse(record, now)
+
+    def _refuse(self, record: _Record, now: float) -> None:
+        length_s = min(REFUSAL_S * 2**record.refusals, MAX_REFUSAL_S)
+        record.refused_until = now + length_s
+        record.refusals = min(record.refusals + 1, 16)
+        record.trusted = False
+
+    def _clear(self, fingerprint: bytes, now: float) -> None:
+        self._answers[fingerprint] = now
+        self._answers.move_to_end(fingerprint)
+        if len(self._answers) > MAX_ANSWERS:
+            self._answers.popitem(last=False)
+        record = self._records.get(fingerprint)
+        if record is not None and now >= record.refused_until:
+            del self._records[fingerprint]
+
+    def _is_trusted(self, fingerprint: bytes, now: float) -> bool:
+        answered_at = self._answers.get(fingerprint, float("-inf"))
+        return now - answered_at < ANSWER_MEMORY_S
+
+    def _is_forgotten(self, record: _Record, now: float) -> bool:
+        since = max(record.last_at, record.refused_until)
+        return now - since > MARK_MEMORY_S
+
+    def _make_room(self, now: float) -> None:
+        if len(self._records) < MAX_RECORDS:
+            return
+        for fingerprint, record in tuple(self._records.items()):
+            if self._is_forgotten(record, now):
+                del self._records[fingerprint]
+        if len(self._records) >= MAX_RECORDS:
+            oldest = min(
+                self._records,
+                key=lambda each: max(
+                    self._records[each].last_at,
+                    self._records[each].refused_until,
+                ),
+            )
+            del self._records[oldest]
+
+
+def compute_fingerprint(
+    *, method: str, service: str, route: str, target: str, body_digest: bytes
+) -> bytes:
+    """Returns the fingerprint of a request.
+
+    The target is part of it, since most requests without a body differ in
+    nothing else.
+
+    Args:
+      method: HTTP method.
+      service: Name of the service.
+      route: Name of the route.
+      target: Path with the query, as sent.
+      body_digest: Digest of the whole body.
+    """
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for field in (method, service, route, target):
+        data = field.encode()
+        digest.update(len(data).to_bytes(4, "big") + data)
+    digest.update(body_digest)
+    return digest.digest()
+
+
+def make_mark(
+    *,
+    server_id: str,
+    incarnation: int,
+    fingerprint: bytes,
+    suspected: bool,
+    age_s: float = 0.0,
+) -> CrashMark:
+    """Returns the mark of one request for one death of a server."""
+    life = f"{server_id}#{incarnation}".encode()
+    death_id = hashlib.blake2b(life, digest_size=DEATH_BYTES).digest()
+    flag = SUSPECTED if suspected else UNSUSPECTED
+    return CrashMark(
+        fingerprint=fingerprint,
+        mark_id=death_id + flag + fingerprint[:MARK_ID_FINGERPRINT_BYTES],
+        age_s=age_s,
+    )
+
+
+def _mark_running(event: ServerDied) -> tuple[CrashMark, ...]:
+    merged: dict[bytes, bool] = {}
+    for running in event.running:
+        held = merged.get(running.fingerprint, False)
+        merged[running.fingerprint] = held or running.suspected
+    return tuple(
+        make_mark(
+            server_id=event.server_id,
+            incarnation=event.incarnation,
+            fingerprint=fingerprint,
+            suspected=suspected,
+        )
+        for fingerprint, suspected in merged.items()
+    )
+
+
+def _is_guilty(record: _Record) -> bool:
+    needed = 1 if record.refusals else MARKS_TO_REFUSE
+    if record.trusted:
+        needed = UNSUSPECTED_MARKS_TO_REFUSE
+    if len(record.marks) >= needed and any(record.marks.values()):
+        return True
+    return len(record.marks) >= UNSUSPECTED_MARKS_TO_REFUSE
--- a/src/lovagesaddle/core/routing/queues.py
+++ b/src/lovagesaddle/core/routing/queues.py
@@ -22,6 +22,7 @@
       deadline: Monotonic time by which its answer must be there, in seconds.
       arrived_at: Monotonic time of its arrival, in seconds.
       number: Position in the order of arrival.
+      suspect: Whether it may crash the server.
     """
 
     request_id: str
@@ -29,6 +30,7 @@
     deadline: float
     arrived_at: float
     number: int
+    suspect: bool = False
 
 
 SortKey = tuple[float, ...]
@@ -104,9 +106,20 @@
         """Removes a request, if it waits."""
         self._waiting.pop(request_id, None)
 
-    def take_first(self) -> Waiting:
-        """Removes and returns the request to serve next."""
-        first = min(self._waiting.values(), key=self._order.rank)
+    def take_first(self, *, suspects: bool) -> Waiting | None:
+        """Removes and returns the request to serve next, if there is one.
+
+        Args:
+          suspects: Whether a suspect may be served.
+        """
+        servable = [
+            waiting
+            for waiting in self._waiting.values()
+            if suspects or not waiting.suspect
+        ]
+        if not servable:
+            return None
+        first = min(servable, key=self._order.rank)
         return self._waiting.pop(first.request_id)
 
     def take_last(self) -> Waiting:
--- a/src/lovagesaddle/node/ports.py
+++ b/src/lovagesaddle/node/ports.py
@@ -6,26 +6,13 @@
 
 import abc
 from collections.abc import Callable
-import dataclasses
 
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.routing import quarantine
 from lovagesaddle.transport import endpoint
 
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class CrashMark:
-    """Says that a backend server died while it ran a request.
-
-    Attributes:
-      fingerprint: Digest of method, route and body.
-      mark_id: Unique for each death, so that a mark counts once.
-      age_s: Seconds since the death, when it was sent.
-    """
-
-    fingerprint: bytes
-    mark_id: bytes
-    age_s: float
+CrashMark = quarantine.CrashMark
 
 
 class SnapshotSink(abc.ABC):
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,327 @@
+"""Tests of keeping crashing requests away from backend servers."""
+
+import dataclasses
+import random
+
+from lovagesaddle.core.model import services
+from lovagesaddle.core.routing import admission as admission_lib
+from lovagesaddle.core.routing import limits
+from lovagesaddle.core.routing import quarantine as quarantine_lib
+from lovagesaddle.core.routing import queues
+from tests import fixtures
+
+Verdict = quarantine_lib.Verdict
+
+POISON = b"poison" + bytes(10)
+COMMON = b"common" + bytes(10)
+SERVERS = 7
+STEP_S = 0.01
+RUN_S = 0.05
+CRASH_AFTER_S = 0.02
+RESTART_S = 1.0
+RESEND_EVERY_S = 0.1
+
+
+def _die(
+    node: quarantine_lib.Quarantine,
+    server: str,
+    *running: tuple[bytes, bool],
+    now: float = 0.0,
+) -> tuple[quarantine_lib.SpreadMarks, ...]:
+    event = quarantine_lib.ServerDied(
+        server_id=server,
+        incarnation=1,
+        running=tuple(
+            quarantine_lib.RunningRequest(
+                fingerprint=fingerprint, suspected=suspected
+            )
+            for fingerprint, suspected in running
+        ),
+    )
+    return node.step(event, now)
+
+
+def test_second_death_as_the_one_suspect_refuses_the_request() -> None:
+    """One death makes a suspect, the next one as a suspect refuses it."""
+    node = quarantine_lib.Quarantine()
+    assert node.judge(POISON, 0.0) is Verdict.CLEAR
+    _die(node, "s0", (POISON, False), (COMMON, False))
+    assert node.judge(POISON, 0.0) is Verdict.SUSPECT
+    _die(node, "s1", (POISON, True), (COMMON, False))
+    assert node.judge(POISON, 0.0) is Verdict.REFUSED
+    assert node.judge(COMMON, 0.0) is Verdict.SUSPECT
+
+
+def test_death_reported_by_many_nodes_counts_once() -> None:
+    """The same death, from the owner and the entry, is one mark."""
+    node = quarantine_lib.Quarantine()
+    (spread,) = _die(node, "s0", (POISON, True))
+    for _ in range(5):
+        node.step(quarantine_lib.Marked(marks=spread.marks), 0.1)
+    assert node.judge(POISON, 0.1) is Verdict.SUSPECT
+
+
+def test_marks_of_one_death_differ_for_each_request() -> None:
+    """Carriers that pass each mark on once drop none of a death's marks."""
+    node = quarantine_lib.Quarantine()
+    (spread,) = _die(node, "s0", (POISON, False), (COMMON, True))
+    mark_ids = {mark.mark_id for mark in spread.marks}
+    assert len(mark_ids) == 2
+    assert [mark.suspected for mark in spread.marks] == [False, True]
+
+
+def test_answer_clears_a_companion() -> None:
+    """A request that died with another is clear once it is answered."""
+    node = quarantine_lib.Quarantine()
+    _die(node, "s0", (COMMON, False))
+    node.step(quarantine_lib.Answered(fingerprint=COMMON), 0.1)
+    assert node.judge(COMMON, 0.1) is Verdict.CLEAR
+
+
+def test_late_answer_does_not_lift_a_refusal() -> None:
+    """A refused request stays refused for its time."""
+    node = quarantine_lib.Quarantine()
+    _die(node, "s0", (POISON, False))
+    _die(node, "s1", (POISON, True))
+    node.step(quarantine_lib.Answered(fingerprint=POISON), 0.1)
+    assert node.judge(POISON, 0.1) is Verdict.REFUSED
+
+
+def test_refusal_ends_and_one_more_death_renews_it_for_longer() -> None:
+    """After its time a request is a suspect; a death doubles the refusal."""
+    node = quarantine_lib.Quarantine()
+    _die(node, "s0", (POISON, False))
+    _die(node, "s1", (POISON, True))
+    again = quarantine_lib.REFUSAL_S + 1
+    assert node.judge(POISON, again) is Verdict.SUSPECT
+    _die(node, "s2", (POISON, True), now=again)
+    later = again + 2 * quarantine_lib.REFUSAL_S - 1
+    assert node.judge(POISON, later) is Verdict.REFUSED
+    forgotten = later + quarantine_lib.MARK_MEMORY_S + 2
+    assert node.judge(POISON, forgotten) is Verdict.CLEAR
+
+
+def test_memory_is_bounded() -> None:
+    """Marks of very many requests push out the oldest ones only."""
+    node = quarantine_lib.Quarantine()
+    for number in range(quarantine_lib.MAX_RECORDS + 10):
+        name = number.to_bytes(16, "big")
+        _die(node, f"s{number}", (name, False), now=number * 0.001)
+    first = bytes(16)
+    assert node.judge(first, 5.0) is Verdict.CLEAR
+    assert node.judge(name, 5.0) is Verdict.SUSPECT
+
+
+def test_fingerprint_separates_its_fields() -> None:
+    """Requests that differ in any part have different fingerprints."""
+
+    def compute(method: str, target: str, body: bytes) -> bytes:
+        return quarantine_lib.compute_fingerprint(
+            method=method,
+            service="desk",
+            route="r",
+            target=target,
+            body_digest=body,
+        )
+
+    found = {
+        compute("GET", "/a", b""),
+        compute("GET", "/b", b""),
+        compute("POST", "/a", b""),
+        compute("GET", "/a", b"x"),
+    }
+    assert len(found) == 4
+
+
+def test_owner_runs_one_suspect_at_a_time() -> None:
+    """Suspects wait for each other while other requests pass."""
+    owner = admission_lib.Admission(
+        limit=limits.FixedLimit(4), order=queues.DeadlineOrder()
+    )
+
+    def arrive(name: str, suspect: bool) -> int:
+        event = admission_lib.Arrived(
+            request_id=name,
+            priority=services.Priority.NORMAL,
+            deadline=9.0,
+            suspect=suspect,
+        )
+        return len(owner.step(event, 0.0))
+
+    counts = [arrive("a", True), arrive("b", True), arrive("c", False)]
+    assert counts == [1, 0, 1]
+    (admitted,) = owner.step(admission_lib.Ended(request_id="a"), 0.1)
+    assert isinstance(admitted, admission_lib.Admitted)
+    assert admitted.request_id == "b"
+
+
+@dataclasses.dataclass(kw_only=True)
+class Run:
+    """A request on a server, or about to be sent again."""
+
+    name: bytes
+    server: int
+    entry: int
+    since: float
+    suspected: bool
+    resent: int = 0
+
+
+class Mesh:
+    """Servers with an owner and an entry each; marks spread with a delay."""
+
+    def __init__(self, *, entries: int, spread_s: float) -> None:
+        self.spread_s = spread_s
+        self.random = random.Random(7)
+        self.entries = entries
+        self.now = 0.0
+        self.nodes = [quarantine_lib.Quarantine() for _ in range(SERVERS)]
+        self.up_at = [0.0] * SERVERS
+        self.lives = [1] * SERVERS
+        self.runs: list[Run] = []
+        self.spreading: list[tuple[float, quarantine_lib.SpreadMarks]] = []
+        self.deaths = 0
+        self.refused_good = 0
+        self.answered_good = 0
+        self.resends: list[tuple[float, bytes]] = []
+
+    def send(self, name: bytes, entry: int) -> bool:
+        """Sends a request through an entry; False when it is refused."""
+        verdict = self.nodes[entry].judge(name, self.now)
+        up = [s for s in range(SERVERS) if self.up_at[s] <= self.now]
+        if verdict is Verdict.REFUSED:
+            return False
+        if not up:
+            return True
+        server = up[self.random.randrange(len(up))]
+        hinted = verdict is Verdict.SUSPECT
+        seen = self.nodes[server].judge(name, self.now, hinted=hinted)
+        if seen is Verdict.REFUSED:
+            return False
+        suspected = seen is Verdict.SUSPECT
+        busy = any(r.suspected and r.server == server for r in self.runs)
+        if suspected and busy:
+            self.resends.append((self.now + RUN_S, name))
+            return True
+        self.runs.append(
+            Run(
+                name=name,
+                server=server,
+                entry=entry,
+                since=self.now,
+                suspected=suspected,
+            )
+        )
+        return True
+
+    def advance(self) -> None:
+        """Lets one step of time pass."""
+        self.now += STEP_S
+        for at, spread in tuple(self.spreading):
+            if at <= self.now:
+                self.spreading.remove((at, spread))
+                for node in self.nodes:
+                    node.step(
+                        quarantine_lib.Marked(marks=spread.marks), self.now
+                    )
+        for run in tuple(self.runs):
+            age_s = self.now - run.since
+            if run.name == POISON and age_s >= CRASH_AFTER_S:
+                self._crash(run.server)
+            elif age_s >= RUN_S and run in self.runs:
+                self.runs.remove(run)
+                self.answered_good += 1
+                answered = quarantine_lib.Answered(fingerprint=run.name)
+                for number in {run.server, run.entry}:
+                    self.nodes[number].step(answered, self.now)
+
+    def _crash(self, server: int) -> None:
+        died = [run for run in self.runs if run.server == server]
+        self.runs = [run for run in self.runs if run.server != server]
+        self.deaths += 1
+        event = quarantine_lib.ServerDied(
+            server_id=f"s{server}",
+            incarnation=self.lives[server],
+            running=tuple(
+                quarantine_lib.RunningRequest(
+                    fingerprint=run.name, suspected=run.suspected
+                )
+                for run in died
+            ),
+        )
+        for spread in self.nodes[server].step(event, self.now):
+            self.spreading.append((self.now + self.spread_s, spread))
+            # The entry hears of the crash with the end of its attempt.
+            for entry in range(self.entries if self.entries == 1 else 0):
+                self.nodes[entry].step(
+                    quarantine_lib.Marked(marks=spread.marks), self.now
+                )
+        self.lives[server] += 1
+        self.up_at[server] = self.now + RESTART_S
+        self.resends.extend(
+            (self.now + 0.2, run.name) for run in died if run.name != POISON
+        )
+
+
+def _resend_poison(entries: int, spread_s: float) -> Mesh:
+    mesh = Mesh(entries=entries, spread_s=spread_s)
+    sent = 0
+    for tick in range(int(50 * RESEND_EVERY_S / STEP_S) + 200):
+        if tick % int(RESEND_EVERY_S / STEP_S) == 0 and sent < 50:
+            mesh.send(POISON, sent % entries)
+            sent += 1
+        due = [each for each in mesh.resends if each[0] <= mesh.now]
+        mesh.resends = [each for each in mesh.resends if each not in due]
+        names = [name for _, name in due]
+        names += [COMMON, tick.to_bytes(16, "big"), b"!" + bytes(15)]
+        for name in names:
+            if not mesh.send(name, mesh.random.randrange(SERVERS)):
+                mesh.refused_good += 1
+        mesh.advance()
+    return mesh
+
+
+def test_poison_resent_through_one_entry_kills_two_servers() -> None:
+    """50 resends through one entry kill at most 2 servers."""
+    mesh = _resend_poison(entries=1, spread_s=1.0)
+    assert mesh.deaths <= quarantine_lib.MARKS_TO_REFUSE, mesh.deaths
+    assert mesh.refused_good == 0, mesh.refused_good
+    assert mesh.answered_good > 1000
+
+
+def test_poison_resent_through_all_entries_is_bounded_by_the_spread() -> None:
+    """50 resends everywhere kill 2, and one for each in two spread times."""
+    for spread_s in (0.1, 0.3, 1.0):
+        mesh = _resend_poison(entries=SERVERS, spread_s=spread_s)
+        during_spread = round(spread_s / RESEND_EVERY_S)
+        bound = quarantine_lib.MARKS_TO_REFUSE + 2 * during_spread
+        assert mesh.deaths <= bound, (spread_s, mesh.deaths)
+        assert mesh.refused_good == 0, (spread_s, mesh.refused_good)
+
+
+def test_mark_that_comes_after_an_answer_counts_nothing() -> None:
+    """A death before the last answer was another request's fault."""
+    node = quarantine_lib.Quarantine()
+    node.step(quarantine_lib.Answered(fingerprint=COMMON), 2.0)
+    mark = quarantine_lib.make_mark(
+        server_id="s0",
+        incarnation=1,
+        fingerprint=COMMON,
+        suspected=True,
+        age_s=1.0,
+    )
+    node.step(quarantine_lib.Marked(marks=(mark,)), 2.5)
+    assert node.judge(COMMON, 2.5, hinted=True) is Verdict.CLEAR
+
+
+def test_request_that_stopped_working_is_refused_in_the_end() -> None:
+    """A request that was answered before is refused after four deaths."""
+    node = quarantine_lib.Quarantine()
+    node.step(quarantine_lib.Answered(fingerprint=POISON), 0.0)
+    for number in range(quarantine_lib.UNSUSPECTED_MARKS_TO_REFUSE):
+        assert node.judge(POISON, 1.0) is Verdict.CLEAR
+        _die(node, f"s{number}", (POISON, False), now=1.0)
+    assert node.judge(POISON, 1.0) is Verdict.REFUSED
+
+
+load_tests = fixtures.collect(__name__)
