Add claims on Idempotency-Keys

A resend of a booking ran it again. An entry now runs a request with a key only with the grants of a majority of three holders in one epoch; a resend gets the stored answer, waits, or is refused. Holders are lives of nodes, so one that restarted has no vote before it took over the claims of former holders; Shard.holders changes from node IDs to (node ID, incarnation).

The ballot now asks for so many votes that a claim of a majority would be among them.

--- a/src/lovagesaddle/core/model/snapshots.py
+++ b/src/lovagesaddle/core/model/snapshots.py
@@ -60,22 +60,38 @@
     state: ServerState
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Holder:
+    """One life of a node that holds claims.
+
+    A node that restarted has forgotten its claims, so its new incarnation is
+    another holder, which has no vote before it is assigned itself.
+
+    Attributes:
+      node_id: The node.
+      incarnation: Its incarnation when it was assigned.
+    """
+
+    node_id: str
+    incarnation: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Shard:
     """A group of nodes that holds the claims on some Idempotency-Keys.
 
     Attributes:
       number: Position in the shard map, counted from 0.
-      epoch: Rises with every change of the holders.
-      holders: Node IDs that hold claims now.
-      previous: Node IDs that held them before and hand them over; empty once
-        the handover is complete.
+      epoch: Rises by one with every change of the holders, from 1.
+      holders: Who holds claims now.
+      previous: Holders of the epoch before, who hand their claims over;
+        empty in epoch 1.
     """
 
     number: int
     epoch: int
-    holders: tuple[str, ...]
-    previous: tuple[str, ...]
+    holders: tuple[Holder, ...]
+    previous: tuple[Holder, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/lovagesaddle/core/routing/claim_ballot.py
@@ -0,0 +1,113 @@
+"""Counts the votes of one round of a claim."""
+
+import dataclasses
+import enum
+
+from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.routing import claim_messages as messages
+from lovagesaddle.core.routing import claim_pull
+
+
+class Kind(enum.Enum):
+    """What the votes of a round say.
+
+    OPEN: too few votes to say anything.
+    GRANTED: a majority granted the claim.
+    ANSWERED: the request ran before and was answered.
+    OTHER_BODY: the key was used for another request.
+    ENDED_UNKNOWN: an attempt ended or died with its outcome unknown.
+    IN_PROGRESS: another attempt may be running.
+    SPLIT: nobody can be shown to hold the key.
+    """
+
+    OPEN = "open"
+    GRANTED = "granted"
+    ANSWERED = "answered"
+    OTHER_BODY = "other-body"
+    ENDED_UNKNOWN = "ended-unknown"
+    IN_PROGRESS = "in-progress"
+    SPLIT = "split"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Verdict:
+    """Result of a round.
+
+    Attributes:
+      kind: What the votes say.
+      answer: The stored answer when the kind is ANSWERED.
+    """
+
+    kind: Kind
+    answer: messages.StoredAnswer | None = None
+
+
+class Ballot:
+    """Votes of the holders of one epoch on one round.
+
+    Args:
+      shard: The shard in the epoch that is asked.
+      round_: Number of the round.
+      body_digest: Digest of the claimant's request.
+    """
+
+    def __init__(
+        self, *, shard: snapshots.Shard, round_: int, body_digest: bytes
+    ) -> None:
+        self._shard = shard
+        self._round = round_
+        self._body_digest = body_digest
+        self._holders = {holder.node_id for holder in shard.holders}
+        self._votes: dict[str, messages.ClaimVote] = {}
+
+    def count(self, sender_id: str, vote: messages.ClaimVote) -> None:
+        """Counts one vote; votes of other rounds and epochs are ignored."""
+        same_epoch = vote.epoch == self._shard.epoch
+        same_round = vote.round == self._round
+        if same_epoch and same_round and sender_id in self._holders:
+            self._votes.setdefault(sender_id, vote)
+
+    def judge(self, *, final: bool) -> Verdict:
+        """Returns what the votes say so far.
+
+        Args:
+          final: Whether no more votes are waited for.
+        """
+        votes = self._votes.values()
+        granted = sum(vote.vote is messages.Vote.GRANTED for vote in votes)
+        majority = claim_pull.count_majority(len(self._holders))
+        if granted >= majority:
+            return Verdict(kind=Kind.GRANTED)
+        held = [record for vote in votes for record in vote.held]
+        same = [each for each in held if each.body_digest == self._body_digest]
+        for record in same:
+            if record.state is messages.ClaimState.ANSWERED:
+                return Verdict(kind=Kind.ANSWERED, answer=record.answer)
+        if not final and len(votes) < len(self._holders):
+            return Verdict(kind=Kind.OPEN)
+        return Verdict(kind=self._judge_held(held, same))
+
+    def _judge_held(
+        self, held: list[messages.Record], same: list[messages.Record]
+    ) -> Kind:
+        if not held:
+            return Kind.SPLIT
+        if not all(_is_ended(record) for record in held):
+            return Kind.IN_PROGRESS
+        if same or not self._knows_every_claim():
+            return Kind.ENDED_UNKNOWN
+        return Kind.OTHER_BODY
+
+    def _knows_every_claim(self) -> bool:
+        """Returns whether a claim of a majority would be among the votes."""
+        knowing = sum(
+            vote.vote in (messages.Vote.GRANTED, messages.Vote.HELD)
+            for vote in self._votes.values()
+        )
+        return knowing >= claim_pull.count_blocking(len(self._holders))
+
+
+def _is_ended(record: messages.Record) -> bool:
+    if record.state is not messages.ClaimState.CLAIMED:
+        return True
+    return record.age_s > record.expires_s
--- /dev/null
+++ b/src/lovagesaddle/core/routing/claim_client.py
@@ -0,0 +1,302 @@
+"""Entry side: claims an Idempotency-Key before its request runs.
+
+The request runs only with the grants of a majority of the shard's holders in
+one epoch. Otherwise its caller gets the stored answer, waits for the attempt
+that holds the claim, or is refused.
+"""
+
+import dataclasses
+import enum
+
+from lovagesaddle.core import part
+from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.routing import claim_ballot
+from lovagesaddle.core.routing import claim_events as events
+from lovagesaddle.core.routing import claim_messages as messages
+from lovagesaddle.core.routing import claim_settlement
+from lovagesaddle.core.routing import pick_policies
+
+ROUND_TIMEOUT_S = 0.25
+POLL_S = 0.05
+UNAVAILABLE_S = 2.0
+CLAIM_GRACE_S = 1.0
+
+
+class _Phase(enum.Enum):
+    VOTING = "voting"
+    PAUSED = "paused"
+    RUNNING = "running"
+    SETTLING = "settling"
+    OVER = "over"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimOptions:
+    """What is claimed.
+
+    Attributes:
+      claim_id: Digest of service, client and key; see `claim_keys`.
+      body_digest: Digest of method, target and body.
+      token: Unique among all requests of all lives of all nodes.
+      deadline: Monotonic time by which the caller has its answer, seconds.
+      shard: The claim's shard by the entry's snapshot.
+    """
+
+    claim_id: bytes
+    body_digest: bytes
+    token: str
+    deadline: float
+    shard: snapshots.Shard
+
+
+class ClaimClient(part.Part[events.Event, events.Action]):
+    """The claim of one request.
+
+    Args:
+      options: What is claimed.
+      source: Random numbers, for the pauses between rounds.
+    """
+
+    def __init__(
+        self, *, options: ClaimOptions, source: pick_policies.RandomSource
+    ) -> None:
+        self._options = options
+        self._source = source
+        self._shard = options.shard
+        self._phase = _Phase.VOTING
+        self._round = 0
+        self._ballot = claim_ballot.Ballot(
+            shard=self._shard, round_=0, body_digest=options.body_digest
+        )
+        self._started_at = 0.0
+        self._seen_other = False
+        self._round_ends_at = 0.0
+        self._settlement: claim_settlement.Settlement | None = None
+
+    @property
+    def token(self) -> str:
+        """Token of the claim, which every answer of a holder repeats."""
+        return self._options.token
+
+    def step(
+        self, event: events.Event, now: float
+    ) -> tuple[events.Action, ...]:
+        """Handles one event."""
+        if self._phase is _Phase.OVER:
+            return ()
+        match event:
+            case events.Started():
+                self._started_at = now
+                return self._open_round(now)
+            case events.Received():
+                return self._receive(event, now)
+            case events.TimerFired():
+                return self._fire(now)
+            case events.ShardChanged():
+                return self._change_shard(event.shard, now)
+            case events.Ended():
+                return self._settle(event, now)
+
+    def _open_round(self, now: float) -> tuple[events.Action, ...]:
+        self._phase = _Phase.VOTING
+        self._round += 1
+        self._ballot = claim_ballot.Ballot(
+            shard=self._shard,
+            round_=self._round,
+            body_digest=self._options.body_digest,
+        )
+        self._round_ends_at = min(now + ROUND_TIMEOUT_S, self._options.deadline)
+        request = messages.ClaimRequest(
+            shard=self._shard.number,
+            epoch=self._shard.epoch,
+            record=self._make_record(messages.ClaimState.CLAIMED, now),
+        )
+        timer = events.SetTimer(at=self._round_ends_at)
+        return (*self._send_all(request), timer)
+
+    def _make_record(
+        self, state: messages.ClaimState, now: float
+    ) -> messages.Record:
+        remaining_s = max(0.0, self._options.deadline - now)
+        return messages.Record(
+            claim_id=self._options.claim_id,
+            token=self._options.token,
+            round=self._round,
+            body_digest=self._options.body_digest,
+            state=state,
+            age_s=0.0,
+            expires_s=remaining_s + CLAIM_GRACE_S,
+        )
+
+    def _send_all(self, message: messages.ClaimMessage) -> list[events.Send]:
+        return [
+            events.Send(node_id=holder.node_id, message=message)
+            for holder in self._shard.holders
+        ]
+
+    def _receive(
+        self, event: events.Received, now: float
+    ) -> tuple[events.Action, ...]:
+        message = event.message
+        if isinstance(message, messages.Settled):
+            if self._settlement is None or message.round != self._round:
+                return ()
+            return self._conclude(self._settlement.count(event.sender_id))
+        voting = self._phase is _Phase.VOTING
+        if not isinstance(message, messages.ClaimVote) or not voting:
+            return ()
+        if message.token != self._options.token:
+            return ()
+        self._ballot.count(event.sender_id, message)
+        return self._judge(now, final=False)
+
+    def _judge(self, now: float, *, final: bool) -> tuple[events.Action, ...]:
+        verdict = self._ballot.judge(final=final)
+        match verdict.kind:
+            case claim_ballot.Kind.OPEN:
+                return ()
+            case claim_ballot.Kind.GRANTED:
+                return self._run(now)
+            case claim_ballot.Kind.ANSWERED:
+                return self._replay(verdict.answer)
+            case claim_ballot.Kind.OTHER_BODY:
+                return self._refuse(
+                    422,
+                    outcomes.RequestOutcome.NOT_RUN,
+                    events.RefusalReason.OTHER_BODY,
+                )
+            case claim_ballot.Kind.ENDED_UNKNOWN:
+                return self._refuse_unknown(
+                    events.RefusalReason.OUTCOME_UNKNOWN
+                )
+            case claim_ballot.Kind.IN_PROGRESS:
+                self._seen_other = True
+        return self._pause(now)
+
+    def _run(self, now: float) -> tuple[events.Action, ...]:
+        if now >= self._options.deadline:
+            # No other attempt ran either: a majority knows of none.
+            return self._refuse(
+                504,
+                outcomes.RequestOutcome.NOT_RUN,
+                events.RefusalReason.DEADLINE,
+            )
+        self._phase = _Phase.RUNNING
+        return (events.Run(),)
+
+    def _pause(self, now: float) -> tuple[events.Action, ...]:
+        """Gives this round up, so that another claimant may win."""
+        if now >= self._find_give_up_at():
+            return self._give_up()
+        self._phase = _Phase.PAUSED
+        resume_at = now + POLL_S * (0.5 + self._source.random())
+        timer = events.SetTimer(at=min(resume_at, self._options.deadline))
+        return (*self._release(), timer)
+
+    def _find_give_up_at(self) -> float:
+        if self._seen_other:
+            return self._options.deadline
+        return min(self._options.deadline, self._started_at + UNAVAILABLE_S)
+
+    def _give_up(self) -> tuple[events.Action, ...]:
+        if self._seen_other:
+            return self._refuse_unknown(events.RefusalReason.IN_PROGRESS)
+        return self._refuse_unknown(events.RefusalReason.NO_MAJORITY)
+
+    def _release(self) -> list[events.Send]:
+        return self._send_all(self._make_release())
+
+    def _make_release(self) -> messages.ReleaseRequest:
+        return messages.ReleaseRequest(
+            shard=self._shard.number,
+            claim_id=self._options.claim_id,
+            token=self._options.token,
+            round=self._round,
+        )
+
+    def _replay(
+        self, answer: messages.StoredAnswer | None
+    ) -> tuple[events.Action, ...]:
+        if answer is None or not answer.kept:
+            return self._refuse_unknown(events.RefusalReason.ANSWER_NOT_KEPT)
+        self._phase = _Phase.OVER
+        return (*self._release(), events.Replay(answer=answer), events.Finish())
+
+    def _refuse_unknown(
+        self, reason: events.RefusalReason
+    ) -> tuple[events.Action, ...]:
+        # Another attempt with this key may have run, and for its caller
+        # both are one request.
+        status = 503 if reason is events.RefusalReason.NO_MAJORITY else 409
+        return self._refuse(status, outcomes.RequestOutcome.UNKNOWN, reason)
+
+    def _refuse(
+        self,
+        status: int,
+        outcome: outcomes.RequestOutcome,
+        reason: events.RefusalReason,
+    ) -> tuple[events.Action, ...]:
+        self._phase = _Phase.OVER
+        refusal = events.Refuse(status=status, outcome=outcome, reason=reason)
+        return (*self._release(), refusal, events.Finish())
+
+    def _fire(self, now: float) -> tuple[events.Action, ...]:
+        match self._phase:
+            case _Phase.VOTING:
+                if now < self._round_ends_at:
+                    return (events.SetTimer(at=self._round_ends_at),)
+                return self._judge(now, final=True)
+            case _Phase.PAUSED:
+                if now >= self._find_give_up_at():
+                    return self._give_up()
+                return self._open_round(now)
+            case _Phase.SETTLING if self._settlement is not None:
+                return self._conclude(self._settlement.repeat(now))
+            case _:
+                return ()
+
+    def _change_shard(
+        self, shard: snapshots.Shard, now: float
+    ) -> tuple[events.Action, ...]:
+        if shard.epoch <= self._shard.epoch:
+            return ()
+        released = self._release() if self._phase is _Phase.VOTING else []
+        self._shard = shard
+        if self._phase is _Phase.VOTING:
+            return (*released, *self._open_round(now))
+        if self._settlement is not None:
+            return self._settlement.move(shard, now)
+        return ()
+
+    def _settle(
+        self, event: events.Ended, now: float
+    ) -> tuple[events.Action, ...]:
+        if self._phase is not _Phase.RUNNING:
+            return ()
+        self._phase = _Phase.SETTLING
+        settlement = claim_settlement.Settlement(
+            end=self._make_end(event, now), shard=self._shard, started_at=now
+        )
+        self._settlement = settlement
+        return settlement.send(now)
+
+    def _make_end(
+        self, event: events.Ended, now: float
+    ) -> messages.ClaimMessage:
+        if event.outcome is outcomes.RequestOutcome.NOT_RUN:
+            return self._make_release()
+        state = messages.ClaimState.UNKNOWN
+        if event.answer is not None:
+            state = messages.ClaimState.ANSWERED
+        record = dataclasses.replace(
+            self._make_record(state, now), answer=event.answer
+        )
+        return messages.StoreRequest(shard=self._shard.number, record=record)
+
+    def _conclude(
+        self, actions: tuple[events.Action, ...]
+    ) -> tuple[events.Action, ...]:
+        if actions and isinstance(actions[-1], events.Finish):
+            self._phase = _Phase.OVER
+        return actions
