--- /dev/null
+++ b/src/lovagesaddle/core/configuration/service_files.py
@@ -0,0 +1,302 @@
+"""Reads one service file: what it says of its service, and every mistake."""
+
+import dataclasses
+import re
+from typing import Annotated
+
+import msgspec
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.configuration import ini
+from lovagesaddle.core.configuration import sections
+from lovagesaddle.core.configuration import units
+from lovagesaddle.core.model import services
+
+SUFFIX = ".service.ini"
+MAX_DIGESTS = 2
+MAX_RETRIES = 10
+MAX_TIMEOUT_S = 3600.0
+MAX_BODY_BYTES = 1024**3
+METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+
+_SERVICE = "service"
+_CALLER = "caller"
+_ROUTE = "route"
+_NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+_HOST_PATTERN = r"^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$"
+_DIGEST = re.compile(r"^sha256:[0-9a-f]{64}$")
+_PATH = re.compile(r"^/[A-Za-z0-9._~!$&'()*+,;=:@%/-]*$")
+
+_Name = Annotated[str, msgspec.Meta(pattern=_NAME_PATTERN)]
+_Host = Annotated[str, msgspec.Meta(pattern=_HOST_PATTERN)]
+_Words = Annotated[
+    tuple[str, ...], msgspec.Meta(extra={"unit": units.Unit.WORDS})
+]
+_Names = Annotated[
+    tuple[_Name, ...], msgspec.Meta(extra={"unit": units.Unit.WORDS})
+]
+_Switch = Annotated[bool, msgspec.Meta(extra={"unit": units.Unit.SWITCH})]
+_Timeout = Annotated[
+    float,
+    msgspec.Meta(gt=0, le=MAX_TIMEOUT_S, extra={"unit": units.Unit.DURATION}),
+]
+_BodySize = Annotated[
+    int,
+    msgspec.Meta(ge=0, le=MAX_BODY_BYTES, extra={"unit": units.Unit.SIZE}),
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceSection:
+    """Keys of [service]."""
+
+    name: _Name
+    revision: Annotated[int, msgspec.Meta(ge=0)]
+    depends_on: _Names = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallerSection:
+    """Keys of [caller NAME]."""
+
+    name: _Name
+    digests: _Words
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RouteSection:
+    """Keys of [route NAME], with the defaults of those that may be left out."""
+
+    name: _Name
+    host: _Host
+    path: str = "/"
+    methods: _Words = ("GET",)
+    timeout_s: _Timeout = 5.0
+    retries: Annotated[int, msgspec.Meta(ge=0, le=MAX_RETRIES)] = 1
+    priority: services.Priority = services.Priority.NORMAL
+    idempotent: _Switch = False
+    callers: _Names = ()
+    services: _Names = ()
+    max_body_bytes: _BodySize = 1024**2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlacedRoute:
+    """A checked route and the section it stands in."""
+
+    section: ini.Section
+    route: services.Route
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceFile:
+    """One service file as far as it could be read.
+
+    Attributes:
+      file: Name of the file.
+      service: What the file states; None when there is any problem.
+      name_section: The [service] section, if present.
+      routes: Routes without a mistake of their own.
+      problems: Every mistake that the file shows by itself.
+    """
+
+    file: str
+    service: services.Service | None
+    name_section: ini.Section | None
+    routes: tuple[PlacedRoute, ...]
+    problems: tuple[errors.FileProblem, ...]
+
+    @property
+    def name(self) -> str:
+        """Name of the service; empty when the file gives none."""
+        if self.name_section is None:
+            return ""
+        entry = self.name_section.find("name")
+        return "" if entry is None else entry.value
+
+
+def parse_service_file(text: str, *, file: str) -> ServiceFile:
+    """Returns what `text` states and every mistake in it.
+
+    Args:
+      text: Content of the file.
+      file: Name of the file, for the problems.
+    """
+    return _Reader(ini.parse_document(text, file=file)).read()
+
+
+class _Reader:
+    """Collects the parts and the problems of one file."""
+
+    def __init__(self, document: ini.Document) -> None:
+        self._document = document
+        self._problems = list(document.problems)
+
+    def read(self) -> ServiceFile:
+        document = self._document
+        main = self._find_main()
+        head = None if main is None else self._convert_main(main)
+        callers = self._read_callers()
+        names = {s.label for s in document.sections if s.kind == _CALLER}
+        routes = self._read_routes(names)
+        for section in document.sections:
+            if section.name != _SERVICE and section.kind not in (
+                _CALLER,
+                _ROUTE,
+            ):
+                self._report(section, "", "section is unknown")
+        service = None
+        if head is not None and not self._problems:
+            service = services.Service(
+                name=head.name,
+                revision=head.revision,
+                callers=tuple(sorted(callers, key=lambda c: c.name)),
+                routes=tuple(
+                    sorted((p.route for p in routes), key=lambda r: r.name)
+                ),
+                depends_on=tuple(sorted(head.depends_on)),
+            )
+        return ServiceFile(
+            file=document.file,
+            service=service,
+            name_section=main,
+            routes=tuple(routes),
+            problems=tuple(self._problems),
+        )
+
+    def _find_main(self) -> ini.Section | None:
+        for section in self._document.sections:
+            if section.name == _SERVICE:
+                return section
+        self._problems.append(
+            errors.FileProblem(
+                file=self._document.file,
+                line=0,
+                section=_SERVICE,
+                key="",
+                cause="section [service] is missing",
+            )
+        )
+        return None
+
+    def _convert_main(self, section: ini.Section) -> ServiceSection | None:
+        converted = sections.convert_section(section, ServiceSection)
+        self._problems.extend(converted.problems)
+        return converted.value
+
+    def _read_callers(self) -> list[services.Caller]:
+        callers: list[services.Caller] = []
+        owner_of: dict[str, str] = {}
+        for section in self._list_labelled(_CALLER):
+            converted = sections.convert_section(
+                section, CallerSection, given={"name": section.label}
+            )
+            self._problems.extend(converted.problems)
+            if converted.value is None:
+                continue
+            digests = converted.value.digests
+            for cause in _list_digest_causes(digests, section, owner_of):
+                self._report(section, "digests", cause)
+            owner_of.update((digest, section.label) for digest in digests)
+            callers.append(services.Caller(name=section.label, digests=digests))
+        return callers
+
+    def _read_routes(self, callers: set[str]) -> list[PlacedRoute]:
+        placed: list[PlacedRoute] = []
+        for section in self._list_labelled(_ROUTE):
+            converted = sections.convert_section(
+                section, RouteSection, given={"name": section.label}
+            )
+            self._problems.extend(converted.problems)
+            if converted.value is None:
+                continue
+            found = _list_route_problems(section, converted.value, callers)
+            self._problems.extend(found)
+            if not found:
+                route = _make_route(converted.value)
+                placed.append(PlacedRoute(section=section, route=route))
+        return placed
+
+    def _list_labelled(self, kind: str) -> list[ini.Section]:
+        found: list[ini.Section] = []
+        for section in self._document.sections:
+            if section.kind != kind:
+                continue
+            if re.match(_NAME_PATTERN, section.label):
+                found.append(section)
+            else:
+                cause = f"section needs a name in lower case: [{kind} NAME]"
+                self._report(section, "", cause)
+        return found
+
+    def _report(self, section: ini.Section, key: str, cause: str) -> None:
+        self._problems.append(section.report(key, cause))
+
+
+def _list_digest_causes(
+    digests: tuple[str, ...], section: ini.Section, owner_of: dict[str, str]
+) -> list[str]:
+    causes = [
+        f'"{digest}" is not of the form sha256:<64 hex digits>'
+        for digest in digests
+        if not _DIGEST.match(digest)
+    ]
+    if not 1 <= len(digests) <= MAX_DIGESTS:
+        causes.append(f"{len(digests)} digests are given; 1 or 2 are allowed")
+    causes.extend(
+        f"digest belongs to caller {owner_of[digest]} already"
+        for digest in digests
+        if digest in owner_of and owner_of[digest] != section.label
+    )
+    return causes
+
+
+def _list_route_problems(
+    section: ini.Section, route: RouteSection, callers: set[str]
+) -> list[errors.FileProblem]:
+    found = [
+        section.report("methods", f'"{method}" is not an HTTP method')
+        for method in route.methods
+        if method not in METHODS
+    ]
+    if not route.methods:
+        found.append(section.report("methods", "no method is given"))
+    cause = _judge_path(route.path)
+    if cause:
+        found.append(section.report("path", cause))
+    found.extend(
+        section.report("callers", f'caller "{name}" is not in this file')
+        for name in route.callers
+        if name not in callers
+    )
+    if not route.callers and not route.services:
+        cause = "nobody may use the route; name callers or services"
+        found.append(section.report("callers", cause))
+    return found
+
+
+def _judge_path(path: str) -> str:
+    if not _PATH.match(path):
+        return f'"{path}" is not an absolute path'
+    parts = path.split("/")[1:]
+    if any(part in (".", "..") for part in parts):
+        return f'"{path}" has a "." or ".." in it'
+    if path != "/" and "" in parts:
+        return f'"{path}" has an empty part or ends in "/"'
+    return ""
+
+
+def _make_route(section: RouteSection) -> services.Route:
+    return services.Route(
+        name=section.name,
+        host=section.host,
+        path_prefix=section.path,
+        methods=tuple(sorted(set(section.methods))),
+        timeout_s=section.timeout_s,
+        retries=section.retries,
+        priority=section.priority,
+        idempotent=section.idempotent,
+        callers=tuple(sorted(set(section.callers))),
+        services=tuple(sorted(set(section.services))),
+        max_body_bytes=section.max_body_bytes,
+    )
