Check, publish and inspect from the command line

Reading commands ask every replica and take the leader's answer, or the least stale one with a warning. Changes follow the leader and are resent with the same publish ID; without an answer the outcome is reported as unknown, with the command that asks again. A publish ID that was used for other files is refused, since its first answer would hide that these were not published.

--- /dev/null
+++ b/src/lovagesaddle/cli/changing.py
@@ -0,0 +1,195 @@
+"""Commands that ask the cluster to change."""
+
+import pathlib
+from typing import Annotated
+import uuid
+
+from returns import result
+import typer
+
+from lovagesaddle.cli import client as client_lib
+from lovagesaddle.cli import context as context_lib
+from lovagesaddle.cli import exits
+from lovagesaddle.cli import publishing
+from lovagesaddle.cli import reading
+from lovagesaddle.cli import views
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import operator_messages
+from lovagesaddle.core.model import services
+
+WAIT_TIMEOUT_S = 30.0
+NO_BASE = -1
+
+
+def publish(
+    context: typer.Context,
+    folder: reading.Folder,
+    base: Annotated[
+        int,
+        typer.Option(
+            help="Publication this one replaces; default: the last one."
+        ),
+    ] = NO_BASE,
+    publish_id: Annotated[
+        str,
+        typer.Option(
+            "--id", help="Same as before to learn the outcome of a publish."
+        ),
+    ] = "",
+    wait: Annotated[
+        bool, typer.Option("--wait", help="Wait until it is in force.")
+    ] = False,
+    timeout: Annotated[
+        float, typer.Option(min=0.0, help="Seconds to wait with --wait.")
+    ] = WAIT_TIMEOUT_S,
+    json: reading.Json = False,
+) -> None:
+    """Publish every service file under a folder as one transaction."""
+    published = context_lib.load_services(folder)
+    chosen_id = publish_id or uuid.uuid4().hex
+    with context_lib.open_client(context) as client:
+        if base == NO_BASE:
+            base = context_lib.take_answer(publishing.find_base(client))
+        found = _take_result(
+            publishing.publish_services(
+                client, published, publish_id=chosen_id, base_version=base
+            ),
+            _describe_resend(folder, chosen_id, base),
+        )
+        _print_result(found, json=json)
+        if found.outcome is not commands.PublishOutcome.ACCEPTED:
+            context_lib.leave(exits.Exit.REFUSED)
+        if publish_id:
+            _check_same_content(client, found.version, published)
+        if wait:
+            _wait(client, found.version, timeout)
+
+
+def make_replica_app() -> typer.Typer:
+    """Returns the commands that change the set of replicas."""
+    app = typer.Typer(help="Add, remove or replace a control replica.")
+    app.command("add")(add_replica)
+    app.command("remove")(remove_replica)
+    app.command("replace")(replace_replica)
+    return app
+
+
+def add_replica(
+    context: typer.Context,
+    replica_id: str,
+    address: str,
+    public_key: str = "",
+) -> None:
+    """Add a replica; it votes once it has caught up."""
+    _change_replica(
+        context,
+        operator_messages.ChangeReplicaRequest(
+            request_id=client_lib.UNNUMBERED,
+            action="add",
+            replica_id=replica_id,
+            address=address,
+            public_key=public_key,
+        ),
+    )
+
+
+def remove_replica(context: typer.Context, replica_id: str) -> None:
+    """Remove a replica from the cluster."""
+    _change_replica(
+        context,
+        operator_messages.ChangeReplicaRequest(
+            request_id=client_lib.UNNUMBERED,
+            action="remove",
+            replica_id=replica_id,
+        ),
+    )
+
+
+def replace_replica(
+    context: typer.Context,
+    replaced_id: str,
+    replica_id: str,
+    address: str,
+    public_key: str = "",
+) -> None:
+    """Add a replica and remove another one once the first votes."""
+    _change_replica(
+        context,
+        operator_messages.ChangeReplicaRequest(
+            request_id=client_lib.UNNUMBERED,
+            action="replace",
+            replica_id=replica_id,
+            address=address,
+            public_key=public_key,
+            replaced_id=replaced_id,
+        ),
+    )
+
+
+def _change_replica(
+    context: typer.Context,
+    request: operator_messages.ChangeReplicaRequest,
+) -> None:
+    with context_lib.open_client(context) as client:
+        asked = client.write(request, operator_messages.ChangeReplicaAnswer)
+    found = _take_result(asked, 'See "lovagesaddle status" for the replicas.')
+    if not found.accepted:
+        views.print_note(f"refused: {found.cause}")
+        context_lib.leave(exits.Exit.REFUSED)
+    typer.echo(found.cause or f"{request.action} {request.replica_id}: done")
+
+
+def _take_result(
+    found: client_lib.Answer[client_lib.AnswerT], remedy: str
+) -> client_lib.AnswerT:
+    if isinstance(found, result.Failure):
+        views.print_note(views.describe_no_answer(found.failure()))
+        views.print_note(
+            f"The outcome is unknown: it may have been accepted. {remedy}"
+        )
+        context_lib.leave(exits.Exit.OUTCOME_UNKNOWN)
+    answer: client_lib.AnswerT = found.unwrap()
+    return answer
+
+
+def _describe_resend(folder: pathlib.Path, publish_id: str, base: int) -> str:
+    return (
+        "To learn it, send the same again; it is applied once at most:\n"
+        f"  lovagesaddle publish {folder} --base {base} --id {publish_id}"
+    )
+
+
+def _print_result(found: commands.PublishResult, *, json: bool) -> None:
+    if json:
+        views.print_json(found)
+    elif found.outcome is commands.PublishOutcome.ACCEPTED:
+        typer.echo(views.describe_result(found))
+    else:
+        views.print_note(views.describe_result(found))
+
+
+def _check_same_content(
+    client: client_lib.Client,
+    version: int,
+    published: tuple[services.Service, ...],
+) -> None:
+    if publishing.is_other_content(client, version, published):
+        views.print_note(
+            f"this ID published other files as version {version}; the files"
+            " given now were not published"
+        )
+        context_lib.leave(exits.Exit.REFUSED)
+
+
+def _wait(client: client_lib.Client, version: int, timeout_s: float) -> None:
+    progress = publishing.wait_in_force(
+        client,
+        version,
+        timeout_s=timeout_s,
+        report=lambda found: views.print_note(views.describe_progress(found)),
+    )
+    if not progress.in_force:
+        views.print_note(
+            f"accepted, but not in force everywhere after {timeout_s:g} s"
+        )
+        context_lib.leave(exits.Exit.NOT_IN_FORCE)
--- /dev/null
+++ b/src/lovagesaddle/cli/collection.py
@@ -0,0 +1,49 @@
+"""Collects the service files under a folder."""
+
+import pathlib
+
+from returns import result
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.configuration import service_files
+from lovagesaddle.core.configuration import service_sets
+
+MAX_FILE_BYTES = 1024**2
+
+
+def check_folder(folder: pathlib.Path) -> service_sets.Checked:
+    """Returns the services of all `*.service.ini` under `folder`.
+
+    The failure holds every mistake of every file. A folder without service
+    files is a mistake, since publishing it would remove every service.
+    """
+    paths = sorted(folder.rglob(f"*{service_files.SUFFIX}"))
+    sources: list[service_sets.SourceFile] = []
+    problems: list[errors.FileProblem] = []
+    if not paths:
+        problems.append(_locate(folder, f"no *{service_files.SUFFIX} in it"))
+    for path in paths:
+        try:
+            sources.append(_read(path))
+        except (OSError, ValueError) as error:
+            problems.append(_locate(path, f"can't be read: {error}"))
+    checked = service_sets.check_set(sources)
+    if not problems:
+        return checked
+    found = checked.swap().value_or(())
+    return result.Failure((*problems, *found))
+
+
+def _read(path: pathlib.Path) -> service_sets.SourceFile:
+    size = path.stat().st_size
+    if size > MAX_FILE_BYTES:
+        raise ValueError(f"{size} bytes; at most {MAX_FILE_BYTES} are read")
+    return service_sets.SourceFile(
+        file=str(path), text=path.read_text(encoding="utf-8")
+    )
+
+
+def _locate(path: pathlib.Path, cause: str) -> errors.FileProblem:
+    return errors.FileProblem(
+        file=str(path), line=0, section="", key="", cause=cause
+    )
--- /dev/null
+++ b/src/lovagesaddle/cli/main.py
@@ -0,0 +1,64 @@
+"""The `lovagesaddle` program."""
+
+import pathlib
+import sys
+from typing import Annotated
+
+import typer
+
+from lovagesaddle.cli import changing
+from lovagesaddle.cli import context as context_lib
+from lovagesaddle.cli import exits
+from lovagesaddle.cli import reading
+from lovagesaddle.core import errors
+
+_HELP = """Checks, publishes and inspects the configuration of a mesh.
+
+Exit status: 0 done; 1 refused by the cluster; 2 mistakes in files, settings
+or arguments; 3 no replica answered; 4 outcome of a change unknown;
+5 accepted but not in force everywhere in time; 6 a promise was broken in the
+demo."""
+
+
+def make_app() -> typer.Typer:
+    """Returns the command line with every command."""
+    app = typer.Typer(
+        name="lovagesaddle",
+        help=_HELP,
+        no_args_is_help=True,
+        pretty_exceptions_enable=False,
+        rich_markup_mode=None,
+    )
+    app.callback()(_keep_settings)
+    for command in (
+        reading.check,
+        changing.publish,
+        reading.status,
+        reading.history,
+        reading.diff,
+    ):
+        app.command()(command)
+    app.add_typer(changing.make_replica_app(), name="replica")
+    return app
+
+
+def _keep_settings(
+    context: typer.Context,
+    settings: Annotated[
+        pathlib.Path,
+        typer.Option(
+            envvar=context_lib.SETTINGS_VARIABLE,
+            help="Settings file with the replicas to ask.",
+        ),
+    ] = pathlib.Path(context_lib.DEFAULT_SETTINGS),
+) -> None:
+    context.obj = settings
+
+
+def main() -> None:
+    """Runs the program; the exit status is an `exits.Exit`."""
+    try:
+        make_app()()
+    except errors.LovagesaddleError as error:
+        print(error, file=sys.stderr)
+        sys.exit(int(exits.Exit.BAD_INPUT))
--- /dev/null
+++ b/src/lovagesaddle/cli/publishing.py
@@ -0,0 +1,139 @@
+"""Publishes a set of services and waits until it is in force."""
+
+from collections.abc import Callable
+import dataclasses
+import time
+
+from lovagesaddle.cli import client as client_lib
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import operator_messages
+from lovagesaddle.core.model import services
+
+POLL_S = 0.1
+
+Client = client_lib.Client
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Progress:
+    """How far a version has come.
+
+    Attributes:
+      version: Version that is waited for.
+      in_force_version: Version that every reporting node holds at least.
+      node_count: Nodes of the snapshot; 0 while no replica answers.
+      lagging: Nodes that hold less, capped.
+      in_force: Whether every node holds the version.
+    """
+
+    version: int
+    in_force_version: int
+    node_count: int
+    lagging: tuple[str, ...]
+    in_force: bool
+
+
+def find_base(client: Client) -> client_lib.Answer[int]:
+    """Returns the version of the last publication; 0 before the first."""
+    return ask_status(client).map(lambda status: status.publication_version)
+
+
+def ask_status(
+    client: Client,
+) -> client_lib.Answer[operator_messages.StatusAnswer]:
+    """Returns the freshest view of the cluster."""
+    return client.read(
+        operator_messages.StatusRequest(request_id=client_lib.UNNUMBERED),
+        operator_messages.StatusAnswer,
+    )
+
+
+def ask_services(
+    client: Client, version: int
+) -> client_lib.Answer[operator_messages.ServicesAnswer]:
+    """Returns the services of a publication; version 0 is the last one."""
+    return client.read(
+        operator_messages.ServicesRequest(
+            request_id=client_lib.UNNUMBERED, version=version
+        ),
+        operator_messages.ServicesAnswer,
+    )
+
+
+def publish_services(
+    client: Client,
+    published: tuple[services.Service, ...],
+    *,
+    publish_id: str,
+    base_version: int,
+) -> client_lib.Answer[commands.PublishResult]:
+    """Asks the leader to accept `published`.
+
+    The failure says nothing about acceptance: the same publish ID, base and
+    services must be sent again to learn the outcome.
+    """
+    command = commands.PublishServices(
+        publish_id=publish_id,
+        operator=client.settings.operator,
+        base_version=base_version,
+        services=published,
+    )
+    request = operator_messages.PublishRequest(
+        request_id=client_lib.UNNUMBERED, command=command
+    )
+    answer = client.write(request, operator_messages.PublishAnswer)
+    return answer.map(lambda found: found.result)
+
+
+def is_other_content(
+    client: Client, version: int, published: tuple[services.Service, ...]
+) -> bool:
+    """Returns whether the publication at `version` is known to differ."""
+    found = ask_services(client, version).value_or(None)
+    return found is not None and found.found and found.services != published
+
+
+def wait_in_force(
+    client: Client,
+    version: int,
+    *,
+    timeout_s: float,
+    report: Callable[[Progress], None],
+) -> Progress:
+    """Waits until every node holds `version`, `timeout_s` at most.
+
+    Args:
+      client: Connection to the replicas.
+      version: Version to wait for.
+      timeout_s: Longest wait.
+      report: Called with each progress that differs from the last.
+    """
+    deadline = time.monotonic() + timeout_s
+    last = None
+    while True:
+        progress = _measure(client, version)
+        if progress != last:
+            report(progress)
+            last = progress
+        if progress.in_force or time.monotonic() >= deadline:
+            return progress
+        time.sleep(POLL_S)
+
+
+def _measure(client: Client, version: int) -> Progress:
+    status = ask_status(client).value_or(None)
+    if status is None:
+        return Progress(
+            version=version,
+            in_force_version=0,
+            node_count=0,
+            lagging=(),
+            in_force=False,
+        )
+    return Progress(
+        version=version,
+        in_force_version=status.in_force_version,
+        node_count=status.node_count,
+        lagging=status.lagging,
+        in_force=status.in_force_version >= version and status.stale_s == 0,
+    )
--- /dev/null
+++ b/src/lovagesaddle/cli/views.py
@@ -0,0 +1,143 @@
+"""What the commands print: JSON for programs, lines for people."""
+
+from collections.abc import Iterable, Sequence
+import sys
+from typing import Any
+
+import msgspec
+import typer
+
+from lovagesaddle.cli import client
+from lovagesaddle.cli import publishing
+from lovagesaddle.core import errors
+from lovagesaddle.core.configuration import comparison
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import operator_messages
+
+JSON_INDENT = 2
+STALE_S = 2.0
+_LISTED = 10
+
+
+def print_json(value: Any) -> None:
+    """Writes a dataclass, or a sequence of them, to standard output."""
+    data = msgspec.json.format(msgspec.json.encode(value), indent=JSON_INDENT)
+    typer.echo(data.decode())
+
+
+def print_note(text: str) -> None:
+    """Writes to standard error: progress, warnings and causes."""
+    typer.echo(text, err=True)
+    sys.stderr.flush()
+
+
+def print_problems(problems: Sequence[errors.FileProblem]) -> None:
+    """Writes located mistakes to standard output, one a line."""
+    for problem in problems:
+        typer.echo(problem.format())
+    noun = "mistake" if len(problems) == 1 else "mistakes"
+    print_note(f"{len(problems)} {noun}; nothing was applied")
+
+
+def describe_no_answer(failure: client.NoAnswer) -> str:
+    """Returns which replicas were asked and what came of it."""
+    lines = [f"no answer to {failure.step} within {failure.waited_s:g} s:"]
+    lines += [f"  {a.replica_id}: {a.cause}" for a in failure.attempts]
+    return "\n".join(lines)
+
+
+def warn_if_stale(stale_s: float) -> None:
+    """Warns when an answer came from a replica without a fresh leader."""
+    if stale_s >= STALE_S:
+        print_note(
+            f"warning: the answering replica heard from no leader for"
+            f" {stale_s:.1f} s; this may be out of date"
+        )
+
+
+def describe_status(status: operator_messages.StatusAnswer) -> str:
+    """Returns the state of the cluster as lines."""
+    leader = f"{status.leader_id or 'none'} (term {status.term})"
+    in_force = f"{status.in_force_version} ({status.node_count} nodes)"
+    source = f"{status.replica_id}, leader heard {status.stale_s:.1f} s ago"
+    lines = [
+        f"leader               {leader}",
+        f"version              {status.version}",
+        f"last publication     {status.publication_version}",
+        f"in force everywhere  {in_force}",
+        f"lagging              {join_names(status.lagging)}",
+        f"answered by          {source}",
+    ]
+    lines += [
+        f"replica {replica.replica_id:<12} {replica.role:<9}"
+        f" {replica.address} holds {replica.matched_version}"
+        for replica in status.replicas
+    ]
+    return "\n".join(lines)
+
+
+def describe_history(
+    publications: Iterable[operator_messages.Publication],
+) -> str:
+    """Returns one line for each publication."""
+    lines = [
+        f"{found.version:>8}  base {found.base_version:<8}"
+        f" by {found.operator}  id {found.publish_id}"
+        f"  {' '.join(found.revisions)}"
+        for found in publications
+    ]
+    return "\n".join(lines) or "nothing has been published"
+
+
+def describe_change(change: comparison.Change) -> str:
+    """Returns one line for a difference."""
+    match change.kind:
+        case comparison.ChangeKind.ADDED:
+            return f"+ {change.place}"
+        case comparison.ChangeKind.REMOVED:
+            return f"- {change.place}"
+        case comparison.ChangeKind.CHANGED:
+            return f"~ {change.place}: {change.before} -> {change.after}"
+
+
+def describe_result(found: commands.PublishResult) -> str:
+    """Returns how a publish ended."""
+    match found.outcome:
+        case commands.PublishOutcome.ACCEPTED:
+            return f"accepted as version {found.version}"
+        case commands.PublishOutcome.CONFLICT:
+            head = "conflict: " + "; ".join(found.causes)
+            if not found.winner_id:
+                return head
+            return (
+                f"{head}, published by {found.winner_operator}"
+                f" (id {found.winner_id}). Nothing was changed: review"
+                f' "lovagesaddle diff {found.version}" and publish again.'
+            )
+        case commands.PublishOutcome.REJECTED:
+            return "rejected: " + "; ".join(found.causes)
+
+
+def describe_progress(progress: publishing.Progress) -> str:
+    """Returns how far a version has come."""
+    if progress.in_force:
+        return (
+            f"version {progress.version} is in force on all"
+            f" {progress.node_count} nodes"
+        )
+    if not progress.node_count:
+        return f"version {progress.version}: no node has reported yet"
+    return (
+        f"version {progress.version}: every node holds"
+        f" {progress.in_force_version}; waiting for"
+        f" {join_names(progress.lagging)}"
+    )
+
+
+def join_names(names: Sequence[str]) -> str:
+    """Returns the first names and how many more there are."""
+    if not names:
+        return "none"
+    shown = ", ".join(names[:_LISTED])
+    more = len(names) - _LISTED
+    return f"{shown} and {more} more" if more > 0 else shown
--- /dev/null
+++ b/src/lovagesaddle/core/configuration/comparison.py
@@ -0,0 +1,115 @@
+"""Lists what differs between two sets of services."""
+
+from collections.abc import Sequence
+import dataclasses
+import enum
+from typing import TypeVar
+
+from lovagesaddle.core.model import services
+
+ItemT = TypeVar("ItemT", services.Caller, services.Route)
+
+_SERVICE_PARTS = ("callers", "routes")
+
+
+class ChangeKind(enum.Enum):
+    """What happened to a place."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Change:
+    """One difference.
+
+    Attributes:
+      kind: What happened.
+      place: Such as "service desk / route confirm / timeout_s".
+      before: Old value as text; empty when added.
+      after: New value as text; empty when removed.
+    """
+
+    kind: ChangeKind
+    place: str
+    before: str
+    after: str
+
+
+def compare_services(
+    old: Sequence[services.Service], new: Sequence[services.Service]
+) -> tuple[Change, ...]:
+    """Returns what turns `old` into `new`, by service name."""
+    before = {service.name: service for service in old}
+    after = {service.name: service for service in new}
+    changes: list[Change] = []
+    for name in sorted({*before, *after}):
+        place = f"service {name}"
+        changes.extend(
+            _compare_service(place, before.get(name), after.get(name))
+        )
+    return tuple(changes)
+
+
+def _compare_service(
+    place: str,
+    old: services.Service | None,
+    new: services.Service | None,
+) -> list[Change]:
+    if old is None or new is None:
+        return [_mark_whole(place, added=old is None)]
+    changes = _compare_fields(place, old, new)
+    changes += _compare_parts(f"{place} / caller", old.callers, new.callers)
+    changes += _compare_parts(f"{place} / route", old.routes, new.routes)
+    return changes
+
+
+def _compare_parts(
+    place: str, old: tuple[ItemT, ...], new: tuple[ItemT, ...]
+) -> list[Change]:
+    before: dict[str, ItemT] = {part.name: part for part in old}
+    after: dict[str, ItemT] = {part.name: part for part in new}
+    changes: list[Change] = []
+    for name in sorted({*before, *after}):
+        part = f"{place} {name}"
+        if name in before and name in after:
+            changes += _compare_fields(part, before[name], after[name])
+        else:
+            changes.append(_mark_whole(part, added=name in after))
+    return changes
+
+
+def _compare_fields(
+    place: str,
+    old: services.Service | services.Caller | services.Route,
+    new: services.Service | services.Caller | services.Route,
+) -> list[Change]:
+    return [
+        Change(
+            kind=ChangeKind.CHANGED,
+            place=f"{place} / {field.name}",
+            before=_write(getattr(old, field.name)),
+            after=_write(getattr(new, field.name)),
+        )
+        for field in dataclasses.fields(old)
+        if not (
+            isinstance(old, services.Service) and field.name in _SERVICE_PARTS
+        )
+        and getattr(old, field.name) != getattr(new, field.name)
+    ]
+
+
+def _mark_whole(place: str, *, added: bool) -> Change:
+    kind = ChangeKind.ADDED if added else ChangeKind.REMOVED
+    return Change(kind=kind, place=place, before="", after="")
+
+
+def _write(value: object) -> str:
+    if isinstance(value, enum.Enum):
+        return str(value.value)
+    if isinstance(value, tuple):
+        return " ".join(value) or "none"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return str(value)
--- a/src/lovagesaddle/core/configuration/service_files.py
+++ b/src/lovagesaddle/core/configuration/service_files.py
@@ -25,7 +25,7 @@
 _NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
 _HOST_PATTERN = r"^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$"
 _DIGEST = re.compile(r"^sha256:[0-9a-f]{64}$")
-_PATH = re.compile(r"^/[A-Za-z0-9._~!$&'()*+,;=:@%/-]*$")
+_PATH = re.compile(r"^/[A-Za-z0-9._~!$&'()*+,;=:@/-]*$")
 
 _Name = Annotated[str, msgspec.Meta(pattern=_NAME_PATTERN)]
 _Host = Annotated[str, msgspec.Meta(pattern=_HOST_PATTERN)]
--- /dev/null
+++ b/tests/fake_replica.py
@@ -0,0 +1,196 @@
+"""A replica of one thread that answers operators without a consensus."""
+
+from collections.abc import Callable
+import threading
+import types
+from typing import Self
+
+import zmq
+
+from lovagesaddle.core.configuration import state as state_lib
+from lovagesaddle.core.model import operator_messages
+from lovagesaddle.settings import schema
+from lovagesaddle.transport import endpoint
+
+ANY_PORT = "tcp://127.0.0.1:*"
+POLL_S = 0.02
+
+Message = operator_messages.OperatorMessage
+Answerer = Callable[[Message], Message | None]
+
+
+class FakeReplica:
+    """Answers each request with what `answer` returns, or not at all.
+
+    Args:
+      replica_id: Its name.
+      answer: Gives the answer to a request; None for silence. Runs on the
+        replica's thread.
+    """
+
+    def __init__(self, replica_id: str, answer: Answerer) -> None:
+        self.replica_id = replica_id
+        self.seen: list[Message] = []
+        self._answer = answer
+        self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+        self._endpoint = endpoint.Endpoint(
+            context=self._context, own_id=replica_id, bind_address=ANY_PORT
+        )
+        self.address = self._endpoint.address
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._stopping.set()
+        self._thread.join()
+        self._endpoint.close()
+        self._context.term()
+
+    def _run(self) -> None:
+        registry = operator_messages.OPERATOR_MESSAGES
+        while not self._stopping.is_set():
+            for received in self._endpoint.receive(POLL_S):
+                request = registry.decode(received.data, peer="test")
+                self.seen.append(request)
+                answer = self._answer(request)
+                if answer is not None:
+                    self._endpoint.answer(
+                        received.route,
+                        received.channel,
+                        registry.encode(answer),
+                    )
+
+
+class FakeCluster:
+    """The replicated state machine behind a leader's answers.
+
+    Attributes:
+      state: What was accepted so far.
+      in_force_version: Reported by a status; None for the newest version.
+      stale_s: Reported by every reading answer.
+    """
+
+    def __init__(self) -> None:
+        self.state = state_lib.found_state()
+        self.in_force_version: int | None = None
+        self.stale_s = 0.0
+
+    def answer(self, request: Message) -> Message | None:
+        """Returns what the leader answers."""
+        match request:
+            case operator_messages.PublishRequest():
+                return self._publish(request)
+            case operator_messages.StatusRequest():
+                return self._report(request)
+            case operator_messages.HistoryRequest():
+                kept = reversed(self.state.publications)
+                return operator_messages.HistoryAnswer(
+                    request_id=request.request_id,
+                    version=self.state.snapshot.version,
+                    stale_s=self.stale_s,
+                    publications=tuple(k.publication for k in kept)[
+                        : request.limit
+                    ],
+                )
+            case operator_messages.ServicesRequest():
+                return self._list_services(request)
+            case operator_messages.SnapshotRequest():
+                return operator_messages.SnapshotAnswer(
+                    request_id=request.request_id,
+                    stale_s=self.stale_s,
+                    snapshot=self.state.snapshot,
+                )
+            case operator_messages.ChangeReplicaRequest():
+                return operator_messages.ChangeReplicaAnswer(
+                    request_id=request.request_id,
+                    accepted=request.action != "remove",
+                    cause="too few would be left",
+                )
+        return None
+
+    def _publish(
+        self, request: operator_messages.PublishRequest
+    ) -> operator_messages.PublishAnswer:
+        applied = state_lib.apply_command(
+            self.state, self.state.snapshot.version + 1, request.command
+        )
+        self.state = applied.state
+        assert applied.result is not None
+        return operator_messages.PublishAnswer(
+            request_id=request.request_id, result=applied.result
+        )
+
+    def _report(
+        self, request: operator_messages.StatusRequest
+    ) -> operator_messages.StatusAnswer:
+        version = self.state.snapshot.version
+        in_force = self.in_force_version
+        return operator_messages.StatusAnswer(
+            request_id=request.request_id,
+            replica_id="c1",
+            leader_id="c1",
+            term=3,
+            version=version,
+            publication_version=self.state.publication_version,
+            stale_s=self.stale_s,
+            replicas=(),
+            node_count=4,
+            in_force_version=version if in_force is None else in_force,
+            lagging=() if in_force is None else ("n3",),
+        )
+
+    def _list_services(
+        self, request: operator_messages.ServicesRequest
+    ) -> operator_messages.ServicesAnswer:
+        version = request.version or self.state.publication_version
+        found = [
+            kept
+            for kept in self.state.publications
+            if kept.publication.version == version
+        ]
+        return operator_messages.ServicesAnswer(
+            request_id=request.request_id,
+            found=bool(found),
+            version=version,
+            stale_s=self.stale_s,
+            services=found[0].services if found else (),
+        )
+
+
+def refuse_as_follower(leader: FakeReplica) -> Answerer:
+    """Returns the answers of a follower that knows `leader`."""
+
+    def answer(request: Message) -> Message | None:
+        return operator_messages.NotLeader(
+            request_id=request.request_id,
+            leader_id=leader.replica_id,
+            leader_address=leader.address,
+            cause="this replica follows",
+        )
+
+    return answer
+
+
+def make_settings(
+    *replicas: FakeReplica, timeout_s: float = 10.0
+) -> schema.OperatorSettings:
+    """Returns the settings of an operator of these replicas."""
+    return schema.OperatorSettings(
+        replicas=tuple(
+            schema.ReplicaAddress(
+                replica_id=replica.replica_id, address=replica.address
+            )
+            for replica in replicas
+        ),
+        operator="ana",
+        timeout_s=timeout_s,
+    )
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,201 @@
+"""Tests of the commands as an operator types them."""
+
+import json
+import os
+import pathlib
+import tempfile
+from unittest import mock
+
+from typer import testing
+
+from lovagesaddle.cli import exits
+from lovagesaddle.cli import main
+from tests import fake_replica
+from tests import fixtures
+
+DIGEST = "sha256:" + "0a" * 32
+DESK = f"""\
+[service]
+name = desk
+revision = 1
+
+[caller salto]
+digests = {DIGEST}
+
+[route proofs]
+host = desk.example
+path = /proofs
+callers = salto
+"""
+MISTAKES = f"""\
+[service]
+name = Desk
+revision = one
+
+[caller salto]
+digests = {DIGEST}
+colour = red
+
+[route proofs]
+path = /proofs
+timeout = 2
+callers = salto
+"""
+SETTINGS = """\
+[operator]
+operator = ana
+timeout = 5s
+
+[replica c1]
+address = {address}
+"""
+
+
+def test_five_mistakes_are_five_located_lines() -> None:
+    """Checking a folder with five mistakes prints five and exits 2."""
+    with _Desk(MISTAKES) as desk:
+        found = desk.run("check", str(desk.folder))
+    file = desk.folder / "desk.service.ini"
+    lines = found.stdout.splitlines()
+    assert [line[: line.index("/", len(str(file)))] for line in lines] == [
+        f"{file}:2: service",
+        f"{file}:3: service",
+        f"{file}:7: caller salto",
+        f"{file}:9: route proofs",
+        f"{file}:11: route proofs",
+    ], lines
+    assert found.exit_code == exits.Exit.BAD_INPUT
+
+
+def test_publish_is_accepted_and_then_in_force() -> None:
+    """Publishing without a base replaces the last publication."""
+    with _Desk(DESK) as desk:
+        first = desk.run("publish", str(desk.folder), "--wait")
+        second = desk.run("publish", str(desk.folder), "--json")
+        history = desk.run("history", "--json")
+    assert first.exit_code == 0, first.output
+    assert first.stdout == "accepted as version 1\n"
+    assert "in force on all 4 nodes" in first.stderr
+    assert json.loads(second.stdout)["outcome"] == "accepted"
+    bases = [
+        p["base_version"] for p in json.loads(history.stdout)["publications"]
+    ]
+    assert bases == [1, 0]
+
+
+def test_conflict_names_the_winner() -> None:
+    """A publish on an old base exits 1 and names who won."""
+    with _Desk(DESK) as desk:
+        desk.run("publish", str(desk.folder), "--id", "first")
+        lost = desk.run("publish", str(desk.folder), "--base", "0")
+    assert lost.exit_code == exits.Exit.REFUSED
+    assert "published by ana (id first)" in lost.stderr
+
+
+def test_unanswered_publish_is_reported_as_unknown() -> None:
+    """Without an answer the command says unknown and how to ask again."""
+    with _Desk(DESK, answered=False) as desk:
+        lost = desk.run(
+            "publish", str(desk.folder), "--base", "7", "--id", "p9"
+        )
+    assert lost.exit_code == exits.Exit.OUTCOME_UNKNOWN
+    assert "outcome is unknown" in lost.stderr
+    assert f"publish {desk.folder} --base 7 --id p9" in lost.stderr
+
+
+def test_publish_id_of_other_files_is_refused() -> None:
+    """An ID that published other files does not count for these."""
+    with _Desk(DESK) as desk:
+        desk.run("publish", str(desk.folder), "--id", "p1")
+        desk.write(DESK.replace("revision = 1", "revision = 2"))
+        other = desk.run("publish", str(desk.folder), "--id", "p1")
+    assert other.exit_code == exits.Exit.REFUSED
+    assert "this ID published other files as version 1" in other.stderr
+
+
+def test_version_that_lags_is_named_at_the_timeout() -> None:
+    """Waiting ends with exit 5 and the names of those who lag."""
+    with _Desk(DESK) as desk:
+        desk.cluster.in_force_version = 0
+        late = desk.run("publish", str(desk.folder), "--wait", "--timeout", "0")
+    assert late.exit_code == exits.Exit.NOT_IN_FORCE
+    assert "waiting for n3" in late.stderr
+
+
+def test_diff_shows_what_a_folder_would_change() -> None:
+    """The differences of a folder to the last publication are listed."""
+    with _Desk(DESK) as desk:
+        desk.run("publish", str(desk.folder))
+        desk.write(
+            DESK.replace("path = /proofs", "path = /proofs\nretries = 3")
+        )
+        changed = desk.run("diff", str(desk.folder))
+        same = desk.run("diff", "1", "1")
+    assert changed.stdout == (
+        "~ service desk / route proofs / retries: 1 -> 3\n"
+    )
+    assert same.stdout == "no difference\n"
+
+
+def test_status_warns_when_it_is_stale() -> None:
+    """A status from a cut-off replica carries a warning."""
+    with _Desk(DESK) as desk:
+        desk.cluster.stale_s = 30.0
+        found = desk.run("status")
+    assert "leader               c1 (term 3)" in found.stdout
+    assert "heard from no leader for 30.0 s" in found.stderr
+
+
+def test_replica_change_that_is_refused_exits_1() -> None:
+    """A refused change of replicas gives the cause."""
+    with _Desk(DESK) as desk:
+        added = desk.run("replica", "add", "c4", "tcp://127.0.0.1:7004")
+        removed = desk.run("replica", "remove", "c1")
+    assert added.exit_code == 0, added.output
+    assert removed.exit_code == exits.Exit.REFUSED
+    assert "too few would be left" in removed.stderr
+
+
+def test_silent_replicas_exit_3() -> None:
+    """A reading command without an answer names the replicas."""
+    with _Desk(DESK, answered=False) as desk:
+        found = desk.run("status")
+    assert found.exit_code == exits.Exit.UNREACHABLE
+    assert "c1: no answer" in found.stderr
+
+
+class _Desk:
+    """A folder of service files, a fake cluster and its settings."""
+
+    def __init__(self, text: str, *, answered: bool = True) -> None:
+        self.cluster = fake_replica.FakeCluster()
+        self._text = text
+        self._timeout = "5s" if answered else "200ms"
+        answer = self.cluster.answer if answered else lambda _: None
+        self._replica = fake_replica.FakeReplica("c1", answer)
+        self._temporary = tempfile.TemporaryDirectory()
+        self.folder = pathlib.Path(self._temporary.name)
+
+    def __enter__(self) -> "_Desk":
+        self._replica.__enter__()
+        self.write(self._text)
+        text = SETTINGS.format(address=self._replica.address)
+        text = text.replace("5s", self._timeout)
+        (self.folder / "settings.ini").write_text(text, encoding="utf-8")
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._replica.__exit__(None, None, None)
+        self._temporary.cleanup()
+
+    def write(self, text: str) -> None:
+        path = self.folder / "desk.service.ini"
+        path.write_text(text, encoding="utf-8")
+
+    def run(self, *arguments: str) -> testing.Result:
+        variables = {"LOVAGESADDLE_SETTINGS": str(self.folder / "settings.ini")}
+        with mock.patch.dict(os.environ, variables):
+            return testing.CliRunner().invoke(main.make_app(), arguments)
+
+
+load_tests = fixtures.collect(__name__)
