--- /dev/null
+++ b/src/lovagesaddle/cli/explaining.py
@@ -0,0 +1,71 @@
+"""The command that explains a request."""
+
+import hashlib
+import sys
+from typing import Annotated
+
+import typer
+
+from lovagesaddle.cli import client as client_lib
+from lovagesaddle.cli import context as context_lib
+from lovagesaddle.cli import exits
+from lovagesaddle.cli import reading
+from lovagesaddle.cli import views
+from lovagesaddle.core.model import operator_messages
+from lovagesaddle.core.routing import explanation
+
+FROM_INPUT = "-"
+
+
+def explain(
+    context: typer.Context,
+    method: Annotated[str, typer.Argument(help="HTTP method.")],
+    url: Annotated[str, typer.Argument(help="http://HOST/PATH")],
+    caller: Annotated[
+        str, typer.Option(help="Name of a caller in the service's file.")
+    ] = "",
+    service: Annotated[
+        str, typer.Option(help="Name of an internal service.")
+    ] = "",
+    token: Annotated[
+        str, typer.Option(help="Bearer token; - reads it from the input.")
+    ] = "",
+    json: reading.Json = False,
+) -> None:
+    """Explain which route takes a request, who may use it and why."""
+    if "://" not in url:
+        views.print_note(f'"{url}" is not of the form http://HOST/PATH')
+        context_lib.leave(exits.Exit.BAD_INPUT)
+    if sum(map(bool, (caller, service, token))) > 1:
+        views.print_note("give one of --caller, --service and --token")
+        context_lib.leave(exits.Exit.BAD_INPUT)
+    sender = explanation.Sender(
+        caller=caller, service=service, token_digest=_digest(token)
+    )
+    with context_lib.open_client(context) as client:
+        answer = context_lib.take_answer(_ask_snapshot(client))
+    views.warn_if_stale(answer.stale_s)
+    found = explanation.explain_request(
+        answer.snapshot, method=method, url=url, sender=sender
+    )
+    if json:
+        views.print_json(found)
+    else:
+        typer.echo(views.describe_explanation(found))
+
+
+def _ask_snapshot(
+    client: client_lib.Client,
+) -> client_lib.Answer[operator_messages.SnapshotAnswer]:
+    return client.read(
+        operator_messages.SnapshotRequest(request_id=client_lib.UNNUMBERED),
+        operator_messages.SnapshotAnswer,
+    )
+
+
+def _digest(token: str) -> str:
+    if not token:
+        return ""
+    if token == FROM_INPUT:
+        token = sys.stdin.readline().strip()
+    return f"sha256:{hashlib.sha256(token.encode()).hexdigest()}"
--- a/src/lovagesaddle/cli/main.py
+++ b/src/lovagesaddle/cli/main.py
@@ -9,6 +9,7 @@
 from lovagesaddle.cli import changing
 from lovagesaddle.cli import context as context_lib
 from lovagesaddle.cli import exits
+from lovagesaddle.cli import explaining
 from lovagesaddle.cli import reading
 from lovagesaddle.core import errors
 
@@ -36,6 +37,7 @@
         reading.status,
         reading.history,
         reading.diff,
+        explaining.explain,
     ):
         app.command()(command)
     app.add_typer(changing.make_replica_app(), name="replica")
--- a/src/lovagesaddle/cli/views.py
+++ b/src/lovagesaddle/cli/views.py
@@ -13,6 +13,8 @@
 from lovagesaddle.core.configuration import comparison
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import operator_messages
+from lovagesaddle.core.model import services
+from lovagesaddle.core.routing import explanation
 
 JSON_INDENT = 2
 STALE_S = 2.0
@@ -134,6 +136,45 @@
     )
 
 
+def describe_explanation(found: explanation.Explanation) -> str:
+    """Returns what would happen to a request, and why."""
+    lines = [f"{found.method} {found.host}{found.path} at {found.version}"]
+    if found.status:
+        allow = f", allowed: {' '.join(found.allow)}" if found.allow else ""
+        cause = f"{found.reason}{allow}"
+        lines.append(f"refused with {found.status}, not run: {cause}")
+    else:
+        lines.append(f"admitted for {found.client} ({found.reason})")
+    if found.route is not None:
+        lines += _describe_route(found.service, found.route)
+        lines += [
+            f"server {server.server_id} in {server.failure_domain},"
+            f" {server.slots} slots, through {server.http_address}"
+            for server in found.servers
+        ]
+        if not found.servers:
+            lines.append("no backend server takes new work")
+        if found.draining:
+            lines.append(f"draining {join_names(found.draining)}")
+    return "\n".join(lines)
+
+
+def _describe_route(service: str, route: services.Route) -> list[str]:
+    methods = " ".join(route.methods)
+    repeat = "idempotent" if route.idempotent else "not idempotent"
+    limits = (
+        f"timeout {route.timeout_s:g} s, {route.retries} retries,"
+        f" body up to {route.max_body_bytes} bytes"
+    )
+    return [
+        f"service {service}, route {route.name}",
+        f"matches {methods} {route.host}{route.path_prefix}",
+        f"{repeat}, {route.priority.value}, {limits}",
+        f"callers {join_names(route.callers)}",
+        f"services {join_names(route.services)}",
+    ]
+
+
 def join_names(names: Sequence[str]) -> str:
     """Returns the first names and how many more there are."""
     if not names:
--- /dev/null
+++ b/src/lovagesaddle/core/routing/explanation.py
@@ -0,0 +1,132 @@
+"""Says what the mesh would do with a request, and why."""
+
+import dataclasses
+from urllib import parse
+
+from lovagesaddle.core.model import services as services_lib
+from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.routing import table as table_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Sender:
+    """Who is asked about; at most one field is set.
+
+    Attributes:
+      caller: Name of a caller in the service's file.
+      service: Name of an internal service.
+      token_digest: `sha256:<hex>` of a bearer token.
+    """
+
+    caller: str = ""
+    service: str = ""
+    token_digest: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Explanation:
+    """What the snapshot says of one request.
+
+    Attributes:
+      version: Version of the snapshot.
+      method: HTTP method.
+      host: Host that was matched.
+      path: Path without the query.
+      status: HTTP status of a refusal; 0 when the request would be sent on.
+      reason: Why, as the decision lines of the nodes name it.
+      allow: Methods of the path when the method is not allowed.
+      service: Service of the matched route; empty without a match.
+      route: The matched route; None without a match.
+      client: Name of the sender, as far as it is known.
+      servers: Backend servers that may be picked, in no order of preference.
+      draining: IDs of the service's servers that take no new work.
+    """
+
+    version: int
+    method: str
+    host: str
+    path: str
+    status: int
+    reason: str
+    allow: tuple[str, ...] = ()
+    service: str = ""
+    route: services_lib.Route | None = None
+    client: str = ""
+    servers: tuple[table_lib.Candidate, ...] = ()
+    draining: tuple[str, ...] = ()
+
+
+def explain_request(
+    snapshot: snapshots.Snapshot, *, method: str, url: str, sender: Sender
+) -> Explanation:
+    """Returns what a node that holds `snapshot` would do.
+
+    Args:
+      snapshot: What the node routes by.
+      method: HTTP method.
+      url: Absolute URL whose host is the Host header.
+      sender: Who would send it; an empty one has no credential.
+    """
+    parts = parse.urlsplit(url)
+    table = table_lib.Table(snapshot)
+    host, path = parts.netloc, parts.path or "/"
+    found = table.match(host=host, path=path, method=method.upper())
+    described = Explanation(
+        version=snapshot.version,
+        method=method.upper(),
+        host=host,
+        path=path,
+        status=0,
+        reason="",
+    )
+    if isinstance(found, table_lib.Miss):
+        return dataclasses.replace(
+            described,
+            status=found.status,
+            reason=found.reason.value,
+            allow=found.allow,
+        )
+    access = table.authorise(found, _find_credential(snapshot, found, sender))
+    return dataclasses.replace(
+        described,
+        status=access.status,
+        reason=access.reason.value,
+        service=found.service,
+        route=found.route,
+        client=access.client,
+        servers=table.list_candidates(found.service),
+        draining=_list_draining(snapshot, found.service),
+    )
+
+
+def _find_credential(
+    snapshot: snapshots.Snapshot, match: table_lib.Match, sender: Sender
+) -> table_lib.Credential:
+    if sender.caller:
+        digest = _find_digest(snapshot, match.service, sender.caller)
+        return table_lib.Credential(token_digest=digest)
+    return table_lib.Credential(
+        token_digest=sender.token_digest, service=sender.service
+    )
+
+
+def _find_digest(
+    snapshot: snapshots.Snapshot, service_name: str, caller_name: str
+) -> str:
+    for service in snapshot.services:
+        for caller in service.callers:
+            if (service.name, caller.name) == (service_name, caller_name):
+                return caller.digests[0]
+    # Nobody's digest: the table answers as to an unknown credential.
+    return f"unknown caller {caller_name}"
+
+
+def _list_draining(
+    snapshot: snapshots.Snapshot, service: str
+) -> tuple[str, ...]:
+    return tuple(
+        server.server_id
+        for server in snapshot.servers
+        if server.service == service
+        and server.state is snapshots.ServerState.DRAINING
+    )
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -164,6 +164,18 @@
     assert "c1: no answer" in found.stderr
 
 
+def test_explanation_names_the_route_and_the_refusal() -> None:
+    """Explaining a request shows its route and why it is refused."""
+    with _Desk(DESK) as desk:
+        desk.run("publish", str(desk.folder))
+        url = "http://desk.example/proofs/7"
+        refused = desk.run("explain", "GET", url)
+        admitted = desk.run("explain", "GET", url, "--caller", "salto")
+    assert "refused with 401, not run: no-credential" in refused.stdout
+    assert "admitted for salto (caller)" in admitted.stdout
+    assert "no backend server takes new work" in admitted.stdout
+
+
 class _Desk:
     """A folder of service files, a fake cluster and its settings."""
 
