--- /dev/null
+++ b/src/lovagesaddle/cli/demo_server.py
@@ -0,0 +1,208 @@
+"""A small backend server for the demo and the tutorial.
+
+It answers every request with its own name, the request's path and the digest
+of the request's body, after a short time of work. It remembers what it ran,
+so that the demo can check who ran what.
+
+Run `python -m lovagesaddle.cli.demo_server --help` to start one by hand.
+"""
+
+from collections.abc import Callable, Iterable
+import dataclasses
+import hashlib
+import http.client
+import signal
+import threading
+import time
+import types
+from typing import Annotated, Any, Self
+
+import msgspec
+import typer
+import waitress.server
+
+ANNOUNCE_PAUSE_S = 0.1
+ANNOUNCE_TIMEOUT_S = 10.0
+CONNECT_TIMEOUT_S = 2.0
+WORK_S = 0.004
+SLOTS = 8
+CONNECTIONS = 64
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Run:
+    """One run of a request.
+
+    Attributes:
+      path: Path of the request.
+      started_s: Monotonic time in seconds.
+    """
+
+    path: str
+    started_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Echo:
+    """Body of every answer.
+
+    Attributes:
+      server: Name of the backend server.
+      service: Service that it runs.
+      path: Path of the request.
+      body_digest: SHA-256 of the request's body, in hex.
+    """
+
+    server: str
+    service: str
+    path: str
+    body_digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Announcement:
+    """Body of an announcement to the node on the same VM."""
+
+    service: str
+    address: str
+    slots: int
+    connections: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceName:
+    """Body that asks the node to drain a service."""
+
+    service: str
+
+
+class DemoServer:
+    """Answers on an address of its own; a context manager.
+
+    Args:
+      name: Its name in answers.
+      service: Service that it runs.
+      address: `ip:port` to listen on; port 0 for any.
+      work_s: Time that each request takes.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        address: str = "127.0.0.1:0",
+        work_s: float = WORK_S,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self._work_s = work_s
+        self._lock = threading.Lock()
+        self._runs: list[Run] = []
+        self._server = waitress.server.create_server(
+            self._answer, listen=address, threads=SLOTS
+        )
+        host, port = self._server.effective_host, self._server.effective_port
+        self.address = f"{host}:{port}"
+        self._thread = threading.Thread(
+            target=self._server.run, name=name, daemon=True
+        )
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._server.close()
+        self._server.task_dispatcher.shutdown()
+
+    @property
+    def runs(self) -> tuple[Run, ...]:
+        """Everything that it ran, in order."""
+        with self._lock:
+            return tuple(self._runs)
+
+    def announce(self, admin_address: str) -> None:
+        """Announces itself to the node on its VM.
+
+        Raises:
+          TimeoutError: The node did not take it within
+            `ANNOUNCE_TIMEOUT_S`.
+        """
+        body = Announcement(
+            service=self.service,
+            address=self.address,
+            slots=SLOTS,
+            connections=CONNECTIONS,
+        )
+        deadline = time.monotonic() + ANNOUNCE_TIMEOUT_S
+        while not _post(admin_address, "/announce", body):
+            if time.monotonic() >= deadline:
+                raise TimeoutError(f"{admin_address} takes no announcement")
+            time.sleep(ANNOUNCE_PAUSE_S)
+
+    def drain(self, admin_address: str) -> bool:
+        """Asks the node to send no new work; returns whether it agreed."""
+        body = ServiceName(service=self.service)
+        return _post(admin_address, "/drain", body)
+
+    def _answer(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        started_s = time.monotonic()
+        path = environ["PATH_INFO"]
+        with self._lock:
+            self._runs.append(Run(path=path, started_s=started_s))
+        body = environ["wsgi.input"].read()
+        time.sleep(self._work_s)
+        echo = Echo(
+            server=self.name,
+            service=self.service,
+            path=path,
+            body_digest=hashlib.sha256(body).hexdigest(),
+        )
+        data = msgspec.json.encode(echo)
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(data))),
+        ]
+        start_response("200 OK", headers)
+        return [data]
+
+
+def _post(address: str, path: str, body: object) -> bool:
+    connection = http.client.HTTPConnection(address, timeout=CONNECT_TIMEOUT_S)
+    try:
+        connection.request("POST", path, body=msgspec.json.encode(body))
+        return connection.getresponse().status == http.HTTPStatus.OK
+    except (OSError, http.client.HTTPException):
+        return False
+    finally:
+        connection.close()
+
+
+def serve(
+    service: Annotated[str, typer.Option(help="Service that it runs.")],
+    admin: Annotated[str, typer.Option(help="Admin ip:port of the node.")],
+    listen: Annotated[str, typer.Option(help="Own ip:port.")] = "127.0.0.1:0",
+) -> None:
+    """Run a backend server until it is interrupted."""
+    stopped = threading.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: stopped.set())
+    with DemoServer(name=admin, service=service, address=listen) as server:
+        server.announce(admin)
+        typer.echo(f"{service} answers on {server.address}")
+        stopped.wait()
+
+
+if __name__ == "__main__":
+    typer.run(serve)
