--- /dev/null
+++ b/src/lovagesaddle/control/consensus.py
@@ -0,0 +1,293 @@
+"""The replica of this process: its core, its data folder and its links."""
+
+from collections.abc import Callable
+import dataclasses
+
+import structlog
+
+from lovagesaddle.control import links as links_lib
+from lovagesaddle.control import machine as machine_lib
+from lovagesaddle.control import ports
+from lovagesaddle.core import errors
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.core.consensus import events
+from lovagesaddle.core.consensus import founding as founding_lib
+from lovagesaddle.core.consensus import replica as replica_lib
+from lovagesaddle.core.model import commands
+from lovagesaddle.storage import syncer as syncer_lib
+from lovagesaddle.transport import endpoint as endpoint_lib
+
+IMAGE_ENTRIES = 10_000
+INTRODUCTION_LIFE_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiting:
+    on_applied: Callable[[int], None]
+    on_refused: Callable[[str], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Seen:
+    member: entries_lib.Member
+    at: float
+
+
+class Consensus(ports.ReplicaPort):
+    """Carries out the replica's actions; belongs to the replica's thread.
+
+    Args:
+      cluster_id: Cluster from the settings.
+      own: This replica.
+      replica: Its core.
+      founding: Runs while the log is empty.
+      syncer: Its data folder.
+      links: Its links to the other replicas.
+    """
+
+    def __init__(
+        self,
+        *,
+        cluster_id: str,
+        own: entries_lib.Member,
+        replica: replica_lib.Replica,
+        founding: founding_lib.Founding,
+        syncer: syncer_lib.Syncer,
+        links: links_lib.Links,
+    ) -> None:
+        self._log = structlog.get_logger(part="consensus")
+        self._cluster_id = cluster_id
+        self._own = own
+        self._replica = replica
+        self._founding = founding
+        self._syncer = syncer
+        self._links = links
+        self._machine = machine_lib.Machine()
+        self._machine.restore(replica.image)
+        self._waiting: dict[int, _Waiting] = {}
+        self._batch: list[events.Proposal] = []
+        self._last_proposal = 0
+        self._seen: dict[str, _Seen] = {}
+        self._stamp = ports.LeaderStamp(term=0, counter=0)
+        self._stamp_at = 0.0
+        self._now = 0.0
+        self._connected = entries_lib.Members()
+        self._is_founding_proposed = False
+
+    @property
+    def replica(self) -> replica_lib.Replica:
+        """The core."""
+        return self._replica
+
+    def view(self) -> ports.ClusterView:
+        """See base class."""
+        is_leader = self._replica.is_confirmed_leader
+        return ports.ClusterView(
+            state=self._machine.state,
+            stamped=self._machine.stamped,
+            is_leader=is_leader,
+            leader_id=self.find_replica_id(self._replica.leader),
+            stamp=self._stamp,
+            stamp_age_s=0.0 if is_leader else self._now - self._stamp_at,
+        )
+
+    def propose(
+        self,
+        command: commands.Command,
+        on_applied: Callable[[int], None],
+        on_refused: Callable[[str], None],
+    ) -> None:
+        """See base class."""
+        proposal_id = self._expect(on_applied, on_refused)
+        payload = commands.COMMANDS.encode(command)
+        self._batch.append(
+            events.Proposal(proposal_id=proposal_id, payload=payload)
+        )
+
+    def propose_members(
+        self,
+        members: entries_lib.Members,
+        on_applied: Callable[[int], None],
+        on_refused: Callable[[str], None],
+    ) -> None:
+        """Offers a change of the members to the log."""
+        proposal_id = self._expect(on_applied, on_refused)
+        self._step(
+            events.ProposeMembers(proposal_id=proposal_id, members=members)
+        )
+
+    def find_replica_id(self, member_id: str) -> str:
+        """Returns a member's name; empty if it is unknown."""
+        member = self._replica.members.find(member_id)
+        return "" if member is None else member.replica_id
+
+    def find_newcomer(self, replica_id: str) -> entries_lib.Member | None:
+        """Returns a replica that lately introduced itself with no log."""
+        seen = self._seen.get(replica_id)
+        if seen is None or self._now - seen.at > INTRODUCTION_LIFE_S:
+            return None
+        return seen.member
+
+    def receive(self, received: endpoint_lib.Received, now: float) -> None:
+        """Handles one message of the consensus channel."""
+        self._now = now
+        link = self._links.unwrap(received)
+        match link:
+            case founding_lib.Introduction():
+                self._take_introduction(link, received.route)
+            case (str() as sender, message):
+                self._step(
+                    events.MessageReceived(sender=sender, message=message)
+                )
+
+    def tick(self, now: float) -> None:
+        """Lets time pass."""
+        self._now = now
+        self._step(events.Tick())
+        if self._replica.last_index == 0:
+            self._step_founding(founding_lib.Tick())
+        self._propose_founding()
+        self._take_image_if_due()
+
+    def flush(self, now: float) -> None:
+        """Hands on gathered proposals and finished syncs.
+
+        Raises:
+          errors.StorageError: A sync failed; the process must stop.
+        """
+        self._now = now
+        if self._batch:
+            proposals = tuple(self._batch)
+            self._batch.clear()
+            self._step(events.Propose(proposals=proposals))
+        persisted = self._syncer.poll()
+        if persisted is not None:
+            self._step(persisted)
+            self._syncer.poll()
+        self._note_stamp()
+
+    def transfer(self, now: float) -> None:
+        """Starts to hand leadership to another replica."""
+        self._now = now
+        self._step(events.TransferLeadership())
+
+    def transfer_now(self) -> None:
+        """Like `transfer`, at the time of the event that is handled."""
+        self._step(events.TransferLeadership())
+
+    def _expect(
+        self,
+        on_applied: Callable[[int], None],
+        on_refused: Callable[[str], None],
+    ) -> int:
+        self._last_proposal += 1
+        self._waiting[self._last_proposal] = _Waiting(on_applied, on_refused)
+        return self._last_proposal
+
+    def _step(self, event: events.Event) -> None:
+        for action in self._replica.step(event, self._now):
+            self._carry_out(action)
+        if self._replica.members is not self._connected:
+            self._connected = self._replica.members
+            self._links.connect(self._connected)
+
+    def _carry_out(self, action: events.Action) -> None:
+        match action:
+            case events.Send():
+                self._links.send(action.receiver, action.message)
+            case events.Persist():
+                self._syncer.put(action)
+            case events.Apply():
+                self._machine.apply(action.entries)
+            case events.Restore():
+                self._machine.restore(action.image)
+                self._log.info("snapshot_installed", version=action.image.index)
+            case events.Resolve():
+                self._waiting.pop(action.proposal_id).on_applied(action.index)
+            case events.Refuse():
+                self._waiting.pop(action.proposal_id).on_refused(action.cause)
+            case events.RoleChanged():
+                self._note_role(action)
+
+    def _note_role(self, action: events.RoleChanged) -> None:
+        self._is_founding_proposed = False
+        self._log.info(
+            "role_changed",
+            replica=self._own.replica_id,
+            role=action.role.value,
+            term=action.term,
+            leader=self.find_replica_id(action.leader),
+        )
+
+    def _note_stamp(self) -> None:
+        stamp = ports.LeaderStamp(
+            term=self._replica.term, counter=self._replica.counter
+        )
+        newer = (stamp.term, stamp.counter) > (
+            self._stamp.term,
+            self._stamp.counter,
+        )
+        if newer and stamp.counter:
+            self._stamp = stamp
+            self._stamp_at = self._now
+
+    def _take_introduction(
+        self, introduction: founding_lib.Introduction, route: bytes
+    ) -> None:
+        member = introduction.member
+        if not introduction.has_log:
+            self._seen[member.replica_id] = _Seen(member, self._now)
+        if self._replica.last_index == 0:
+            self._step_founding(
+                founding_lib.Introduced(introduction=introduction)
+            )
+        elif route:
+            self._links.answer(route, self._introduce_to(member))
+
+    def _introduce_to(
+        self, member: entries_lib.Member
+    ) -> founding_lib.Introduction:
+        known = self._replica.members.find(member.member_id)
+        return founding_lib.Introduction(
+            cluster_id=self._cluster_id,
+            member=self._own,
+            is_founding=False,
+            has_log=True,
+            knows_receiver=known is not None,
+        )
+
+    def _step_founding(self, event: founding_lib.Event) -> None:
+        for action in self._founding.step(event, self._now):
+            match action:
+                case founding_lib.Introduce():
+                    self._links.introduce(
+                        action.replica_id, action.introduction
+                    )
+                case founding_lib.Found():
+                    self._step(events.FoundLog(entry=action.entry))
+                case founding_lib.Stop():
+                    raise errors.ConsensusError(
+                        step="found cluster", peer="self", cause=action.cause
+                    )
+
+    def _propose_founding(self) -> None:
+        if (
+            self._machine.state.snapshot.cluster_id
+            or self._is_founding_proposed
+            or not self._replica.is_confirmed_leader
+        ):
+            return
+        self._is_founding_proposed = True
+        self.propose(
+            commands.FoundCluster(cluster_id=self._cluster_id),
+            lambda version: self._log.info("cluster_founded", version=version),
+            lambda cause: self._log.info("founding_refused", cause=cause),
+        )
+
+    def _take_image_if_due(self) -> None:
+        version = self._machine.version
+        if version - self._replica.image.index < IMAGE_ENTRIES:
+            return
+        data = self._machine.encode()
+        self._step(events.ImageTaken(index=version, data=data))
+        self._log.info("snapshot_taken", version=version, bytes=len(data))
--- /dev/null
+++ b/src/lovagesaddle/control/machine.py
@@ -0,0 +1,73 @@
+"""The replicated state machine of this process, and its snapshots."""
+
+import msgspec
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.configuration import state as state_lib
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.core.model import commands
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(state_lib.State)
+
+
+class Machine:
+    """Applies committed entries in order."""
+
+    def __init__(self) -> None:
+        self._state = state_lib.found_state()
+        self._stamped = state_lib.stamp_nothing()
+
+    @property
+    def state(self) -> state_lib.State:
+        """State after the last applied entry."""
+        return self._state
+
+    @property
+    def version(self) -> int:
+        """Index of the last applied entry."""
+        return self._state.snapshot.version
+
+    @property
+    def stamped(self) -> delta.Stamped:
+        """Snapshot of the state, with its digest."""
+        if self._stamped.snapshot is not self._state.snapshot:
+            self._stamped = state_lib.restamp_state(self._stamped, self._state)
+        return self._stamped
+
+    def apply(self, entries: tuple[entries_lib.Entry, ...]) -> None:
+        """Applies entries that follow the last one.
+
+        Raises:
+          errors.ConsensusError: An entry is out of order or not a command;
+            the replica must stop.
+        """
+        for entry in entries:
+            if entry.index != self.version + 1:
+                raise errors.ConsensusError(
+                    step="apply entry",
+                    peer="self",
+                    cause=f"entry {entry.index} follows {self.version}",
+                )
+            applied = state_lib.apply_command(
+                self._state, entry.index, _decode(entry)
+            )
+            self._state = applied.state
+
+    def restore(self, image: entries_lib.Image) -> None:
+        """Replaces the state by a snapshot."""
+        if image.index == 0:
+            return
+        self._state = _DECODER.decode(image.data)
+        self._stamped = delta.stamp(self._state.snapshot)
+
+    def encode(self) -> bytes:
+        """Returns the whole state, for a snapshot."""
+        return _ENCODER.encode(self._state)
+
+
+def _decode(entry: entries_lib.Entry) -> commands.Command | None:
+    if entry.kind is not entries_lib.EntryKind.COMMAND:
+        return None
+    return commands.COMMANDS.decode(entry.payload, peer=f"entry {entry.index}")
--- /dev/null
+++ b/src/lovagesaddle/control/operators.py
@@ -0,0 +1,234 @@
+"""Answers operators: publish, status, history, services, replicas."""
+
+import structlog
+
+from lovagesaddle.control import consensus as consensus_lib
+from lovagesaddle.control import ports
+from lovagesaddle.control import replicas as replicas_lib
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.core.consensus import events
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import operator_messages
+from lovagesaddle.transport import endpoint as endpoint_lib
+
+NOT_LEADING = "this replica does not lead"
+_MESSAGES = operator_messages.OPERATOR_MESSAGES
+
+
+class Operators(ports.Subsystem):
+    """The operators' channel of a replica.
+
+    Args:
+      own_id: Name of this replica.
+      endpoint: The process's endpoint.
+      consensus: The replica of this process.
+      replicas: Changes of the replicas.
+      fleet: Knows which nodes hold which version; None without nodes.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_id: str,
+        endpoint: endpoint_lib.Endpoint,
+        consensus: consensus_lib.Consensus,
+        replicas: replicas_lib.Replicas,
+        fleet: ports.Subsystem | None,
+    ) -> None:
+        self._log = structlog.get_logger(part="operators")
+        self._own_id = own_id
+        self._endpoint = endpoint
+        self._consensus = consensus
+        self._replicas = replicas
+        self._fleet = fleet
+
+    @property
+    def channel(self) -> endpoint_lib.Channel:
+        """The channel whose messages this subsystem receives."""
+        return endpoint_lib.Channel.OPERATOR
+
+    def receive(self, received: endpoint_lib.Received, now: float) -> None:
+        """Handles one request."""
+        del now
+        request = _MESSAGES.decode(received.data, peer=received.sender_id)
+        route = received.route
+        match request:
+            case operator_messages.PublishRequest():
+                self._publish(route, request)
+            case operator_messages.ChangeReplicaRequest():
+                self._change_replica(route, request)
+            case operator_messages.StatusRequest():
+                self._answer(route, self._describe_status(request))
+            case operator_messages.HistoryRequest():
+                self._answer(route, self._list_history(request))
+            case operator_messages.ServicesRequest():
+                self._answer(route, self._find_services(request))
+            case operator_messages.SnapshotRequest():
+                self._answer(route, self._get_snapshot(request))
+
+    def tick(self, now: float) -> None:
+        """Lets time pass."""
+        del now
+        self._replicas.tick()
+
+    def observe(self, view: ports.ClusterView, now: float) -> None:
+        """Takes a new applied state, leader or leader stamp."""
+
+    def list_lagging(self, version: int) -> tuple[str, ...]:
+        """Returns IDs of nodes not known to hold `version`, capped."""
+        return () if self._fleet is None else self._fleet.list_lagging(version)
+
+    def find_version_in_force(self) -> int:
+        """Returns the version that every reporting node holds at least."""
+        if self._fleet is None:
+            return self._consensus.view().state.snapshot.version
+        return self._fleet.find_version_in_force()
+
+    def _answer(
+        self, route: bytes, answer: operator_messages.OperatorMessage
+    ) -> None:
+        self._endpoint.answer(route, self.channel, _MESSAGES.encode(answer))
+
+    def _refuse(self, route: bytes, request_id: str, cause: str) -> None:
+        leader_id = self._consensus.view().leader_id
+        leader = self._consensus.replica.members.find_replica(leader_id)
+        self._log.info("request_refused", request=request_id, cause=cause)
+        answer = operator_messages.NotLeader(
+            request_id=request_id,
+            leader_id=leader_id,
+            leader_address="" if leader is None else leader.address,
+            cause=cause,
+        )
+        self._answer(route, answer)
+
+    def _publish(
+        self, route: bytes, request: operator_messages.PublishRequest
+    ) -> None:
+        if not self._consensus.view().is_leader:
+            self._refuse(route, request.request_id, NOT_LEADING)
+            return
+        self._consensus.propose(
+            request.command,
+            lambda version: self._finish_publish(route, request),
+            lambda cause: self._refuse(route, request.request_id, cause),
+        )
+
+    def _finish_publish(
+        self, route: bytes, request: operator_messages.PublishRequest
+    ) -> None:
+        result = self._find_result(request.command.publish_id)
+        self._log.info(
+            "publish_answered",
+            publish=request.command.publish_id,
+            operator=request.command.operator,
+            outcome=result.outcome.value,
+            version=result.version,
+        )
+        answer = operator_messages.PublishAnswer(
+            request_id=request.request_id, result=result
+        )
+        self._answer(route, answer)
+
+    def _find_result(self, publish_id: str) -> commands.PublishResult:
+        for kept in reversed(self._consensus.view().state.results):
+            if kept.publish_id == publish_id:
+                return kept.result
+        raise AssertionError(f"publish {publish_id} was not applied")
+
+    def _change_replica(
+        self, route: bytes, request: operator_messages.ChangeReplicaRequest
+    ) -> None:
+        if not self._consensus.view().is_leader:
+            self._refuse(route, request.request_id, NOT_LEADING)
+            return
+
+        def finish(verdict: replicas_lib.Verdict) -> None:
+            answer = operator_messages.ChangeReplicaAnswer(
+                request_id=request.request_id,
+                accepted=verdict.is_accepted,
+                cause=verdict.cause,
+            )
+            self._answer(route, answer)
+
+        self._replicas.change(request, finish)
+
+    def _describe_status(
+        self, request: operator_messages.StatusRequest
+    ) -> operator_messages.StatusAnswer:
+        view = self._consensus.view()
+        snapshot = view.state.snapshot
+        return operator_messages.StatusAnswer(
+            request_id=request.request_id,
+            replica_id=self._own_id,
+            leader_id=view.leader_id,
+            term=self._consensus.replica.term,
+            version=snapshot.version,
+            publication_version=view.state.publication_version,
+            stale_s=view.stamp_age_s,
+            replicas=self._describe_replicas(),
+            node_count=len(snapshot.nodes),
+            in_force_version=self.find_version_in_force(),
+            lagging=self.list_lagging(snapshot.version),
+        )
+
+    def _describe_replicas(
+        self,
+    ) -> tuple[operator_messages.ReplicaStatus, ...]:
+        replica = self._consensus.replica
+        matched = replica.list_matched()
+        return tuple(
+            operator_messages.ReplicaStatus(
+                replica_id=member.replica_id,
+                address=member.address,
+                role=_name_role(member, replica.leader),
+                matched_version=matched.get(member.member_id, 0),
+            )
+            for member in replica.members.members
+        )
+
+    def _list_history(
+        self, request: operator_messages.HistoryRequest
+    ) -> operator_messages.HistoryAnswer:
+        view = self._consensus.view()
+        newest_first = reversed(view.state.publications)
+        publications = tuple(kept.publication for kept in newest_first)
+        return operator_messages.HistoryAnswer(
+            request_id=request.request_id,
+            version=view.state.snapshot.version,
+            stale_s=view.stamp_age_s,
+            publications=publications[: max(0, request.limit)],
+        )
+
+    def _find_services(
+        self, request: operator_messages.ServicesRequest
+    ) -> operator_messages.ServicesAnswer:
+        view = self._consensus.view()
+        version = request.version or view.state.publication_version
+        found = [
+            kept
+            for kept in view.state.publications
+            if kept.publication.version == version
+        ]
+        return operator_messages.ServicesAnswer(
+            request_id=request.request_id,
+            found=bool(found) or version == 0,
+            version=version,
+            stale_s=view.stamp_age_s,
+            services=found[0].services if found else (),
+        )
+
+    def _get_snapshot(
+        self, request: operator_messages.SnapshotRequest
+    ) -> operator_messages.SnapshotAnswer:
+        view = self._consensus.view()
+        return operator_messages.SnapshotAnswer(
+            request_id=request.request_id,
+            stale_s=view.stamp_age_s,
+            snapshot=view.state.snapshot,
+        )
+
+
+def _name_role(member: entries_lib.Member, leader: str) -> str:
+    if member.member_id == leader:
+        return events.Role.LEADER.value
+    return events.Role.FOLLOWER.value if member.is_voter else "learner"
--- /dev/null
+++ b/src/lovagesaddle/control/program.py
@@ -0,0 +1,259 @@
+"""A control replica: one thread that owns its sockets and its parts."""
+
+from collections.abc import Callable
+import contextlib
+import pathlib
+import random
+import threading
+import time
+import types
+from typing import Self
+import uuid
+
+import structlog
+import zmq
+
+from lovagesaddle.control import consensus as consensus_lib
+from lovagesaddle.control import links as links_lib
+from lovagesaddle.control import operators as operators_lib
+from lovagesaddle.control import ports
+from lovagesaddle.control import replicas as replicas_lib
+from lovagesaddle.core import errors
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.core.consensus import founding as founding_lib
+from lovagesaddle.core.consensus import replica as replica_lib
+from lovagesaddle.core.consensus import timing
+from lovagesaddle.settings import schema
+from lovagesaddle.storage import identity as identity_lib
+from lovagesaddle.storage import store as store_lib
+from lovagesaddle.storage import syncer as syncer_lib
+from lovagesaddle.transport import endpoint as endpoint_lib
+
+TICK_S = 0.02
+TRANSFER_S = 2.0
+
+
+class _Jitter(timing.RandomSource):
+    """The operating system's randomness."""
+
+    def __init__(self) -> None:
+        self._random = random.SystemRandom()
+
+    def random(self) -> float:
+        """See base class."""
+        return self._random.random()
+
+
+class ControlProgram:
+    """One replica; a context manager whose `run` is the replica's thread.
+
+    Several may run in one process, each on a thread of its own.
+
+    Args:
+      settings: Settings of the replica.
+      context: ZeroMQ context of the process.
+      is_founding: Whether an empty data folder may found the cluster; else
+        the replica waits until an operator adds it.
+
+    Raises:
+      errors.StorageError: The data folder can't be used.
+      errors.TransportError: The address can't be bound.
+    """
+
+    def __init__(
+        self,
+        settings: schema.ControlSettings,
+        context: zmq.Context[zmq.Socket[bytes]],
+        *,
+        is_founding: bool = False,
+    ) -> None:
+        self._settings = settings
+        self._log = structlog.get_logger(part="control")
+        self._stopping = threading.Event()
+        self._wake_lock = threading.Lock()
+        self._stack = contextlib.ExitStack()
+        try:
+            self._open(context, is_founding)
+        except BaseException:
+            self._stack.close()
+            raise
+
+    def _open(
+        self, context: zmq.Context[zmq.Socket[bytes]], is_founding: bool
+    ) -> None:
+        settings = self._settings
+        self._store = self._stack.enter_context(
+            store_lib.Store(
+                folder=pathlib.Path(settings.data_folder),
+                identity=_draw_identity(settings),
+            )
+        )
+        self._endpoint = self._stack.enter_context(
+            endpoint_lib.Endpoint(
+                context=context,
+                own_id=settings.replica_id,
+                bind_address=settings.address,
+            )
+        )
+        self._syncer = self._stack.enter_context(
+            syncer_lib.Syncer(store=self._store, on_synced=self._wake)
+        )
+        self._consensus = self._make_consensus(is_founding)
+        self._subsystems = self._make_subsystems()
+        self._observed: ports.ClusterView | None = None
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._stack.close()
+
+    def stop(self) -> None:
+        """Makes `run` hand leadership over and return; for any thread."""
+        self._stopping.set()
+        self._wake()
+
+    def run(self) -> None:
+        """Serves until `stop` is called.
+
+        Raises:
+          errors.StorageError: The data folder failed.
+          errors.ConsensusError: The log contradicts the cluster's.
+        """
+        self._log.info(
+            "replica_started",
+            replica=self._settings.replica_id,
+            member=self._store.identity.member_id,
+            version=self._consensus.view().state.snapshot.version,
+        )
+        self._serve_until(self._stopping.is_set)
+        if self._consensus.replica.is_confirmed_leader:
+            self._consensus.transfer(time.monotonic())
+            deadline = time.monotonic() + TRANSFER_S
+            self._serve_until(
+                lambda: (
+                    not self._consensus.replica.is_confirmed_leader
+                    or time.monotonic() >= deadline
+                )
+            )
+        self._log.info("replica_stopped", replica=self._settings.replica_id)
+
+    def _serve_until(self, is_done: Callable[[], bool]) -> None:
+        next_tick = time.monotonic()
+        while not is_done():
+            received = self._endpoint.receive(next_tick - time.monotonic())
+            now = time.monotonic()
+            for message in received:
+                self._dispatch(message, now)
+            if now >= next_tick:
+                next_tick = now + TICK_S
+                self._tick(now)
+            self._consensus.flush(now)
+            self._observe(now)
+
+    def _dispatch(self, received: endpoint_lib.Received, now: float) -> None:
+        try:
+            if received.channel is endpoint_lib.Channel.CONSENSUS:
+                self._consensus.receive(received, now)
+            for subsystem in self._subsystems:
+                if subsystem.channel is received.channel:
+                    subsystem.receive(received, now)
+        except errors.CodecError as error:
+            self._log.warning(
+                "message_dropped", peer=received.sender_id, cause=error.cause
+            )
+
+    def _tick(self, now: float) -> None:
+        self._consensus.tick(now)
+        for subsystem in self._subsystems:
+            subsystem.tick(now)
+
+    def _observe(self, now: float) -> None:
+        view = self._consensus.view()
+        if not _is_news(self._observed, view):
+            return
+        self._observed = view
+        for subsystem in self._subsystems:
+            subsystem.observe(view, now)
+
+    def _wake(self) -> None:
+        with self._wake_lock:
+            self._endpoint.wake()
+
+    def _make_consensus(self, is_founding: bool) -> consensus_lib.Consensus:
+        settings = self._settings
+        own = entries_lib.Member(
+            member_id=self._store.identity.member_id,
+            replica_id=settings.replica_id,
+            address=settings.address,
+            public_key=_find_public_key(settings),
+        )
+        return consensus_lib.Consensus(
+            cluster_id=settings.cluster_id,
+            own=own,
+            replica=replica_lib.Replica(
+                own_id=own.member_id,
+                restored=self._store.restored,
+                limits=timing.Timing(
+                    election_timeout_s=settings.election_timeout_s
+                ),
+                random=_Jitter(),
+            ),
+            founding=founding_lib.Founding(
+                cluster_id=settings.cluster_id,
+                own=own,
+                founders=tuple(r.replica_id for r in settings.replicas),
+                is_founding=is_founding,
+            ),
+            syncer=self._syncer,
+            links=links_lib.Links(
+                endpoint=self._endpoint,
+                cluster_id=settings.cluster_id,
+                own_id=own.member_id,
+                replicas=settings.replicas,
+            ),
+        )
+
+    def _make_subsystems(self) -> tuple[ports.Subsystem, ...]:
+        operators = operators_lib.Operators(
+            own_id=self._settings.replica_id,
+            endpoint=self._endpoint,
+            consensus=self._consensus,
+            replicas=replicas_lib.Replicas(
+                consensus=self._consensus,
+                own_id=self._store.identity.member_id,
+            ),
+            fleet=None,
+        )
+        return (operators,)
+
+
+def _draw_identity(settings: schema.ControlSettings) -> identity_lib.Identity:
+    return identity_lib.Identity(
+        cluster_id=settings.cluster_id,
+        replica_id=settings.replica_id,
+        member_id=f"{settings.replica_id}-{uuid.uuid4().hex[:16]}",
+    )
+
+
+def _find_public_key(settings: schema.ControlSettings) -> str:
+    for replica in settings.replicas:
+        if replica.replica_id == settings.replica_id:
+            return replica.public_key
+    return ""
+
+
+def _is_news(
+    before: ports.ClusterView | None, after: ports.ClusterView
+) -> bool:
+    return before is None or (
+        before.stamped is not after.stamped
+        or before.is_leader != after.is_leader
+        or before.leader_id != after.leader_id
+        or before.stamp != after.stamp
+    )
--- /dev/null
+++ b/src/lovagesaddle/control/replicas.py
@@ -0,0 +1,174 @@
+"""Adds, removes and replaces replicas on behalf of an operator."""
+
+from collections.abc import Callable
+import dataclasses
+
+import structlog
+
+from lovagesaddle.control import consensus as consensus_lib
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.core.consensus import membership
+from lovagesaddle.core.model import operator_messages
+
+ADD = "add"
+REMOVE = "remove"
+REPLACE = "replace"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Verdict:
+    """What comes of a request to change the replicas.
+
+    Attributes:
+      members: The members to propose; None if nothing has to change.
+      is_accepted: Whether the request is met or will be.
+      cause: Why, in one sentence.
+    """
+
+    members: entries_lib.Members | None
+    is_accepted: bool
+    cause: str
+
+
+class Replicas:
+    """Judges requests, and brings begun changes to their end.
+
+    Args:
+      consensus: The replica of this process.
+      own_id: Member ID of this replica.
+    """
+
+    def __init__(
+        self, *, consensus: consensus_lib.Consensus, own_id: str
+    ) -> None:
+        self._log = structlog.get_logger(part="replicas")
+        self._consensus = consensus
+        self._own_id = own_id
+        self._is_changing = False
+
+    def change(
+        self,
+        request: operator_messages.ChangeReplicaRequest,
+        on_done: Callable[[Verdict], None],
+    ) -> None:
+        """Carries out a request; this replica leads.
+
+        Args:
+          request: What an operator asks for.
+          on_done: Called with the verdict, after the first step's commit if
+            a step is needed.
+        """
+        verdict = self._judge(request)
+        self._log.info(
+            "replica_change",
+            action=request.action,
+            replica=request.replica_id,
+            accepted=verdict.is_accepted,
+            cause=verdict.cause,
+        )
+        if verdict.members is None:
+            on_done(verdict)
+            return
+        self._consensus.propose_members(
+            verdict.members,
+            lambda version: on_done(verdict),
+            lambda cause: on_done(
+                Verdict(members=None, is_accepted=False, cause=cause)
+            ),
+        )
+
+    def tick(self) -> None:
+        """Takes the next step of a change that is under way."""
+        replica = self._consensus.replica
+        if self._is_changing or not replica.is_confirmed_leader:
+            return
+        planned = membership.plan_change(
+            replica.members, replica.list_matched(), replica.commit_index
+        )
+        if planned is None:
+            return
+        if planned.find(self._own_id) is None:
+            self._consensus.transfer_now()
+            return
+        self._is_changing = True
+        self._consensus.propose_members(
+            planned, self._note_applied, self._note_refused
+        )
+
+    def _note_applied(self, version: int) -> None:
+        self._is_changing = False
+        self._log.info("replicas_changed", version=version)
+
+    def _note_refused(self, cause: str) -> None:
+        self._is_changing = False
+        self._log.info("replica_change_refused", cause=cause)
+
+    def _judge(
+        self, request: operator_messages.ChangeReplicaRequest
+    ) -> Verdict:
+        match request.action:
+            case "add":
+                return self._judge_add(request.replica_id, None)
+            case "replace":
+                return self._judge_replace(request)
+            case "remove":
+                return self._judge_remove(request.replica_id)
+        return _refuse(f"action {request.action} is unknown")
+
+    def _judge_replace(
+        self, request: operator_messages.ChangeReplicaRequest
+    ) -> Verdict:
+        members = self._consensus.replica.members
+        newcomer = self._consensus.find_newcomer(request.replica_id)
+        old = [
+            member
+            for member in members.members
+            if member.replica_id == request.replaced_id
+            and (newcomer is None or member.member_id != newcomer.member_id)
+        ]
+        if not old:
+            return self._judge_add(request.replica_id, None)
+        return self._judge_add(request.replica_id, old[0])
+
+    def _judge_add(
+        self, replica_id: str, replaced: entries_lib.Member | None
+    ) -> Verdict:
+        members = self._consensus.replica.members
+        newcomer = self._consensus.find_newcomer(replica_id)
+        if newcomer is not None and members.find(newcomer.member_id) is None:
+            learner = dataclasses.replace(
+                newcomer,
+                is_voter=False,
+                replaces="" if replaced is None else replaced.member_id,
+            )
+            return Verdict(
+                members=members.put(learner),
+                is_accepted=True,
+                cause="it votes once it has caught up",
+            )
+        present = members.find_replica(replica_id)
+        if present is not None and present != replaced:
+            return Verdict(
+                members=None, is_accepted=True, cause="it is a member"
+            )
+        return _refuse(
+            f"replica {replica_id} has not introduced itself; start it with"
+            " an empty data folder and the present replicas in its settings"
+        )
+
+    def _judge_remove(self, replica_id: str) -> Verdict:
+        members = self._consensus.replica.members
+        member = members.find_replica(replica_id)
+        if member is None:
+            return Verdict(
+                members=None, is_accepted=True, cause="it is not a member"
+            )
+        return Verdict(
+            members=members.drop(member.member_id),
+            is_accepted=True,
+            cause="it is no member any more",
+        )
+
+
+def _refuse(cause: str) -> Verdict:
+    return Verdict(members=None, is_accepted=False, cause=cause)
--- /dev/null
+++ b/src/lovagesaddle/core/consensus/applier.py
@@ -0,0 +1,79 @@
+"""Commit index, application of entries and the proposals that wait for it."""
+
+from lovagesaddle.core.consensus import durable as durable_lib
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.core.consensus import events
+
+LEADERSHIP_LOST = "leadership was lost before the outcome was known"
+
+
+class Applier:
+    """Hands committed entries to the application, each once and in order.
+
+    Args:
+      durable: Term, vote and log of this replica.
+    """
+
+    def __init__(self, durable: durable_lib.Durable) -> None:
+        self._durable = durable
+        self._commit = durable.log.image.index
+        self._applied = self._commit
+        self._proposals: dict[int, int] = {}
+        self._actions: list[events.Action] = []
+
+    @property
+    def commit_index(self) -> int:
+        """Last entry known to be on a majority."""
+        return self._commit
+
+    def commit(self, index: int) -> None:
+        """Takes note that entries up to `index` are on a majority."""
+        self._commit = max(self._commit, index)
+
+    def expect(self, index: int, proposal_id: int) -> None:
+        """Ties a proposal to the entry that carries it."""
+        self._proposals[index] = proposal_id
+
+    def refuse(
+        self, proposal_id: int, cause: str, *, is_unknown: bool = False
+    ) -> None:
+        """Answers a proposal that is not going to be committed here."""
+        self._actions.append(
+            events.Refuse(
+                proposal_id=proposal_id, cause=cause, is_unknown=is_unknown
+            )
+        )
+
+    def abandon(self) -> None:
+        """Refuses every proposal whose outcome is open."""
+        for proposal_id in self._proposals.values():
+            self.refuse(proposal_id, LEADERSHIP_LOST, is_unknown=True)
+        self._proposals.clear()
+
+    def install(self, image: entries_lib.Image) -> None:
+        """Replaces the application's state by a snapshot of the leader."""
+        self._commit = image.index
+        self._applied = image.index
+        self._actions.append(events.Restore(image=image))
+
+    def compact(self, event: events.ImageTaken) -> None:
+        """Takes a snapshot of the application, unless it is outdated."""
+        if self._durable.log.image.index < event.index <= self._applied:
+            self._durable.compact(event.index, event.data)
+
+    def collect(self) -> list[events.Action]:
+        """Returns refusals, then entries to apply, then resolved proposals."""
+        actions = self._actions
+        self._actions = []
+        if self._applied >= self._commit:
+            return actions
+        entries = self._durable.log.read(self._applied + 1, self._commit)
+        self._applied = self._commit
+        actions.append(events.Apply(entries=entries))
+        for entry in entries:
+            proposal_id = self._proposals.pop(entry.index, None)
+            if proposal_id is not None:
+                actions.append(
+                    events.Resolve(proposal_id=proposal_id, index=entry.index)
+                )
+        return actions
--- /dev/null
+++ b/src/lovagesaddle/core/consensus/ballot.py
@@ -0,0 +1,81 @@
+"""The rules of voting: who may be voted for and which votes count."""
+
+from lovagesaddle.core.consensus import durable as durable_lib
+from lovagesaddle.core.consensus import messages
+
+
+class Ballot:
+    """Votes of one member, given and received.
+
+    Args:
+      own_id: Member ID of this replica.
+      durable: Its term, vote and log.
+    """
+
+    def __init__(self, own_id: str, durable: durable_lib.Durable) -> None:
+        self._own_id = own_id
+        self._durable = durable
+        self._votes: set[str] = set()
+        self._term = 0
+        self._is_pre = False
+
+    def open(self, term: int, *, is_pre: bool) -> None:
+        """Starts to collect votes for one term."""
+        self._votes = set()
+        self._term = term
+        self._is_pre = is_pre
+
+    def add_own(self) -> None:
+        """Counts this replica's vote for itself."""
+        self._votes.add(self._own_id)
+
+    def add(self, sender: str, answer: messages.VoteAnswer) -> None:
+        """Counts a vote that was given in the present ballot."""
+        if answer.is_granted and self._is_present(answer):
+            self._votes.add(sender)
+
+    def is_won(self) -> bool:
+        """Returns whether a majority of the voters gave its vote."""
+        voters = self._durable.log.members.list_voters()
+        return 2 * len(self._votes.intersection(voters)) > len(voters)
+
+    def make_request(self, *, is_transfer: bool) -> messages.VoteRequest:
+        """Returns the request that goes to every other voter."""
+        return messages.VoteRequest(
+            term=self._term,
+            last_index=self._durable.log.last_index,
+            last_term=self._durable.log.last_term,
+            is_pre=self._is_pre,
+            is_transfer=is_transfer,
+        )
+
+    def answer(
+        self, sender: str, request: messages.VoteRequest
+    ) -> messages.VoteAnswer:
+        """Returns the answer, and casts the vote if it is given."""
+        is_granted = self._may_grant(sender, request)
+        if is_granted and not request.is_pre:
+            self._cast(sender)
+        return messages.VoteAnswer(
+            term=request.term if is_granted else self._durable.term,
+            is_granted=is_granted,
+            is_pre=request.is_pre,
+        )
+
+    def _cast(self, sender: str) -> None:
+        if self._durable.vote != sender:
+            self._durable.start_term(self._durable.term, sender)
+
+    def _may_grant(self, sender: str, request: messages.VoteRequest) -> bool:
+        log = self._durable.log
+        held = (log.last_term, log.last_index)
+        if (request.last_term, request.last_index) < held:
+            return False
+        if request.is_pre:
+            return request.term > self._durable.term
+        return request.term == self._durable.term and (
+            self._durable.vote in ("", sender)
+        )
+
+    def _is_present(self, answer: messages.VoteAnswer) -> bool:
+        return answer.term == self._term and answer.is_pre == self._is_pre
--- /dev/null
+++ b/src/lovagesaddle/core/consensus/durable.py
@@ -0,0 +1,148 @@
+"""Term, vote and log, with the rule that promises wait for the disk.
+
+A message that promises something (a vote, a stored entry) leaves only after
+everything it rests on is synced. Syncs complete in the order of their IDs.
+"""
+
+import collections
+import dataclasses
+
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.core.consensus import events
+from lovagesaddle.core.consensus import log as log_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Sync:
+    sync_id: int
+    last_index: int
+
+
+class Durable:
+    """What a replica has stored, or is storing.
+
+    Args:
+      restored: What storage found at the start.
+    """
+
+    def __init__(self, restored: entries_lib.Restored) -> None:
+        self._hard = restored.hard_state
+        self.log = log_lib.Log(restored.image, restored.entries)
+        self._synced_index = self.log.last_index
+        self._issued = 0
+        self._completed = 0
+        self._syncs: collections.deque[_Sync] = collections.deque()
+        self._held: collections.deque[tuple[int, events.Send]] = (
+            collections.deque()
+        )
+        self._is_hard_dirty = False
+        self._image: entries_lib.Image | None = None
+        self._drop_log = False
+        self._first_unwritten: int | None = None
+
+    @property
+    def term(self) -> int:
+        """Newest term seen."""
+        return self._hard.term
+
+    @property
+    def vote(self) -> str:
+        """Member voted for in this term; empty for none."""
+        return self._hard.vote
+
+    @property
+    def synced_index(self) -> int:
+        """Last entry of the present log that is on this disk."""
+        return self._synced_index
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether everything so far is synced."""
+        return not self._is_dirty() and self._completed == self._issued
+
+    def start_term(self, term: int, vote: str) -> None:
+        """Moves to a newer term, or casts the vote in this one."""
+        self._hard = entries_lib.HardState(term=term, vote=vote)
+        self._is_hard_dirty = True
+
+    def append(self, entries: tuple[entries_lib.Entry, ...]) -> None:
+        """Adds entries, in place of whatever stands at their indexes."""
+        if not entries:
+            return
+        first = entries[0].index
+        if first <= self.log.last_index:
+            self.log.truncate(first)
+            self._forget_synced_after(first - 1)
+        self.log.append(entries)
+        if self._first_unwritten is None or first < self._first_unwritten:
+            self._first_unwritten = first
+
+    def compact(self, index: int, data: bytes) -> None:
+        """Replaces the applied entries up to `index` by a snapshot."""
+        self._image = self.log.compact(index, data)
+
+    def install(self, image: entries_lib.Image) -> None:
+        """Takes a snapshot of the leader."""
+        if self.log.install(image):
+            self._drop_log = True
+            self._first_unwritten = None
+            self._forget_synced_after(image.index)
+        self._image = image
+
+    def send_after_sync(self, send: events.Send) -> None:
+        """Holds a message until everything stored so far is synced."""
+        self._held.append((self._issued + self._is_dirty(), send))
+
+    def flush(self) -> list[events.Action]:
+        """Returns what to store now, then the messages that may leave."""
+        actions: list[events.Action] = []
+        if self._is_dirty():
+            actions.append(self._make_persist())
+        actions.extend(self._release())
+        return actions
+
+    def complete(self, sync_id: int) -> None:
+        """Takes note that everything up to `sync_id` is synced."""
+        self._completed = max(self._completed, sync_id)
+        while self._syncs and self._syncs[0].sync_id <= sync_id:
+            self._synced_index = self._syncs.popleft().last_index
+
+    def _is_dirty(self) -> bool:
+        return (
+            self._is_hard_dirty
+            or self._image is not None
+            or self._first_unwritten is not None
+        )
+
+    def _forget_synced_after(self, index: int) -> None:
+        self._synced_index = min(self._synced_index, index)
+        self._syncs = collections.deque(
+            _Sync(sync.sync_id, min(sync.last_index, index))
+            for sync in self._syncs
+        )
+
+    def _make_persist(self) -> events.Persist:
+        self._issued += 1
+        entries: tuple[entries_lib.Entry, ...] = ()
+        if self._first_unwritten is not None:
+            first = max(self._first_unwritten, self.log.base_index + 1)
+            entries = self.log.read(first, self.log.last_index)
+        persist = events.Persist(
+            sync_id=self._issued,
+            hard_state=self._hard if self._is_hard_dirty else None,
+            image=self._image,
+            drop_log=self._drop_log,
+            entries=entries,
+        )
+        self._syncs.append(_Sync(self._issued, self.log.last_index))
+        self._is_hard_dirty = False
+        self._image = None
+        self._drop_log = False
+        self._first_unwritten = None
+        return persist
+
+    def _release(self) -> list[events.Action]:
+        released: list[events.Action] = []
+        while self._held and self._held[0][0] <= self._completed:
+            released.append(self._held.popleft()[1])
+        return released
--- /dev/null
+++ b/src/lovagesaddle/core/consensus/follower.py
@@ -0,0 +1,149 @@
+"""What a follower does with the leader's entries and snapshots."""
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.consensus import durable as durable_lib
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.core.consensus import messages
+
+
+class Follower:
+    """Keeps the log equal to the leader's.
+
+    Args:
+      durable: Term, vote and log of this replica.
+    """
+
+    def __init__(self, durable: durable_lib.Durable) -> None:
+        self._durable = durable
+        self._pieces = bytearray()
+        self._piece_of: tuple[int, int, int] = (0, 0, 0)
+        self._stamp = (0, 0)
+
+    @property
+    def counter(self) -> int:
+        """Newest confirmed heartbeat round of this term's leader."""
+        term, counter = self._stamp
+        return counter if term == self._durable.term else 0
+
+    def refuse(
+        self, message: messages.AppendRequest | messages.ImageRequest
+    ) -> messages.AppendAnswer:
+        """Returns the answer that tells an old leader the newer term."""
+        return messages.AppendAnswer(
+            term=self._durable.term,
+            is_accepted=False,
+            index=0,
+            previous_index=0,
+            round=message.round,
+        )
+
+    def take_entries(
+        self, request: messages.AppendRequest, commit: int
+    ) -> tuple[messages.AppendAnswer, int]:
+        """Stores entries if they follow what is held.
+
+        Returns:
+          The answer, and the new commit index.
+        """
+        self._note_stamp(request)
+        log = self._durable.log
+        if request.previous_index < log.base_index:
+            # What was dropped from the log is committed, so it matches.
+            return self._answer(request, True, commit), commit
+        held = log.find_term(request.previous_index)
+        if held != request.previous_term:
+            hint = self._find_hint(request.previous_index, commit)
+            return self._answer(request, False, hint), commit
+        self._store(self._skip_held(request.entries), commit, request.term)
+        last = request.previous_index + len(request.entries)
+        return (
+            self._answer(request, True, last),
+            max(commit, min(request.commit_index, last)),
+        )
+
+    def take_image(
+        self, request: messages.ImageRequest, commit: int
+    ) -> tuple[entries_lib.Image | None, messages.ImageAnswer]:
+        """Collects a piece of a snapshot.
+
+        Returns:
+          The snapshot once it is whole and newer than what is committed, and
+          the answer.
+        """
+        self._note_stamp(request)
+        image = request.image
+        if image.index <= commit:
+            return None, self._answer_piece(request, request.total)
+        key = (request.term, image.index, request.total)
+        if key != self._piece_of:
+            self._piece_of = key
+            self._pieces = bytearray()
+        if request.offset == len(self._pieces):
+            self._pieces.extend(image.data)
+        answer = self._answer_piece(request, len(self._pieces))
+        if len(self._pieces) < request.total:
+            return None, answer
+        whole = entries_lib.Image(
+            index=image.index,
+            term=image.term,
+            members=image.members,
+            data=bytes(self._pieces),
+        )
+        self._piece_of = (0, 0, 0)
+        self._durable.install(whole)
+        return whole, answer
+
+    def _note_stamp(
+        self, message: messages.AppendRequest | messages.ImageRequest
+    ) -> None:
+        self._stamp = max(self._stamp, (message.term, message.counter))
+
+    def _store(
+        self, entries: tuple[entries_lib.Entry, ...], commit: int, term: int
+    ) -> None:
+        if entries and entries[0].index <= commit:
+            raise errors.ConsensusError(
+                step="append entries",
+                peer=f"leader of term {term}",
+                cause=f"committed entry {entries[0].index} would change",
+            )
+        self._durable.append(entries)
+
+    def _skip_held(
+        self, entries: tuple[entries_lib.Entry, ...]
+    ) -> tuple[entries_lib.Entry, ...]:
+        for position, entry in enumerate(entries):
+            if self._durable.log.find_term(entry.index) != entry.term:
+                return entries[position:]
+        return ()
+
+    def _find_hint(self, previous_index: int, commit: int) -> int:
+        log = self._durable.log
+        if previous_index > log.last_index:
+            return log.last_index
+        conflicting = log.find_term(previous_index)
+        index = previous_index - 1
+        while index > commit and log.find_term(index) == conflicting:
+            index -= 1
+        return max(index, commit)
+
+    def _answer(
+        self, request: messages.AppendRequest, is_accepted: bool, index: int
+    ) -> messages.AppendAnswer:
+        return messages.AppendAnswer(
+            term=request.term,
+            is_accepted=is_accepted,
+            index=index,
+            previous_index=request.previous_index,
+            round=request.round,
+        )
+
+    def _answer_piece(
+        self, request: messages.ImageRequest, offset: int
+    ) -> messages.ImageAnswer:
+        return messages.ImageAnswer(
+            term=request.term,
+            index=request.image.index,
+            offset=offset,
+            round=request.round,
+        )
--- /dev/null
+++ b/src/lovagesaddle/core/consensus/founding.py
@@ -0,0 +1,176 @@
+"""How replicas with empty folders become a cluster, or find theirs.
+
+The first of the founding replicas, by name, collects the identities of all of
+them and fixes the first entry of the log; the others get it by replication.
+Since every one of them has to take part with an empty log, a replica that
+lost its disk can't found the cluster again, and under its new identity it is
+never asked for a vote before it is added as a learner.
+"""
+
+import dataclasses
+
+from lovagesaddle.core import codec
+from lovagesaddle.core import part
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.core.consensus import log as log_lib
+from lovagesaddle.core.consensus import messages
+
+INTRODUCTION_S = 0.2
+FOUNDING_INDEX = 1
+FOUNDING_TERM = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Introduction:
+    """Says who a replica is.
+
+    Attributes:
+      cluster_id: From its settings.
+      member: Its identity and address.
+      is_founding: Whether it was told to found the cluster.
+      has_log: Whether its log holds any entry.
+      knows_receiver: Whether the receiver is a member in that log.
+    """
+
+    cluster_id: str
+    member: entries_lib.Member
+    is_founding: bool
+    has_log: bool
+    knows_receiver: bool = False
+
+
+LinkMessage = messages.Envelope | Introduction
+
+LINK_MESSAGES: codec.Registry[LinkMessage] = codec.Registry(
+    name="replica link", kinds={1: messages.Envelope, 2: Introduction}
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Tick:
+    """Time passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Introduced:
+    """Another replica said who it is."""
+
+    introduction: Introduction
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Introduce:
+    """Send an introduction to a replica of the settings."""
+
+    replica_id: str
+    introduction: Introduction
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Found:
+    """Store the founding entry as the first of the log."""
+
+    entry: entries_lib.Entry
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Stop:
+    """This replica can't take part in founding the cluster."""
+
+    cause: str
+
+
+Event = Tick | Introduced
+Action = Introduce | Found | Stop
+
+
+class Founding(part.Part[Event, Action]):
+    """Runs in a replica while its log is empty.
+
+    Args:
+      cluster_id: Cluster from the settings.
+      own: This replica.
+      founders: Names of the founding replicas, from the settings.
+      is_founding: Whether to found the cluster; else wait to be added.
+    """
+
+    def __init__(
+        self,
+        *,
+        cluster_id: str,
+        own: entries_lib.Member,
+        founders: tuple[str, ...],
+        is_founding: bool,
+    ) -> None:
+        self._cluster_id = cluster_id
+        self._own = own
+        self._founders = founders
+        self._is_founding = is_founding
+        self._known = {own.replica_id: own}
+        self._next_at = 0.0
+        self._is_done = False
+
+    def step(self, event: Event, now: float) -> tuple[Action, ...]:
+        """Handles one event; see `part.Part.step`."""
+        if self._is_done:
+            return ()
+        if isinstance(event, Introduced):
+            return self._take(event.introduction)
+        if now < self._next_at:
+            return self._found_if_complete()
+        self._next_at = now + INTRODUCTION_S
+        return (*self._introduce(), *self._found_if_complete())
+
+    def _introduce(self) -> tuple[Introduce, ...]:
+        introduction = Introduction(
+            cluster_id=self._cluster_id,
+            member=self._own,
+            is_founding=self._is_founding,
+            has_log=False,
+        )
+        return tuple(
+            Introduce(replica_id=name, introduction=introduction)
+            for name in self._founders
+            if name != self._own.replica_id
+        )
+
+    def _take(self, introduction: Introduction) -> tuple[Action, ...]:
+        if introduction.cluster_id != self._cluster_id or not self._is_founding:
+            return ()
+        member = introduction.member
+        if introduction.has_log and not introduction.knows_receiver:
+            self._is_done = True
+            return (Stop(cause=_describe_founded(member.replica_id)),)
+        if introduction.is_founding and not introduction.has_log:
+            self._known[member.replica_id] = member
+        return self._found_if_complete()
+
+    def _found_if_complete(self) -> tuple[Action, ...]:
+        if (
+            not self._is_founding
+            or self._own.replica_id != min(self._founders)
+            or not set(self._founders) <= set(self._known)
+        ):
+            return ()
+        self._is_done = True
+        chosen = tuple(self._known[name] for name in self._founders)
+        members = entries_lib.sort_members(chosen)
+        return (Found(entry=make_founding_entry(members)),)
+
+
+def make_founding_entry(members: entries_lib.Members) -> entries_lib.Entry:
+    """Returns the first entry of a log, which names the founding members."""
+    return entries_lib.Entry(
+        index=FOUNDING_INDEX,
+        term=FOUNDING_TERM,
+        kind=entries_lib.EntryKind.MEMBERS,
+        payload=log_lib.encode_members(members),
+    )
+
+
+def _describe_founded(peer: str) -> str:
+    return (
+        f"replica {peer} belongs to the cluster already, and its log does not"
+        " know this folder; start without founding and have the replica added"
+        " or replaced"
+    )
--- /dev/null
+++ b/src/lovagesaddle/core/consensus/leadership.py
@@ -0,0 +1,289 @@
+"""What a leader does in its term: replicate, confirm itself, commit."""
+
+from lovagesaddle.core.consensus import durable as durable_lib
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.core.consensus import events
+from lovagesaddle.core.consensus import log as log_lib
+from lovagesaddle.core.consensus import messages
+from lovagesaddle.core.consensus import progress as progress_lib
+from lovagesaddle.core.consensus import timing
+
+MAX_APPEND_BYTES = 1024 * 1024
+IMAGE_PIECE_BYTES = 256 * 1024
+
+
+class Leadership:
+    """The leader's state in one term.
+
+    Args:
+      own_id: Member ID of the leader.
+      durable: Its term, vote and log.
+      limits: Time limits; a leader that no majority answers for an election
+        timeout steps down.
+      now: Time of the election.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_id: str,
+        durable: durable_lib.Durable,
+        limits: timing.Timing,
+        now: float,
+    ) -> None:
+        self._own_id = own_id
+        self._durable = durable
+        self._limits = limits
+        self._started_at = now
+        self._progress: dict[str, progress_lib.Progress] = {}
+        self._round = 0
+        self._counter = 0
+        self._beat_at = now
+        self._is_beat_due = True
+        self._transfer_until: float | None = None
+        self._transfer_sent = False
+        self._first_index = self.append(entries_lib.EntryKind.NOOP, b"")
+
+    @property
+    def counter(self) -> int:
+        """Newest heartbeat round that a majority confirmed."""
+        return self._counter
+
+    @property
+    def is_transferring(self) -> bool:
+        """Whether leadership is being handed over."""
+        return self._transfer_until is not None
+
+    def is_ready(self, commit: int) -> bool:
+        """Returns whether an entry of this term is committed."""
+        return commit >= self._first_index
+
+    def list_matched(self) -> dict[str, int]:
+        """Returns each member's last entry known to be synced."""
+        matched = {key: held.matched for key, held in self._progress.items()}
+        matched[self._own_id] = self._durable.synced_index
+        return matched
+
+    def append(self, kind: entries_lib.EntryKind, payload: bytes) -> int:
+        """Appends an entry of this term and returns its index."""
+        entry = entries_lib.Entry(
+            index=self._durable.log.last_index + 1,
+            term=self._durable.term,
+            kind=kind,
+            payload=payload,
+        )
+        self._durable.append((entry,))
+        return entry.index
+
+    def append_members(self, members: entries_lib.Members) -> int:
+        """Appends a change of the members and returns its index."""
+        return self.append(
+            entries_lib.EntryKind.MEMBERS, log_lib.encode_members(members)
+        )
+
+    def check_members(self, members: entries_lib.Members, commit: int) -> str:
+        """Returns why the members can't change so now, or an empty text."""
+        log = self._durable.log
+        if not self.is_ready(commit):
+            return "the leader has not committed an entry of its term yet"
+        if log.members_index > commit:
+            return "another change of the replicas is in progress"
+        old, new = set(log.members.list_voters()), set(members.list_voters())
+        if len(old ^ new) > 1:
+            return "more than one voter would change"
+        if self._own_id not in new:
+            return "the leader can't remove itself; hand leadership over first"
+        return ""
+
+    def tick(self, now: float) -> None:
+        """Starts a heartbeat round if one is due."""
+        if self._transfer_until is not None and now >= self._transfer_until:
+            self._transfer_until = None
+        if now - self._beat_at < self._limits.heartbeat_s:
+            return
+        self._beat_at = now
+        self._is_beat_due = True
+        for held in self._progress.values():
+            held.is_piece_due = True
+            if now - held.heard_at >= self._limits.silence_s:
+                held.suspend()
+
+    def has_lost_quorum(self, now: float) -> bool:
+        """Returns whether no majority answered for too long."""
+        voters = self._durable.log.members.list_voters()
+        heard = sum(1 for voter in voters if self._is_heard(voter, now))
+        return 2 * heard <= len(voters)
+
+    def take_answer(
+        self,
+        sender: str,
+        answer: messages.AppendAnswer | messages.ImageAnswer,
+        now: float,
+    ) -> None:
+        """Takes a follower's answer of this term."""
+        held = self._progress.get(sender)
+        if held is None:
+            return
+        held.heard_at = now
+        held.round = max(held.round, answer.round)
+        self._confirm()
+        if isinstance(answer, messages.ImageAnswer):
+            self._take_piece_answer(held, answer)
+        elif answer.is_accepted:
+            held.accept(answer.index)
+        else:
+            held.refuse(answer.previous_index, answer.index)
+
+    def transfer(self, now: float) -> None:
+        """Starts to hand leadership to the most advanced voter."""
+        self._transfer_until = now + self._limits.election_timeout_s
+        self._transfer_sent = False
+
+    def find_majority_index(self) -> int:
+        """Returns the last index that a majority of voters has synced."""
+        return self._find_majority(self.list_matched())
+
+    def collect_sends(self, commit: int) -> list[events.Send]:
+        """Returns the messages that are due."""
+        log = self._durable.log
+        self._track_members()
+        if self._is_beat_due:
+            self._round += 1
+            self._confirm()
+        sends: list[events.Send] = []
+        for member_id, held in self._progress.items():
+            if held.next_index > log.base_index:
+                sends.extend(self._send_entries(member_id, held, commit))
+            elif held.is_piece_due:
+                sends.append(self._send_piece(member_id, held))
+            elif self._is_beat_due:
+                previous = log.last_index
+                sends.append(self._make_append(member_id, previous, (), commit))
+        self._is_beat_due = False
+        sends.extend(self._send_transfer())
+        return sends
+
+    def _is_heard(self, voter: str, now: float) -> bool:
+        if voter == self._own_id:
+            return True
+        held = self._progress.get(voter)
+        heard_at = self._started_at if held is None else held.heard_at
+        return now - heard_at < self._limits.election_timeout_s
+
+    def _track_members(self) -> None:
+        others = self._durable.log.members.list_others(self._own_id)
+        for member_id in others:
+            if member_id not in self._progress:
+                self._progress[member_id] = progress_lib.Progress(
+                    next_index=self._first_index,
+                    heard_at=self._beat_at,
+                )
+        for member_id in set(self._progress).difference(others):
+            del self._progress[member_id]
+
+    def _confirm(self) -> None:
+        rounds = {key: held.round for key, held in self._progress.items()}
+        rounds[self._own_id] = self._round
+        self._counter = max(self._counter, self._find_majority(rounds))
+
+    def _find_majority(self, values: dict[str, int]) -> int:
+        voters = self._durable.log.members.list_voters()
+        ranked = sorted(
+            (values.get(voter, 0) for voter in voters), reverse=True
+        )
+        return ranked[len(ranked) // 2] if ranked else 0
+
+    def _send_entries(
+        self, member_id: str, held: progress_lib.Progress, commit: int
+    ) -> list[events.Send]:
+        log = self._durable.log
+        sends: list[events.Send] = []
+        while held.next_index <= log.last_index and held.may_send():
+            previous = held.next_index - 1
+            entries = log.read(previous + 1, log.last_index, MAX_APPEND_BYTES)
+            sends.append(
+                self._make_append(member_id, previous, entries, commit)
+            )
+            held.sent(entries[-1].index)
+        if not sends and self._is_empty_due(held, commit):
+            previous = held.next_index - 1
+            sends.append(self._make_append(member_id, previous, (), commit))
+        if sends:
+            held.commit_sent = commit
+            held.is_probe_due = False
+        return sends
+
+    def _is_empty_due(self, held: progress_lib.Progress, commit: int) -> bool:
+        if held.is_probing:
+            return self._is_beat_due or held.is_probe_due
+        return self._is_beat_due or commit > held.commit_sent
+
+    def _make_append(
+        self,
+        member_id: str,
+        previous: int,
+        entries: tuple[entries_lib.Entry, ...],
+        commit: int,
+    ) -> events.Send:
+        term = self._durable.log.find_term(previous)
+        if term is None:
+            raise ValueError(f"entry {previous} is not held")
+        request = messages.AppendRequest(
+            term=self._durable.term,
+            previous_index=previous,
+            previous_term=term,
+            entries=entries,
+            commit_index=commit,
+            round=self._round,
+            counter=self._counter,
+        )
+        return events.Send(receiver=member_id, message=request)
+
+    def _send_piece(
+        self, member_id: str, held: progress_lib.Progress
+    ) -> events.Send:
+        image = self._durable.log.image
+        if held.image_index != image.index:
+            held.image_index = image.index
+            held.image_offset = 0
+        held.is_piece_due = False
+        end = held.image_offset + IMAGE_PIECE_BYTES
+        piece = entries_lib.Image(
+            index=image.index,
+            term=image.term,
+            members=image.members,
+            data=image.data[held.image_offset : end],
+        )
+        request = messages.ImageRequest(
+            term=self._durable.term,
+            image=piece,
+            offset=held.image_offset,
+            total=len(image.data),
+            round=self._round,
+            counter=self._counter,
+        )
+        return events.Send(receiver=member_id, message=request)
+
+    def _take_piece_answer(
+        self, held: progress_lib.Progress, answer: messages.ImageAnswer
+    ) -> None:
+        image = self._durable.log.image
+        if answer.index != held.image_index or answer.index != image.index:
+            return
+        if answer.offset >= len(image.data):
+            held.accept(answer.index)
+        elif answer.offset != held.image_offset:
+            held.image_offset = answer.offset
+            held.is_piece_due = True
+
+    def _send_transfer(self) -> list[events.Send]:
+        if self._transfer_until is None or self._transfer_sent:
+            return []
+        last = self._durable.log.last_index
+        voters = self._durable.log.members.list_voters()
+        for member_id, held in self._progress.items():
+            if member_id in voters and held.matched == last:
+                self._transfer_sent = True
+                request = messages.TransferRequest(term=self._durable.term)
+                return [events.Send(receiver=member_id, message=request)]
+        return []
--- /dev/null
+++ b/src/lovagesaddle/core/consensus/membership.py
@@ -0,0 +1,33 @@
+"""The next change that brings the members to what operators asked for.
+
+A new replica starts as a learner, votes once it has caught up, and only then
+does the replica that it replaces leave. Every step is an entry of its own, so
+any leader carries on where another one stopped.
+"""
+
+import dataclasses
+
+from lovagesaddle.core.consensus import entries as entries_lib
+
+MAX_LEARNER_LAG = 100
+
+
+def plan_change(
+    members: entries_lib.Members, matched: dict[str, int], commit: int
+) -> entries_lib.Members | None:
+    """Returns the members after the next step, or None if none is due.
+
+    Args:
+      members: The present members.
+      matched: Last entry known to be synced at each member.
+      commit: Last committed entry.
+    """
+    for member in members.members:
+        if member.is_voter and member.replaces:
+            done = dataclasses.replace(member, replaces="")
+            return members.put(done).drop(member.replaces)
+    for member in members.members:
+        lag = commit - matched.get(member.member_id, 0)
+        if not member.is_voter and lag <= MAX_LEARNER_LAG:
+            return members.put(dataclasses.replace(member, is_voter=True))
+    return None
--- /dev/null
+++ b/src/lovagesaddle/core/consensus/replica.py
@@ -0,0 +1,334 @@
+"""The replica: one member's part in the replicated log.
+
+Leader-based replication with pre-vote, check-quorum, log matching, snapshots,
+learners and one change of the members at a time. The leader's log index is
+the version of the configuration.
+"""
+
+from lovagesaddle.core import part
+from lovagesaddle.core.consensus import applier as applier_lib
+from lovagesaddle.core.consensus import ballot as ballot_lib
+from lovagesaddle.core.consensus import durable as durable_lib
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.core.consensus import events
+from lovagesaddle.core.consensus import follower as follower_lib
+from lovagesaddle.core.consensus import leadership as leadership_lib
+from lovagesaddle.core.consensus import messages
+from lovagesaddle.core.consensus import timing
+
+NO_LEADER = "this replica does not lead"
+
+
+class Replica(part.Part[events.Event, events.Action]):
+    """One member's part in the replicated log.
+
+    Args:
+      own_id: Member ID of this replica.
+      restored: What storage found at the start.
+      limits: Time limits.
+      random: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_id: str,
+        restored: entries_lib.Restored,
+        limits: timing.Timing,
+        random: timing.RandomSource,
+    ) -> None:
+        self._own_id = own_id
+        self._clock = timing.Clock(limits, random)
+        self._durable = durable_lib.Durable(restored)
+        self._ballot = ballot_lib.Ballot(own_id, self._durable)
+        self._follower = follower_lib.Follower(self._durable)
+        self._applier = applier_lib.Applier(self._durable)
+        self._leadership: leadership_lib.Leadership | None = None
+        self._role = events.Role.FOLLOWER
+        self._leader = ""
+        self._reported = (self._role, self._durable.term, self._leader)
+
+    @property
+    def role(self) -> events.Role:
+        """What this replica does in its term."""
+        return self._role
+
+    @property
+    def term(self) -> int:
+        """Newest term seen."""
+        return self._durable.term
+
+    @property
+    def leader(self) -> str:
+        """Member ID of the believed leader; empty when none is known."""
+        return self._leader
+
+    @property
+    def commit_index(self) -> int:
+        """Last entry known to be on a majority."""
+        return self._applier.commit_index
+
+    @property
+    def last_index(self) -> int:
+        """Last entry of the log, committed or not."""
+        return self._durable.log.last_index
+
+    @property
+    def members(self) -> entries_lib.Members:
+        """The newest members, committed or not."""
+        return self._durable.log.members
+
+    @property
+    def image(self) -> entries_lib.Image:
+        """The newest snapshot."""
+        return self._durable.log.image
+
+    @property
+    def counter(self) -> int:
+        """Newest heartbeat round of the term that a majority confirmed."""
+        if self._leadership is not None:
+            return self._leadership.counter
+        return self._follower.counter
+
+    @property
+    def is_confirmed_leader(self) -> bool:
+        """Whether it leads and has committed an entry of its term."""
+        return self._leadership is not None and self._leadership.is_ready(
+            self.commit_index
+        )
+
+    def list_matched(self) -> dict[str, int]:
+        """Returns each member's last entry known to be synced, if leading."""
+        if self._leadership is None:
+            return {}
+        return self._leadership.list_matched()
+
+    def step(
+        self, event: events.Event, now: float
+    ) -> tuple[events.Action, ...]:
+        """Handles one event; see `part.Part.step`."""
+        self._clock.advance(now)
+        match event:
+            case events.Tick():
+                self._tick()
+            case events.MessageReceived():
+                self._receive(event.sender, event.message)
+            case events.Propose():
+                self._propose(event)
+            case events.ProposeMembers():
+                self._propose_members(event)
+            case events.Persisted():
+                self._durable.complete(event.sync_id)
+                self._add_own_vote()
+            case events.ImageTaken():
+                self._applier.compact(event)
+            case events.FoundLog():
+                if self.last_index == 0:
+                    self._durable.append((event.entry,))
+            case events.TransferLeadership():
+                if self._leadership is not None:
+                    self._leadership.transfer(self._clock.now)
+        return self._collect()
+
+    def _collect(self) -> tuple[events.Action, ...]:
+        self._advance_commit()
+        sends: list[events.Send] = []
+        if self._leadership is not None:
+            sends = self._leadership.collect_sends(self.commit_index)
+        actions = [*self._durable.flush(), *sends, *self._applier.collect()]
+        state = (self._role, self._durable.term, self._leader)
+        if state != self._reported:
+            self._reported = state
+            role, term, leader = state
+            actions.append(
+                events.RoleChanged(role=role, term=term, leader=leader)
+            )
+        return tuple(actions)
+
+    def _tick(self) -> None:
+        if self._leadership is not None:
+            if self._leadership.has_lost_quorum(self._clock.now):
+                self._become_follower(self._durable.term, leader="")
+            else:
+                self._leadership.tick(self._clock.now)
+        elif self._clock.is_election_due():
+            self._start_pre_vote()
+
+    def _start_pre_vote(self) -> None:
+        self._clock.reset()
+        self._leader = ""
+        if not self._is_voter():
+            return
+        self._role = events.Role.PRE_CANDIDATE
+        self._ballot.open(self._durable.term + 1, is_pre=True)
+        self._ballot.add_own()
+        self._ask_votes(is_transfer=False)
+        self._count_votes()
+
+    def _start_election(self, *, is_transfer: bool) -> None:
+        self._clock.reset()
+        self._role = events.Role.CANDIDATE
+        self._leader = ""
+        self._durable.start_term(self._durable.term + 1, self._own_id)
+        self._ballot.open(self._durable.term, is_pre=False)
+        self._ask_votes(is_transfer=is_transfer)
+
+    def _ask_votes(self, *, is_transfer: bool) -> None:
+        request = self._ballot.make_request(is_transfer=is_transfer)
+        for voter in self.members.list_voters():
+            if voter != self._own_id:
+                self._promise(voter, request)
+
+    def _add_own_vote(self) -> None:
+        if self._role is events.Role.CANDIDATE and self._durable.is_settled:
+            self._ballot.add_own()
+            self._count_votes()
+
+    def _count_votes(self) -> None:
+        if not self._ballot.is_won():
+            return
+        if self._role is events.Role.PRE_CANDIDATE:
+            self._start_election(is_transfer=False)
+        elif self._role is events.Role.CANDIDATE:
+            self._become_leader()
+
+    def _answer_vote(self, sender: str, request: messages.VoteRequest) -> None:
+        answer = self._ballot.answer(sender, request)
+        if answer.is_granted and not request.is_pre:
+            self._clock.reset()
+        self._promise(sender, answer)
+
+    def _is_voter(self) -> bool:
+        return self._own_id in self.members.list_voters()
+
+    def _promise(self, receiver: str, message: messages.Message) -> None:
+        self._durable.send_after_sync(
+            events.Send(receiver=receiver, message=message)
+        )
+
+    def _become_leader(self) -> None:
+        self._role = events.Role.LEADER
+        self._leader = self._own_id
+        self._leadership = leadership_lib.Leadership(
+            own_id=self._own_id,
+            durable=self._durable,
+            limits=self._clock.timing,
+            now=self._clock.now,
+        )
+
+    def _become_follower(self, term: int, *, leader: str) -> None:
+        if term > self._durable.term:
+            self._durable.start_term(term, "")
+        if self._leadership is not None:
+            self._leadership = None
+            self._clock.reset()
+            self._applier.abandon()
+        self._role = events.Role.FOLLOWER
+        self._leader = leader
+
+    def _receive(self, sender: str, message: messages.Message) -> None:
+        if isinstance(message, messages.VoteRequest) and self._ignores(message):
+            return
+        if message.term > self._durable.term and not _is_hypothetical(message):
+            self._become_follower(message.term, leader="")
+        match message:
+            case messages.VoteRequest():
+                self._answer_vote(sender, message)
+            case messages.VoteAnswer():
+                self._ballot.add(sender, message)
+                self._count_votes()
+            case messages.AppendRequest() | messages.ImageRequest():
+                self._follow(sender, message)
+            case messages.AppendAnswer() | messages.ImageAnswer():
+                self._take_answer(sender, message)
+            case messages.TransferRequest():
+                self._take_transfer(message)
+
+    def _ignores(self, request: messages.VoteRequest) -> bool:
+        if request.is_transfer:
+            return False
+        if self._leadership is not None:
+            return True
+        return bool(self._leader) and self._clock.has_heard_leader()
+
+    def _follow(
+        self,
+        sender: str,
+        message: messages.AppendRequest | messages.ImageRequest,
+    ) -> None:
+        if message.term < self._durable.term:
+            self._promise(sender, self._follower.refuse(message))
+            return
+        self._become_follower(message.term, leader=sender)
+        self._clock.hear_leader()
+        if isinstance(message, messages.ImageRequest):
+            self._take_image(sender, message)
+            return
+        answer, commit = self._follower.take_entries(message, self.commit_index)
+        self._applier.commit(commit)
+        self._promise(sender, answer)
+
+    def _take_image(self, sender: str, request: messages.ImageRequest) -> None:
+        image, answer = self._follower.take_image(request, self.commit_index)
+        if image is not None:
+            self._applier.install(image)
+        self._promise(sender, answer)
+
+    def _take_answer(
+        self, sender: str, answer: messages.AppendAnswer | messages.ImageAnswer
+    ) -> None:
+        if self._leadership is None or answer.term != self._durable.term:
+            return
+        self._leadership.take_answer(sender, answer, self._clock.now)
+
+    def _take_transfer(self, request: messages.TransferRequest) -> None:
+        if (
+            request.term == self._durable.term
+            and self._leadership is None
+            and self._is_voter()
+        ):
+            self._start_election(is_transfer=True)
+
+    def _propose(self, event: events.Propose) -> None:
+        leadership = self._leadership
+        if leadership is None or leadership.is_transferring:
+            for proposal in event.proposals:
+                self._applier.refuse(proposal.proposal_id, NO_LEADER)
+            return
+        for proposal in event.proposals:
+            index = leadership.append(
+                entries_lib.EntryKind.COMMAND, proposal.payload
+            )
+            self._applier.expect(index, proposal.proposal_id)
+
+    def _propose_members(self, event: events.ProposeMembers) -> None:
+        if self._leadership is None:
+            self._applier.refuse(event.proposal_id, NO_LEADER)
+            return
+        cause = self._leadership.check_members(event.members, self.commit_index)
+        if cause:
+            self._applier.refuse(event.proposal_id, cause)
+            return
+        index = self._leadership.append_members(event.members)
+        self._applier.expect(index, event.proposal_id)
+
+    def _advance_commit(self) -> None:
+        if self._leadership is None:
+            return
+        index = self._leadership.find_majority_index()
+        if index > self.commit_index and self._may_commit(index):
+            self._applier.commit(index)
+
+    def _may_commit(self, index: int) -> bool:
+        # An entry of an earlier term on a majority may still be replaced.
+        return self._durable.log.find_term(index) == self._durable.term
+
+
+def _is_hypothetical(message: messages.Message) -> bool:
+    """Returns whether the term of a message has not been started."""
+    match message:
+        case messages.VoteRequest():
+            return message.is_pre
+        case messages.VoteAnswer():
+            return message.is_pre and message.is_granted
+    return False
--- /dev/null
+++ b/src/lovagesaddle/core/consensus/timing.py
@@ -0,0 +1,85 @@
+"""Time limits of a replica, and the source of their jitter."""
+
+import abc
+import dataclasses
+
+HEARTBEATS_PER_TIMEOUT = 5
+SILENT_HEARTBEATS = 3
+
+
+class RandomSource(abc.ABC):
+    """Source of the jitter of election timeouts."""
+
+    @abc.abstractmethod
+    def random(self) -> float:
+        """Returns a number in [0, 1)."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Timing:
+    """Time limits of a replica, in seconds.
+
+    Attributes:
+      election_timeout_s: Silence of the leader before a pre-vote; up to
+        twice that with jitter.
+    """
+
+    election_timeout_s: float
+
+    @property
+    def heartbeat_s(self) -> float:
+        """Time between two heartbeats of the leader."""
+        return self.election_timeout_s / HEARTBEATS_PER_TIMEOUT
+
+    @property
+    def silence_s(self) -> float:
+        """Silence after which a follower is sent heartbeats only."""
+        return self.heartbeat_s * SILENT_HEARTBEATS
+
+
+class Clock:
+    """Monotonic time of one replica, and its election deadline.
+
+    Args:
+      timing: Time limits.
+      random: Source of jitter.
+    """
+
+    def __init__(self, timing: Timing, random: RandomSource) -> None:
+        self.timing = timing
+        self._random = random
+        self._now = 0.0
+        self._deadline: float | None = None
+        self._heard_at: float | None = None
+
+    @property
+    def now(self) -> float:
+        """Newest time seen."""
+        return self._now
+
+    def advance(self, now: float) -> None:
+        """Takes the time of an event; a step back is passed over."""
+        self._now = max(self._now, now)
+        if self._deadline is None:
+            self.reset()
+
+    def reset(self) -> None:
+        """Starts the election timeout again."""
+        timeout = self.timing.election_timeout_s
+        self._deadline = self._now + timeout * (1 + self._random.random())
+
+    def hear_leader(self) -> None:
+        """Takes note that the leader was heard."""
+        self._heard_at = self._now
+        self.reset()
+
+    def is_election_due(self) -> bool:
+        """Returns whether the election timeout has passed."""
+        return self._deadline is not None and self._now >= self._deadline
+
+    def has_heard_leader(self) -> bool:
+        """Returns whether a leader was heard too recently for an election."""
+        return (
+            self._heard_at is not None
+            and self._now - self._heard_at < self.timing.election_timeout_s
+        )
--- a/src/lovagesaddle/core/errors.py
+++ b/src/lovagesaddle/core/errors.py
@@ -33,6 +33,13 @@
     """
 
 
+class ConsensusError(LovagesaddleError):
+    """Raised when a replica's log contradicts its leader's.
+
+    The replica must stop: its data folder or a leader's can't be trusted.
+    """
+
+
 class TransportError(LovagesaddleError):
     """Raised when a link can't be opened; check addresses and keys."""
 
--- /dev/null
+++ b/src/lovagesaddle/storage/identity.py
@@ -0,0 +1,110 @@
+"""The identity file of a data folder, and the lock on the folder."""
+
+import dataclasses
+import fcntl
+import os
+import pathlib
+import types
+from typing import Self
+
+import msgspec
+
+from lovagesaddle.core import errors
+from lovagesaddle.storage import disk as disk_lib
+from lovagesaddle.storage import frames
+
+IDENTITY_NAME = "identity"
+LOCK_NAME = "lock"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Identity:
+    """Whose data a folder holds.
+
+    Attributes:
+      cluster_id: Cluster that the replica belongs to.
+      replica_id: Name of the replica.
+      member_id: Identity that was drawn when the folder was made.
+    """
+
+    cluster_id: str
+    replica_id: str
+    member_id: str
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Identity)
+
+
+def read_identity(folder: pathlib.Path) -> Identity | None:
+    """Returns the folder's identity; None for a new folder.
+
+    Raises:
+      errors.StorageError: The file is damaged.
+    """
+    path = folder / IDENTITY_NAME
+    if not path.exists():
+        return None
+    data = path.read_bytes()
+    frames.check_header(data, str(path))
+    frame = frames.read_frame(data, frames.HEADER_BYTES)
+    if frame is None:
+        raise errors.StorageError(
+            step="read identity", peer=str(path), cause="file is damaged"
+        )
+    return _DECODER.decode(frame.payload)
+
+
+def write_identity(
+    disk: disk_lib.Disk, folder: pathlib.Path, identity: Identity
+) -> None:
+    """Stores the identity of a new folder."""
+    frame = frames.encode_frame(_ENCODER.encode(identity))
+    disk_lib.write_whole_file(
+        disk, folder / IDENTITY_NAME, frames.encode_header() + frame
+    )
+
+
+class FolderLock:
+    """Keeps other processes out of a data folder while it is held.
+
+    Args:
+      folder: Data folder; it must exist.
+
+    Raises:
+      errors.StorageError: Another process holds the lock.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        path = folder / LOCK_NAME
+        flags = os.O_RDWR | os.O_CREAT
+        try:
+            self._descriptor = os.open(path, flags, disk_lib.FILE_MODE)
+        except OSError as error:
+            raise disk_lib.describe_failure(
+                "lock folder", path, error
+            ) from error
+        try:
+            fcntl.flock(self._descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(self._descriptor)
+            raise errors.StorageError(
+                step="lock folder",
+                peer=str(path),
+                cause="another process uses this folder",
+            ) from error
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Gives the folder back."""
+        os.close(self._descriptor)
--- /dev/null
+++ b/src/lovagesaddle/storage/loader.py
@@ -0,0 +1,153 @@
+"""Reads a data folder back into what the replica restores from."""
+
+import dataclasses
+import pathlib
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.storage import disk as disk_lib
+from lovagesaddle.storage import images
+from lovagesaddle.storage import records
+from lovagesaddle.storage import segments
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SegmentSummary:
+    """One segment file after reading.
+
+    Attributes:
+      path: The file.
+      last_index: Highest entry in it; 0 for none.
+      intact_bytes: Its length without a torn tail.
+      torn_bytes: Length of the torn tail.
+    """
+
+    path: pathlib.Path
+    last_index: int
+    intact_bytes: int
+    torn_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Loaded:
+    """Everything found in a data folder.
+
+    Attributes:
+      restored: What the replica starts from.
+      segments: Its segment files, oldest first.
+    """
+
+    restored: entries_lib.Restored
+    segments: tuple[SegmentSummary, ...]
+
+
+class _Replay:
+    """Rebuilds hard state and entries from records in file order."""
+
+    def __init__(self) -> None:
+        self.hard_state = entries_lib.HardState()
+        self.entries: list[entries_lib.Entry] = []
+
+    def take(self, record: records.Record, path: pathlib.Path) -> None:
+        match record:
+            case entries_lib.HardState():
+                self.hard_state = record
+            case records.Reset():
+                self.entries.clear()
+            case entries_lib.Entry():
+                self._put(record, path)
+
+    def _put(self, entry: entries_lib.Entry, path: pathlib.Path) -> None:
+        if self.entries:
+            position = entry.index - self.entries[0].index
+            if not 0 <= position <= len(self.entries):
+                raise _missing(path, self.entries[-1].index, entry.index)
+            del self.entries[position:]
+        self.entries.append(entry)
+
+
+def load_folder(folder: pathlib.Path) -> Loaded:
+    """Reads the snapshot and the segments of a data folder.
+
+    Raises:
+      errors.StorageError: Synced data is damaged or missing.
+    """
+    try:
+        return _load(folder)
+    except OSError as error:
+        raise disk_lib.describe_failure("read folder", folder, error) from error
+
+
+def _load(folder: pathlib.Path) -> Loaded:
+    image_paths = images.list_images(folder)
+    image = (
+        images.read_image(image_paths[-1])
+        if image_paths
+        else entries_lib.Image()
+    )
+    replay = _Replay()
+    summaries: list[SegmentSummary] = []
+    paths = segments.list_segments(folder)
+    _check_sequence(folder, paths)
+    for path in paths:
+        content = segments.read_segment(path, is_last=path == paths[-1])
+        for record in content.records:
+            replay.take(record, path)
+        summaries.append(_summarize(path, content))
+    restored = entries_lib.Restored(
+        hard_state=replay.hard_state,
+        image=image,
+        entries=_select_entries(folder, image, replay.entries),
+    )
+    return Loaded(restored=restored, segments=tuple(summaries))
+
+
+def _summarize(
+    path: pathlib.Path, content: segments.SegmentContent
+) -> SegmentSummary:
+    indexes = (
+        record.index
+        for record in content.records
+        if isinstance(record, entries_lib.Entry)
+    )
+    return SegmentSummary(
+        path=path,
+        last_index=max(indexes, default=0),
+        intact_bytes=content.intact_bytes,
+        torn_bytes=content.torn_bytes,
+    )
+
+
+def _check_sequence(
+    folder: pathlib.Path, paths: tuple[pathlib.Path, ...]
+) -> None:
+    numbers = [segments.read_number(path) for path in paths]
+    if not numbers:
+        raise _lost(folder, "the folder has an identity but no segment")
+    if numbers != list(range(numbers[0], numbers[0] + len(numbers))):
+        raise _lost(folder, f"segments {numbers} are not consecutive")
+
+
+def _select_entries(
+    folder: pathlib.Path,
+    image: entries_lib.Image,
+    found: list[entries_lib.Entry],
+) -> tuple[entries_lib.Entry, ...]:
+    later = tuple(entry for entry in found if entry.index > image.index)
+    if not later:
+        return ()
+    at_image = [entry for entry in found if entry.index == image.index]
+    if at_image and at_image[0].term != image.term:
+        # The snapshot was stored, the crash came before the log's reset.
+        return ()
+    if later[0].index != image.index + 1:
+        raise _missing(folder, image.index, later[0].index)
+    return later
+
+
+def _missing(path: pathlib.Path, last: int, found: int) -> errors.StorageError:
+    return _lost(path, f"entries between {last} and {found} are missing")
+
+
+def _lost(path: pathlib.Path, cause: str) -> errors.StorageError:
+    return errors.StorageError(step="read folder", peer=str(path), cause=cause)
--- /dev/null
+++ b/src/lovagesaddle/storage/segments.py
@@ -0,0 +1,178 @@
+"""Segment files: the append-only log on disk."""
+
+import dataclasses
+import os
+import pathlib
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.storage import disk as disk_lib
+from lovagesaddle.storage import frames
+from lovagesaddle.storage import records
+
+SEGMENT_PREFIX = "segment-"
+_NAME = SEGMENT_PREFIX + "{:016d}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SegmentContent:
+    """What one segment file holds.
+
+    Attributes:
+      records: Its records in order, without marks.
+      intact_bytes: Length of the file up to the torn tail, if any.
+      torn_bytes: Length of the torn tail; 0 for none.
+    """
+
+    records: tuple[records.Record, ...]
+    intact_bytes: int
+    torn_bytes: int
+
+
+def list_segments(folder: pathlib.Path) -> tuple[pathlib.Path, ...]:
+    """Returns the segment files, oldest first."""
+    return tuple(sorted(folder.glob(SEGMENT_PREFIX + "[0-9]*[0-9]")))
+
+
+def read_number(path: pathlib.Path) -> int:
+    """Returns the sequence number in a segment's name."""
+    return int(path.name.removeprefix(SEGMENT_PREFIX))
+
+
+def read_segment(path: pathlib.Path, *, is_last: bool) -> SegmentContent:
+    """Reads and checks a segment file.
+
+    Args:
+      path: The file.
+      is_last: Whether a torn tail may be passed over.
+
+    Raises:
+      errors.StorageError: Synced data is damaged.
+    """
+    data = path.read_bytes()
+    if is_last and len(data) < frames.HEADER_BYTES:
+        # The crash came while the file was being made.
+        return SegmentContent(records=(), intact_bytes=0, torn_bytes=len(data))
+    frames.check_header(data, str(path))
+    found: list[records.Record] = []
+    end = frames.HEADER_BYTES
+    for frame in frames.read_frames(data, end):
+        record = records.RECORDS.decode(frame.payload, peer=str(path))
+        if not isinstance(record, records.Mark):
+            found.append(record)
+        end = frame.end
+    if end < len(data):
+        _check_torn(path, data, end, is_last=is_last)
+    return SegmentContent(
+        records=tuple(found), intact_bytes=end, torn_bytes=len(data) - end
+    )
+
+
+def _check_torn(
+    path: pathlib.Path, data: bytes, end: int, *, is_last: bool
+) -> None:
+    if not is_last:
+        raise _damaged(path, end, "a newer segment follows")
+    for frame in frames.find_frames(data, end):
+        record = records.RECORDS.decode(frame.payload, peer=str(path))
+        if isinstance(record, records.Mark) and record.offset > end:
+            raise _damaged(path, end, f"{record.offset} bytes were synced")
+
+
+def _damaged(
+    path: pathlib.Path, offset: int, cause: str
+) -> errors.StorageError:
+    return errors.StorageError(
+        step="read segment",
+        peer=str(path),
+        cause=f"record at byte {offset} is damaged although {cause}",
+    )
+
+
+class SegmentWriter:
+    """Appends records to the newest segment.
+
+    Args:
+      disk: File operations.
+      folder: Data folder.
+      number: Sequence number of the segment.
+      keep_bytes: Length of an existing file to append to; None for a new one.
+    """
+
+    def __init__(
+        self,
+        *,
+        disk: disk_lib.Disk,
+        folder: pathlib.Path,
+        number: int,
+        keep_bytes: int | None = None,
+    ) -> None:
+        self._disk = disk
+        self.path = folder / _NAME.format(number)
+        self.number = number
+        self.last_index = 0
+        self._bytes = 0
+        flags = os.O_WRONLY | os.O_APPEND
+        try:
+            if keep_bytes is None:
+                flags |= os.O_CREAT | os.O_EXCL
+            self._descriptor = os.open(self.path, flags, disk_lib.FILE_MODE)
+            if keep_bytes is None:
+                self._start()
+            else:
+                self._resume(keep_bytes)
+        except OSError as error:
+            raise self._describe("open segment", error) from error
+
+    @property
+    def size_bytes(self) -> int:
+        """Length of the file."""
+        return self._bytes
+
+    def append(self, added: list[records.Record]) -> None:
+        """Writes records and syncs them.
+
+        Raises:
+          errors.StorageError: They may not be on the disk.
+        """
+        data = b"".join(
+            frames.encode_frame(records.RECORDS.encode(record))
+            for record in added
+        )
+        try:
+            self._write(data)
+            self._disk.sync(self._descriptor)
+            self._write_mark()
+        except OSError as error:
+            raise self._describe("append records", error) from error
+        for record in added:
+            if isinstance(record, entries_lib.Entry):
+                self.last_index = max(self.last_index, record.index)
+
+    def close(self) -> None:
+        """Closes the file."""
+        os.close(self._descriptor)
+
+    def _start(self) -> None:
+        self._write(frames.encode_header())
+        self._disk.sync(self._descriptor)
+        self._disk.sync_folder(self.path.parent)
+
+    def _resume(self, keep_bytes: int) -> None:
+        os.ftruncate(self._descriptor, keep_bytes)
+        self._bytes = keep_bytes
+        if keep_bytes == 0:
+            self._write(frames.encode_header())
+        self._disk.sync(self._descriptor)
+
+    def _write(self, data: bytes) -> None:
+        self._disk.write(self._descriptor, data)
+        self._bytes += len(data)
+
+    def _write_mark(self) -> None:
+        # Needs no sync: it only helps to tell damage from a torn tail.
+        mark = records.RECORDS.encode(records.Mark(offset=self._bytes))
+        self._write(frames.encode_frame(mark))
+
+    def _describe(self, step: str, error: OSError) -> errors.StorageError:
+        return disk_lib.describe_failure(step, self.path, error)
--- /dev/null
+++ b/src/lovagesaddle/storage/store.py
@@ -0,0 +1,200 @@
+"""The data folder of a running replica: restore once, then append."""
+
+import dataclasses
+import pathlib
+import types
+from typing import Self
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.core.consensus import events
+from lovagesaddle.storage import disk as disk_lib
+from lovagesaddle.storage import identity as identity_lib
+from lovagesaddle.storage import images
+from lovagesaddle.storage import loader
+from lovagesaddle.storage import records
+from lovagesaddle.storage import segments
+
+SEGMENT_BYTES = 16 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Closed:
+    path: pathlib.Path
+    last_index: int
+
+
+class Store:
+    """Owns a data folder; used by one thread at a time.
+
+    Args:
+      folder: Data folder; it is made if it does not exist.
+      identity: Identity to give a new folder, and to expect of an old one,
+        but for the member ID.
+      disk: File operations.
+
+    Raises:
+      errors.StorageError: The folder is in use, damaged, or another's.
+    """
+
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        identity: identity_lib.Identity,
+        disk: disk_lib.Disk | None = None,
+    ) -> None:
+        self._folder = folder
+        self._disk = disk_lib.LocalDisk() if disk is None else disk
+        self._make_folder()
+        self._lock = identity_lib.FolderLock(folder)
+        self._closed: list[_Closed] = []
+        try:
+            found = identity_lib.read_identity(folder)
+            if found is None:
+                self._create(identity)
+                found = identity
+            _check_identity(folder, found, identity)
+            self.identity = found
+            self.restored = self._restore()
+        except BaseException:
+            self._lock.close()
+            raise
+        self._hard_state = self.restored.hard_state
+        self._syncs = 0
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self.close()
+
+    @property
+    def sync_count(self) -> int:
+        """Number of syncs of the log so far."""
+        return self._syncs
+
+    def write(self, persists: tuple[events.Persist, ...]) -> None:
+        """Stores several Persist actions; one sync covers their records.
+
+        Raises:
+          errors.StorageError: They may not be on the disk; the replica must
+            stop.
+        """
+        pending: list[records.Record] = []
+        for persist in persists:
+            if persist.hard_state is not None:
+                self._hard_state = persist.hard_state
+                pending.append(persist.hard_state)
+            if persist.image is not None:
+                self._append(pending)
+                pending = []
+                self._store_image(persist.image, drop_log=persist.drop_log)
+            pending.extend(persist.entries)
+        self._append(pending)
+        if self._writer.size_bytes > SEGMENT_BYTES:
+            self._rotate(())
+
+    def close(self) -> None:
+        """Closes the files and gives the folder back."""
+        self._writer.close()
+        self._lock.close()
+
+    def _make_folder(self) -> None:
+        try:
+            self._folder.mkdir(parents=True, exist_ok=True)
+            self._disk.sync_folder(self._folder.parent)
+        except OSError as error:
+            raise disk_lib.describe_failure(
+                "make folder", self._folder, error
+            ) from error
+
+    def _create(self, identity: identity_lib.Identity) -> None:
+        for path in segments.list_segments(self._folder):
+            if segments.read_segment(path, is_last=True).records:
+                raise errors.StorageError(
+                    step="open folder",
+                    peer=str(self._folder),
+                    cause="the folder has segments but no identity",
+                )
+            # The crash came while the folder was being made.
+            path.unlink()
+        writer = segments.SegmentWriter(
+            disk=self._disk, folder=self._folder, number=1
+        )
+        writer.close()
+        identity_lib.write_identity(self._disk, self._folder, identity)
+
+    def _restore(self) -> entries_lib.Restored:
+        for path in self._folder.glob("*" + disk_lib.TEMPORARY_SUFFIX):
+            path.unlink()
+        loaded = loader.load_folder(self._folder)
+        *older, newest = loaded.segments
+        self._closed = [_Closed(s.path, s.last_index) for s in older]
+        self._writer = segments.SegmentWriter(
+            disk=self._disk,
+            folder=self._folder,
+            number=segments.read_number(newest.path),
+            keep_bytes=newest.intact_bytes,
+        )
+        self._writer.last_index = newest.last_index
+        return loaded.restored
+
+    def _append(self, pending: list[records.Record]) -> None:
+        if pending:
+            self._writer.append(pending)
+            self._syncs += 1
+
+    def _store_image(self, image: entries_lib.Image, *, drop_log: bool) -> None:
+        images.write_image(self._disk, self._folder, image)
+        resets = (records.Reset(index=image.index),) if drop_log else ()
+        self._rotate(resets)
+        for closed in tuple(self._closed):
+            if drop_log or closed.last_index <= image.index:
+                self._remove(closed)
+
+    def _rotate(self, resets: tuple[records.Reset, ...]) -> None:
+        old = self._writer
+        self._writer = segments.SegmentWriter(
+            disk=self._disk, folder=self._folder, number=old.number + 1
+        )
+        self._closed.append(_Closed(old.path, old.last_index))
+        old.close()
+        self._append([*resets, self._hard_state])
+
+    def _remove(self, closed: _Closed) -> None:
+        # Oldest first, so that the numbers left are consecutive.
+        if closed is not self._closed[0]:
+            return
+        try:
+            closed.path.unlink()
+        except OSError as error:
+            raise disk_lib.describe_failure(
+                "remove segment", closed.path, error
+            ) from error
+        self._closed.pop(0)
+
+
+def _check_identity(
+    folder: pathlib.Path,
+    found: identity_lib.Identity,
+    expected: identity_lib.Identity,
+) -> None:
+    if (found.cluster_id, found.replica_id) == (
+        expected.cluster_id,
+        expected.replica_id,
+    ):
+        return
+    raise errors.StorageError(
+        step="open folder",
+        peer=str(folder),
+        cause=(
+            f"the folder is of replica {found.replica_id} of cluster"
+            f" {found.cluster_id}"
+        ),
+    )
