Serve operators from three durable replicas

A cluster is founded only by replicas with empty logs that all take part, so that a replica with a lost disk never votes again under an old name.

--- a/src/lovagesaddle/control/consensus.py
+++ b/src/lovagesaddle/control/consensus.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 import dataclasses
 
-import structlog
-
 from lovagesaddle.control import links as links_lib
 from lovagesaddle.control import machine as machine_lib
 from lovagesaddle.control import ports
@@ -14,6 +12,7 @@
 from lovagesaddle.core.consensus import founding as founding_lib
 from lovagesaddle.core.consensus import replica as replica_lib
 from lovagesaddle.core.model import commands
+from lovagesaddle.observability import logs
 from lovagesaddle.storage import syncer as syncer_lib
 from lovagesaddle.transport import endpoint as endpoint_lib
 
@@ -55,7 +54,7 @@
         syncer: syncer_lib.Syncer,
         links: links_lib.Links,
     ) -> None:
-        self._log = structlog.get_logger(part="consensus")
+        self._log = logs.get_logger("consensus")
         self._cluster_id = cluster_id
         self._own = own
         self._replica = replica
--- a/src/lovagesaddle/control/main.py
+++ b/src/lovagesaddle/control/main.py
@@ -2,22 +2,29 @@
 
 import pathlib
 import signal
-import sys
 from typing import Annotated
 
-import structlog
+from returns import result
 import typer
 import zmq
 
 from lovagesaddle.control import program as program_lib
 from lovagesaddle.core import errors
+from lovagesaddle.observability import logs
+from lovagesaddle.settings import loader
 from lovagesaddle.settings import schema
 
 EXIT_FAILED = 1
+EXIT_SETTINGS = 2
 
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 
 
+@app.callback()
+def describe() -> None:
+    """Control replica of lovagesaddle."""
+
+
 def serve(settings: schema.ControlSettings, *, is_founding: bool) -> None:
     """Runs a replica until SIGTERM or SIGINT.
 
@@ -47,7 +54,22 @@
     ] = False,
 ) -> None:
     """Runs a replica with the settings in FILE."""
-    raise NotImplementedError
+    loaded = loader.load_control(settings_file)
+    if not isinstance(loaded, result.Success):
+        typer.echo(loader.list_lines(loaded.failure()), err=True)
+        raise typer.Exit(EXIT_SETTINGS)
+    settings = loaded.unwrap()
+    with logs.open_log(settings.log):
+        try:
+            serve(settings, is_founding=found)
+        except errors.LovagesaddleError as error:
+            logs.get_logger("control").error(
+                "replica_failed",
+                step=error.step,
+                peer=error.peer,
+                cause=error.cause,
+            )
+            raise typer.Exit(EXIT_FAILED) from error
 
 
 def main() -> None:
--- a/src/lovagesaddle/control/operators.py
+++ b/src/lovagesaddle/control/operators.py
@@ -1,7 +1,5 @@
 """Answers operators: publish, status, history, services, replicas."""
 
-import structlog
-
 from lovagesaddle.control import consensus as consensus_lib
 from lovagesaddle.control import ports
 from lovagesaddle.control import replicas as replicas_lib
@@ -9,6 +7,7 @@
 from lovagesaddle.core.consensus import events
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import operator_messages
+from lovagesaddle.observability import logs
 from lovagesaddle.transport import endpoint as endpoint_lib
 
 NOT_LEADING = "this replica does not lead"
@@ -35,7 +34,7 @@
         replicas: replicas_lib.Replicas,
         fleet: ports.Subsystem | None,
     ) -> None:
-        self._log = structlog.get_logger(part="operators")
+        self._log = logs.get_logger("operators")
         self._own_id = own_id
         self._endpoint = endpoint
         self._consensus = consensus
@@ -109,7 +108,7 @@
             return
         self._consensus.propose(
             request.command,
-            lambda version: self._finish_publish(route, request),
+            lambda _: self._finish_publish(route, request),
             lambda cause: self._refuse(route, request.request_id, cause),
         )
 
--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -10,7 +10,6 @@
 from typing import Self
 import uuid
 
-import structlog
 import zmq
 
 from lovagesaddle.control import consensus as consensus_lib
@@ -23,6 +22,7 @@
 from lovagesaddle.core.consensus import founding as founding_lib
 from lovagesaddle.core.consensus import replica as replica_lib
 from lovagesaddle.core.consensus import timing
+from lovagesaddle.observability import logs
 from lovagesaddle.settings import schema
 from lovagesaddle.storage import identity as identity_lib
 from lovagesaddle.storage import store as store_lib
@@ -68,7 +68,7 @@
         is_founding: bool = False,
     ) -> None:
         self._settings = settings
-        self._log = structlog.get_logger(part="control")
+        self._log = logs.get_logger("control")
         self._stopping = threading.Event()
         self._wake_lock = threading.Lock()
         self._stack = contextlib.ExitStack()
--- a/src/lovagesaddle/control/replicas.py
+++ b/src/lovagesaddle/control/replicas.py
@@ -3,12 +3,11 @@
 from collections.abc import Callable
 import dataclasses
 
-import structlog
-
 from lovagesaddle.control import consensus as consensus_lib
 from lovagesaddle.core.consensus import entries as entries_lib
 from lovagesaddle.core.consensus import membership
 from lovagesaddle.core.model import operator_messages
+from lovagesaddle.observability import logs
 
 ADD = "add"
 REMOVE = "remove"
@@ -41,7 +40,7 @@
     def __init__(
         self, *, consensus: consensus_lib.Consensus, own_id: str
     ) -> None:
-        self._log = structlog.get_logger(part="replicas")
+        self._log = logs.get_logger("replicas")
         self._consensus = consensus
         self._own_id = own_id
         self._is_changing = False
@@ -71,7 +70,7 @@
             return
         self._consensus.propose_members(
             verdict.members,
-            lambda version: on_done(verdict),
+            lambda _: on_done(verdict),
             lambda cause: on_done(
                 Verdict(members=None, is_accepted=False, cause=cause)
             ),
--- a/src/lovagesaddle/core/consensus/replica.py
+++ b/src/lovagesaddle/core/consensus/replica.py
@@ -108,6 +108,10 @@
     ) -> tuple[events.Action, ...]:
         """Handles one event; see `part.Part.step`."""
         self._clock.advance(now)
+        self._handle(event)
+        return self._collect()
+
+    def _handle(self, event: events.Event) -> None:
         match event:
             case events.Tick():
                 self._tick()
@@ -118,17 +122,13 @@
             case events.ProposeMembers():
                 self._propose_members(event)
             case events.Persisted():
-                self._durable.complete(event.sync_id)
-                self._add_own_vote()
+                self._complete(event.sync_id)
             case events.ImageTaken():
                 self._applier.compact(event)
             case events.FoundLog():
-                if self.last_index == 0:
-                    self._durable.append((event.entry,))
+                self._found_log(event.entry)
             case events.TransferLeadership():
-                if self._leadership is not None:
-                    self._leadership.transfer(self._clock.now)
-        return self._collect()
+                self._transfer()
 
     def _collect(self) -> tuple[events.Action, ...]:
         self._advance_commit()
@@ -192,6 +192,18 @@
         elif self._role is events.Role.CANDIDATE:
             self._become_leader()
 
+    def _complete(self, sync_id: int) -> None:
+        self._durable.complete(sync_id)
+        self._add_own_vote()
+
+    def _found_log(self, entry: entries_lib.Entry) -> None:
+        if self.last_index == 0:
+            self._durable.append((entry,))
+
+    def _transfer(self) -> None:
+        if self._leadership is not None:
+            self._leadership.transfer(self._clock.now)
+
     def _answer_vote(self, sender: str, request: messages.VoteRequest) -> None:
         answer = self._ballot.answer(sender, request)
         if answer.is_granted and not request.is_pre:
--- /dev/null
+++ b/tests/control_cluster.py
@@ -0,0 +1,199 @@
+"""Control replicas on threads of one process, on loopback."""
+
+from collections.abc import Callable
+import contextlib
+import pathlib
+import socket
+import tempfile
+import threading
+import time
+import types
+from typing import Self, TypeVar
+
+import zmq
+
+from lovagesaddle.control import program as program_lib
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import operator_messages
+from lovagesaddle.settings import schema
+from lovagesaddle.transport import endpoint as endpoint_lib
+
+AnswerT = TypeVar("AnswerT")
+
+WAIT_S = 10.0
+RESEND_S = 0.5
+ELECTION_TIMEOUT_S = 0.3
+_MESSAGES = operator_messages.OPERATOR_MESSAGES
+_CHANNEL = endpoint_lib.Channel.OPERATOR
+
+
+class ControlCluster:
+    """Three replicas or more, each on a thread, and one operator."""
+
+    def __init__(self, size: int = 3) -> None:
+        self._stack = contextlib.ExitStack()
+        self._folder = pathlib.Path(
+            self._stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        self._context = self._stack.enter_context(zmq.Context())
+        self.replicas = tuple(
+            schema.ReplicaAddress(
+                replica_id=f"r{number}",
+                address=f"tcp://127.0.0.1:{find_port()}",
+            )
+            for number in range(1, size + 1)
+        )
+        self._threads: dict[str, threading.Thread] = {}
+        self.programs: dict[str, program_lib.ControlProgram] = {}
+        self.failures: dict[str, BaseException] = {}
+        self._operator = self._stack.enter_context(
+            endpoint_lib.Endpoint(context=self._context, own_id="operator")
+        )
+        self._requests = 0
+
+    def __enter__(self) -> Self:
+        for replica in self.replicas:
+            self.start(replica.replica_id, is_founding=True)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        for name in tuple(self._threads):
+            self.stop(name)
+        self._stack.close()
+
+    def make_settings(
+        self, name: str, address: str = "", folder: str = ""
+    ) -> schema.ControlSettings:
+        """Returns the settings of one replica."""
+        known = {replica.replica_id: replica for replica in self.replicas}
+        return schema.ControlSettings(
+            replica_id=name,
+            address=address or known[name].address,
+            failure_domain="a",
+            data_folder=str(self._folder / (folder or name)),
+            cluster_id="test",
+            replicas=self.replicas,
+            election_timeout_s=ELECTION_TIMEOUT_S,
+        )
+
+    def start(
+        self,
+        name: str,
+        *,
+        is_founding: bool = False,
+        address: str = "",
+        folder: str = "",
+    ) -> None:
+        """Starts a replica on a thread."""
+        program = program_lib.ControlProgram(
+            self.make_settings(name, address, folder),
+            self._context,
+            is_founding=is_founding,
+        )
+        self.programs[name] = program
+
+        def run() -> None:
+            try:
+                with program:
+                    program.run()
+            except Exception as error:
+                self.failures[name] = error
+
+        thread = threading.Thread(target=run, name=name)
+        self._threads[name] = thread
+        thread.start()
+
+    def stop(self, name: str) -> None:
+        """Stops a replica as SIGTERM does, and waits for its thread."""
+        thread = self._threads.pop(name)
+        if thread.is_alive():
+            self.programs[name].stop()
+        thread.join()
+
+    def wait(self, name: str) -> BaseException | None:
+        """Waits for a replica to end by itself; returns why."""
+        self._threads.pop(name).join(WAIT_S)
+        return self.failures.get(name)
+
+    def ask(
+        self, name: str, request: operator_messages.OperatorMessage
+    ) -> operator_messages.OperatorMessage | None:
+        """Sends one request to one replica and waits for its answer."""
+        address = self.programs[name]._settings.address
+        peer = endpoint_lib.Peer(peer_id=name, address=address)
+        self._operator.send(peer, _CHANNEL, _MESSAGES.encode(request))
+        deadline = time.monotonic() + RESEND_S
+        while (left := deadline - time.monotonic()) > 0:
+            for received in self._operator.receive(left):
+                answer = _MESSAGES.decode(received.data, peer=name)
+                if answer.request_id == request.request_id:
+                    return answer
+        return None
+
+    def publish(
+        self, publish_id: str, base: int
+    ) -> operator_messages.PublishAnswer:
+        """Publishes an empty set until a replica answers for the cluster."""
+        command = commands.PublishServices(
+            publish_id=publish_id,
+            operator="ana",
+            base_version=base,
+            services=(),
+        )
+        return self.ask_leader(
+            lambda request_id: operator_messages.PublishRequest(
+                request_id=request_id, command=command
+            ),
+            operator_messages.PublishAnswer,
+        )
+
+    def ask_leader(
+        self,
+        make: Callable[[str], operator_messages.OperatorMessage],
+        kind: type[AnswerT],
+    ) -> AnswerT:
+        """Asks one running replica after another until one leads."""
+        deadline = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline:
+            for name in tuple(self._threads):
+                self._requests += 1
+                answer = self.ask(name, make(f"q{self._requests}"))
+                if isinstance(answer, kind):
+                    return answer
+        raise AssertionError("no replica answered")
+
+    def get_status(self, name: str) -> operator_messages.StatusAnswer:
+        """Returns what one replica knows."""
+        self._requests += 1
+        request = operator_messages.StatusRequest(
+            request_id=f"q{self._requests}"
+        )
+        answer = self.ask(name, request)
+        assert isinstance(answer, operator_messages.StatusAnswer), answer
+        return answer
+
+    def wait_for_status(
+        self,
+        name: str,
+        condition: Callable[[operator_messages.StatusAnswer], bool],
+    ) -> operator_messages.StatusAnswer:
+        """Asks one replica until its status meets a condition."""
+        deadline = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline:
+            status = self.get_status(name)
+            if condition(status):
+                return status
+        raise AssertionError(f"{name} stays at {status}")
+
+
+def find_port() -> int:
+    """Returns a TCP port of loopback that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
--- /dev/null
+++ b/tests/replica_cluster.py
@@ -0,0 +1,448 @@
+"""Replicas of the core on a fake network and fake disks, in virtual time.
+
+Everything is drawn from one seed. The checks run all the time: one leader a
+term, one content for each index, application in order, accepted entries on a
+majority of disks.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import hashlib
+import heapq
+import random
+
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.core.consensus import events
+from lovagesaddle.core.consensus import founding
+from lovagesaddle.core.consensus import log as log_lib
+from lovagesaddle.core.consensus import membership
+from lovagesaddle.core.consensus import replica as replica_lib
+from lovagesaddle.core.consensus import timing
+
+TIMEOUT_S = 0.2
+TICK_S = 0.02
+LIMIT_S = 30.0
+GENESIS = b"genesis"
+NO_HARD_STATE = entries_lib.HardState()
+NO_IMAGE = entries_lib.Image()
+
+
+class BreachError(AssertionError):
+    """A promise of the replicated log was broken."""
+
+
+class Jitter(timing.RandomSource):
+    """Seeded jitter."""
+
+    def __init__(self, source: random.Random) -> None:
+        self._source = source
+
+    def random(self) -> float:
+        """See base class."""
+        return self._source.random()
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Faults:
+    """How the network and the disks misbehave.
+
+    Attributes:
+      loss: Share of messages that are lost.
+      duplication: Share of messages that arrive twice.
+      delay_s: Longest delay of a message.
+      sync_s: Longest duration of a sync.
+    """
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    delay_s: float = 0.002
+    sync_s: float = 0.001
+
+
+@dataclasses.dataclass(slots=True)
+class Disk:
+    """What one replica wrote, and what of it is synced."""
+
+    hard_state: entries_lib.HardState = NO_HARD_STATE
+    image: entries_lib.Image = NO_IMAGE
+    entries: list[entries_lib.Entry] = dataclasses.field(default_factory=list)
+    pending: list[events.Persist] = dataclasses.field(default_factory=list)
+
+    def sync_first(self) -> int:
+        """Makes the oldest pending write durable and returns its ID."""
+        persist = self.pending.pop(0)
+        if persist.hard_state is not None:
+            self.hard_state = persist.hard_state
+        if persist.image is not None:
+            self.image = persist.image
+            if persist.drop_log:
+                self.entries.clear()
+        for entry in persist.entries:
+            self.entries = [e for e in self.entries if e.index < entry.index]
+            self.entries.append(entry)
+        return persist.sync_id
+
+    def restore(self) -> entries_lib.Restored:
+        """Returns what a restart finds."""
+        later = [e for e in self.entries if e.index > self.image.index]
+        return entries_lib.Restored(
+            hard_state=self.hard_state, image=self.image, entries=tuple(later)
+        )
+
+    def holds(self, entry: entries_lib.Entry) -> bool:
+        """Returns whether an entry is synced here."""
+        return entry in self.entries or entry.index <= self.image.index
+
+
+@dataclasses.dataclass(slots=True)
+class Host:
+    """One replica, running or not."""
+
+    member: entries_lib.Member
+    disk: Disk
+    replica: replica_lib.Replica | None = None
+    life: int = 0
+    applied: int = 0
+    chain: bytes = GENESIS
+    skew_s: float = 0.0
+    is_stuck: bool = False
+
+
+class Cluster:
+    """Some replicas with everything round them.
+
+    Args:
+      seed: Source of every choice.
+      size: Founding replicas.
+      image_every: Applied entries after which a snapshot is taken; 0 never.
+    """
+
+    def __init__(
+        self, *, seed: int, size: int = 3, image_every: int = 0
+    ) -> None:
+        self.random = random.Random(seed)
+        self.faults = Faults()
+        self.now = 0.0
+        self.hosts: dict[str, Host] = {}
+        self.accepted: dict[int, entries_lib.Entry] = {}
+        self.refused: dict[int, str] = {}
+        self.elections = 0
+        self._image_every = image_every
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._groups: dict[str, int] = {}
+        self._leaders: dict[int, str] = {}
+        self._chains: dict[int, bytes] = {0: GENESIS}
+        self._entries: dict[int, entries_lib.Entry] = {}
+        self._proposals: dict[int, bytes] = {}
+        self._steps_members = False
+        self._found(size)
+
+    # Driving.
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        self.run_until(lambda: False, limit_s=seconds, must=False)
+
+    def run_until(
+        self,
+        condition: Callable[[], bool],
+        *,
+        limit_s: float = LIMIT_S,
+        must: bool = True,
+    ) -> None:
+        """Lets time pass until a condition holds."""
+        end = self.now + limit_s
+        while not condition():
+            if not self._queue or self._queue[0][0] > end:
+                self.now = end
+                if must:
+                    raise AssertionError(f"nothing came of it in {limit_s} s")
+                return
+            at, _, work = heapq.heappop(self._queue)
+            self.now = max(self.now, at)
+            work()
+
+    def find_leader(self) -> str:
+        """Returns the confirmed leader of the newest term, or ""."""
+        best, term = "", -1
+        for host in self.hosts.values():
+            replica = host.replica
+            if replica and replica.is_confirmed_leader and replica.term > term:
+                best, term = host.member.member_id, replica.term
+        return best
+
+    def elect(self) -> str:
+        """Waits for a confirmed leader and returns it."""
+        self.run_until(lambda: bool(self.find_leader()))
+        return self.find_leader()
+
+    def get(self, name: str) -> replica_lib.Replica:
+        """Returns a running replica."""
+        replica = self.hosts[name].replica
+        assert replica is not None, name
+        return replica
+
+    def propose(self, name: str, payload: bytes) -> int:
+        """Offers a command to one replica and returns its proposal ID."""
+        proposal_id = len(self._proposals) + 1
+        self._proposals[proposal_id] = payload
+        proposal = events.Proposal(proposal_id=proposal_id, payload=payload)
+        self.step(name, events.Propose(proposals=(proposal,)))
+        return proposal_id
+
+    def publish(self, payload: bytes) -> int:
+        """Has a command accepted by the leader and returns its index."""
+        proposal_id = self.propose(self.elect(), payload)
+        self.run_until(lambda: proposal_id in self.accepted)
+        return self.accepted[proposal_id].index
+
+    def change_members(self, name: str, members: entries_lib.Members) -> int:
+        """Offers a change of the members; returns its proposal ID."""
+        proposal_id = len(self._proposals) + 1
+        self._proposals[proposal_id] = log_lib.encode_members(members)
+        self.step(
+            name,
+            events.ProposeMembers(proposal_id=proposal_id, members=members),
+        )
+        return proposal_id
+
+    def manage_members(self) -> None:
+        """Makes leaders take the steps of changes that are under way."""
+        self._steps_members = True
+
+    def step(self, name: str, event: events.Event) -> None:
+        """Gives one event to a running replica."""
+        host = self.hosts[name]
+        if host.replica is None:
+            return
+        was_leader = host.replica.role is events.Role.LEADER
+        actions = host.replica.step(event, self.now + host.skew_s)
+        if host.replica.role is events.Role.LEADER and not was_leader:
+            self._check_leader(host)
+        for action in actions:
+            self._carry_out(host, action)
+
+    # Faults.
+
+    def crash(self, name: str, *, synced: int = 0) -> None:
+        """Stops a replica; of its pending writes, `synced` reached the disk."""
+        host = self.hosts[name]
+        for _ in range(min(synced, len(host.disk.pending))):
+            host.disk.sync_first()
+        host.disk.pending.clear()
+        host.replica = None
+        host.life += 1
+
+    def restart(self, name: str) -> None:
+        """Starts a stopped replica from its disk."""
+        host = self.hosts[name]
+        restored = host.disk.restore()
+        host.applied = restored.image.index
+        host.chain = restored.image.data or GENESIS
+        host.replica = replica_lib.Replica(
+            own_id=name,
+            restored=restored,
+            limits=timing.Timing(election_timeout_s=TIMEOUT_S),
+            random=Jitter(random.Random(self.random.random())),
+        )
+        self._tick_later(name, host.life)
+
+    def wipe(self, name: str) -> None:
+        """Empties the disk of a stopped replica."""
+        self.hosts[name].disk = Disk()
+
+    def add_host(self, name: str) -> entries_lib.Member:
+        """Starts a replica with an empty disk that is no member yet."""
+        member = _make_member(name)
+        self.hosts[name] = Host(member, Disk())
+        self.restart(name)
+        return member
+
+    def partition(self, *groups: tuple[str, ...]) -> None:
+        """Lets messages pass only within a group; the rest is one more."""
+        self._groups = {
+            name: number
+            for number, group in enumerate(groups, start=1)
+            for name in group
+        }
+
+    def heal(self) -> None:
+        """Ends every fault of the network and the disks."""
+        self._groups = {}
+        self.faults = Faults()
+        for host in self.hosts.values():
+            host.is_stuck = False
+
+    # Carrying out.
+
+    def _carry_out(self, host: Host, action: events.Action) -> None:
+        match action:
+            case events.Send():
+                self._send(host, action)
+            case events.Persist():
+                host.disk.pending.append(action)
+                self._sync_later(host.member.member_id, host.life)
+            case events.Apply():
+                for entry in action.entries:
+                    self._apply(host, entry)
+                self._take_image(host)
+            case events.Restore():
+                self._restore(host, action.image)
+            case events.Resolve():
+                self._check_accepted(action)
+            case events.Refuse():
+                self.refused[action.proposal_id] = action.cause
+            case events.RoleChanged():
+                if action.role is events.Role.CANDIDATE:
+                    self.elections += 1
+
+    def _send(self, host: Host, send: events.Send) -> None:
+        sender = host.member.member_id
+        for _ in range(1 + (self.random.random() < self.faults.duplication)):
+            if self.random.random() < self.faults.loss:
+                continue
+            delay = self.random.random() * self.faults.delay_s
+            self._later(delay, lambda: self._deliver(sender, send))
+
+    def _deliver(self, sender: str, send: events.Send) -> None:
+        group = self._groups.get
+        if group(sender, 0) != group(send.receiver, 0):
+            return
+        if send.receiver in self.hosts:
+            received = events.MessageReceived(
+                sender=sender, message=send.message
+            )
+            self.step(send.receiver, received)
+
+    def _sync_later(self, name: str, life: int) -> None:
+        delay = self.random.random() * self.faults.sync_s
+        self._later(delay, lambda: self._sync(name, life))
+
+    def _sync(self, name: str, life: int) -> None:
+        host = self.hosts[name]
+        if host.life != life or not host.disk.pending:
+            return
+        if host.is_stuck:
+            self._sync_later(name, life)
+            return
+        sync_id = host.disk.sync_first()
+        self.step(name, events.Persisted(sync_id=sync_id))
+
+    def _tick_later(self, name: str, life: int) -> None:
+        self._later(TICK_S, lambda: self._tick(name, life))
+
+    def _tick(self, name: str, life: int) -> None:
+        host = self.hosts[name]
+        if host.life != life or host.replica is None:
+            return
+        self.step(name, events.Tick())
+        if self._steps_members:
+            self._step_members(host)
+        self._tick_later(name, life)
+
+    def _step_members(self, host: Host) -> None:
+        replica = host.replica
+        if replica is None or not replica.is_confirmed_leader:
+            return
+        planned = membership.plan_change(
+            replica.members, replica.list_matched(), replica.commit_index
+        )
+        if planned is not None:
+            self.change_members(host.member.member_id, planned)
+
+    def _apply(self, host: Host, entry: entries_lib.Entry) -> None:
+        if entry.index != host.applied + 1:
+            raise BreachError(f"{host.member.member_id} applies out of order")
+        host.applied = entry.index
+        host.chain = hashlib.blake2b(
+            host.chain + repr(entry).encode(), digest_size=16
+        ).digest()
+        known = self._entries.setdefault(entry.index, entry)
+        chain = self._chains.setdefault(entry.index, host.chain)
+        if known != entry or chain != host.chain:
+            raise BreachError(f"index {entry.index} has two contents")
+
+    def _take_image(self, host: Host) -> None:
+        replica = host.replica
+        if not self._image_every or replica is None:
+            return
+        if host.applied - replica.image.index >= self._image_every:
+            taken = events.ImageTaken(index=host.applied, data=host.chain)
+            self.step(host.member.member_id, taken)
+
+    def _restore(self, host: Host, image: entries_lib.Image) -> None:
+        if image.index < host.applied:
+            raise BreachError(f"{host.member.member_id} steps back")
+        if self._chains.get(image.index) != image.data:
+            raise BreachError(f"snapshot {image.index} has another content")
+        host.applied = image.index
+        host.chain = image.data
+
+    def _check_leader(self, host: Host) -> None:
+        assert host.replica is not None
+        name = host.member.member_id
+        term = host.replica.term
+        if self._leaders.setdefault(term, name) != name:
+            raise BreachError(f"term {term} has two leaders")
+
+    def _check_accepted(self, action: events.Resolve) -> None:
+        entry = self._entries[action.index]
+        if entry.payload != self._proposals[action.proposal_id]:
+            raise BreachError(f"index {action.index} is another's proposal")
+        self.accepted[action.proposal_id] = entry
+        holders = {n for n, h in self.hosts.items() if h.disk.holds(entry)}
+        voters = self._find_voters(action.index)
+        if 2 * len(holders.intersection(voters)) <= len(voters):
+            raise BreachError(
+                f"entry {action.index} is on no majority of disks"
+            )
+
+    def _find_voters(self, index: int) -> tuple[str, ...]:
+        brought = [
+            entry
+            for entry in self._entries.values()
+            if entry.index <= index
+            and entry.kind is entries_lib.EntryKind.MEMBERS
+        ]
+        newest = max(brought, key=lambda entry: entry.index)
+        return log_lib.decode_members(newest.payload).list_voters()
+
+    def _later(self, delay: float, work: Callable[[], None]) -> None:
+        self._sequence += 1
+        heapq.heappush(self._queue, (self.now + delay, self._sequence, work))
+
+    def _found(self, size: int) -> None:
+        names = [f"r{number}" for number in range(1, size + 1)]
+        members = entries_lib.sort_members(
+            tuple(_make_member(name) for name in names)
+        )
+        entry = founding.make_founding_entry(members)
+        self._entries[entry.index] = entry
+        for member in members.members:
+            disk = Disk(entries=[entry])
+            self.hosts[member.member_id] = Host(member, disk)
+            self.restart(member.member_id)
+
+    def check_accepted_kept(self) -> None:
+        """Heals, restarts everyone and checks every accepted entry."""
+        self.heal()
+        for name, host in self.hosts.items():
+            host.skew_s = 0.0
+            if host.replica is None:
+                self.restart(name)
+        self.publish(b"last")
+        last = max(entry.index for entry in self.accepted.values())
+        voters = self.get(self.find_leader()).members.list_voters()
+        self.run_until(
+            lambda: all(self.hosts[name].applied >= last for name in voters)
+        )
+        for entry in self.accepted.values():
+            if self._entries[entry.index] != entry:
+                raise BreachError(f"accepted entry {entry.index} changed")
+
+
+def _make_member(name: str) -> entries_lib.Member:
+    return entries_lib.Member(
+        member_id=name, replica_id=name, address=f"tcp://{name}"
+    )
