--- /dev/null
+++ b/src/lovagesaddle/control/fleet.py
@@ -0,0 +1,117 @@
+"""The distribution subsystem of the control process."""
+
+from collections.abc import Callable
+
+from lovagesaddle.control import ports
+from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import source as source_lib
+from lovagesaddle.core.model import peers
+from lovagesaddle.transport import endpoint as endpoint_lib
+from lovagesaddle.transport import lines
+
+
+class Fleet(ports.Subsystem):
+    """Moves bytes between the endpoint and `source.Source`.
+
+    Args:
+      own_id: ID of this replica.
+      endpoint: The process's endpoint.
+      replica: Its consensus.
+      list_replicas: Returns every replica of the current configuration.
+      heartbeat_s: Time between beats, in seconds.
+      lease_s: Lifetime of a node's lease, in seconds.
+      expiry_share: Largest share of a failure domain to expire at once.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_id: str,
+        endpoint: endpoint_lib.Endpoint,
+        replica: ports.ReplicaPort,
+        list_replicas: Callable[[], tuple[peers.Peer, ...]],
+        heartbeat_s: float,
+        lease_s: float,
+        expiry_share: float,
+    ) -> None:
+        self._own_id = own_id
+        self._endpoint = endpoint
+        self._replica = replica
+        self._list_replicas = list_replicas
+        self._now = 0.0
+        self._source = source_lib.Source(
+            heartbeat_s=heartbeat_s,
+            lease_s=lease_s,
+            expiry_share=expiry_share,
+        )
+
+    @property
+    def channel(self) -> endpoint_lib.Channel:
+        """The channel whose messages this subsystem receives."""
+        return endpoint_lib.Channel.DISTRIBUTION
+
+    def receive(self, received: endpoint_lib.Received, now: float) -> None:
+        """Handles one message of the channel."""
+        arrival = events.Arrival(
+            sender_id=received.sender_id,
+            route=received.route,
+            frame=received.data,
+        )
+        self._step(arrival, now)
+
+    def tick(self, now: float) -> None:
+        """Lets time pass."""
+        self._step(events.Tick(), now)
+
+    def observe(self, view: ports.ClusterView, now: float) -> None:
+        """Takes a new applied state, leader or leader stamp."""
+        others = tuple(
+            peer
+            for peer in self._list_replicas()
+            if peer.peer_id != self._own_id
+        )
+        leaders = [peer for peer in others if peer.peer_id == view.leader_id]
+        observed = source_lib.Observed(
+            stamped=view.stamped,
+            is_leader=view.is_leader,
+            leader=leaders[0] if leaders else None,
+            stamp=view.stamp,
+            replicas=others,
+        )
+        self._step(observed, now)
+
+    def list_lagging(self, version: int) -> tuple[str, ...]:
+        """Returns IDs of nodes not known to hold `version`, capped."""
+        return self._source.list_lagging(version)
+
+    def find_version_in_force(self) -> int:
+        """Returns the version that every reporting node holds at least."""
+        return self._source.find_version_in_force()
+
+    def _step(self, event: source_lib.SourceEvent, now: float) -> None:
+        self._now = now
+        for action in self._source.step(event, now):
+            self._carry_out(action)
+
+    def _carry_out(self, action: source_lib.SourceAction) -> None:
+        match action:
+            case events.Send():
+                self._endpoint.send(action.peer, self.channel, action.frame)
+            case events.Answer():
+                self._endpoint.answer(action.route, self.channel, action.frame)
+            case source_lib.Propose():
+                self._replica.propose(
+                    action.command, self._note_applied, self._note_refused
+                )
+            case events.Disconnect():
+                self._endpoint.disconnect(action.peer)
+            case events.LogLine():
+                lines.write(action)
+            case events.Install() | events.DeliverMarks():
+                raise AssertionError("a replica installs nothing")
+
+    def _note_applied(self, version: int) -> None:
+        self._step(source_lib.EntryApplied(version=version), self._now)
+
+    def _note_refused(self, cause: str) -> None:
+        self._step(source_lib.EntryRefused(cause=cause), self._now)
--- a/src/lovagesaddle/control/ports.py
+++ b/src/lovagesaddle/control/ports.py
@@ -7,18 +7,10 @@
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.configuration import state
 from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import stamps
 from lovagesaddle.transport import endpoint
 
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class LeaderStamp:
-    """Proof of a leader's recent authority, ordered by (term, counter).
-
-    The counter rises each time a majority confirmed the leader.
-    """
-
-    term: int
-    counter: int
+LeaderStamp = stamps.LeaderStamp
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/lovagesaddle/core/distribution/children.py
@@ -0,0 +1,201 @@
+"""The children of a parent: who they are, what they hold, what they get."""
+
+import dataclasses
+
+from lovagesaddle.core.distribution import acks
+from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import history as history_lib
+from lovagesaddle.core.distribution import limiter as limiter_lib
+from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import wire
+from lovagesaddle.core.model import stamps
+
+SILENT_BEATS = 2.5
+BEHIND_RETRY_S = 0.2
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Child:
+    """One child.
+
+    Attributes:
+      route: Connection it came over.
+      eager: Whether deltas are pushed to it.
+      version: What it holds or was sent last.
+      digest: Digest of that.
+      heard_at: When it was last heard.
+      groups: What its subtree holds.
+    """
+
+    route: bytes
+    eager: bool
+    version: int
+    digest: bytes
+    heard_at: float
+    groups: tuple[messages.AckGroup, ...]
+
+
+class Children:
+    """Serves the children of a node or of a replica.
+
+    Args:
+      history: Versions to serve from; shared with the owner.
+      limiter: Limit on whole snapshots.
+      heartbeat_s: Time between beats, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        history: history_lib.History,
+        limiter: limiter_lib.Limiter,
+        heartbeat_s: float,
+    ) -> None:
+        self._history = history
+        self._limiter = limiter
+        self._heartbeat_s = heartbeat_s
+        self._children: dict[str, Child] = {}
+        self._next_beat_at = 0.0
+        self._changed = False
+
+    @property
+    def child_ids(self) -> tuple[str, ...]:
+        """IDs of the children."""
+        return tuple(self._children)
+
+    def take_changed(self) -> bool:
+        """Returns whether the subtree's acks changed since the last call."""
+        changed, self._changed = self._changed, False
+        return changed
+
+    def fold_groups(
+        self, own: tuple[messages.AckGroup, ...]
+    ) -> tuple[messages.AckGroup, ...]:
+        """Returns the acks of the whole subtree, `own` included."""
+        reported = [
+            child.groups for child in self._children.values() if child.eager
+        ]
+        return acks.fold((own, *reported))
+
+    def hear_beat(
+        self,
+        arrival: events.Arrival,
+        beat: messages.ChildBeat,
+        stamp: stamps.LeaderStamp,
+        now: float,
+    ) -> tuple[events.Action, ...]:
+        """Takes a child's beat; a new child is answered at once."""
+        child = self._children.get(arrival.sender_id)
+        known = (
+            child is not None
+            and child.route == arrival.route
+            and child.eager == beat.eager
+        )
+        if child is None or not known:
+            child = Child(
+                route=arrival.route,
+                eager=beat.eager,
+                version=beat.version,
+                digest=beat.digest,
+                heard_at=now,
+                groups=(),
+            )
+            self._children[arrival.sender_id] = child
+        child.heard_at = now
+        if child.groups != beat.groups:
+            child.groups = beat.groups
+            self._changed = True
+        if beat.version > child.version:
+            child.version, child.digest = beat.version, beat.digest
+        if known:
+            return ()
+        return (*self._push(child), self._beat(child, stamp))
+
+    def hear_pull(
+        self, arrival: events.Arrival, pull: messages.Pull, now: float
+    ) -> tuple[events.Action, ...]:
+        """Answers with a delta, a whole snapshot, a later turn or nothing."""
+        if self._history.version <= pull.version:
+            return ()
+        if self._history.version < pull.least:
+            later = messages.RetryLater(after_s=BEHIND_RETRY_S)
+            return (
+                events.Answer(route=arrival.route, frame=wire.encode(later)),
+            )
+        frame = self._history.make_update(pull.version, pull.digest)
+        if frame is None:
+            after_s = self._limiter.take(now)
+            frame = (
+                wire.encode(messages.RetryLater(after_s=after_s))
+                if after_s
+                else self._history.make_whole()
+            )
+        child = self._children.get(arrival.sender_id)
+        if child is not None:
+            child.version = self._history.version
+            child.digest = self._history.digest
+        return (events.Answer(route=arrival.route, frame=frame),)
+
+    def drop(self, sender_id: str) -> None:
+        """Forgets a child that has another parent now."""
+        if self._children.pop(sender_id, None) is not None:
+            self._changed = True
+
+    def push_newest(
+        self, stamp: stamps.LeaderStamp
+    ) -> tuple[events.Action, ...]:
+        """Brings every child the newest version, or word of it."""
+        actions: list[events.Action] = []
+        for child in self._children.values():
+            if child.version >= self._history.version:
+                continue
+            pushed = self._push(child)
+            actions.extend(pushed or (self._beat(child, stamp),))
+        return tuple(actions)
+
+    def send_all(
+        self, frame: bytes, *, except_id: str
+    ) -> tuple[events.Action, ...]:
+        """Sends one frame to every child but the one that it came from."""
+        return tuple(
+            events.Answer(route=child.route, frame=frame)
+            for child_id, child in self._children.items()
+            if child_id != except_id
+        )
+
+    def tick(
+        self, stamp: stamps.LeaderStamp, now: float
+    ) -> tuple[events.Action, ...]:
+        """Drops silent children and sends the beats that are due."""
+        limit_s = SILENT_BEATS * self._heartbeat_s
+        silent = [
+            child_id
+            for child_id, child in self._children.items()
+            if now - child.heard_at > limit_s
+        ]
+        for child_id in silent:
+            self.drop(child_id)
+        if now < self._next_beat_at:
+            return ()
+        self._next_beat_at = now + self._heartbeat_s
+        return tuple(
+            self._beat(child, stamp) for child in self._children.values()
+        )
+
+    def _push(self, child: Child) -> tuple[events.Action, ...]:
+        if not child.eager or child.version >= self._history.version:
+            return ()
+        frame = self._history.make_update(child.version, child.digest)
+        if frame is None:
+            return ()
+        child.version = self._history.version
+        child.digest = self._history.digest
+        return (events.Answer(route=child.route, frame=frame),)
+
+    def _beat(self, child: Child, stamp: stamps.LeaderStamp) -> events.Action:
+        beat = messages.ParentBeat(
+            version=self._history.version,
+            digest=self._history.digest,
+            stamp=stamp,
+        )
+        return events.Answer(route=child.route, frame=wire.encode(beat))
--- /dev/null
+++ b/src/lovagesaddle/core/distribution/fetching.py
@@ -0,0 +1,118 @@
+"""Pulls that fill a gap: the first snapshot, a lost delta, a stale parent."""
+
+from lovagesaddle.core.distribution import backoff as backoff_lib
+from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import holding as holding_lib
+from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import wire
+from lovagesaddle.core.model import peers
+
+PULL_AFTER_S = 0.3
+ANSWER_TIMEOUT_S = 1.0
+RETRY_CAP_S = 8.0
+
+
+class Fetching:
+    """Pulls a version that is known to exist and was not delivered.
+
+    Args:
+      holding: What the node holds; shared with the owner.
+      random: Source of jitter.
+    """
+
+    def __init__(
+        self, *, holding: holding_lib.Holding, random: backoff_lib.Random
+    ) -> None:
+        self._holding = holding
+        self._random = random
+        self._seen: dict[peers.Peer, int] = {}
+        self._seen_at = 0.0
+        self._whole = False
+        self._turn = 0
+        self._next_at = 0.0
+        self._asked: peers.Peer | None = None
+        self._backoff = backoff_lib.Backoff(
+            first_s=ANSWER_TIMEOUT_S, cap_s=RETRY_CAP_S, random=random
+        )
+
+    def see(self, source: peers.Peer, version: int, now: float) -> None:
+        """Notes that `source` holds `version`."""
+        if version <= self._holding.version:
+            return
+        if not self._seen:
+            self._seen_at = now
+        self._seen[source] = max(version, self._seen.get(source, 0))
+
+    def demand_whole(self, now: float) -> None:
+        """Notes that a delta did not fit, so that a snapshot is needed."""
+        self._whole = True
+        self._seen_at = now - PULL_AFTER_S
+        self._next_at = min(self._next_at, now)
+
+    def forget(self, kept: set[peers.Peer]) -> None:
+        """Forgets sources that are no parents any more."""
+        for source in set(self._seen) - kept:
+            del self._seen[source]
+
+    def note_installed(self) -> None:
+        """Notes a new version, which fills some gaps."""
+        self._whole = False
+        self._asked = None
+        self._next_at = 0.0
+        self._backoff.reset()
+        version = self._holding.version
+        self._seen = {
+            source: seen
+            for source, seen in self._seen.items()
+            if seen > version
+        }
+
+    def hear_later(self, after_s: float, now: float) -> None:
+        """Takes a refusal with the time of the reserved turn."""
+        wait_s = min(after_s, RETRY_CAP_S)
+        self._next_at = now + wait_s * (1 + self._random.random() / 2)
+        self._asked = None
+
+    def tick(
+        self, sources: tuple[peers.Peer, ...], now: float
+    ) -> tuple[events.Action, ...]:
+        """Pulls when a gap has lasted long enough.
+
+        Args:
+          sources: Whom to ask while nothing is held, in turn.
+          now: Monotonic time in seconds.
+        """
+        if now < self._next_at:
+            return ()
+        source = self._choose(sources, now)
+        if source is None:
+            return ()
+        self._next_at = now + self._backoff.draw()
+        self._asked = source
+        digest = b"" if self._whole else self._holding.digest
+        pull = messages.Pull(
+            version=self._holding.version,
+            digest=digest,
+            least=self._holding.floor or 0,
+        )
+        line = events.LogLine(
+            event="pull",
+            peer=source.peer_id,
+            version=self._holding.version,
+            reason="snapshot" if not digest else "not delivered",
+        )
+        return (events.Send(peer=source, frame=wire.encode(pull)), line)
+
+    def _choose(
+        self, sources: tuple[peers.Peer, ...], now: float
+    ) -> peers.Peer | None:
+        if self._holding.held is None:
+            if self._holding.floor is None or not sources:
+                return None
+            self._turn += 1
+            return sources[(self._turn - 1) % len(sources)]
+        if not self._seen or now - self._seen_at < PULL_AFTER_S:
+            return None
+        self._turn += 1
+        known = sorted(self._seen, key=lambda peer: peer.peer_id)
+        return known[self._turn % len(known)]
--- /dev/null
+++ b/src/lovagesaddle/core/distribution/follower.py
@@ -0,0 +1,320 @@
+"""The control half of a node: follows the configuration and relays it."""
+
+import itertools
+from typing import assert_never
+
+from lovagesaddle.core import errors
+from lovagesaddle.core import part
+from lovagesaddle.core.distribution import backoff as backoff_lib
+from lovagesaddle.core.distribution import children as children_lib
+from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import fetching as fetching_lib
+from lovagesaddle.core.distribution import history as history_lib
+from lovagesaddle.core.distribution import holding as holding_lib
+from lovagesaddle.core.distribution import joining as joining_lib
+from lovagesaddle.core.distribution import limiter as limiter_lib
+from lovagesaddle.core.distribution import marks as marks_lib
+from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import parents as parents_lib
+from lovagesaddle.core.distribution import tree
+from lovagesaddle.core.distribution import wire
+from lovagesaddle.core.membership import tokens
+from lovagesaddle.core.model import peers
+from lovagesaddle.core.model import snapshots
+
+SNAPSHOTS_PER_S = 4.0
+SNAPSHOT_BURST = 4
+ACK_DELAY_S = 0.05
+
+Outcome = holding_lib.Outcome
+
+
+class Follower(part.Part[events.NodeEvent, events.Action]):
+    """Joins, holds a version, follows its parents and serves its children.
+
+    Args:
+      node: This node; its incarnation is assigned by the leader.
+      life: Random number of this start of the process.
+      cluster_id: The cluster to follow.
+      replicas: Replicas to join through.
+      heartbeat_s: Time between beats, in seconds.
+      random: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: snapshots.Node,
+        life: bytes,
+        cluster_id: str,
+        replicas: tuple[peers.Peer, ...],
+        heartbeat_s: float,
+        random: backoff_lib.Random,
+    ) -> None:
+        self._failure_domain = node.failure_domain
+        self._replicas = replicas
+        self._heartbeat_s = heartbeat_s
+        self._holding = holding_lib.Holding(cluster_id)
+        self._history = history_lib.History()
+        self._joining = joining_lib.Joining(
+            node=node, life=life, replicas=replicas, random=random
+        )
+        self._parents = parents_lib.Parents(
+            heartbeat_s=heartbeat_s, random=random
+        )
+        self._children = children_lib.Children(
+            history=self._history,
+            limiter=limiter_lib.Limiter(
+                rate=SNAPSHOTS_PER_S, burst=SNAPSHOT_BURST
+            ),
+            heartbeat_s=heartbeat_s,
+        )
+        self._fetching = fetching_lib.Fetching(
+            holding=self._holding, random=random
+        )
+        self._marks = marks_lib.Marks()
+        self._helpers: tuple[peers.Peer, ...] = ()
+        self._next_beat_at = 0.0
+        self._ack_at: float | None = None
+
+    @property
+    def node(self) -> snapshots.Node:
+        """This node, with the incarnation that it knows of."""
+        return self._joining.node
+
+    @property
+    def version(self) -> int:
+        """Version that is held; 0 for none."""
+        return self._holding.version
+
+    def step(
+        self, event: events.NodeEvent, now: float
+    ) -> tuple[events.Action, ...]:
+        """Handles one event; see `part.Part`."""
+        match event:
+            case events.Arrival():
+                return self._receive(event, now)
+            case events.Tick():
+                return self._tick(now)
+            case events.ServerAnnounced():
+                self._joining.put_server(event.server)
+            case events.ServerWithdrawn():
+                self._joining.remove_server(event.server_id, event.incarnation)
+            case events.MarksRaised():
+                return self._spread(event.marks, "", now)
+            case events.LeaveAsked():
+                self._joining.leave()
+            case _:
+                assert_never(event)
+        return self._tick(now)
+
+    def _receive(
+        self, arrival: events.Arrival, now: float
+    ) -> tuple[events.Action, ...]:
+        try:
+            message = wire.decode(arrival.frame, peer=arrival.sender_id)
+        except errors.CodecError as error:
+            return (_log("frame refused", arrival, reason=error.cause),)
+        self._parents.hear(arrival.sender_id, now)
+        if arrival.route:
+            return self._serve(arrival, message, now)
+        return self._follow(arrival, message, now)
+
+    def _serve(
+        self,
+        arrival: events.Arrival,
+        message: messages.DistributionMessage,
+        now: float,
+    ) -> tuple[events.Action, ...]:
+        match message:
+            case messages.ChildBeat():
+                stamp = self._parents.stamp
+                done = self._children.hear_beat(arrival, message, stamp, now)
+                self._note_acks(now)
+                return done
+            case messages.Pull():
+                return self._children.hear_pull(arrival, message, now)
+            case messages.Detach():
+                self._children.drop(arrival.sender_id)
+                return ()
+            case messages.MarkSpread():
+                return self._take_marks(arrival, message, now)
+            case _:
+                kind = type(message).__name__
+                return (_log("message refused", arrival, reason=kind),)
+
+    def _follow(
+        self,
+        arrival: events.Arrival,
+        message: messages.DistributionMessage,
+        now: float,
+    ) -> tuple[events.Action, ...]:
+        match message:
+            case messages.ParentBeat():
+                link = self._parents.hear_beat(arrival.sender_id, message, now)
+                if link is not None:
+                    self._fetching.see(link.peer, link.version, now)
+                return ()
+            case messages.DeltaPush():
+                verdict = self._holding.offer_delta(message.delta)
+                base = message.delta.base_version
+                return self._conclude(arrival, verdict, base, now)
+            case messages.SnapshotPush():
+                verdict = self._holding.offer_snapshot(
+                    message.snapshot, message.digest
+                )
+                return self._conclude(arrival, verdict, 0, now)
+            case messages.RetryLater():
+                self._fetching.hear_later(message.after_s, now)
+                return ()
+            case messages.JoinAccepted():
+                return self._take_join(arrival, message, now)
+            case messages.MarkSpread():
+                return self._take_marks(arrival, message, now)
+            case _:
+                kind = type(message).__name__
+                return (_log("message refused", arrival, reason=kind),)
+
+    def _take_join(
+        self,
+        arrival: events.Arrival,
+        accepted: messages.JoinAccepted,
+        now: float,
+    ) -> tuple[events.Action, ...]:
+        if not self._joining.accept(accepted):
+            return (_log("join answer refused", arrival, reason="other life"),)
+        if self._holding.held is None:
+            self._holding.raise_floor(accepted.floor)
+            self._helpers = accepted.helpers
+        line = events.LogLine(
+            event="joined", peer=arrival.sender_id, version=accepted.floor
+        )
+        return (line, *self._tick(now))
+
+    def _conclude(
+        self,
+        arrival: events.Arrival,
+        verdict: holding_lib.Verdict,
+        base_version: int,
+        now: float,
+    ) -> tuple[events.Action, ...]:
+        if verdict.outcome is Outcome.OLDER:
+            return ()
+        if verdict.outcome is Outcome.MISMATCH:
+            self._fetching.demand_whole(now)
+        if verdict.outcome is not Outcome.INSTALLED:
+            reason = f"{verdict.outcome.value}: {verdict.cause}"
+            return (_log("update refused", arrival, reason=reason),)
+        held = self._holding.held
+        assert held is not None
+        frame = arrival.frame if base_version else b""
+        self._history.add(held, base_version=base_version, frame=frame)
+        self._fetching.note_installed()
+        self._joining.notice_version()
+        self._parents.set_plan(
+            tree.make_plan(
+                held.snapshot,
+                self._joining.node.node_id,
+                self._failure_domain,
+                self._replicas,
+            )
+        )
+        self._note_acks(now, changed=True)
+        return (
+            events.Install(stamped=held),
+            *self._children.push_newest(self._parents.stamp),
+            _log("installed", arrival, version=held.version),
+            *self._tick(now),
+        )
+
+    def _note_acks(self, now: float, *, changed: bool = False) -> None:
+        changed = self._children.take_changed() or changed
+        if changed and self._ack_at is None:
+            self._ack_at = now + ACK_DELAY_S
+
+    def _tick(self, now: float) -> tuple[events.Action, ...]:
+        before = self._parents.list_roles()
+        moved = self._parents.tick(now) if self._holding.held else ()
+        roles = self._parents.list_roles()
+        self._fetching.forget({peer for peer, _ in roles})
+        joins = self._joining.tick(
+            self._holding.held.snapshot if self._holding.held else None, now
+        )
+        pulls = self._fetching.tick((*self._helpers, *self._replicas), now)
+        served = self._children.tick(self._parents.stamp, now)
+        return (
+            *moved,
+            *self._beat(roles - before, now),
+            *joins,
+            *pulls,
+            *served,
+        )
+
+    def _beat(
+        self, fresh: set[tuple[peers.Peer, bool]], now: float
+    ) -> tuple[events.Action, ...]:
+        due = now >= self._next_beat_at
+        acks_due = self._ack_at is not None and now >= self._ack_at
+        if due:
+            self._next_beat_at = now + self._heartbeat_s
+        actions: list[events.Action] = []
+        for link in self._parents.links:
+            eager = link is self._parents.eager
+            if due or (link.peer, eager) in fresh or (acks_due and eager):
+                actions.append(self._make_beat(link, eager))
+        if acks_due:
+            self._ack_at = None
+        return tuple(actions)
+
+    def _make_beat(self, link: parents_lib.Link, eager: bool) -> events.Action:
+        groups = self._children.fold_groups(self._own_group()) if eager else ()
+        beat = messages.ChildBeat(
+            eager=eager,
+            version=self._holding.version,
+            digest=self._holding.digest,
+            groups=groups,
+        )
+        return events.Send(peer=link.peer, frame=wire.encode(beat))
+
+    def _own_group(self) -> tuple[messages.AckGroup, ...]:
+        node = self._joining.node
+        if self._joining.superseded:
+            return ()
+        token = tokens.make_token(node.node_id, node.incarnation)
+        return (messages.AckGroup(version=self._holding.version, tokens=token),)
+
+    def _take_marks(
+        self,
+        arrival: events.Arrival,
+        spread: messages.MarkSpread,
+        now: float,
+    ) -> tuple[events.Action, ...]:
+        return self._spread(spread.marks, arrival.sender_id, now)
+
+    def _spread(
+        self, marks: tuple[messages.Mark, ...], source_id: str, now: float
+    ) -> tuple[events.Action, ...]:
+        fresh = self._marks.admit(marks, now)
+        if not fresh:
+            return ()
+        frame = wire.encode(messages.MarkSpread(marks=fresh))
+        up = tuple(
+            events.Send(peer=link.peer, frame=frame)
+            for link in self._parents.links
+            if link.peer.peer_id != source_id
+        )
+        down = self._children.send_all(frame, except_id=source_id)
+        own = (events.DeliverMarks(marks=fresh),) if source_id else ()
+        return tuple(itertools.chain(own, up, down))
+
+
+def _log(
+    event: str,
+    arrival: events.Arrival,
+    *,
+    version: int = 0,
+    reason: str = "",
+) -> events.Action:
+    return events.LogLine(
+        event=event, peer=arrival.sender_id, version=version, reason=reason
+    )
--- /dev/null
+++ b/src/lovagesaddle/core/distribution/parents.py
@@ -0,0 +1,218 @@
+"""The parents of a node: choosing, watching and replacing them."""
+
+import dataclasses
+
+from lovagesaddle.core.distribution import backoff as backoff_lib
+from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import tree
+from lovagesaddle.core.distribution import wire
+from lovagesaddle.core.model import peers
+from lovagesaddle.core.model import stamps
+
+SILENT_BEATS = 2.5
+STALE_BEATS = 5.0
+FAILED_FIRST_S = 2.0
+FAILED_CAP_S = 60.0
+NO_STAMP = stamps.LeaderStamp(term=0, counter=0)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Link:
+    """A connection of this node's own to a parent.
+
+    Attributes:
+      peer: The parent.
+      heard_at: When it was last heard, or when the link was made.
+      version: Newest version it spoke of.
+      stamp: Newest leader stamp it passed on.
+      risen_at: When that stamp last rose.
+    """
+
+    peer: peers.Peer
+    heard_at: float
+    version: int
+    stamp: stamps.LeaderStamp
+    risen_at: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Failure:
+    """A parent that is passed over for a time."""
+
+    until: float
+    backoff: backoff_lib.Backoff
+
+
+class Parents:
+    """Keeps one eager and one lazy parent.
+
+    A silent parent, and an eager one whose leader stamp stands still while
+    the lazy one's rises, is passed over for a jittered, growing time.
+
+    Args:
+      heartbeat_s: Time between beats, in seconds.
+      random: Source of jitter.
+    """
+
+    def __init__(
+        self, *, heartbeat_s: float, random: backoff_lib.Random
+    ) -> None:
+        self._heartbeat_s = heartbeat_s
+        self._random = random
+        self._plan = tree.Plan(eager=(), lazy=())
+        self._eager: Link | None = None
+        self._lazy: Link | None = None
+        self._failures: dict[str, Failure] = {}
+
+    @property
+    def links(self) -> tuple[Link, ...]:
+        """The links that are up or being made, the eager one first."""
+        return tuple(
+            link for link in (self._eager, self._lazy) if link is not None
+        )
+
+    @property
+    def eager(self) -> Link | None:
+        """The link that deltas arrive on."""
+        return self._eager
+
+    @property
+    def stamp(self) -> stamps.LeaderStamp:
+        """Newest leader stamp of the current parents."""
+        return max((link.stamp for link in self.links), default=NO_STAMP)
+
+    def list_roles(self) -> set[tuple[peers.Peer, bool]]:
+        """Returns each parent with whether it is the eager one."""
+        return {(link.peer, link is self._eager) for link in self.links}
+
+    def set_plan(self, plan: tree.Plan) -> None:
+        """Takes the candidates of a new version."""
+        self._plan = plan
+
+    def find(self, sender_id: str) -> Link | None:
+        """Returns the link to a parent."""
+        for link in self.links:
+            if link.peer.peer_id == sender_id:
+                return link
+        return None
+
+    def hear(self, sender_id: str, now: float) -> Link | None:
+        """Notes that a parent sent something."""
+        link = self.find(sender_id)
+        if link is not None:
+            link.heard_at = now
+        return link
+
+    def hear_beat(
+        self, sender_id: str, beat: messages.ParentBeat, now: float
+    ) -> Link | None:
+        """Takes a parent's beat; returns its link if it is a parent."""
+        link = self.hear(sender_id, now)
+        if link is None:
+            return None
+        link.version = max(link.version, beat.version)
+        if beat.stamp > link.stamp:
+            if link.stamp != NO_STAMP:
+                self._failures.pop(sender_id, None)
+            link.stamp = beat.stamp
+            link.risen_at = now
+        return link
+
+    def tick(self, now: float) -> tuple[events.Action, ...]:
+        """Passes over parents that failed and links to the best others."""
+        lines = self._find_failed(now)
+        eager = self._choose(self._plan.eager, "", now)
+        avoided = eager.peer_id if eager is not None else ""
+        lazy = self._choose(self._plan.lazy, avoided, now)
+        before = {link.peer for link in self.links}
+        if not self._changes(eager, lazy):
+            return lines
+        self._eager, self._lazy = (
+            self._link(eager, now),
+            self._link(lazy, now),
+        )
+        dropped = before - {link.peer for link in self.links}
+        return (*lines, *self._part(dropped), self._describe(eager, lazy))
+
+    def _changes(
+        self, eager: peers.Peer | None, lazy: peers.Peer | None
+    ) -> bool:
+        held_eager = self._eager.peer if self._eager else None
+        held_lazy = self._lazy.peer if self._lazy else None
+        return (held_eager, held_lazy) != (eager, lazy)
+
+    def _find_failed(self, now: float) -> tuple[events.Action, ...]:
+        lines: list[events.Action] = []
+        limit_s = SILENT_BEATS * self._heartbeat_s
+        for link in self.links:
+            if now - link.heard_at > limit_s:
+                lines.append(self._fail(link, "silent", now))
+        eager, lazy = self._eager, self._lazy
+        if eager is None or lazy is None or lines:
+            return tuple(lines)
+        stale_s = STALE_BEATS * self._heartbeat_s
+        if now - eager.risen_at > stale_s and lazy.stamp > eager.stamp:
+            lines.append(self._fail(eager, "stale leader stamp", now))
+        return tuple(lines)
+
+    def _fail(self, link: Link, reason: str, now: float) -> events.Action:
+        failure = self._failures.get(link.peer.peer_id)
+        if failure is None:
+            failure = Failure(
+                until=now,
+                backoff=backoff_lib.Backoff(
+                    first_s=FAILED_FIRST_S,
+                    cap_s=FAILED_CAP_S,
+                    random=self._random,
+                ),
+            )
+            self._failures[link.peer.peer_id] = failure
+        failure.until = now + failure.backoff.draw()
+        return events.LogLine(
+            event="parent lost", peer=link.peer.peer_id, reason=reason
+        )
+
+    def _choose(
+        self, candidates: tuple[peers.Peer, ...], avoided: str, now: float
+    ) -> peers.Peer | None:
+        allowed = [peer for peer in candidates if peer.peer_id != avoided]
+        if not allowed:
+            return None
+        for peer in allowed:
+            failure = self._failures.get(peer.peer_id)
+            if failure is None or failure.until <= now:
+                return peer
+        return min(allowed, key=lambda peer: self._failures[peer.peer_id].until)
+
+    def _link(self, peer: peers.Peer | None, now: float) -> Link | None:
+        if peer is None:
+            return None
+        for link in self.links:
+            if link.peer == peer:
+                return link
+        return Link(
+            peer=peer,
+            heard_at=now,
+            version=0,
+            stamp=NO_STAMP,
+            risen_at=now,
+        )
+
+    def _part(self, dropped: set[peers.Peer]) -> tuple[events.Action, ...]:
+        frame = wire.encode(messages.Detach(reason="another parent"))
+        actions: list[events.Action] = []
+        for peer in sorted(dropped, key=lambda peer: peer.peer_id):
+            actions.append(events.Send(peer=peer, frame=frame))
+            actions.append(events.Disconnect(peer=peer))
+        return tuple(actions)
+
+    def _describe(
+        self, eager: peers.Peer | None, lazy: peers.Peer | None
+    ) -> events.Action:
+        return events.LogLine(
+            event="parents chosen",
+            peer=eager.peer_id if eager is not None else "",
+            reason=f"lazy={lazy.peer_id if lazy is not None else 'none'}",
+            candidates=tuple(peer.peer_id for peer in self._plan.eager),
+        )
--- /dev/null
+++ b/src/lovagesaddle/core/distribution/wire.py
@@ -0,0 +1,93 @@
+"""Encodes distribution messages, compressed where that makes them smaller.
+
+The preset dictionary holds the field names of the messages, which would
+otherwise be most of a small message.
+"""
+
+import zlib
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.distribution import messages
+
+PLAIN = 0
+COMPRESSED = 1
+COMPRESSION_LEVEL = 6
+WINDOW_BITS = -15
+MEMORY_LEVEL = 8
+LEAST_BYTES = 24
+MAX_PLAIN_BYTES = 64 * 1024 * 1024
+DICTIONARY = (
+    b"idempotent\xc2callers\x90services\x90max_body_bytes\xce\x00"
+    b"priority\xa6normalmethods\x91\xa3GET\xa4POST\xa3PUT\xa6DELETE"
+    b"timeout_s\xcb\x40retries\x01path_prefix\xa1/host\xa4name"
+    b"\xa7digests\xd9Gsha256:revision\x01routes\x90depends_on\x90"
+    b"cluster_idserversnodesshardsholdersprevioustakesnumberepoch"
+    b"base_versionbase_digestremoved_servicesremoved_nodesremoved_servers"
+    b"lifehelperspeer_idaddressfloororigin_iddatasequence"
+    b"\x87\xa7node_id\xa4node\xabincarnation\xcd\xaefailure_domain\xa6region"
+    b"\xachttp_address\xa9127.0.0.1:\xafcontrol_address\xb0tcp://127.0.0.1:"
+    b"\xaapublic_key\xa0\x87\xa9server_id\xabincarnation\x01\xa7service"
+    b"\xa7node_id\xa5slots\x14\xabconnections\x64\xa5state\xa7serving"
+    b"\xa8draining\x81\xa5marks\x91\x83\xabfingerprint\xc4\x10\xa7mark_id\xc4"
+    b"\x10\xa5age_s\xcb\x81\xa8after_s\x84\xa5eager\xc3\xc2\xa7version\xcd"
+    b"\xa6digest\xc4\x10\xa6groups\x90\x91\x82\xa7version\xcd\xa6tokens\xc4"
+    b"\x83\xa7version\xcd\xa6digest\xc4\x10\xa5stamp\x82\xa4term\x01\xa7counter"
+    b"\xcd"
+)
+
+
+def encode(message: messages.DistributionMessage) -> bytes:
+    """Returns the message as one frame."""
+    plain = messages.DISTRIBUTION_MESSAGES.encode(message)
+    if len(plain) >= LEAST_BYTES:
+        packer = zlib.compressobj(
+            COMPRESSION_LEVEL,
+            zlib.DEFLATED,
+            WINDOW_BITS,
+            MEMORY_LEVEL,
+            zlib.Z_DEFAULT_STRATEGY,
+            DICTIONARY,
+        )
+        packed = packer.compress(plain) + packer.flush()
+        if len(packed) < len(plain):
+            return bytes((COMPRESSED,)) + packed
+    return bytes((PLAIN,)) + plain
+
+
+def decode(frame: bytes, *, peer: str) -> messages.DistributionMessage:
+    """Returns the message in a frame.
+
+    Raises:
+      errors.CodecError: The frame is damaged, too large or unknown.
+    """
+    return messages.DISTRIBUTION_MESSAGES.decode(
+        _unpack(frame, peer), peer=peer
+    )
+
+
+def name_kind(frame: bytes) -> str:
+    """Returns the class name of an encoded message, or "unknown"."""
+    try:
+        plain = _unpack(frame, "self")
+    except errors.CodecError:
+        return "unknown"
+    return messages.DISTRIBUTION_MESSAGES.name_kind(plain)
+
+
+def _unpack(frame: bytes, peer: str) -> bytes:
+    if frame[:1] == bytes((PLAIN,)):
+        return frame[1:]
+    if frame[:1] != bytes((COMPRESSED,)):
+        raise _error(peer, "frame has no known packing")
+    unpacker = zlib.decompressobj(WINDOW_BITS, DICTIONARY)
+    try:
+        plain = unpacker.decompress(frame[1:], MAX_PLAIN_BYTES)
+    except zlib.error as error:
+        raise _error(peer, str(error)) from error
+    if not unpacker.eof:
+        raise _error(peer, "frame is cut off or too large")
+    return plain
+
+
+def _error(peer: str, cause: str) -> errors.CodecError:
+    return errors.CodecError(step="unpack frame", peer=peer, cause=cause)
--- /dev/null
+++ b/src/lovagesaddle/core/membership/registry.py
@@ -0,0 +1,264 @@
+"""The leader's registry: batches joins, changes and leaves into entries."""
+
+import dataclasses
+
+from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import tree
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import peers
+from lovagesaddle.core.model import snapshots
+
+FIRST_BATCH_S = 0.05
+BATCH_S = 0.3
+HELPERS = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Life:
+    """A join that was taken.
+
+    Attributes:
+      life: Random number of the process.
+      incarnation: Assigned to it.
+      floor: Version of its entry; 0 while it is not applied.
+    """
+
+    life: bytes
+    incarnation: int
+    floor: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Batch:
+    """One entry on its way into the log.
+
+    Attributes:
+      command: The entry.
+      joined: Node IDs whose join it holds.
+    """
+
+    command: commands.ChangeMembership
+    joined: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Accepted:
+    """Joins that are applied now, to be answered."""
+
+    answers: tuple[messages.JoinAccepted, ...]
+
+
+class Registry:
+    """Collects what nodes ask and turns it into few entries.
+
+    It keeps nothing that the nodes do not ask again: what a lost leader had
+    not put into the log yet is asked of the next one.
+    """
+
+    def __init__(self) -> None:
+        self._snapshot: snapshots.Snapshot | None = None
+        self._lives: dict[str, Life] = {}
+        self._joins: dict[str, messages.Join] = {}
+        self._reports: dict[str, messages.ServerReport] = {}
+        self._sequences: dict[str, tuple[int, int]] = {}
+        self._gone: dict[str, int] = {}
+        self._in_flight: Batch | None = None
+        self._flush_at: float | None = None
+        self._flushed_at = float("-inf")
+        self._turn = 0
+
+    def reset(self) -> None:
+        """Forgets everything, when this replica begins or ceases to lead."""
+        snapshot = self._snapshot
+        self.__init__()  # type: ignore[misc]
+        self._snapshot = snapshot
+
+    def set_snapshot(self, snapshot: snapshots.Snapshot) -> None:
+        """Takes a newly applied version."""
+        self._snapshot = snapshot
+
+    def hear_join(
+        self, join: messages.Join, now: float
+    ) -> messages.JoinAccepted | None:
+        """Takes a join; returns the answer if it stands already."""
+        node_id = join.node.node_id
+        known = self._lives.get(node_id)
+        if known is not None and known.life == join.life:
+            listed = self._find(node_id)
+            if not known.floor or node_id in self._joins:
+                return None
+            if listed is not None and listed.incarnation == known.incarnation:
+                return self._make_answer(node_id, known)
+        self._joins[node_id] = join
+        self._reports.pop(node_id, None)
+        self._lives[node_id] = Life(
+            life=join.life,
+            incarnation=self._assign_incarnation(node_id),
+            floor=0,
+        )
+        self._schedule(now)
+        return None
+
+    def hear_report(self, report: messages.ServerReport, now: float) -> None:
+        """Takes a node's list of servers, unless a newer one came before."""
+        last = self._sequences.get(report.node_id, (0, 0))
+        if (report.incarnation, report.sequence) <= last:
+            return
+        self._sequences[report.node_id] = (report.incarnation, report.sequence)
+        self._reports[report.node_id] = report
+        self._schedule(now)
+
+    def hear_gone(self, node_id: str, incarnation: int, now: float) -> None:
+        """Takes the leave or the expiry of one life of a node."""
+        held = max(incarnation, self._gone.get(node_id, 0))
+        self._gone[node_id] = held
+        self._schedule(now)
+
+    def flush(self, now: float) -> commands.ChangeMembership | None:
+        """Returns the next entry to propose, when one is due."""
+        if self._in_flight is not None or self._snapshot is None:
+            return None
+        if self._flush_at is None or now < self._flush_at:
+            return None
+        self._flush_at = None
+        self._flushed_at = now
+        batch = self._make_batch(self._snapshot)
+        if batch is None:
+            return None
+        self._in_flight = batch
+        return batch.command
+
+    def conclude(self, version: int, now: float) -> Accepted:
+        """Takes the version of the entry in flight, which is applied."""
+        batch, self._in_flight = self._in_flight, None
+        answers: list[messages.JoinAccepted] = []
+        for node_id in batch.joined if batch is not None else ():
+            life = dataclasses.replace(self._lives[node_id], floor=version)
+            self._lives[node_id] = life
+            answers.append(self._make_answer(node_id, life))
+        if self._joins or self._reports or self._gone:
+            self._schedule(now)
+        return Accepted(answers=tuple(answers))
+
+    def abandon(self) -> None:
+        """Forgets the entry in flight, which was refused or is in doubt."""
+        batch, self._in_flight = self._in_flight, None
+        for node_id in batch.joined if batch is not None else ():
+            self._lives.pop(node_id, None)
+
+    def _schedule(self, now: float) -> None:
+        if self._flush_at is None:
+            self._flush_at = max(
+                now + FIRST_BATCH_S, self._flushed_at + BATCH_S
+            )
+
+    def _assign_incarnation(self, node_id: str) -> int:
+        assert self._snapshot is not None
+        listed = self._find(node_id)
+        held = listed.incarnation if listed is not None else 0
+        known = self._lives.get(node_id)
+        pending = known.incarnation if known is not None else 0
+        return max(held, pending, self._snapshot.version) + 1
+
+    def _make_batch(self, snapshot: snapshots.Snapshot) -> Batch | None:
+        joins, self._joins = self._joins, {}
+        reports, self._reports = self._reports, {}
+        gone, self._gone = self._gone, {}
+        listed = {node.node_id: node for node in snapshot.nodes}
+        lists = {node_id: join.servers for node_id, join in joins.items()}
+        for node_id, report in reports.items():
+            node = listed.get(node_id)
+            if node is not None and node.incarnation == report.incarnation:
+                lists.setdefault(node_id, report.servers)
+        changed, removed = diff_servers(snapshot, lists)
+        command = commands.ChangeMembership(
+            nodes=tuple(
+                dataclasses.replace(
+                    joins[node_id].node,
+                    incarnation=self._lives[node_id].incarnation,
+                )
+                for node_id in sorted(joins)
+            ),
+            servers=changed,
+            gone_nodes=tuple(
+                commands.Incarnation(member_id=node_id, incarnation=number)
+                for node_id, number in sorted(gone.items())
+                if node_id in listed and listed[node_id].incarnation <= number
+            ),
+            gone_servers=removed,
+        )
+        if command == commands.ChangeMembership():
+            return None
+        return Batch(command=command, joined=tuple(sorted(joins)))
+
+    def _make_answer(self, node_id: str, life: Life) -> messages.JoinAccepted:
+        return messages.JoinAccepted(
+            node_id=node_id,
+            life=life.life,
+            incarnation=life.incarnation,
+            floor=life.floor,
+            helpers=self._pick_helpers(),
+        )
+
+    def _pick_helpers(self) -> tuple[peers.Peer, ...]:
+        assert self._snapshot is not None
+        nodes = [
+            node
+            for node in self._snapshot.nodes
+            if node.node_id not in self._lives
+        ]
+        picked: list[peers.Peer] = []
+        for _ in range(min(HELPERS, len(nodes))):
+            picked.append(tree.make_peer(nodes[self._turn % len(nodes)]))
+            self._turn += 1
+        return tuple(picked)
+
+    def _find(self, node_id: str) -> snapshots.Node | None:
+        assert self._snapshot is not None
+        for node in self._snapshot.nodes:
+            if node.node_id == node_id:
+                return node
+        return None
+
+
+def diff_servers(
+    snapshot: snapshots.Snapshot,
+    lists: dict[str, tuple[snapshots.BackendServer, ...]],
+) -> tuple[
+    tuple[snapshots.BackendServer, ...], tuple[commands.Incarnation, ...]
+]:
+    """Returns what makes the snapshot show the given lists.
+
+    Args:
+      snapshot: What stands now.
+      lists: Node ID to the complete list of its servers.
+
+    Returns:
+      Servers to put, and servers to remove before that. A held server with a
+      higher incarnation than the listed one is of an earlier life of its
+      node, so it is removed first.
+    """
+    held = {
+        server.server_id: server
+        for server in snapshot.servers
+        if server.node_id in lists
+    }
+    changed: list[snapshots.BackendServer] = []
+    removed: list[commands.Incarnation] = []
+    for node_id in sorted(lists):
+        for server in lists[node_id]:
+            old = held.pop(server.server_id, None)
+            if old == server or server.node_id != node_id:
+                continue
+            changed.append(server)
+            if old is not None and old.incarnation > server.incarnation:
+                removed.append(_name_life(old))
+    removed.extend(_name_life(server) for server in held.values())
+    return tuple(changed), tuple(removed)
+
+
+def _name_life(server: snapshots.BackendServer) -> commands.Incarnation:
+    return commands.Incarnation(
+        member_id=delta.key_item(server), incarnation=server.incarnation
+    )
--- /dev/null
+++ b/src/lovagesaddle/node/control_half.py
@@ -0,0 +1,247 @@
+"""The control half of a node: one thread that follows the configuration."""
+
+import collections
+from collections.abc import Callable
+import random
+import secrets
+import threading
+import time
+import types
+from typing import Self
+
+import zmq
+
+from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import follower as follower_lib
+from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import tree
+from lovagesaddle.core.model import peers
+from lovagesaddle.core.model import snapshots
+from lovagesaddle.node import ports
+from lovagesaddle.settings import schema
+from lovagesaddle.transport import endpoint as endpoint_lib
+from lovagesaddle.transport import lines
+
+TICK_S = 0.05
+LIFE_BYTES = 8
+STOP_TIMEOUT_S = 5.0
+_CHANNEL = endpoint_lib.Channel.DISTRIBUTION
+
+Handler = Callable[[str, bytes], None]
+Work = Callable[[], None]
+
+
+class ControlHalf(ports.ControlPort):
+    """Runs a `follower.Follower` with an endpoint on a thread of its own.
+
+    Args:
+      settings: Settings of the node.
+      http_address: `ip:port` where the node serves callers.
+      sink: Takes versions and crash marks.
+      context: ZeroMQ context of the process.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: schema.NodeSettings,
+        http_address: str,
+        sink: ports.SnapshotSink,
+        context: zmq.Context[zmq.Socket[bytes]],
+    ) -> None:
+        self._settings = settings
+        self._sink = sink
+        self._endpoint = endpoint_lib.Endpoint(
+            context=context,
+            own_id=settings.node_id,
+            bind_address=settings.control_address,
+        )
+        self._follower = self._make_follower(http_address)
+        self._peers: dict[str, peers.Peer] = {}
+        self._handlers: dict[endpoint_lib.Channel, Handler] = {}
+        self._work: collections.deque[Work] = collections.deque()
+        self._lock = threading.Lock()
+        self._stopping = False
+        self._thread = threading.Thread(
+            target=self._run, name="control-half", daemon=True
+        )
+
+    def __enter__(self) -> Self:
+        self.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self.stop()
+
+    @property
+    def address(self) -> str:
+        """The bound `tcp://ip:port`."""
+        return self._endpoint.address
+
+    @property
+    def version(self) -> int:
+        """Version that is held; 0 for none."""
+        return self._follower.version
+
+    def start(self) -> None:
+        """Starts the thread; subscribe first."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends the thread and closes the links."""
+        self._stopping = True
+        self._wake()
+        self._thread.join(STOP_TIMEOUT_S)
+        self._endpoint.close()
+
+    def announce_server(self, server: snapshots.BackendServer) -> None:
+        """Reports that the local backend server joined, changed or drains."""
+        self._hand_over(events.ServerAnnounced(server=server))
+
+    def withdraw_server(self, server_id: str, incarnation: int) -> None:
+        """Reports that the local backend server is gone."""
+        self._hand_over(
+            events.ServerWithdrawn(server_id=server_id, incarnation=incarnation)
+        )
+
+    def leave(self) -> None:
+        """Asks the leader to take this node out of the mesh."""
+        self._hand_over(events.LeaveAsked())
+
+    def spread_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
+        """Sends crash marks to every node."""
+        carried = tuple(
+            messages.Mark(
+                fingerprint=mark.fingerprint,
+                mark_id=mark.mark_id,
+                age_s=mark.age_s,
+            )
+            for mark in marks
+        )
+        self._hand_over(events.MarksRaised(marks=carried))
+
+    def send(
+        self, node_id: str, channel: endpoint_lib.Channel, data: bytes
+    ) -> bool:
+        """Sends a message to another node of the snapshot."""
+        peer = self._peers.get(node_id)
+        if peer is None:
+            return False
+
+        def _send() -> None:
+            self._endpoint.send(peer, channel, data)
+
+        self._enqueue(_send)
+        return True
+
+    def subscribe(
+        self, channel: endpoint_lib.Channel, handler: Handler
+    ) -> None:
+        """Calls `handler(sender_id, data)` for each message of a channel."""
+        self._handlers[channel] = handler
+
+    def _make_follower(self, http_address: str) -> follower_lib.Follower:
+        settings = self._settings
+        life = secrets.token_bytes(LIFE_BYTES)
+        node = snapshots.Node(
+            node_id=settings.node_id,
+            incarnation=0,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            http_address=http_address,
+            control_address=self._endpoint.address,
+            public_key="",
+        )
+        replicas = tuple(
+            peers.Peer(
+                peer_id=replica.replica_id,
+                address=replica.address,
+                public_key=replica.public_key,
+            )
+            for replica in settings.replicas
+        )
+        return follower_lib.Follower(
+            node=node,
+            life=life,
+            cluster_id=settings.cluster_id,
+            replicas=replicas,
+            heartbeat_s=settings.heartbeat_s,
+            random=random.Random(life),
+        )
+
+    def _hand_over(self, event: events.NodeEvent) -> None:
+        self._enqueue(lambda: self._step(event))
+
+    def _enqueue(self, work: Work) -> None:
+        self._work.append(work)
+        self._wake()
+
+    def _wake(self) -> None:
+        with self._lock:
+            self._endpoint.wake()
+
+    def _run(self) -> None:
+        next_tick = 0.0
+        while not self._stopping:
+            now = time.monotonic()
+            if now >= next_tick:
+                next_tick = now + TICK_S
+                self._step(events.Tick())
+            for received in self._endpoint.receive(next_tick - now):
+                self._receive(received)
+            while self._work:
+                self._work.popleft()()
+
+    def _receive(self, received: endpoint_lib.Received) -> None:
+        if received.channel is not _CHANNEL:
+            handler = self._handlers.get(received.channel)
+            if handler is not None:
+                handler(received.sender_id, received.data)
+            return
+        self._step(
+            events.Arrival(
+                sender_id=received.sender_id,
+                route=received.route,
+                frame=received.data,
+            )
+        )
+
+    def _step(self, event: events.NodeEvent) -> None:
+        for action in self._follower.step(event, time.monotonic()):
+            self._carry_out(action)
+
+    def _carry_out(self, action: events.Action) -> None:
+        match action:
+            case events.Send():
+                self._endpoint.send(action.peer, _CHANNEL, action.frame)
+            case events.Answer():
+                self._endpoint.answer(action.route, _CHANNEL, action.frame)
+            case events.Disconnect():
+                self._endpoint.disconnect(action.peer)
+            case events.Install():
+                self._install(action)
+            case events.DeliverMarks():
+                self._sink.take_marks(
+                    tuple(
+                        ports.CrashMark(
+                            fingerprint=mark.fingerprint,
+                            mark_id=mark.mark_id,
+                            age_s=mark.age_s,
+                        )
+                        for mark in action.marks
+                    )
+                )
+            case events.LogLine():
+                lines.write(action)
+
+    def _install(self, action: events.Install) -> None:
+        self._peers = {
+            node.node_id: tree.make_peer(node)
+            for node in action.stamped.snapshot.nodes
+        }
+        self._sink.install(action.stamped, joined=True)
--- a/src/lovagesaddle/transport/endpoint.py
+++ b/src/lovagesaddle/transport/endpoint.py
@@ -13,6 +13,7 @@
 import zmq
 
 from lovagesaddle.core import errors
+from lovagesaddle.core.model import peers
 
 ROUTER_HANDOVER = 1
 LINGER_MS = 0
@@ -32,19 +33,7 @@
     CLAIMS = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Peer:
-    """A process that this one can connect to.
-
-    Attributes:
-      peer_id: Its name, unique in the cluster.
-      address: `tcp://ip:port` that it binds.
-      public_key: CurveZMQ public key, Z85; empty when links are plain.
-    """
-
-    peer_id: str
-    address: str
-    public_key: str = ""
+Peer = peers.Peer
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/lovagesaddle/transport/lines.py
@@ -0,0 +1,18 @@
+"""Writes the log lines of distribution parts."""
+
+import structlog
+
+from lovagesaddle.core.distribution import events
+
+_LOG = structlog.get_logger()
+
+
+def write(line: events.LogLine) -> None:
+    """Writes one line of key=value pairs; empty fields are left out."""
+    fields = {
+        "peer": line.peer,
+        "version": line.version,
+        "reason": line.reason,
+        "candidates": ",".join(line.candidates),
+    }
+    _LOG.info(line.event, **{k: v for k, v in fields.items() if v})
--- /dev/null
+++ b/tests/mesh.py
@@ -0,0 +1,287 @@
+"""In-memory links and a log without consensus, for distribution tests.
+
+Time is virtual: `Mesh.run` delivers frames after `LATENCY_S` and ticks every
+part. A pair of processes that is cut delivers nothing either way.
+"""
+
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+
+from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.configuration import state as state_lib
+from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import follower as follower_lib
+from lovagesaddle.core.distribution import source as source_lib
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import peers
+from lovagesaddle.core.model import services
+from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.model import stamps
+
+LATENCY_S = 0.005
+TICK_S = 0.05
+HEARTBEAT_S = 1.0
+LEASE_S = 6.0
+SHARE = 0.34
+CLUSTER = "c"
+
+
+class Replica:
+    """A source with the state it has applied."""
+
+    def __init__(self, replica_id: str) -> None:
+        self.peer = peers.Peer(peer_id=replica_id, address=replica_id)
+        self.part = source_lib.Source(
+            heartbeat_s=HEARTBEAT_S, lease_s=LEASE_S, expiry_share=SHARE
+        )
+        self.stamped = state_lib.stamp_nothing()
+        self.stamp = stamps.LeaderStamp(term=1, counter=0)
+
+
+class Member:
+    """A follower with what it installed and what marks reached it."""
+
+    def __init__(self, part: follower_lib.Follower, epoch: int) -> None:
+        self.part = part
+        self.epoch = epoch
+        self.installed: list[delta.Stamped] = []
+        self.marks: list[bytes] = []
+        self.lines: list[events.LogLine] = []
+
+
+class Mesh:
+    """Replicas and nodes on in-memory links."""
+
+    def __init__(self, replica_count: int = 3) -> None:
+        self.now = 100.0
+        self.replicas = {
+            f"r{n}": Replica(f"r{n}") for n in range(replica_count)
+        }
+        self.leader_id = "r0"
+        self.nodes: dict[str, Member] = {}
+        self.blocked: set[frozenset[str]] = set()
+        self.state = state_lib.found_state()
+        self.entries = 0
+        self.sent: list[tuple[str, str, bytes]] = []
+        self.hold: Callable[[str, str, bytes], bool] = lambda *_: False
+        self._stamped = state_lib.stamp_nothing()
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._epochs = itertools.count(1)
+        self._lags: set[str] = set()
+        self.commit(commands.FoundCluster(cluster_id=CLUSTER))
+
+    def add_node(self, node_id: str, domain: str = "a") -> Member:
+        """Starts a node, or starts it again without any memory."""
+        epoch = next(self._epochs)
+        part = follower_lib.Follower(
+            node=make_node(node_id, domain=domain),
+            life=epoch.to_bytes(4, "big"),
+            cluster_id=CLUSTER,
+            replicas=tuple(r.peer for r in self.replicas.values()),
+            heartbeat_s=HEARTBEAT_S,
+            random=random.Random(epoch),
+        )
+        self.nodes[node_id] = Member(part, epoch)
+        return self.nodes[node_id]
+
+    def add_nodes(self, count: int, domain: str = "a") -> None:
+        """Starts nodes named after their domain."""
+        for number in range(count):
+            self.add_node(f"{domain}{number:03d}", domain)
+
+    def kill(self, node_id: str) -> None:
+        """Ends a node without a word."""
+        del self.nodes[node_id]
+
+    def cut(self, first: set[str], second: set[str]) -> None:
+        """Cuts every link between two groups."""
+        self.blocked |= {frozenset((a, b)) for a in first for b in second}
+
+    def heal(self) -> None:
+        """Mends every link and brings the replicas up to date."""
+        self.blocked.clear()
+        self._lags.clear()
+
+    def isolate_replica(self, replica_id: str) -> None:
+        """Cuts a replica off from the others, but not from the nodes."""
+        self.cut({replica_id}, set(self.replicas) - {replica_id})
+        self._lags.add(replica_id)
+
+    def commit(self, command: commands.Command | None) -> int:
+        """Applies an entry at every replica that is not cut off."""
+        self.entries += 1
+        version = self.state.snapshot.version + 1
+        self.state = state_lib.apply_command(self.state, version, command).state
+        self._stamped = state_lib.restamp_state(self._stamped, self.state)
+        self._observe()
+        return version
+
+    def publish(self, *names: str) -> int:
+        """Publishes services with those names."""
+        return self.commit(
+            commands.PublishServices(
+                publish_id=f"p{self.entries}",
+                operator="ana",
+                base_version=self.state.publication_version,
+                services=tuple(make_service(name) for name in names),
+            )
+        )
+
+    def versions(self) -> dict[str, int]:
+        """Returns what each node holds."""
+        return {name: node.part.version for name, node in self.nodes.items()}
+
+    def run(self, seconds: float) -> None:
+        """Lets virtual time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = round(self.now + TICK_S, 6)
+            while self._queue and self._queue[0][0] <= self.now:
+                heapq.heappop(self._queue)[2]()
+            self._observe()
+            for process_id in (*self.replicas, *self.nodes):
+                self.step(process_id, events.Tick())
+
+    def run_until(self, done: Callable[[], bool], limit_s: float) -> float:
+        """Runs until `done()`; returns the virtual seconds it took."""
+        start = self.now
+        while not done():
+            assert self.now - start < limit_s, f"not done in {limit_s} s"
+            self.run(TICK_S)
+        return self.now - start
+
+    def run_until_converged(self, limit_s: float = 30.0) -> float:
+        """Runs until every node holds the newest version."""
+        return self.run_until(
+            lambda: (
+                set(self.versions().values()) <= {self.state.snapshot.version}
+            ),
+            limit_s,
+        )
+
+    def step(
+        self, process_id: str, event: source_lib.SourceEvent | events.NodeEvent
+    ) -> None:
+        """Gives one event to a process and carries out its actions."""
+        if process_id in self.replicas:
+            part = self.replicas[process_id].part
+            for action in part.step(event, self.now):  # type: ignore[arg-type]
+                self._carry_out_at_replica(process_id, action)
+        elif process_id in self.nodes:
+            node = self.nodes[process_id]
+            for act in node.part.step(event, self.now):  # type: ignore[arg-type]
+                self._carry_out_at_node(process_id, node, act)
+
+    def _observe(self) -> None:
+        for replica_id, replica in self.replicas.items():
+            if replica_id not in self._lags:
+                replica.stamped = self._stamped
+                replica.stamp = stamps.LeaderStamp(
+                    term=1, counter=int(self.now / HEARTBEAT_S)
+                )
+            leads = replica_id == self.leader_id
+            leader = self.replicas.get(self.leader_id)
+            observed = source_lib.Observed(
+                stamped=replica.stamped,
+                is_leader=leads,
+                leader=None if leads or leader is None else leader.peer,
+                stamp=replica.stamp,
+                replicas=tuple(
+                    other.peer
+                    for other in self.replicas.values()
+                    if other is not replica
+                ),
+            )
+            self.step(replica_id, observed)
+
+    def _carry_out_at_replica(
+        self, replica_id: str, action: source_lib.SourceAction
+    ) -> None:
+        if not isinstance(action, source_lib.Propose):
+            self._move(replica_id, 0, action)
+        elif replica_id not in self._lags:
+            version = self.commit(action.command)
+            applied = source_lib.EntryApplied(version=version)
+            self.step(replica_id, applied)
+
+    def _carry_out_at_node(
+        self, node_id: str, node: Member, action: events.Action
+    ) -> None:
+        match action:
+            case events.Install():
+                node.installed.append(action.stamped)
+            case events.DeliverMarks():
+                node.marks.extend(mark.mark_id for mark in action.marks)
+            case events.LogLine():
+                node.lines.append(action)
+            case _:
+                self._move(node_id, node.epoch, action)
+
+    def _move(self, sender_id: str, epoch: int, action: events.Action) -> None:
+        if isinstance(action, events.Send):
+            route = f"{sender_id}/{epoch}/{action.peer.peer_id}".encode()
+            self._carry(sender_id, action.peer.peer_id, route, action.frame)
+        elif isinstance(action, events.Answer):
+            target, target_epoch, _ = action.route.decode().split("/")
+            member = self.nodes.get(target)
+            if member is None or member.epoch == int(target_epoch):
+                self._carry(sender_id, target, b"", action.frame)
+
+    def _carry(
+        self, sender_id: str, target_id: str, route: bytes, frame: bytes
+    ) -> None:
+        self.sent.append((sender_id, target_id, frame))
+        if self.hold(sender_id, target_id, frame):
+            return
+        arrival = events.Arrival(sender_id=sender_id, route=route, frame=frame)
+        pair = frozenset((sender_id, target_id))
+
+        def _deliver() -> None:
+            if pair not in self.blocked:
+                self.step(target_id, arrival)
+
+        heapq.heappush(
+            self._queue, (self.now + LATENCY_S, next(self._order), _deliver)
+        )
+
+
+def make_node(
+    node_id: str, *, domain: str = "a", incarnation: int = 0
+) -> snapshots.Node:
+    """Returns a node whose address is its ID."""
+    return snapshots.Node(
+        node_id=node_id,
+        incarnation=incarnation,
+        failure_domain=domain,
+        region="r",
+        http_address=f"{node_id}:1",
+        control_address=node_id,
+        public_key="",
+    )
+
+
+def make_server(
+    node_id: str,
+    incarnation: int = 1,
+    state: snapshots.ServerState = snapshots.ServerState.SERVING,
+) -> snapshots.BackendServer:
+    """Returns the backend server of a node."""
+    return snapshots.BackendServer(
+        server_id=f"{node_id}/orderdesk",
+        incarnation=incarnation,
+        service="orderdesk",
+        node_id=node_id,
+        slots=20,
+        connections=100,
+        state=state,
+    )
+
+
+def make_service(name: str, revision: int = 1) -> services.Service:
+    """Returns a service without routes."""
+    return services.Service(
+        name=name, revision=revision, callers=(), routes=(), depends_on=()
+    )
--- /dev/null
+++ b/tests/test_control_half.py
@@ -0,0 +1,219 @@
+"""Tests of the control half and the fleet subsystem over real links."""
+
+from collections.abc import Callable
+import contextlib
+import threading
+import time
+
+import zmq
+
+from lovagesaddle.control import fleet
+from lovagesaddle.control import ports as control_ports
+from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.configuration import state as state_lib
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import stamps
+from lovagesaddle.node import control_half
+from lovagesaddle.node import ports
+from lovagesaddle.settings import schema
+from lovagesaddle.transport import endpoint
+from tests import fixtures
+from tests import mesh
+
+ANY_PORT = "tcp://127.0.0.1:*"
+WAIT_S = 10.0
+POLL_S = 0.02
+HEARTBEAT_S = 0.2
+
+
+class SingleReplica(control_ports.ReplicaPort):
+    """A log of one replica that accepts every entry at once."""
+
+    def __init__(self) -> None:
+        self.state = state_lib.apply_command(
+            state_lib.found_state(),
+            1,
+            commands.FoundCluster(cluster_id=mesh.CLUSTER),
+        ).state
+        self.counter = 0
+
+    def view(self) -> control_ports.ClusterView:
+        """Returns the state after the last entry."""
+        self.counter += 1
+        return control_ports.ClusterView(
+            state=self.state,
+            stamped=delta.stamp(self.state.snapshot),
+            is_leader=True,
+            leader_id="r0",
+            stamp=stamps.LeaderStamp(term=1, counter=self.counter),
+            stamp_age_s=0.0,
+        )
+
+    def propose(
+        self,
+        command: commands.Command,
+        on_applied: Callable[[int], None],
+        on_refused: Callable[[str], None],
+    ) -> None:
+        """Applies the command."""
+        del on_refused
+        version = self.state.snapshot.version + 1
+        self.state = state_lib.apply_command(self.state, version, command).state
+        on_applied(version)
+
+
+class Control:
+    """A control process of one replica on a thread of its own."""
+
+    def __init__(self, context: zmq.Context[zmq.Socket[bytes]]) -> None:
+        self.replica = SingleReplica()
+        self.endpoint = endpoint.Endpoint(
+            context=context, own_id="r0", bind_address=ANY_PORT
+        )
+        self.fleet = fleet.Fleet(
+            own_id="r0",
+            endpoint=self.endpoint,
+            replica=self.replica,
+            list_replicas=lambda: (),
+            heartbeat_s=HEARTBEAT_S,
+            lease_s=6.0,
+            expiry_share=0.34,
+        )
+        self.published = threading.Event()
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends the thread."""
+        self._stopping.set()
+        self._thread.join()
+        self.endpoint.close()
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            if self.published.is_set():
+                self.published.clear()
+                self._publish()
+            now = time.monotonic()
+            self.fleet.observe(self.replica.view(), now)
+            self.fleet.tick(now)
+            for received in self.endpoint.receive(POLL_S):
+                self.fleet.receive(received, now)
+
+    def _publish(self) -> None:
+        command = commands.PublishServices(
+            publish_id="p",
+            operator="ana",
+            base_version=0,
+            services=(mesh.make_service("orderdesk"),),
+        )
+        self.replica.propose(command, lambda _: None, lambda _: None)
+
+
+class Sink(ports.SnapshotSink):
+    """Keeps what was installed."""
+
+    def __init__(self) -> None:
+        self.installed: list[delta.Stamped] = []
+        self.marks: list[ports.CrashMark] = []
+
+    def install(self, stamped: delta.Stamped, *, joined: bool) -> None:
+        """Keeps the version."""
+        assert joined
+        self.installed.append(stamped)
+
+    def take_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
+        """Keeps the marks."""
+        self.marks.extend(marks)
+
+
+def _make_settings(name: str, address: str) -> schema.NodeSettings:
+    return schema.NodeSettings(
+        node_id=name,
+        failure_domain="a",
+        region="r",
+        http_address="127.0.0.1:0",
+        admin_address="127.0.0.1:0",
+        control_address=ANY_PORT,
+        cluster_id=mesh.CLUSTER,
+        replicas=(schema.ReplicaAddress(replica_id="r0", address=address),),
+        heartbeat_s=HEARTBEAT_S,
+    )
+
+
+def _wait(done: Callable[[], bool]) -> None:
+    deadline = time.monotonic() + WAIT_S
+    while not done():
+        assert time.monotonic() < deadline, "condition did not come true"
+        time.sleep(POLL_S)
+
+
+def test_nodes_join_and_follow_over_real_links() -> None:
+    """Six nodes reach a published version, and the leader knows it."""
+    with contextlib.ExitStack() as stack:
+        context = stack.enter_context(zmq.Context())
+        control = Control(context)
+        stack.callback(control.stop)
+        sinks = [Sink() for _ in range(6)]
+        for number, sink in enumerate(sinks):
+            stack.enter_context(
+                control_half.ControlHalf(
+                    settings=_make_settings(
+                        f"n{number}", control.endpoint.address
+                    ),
+                    http_address="127.0.0.1:1",
+                    sink=sink,
+                    context=context,
+                )
+            )
+        _wait(lambda: len(control.replica.state.snapshot.nodes) == 6)
+        control.published.set()
+        _wait(
+            lambda: all(
+                sink.installed and sink.installed[-1].snapshot.services
+                for sink in sinks
+            )
+        )
+        version = sinks[0].installed[-1].version
+        _wait(lambda: control.fleet.find_version_in_force() >= version)
+        assert control.fleet.list_lagging(version) == ()
+
+
+def test_nodes_send_to_each_other_and_spread_marks() -> None:
+    """A message reaches its node's handler, and a mark every other node."""
+    with contextlib.ExitStack() as stack:
+        context = stack.enter_context(zmq.Context())
+        control = Control(context)
+        stack.callback(control.stop)
+        sinks = [Sink(), Sink()]
+        heard: list[tuple[str, bytes]] = []
+        halves = []
+        for number, sink in enumerate(sinks):
+            half = control_half.ControlHalf(
+                settings=_make_settings(f"n{number}", control.endpoint.address),
+                http_address="127.0.0.1:1",
+                sink=sink,
+                context=context,
+            )
+            half.subscribe(
+                endpoint.Channel.CLAIMS,
+                lambda sender, data: heard.append((sender, data)),
+            )
+            halves.append(stack.enter_context(half))
+        _wait(
+            lambda: all(
+                sink.installed and len(sink.installed[-1].snapshot.nodes) == 2
+                for sink in sinks
+            )
+        )
+        assert halves[0].send("n1", endpoint.Channel.CLAIMS, b"claim")
+        assert not halves[0].send("n9", endpoint.Channel.CLAIMS, b"claim")
+        _wait(lambda: heard == [("n0", b"claim")])
+        mark = ports.CrashMark(fingerprint=b"f", mark_id=b"m", age_s=0.0)
+        halves[0].spread_marks((mark,))
+        _wait(lambda: sinks[1].marks == [mark])
+        assert not sinks[0].marks
+
+
+load_tests = fixtures.collect(__name__)
--- /dev/null
+++ b/tests/test_follower.py
@@ -0,0 +1,145 @@
+"""Tests of a node's control half together with the replicas' side."""
+
+import dataclasses
+
+from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import wire
+from lovagesaddle.core.model import snapshots
+from tests import fixtures
+from tests import mesh as mesh_lib
+
+
+def test_a_node_joins_through_any_replica_and_follows() -> None:
+    """A node that asks a follower replica is joined and gets every version."""
+    mesh = mesh_lib.Mesh()
+    for name in ("n1", "n2", "n3", "n4"):
+        mesh.add_node(name)
+    mesh.run(3)
+    version = mesh.publish("orderdesk")
+    assert mesh.run_until_converged() < 1.0
+    assert set(mesh.versions().values()) == {version}
+    newest = mesh.nodes["n1"].installed[-1]
+    assert newest.digest == delta.stamp(mesh.state.snapshot).digest
+
+
+def test_a_herd_of_joins_costs_few_versions() -> None:
+    """180 nodes that start at once need a handful of entries."""
+    mesh = mesh_lib.Mesh()
+    mesh.add_nodes(180)
+    before = mesh.entries
+    mesh.run(2)
+    assert len(mesh.state.snapshot.nodes) == 180
+    assert mesh.entries - before <= 5
+
+
+def test_nothing_older_than_the_join_is_installed() -> None:
+    """A restarted node starts at its own join, above all it held before."""
+    mesh = mesh_lib.Mesh()
+    mesh.add_node("n1")
+    mesh.run(3)
+    before = mesh.nodes["n1"].part.version
+    again = mesh.add_node("n1")
+    mesh.run(3)
+    assert again.installed[0].version > before
+
+
+def test_a_second_life_gets_a_higher_incarnation() -> None:
+    """A restart of a node is told from its past life without a disk."""
+    mesh = mesh_lib.Mesh()
+    mesh.add_node("n1")
+    mesh.run(3)
+    first = mesh.nodes["n1"].part.node.incarnation
+    mesh.add_node("n1")
+    mesh.run(3)
+    assert mesh.nodes["n1"].part.node.incarnation > first > 0
+
+
+def test_of_two_processes_with_one_name_the_later_one_stays() -> None:
+    """The process that joined first stops asking and reports nothing."""
+    mesh = mesh_lib.Mesh()
+    first = mesh.add_node("n1")
+    mesh.run(3)
+    later = mesh.add_node("n1")
+    mesh.run(1)
+    entries = mesh.entries
+    for replica_id in mesh.replicas:
+        push = messages.SnapshotPush(
+            snapshot=mesh.state.snapshot,
+            digest=delta.stamp(mesh.state.snapshot).digest,
+        )
+        arrival = events.Arrival(
+            sender_id=replica_id, route=b"", frame=wire.encode(push)
+        )
+        actions = first.part.step(arrival, mesh.now)
+        frames = [a.frame for a in actions if isinstance(a, events.Send)]
+        kinds = {wire.name_kind(frame) for frame in frames}
+        assert "Join" not in kinds and "ServerReport" not in kinds
+    mesh.run(3)
+    assert mesh.entries == entries
+    assert later.part.node.incarnation > first.part.node.incarnation
+
+
+def test_servers_appear_drain_and_go() -> None:
+    """What a node announces shows in the snapshot within a second or two."""
+    mesh = mesh_lib.Mesh()
+    mesh.add_node("n1")
+    mesh.run(3)
+    serving = mesh_lib.make_server("n1")
+    mesh.step("n1", events.ServerAnnounced(server=serving))
+    mesh.run(2)
+    assert mesh.state.snapshot.servers == (serving,)
+    draining = dataclasses.replace(
+        serving, state=snapshots.ServerState.DRAINING
+    )
+    mesh.step("n1", events.ServerAnnounced(server=draining))
+    mesh.run(2)
+    assert mesh.state.snapshot.servers == (draining,)
+    mesh.step(
+        "n1", events.ServerWithdrawn(server_id=serving.server_id, incarnation=1)
+    )
+    mesh.run(2)
+    assert not mesh.state.snapshot.servers
+
+
+def test_a_leave_takes_node_and_servers_out() -> None:
+    """A node that stops is gone from the snapshot without its lease lapsing."""
+    mesh = mesh_lib.Mesh()
+    mesh.add_node("n1")
+    mesh.step("n1", events.ServerAnnounced(server=mesh_lib.make_server("n1")))
+    mesh.run(3)
+    assert mesh.state.snapshot.servers
+    mesh.step("n1", events.LeaveAsked())
+    mesh.run(1)
+    assert not mesh.state.snapshot.nodes and not mesh.state.snapshot.servers
+
+
+def test_updates_that_do_not_fit_are_refused() -> None:
+    """Older, foreign and damaged updates change nothing that is held."""
+    mesh = mesh_lib.Mesh()
+    mesh.add_node("n1")
+    mesh.run(3)
+    old = mesh.state.snapshot
+    mesh.publish("orderdesk")
+    mesh.run_until_converged()
+    node = mesh.nodes["n1"]
+    held = node.part.version
+    newer = dataclasses.replace(mesh.state.snapshot, version=held + 9)
+    foreign = dataclasses.replace(newer, cluster_id="other")
+    digest = delta.stamp(newer).digest
+    for snapshot, claimed in (
+        (old, delta.stamp(old).digest),
+        (foreign, digest),
+        (newer, b"x" * 16),
+    ):
+        push = messages.SnapshotPush(snapshot=snapshot, digest=claimed)
+        frame = wire.encode(push)
+        for bad in (frame, frame[:-5], b"\x01junk"):
+            mesh.step(
+                "n1", events.Arrival(sender_id="r0", route=b"", frame=bad)
+            )
+        assert node.part.version == held
+
+
+load_tests = fixtures.collect(__name__)
