--- a/tests/test_control_half.py
+++ b/tests/test_control_half.py
@@ -176,8 +176,8 @@
             )
         )
         version = sinks[0].installed[-1].version
-        _wait(lambda: control.fleet.find_version_in_force() >= version)
-        assert control.fleet.list_lagging(version) == ()
+        _wait(lambda: not control.fleet.list_lagging(version))
+        assert control.fleet.find_version_in_force() >= version
 
 
 def test_nodes_send_to_each_other_and_spread_marks() -> None:
