--- /dev/null
+++ b/src/lovagesaddle/core/routing/queues.py
@@ -0,0 +1,145 @@
+"""Orders in which an owner serves the requests that wait for a slot."""
+
+import abc
+import dataclasses
+
+from lovagesaddle.core.model import services
+
+RANKS = {
+    services.Priority.URGENT: 0,
+    services.Priority.NORMAL: 1,
+    services.Priority.BULK: 2,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Waiting:
+    """A request that waits for a slot.
+
+    Attributes:
+      request_id: Unique among the requests of the owner.
+      priority: Of its route.
+      deadline: Monotonic time by which its answer must be there, in seconds.
+      arrived_at: Monotonic time of its arrival, in seconds.
+      number: Position in the order of arrival.
+      suspect: Whether it may crash the server.
+    """
+
+    request_id: str
+    priority: services.Priority
+    deadline: float
+    arrived_at: float
+    number: int
+    suspect: bool = False
+
+
+SortKey = tuple[float, ...]
+
+
+class QueueOrder(abc.ABC):
+    """Decides who is served next and who gives way in a full queue."""
+
+    @abc.abstractmethod
+    def rank(self, waiting: Waiting) -> SortKey:
+        """Returns the sort key; the least is served first."""
+
+    @abc.abstractmethod
+    def is_hopeless(self, waiting: Waiting, run_s: float, now: float) -> bool:
+        """Returns whether a request can't meet its deadline any more.
+
+        Args:
+          waiting: The request.
+          run_s: Expected time of its run, in seconds.
+          now: Monotonic time in seconds.
+        """
+
+
+class ArrivalOrder(QueueOrder):
+    """First in, first out; nothing is given up before its turn."""
+
+    def rank(self, waiting: Waiting) -> SortKey:
+        """Returns the order of arrival."""
+        return (waiting.number,)
+
+    def is_hopeless(self, waiting: Waiting, run_s: float, now: float) -> bool:
+        """Returns False: arrival order knows no deadlines."""
+        del waiting, run_s, now
+        return False
+
+
+class DeadlineOrder(QueueOrder):
+    """Urgent first, then the nearest deadline that can still be met."""
+
+    def rank(self, waiting: Waiting) -> SortKey:
+        """Returns priority, deadline, arrival."""
+        return RANKS[waiting.priority], waiting.deadline, waiting.number
+
+    def is_hopeless(self, waiting: Waiting, run_s: float, now: float) -> bool:
+        """Returns whether a run that starts now would end too late."""
+        return now + run_s > waiting.deadline
+
+
+class Queue:
+    """Requests that wait, each at most once.
+
+    It is as short as the slots are few, so it is searched and not sorted.
+
+    Args:
+      order: Who is served next and who gives way.
+    """
+
+    def __init__(self, order: QueueOrder) -> None:
+        self._order = order
+        self._waiting: dict[str, Waiting] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._waiting
+
+    def add(self, waiting: Waiting) -> None:
+        """Adds a request."""
+        self._waiting[waiting.request_id] = waiting
+
+    def remove(self, request_id: str) -> None:
+        """Removes a request, if it waits."""
+        self._waiting.pop(request_id, None)
+
+    def take_first(self, *, suspects: bool) -> Waiting | None:
+        """Removes and returns the request to serve next, if there is one.
+
+        Args:
+          suspects: Whether a suspect may be served.
+        """
+        servable = [
+            waiting
+            for waiting in self._waiting.values()
+            if suspects or not waiting.suspect
+        ]
+        if not servable:
+            return None
+        first = min(servable, key=self._order.rank)
+        return self._waiting.pop(first.request_id)
+
+    def take_last(self) -> Waiting:
+        """Removes and returns the request that gives way."""
+        last = max(self._waiting.values(), key=self._order.rank)
+        return self._waiting.pop(last.request_id)
+
+    def take_hopeless(self, run_s: float, now: float) -> tuple[Waiting, ...]:
+        """Removes and returns what can't meet its deadline any more."""
+        hopeless = tuple(
+            waiting
+            for waiting in self._waiting.values()
+            if self._order.is_hopeless(waiting, run_s, now)
+        )
+        for waiting in hopeless:
+            del self._waiting[waiting.request_id]
+        return hopeless
+
+    def take_all(self) -> tuple[Waiting, ...]:
+        """Removes and returns every request, in the order of arrival."""
+        everything = tuple(self._waiting.values())
+        self._waiting.clear()
+        return everything
