--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -8,7 +8,7 @@
 from lovagesaddle.core.routing import chain as chain_lib
 from lovagesaddle.core.routing import retries
 from tests import fixtures
-from tests import mesh
+from tests import routing_mesh
 
 Ending = events.Ending
 NOT_RUN = outcomes.RequestOutcome.NOT_RUN
@@ -28,14 +28,14 @@
         policy: retries.RetryPolicy | None = None,
         hedge: bool = False,
     ) -> None:
-        self.servers = list(mesh.make_candidates(servers))
+        self.servers = list(routing_mesh.make_candidates(servers))
         self.picks: list[events.PickServer] = []
         self.sent: list[events.SendAttempt] = []
         self.cancelled: list[int] = []
         self.released: list[balancer.Finished] = []
         self.timer = 0.0
         self.end: events.Action | None = None
-        route = mesh.make_route(
+        route = routing_mesh.make_route(
             idempotent=idempotent,
             retries=allowed,
             priority=services.Priority.URGENT,
@@ -46,7 +46,7 @@
                 service="desk",
                 route=route,
                 version=7,
-                chain=chain or mesh.make_chain(),
+                chain=chain or routing_mesh.make_chain(),
                 arrived_at=0.0,
             ),
             options=call_lib.CallOptions(hedge=hedge),
@@ -159,7 +159,7 @@
 
 def test_inner_entry_never_repeats_after_hand_over() -> None:
     """Only the first entry of a chain repeats; inner ones may only move."""
-    driver = Driver(idempotent=True, chain=mesh.make_chain(depth=1))
+    driver = Driver(idempotent=True, chain=routing_mesh.make_chain(depth=1))
     driver.finish(Ending.REFUSED)
     driver.finish(Ending.LOST)
     assert len(driver.sent) == 2
@@ -203,8 +203,8 @@
 
 def test_passed_deadline_and_depth_never_start() -> None:
     """A request that arrives too late or too deep is not handed over."""
-    late = Driver(chain=mesh.make_chain(remaining_s=0.0, depth=1))
-    deep = Driver(chain=mesh.make_chain(depth=chain_lib.MAX_DEPTH))
+    late = Driver(chain=routing_mesh.make_chain(remaining_s=0.0, depth=1))
+    deep = Driver(chain=routing_mesh.make_chain(depth=chain_lib.MAX_DEPTH))
     assert not late.sent
     assert not deep.sent
     assert (late.failure().status, deep.failure().status) == (504, 508)
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -5,15 +5,15 @@
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import table
 from tests import fixtures
-from tests import mesh
+from tests import routing_mesh
 
 
 def _compile() -> table.Table:
     return table.Table(
-        mesh.make_snapshot(
-            mesh.make_route("site", path="/", methods=("GET",)),
-            mesh.make_route("confirm", path="/orders"),
-            mesh.make_route(
+        routing_mesh.make_snapshot(
+            routing_mesh.make_route("site", path="/", methods=("GET",)),
+            routing_mesh.make_route("confirm", path="/orders"),
+            routing_mesh.make_route(
                 "proof",
                 path="/orders/proofs",
                 methods=("GET", "HEAD"),
@@ -24,7 +24,7 @@
 
 
 def _match(path: str, method: str = "GET") -> table.Match | table.Miss:
-    return _compile().match(host=mesh.HOST, path=path, method=method)
+    return _compile().match(host=routing_mesh.HOST, path=path, method=method)
 
 
 def test_longest_prefix_wins_on_segment_borders() -> None:
@@ -46,10 +46,12 @@
 
 def test_unknown_host_and_path_are_404() -> None:
     """A host or path that no route names is a typed 404."""
-    compiled = table.Table(mesh.make_snapshot(mesh.make_route()))
+    compiled = table.Table(
+        routing_mesh.make_snapshot(routing_mesh.make_route())
+    )
     misses = [
         compiled.match(host="other", path="/orders", method="POST"),
-        compiled.match(host=mesh.HOST, path="/", method="POST"),
+        compiled.match(host=routing_mesh.HOST, path="/", method="POST"),
     ]
     statuses = [miss.status for miss in misses if isinstance(miss, table.Miss)]
     assert statuses == [404, 404]
@@ -78,7 +80,7 @@
 def test_host_is_matched_without_port_and_case() -> None:
     """The Host header's case and port don't change the route."""
     match = _compile().match(
-        host=mesh.HOST.upper() + ":8080", path="/", method="GET"
+        host=routing_mesh.HOST.upper() + ":8080", path="/", method="GET"
     )
     assert isinstance(match, table.Match)
 
@@ -86,15 +88,17 @@
 def test_access_follows_the_routes_lists() -> None:
     """401 without a known token, 403 for a client the route leaves out."""
     compiled = _compile()
-    match = compiled.match(host=mesh.HOST, path="/orders", method="POST")
+    match = compiled.match(
+        host=routing_mesh.HOST, path="/orders", method="POST"
+    )
     assert isinstance(match, table.Match)
     statuses = [
         compiled.authorise(match, credential).status
         for credential in (
             table.Credential(),
             table.Credential(token_digest="sha256:" + "c" * 64),
-            table.Credential(token_digest=mesh.OTHER_TOKEN),
-            table.Credential(token_digest=mesh.TOKEN),
+            table.Credential(token_digest=routing_mesh.OTHER_TOKEN),
+            table.Credential(token_digest=routing_mesh.TOKEN),
             table.Credential(service="artwork"),
             table.Credential(service="booking"),
         )
@@ -104,9 +108,9 @@
 
 def test_candidates_leave_out_draining_and_ownerless_servers() -> None:
     """A table offers only servers that serve and whose node it has."""
-    snapshot = mesh.make_snapshot(mesh.make_route(), count=2)
-    leaving = mesh.make_server(1, state=snapshots.ServerState.DRAINING)
-    orphan = mesh.make_server(9)
+    snapshot = routing_mesh.make_snapshot(routing_mesh.make_route(), count=2)
+    leaving = routing_mesh.make_server(1, state=snapshots.ServerState.DRAINING)
+    orphan = routing_mesh.make_server(9)
     compiled = table.Table(
         dataclasses.replace(
             snapshot, servers=(snapshot.servers[0], leaving, orphan)
