--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -13,6 +13,7 @@
 import zmq
 
 from lovagesaddle.control import consensus as consensus_lib
+from lovagesaddle.control import fleet as fleet_lib
 from lovagesaddle.control import links as links_lib
 from lovagesaddle.control import operators as operators_lib
 from lovagesaddle.control import ports
@@ -22,6 +23,7 @@
 from lovagesaddle.core.consensus import founding as founding_lib
 from lovagesaddle.core.consensus import replica as replica_lib
 from lovagesaddle.core.consensus import timing
+from lovagesaddle.core.model import peers
 from lovagesaddle.observability import logs
 from lovagesaddle.settings import schema
 from lovagesaddle.storage import identity as identity_lib
@@ -220,6 +222,15 @@
         )
 
     def _make_subsystems(self) -> tuple[ports.Subsystem, ...]:
+        fleet = fleet_lib.Fleet(
+            own_id=self._settings.replica_id,
+            endpoint=self._endpoint,
+            replica=self._consensus,
+            list_replicas=self._list_replicas,
+            heartbeat_s=self._settings.heartbeat_s,
+            lease_s=self._settings.lease_s,
+            expiry_share=self._settings.expiry_share,
+        )
         operators = operators_lib.Operators(
             own_id=self._settings.replica_id,
             endpoint=self._endpoint,
@@ -228,9 +239,13 @@
                 consensus=self._consensus,
                 own_id=self._store.identity.member_id,
             ),
-            fleet=None,
+            fleet=fleet,
         )
-        return (operators,)
+        return (operators, fleet)
+
+    def _list_replicas(self) -> tuple[peers.Peer, ...]:
+        members = self._consensus.replica.members.members
+        return tuple(links_lib.make_peer(member) for member in members)
 
 
 def _draw_identity(settings: schema.ControlSettings) -> identity_lib.Identity:
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -83,6 +83,7 @@
       keys: Keys of its links.
       log: Logging.
       election_timeout_s: Silence of the leader before a pre-vote.
+      heartbeat_s: Time between heartbeats to the nodes.
       lease_s: Lifetime of a node's lease without a heartbeat.
       expiry_share: Largest share of a failure domain to expire at once.
     """
@@ -96,6 +97,7 @@
     keys: KeySettings = KeySettings()
     log: LogSettings = LogSettings()
     election_timeout_s: PositiveSeconds = 0.5
+    heartbeat_s: PositiveSeconds = 1.0
     lease_s: PositiveSeconds = 6.0
     expiry_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.34
 
