--- /dev/null
+++ b/src/lovagesaddle/http/client.py
@@ -0,0 +1,297 @@
+"""HTTP exchanges over pooled connections, one request at a time on each.
+
+A connection returns to the pool only after a whole, checked answer; after
+anything else it is closed, so that a late answer can't reach another request.
+"""
+
+import collections
+from collections.abc import Callable, Mapping
+import dataclasses
+import enum
+import http.client
+import select
+import socket
+import threading
+import time
+import types
+from typing import Self
+
+from returns import result
+
+from lovagesaddle.core import errors
+from lovagesaddle.http import headers as headers_lib
+from lovagesaddle.http import watchdog
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_IDLE_S = 20.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+BODYLESS_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
+
+
+class FailureKind(enum.Enum):
+    """How an exchange failed; only NOT_SENT proves that nothing ran."""
+
+    NOT_SENT = "not-sent"
+    CLOSED = "closed"
+    TRUNCATED = "truncated"
+    MALFORMED = "malformed"
+    TOO_LARGE = "too-large"
+    TIMEOUT = "timeout"
+    CANCELLED = "cancelled"
+
+
+class ExchangeError(errors.LovagesaddleError):
+    """Raised when no whole answer was read.
+
+    Attributes:
+      kind: How the exchange failed.
+    """
+
+    def __init__(
+        self, *, step: str, peer: str, cause: str, kind: FailureKind
+    ) -> None:
+        super().__init__(step=step, peer=peer, cause=cause)
+        self.kind = kind
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Request:
+    """A request as it is sent.
+
+    Attributes:
+      method: Upper-case method.
+      target: Path and query, as received.
+      headers: Without Content-Length.
+      body: The whole body.
+    """
+
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """A whole answer."""
+
+    status: int
+    headers: headers_lib.Headers
+    body: bytes
+
+
+ExchangeResult = result.Result[Reply, ExchangeError]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Idle:
+    connection: http.client.HTTPConnection
+    since: float
+
+
+class Pool:
+    """Keeps idle connections by address, as a context manager.
+
+    Args:
+      check: Says why a whole answer is not the answer to its request, or
+        returns an empty string.
+    """
+
+    def __init__(
+        self,
+        check: Callable[[Request, Reply], str] = lambda request, reply: "",
+    ) -> None:
+        self._check = check
+        self._idle: dict[str, collections.deque[_Idle]] = {}
+        self._lock = threading.Lock()
+        self._closed = False
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        with self._lock:
+            self._closed = True
+            kept, self._idle = self._idle, {}
+        for stack in kept.values():
+            for idle in stack:
+                idle.connection.close()
+
+    def exchange(
+        self, address: str, request: Request, guard: watchdog.Guard
+    ) -> ExchangeResult:
+        """Sends a request and reads the whole answer.
+
+        Args:
+          address: `ip:port`.
+          request: What to send.
+          guard: Bounds the exchange; ending it closes the connection.
+        """
+        try:
+            connection = self._take(address, guard)
+        except OSError as error:
+            return result.Failure(
+                _fail("connect", address, str(error), FailureKind.NOT_SENT)
+            )
+        outcome = _exchange(connection, address, request, guard)
+        match outcome:
+            case result.Success((reply, reusable)):
+                wrong = self._check(request, reply)
+                if wrong:
+                    connection.close()
+                    return result.Failure(
+                        _fail(
+                            "check answer",
+                            address,
+                            wrong,
+                            FailureKind.MALFORMED,
+                        )
+                    )
+                self._keep(address, connection, reusable)
+                return result.Success(reply)
+            case result.Failure(error):
+                connection.close()
+                return result.Failure(error)
+        raise AssertionError("unreachable")
+
+    def _take(
+        self, address: str, guard: watchdog.Guard
+    ) -> http.client.HTTPConnection:
+        now = time.monotonic()
+        stack = self._idle.get(address)
+        while stack:
+            try:
+                idle = stack.pop()
+            except IndexError:
+                break
+            if now - idle.since < MAX_IDLE_S and _is_quiet(idle.connection):
+                return idle.connection
+            idle.connection.close()
+        host, _, port = address.rpartition(":")
+        timeout_s = min(CONNECT_TIMEOUT_S, guard.remaining_s)
+        if timeout_s <= 0:
+            raise TimeoutError("no time is left to connect")
+        connection = http.client.HTTPConnection(
+            host.strip("[]"), int(port), timeout=timeout_s
+        )
+        connection.connect()
+        return connection
+
+    def _keep(
+        self,
+        address: str,
+        connection: http.client.HTTPConnection,
+        reusable: bool,
+    ) -> None:
+        if not reusable:
+            connection.close()
+            return
+        idle = _Idle(connection=connection, since=time.monotonic())
+        with self._lock:
+            if not self._closed:
+                self._idle.setdefault(address, collections.deque()).append(idle)
+                return
+        connection.close()
+
+
+def _is_quiet(connection: http.client.HTTPConnection) -> bool:
+    """Whether nothing arrived on an idle connection, not even its end."""
+    if connection.sock is None:
+        return False
+    poll = select.poll()
+    poll.register(connection.sock, select.POLLIN | select.POLLHUP)
+    return not poll.poll(0)
+
+
+def _exchange(
+    connection: http.client.HTTPConnection,
+    address: str,
+    request: Request,
+    guard: watchdog.Guard,
+) -> result.Result[tuple[Reply, bool], ExchangeError]:
+    sock = connection.sock
+    sock.settimeout(max(watchdog.SCAN_S, guard.remaining_s))
+    step = "send request"
+    try:
+        with guard.ending(lambda: _shut_down(sock)):
+            _send(connection, request)
+            step = "read answer"
+            response = connection.getresponse()
+            reply = _read(response, address)
+            reusable = not response.will_close
+    except ExchangeError as error:
+        return result.Failure(error)
+    except (OSError, http.client.HTTPException, ValueError) as error:
+        kind = _classify(error, guard)
+        return result.Failure(_fail(step, address, repr(error), kind))
+    return result.Success((reply, reusable))
+
+
+def _send(connection: http.client.HTTPConnection, request: Request) -> None:
+    connection.putrequest(
+        request.method,
+        request.target,
+        skip_host="host" in request.headers,
+        skip_accept_encoding=True,
+    )
+    for name, value in request.headers.items():
+        connection.putheader(name, value)
+    if request.body or request.method not in BODYLESS_METHODS:
+        connection.putheader("Content-Length", str(len(request.body)))
+    connection.endheaders(request.body or None)
+
+
+def _read(response: http.client.HTTPResponse, address: str) -> Reply:
+    if response.length is None and not response.chunked:
+        raise _fail(
+            "read answer",
+            address,
+            "answer states no length, so its end can't be checked",
+            FailureKind.MALFORMED,
+        )
+    body = response.read(MAX_ANSWER_BYTES + 1)
+    if len(body) > MAX_ANSWER_BYTES:
+        raise _fail(
+            "read answer",
+            address,
+            f"answer exceeds {MAX_ANSWER_BYTES} bytes",
+            FailureKind.TOO_LARGE,
+        )
+    if response.length:
+        raise http.client.IncompleteRead(body, response.length)
+    return Reply(
+        status=response.status,
+        headers=tuple(response.getheaders()),
+        body=body,
+    )
+
+
+def _classify(error: Exception, guard: watchdog.Guard) -> FailureKind:
+    if guard.reason is watchdog.EndReason.CANCELLED:
+        return FailureKind.CANCELLED
+    if guard.reason is not None or isinstance(error, TimeoutError):
+        return FailureKind.TIMEOUT
+    if isinstance(error, http.client.IncompleteRead):
+        return FailureKind.TRUNCATED
+    if isinstance(error, (http.client.RemoteDisconnected, OSError)):
+        return FailureKind.CLOSED
+    return FailureKind.MALFORMED
+
+
+def _shut_down(sock: socket.socket) -> None:
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The peer closed the connection first.
+        return
+
+
+def _fail(
+    step: str, peer: str, cause: str, kind: FailureKind
+) -> ExchangeError:
+    return ExchangeError(step=step, peer=peer, cause=cause, kind=kind)
--- /dev/null
+++ b/src/lovagesaddle/http/headers.py
@@ -0,0 +1,72 @@
+"""Which HTTP headers pass through a node, and which do not."""
+
+from collections.abc import Iterable, Mapping
+
+from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.routing import chain
+from lovagesaddle.core.routing import feedback
+
+Headers = tuple[tuple[str, str], ...]
+
+AUTHORIZATION = "authorization"
+CONTENT_LENGTH = "content-length"
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    }
+)
+CHAIN = frozenset(name.lower() for name in chain.HEADERS)
+# Only a node writes these; one sent by a caller or a server is dropped.
+INTERNAL = frozenset(
+    {outcomes.OUTCOME_HEADER.lower(), feedback.LOAD_HEADER.lower()}
+)
+_REQUEST_DROPPED = (
+    HOP_BY_HOP | INTERNAL | CHAIN | {CONTENT_LENGTH, AUTHORIZATION}
+)
+_ANSWER_DROPPED = HOP_BY_HOP | INTERNAL | {CONTENT_LENGTH}
+
+
+def filter_request(received: Mapping[str, str]) -> Headers:
+    """Returns what passes on from a caller to a backend server.
+
+    The credential stays at the entry, and chain headers are written anew.
+
+    Args:
+      received: Lower-case names to values.
+    """
+    listed = _list_connection_options(received.get("connection", ""))
+    return tuple(
+        (name, value)
+        for name, value in received.items()
+        if name not in _REQUEST_DROPPED and name not in listed
+    )
+
+
+def filter_answer(received: Iterable[tuple[str, str]]) -> Headers:
+    """Returns what passes on from a backend server to a caller."""
+    pairs = [(name, value) for name, value in received]
+    listed: frozenset[str] = frozenset()
+    for name, value in pairs:
+        if name.lower() == "connection":
+            listed |= _list_connection_options(value)
+    return tuple(
+        (name, value)
+        for name, value in pairs
+        if (lower := name.lower()) not in _ANSWER_DROPPED
+        and lower not in listed
+    )
+
+
+def _list_connection_options(value: str) -> frozenset[str]:
+    if not value:
+        return frozenset()
+    return frozenset(option.strip().lower() for option in value.split(","))
--- /dev/null
+++ b/src/lovagesaddle/http/lanes.py
@@ -0,0 +1,116 @@
+"""Threads that serve requests, apart for each kind of requester.
+
+An entry waits for owners, and an owner's backend server may call back into
+its own node. Threads of its own for each kind keep such a circle of waits
+from ever closing.
+"""
+
+from collections.abc import Callable
+from concurrent import futures
+import enum
+import threading
+import types
+from typing import Any, Protocol, Self
+
+QUEUE_SHARE = 2
+REFUSAL_THREADS = 2
+_current = threading.local()
+
+
+class Lane(enum.Enum):
+    """Who waits for the answer; REFUSAL serves what found no room."""
+
+    CALLER = "caller"
+    SERVICE = "service"
+    OWNER = "owner"
+    REFUSAL = "refusal"
+
+
+class Task(Protocol):
+    """What waitress hands over: a connection with a whole request."""
+
+    requests: list[Any]
+
+    def service(self) -> None:
+        """Serves the first request."""
+
+    def cancel(self) -> None:
+        """Drops every request."""
+
+
+def is_refusal() -> bool:
+    """Returns whether the current thread may only refuse its request."""
+    return getattr(_current, "lane", None) is Lane.REFUSAL
+
+
+class LaneDispatcher:
+    """Runs waitress's tasks on thread pools, one for each lane.
+
+    Args:
+      threads: Number of threads of each lane but REFUSAL.
+      classify: Returns the lane of a parsed request.
+    """
+
+    def __init__(
+        self,
+        *,
+        threads: dict[Lane, int],
+        classify: Callable[[Any], Lane],
+    ) -> None:
+        self._classify = classify
+        sizes = {**threads, Lane.REFUSAL: REFUSAL_THREADS}
+        self._room = {lane: n * (1 + QUEUE_SHARE) for lane, n in sizes.items()}
+        self._held = dict.fromkeys(sizes, 0)
+        self._lock = threading.Lock()
+        self._pools = {
+            lane: futures.ThreadPoolExecutor(
+                max_workers=count,
+                thread_name_prefix=lane.value,
+                initializer=_enter_lane,
+                initargs=(lane,),
+            )
+            for lane, count in sizes.items()
+        }
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self.shutdown()
+
+    def add_task(self, task: Task) -> None:
+        """Queues a request in its lane, or in REFUSAL when that is full."""
+        lane = self._reserve(self._classify(task.requests[0]))
+        self._pools[lane].submit(self._serve, lane, task)
+
+    def shutdown(
+        self, cancel_pending: bool = True, timeout: float = 0.0
+    ) -> bool:
+        """Ends the threads; waitress's interface names the arguments."""
+        del timeout
+        for pool in self._pools.values():
+            pool.shutdown(wait=False, cancel_futures=cancel_pending)
+        return True
+
+    def _reserve(self, lane: Lane) -> Lane:
+        with self._lock:
+            if self._held[lane] >= self._room[lane]:
+                lane = Lane.REFUSAL
+            self._held[lane] += 1
+            return lane
+
+    def _serve(self, lane: Lane, task: Task) -> None:
+        try:
+            task.service()
+        finally:
+            with self._lock:
+                self._held[lane] -= 1
+
+
+def _enter_lane(lane: Lane) -> None:
+    _current.lane = lane
--- /dev/null
+++ b/src/lovagesaddle/http/parser.py
@@ -0,0 +1,77 @@
+"""Strict parsing of requests and the answers to malformed ones.
+
+waitress answers a malformed request before any application sees it; the
+classes here close what it leaves open to request smuggling and add the header
+that says that nothing ran.
+"""
+
+import http
+from typing import Any
+
+from waitress import parser
+from waitress import task
+from waitress import utilities
+
+from lovagesaddle.core.model import outcomes
+
+FRAMING_HEADERS = (b"transfer-encoding", b"content-length", b"host")
+MAX_HEADER_BYTES = 16 * 1024
+HTTP_10 = "1.0"
+UNPROVEN = http.HTTPStatus.INTERNAL_SERVER_ERROR
+
+
+class StrictParser(parser.HTTPRequestParser):  # type: ignore[misc]
+    """Refuses requests whose length or host two readers could read apart."""
+
+    def parse_header(self, header_plus: bytes) -> None:
+        """Parses the request line and the headers.
+
+        Raises:
+          parser.ParsingError: The request is answered 400.
+        """
+        counts = _count_framing(header_plus)
+        if any(count > 1 for count in counts.values()):
+            raise parser.ParsingError("A framing header stands twice")
+        if counts[b"transfer-encoding"] and counts[b"content-length"]:
+            raise parser.ParsingError("Two lengths are stated")
+        super().parse_header(header_plus)
+        if self.version == HTTP_10 and counts[b"transfer-encoding"]:
+            raise parser.ParsingError("HTTP/1.0 has no transfer codings")
+        if not self.request_uri.startswith("/"):
+            raise parser.ParsingError("The request target is not a path")
+
+
+class OutcomeErrorTask(task.ErrorTask):  # type: ignore[misc]
+    """Answers a request that never reached the application."""
+
+    def execute(self) -> None:
+        """Writes the error with its outcome."""
+        unproven = isinstance(
+            self.request.error, utilities.InternalServerError
+        )
+        outcome = (
+            outcomes.RequestOutcome.UNKNOWN
+            if unproven
+            else outcomes.RequestOutcome.NOT_RUN
+        )
+        self.response_headers.append((outcomes.OUTCOME_HEADER, outcome.value))
+        super().execute()
+
+
+class ClosingTask(task.WSGITask):  # type: ignore[misc]
+    """Adds `Connection: close` while the server is stopping."""
+
+    def build_response_header(self) -> Any:
+        """Returns the encoded status line and headers."""
+        if self.channel.server.stopping:
+            self.set_close_on_finish()
+        return super().build_response_header()
+
+
+def _count_framing(header_plus: bytes) -> dict[bytes, int]:
+    counts = dict.fromkeys(FRAMING_HEADERS, 0)
+    for line in header_plus.split(b"\n")[1:]:
+        name = line.partition(b":")[0].strip().lower()
+        if name in counts:
+            counts[name] += 1
+    return counts
--- /dev/null
+++ b/src/lovagesaddle/http/server.py
@@ -0,0 +1,215 @@
+"""An HTTP server over waitress that stops without cutting a request."""
+
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import socket
+import threading
+import time
+import types
+from typing import Any, Self
+
+from waitress import channel
+from waitress import server
+from waitress import wasyncore
+
+from lovagesaddle.core import errors
+from lovagesaddle.http import lanes
+from lovagesaddle.http import parser
+
+CONNECTION_LIMIT = 4096
+BACKLOG = 1024
+CHANNEL_TIMEOUT_S = 30
+CLEANUP_S = 5
+SPOOL_BYTES = 512 * 1024
+RECV_BYTES = 64 * 1024
+LOOKAHEAD_REQUESTS = 1
+LOOP_TIMEOUT_S = 1
+STOP_POLL_S = 0.02
+IDLE_LINGER_S = 0.3
+JOIN_S = 5.0
+
+Application = Callable[[dict[str, Any], Callable[..., Any]], Any]
+
+
+class _Channel(channel.HTTPChannel):  # type: ignore[misc]
+    parser_class = parser.StrictParser
+    task_class = parser.ClosingTask
+    error_task_class = parser.OutcomeErrorTask
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being read, run or answered."""
+        return not (self.requests or self.request or self.total_outbufs_len)
+
+
+class _Server(server.TcpWSGIServer):  # type: ignore[misc]
+    channel_class = _Channel
+    stopping = False
+
+    def stop_listening(self) -> None:
+        """Takes what has connected already, then closes the listener."""
+        self.stopping = True
+        before = -1
+        while before != len(self.active_channels):
+            before = len(self.active_channels)
+            self.handle_accept()
+        wasyncore.dispatcher.close(self)
+
+    def close_idle(self, quiet_since: float) -> None:
+        """Closes connections without a request since `quiet_since`."""
+        for held in tuple(self.active_channels.values()):
+            if held.idle and held.last_activity < quiet_since:
+                held.will_close = True
+
+    def close_all(self) -> None:
+        """Closes every connection, whatever it holds."""
+        for held in tuple(self.active_channels.values()):
+            held.will_close = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerOptions:
+    """How a server listens.
+
+    Attributes:
+      address: `ip:port`; port 0 for any.
+      max_body_bytes: Largest request body; a larger one is answered 413.
+    """
+
+    address: str
+    max_body_bytes: int
+
+
+class HttpServer:
+    """Serves a WSGI application on a thread of its own.
+
+    Args:
+      application: The WSGI application.
+      dispatcher: Runs the requests.
+      options: How to listen.
+    """
+
+    def __init__(
+        self,
+        *,
+        application: Application,
+        dispatcher: lanes.LaneDispatcher,
+        options: ServerOptions,
+    ) -> None:
+        self._application = application
+        self._dispatcher = dispatcher
+        self._options = options
+        self._server = self._listen()
+        self._thread = threading.Thread(
+            target=self._server.run, name="http", daemon=True
+        )
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self.stop(grace_s=0.0)
+
+    @property
+    def address(self) -> str:
+        """The bound `ip:port`."""
+        return f"{self._server.effective_host}:{self._server.effective_port}"
+
+    def close_listener(self) -> None:
+        """Takes no new connection; answers carry `Connection: close`."""
+        if not self._server.stopping:
+            closed = threading.Event()
+            self._call(self._server.stop_listening, closed)
+            closed.wait(JOIN_S)
+
+    def stop(self, *, grace_s: float) -> bool:
+        """Stops once every request that arrived is answered.
+
+        Args:
+          grace_s: Longest wait; what is held after it is cut.
+
+        Returns:
+          Whether nothing was cut.
+        """
+        self.close_listener()
+        whole = self._wait_until_empty(grace_s)
+        if not whole:
+            self._call(self._server.close_all, threading.Event())
+        self._dispatcher.shutdown()
+        self._call(self._server.trigger.close, threading.Event())
+        self._thread.join(JOIN_S)
+        return whole
+
+    def _wait_until_empty(self, grace_s: float) -> bool:
+        started = time.monotonic()
+        while self._server.active_channels:
+            if time.monotonic() - started >= grace_s:
+                return False
+            quiet_since = time.time() - IDLE_LINGER_S
+            swept = threading.Event()
+            self._call(lambda: self._server.close_idle(quiet_since), swept)
+            swept.wait(STOP_POLL_S)
+            time.sleep(STOP_POLL_S)
+        return True
+
+    def _call(self, action: Callable[[], None], done: threading.Event) -> None:
+        """Runs `action` on the loop's thread."""
+
+        def run() -> None:
+            try:
+                action()
+            finally:
+                done.set()
+
+        # The loop has ended and closed its trigger already on an OSError.
+        with contextlib.suppress(OSError):
+            self._server.trigger.pull_trigger(run)
+
+    def _listen(self) -> _Server:
+        host, _, port = self._options.address.rpartition(":")
+        sock = socket.socket(
+            socket.AF_INET6 if ":" in host else socket.AF_INET
+        )
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((host.strip("[]"), int(port)))
+        except OSError as error:
+            sock.close()
+            raise errors.TransportError(
+                step="bind", peer=self._options.address, cause=str(error)
+            ) from error
+        made: _Server = _Server(
+            self._application,
+            dispatcher=self._dispatcher,
+            sockinfo=(sock.family, sock.type, sock.proto, sock.getsockname()),
+            _sock=sock,
+            bind_socket=False,
+            **self._adjust(),
+        )
+        return made
+
+    def _adjust(self) -> dict[str, Any]:
+        return {
+            "ident": "",
+            "backlog": BACKLOG,
+            "connection_limit": CONNECTION_LIMIT,
+            "channel_timeout": CHANNEL_TIMEOUT_S,
+            "cleanup_interval": CLEANUP_S,
+            "channel_request_lookahead": LOOKAHEAD_REQUESTS,
+            "max_request_header_size": parser.MAX_HEADER_BYTES,
+            # waitress refuses a body of exactly the limit.
+            "max_request_body_size": self._options.max_body_bytes + 1,
+            "inbuf_overflow": SPOOL_BYTES,
+            "recv_bytes": RECV_BYTES,
+            "asyncore_use_poll": True,
+            "asyncore_loop_timeout": LOOP_TIMEOUT_S,
+            "log_socket_errors": False,
+            "clear_untrusted_proxy_headers": False,
+        }
--- /dev/null
+++ b/src/lovagesaddle/http/watchdog.py
@@ -0,0 +1,120 @@
+"""Ends waits whose deadline passed or whose requester hung up."""
+
+from collections.abc import Callable, Iterator
+import contextlib
+import enum
+import threading
+import time
+import types
+from typing import Self
+
+SCAN_S = 0.02
+
+
+class EndReason(enum.Enum):
+    """Why a watched wait was ended."""
+
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+
+
+class Guard:
+    """Watches over one wait; its thread ends the wait through `on_end`.
+
+    Args:
+      deadline: Monotonic time, in seconds.
+      is_gone: Whether the requester hung up.
+    """
+
+    def __init__(self, deadline: float, is_gone: Callable[[], bool]) -> None:
+        self.deadline = deadline
+        self._is_gone = is_gone
+        self._on_end: Callable[[], None] | None = None
+        self._lock = threading.Lock()
+        self.reason: EndReason | None = None
+
+    @property
+    def remaining_s(self) -> float:
+        """Seconds to the deadline; 0 when the wait was ended."""
+        if self.reason is not None:
+            return 0.0
+        return max(0.0, self.deadline - time.monotonic())
+
+    @contextlib.contextmanager
+    def ending(self, on_end: Callable[[], None]) -> Iterator[None]:
+        """Calls `on_end` if the wait ends while the context is open."""
+        with self._lock:
+            self._on_end = on_end
+            ended = self.reason is not None
+        try:
+            if ended:
+                on_end()
+            yield
+        finally:
+            with self._lock:
+                self._on_end = None
+
+    def check(self, now: float) -> None:
+        """Ends the wait when its time is over or its requester is gone."""
+        if self.reason is not None:
+            return
+        if now >= self.deadline:
+            self.end(EndReason.DEADLINE)
+        elif self._is_gone():
+            self.end(EndReason.CANCELLED)
+
+    def end(self, reason: EndReason) -> None:
+        """Ends the wait, once."""
+        with self._lock:
+            if self.reason is not None:
+                return
+            self.reason = reason
+            if self._on_end is not None:
+                self._on_end()
+
+
+class Watchdog:
+    """Scans the open guards on a thread of its own, as a context manager."""
+
+    def __init__(self) -> None:
+        self._guards: dict[int, Guard] = {}
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="watchdog", daemon=True
+        )
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._stopped.set()
+        self._thread.join()
+
+    @contextlib.contextmanager
+    def watch(
+        self, *, deadline: float, is_gone: Callable[[], bool]
+    ) -> Iterator[Guard]:
+        """Opens a guard for the length of the context.
+
+        Args:
+          deadline: Monotonic time, in seconds.
+          is_gone: Called on the watchdog's thread; must not block.
+        """
+        guard = Guard(deadline, is_gone)
+        self._guards[id(guard)] = guard
+        try:
+            yield guard
+        finally:
+            del self._guards[id(guard)]
+
+    def _run(self) -> None:
+        while not self._stopped.wait(SCAN_S):
+            now = time.monotonic()
+            for guard in tuple(self._guards.values()):
+                guard.check(now)
