--- /dev/null
+++ b/src/lovagesaddle/http/gateway.py
@@ -0,0 +1,123 @@
+"""Requests and answers as the applications of a node see them."""
+
+from collections.abc import Callable, Mapping
+import dataclasses
+import http
+import json
+from typing import Any
+
+from lovagesaddle.core.model import outcomes
+from lovagesaddle.http import headers as headers_lib
+
+HEADER_PREFIX = "HTTP_"
+JSON_TYPE = "application/json"
+PLAIN_KEYS = {
+    "CONTENT_TYPE": "content-type",
+    "CONTENT_LENGTH": "content-length",
+}
+StartResponse = Callable[..., Any]
+Environ = dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Incoming:
+    """A whole request.
+
+    Attributes:
+      method: Upper-case method.
+      target: Path and query, as sent.
+      path: Path without the query, as sent.
+      headers: Lower-case names to values.
+      content_length: Length of the body, in bytes.
+      read_body: Returns the body.
+      is_gone: Whether the requester hung up.
+    """
+
+    method: str
+    target: str
+    path: str
+    headers: Mapping[str, str]
+    content_length: int
+    read_body: Callable[[], bytes]
+    is_gone: Callable[[], bool]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """What the requester gets.
+
+    Attributes:
+      status: HTTP status.
+      headers: Without Content-Length and hop-by-hop headers.
+      body: The whole body.
+    """
+
+    status: int
+    headers: headers_lib.Headers = ()
+    body: bytes = b""
+
+
+def read_request(environ: Environ) -> Incoming:
+    """Returns the request of a WSGI environment."""
+    target = environ["REQUEST_URI"]
+    received = {
+        key[len(HEADER_PREFIX) :].replace("_", "-").lower(): value
+        for key, value in environ.items()
+        if key.startswith(HEADER_PREFIX)
+    }
+    for key, name in PLAIN_KEYS.items():
+        if key in environ:
+            received[name] = environ[key]
+    return Incoming(
+        method=environ["REQUEST_METHOD"],
+        target=target,
+        path=target.partition("?")[0],
+        headers=received,
+        content_length=int(received.get("content-length") or 0),
+        read_body=environ["wsgi.input"].read,
+        is_gone=environ["waitress.client_disconnected"],
+    )
+
+
+def write_answer(
+    answer: Answer, method: str, start_response: StartResponse
+) -> list[bytes]:
+    """Starts the answer and returns its body, for waitress."""
+    lines = list(answer.headers)
+    if method != "HEAD":
+        lines.append(("Content-Length", str(len(answer.body))))
+    start_response(format_status(answer.status), lines)
+    return [answer.body]
+
+
+def format_status(status: int) -> str:
+    """Returns the status with its phrase."""
+    try:
+        return f"{status} {http.HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
+
+
+def make_json(
+    status: int, content: Mapping[str, Any], extra: headers_lib.Headers = ()
+) -> Answer:
+    """Returns an answer with a JSON object."""
+    return Answer(
+        status=status,
+        headers=(("Content-Type", JSON_TYPE), *extra),
+        body=json.dumps(content).encode() + b"\n",
+    )
+
+
+def make_failure(
+    status: int,
+    reason: str,
+    outcome: outcomes.RequestOutcome,
+    extra: headers_lib.Headers = (),
+) -> Answer:
+    """Returns a failed call's answer, with its outcome."""
+    return make_json(
+        status,
+        {"error": reason, "outcome": outcome.value},
+        ((outcomes.OUTCOME_HEADER, outcome.value), *extra),
+    )
