--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -5,7 +5,7 @@
 """
 
 import collections
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 import dataclasses
 import enum
 import http.client
@@ -19,12 +19,14 @@
 from returns import result
 
 from lovagesaddle.core import errors
+from lovagesaddle.core.routing import chain
 from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import watchdog
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_S = 20.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+_REQUEST_ID = chain.REQUEST_ID_HEADER.lower()
 BODYLESS_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
 
 
@@ -92,16 +94,10 @@
 class Pool:
     """Keeps idle connections by address, as a context manager.
 
-    Args:
-      check: Says why a whole answer is not the answer to its request, or
-        returns an empty string.
+    A peer that names a request ID in its answer must name the request's own.
     """
 
-    def __init__(
-        self,
-        check: Callable[[Request, Reply], str] = lambda request, reply: "",
-    ) -> None:
-        self._check = check
+    def __init__(self) -> None:
         self._idle: dict[str, collections.deque[_Idle]] = {}
         self._lock = threading.Lock()
         self._closed = False
@@ -141,7 +137,7 @@
         outcome = _exchange(connection, address, request, guard)
         match outcome:
             case result.Success((reply, reusable)):
-                wrong = self._check(request, reply)
+                wrong = _find_crossing(request, reply)
                 if wrong:
                     connection.close()
                     return result.Failure(
@@ -199,6 +195,15 @@
         connection.close()
 
 
+def _find_crossing(request: Request, reply: Reply) -> str:
+    """Says why an answer is another request's; empty when it is not."""
+    own = request.headers.get(chain.REQUEST_ID_HEADER)
+    for name, value in reply.headers:
+        if name.lower() == _REQUEST_ID and own is not None and value != own:
+            return f"answer is to request {value}, not to {own}"
+    return ""
+
+
 def _is_quiet(connection: http.client.HTTPConnection) -> bool:
     """Whether nothing arrived on an idle connection, not even its end."""
     if connection.sock is None:
@@ -291,7 +296,5 @@
         return
 
 
-def _fail(
-    step: str, peer: str, cause: str, kind: FailureKind
-) -> ExchangeError:
+def _fail(step: str, peer: str, cause: str, kind: FailureKind) -> ExchangeError:
     return ExchangeError(step=step, peer=peer, cause=cause, kind=kind)
--- a/src/lovagesaddle/http/headers.py
+++ b/src/lovagesaddle/http/headers.py
@@ -51,8 +51,19 @@
     )
 
 
-def filter_answer(received: Iterable[tuple[str, str]]) -> Headers:
-    """Returns what passes on from a backend server to a caller."""
+def filter_answer(
+    received: Iterable[tuple[str, str]], *, bodyless: bool = False
+) -> Headers:
+    """Returns what passes on from a backend server to a caller.
+
+    Args:
+      received: Names and values.
+      bodyless: Whether the answer is to a HEAD request, so that its
+        Content-Length is the only word on the length.
+    """
+    dropped = (
+        _ANSWER_DROPPED - {CONTENT_LENGTH} if bodyless else _ANSWER_DROPPED
+    )
     pairs = [(name, value) for name, value in received]
     listed: frozenset[str] = frozenset()
     for name, value in pairs:
@@ -61,8 +72,7 @@
     return tuple(
         (name, value)
         for name, value in pairs
-        if (lower := name.lower()) not in _ANSWER_DROPPED
-        and lower not in listed
+        if (lower := name.lower()) not in dropped and lower not in listed
     )
 
 
--- a/src/lovagesaddle/http/parser.py
+++ b/src/lovagesaddle/http/parser.py
@@ -46,9 +46,7 @@
 
     def execute(self) -> None:
         """Writes the error with its outcome."""
-        unproven = isinstance(
-            self.request.error, utilities.InternalServerError
-        )
+        unproven = isinstance(self.request.error, utilities.InternalServerError)
         outcome = (
             outcomes.RequestOutcome.UNKNOWN
             if unproven
--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import functools
 import socket
 import threading
 import time
@@ -154,7 +155,8 @@
                 return False
             quiet_since = time.time() - IDLE_LINGER_S
             swept = threading.Event()
-            self._call(lambda: self._server.close_idle(quiet_since), swept)
+            sweep = functools.partial(self._server.close_idle, quiet_since)
+            self._call(sweep, swept)
             swept.wait(STOP_POLL_S)
             time.sleep(STOP_POLL_S)
         return True
@@ -174,9 +176,7 @@
 
     def _listen(self) -> _Server:
         host, _, port = self._options.address.rpartition(":")
-        sock = socket.socket(
-            socket.AF_INET6 if ":" in host else socket.AF_INET
-        )
+        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             sock.bind((host.strip("[]"), int(port)))
--- /dev/null
+++ b/src/lovagesaddle/node/admin.py
@@ -0,0 +1,154 @@
+"""The WSGI application on the admin address, for the local VM."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Annotated, Any
+
+import msgspec
+
+from lovagesaddle.http import gateway
+from lovagesaddle.http import lanes
+from lovagesaddle.node import local_servers
+from lovagesaddle.observability import metrics as metrics_lib
+from lovagesaddle.settings import schema
+
+Count = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]+$")]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AnnounceBody:
+    """Body of POST /announce; see `local_servers.Announcement`."""
+
+    service: schema.Identifier
+    address: Address
+    slots: Count
+    connections: Count
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceBody:
+    """Body of POST /drain and DELETE /announce."""
+
+    service: schema.Identifier
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Health:
+    """What /healthz answers.
+
+    Attributes:
+      joined: Whether callers are served.
+      version: Version of the table; 0 before the node joined.
+      servers: Number of announced backend servers.
+      stopping: Whether the node is shutting down.
+    """
+
+    joined: bool
+    version: int
+    servers: int
+    stopping: bool
+
+
+Handler = Callable[[gateway.Incoming], gateway.Answer]
+
+
+class AdminApplication:
+    """Answers the local backend server and the platform.
+
+    Args:
+      servers: Takes announcements.
+      metrics: Rendered at /metrics.
+      read_health: Returns what /healthz answers.
+    """
+
+    def __init__(
+        self,
+        *,
+        servers: local_servers.LocalServers,
+        metrics: metrics_lib.Metrics,
+        read_health: Callable[[], Health],
+    ) -> None:
+        self._servers = servers
+        self._metrics = metrics
+        self._read_health = read_health
+        self._handlers: dict[str, dict[str, Handler]] = {
+            "/announce": {"POST": self._announce, "DELETE": self._withdraw},
+            "/drain": {"POST": self._drain},
+            "/healthz": {"GET": self._show_health},
+            "/metrics": {"GET": self._show_metrics},
+        }
+
+    def __call__(
+        self,
+        environ: gateway.Environ,
+        start_response: gateway.StartResponse,
+    ) -> list[bytes]:
+        """Answers one request."""
+        request = gateway.read_request(environ)
+        answer = self._answer(request)
+        return gateway.write_answer(answer, request.method, start_response)
+
+    def _answer(self, request: gateway.Incoming) -> gateway.Answer:
+        methods = self._handlers.get(request.path)
+        if methods is None:
+            known = ", ".join(self._handlers)
+            return _complain(404, f"unknown path; known are {known}")
+        handler = methods.get(request.method)
+        if handler is None:
+            allowed = ", ".join(methods)
+            return _complain(405, f"use {allowed}", (("Allow", allowed),))
+        try:
+            return handler(request)
+        except msgspec.DecodeError as error:
+            return _complain(400, str(error))
+        except local_servers.AnnouncementError as error:
+            return _complain(404, error.cause)
+
+    def _announce(self, request: gateway.Incoming) -> gateway.Answer:
+        body = msgspec.json.decode(request.read_body(), type=AnnounceBody)
+        token = self._servers.announce(
+            local_servers.Announcement(
+                service=body.service,
+                address=body.address,
+                slots=body.slots,
+                connections=body.connections,
+            )
+        )
+        return gateway.make_json(200, {"token": token})
+
+    def _drain(self, request: gateway.Incoming) -> gateway.Answer:
+        body = msgspec.json.decode(request.read_body(), type=ServiceBody)
+        self._servers.drain(body.service)
+        return gateway.make_json(200, {"state": "draining"})
+
+    def _withdraw(self, request: gateway.Incoming) -> gateway.Answer:
+        body = msgspec.json.decode(request.read_body(), type=ServiceBody)
+        self._servers.withdraw(body.service, "withdrawn")
+        return gateway.make_json(200, {"state": "withdrawn"})
+
+    def _show_health(self, request: gateway.Incoming) -> gateway.Answer:
+        del request
+        health = self._read_health()
+        status = 200 if health.joined and not health.stopping else 503
+        return gateway.make_json(status, dataclasses.asdict(health))
+
+    def _show_metrics(self, request: gateway.Incoming) -> gateway.Answer:
+        del request
+        return gateway.Answer(
+            status=200,
+            headers=(("Content-Type", metrics_lib.CONTENT_TYPE),),
+            body=self._metrics.render().encode(),
+        )
+
+
+def classify(parsed: Any) -> lanes.Lane:
+    """Returns the one lane of the admin address."""
+    del parsed
+    return lanes.Lane.CALLER
+
+
+def _complain(
+    status: int, cause: str, extra: tuple[tuple[str, str], ...] = ()
+) -> gateway.Answer:
+    return gateway.make_json(status, {"error": cause}, extra)
--- /dev/null
+++ b/src/lovagesaddle/node/application.py
@@ -0,0 +1,120 @@
+"""The WSGI application on the address for callers and other nodes."""
+
+import time
+from typing import Any
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.model import outcomes
+from lovagesaddle.http import gateway
+from lovagesaddle.http import hop
+from lovagesaddle.http import lanes
+from lovagesaddle.http import watchdog
+from lovagesaddle.node import entry as entry_lib
+from lovagesaddle.node import local_servers
+from lovagesaddle.node import owner as owner_lib
+from lovagesaddle.observability import logs
+
+MS_PER_S = 1000
+OVERLOADED = "node-overloaded"
+ENVELOPE_TYPE = (("Content-Type", "application/octet-stream"),)
+_log = logs.get_logger("application")
+
+
+class Application:
+    """Tells hops of other nodes from callers and answers both.
+
+    Args:
+      entry: Answers callers.
+      owner: Runs attempts.
+      seal: Checks hops.
+      guards: Watches deadlines and entries that hang up.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry: entry_lib.Entry,
+        owner: owner_lib.Owner,
+        seal: hop.Seal,
+        guards: watchdog.Watchdog,
+    ) -> None:
+        self._entry = entry
+        self._owner = owner
+        self._seal = seal
+        self._guards = guards
+
+    def __call__(
+        self,
+        environ: gateway.Environ,
+        start_response: gateway.StartResponse,
+    ) -> list[bytes]:
+        """Answers one request; waitress calls it on a lane's thread."""
+        request = gateway.read_request(environ)
+        try:
+            answer = self._answer(request)
+        except Exception as error:
+            _log.error("answer_failed", path=request.path, cause=repr(error))
+            answer = gateway.make_failure(
+                500, "internal-error", outcomes.RequestOutcome.UNKNOWN
+            )
+        return gateway.write_answer(answer, request.method, start_response)
+
+    def _answer(self, request: gateway.Incoming) -> gateway.Answer:
+        if request.path == hop.RUN_PATH:
+            return self._run(request)
+        if lanes.is_refusal():
+            return self._entry.refuse(OVERLOADED)
+        return self._entry.answer(request)
+
+    def _run(self, request: gateway.Incoming) -> gateway.Answer:
+        arrived_at = time.monotonic()
+        try:
+            message = self._seal.open(request.read_body(), peer="entry")
+        except errors.CodecError as error:
+            _log.warning("hop_refused", cause=error.cause)
+            return _refuse_hop(403, error.cause)
+        if not isinstance(message, hop.RunRequest):
+            return _refuse_hop(400, "the envelope holds no run request")
+        return gateway.Answer(
+            status=200,
+            headers=ENVELOPE_TYPE,
+            body=self._seal.seal(
+                self._run_attempt(message, request, arrived_at)
+            ),
+        )
+
+    def _run_attempt(
+        self,
+        message: hop.RunRequest,
+        request: gateway.Incoming,
+        arrived_at: float,
+    ) -> hop.RunAnswer:
+        if lanes.is_refusal():
+            return hop.RunAnswer(
+                attempt_id=message.attempt_id,
+                outcome=hop.RunOutcome.REFUSED,
+                cause=OVERLOADED,
+            )
+        deadline = arrived_at + message.remaining_ms / MS_PER_S
+        with self._guards.watch(
+            deadline=deadline, is_gone=request.is_gone
+        ) as guard:
+            return self._owner.run(message, guard)
+
+
+def classify(parsed: Any) -> lanes.Lane:
+    """Returns the lane of a request that waitress has parsed."""
+    if parsed.error is not None:
+        return lanes.Lane.REFUSAL
+    if parsed.path == hop.RUN_PATH:
+        return lanes.Lane.OWNER
+    authorization = parsed.headers.get("AUTHORIZATION", "")
+    if authorization[len(entry_lib.BEARER) :].startswith(
+        local_servers.TOKEN_PREFIX
+    ):
+        return lanes.Lane.SERVICE
+    return lanes.Lane.CALLER
+
+
+def _refuse_hop(status: int, cause: str) -> gateway.Answer:
+    return gateway.make_failure(status, cause, outcomes.RequestOutcome.NOT_RUN)
--- /dev/null
+++ b/src/lovagesaddle/node/attempts.py
@@ -0,0 +1,266 @@
+"""Carries out what the state machine of one call decides."""
+
+import dataclasses
+import time
+
+from returns import result
+
+from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.routing import call as call_lib
+from lovagesaddle.core.routing import call_events as events
+from lovagesaddle.core.routing import chain as chain_lib
+from lovagesaddle.core.routing import table as table_lib
+from lovagesaddle.http import headers as headers_lib
+from lovagesaddle.http import hop
+from lovagesaddle.http import watchdog
+from lovagesaddle.node import hops
+from lovagesaddle.node import routing as routing_lib
+from lovagesaddle.observability import logs
+
+MS_PER_S = 1000
+_log = logs.get_logger("call")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Passed:
+    """What passes on from the caller's request.
+
+    Attributes:
+      request_id: Of the call.
+      method: Upper-case method.
+      target: Path and query.
+      headers: Filtered.
+      body: The whole body.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    headers: headers_lib.Headers
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Answered:
+    """The answer of a backend server.
+
+    Attributes:
+      status: HTTP status.
+      headers: Filtered.
+      body: The whole body.
+      outcome: Of a failed call, else None.
+    """
+
+    status: int
+    headers: headers_lib.Headers
+    body: bytes
+    outcome: outcomes.RequestOutcome | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Failed:
+    """The mesh's own answer.
+
+    Attributes:
+      status: HTTP status.
+      outcome: What the caller may rely on.
+      reason: Why.
+      retry_after_s: When to come back; 0 for no hint.
+    """
+
+    status: int
+    outcome: outcomes.RequestOutcome
+    reason: str
+    retry_after_s: float = 0.0
+
+
+Ended = result.Result[Answered, Failed]
+GONE_STATUS = 499
+GONE_REASON = "caller-gone"
+
+
+class Runner:
+    """Runs one call on the thread that serves its caller.
+
+    Args:
+      passed: What passes on.
+      match: The matched route.
+      chain: What came with the request.
+      table: Table that the call started with.
+      arrived_at: Monotonic time of arrival, in seconds.
+      routing: Tables, balancer and retry policies.
+      carrier: Takes attempts to owners.
+    """
+
+    def __init__(
+        self,
+        *,
+        passed: Passed,
+        match: table_lib.Match,
+        chain: chain_lib.Chain,
+        table: table_lib.Table,
+        arrived_at: float,
+        routing: routing_lib.Routing,
+        carrier: hops.Carrier,
+    ) -> None:
+        self._passed = passed
+        self._match = match
+        self._table = table
+        self._routing = routing
+        self._carrier = carrier
+        self._answers: dict[int, hop.RunAnswer] = {}
+        self._ended: Ended | None = None
+        self._call = call_lib.Call(
+            request=events.CallRequest(
+                request_id=passed.request_id,
+                service=match.service,
+                route=match.route,
+                version=match.version,
+                chain=chain,
+                arrived_at=arrived_at,
+            ),
+            options=routing.options.call,
+            retry_policy=routing.get_retry_policy(match.service),
+        )
+
+    @property
+    def deadline(self) -> float:
+        """Monotonic time by which the caller has its answer, in seconds."""
+        return self._call.deadline
+
+    def run(self, guard: watchdog.Guard) -> Ended:
+        """Returns how the call ended; `guard` watches caller and deadline."""
+        pending: list[events.Event] = [events.Started()]
+        while pending:
+            event = pending.pop(0)
+            for action in self._call.step(event, time.monotonic()):
+                following = self._carry_out(action, guard)
+                if following is not None:
+                    pending.append(following)
+        if self._ended is None:
+            raise AssertionError("call ended without an answer")
+        return self._ended
+
+    def _carry_out(
+        self, action: events.Action, guard: watchdog.Guard
+    ) -> events.Event | None:
+        match action:
+            case events.PickServer():
+                return self._pick(action)
+            case events.SendAttempt():
+                return self._send(action, guard)
+            case events.ReleaseServer():
+                self._routing.release(action.finished)
+            case events.AnswerCaller():
+                self._ended = result.Success(self._make_answer(action))
+            case events.FailCaller():
+                self._fail(action)
+            case events.EndCall():
+                self._ended = result.Failure(
+                    Failed(
+                        status=GONE_STATUS,
+                        outcome=action.outcome,
+                        reason=GONE_REASON,
+                    )
+                )
+            case events.CancelAttempt() | events.SetTimer():
+                # The guard closes the connection and keeps the time.
+                pass
+        return None
+
+    def _pick(self, action: events.PickServer) -> events.Event:
+        table = self._table
+        if action.newest and self._routing.table is not None:
+            table = self._routing.table
+        decision = self._routing.pick(table, action.service, action.tried)
+        server = decision.server
+        _log.info(
+            "server_picked",
+            request=self._passed.request_id,
+            service=decision.service,
+            route=self._match.route.name,
+            version=decision.version,
+            server=server.server_id if server is not None else "",
+            reason=decision.reason.value,
+            candidates=decision.candidates,
+            eligible=decision.eligible,
+        )
+        return events.Picked(decision=decision)
+
+    def _send(
+        self, action: events.SendAttempt, guard: watchdog.Guard
+    ) -> events.Event:
+        outcome = self._carrier.carry(
+            action.server, self._make_request(action), guard
+        )
+        if guard.reason is watchdog.EndReason.CANCELLED:
+            return events.CallerGone()
+        match outcome:
+            case result.Success(answer):
+                self._answers[action.number] = answer
+                return events.AttemptEnded(
+                    number=action.number,
+                    ending=hops.classify_answer(answer),
+                    status=answer.status,
+                    feedback=answer.load,
+                    retry_after_s=answer.retry_after_s,
+                )
+            case result.Failure(error):
+                _log.warning(
+                    "hop_failed",
+                    request=self._passed.request_id,
+                    step=error.step,
+                    peer=error.peer,
+                    kind=error.kind.value,
+                    cause=error.cause,
+                )
+                if time.monotonic() >= self.deadline:
+                    return events.TimerFired()
+                return events.AttemptEnded(
+                    number=action.number, ending=hops.classify_error(error)
+                )
+        raise AssertionError("unreachable")
+
+    def _make_request(self, action: events.SendAttempt) -> hop.RunRequest:
+        passed = self._passed
+        remaining_s = max(0.0, action.deadline - time.monotonic())
+        chain = chain_lib.format_headers(action.chain)
+        return hop.RunRequest(
+            attempt_id=action.attempt_id,
+            server_id=action.server.server_id,
+            incarnation=action.server.incarnation,
+            method=passed.method,
+            target=passed.target,
+            headers=passed.headers + tuple(chain.items()),
+            body=passed.body,
+            remaining_ms=int(remaining_s * MS_PER_S),
+            priority=self._match.route.priority,
+            fingerprint=b"",
+        )
+
+    def _make_answer(self, action: events.AnswerCaller) -> Answered:
+        answer = self._answers[action.number]
+        return Answered(
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+            outcome=action.outcome,
+        )
+
+    def _fail(self, action: events.FailCaller) -> None:
+        _log.info(
+            "call_failed",
+            request=self._passed.request_id,
+            status=action.status,
+            reason=action.reason.value,
+            outcome=action.outcome.value,
+            attempts=self._call.attempts,
+        )
+        self._ended = result.Failure(
+            Failed(
+                status=action.status,
+                outcome=action.outcome,
+                reason=action.reason.value,
+                retry_after_s=action.retry_after_s,
+            )
+        )
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -86,6 +86,7 @@
         self.lock = threading.Lock()
         self.idle = threading.Condition(self.lock)
         self.down = False
+        self.draining = False
         self._waiters: dict[str, _Waiter] = {}
 
     def step(self, event: admission.Event) -> None:
@@ -180,6 +181,7 @@
         """Refuses new work for a server; what it holds is finished."""
         slots = self._slots.get(server_id)
         if slots is not None:
+            slots.draining = True
             slots.step(admission.Drain())
             _log.info("server_draining", server=server_id)
 
@@ -194,7 +196,7 @@
     def revive(self, server_id: str) -> None:
         """Admits work again to a server that can be connected to."""
         slots = self._slots.get(server_id)
-        if slots is not None and slots.down:
+        if slots is not None and slots.down and not slots.draining:
             slots.down = False
             slots.step(admission.ServerUp(slots=slots.server.slots))
             _log.info("server_up", server=server_id)
@@ -247,7 +249,7 @@
             outcome = self._pool.exchange(
                 slots.address, _format_request(request), guard
             )
-            answer = self._describe(request, outcome, slots)
+            answer = self._describe(request, outcome, slots, guard)
             failed = _has_failed(answer)
         finally:
             slots.step(
@@ -260,6 +262,7 @@
         request: hop.RunRequest,
         outcome: client.ExchangeResult,
         slots: _Slots,
+        guard: watchdog.Guard,
     ) -> hop.RunAnswer:
         match outcome:
             case result.Success(reply):
@@ -267,12 +270,14 @@
                     attempt_id=request.attempt_id,
                     outcome=hop.RunOutcome.ANSWERED,
                     status=reply.status,
-                    headers=headers_lib.filter_answer(reply.headers),
+                    headers=headers_lib.filter_answer(
+                        reply.headers, bodyless=request.method == "HEAD"
+                    ),
                     body=reply.body,
                     load=slots.admission.report(),
                 )
             case result.Failure(error):
-                return self._describe_failure(request, error, slots)
+                return self._describe_failure(request, error, slots, guard)
         raise AssertionError("unreachable")
 
     def _describe_failure(
@@ -280,6 +285,7 @@
         request: hop.RunRequest,
         error: client.ExchangeError,
         slots: _Slots,
+        guard: watchdog.Guard,
     ) -> hop.RunAnswer:
         _log.warning(
             "run_failed",
@@ -290,7 +296,8 @@
             cause=error.cause,
         )
         if error.kind is client.FailureKind.NOT_SENT:
-            self.mark_down(request.server_id)
+            if guard.remaining_s:
+                self.mark_down(request.server_id)
             reason = admission.RefusalReason.SERVER_DOWN.value
             return _refuse_run(request, reason, 0.0, slots)
         return hop.RunAnswer(
--- /dev/null
+++ b/src/lovagesaddle/node/program.py
@@ -0,0 +1,252 @@
+"""One lovagesaddle-node, in the caller's process."""
+
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import pathlib
+import time
+import types
+from typing import Self
+
+import zmq
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.configuration import delta
+from lovagesaddle.http import client
+from lovagesaddle.http import hop
+from lovagesaddle.http import lanes
+from lovagesaddle.http import server as server_lib
+from lovagesaddle.http import watchdog
+from lovagesaddle.node import admin
+from lovagesaddle.node import application
+from lovagesaddle.node import entry as entry_lib
+from lovagesaddle.node import hops
+from lovagesaddle.node import local_servers
+from lovagesaddle.node import owner as owner_lib
+from lovagesaddle.node import ports
+from lovagesaddle.node import probes
+from lovagesaddle.node import routing as routing_lib
+from lovagesaddle.observability import logs
+from lovagesaddle.observability import metrics as metrics_lib
+from lovagesaddle.settings import schema
+
+ADMIN_THREADS = 2
+MAX_ADMIN_BODY_BYTES = 64 * 1024
+# An envelope holds the headers beside the body.
+ENVELOPE_MARGIN_BYTES = 64 * 1024
+DRAIN_NOTICE_S = 1.0
+_log = logs.get_logger("node")
+
+Context = zmq.Context[zmq.Socket[bytes]]
+ControlFactory = Callable[
+    [schema.NodeSettings, Context, ports.SnapshotSink],
+    contextlib.AbstractContextManager[ports.ControlPort],
+]
+
+
+class NodeProgram(ports.SnapshotSink):
+    """Serves callers, other nodes and the local backend server.
+
+    Use it as a context manager: entering starts it, leaving stops it at once;
+    `shut_down` stops it gracefully.
+
+    Args:
+      settings: Of this node.
+      context: ZeroMQ context of the process.
+      make_control: Makes the control half.
+      routing_options: Policies of the entry.
+      owner_options: Policies of the owner.
+    """
+
+    def __init__(
+        self,
+        settings: schema.NodeSettings,
+        context: Context,
+        *,
+        make_control: ControlFactory,
+        routing_options: routing_lib.RoutingOptions | None = None,
+        owner_options: owner_lib.OwnerOptions | None = None,
+    ) -> None:
+        self._settings = settings
+        self._context = context
+        self._make_control = make_control
+        self._stack = contextlib.ExitStack()
+        self._stopping = False
+        self.metrics = metrics_lib.Metrics()
+        self._routing = routing_lib.Routing(
+            failure_domain=settings.failure_domain, options=routing_options
+        )
+        self._pool = client.Pool()
+        self._owner = owner_lib.Owner(pool=self._pool, options=owner_options)
+        self._servers = local_servers.LocalServers(
+            node_id=settings.node_id, owner=self._owner
+        )
+        self._guards = watchdog.Watchdog()
+        self._application = self._make_application()
+        self._http = self._listen()
+        self._admin = self._listen_admin()
+
+    def __enter__(self) -> Self:
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self._pool)
+            stack.enter_context(self._guards)
+            stack.enter_context(self._http)
+            stack.enter_context(self._admin)
+            control = stack.enter_context(
+                self._make_control(self._bound_settings, self._context, self)
+            )
+            self._servers.connect(control)
+            stack.enter_context(probes.Prober(self._servers))
+            self._stack = stack.pop_all()
+        _log.info(
+            "node_started",
+            node=self._settings.node_id,
+            http=self.http_address,
+            admin=self.admin_address,
+        )
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._stopping = True
+        self._stack.close()
+        _log.info("node_stopped", node=self._settings.node_id)
+
+    @property
+    def http_address(self) -> str:
+        """The bound `ip:port` for callers and other nodes."""
+        return self._http.address
+
+    @property
+    def admin_address(self) -> str:
+        """The bound `ip:port` for the local VM."""
+        return self._admin.address
+
+    def install(self, stamped: delta.Stamped, *, joined: bool) -> None:
+        """Takes a newer snapshot from the control half."""
+        self._routing.install(stamped, joined=joined)
+
+    def take_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
+        """Takes crash marks of other nodes."""
+        del marks
+
+    def shut_down(self) -> bool:
+        """Drains the local servers, answers what is held, stops listening.
+
+        The listener outlives the drain, since the local server may still call
+        other services to finish what it runs.
+
+        Returns:
+          Whether nothing was cut.
+        """
+        self._stopping = True
+        deadline = time.monotonic() + self._settings.drain_s
+        _log.info("node_draining", node=self._settings.node_id)
+        self._servers.drain_all()
+        drained = self._owner.wait_until_idle(deadline)
+        self._linger(deadline)
+        left_s = max(0.0, deadline - time.monotonic())
+        whole = self._http.stop(grace_s=left_s)
+        _log.info(
+            "node_drained",
+            node=self._settings.node_id,
+            whole=whole and drained,
+        )
+        return whole and drained
+
+    def _linger(self, deadline: float) -> None:
+        """Refuses new attempts until other nodes know of the drain."""
+        left_s = max(0.0, deadline - time.monotonic())
+        if self._servers.list_announced():
+            time.sleep(min(DRAIN_NOTICE_S, left_s))
+
+    @property
+    def _bound_settings(self) -> schema.NodeSettings:
+        return dataclasses.replace(
+            self._settings,
+            http_address=self.http_address,
+            admin_address=self.admin_address,
+        )
+
+    def _read_health(self) -> admin.Health:
+        table = self._routing.table
+        return admin.Health(
+            joined=table is not None,
+            version=table.version if table is not None else 0,
+            servers=len(self._servers.list_announced()),
+            stopping=self._stopping,
+        )
+
+    def _make_application(self) -> application.Application:
+        seal = hop.Seal(_read_secret(self._settings))
+        carrier = hops.HttpCarrier(
+            node_id=self._settings.node_id,
+            owner=self._owner,
+            pool=self._pool,
+            seal=seal,
+        )
+        entry = entry_lib.Entry(
+            routing=self._routing,
+            carrier=carrier,
+            servers=self._servers,
+            guards=self._guards,
+            metrics=self.metrics,
+        )
+        return application.Application(
+            entry=entry, owner=self._owner, seal=seal, guards=self._guards
+        )
+
+    def _listen(self) -> server_lib.HttpServer:
+        threads = self._settings.threads
+        dispatcher = lanes.LaneDispatcher(
+            threads=dict.fromkeys(
+                (lanes.Lane.CALLER, lanes.Lane.SERVICE, lanes.Lane.OWNER),
+                threads,
+            ),
+            classify=application.classify,
+        )
+        return server_lib.HttpServer(
+            application=self._application,
+            dispatcher=dispatcher,
+            options=server_lib.ServerOptions(
+                address=self._settings.http_address,
+                max_body_bytes=self._settings.max_body_bytes
+                + ENVELOPE_MARGIN_BYTES,
+            ),
+        )
+
+    def _listen_admin(self) -> server_lib.HttpServer:
+        dispatcher = lanes.LaneDispatcher(
+            threads={lanes.Lane.CALLER: ADMIN_THREADS},
+            classify=admin.classify,
+        )
+        return server_lib.HttpServer(
+            application=admin.AdminApplication(
+                servers=self._servers,
+                metrics=self.metrics,
+                read_health=self._read_health,
+            ),
+            dispatcher=dispatcher,
+            options=server_lib.ServerOptions(
+                address=self._settings.admin_address,
+                max_body_bytes=MAX_ADMIN_BODY_BYTES,
+            ),
+        )
+
+
+def _read_secret(settings: schema.NodeSettings) -> bytes:
+    if not settings.mesh_secret_file:
+        _log.warning("mesh_secret_missing", node=settings.node_id)
+        return settings.cluster_id.encode()
+    try:
+        return pathlib.Path(settings.mesh_secret_file).read_bytes().strip()
+    except OSError as error:
+        raise errors.SettingsError(
+            step="read mesh secret",
+            peer=settings.mesh_secret_file,
+            cause=str(error),
+        ) from error
--- /dev/null
+++ b/src/lovagesaddle/node/routing.py
@@ -0,0 +1,125 @@
+"""What a node routes by: the newest table, the balancer, retry policies."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+import threading
+import time
+
+from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.routing import balancer
+from lovagesaddle.core.routing import call as call_lib
+from lovagesaddle.core.routing import pick_policies
+from lovagesaddle.core.routing import retries
+from lovagesaddle.core.routing import table as table_lib
+from lovagesaddle.observability import logs
+
+MAX_MOVES = 8
+_log = logs.get_logger("routing")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RoutingOptions:
+    """Policies of an entry.
+
+    Attributes:
+      policy: Chooses one server out of a pool.
+      prefer_own_domain: Whether the own failure domain goes first.
+      make_retry_policy: Makes the retry policy of a service.
+      call: Choices that hold for each call.
+    """
+
+    policy: pick_policies.PickPolicy = dataclasses.field(
+        default_factory=pick_policies.TwoChoicesPick
+    )
+    prefer_own_domain: bool = True
+    make_retry_policy: Callable[[], retries.RetryPolicy] = dataclasses.field(
+        default=lambda: retries.RetryBudget(cap=MAX_MOVES)
+    )
+    call: call_lib.CallOptions = dataclasses.field(
+        default_factory=call_lib.CallOptions
+    )
+
+
+class Routing:
+    """Holds one table at a time; any thread may read it.
+
+    Args:
+      failure_domain: Of this node.
+      options: Policies.
+    """
+
+    def __init__(
+        self, *, failure_domain: str, options: RoutingOptions | None = None
+    ) -> None:
+        self.options = options or RoutingOptions()
+        self._table: table_lib.Table | None = None
+        self._balancer = balancer.Balancer(
+            options=balancer.BalancerOptions(
+                failure_domain=failure_domain,
+                prefer_own_domain=self.options.prefer_own_domain,
+            ),
+            policy=self.options.policy,
+            source=random.Random(),
+        )
+        self._lock = threading.Lock()
+        self._retry_policies: dict[str, retries.RetryPolicy] = {}
+
+    @property
+    def table(self) -> table_lib.Table | None:
+        """The newest table; None until the join floor is reached."""
+        return self._table
+
+    def install(self, stamped: delta.Stamped, *, joined: bool) -> None:
+        """Compiles a snapshot and swaps the table once the node joined."""
+        if not joined:
+            return
+        made = table_lib.Table(stamped.snapshot)
+        candidates = tuple(
+            candidate
+            for service in stamped.snapshot.services
+            for candidate in made.list_candidates(service.name)
+        )
+        with self._lock:
+            if self._table is not None and self._table.version >= made.version:
+                return
+            self._balancer.step(
+                balancer.Installed(candidates=candidates), time.monotonic()
+            )
+            self._table = made
+        _log.info(
+            "table_installed",
+            version=made.version,
+            services=len(stamped.snapshot.services),
+            servers=len(stamped.snapshot.servers),
+        )
+
+    def pick(
+        self,
+        table: table_lib.Table,
+        service: str,
+        tried: frozenset[str],
+    ) -> balancer.Decision:
+        """Picks a server of a table."""
+        event = balancer.Pick(
+            service=service,
+            version=table.version,
+            candidates=table.list_candidates(service),
+            tried=tried,
+        )
+        with self._lock:
+            return self._balancer.pick(event, time.monotonic())
+
+    def release(self, finished: balancer.Finished) -> None:
+        """Tells the balancer how a picked server did."""
+        with self._lock:
+            self._balancer.step(finished, time.monotonic())
+
+    def get_retry_policy(self, service: str) -> retries.RetryPolicy:
+        """Returns the policy that the calls of a service share."""
+        policy = self._retry_policies.get(service)
+        if policy is None:
+            policy = self._retry_policies.setdefault(
+                service, self.options.make_retry_policy()
+            )
+        return policy
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -119,6 +119,9 @@
       heartbeat_s: Time between heartbeats.
       max_body_bytes: Largest request body that is read.
       threads: Threads that answer callers.
+      mesh_secret_file: File with the secret that all nodes share; empty for
+        trials on one machine only.
+      drain_s: Longest time that a stop waits for requests in progress.
     """
 
     node_id: Identifier
@@ -134,6 +137,8 @@
     heartbeat_s: PositiveSeconds = 1.0
     max_body_bytes: Size = 16 * 1024 * 1024
     threads: Annotated[int, msgspec.Meta(ge=1, le=512)] = 32
+    mesh_secret_file: str = ""
+    drain_s: PositiveSeconds = 30.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/tests/nodes.py
@@ -0,0 +1,271 @@
+"""Nodes with a small fake of the control half, for tests and benches."""
+
+from collections.abc import Callable, Iterator
+import contextlib
+import dataclasses
+import hashlib
+import http.client
+import socket
+import threading
+import time
+import types
+from typing import Any, Self
+
+import zmq
+
+from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.model import services
+from lovagesaddle.core.model import snapshots
+from lovagesaddle.node import owner as owner_lib
+from lovagesaddle.node import ports
+from lovagesaddle.node import program
+from lovagesaddle.node import routing as routing_lib
+from lovagesaddle.settings import schema
+from lovagesaddle.transport import endpoint
+
+HOST = "desk.example"
+TOKEN = "token-of-a-foundation"
+WAIT_S = 10.0
+POLL_S = 0.005
+ANY = "127.0.0.1:0"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class FakeControl(ports.ControlPort):
+    """Merges announcements into one snapshot and installs it everywhere."""
+
+    def __init__(self, *services_: services.Service) -> None:
+        self._lock = threading.RLock()
+        self._sinks: list[ports.SnapshotSink] = []
+        self._snapshot = snapshots.Snapshot(
+            cluster_id="c", version=1, services=services_
+        )
+        self.joined = True
+
+    @property
+    def snapshot(self) -> snapshots.Snapshot:
+        """The newest snapshot."""
+        return self._snapshot
+
+    @contextlib.contextmanager
+    def attach(
+        self,
+        settings: schema.NodeSettings,
+        context: zmq.Context[zmq.Socket[bytes]],
+        sink: ports.SnapshotSink,
+    ) -> Iterator[ports.ControlPort]:
+        """Adds a node, as its control half does."""
+        del context
+        node = snapshots.Node(
+            node_id=settings.node_id,
+            incarnation=1,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            http_address=settings.http_address,
+            control_address=settings.control_address,
+            public_key="",
+        )
+        with self._lock:
+            self._sinks.append(sink)
+            self.change(nodes=self._merge("nodes", "node_id", node))
+        yield self
+        with self._lock:
+            self._sinks.remove(sink)
+
+    def change(self, **fields: Any) -> None:
+        """Installs a newer snapshot with other fields."""
+        with self._lock:
+            self._snapshot = dataclasses.replace(
+                self._snapshot, version=self._snapshot.version + 1, **fields
+            )
+            stamped = delta.stamp(self._snapshot)
+            for sink in self._sinks:
+                sink.install(stamped, joined=self.joined)
+
+    def announce_server(self, server: snapshots.BackendServer) -> None:
+        """Adds or changes a server."""
+        with self._lock:
+            self.change(servers=self._merge("servers", "server_id", server))
+
+    def withdraw_server(self, server_id: str, incarnation: int) -> None:
+        """Removes a server."""
+        del incarnation
+        with self._lock:
+            self.change(
+                servers=tuple(
+                    held
+                    for held in self._snapshot.servers
+                    if held.server_id != server_id
+                )
+            )
+
+    def spread_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
+        """Hands marks to every node."""
+        for sink in tuple(self._sinks):
+            sink.take_marks(marks)
+
+    def send(
+        self, node_id: str, channel: endpoint.Channel, data: bytes
+    ) -> bool:
+        """Knows no other node."""
+        del node_id, channel, data
+        return False
+
+    def subscribe(
+        self, channel: endpoint.Channel, handler: Callable[[str, bytes], None]
+    ) -> None:
+        """Delivers nothing."""
+        del channel, handler
+
+    def _merge(self, field: str, key: str, item: Any) -> tuple[Any, ...]:
+        held = {getattr(each, key): each for each in self._read(field)}
+        held[getattr(item, key)] = item
+        return tuple(held[name] for name in sorted(held))
+
+    def _read(self, field: str) -> tuple[Any, ...]:
+        found: tuple[Any, ...] = getattr(self._snapshot, field)
+        return found
+
+
+class Mesh:
+    """Nodes in this process under one fake control, as a context manager."""
+
+    def __init__(self, *services_: services.Service) -> None:
+        self.control = FakeControl(*services_)
+        self._stack = contextlib.ExitStack()
+        self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+
+    def __enter__(self) -> Self:
+        self._stack.callback(self._context.term)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._stack.close()
+
+    def start(
+        self,
+        node_id: str,
+        *,
+        failure_domain: str = "a",
+        routing_options: routing_lib.RoutingOptions | None = None,
+        owner_options: owner_lib.OwnerOptions | None = None,
+        **fields: Any,
+    ) -> program.NodeProgram:
+        """Starts one more node."""
+        settings = schema.NodeSettings(
+            node_id=node_id,
+            failure_domain=failure_domain,
+            region="r",
+            http_address=ANY,
+            admin_address=ANY,
+            control_address="tcp://127.0.0.1:1",
+            cluster_id="c",
+            replicas=(),
+            **fields,
+        )
+        return self._stack.enter_context(
+            program.NodeProgram(
+                settings,
+                self._context,
+                make_control=self.control.attach,
+                routing_options=routing_options,
+                owner_options=owner_options,
+            )
+        )
+
+
+def make_service(
+    name: str = "orderdesk",
+    *,
+    host: str = HOST,
+    depends_on: tuple[str, ...] = (),
+    **fields: Any,
+) -> services.Service:
+    """Returns a service with one route below "/"."""
+    route = services.Route(
+        **{
+            "name": "all",
+            "host": host,
+            "path_prefix": "/",
+            "methods": ("DELETE", "GET", "HEAD", "POST"),
+            "timeout_s": 5.0,
+            "retries": 1,
+            "priority": services.Priority.NORMAL,
+            "idempotent": False,
+            "callers": ("foundation",),
+            "services": (),
+            "max_body_bytes": 1024 * 1024,
+            **fields,
+        }
+    )
+    digest = "sha256:" + hashlib.sha256(TOKEN.encode()).hexdigest()
+    caller = services.Caller(name="foundation", digests=(digest,))
+    return services.Service(
+        name=name,
+        revision=1,
+        callers=(caller,),
+        routes=(route,),
+        depends_on=depends_on,
+    )
+
+
+def send(
+    address: str,
+    method: str = "GET",
+    path: str = "/",
+    *,
+    body: bytes | None = None,
+    token: str = TOKEN,
+    **headers: str,
+) -> Reply:
+    """Sends one request over a connection of its own."""
+    connection = http.client.HTTPConnection(address, timeout=WAIT_S)
+    sent = {"Host": HOST, "Authorization": f"Bearer {token}"}
+    sent |= {key.replace("_", "-"): value for key, value in headers.items()}
+    try:
+        connection.request(method, path, body, sent)
+        response = connection.getresponse()
+        return Reply(
+            status=response.status,
+            headers=dict(response.getheaders()),
+            body=response.read(),
+        )
+    finally:
+        connection.close()
+
+
+def wait_for(condition: Callable[[], object], what: str) -> None:
+    """Waits until a condition holds.
+
+    Raises:
+      AssertionError: It did not hold in time.
+    """
+    deadline = time.monotonic() + WAIT_S
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError(f"waited in vain for {what}")
+        time.sleep(POLL_S)
+
+
+def open_request(address: str, **headers: str) -> socket.socket:
+    """Sends a GET request and returns its connection, answer unread."""
+    host, _, port = address.rpartition(":")
+    lines = [f"Host: {HOST}", f"Authorization: Bearer {TOKEN}"]
+    lines += [f"{k.replace('_', '-')}: {v}" for k, v in headers.items()]
+    sock = socket.create_connection((host, int(port)), WAIT_S)
+    head = "\r\n".join(["GET / HTTP/1.1", *lines])
+    sock.sendall(head.encode() + b"\r\n\r\n")
+    return sock
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,114 @@
+"""Tests of exchanges over pooled connections."""
+
+from collections.abc import Iterator
+import contextlib
+import time
+
+from returns import result
+
+from bench import backend
+from lovagesaddle.core.routing import chain
+from lovagesaddle.http import client
+from lovagesaddle.http import watchdog
+from tests import fixtures
+from tests import nodes
+
+LONG_S = 10.0
+
+
+@contextlib.contextmanager
+def _open_server() -> Iterator[backend.Backend]:
+    with backend.Backend(backend.BackendOptions()) as server:
+        yield server
+
+
+def _exchange(
+    pool: client.Pool,
+    server: backend.Backend,
+    request_id: str = "r",
+    *,
+    deadline_s: float = LONG_S,
+    guard: watchdog.Guard | None = None,
+    **headers: str,
+) -> client.ExchangeResult:
+    sent = {name.replace("_", "-"): value for name, value in headers.items()}
+    sent[chain.REQUEST_ID_HEADER] = request_id
+    request = client.Request(
+        method="POST", target="/", headers=sent, body=b"body"
+    )
+    if guard is None:
+        guard = watchdog.Guard(time.monotonic() + deadline_s, lambda: False)
+    return pool.exchange(server.address, request, guard)
+
+
+def _get_kind(outcome: client.ExchangeResult) -> client.FailureKind:
+    return outcome.failure().kind
+
+
+def test_broken_answers_are_no_answers() -> None:
+    """A truncated or crossed answer is never taken for the request's own."""
+    with _open_server() as server, client.Pool() as pool:
+        cut = _exchange(pool, server, Act="truncate")
+        crossed = _exchange(pool, server, Act="cross")
+        lost = _exchange(pool, server, Act="lose-answer")
+    assert _get_kind(cut) is client.FailureKind.TRUNCATED
+    assert _get_kind(crossed) is client.FailureKind.MALFORMED
+    assert _get_kind(lost) is client.FailureKind.CLOSED
+
+
+def test_trailing_answer_reaches_no_other_request() -> None:
+    """What follows a whole answer is not read as the next answer."""
+    with _open_server() as server, client.Pool() as pool:
+        for number in range(5):
+            first = _exchange(pool, server, f"first-{number}", Act="trail")
+            second = _exchange(pool, server, f"second-{number}")
+            for outcome, expected in ((first, "first"), (second, "second")):
+                if isinstance(outcome, result.Success):
+                    own = f"{expected}-{number}".encode()
+                    assert own in outcome.unwrap().body
+
+
+def test_late_answer_closes_its_connection() -> None:
+    """An answer after the deadline reaches nobody, least the next request."""
+    with _open_server() as server, client.Pool() as pool:
+        late = _exchange(pool, server, "late", deadline_s=0.05, Run_Ms="300")
+        after = _exchange(pool, server, "after")
+    assert _get_kind(late) is client.FailureKind.TIMEOUT
+    assert b'"after"' in after.unwrap().body
+
+
+def test_cancelled_wait_closes_its_connection() -> None:
+    """Ending the guard ends the run at the server."""
+    gone = []
+    with (
+        _open_server() as server,
+        client.Pool() as pool,
+        watchdog.Watchdog() as guards,
+        guards.watch(
+            deadline=time.monotonic() + LONG_S, is_gone=lambda: bool(gone)
+        ) as guard,
+    ):
+        gone.append(True)
+        cancelled = _exchange(pool, server, guard=guard, Run_Ms="9000")
+        nodes.wait_for(lambda: not server.running, "the run to end")
+    assert _get_kind(cancelled) is client.FailureKind.CANCELLED
+
+
+def test_refused_connection_proves_that_nothing_was_sent() -> None:
+    """Only a connection that never opened counts as not sent."""
+    with _open_server() as server, client.Pool() as pool:
+        server.close()
+        refused = _exchange(pool, server)
+    assert _get_kind(refused) is client.FailureKind.NOT_SENT
+
+
+def test_dead_idle_connection_is_not_reused() -> None:
+    """A connection that the server closed while idle is replaced."""
+    with _open_server() as server, client.Pool() as pool:
+        _exchange(pool, server).unwrap()
+        server.cut_connections()
+        again = _exchange(pool, server, "again")
+    assert b'"again"' in again.unwrap().body
+
+
+load_tests = fixtures.collect(__name__)
--- /dev/null
+++ b/tests/test_hop.py
@@ -0,0 +1,40 @@
+"""Tests of the signed envelopes between nodes."""
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.model import services
+from lovagesaddle.http import hop
+from tests import fixtures
+
+REQUEST = hop.RunRequest(
+    attempt_id="a.1",
+    server_id="n1/orderdesk",
+    incarnation=3,
+    method="POST",
+    target="/x?y",
+    headers=(("host", "h"),),
+    body=b"body",
+    remaining_ms=10,
+    priority=services.Priority.URGENT,
+    fingerprint=b"f",
+)
+
+
+def test_envelope_returns_its_message() -> None:
+    """What one node seals another one opens."""
+    sealed = hop.Seal(b"secret").seal(REQUEST)
+    assert hop.Seal(b"secret").open(sealed, peer="n1") == REQUEST
+
+
+def test_forged_envelope_is_refused() -> None:
+    """Nobody without the secret speaks as a node, nor changes a message."""
+    sealed = hop.Seal(b"secret").seal(REQUEST)
+    changed = sealed[:-1] + bytes([sealed[-1] ^ 1])
+    for wrong in (hop.Seal(b"other").seal(REQUEST), changed, b"", sealed[:40]):
+        try:
+            hop.Seal(b"secret").open(wrong, peer="n1")
+        except errors.CodecError:
+            continue
+        raise AssertionError(wrong)
+
+
+load_tests = fixtures.collect(__name__)
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,272 @@
+"""Tests of whole nodes in one process, with stand-in backend servers."""
+
+from collections.abc import Iterator
+import contextlib
+from concurrent import futures
+import json
+import pathlib
+import tempfile
+from typing import Any
+
+from bench import backend
+from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.routing import chain
+from lovagesaddle.core.routing import feedback
+from lovagesaddle.http import hop
+from lovagesaddle.node import program
+from tests import fixtures
+from tests import nodes
+
+SERVICE = "orderdesk"
+
+
+@contextlib.contextmanager
+def _run_mesh(
+    count: int = 2, *, services: tuple[Any, ...] = (), **options: Any
+) -> Iterator[tuple[nodes.Mesh, list[program.NodeProgram], backend.Backend]]:
+    """Runs nodes; the first one owns a stand-in."""
+    with (
+        nodes.Mesh(*(services or (nodes.make_service(),))) as mesh,
+        backend.Backend(backend.BackendOptions(**options)) as server,
+    ):
+        started = [mesh.start(f"n{number}") for number in range(count)]
+        _announce(started[0], server)
+        yield mesh, started, server
+
+
+def _announce(
+    node: program.NodeProgram, server: backend.Backend, slots: int = 20
+) -> str:
+    return backend.announce(
+        node.admin_address, SERVICE, server.address, slots, 100
+    )
+
+
+def _get_outcome(reply: nodes.Reply) -> str | None:
+    return reply.headers.get(outcomes.OUTCOME_HEADER)
+
+
+def test_any_node_carries_a_call() -> None:
+    """A call through its owner or another node gets the server's answer."""
+    with _run_mesh() as (_, started, _server):
+        for node in started:
+            reply = nodes.send(node.http_address, "POST", "/a?b=1", body=b"xy")
+            assert reply.status == 200
+            told = json.loads(reply.body)
+            assert (told["path"], told["length"]) == ("/a?b=1", 2)
+            assert _get_outcome(reply) is None
+
+
+def test_refusals_say_that_nothing_ran() -> None:
+    """Each refusal has its status and the outcome not-run."""
+    with _run_mesh() as (_, started, server):
+        address = started[1].http_address
+        cases = (
+            (404, nodes.send(address, Host="unknown.example")),
+            (405, nodes.send(address, "PUT")),
+            (401, nodes.send(address, token="wrong")),
+            (400, nodes.send(address, path="/a/../b")),
+            (400, nodes.send(address, Request_Depth="x")),
+            (413, nodes.send(address, "POST", body=b"x" * 1_100_000)),
+        )
+        for status, reply in cases:
+            assert reply.status == status, (status, reply)
+            assert _get_outcome(reply) == "not-run", reply
+        assert server.most_running == 0
+
+
+def test_forged_headers_stop_at_the_entry() -> None:
+    """A caller's credential and internal headers reach no backend server."""
+    with _run_mesh() as (_, started, _server):
+        reply = nodes.send(
+            started[1].http_address,
+            **{feedback.LOAD_HEADER: "0,0,0,0,0", "Request-Retry": "none"},
+            Connection="Bench-Id",
+            Bench_Id="listed in Connection",
+        )
+        seen = json.loads(reply.body)["headers"]
+        assert "Authorization" not in seen
+        assert backend.ID_HEADER not in seen
+        assert seen[chain.DEPTH_HEADER] == "1"
+
+
+def test_caller_can_not_speak_as_an_entry() -> None:
+    """A run request without the mesh's secret runs nothing."""
+    with _run_mesh() as (_, started, server):
+        forged = hop.Seal(b"guess").seal(
+            hop.RunAnswer(attempt_id="a", outcome=hop.RunOutcome.REFUSED)
+        )
+        reply = nodes.send(
+            started[0].http_address, "POST", hop.RUN_PATH, body=forged
+        )
+        assert reply.status == 403
+        assert server.most_running == 0
+
+
+def test_node_refuses_callers_until_it_joined() -> None:
+    """Before the join floor callers get 503 and not-run."""
+    with nodes.Mesh(nodes.make_service()) as mesh:
+        mesh.control.joined = False
+        node = mesh.start("n1")
+        reply = nodes.send(node.http_address)
+        assert reply.status == 503
+        assert _get_outcome(reply) == "not-run"
+        assert "Retry-After" in reply.headers
+        mesh.control.joined = True
+        mesh.control.change()
+        assert nodes.send(node.http_address, path="/").status == 503
+
+
+def test_local_service_calls_by_its_token() -> None:
+    """A server calls other services with the token of its announcement."""
+    inner = nodes.make_service("inner", host="inner", services=(SERVICE,))
+    outer = nodes.make_service()
+    with (
+        _run_mesh(services=(inner, outer)) as (_, started, server),
+        backend.Backend(backend.BackendOptions()) as other,
+    ):
+        backend.announce(started[1].admin_address, "inner", other.address, 5, 5)
+        token = _announce(started[0], server)
+        own = started[0].http_address
+        assert nodes.send(own, Host="inner", token=token).status == 200
+        elsewhere = started[1].http_address
+        assert nodes.send(elsewhere, Host="inner", token=token).status == 401
+        assert nodes.send(own, token=token).status == 403
+
+
+def test_broken_backend_answers_have_an_unknown_outcome() -> None:
+    """After the hand-over a failure is 502 and unknown, and never rerun."""
+    with tempfile.TemporaryDirectory() as folder:
+        record = pathlib.Path(folder) / "runs"
+        with _run_mesh(record=str(record)) as (_, started, _server):
+            for act in ("lose-answer", "truncate", "cross"):
+                reply = nodes.send(
+                    started[1].http_address, "POST", Act=act, Bench_Id=act
+                )
+                assert reply.status == 502, (act, reply)
+                assert _get_outcome(reply) == "unknown"
+        starts = [
+            line["id"]
+            for line in map(json.loads, record.read_text().splitlines())
+            if line["event"] == "start"
+        ]
+        assert starts == ["lose-answer", "truncate", "cross"]
+
+
+def test_dead_backend_is_proof_that_nothing_ran() -> None:
+    """A server that can't be connected to gives not-run, then is withdrawn."""
+    with _run_mesh() as (mesh, started, server):
+        server.crash()
+        reply = nodes.send(started[1].http_address, "POST")
+        assert reply.status == 503
+        assert _get_outcome(reply) == "not-run"
+        nodes.wait_for(lambda: not mesh.control.snapshot.servers, "withdrawal")
+
+
+def test_deadline_gives_504_and_frees_the_slot() -> None:
+    """A late run is cancelled at the deadline and its outcome is unknown."""
+    service = nodes.make_service(timeout_s=0.3)
+    with _run_mesh(services=(service,), heed_deadline=False) as (
+        _,
+        started,
+        server,
+    ):
+        for node in started:
+            reply = nodes.send(node.http_address, Run_Ms="5000")
+            assert reply.status == 504, reply
+            assert _get_outcome(reply) == "unknown"
+        nodes.wait_for(lambda: not server.running, "the slots to be free")
+
+
+def test_caller_that_hangs_up_frees_its_slot() -> None:
+    """Closing the caller's connection cancels the run behind two hops."""
+    with _run_mesh() as (_, started, server):
+        for node in started:
+            gone = nodes.open_request(node.http_address, Run_Ms="4000")
+            nodes.wait_for(lambda: server.running, "the run to start")
+            gone.close()
+            nodes.wait_for(lambda: not server.running, "the slot to be free")
+
+
+def test_full_owner_refuses_with_retry_after() -> None:
+    """Beyond slots and queue callers get 503, not-run and Retry-After."""
+    with (
+        _run_mesh() as (_, started, server),
+        futures.ThreadPoolExecutor(8) as pool,
+    ):
+        _announce(started[0], server, slots=1)
+        calls = [
+            pool.submit(nodes.send, started[1].http_address, Run_Ms="200")
+            for _ in range(8)
+        ]
+        replies = [call.result() for call in calls]
+        refused = [reply for reply in replies if reply.status == 503]
+        assert refused
+        assert all(_get_outcome(reply) == "not-run" for reply in refused)
+        assert all("Retry-After" in reply.headers for reply in refused)
+        assert server.most_running == 1
+
+
+def test_shut_down_finishes_what_runs() -> None:
+    """A stopping node cuts nothing and its server gets no new work."""
+    with (
+        _run_mesh() as (_, started, server),
+        futures.ThreadPoolExecutor() as pool,
+    ):
+        calls = [
+            pool.submit(nodes.send, node.http_address, "POST", Run_Ms="300")
+            for node in started
+        ]
+        nodes.wait_for(lambda: server.running == 2, "both runs")
+        stopped = pool.submit(started[0].shut_down)
+        nodes.wait_for(
+            lambda: nodes.send(started[1].http_address).status == 503,
+            "new work to be refused",
+        )
+        assert [call.result().status for call in calls] == [200, 200]
+        assert stopped.result()
+
+
+def test_configuration_changes_cut_nothing() -> None:
+    """Calls run through a change of configuration each moment."""
+    with (
+        _run_mesh() as (mesh, started, _server),
+        futures.ThreadPoolExecutor() as pool,
+    ):
+        calls = [
+            pool.submit(
+                nodes.send, started[n % 2].http_address, "POST", Run_Ms="20"
+            )
+            for n in range(40)
+        ]
+        while not all(call.done() for call in calls):
+            mesh.control.change()
+        assert {call.result().status for call in calls} == {200}
+
+
+def test_admin_errors_are_clear() -> None:
+    """The admin address says what is wrong with a request."""
+    with _run_mesh(count=1) as (_, started, _server):
+        admin = started[0].admin_address
+        cases = (
+            (404, nodes.send(admin, path="/unknown")),
+            (405, nodes.send(admin, path="/announce")),
+            (400, nodes.send(admin, "POST", "/announce", body=b"{")),
+            (400, nodes.send(admin, "POST", "/drain", body=b"{}")),
+            (
+                404,
+                nodes.send(admin, "POST", "/drain", body=b'{"service":"x"}'),
+            ),
+        )
+        for status, reply in cases:
+            assert reply.status == status, reply
+            assert json.loads(reply.body)["error"]
+        health = json.loads(nodes.send(admin, path="/healthz").body)
+        assert health["joined"]
+        nodes.send(started[0].http_address)
+        metrics = nodes.send(admin, path="/metrics").body
+        assert b'calls_total{status="200"} 1' in metrics
+        assert b"call_seconds" in metrics
+
+
+load_tests = fixtures.collect(__name__)
--- /dev/null
+++ b/tests/test_server.py
@@ -0,0 +1,193 @@
+"""Tests of the HTTP server: framing, limits and graceful stops."""
+
+from collections.abc import Iterator
+import contextlib
+from concurrent import futures
+import socket
+import threading
+from typing import Any
+
+from lovagesaddle.core.model import outcomes
+from lovagesaddle.http import gateway
+from lovagesaddle.http import lanes
+from lovagesaddle.http import server as server_lib
+from tests import fixtures
+from tests import nodes
+
+MAX_BODY_BYTES = 1000
+GRACE_S = 10.0
+NOT_RUN = f"{outcomes.OUTCOME_HEADER}: not-run".encode()
+
+
+class _Application:
+    """Echoes a body; holds requests to /slow until they are released."""
+
+    def __init__(self) -> None:
+        self.ran: list[str] = []
+        self.release = threading.Event()
+
+    def __call__(self, environ: Any, start_response: Any) -> list[bytes]:
+        request = gateway.read_request(environ)
+        self.ran.append(request.path)
+        if request.path == "/slow":
+            self.release.wait(nodes.WAIT_S)
+        answer = gateway.Answer(status=200, body=request.read_body())
+        return gateway.write_answer(answer, request.method, start_response)
+
+
+@contextlib.contextmanager
+def _serve() -> Iterator[tuple[_Application, server_lib.HttpServer]]:
+    application = _Application()
+    dispatcher = lanes.LaneDispatcher(
+        threads={lanes.Lane.CALLER: 4},
+        classify=lambda parsed: (
+            lanes.Lane.REFUSAL if parsed.error else lanes.Lane.CALLER
+        ),
+    )
+    options = server_lib.ServerOptions(
+        address=nodes.ANY, max_body_bytes=MAX_BODY_BYTES
+    )
+    with server_lib.HttpServer(
+        application=application, dispatcher=dispatcher, options=options
+    ) as server:
+        yield application, server
+
+
+def _connect(server: server_lib.HttpServer) -> socket.socket:
+    host, _, port = server.address.rpartition(":")
+    return socket.create_connection((host, int(port)), nodes.WAIT_S)
+
+
+def _read_all(sock: socket.socket) -> bytes:
+    parts = []
+    while part := sock.recv(65536):
+        parts.append(part)
+    return b"".join(parts)
+
+
+def _ask(server: server_lib.HttpServer, data: bytes) -> bytes:
+    with _connect(server) as sock:
+        sock.sendall(data)
+        return _read_all(sock)
+
+
+def test_ambiguous_framing_is_refused() -> None:
+    """A request that two readers could frame apart is answered 400."""
+    chunk = b"1\r\nx\r\n0\r\n\r\n"
+    chunked = b"Transfer-Encoding: chunked\r\n"
+    length = b"Content-Length: 4\r\n"
+    cases = (
+        b"POST / HTTP/1.1\r\nHost: a\r\n" + chunked + length,
+        b"POST / HTTP/1.1\r\nHost: a\r\n" + length + length,
+        b"POST / HTTP/1.1\r\nHost: a\r\n" + chunked + chunked,
+        b"POST / HTTP/1.0\r\nHost: a\r\n" + chunked,
+        b"POST / HTTP/1.1\r\nHost: a\r\nHost: b\r\n",
+        b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +4\r\n",
+        b"POST / HTTP/1.1\r\nHost: a\r\nX: \ny\r\n" + length,
+        b"POST http://b/ HTTP/1.1\r\nHost: a\r\n",
+    )
+    with _serve() as (application, server):
+        for case in cases:
+            got = _ask(server, case + b"\r\n" + chunk)
+            assert got.startswith(b"HTTP/1."), (case, got)
+            assert b" 400 " in got.partition(b"\r\n")[0], (case, got)
+            assert NOT_RUN in got, (case, got)
+            assert got.count(b"\r\nDate: ") == 1, (case, got)
+        assert application.ran == []
+
+
+def test_oversized_headers_and_bodies_are_refused() -> None:
+    """Headers and bodies over their limits are answered 431 and 413."""
+    with _serve() as (application, server):
+        long = b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 20_000
+        assert b" 431 " in _ask(server, long + b"\r\n\r\n")
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n"
+        refused = _ask(server, head)
+        assert b" 413 " in refused
+        assert NOT_RUN in refused
+        assert application.ran == []
+
+
+def test_body_of_exactly_the_limit_is_read() -> None:
+    """The limit itself is allowed."""
+    with _serve() as (_, server):
+        head = (
+            b"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+            b"Content-Length: 1000\r\n\r\n"
+        )
+        assert _ask(server, head + b"x" * 1000).endswith(b"x" * 1000)
+
+
+def test_upload_cut_halfway_never_starts() -> None:
+    """A body whose sender hangs up does not reach the application."""
+    with _serve() as (application, server):
+        with _connect(server) as sock:
+            sock.sendall(
+                b"POST /cut HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx"
+            )
+        assert nodes.send(server.address, path="/after").status == 200
+        assert application.ran == ["/after"]
+
+
+def test_stop_answers_what_it_holds() -> None:
+    """A stop finishes uploads and answers in progress, then closes."""
+    with (
+        _serve() as (application, server),
+        futures.ThreadPoolExecutor() as pool,
+        _connect(server) as upload,
+    ):
+        slow = pool.submit(nodes.send, server.address, path="/slow")
+        upload.sendall(
+            b"POST /up HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab"
+        )
+        nodes.wait_for(lambda: application.ran, "the slow request")
+        stopped = pool.submit(server.stop, grace_s=GRACE_S)
+        nodes.wait_for(lambda: _is_refused(server), "the listener to close")
+        assert not stopped.done()
+        upload.sendall(b"cd")
+        answer = _read_all(upload)
+        application.release.set()
+        assert answer.endswith(b"abcd")
+        assert b"Connection: close" in answer
+        assert slow.result().status == 200
+        assert slow.result().headers["Connection"] == "close"
+        assert stopped.result()
+
+
+def test_full_lanes_refuse_instead_of_queueing() -> None:
+    """Requests beyond a lane's room are served by the refusal lane."""
+    seen: list[bool] = []
+    release = threading.Event()
+
+    class _Task:
+        requests = (None,)
+
+        def service(self) -> None:
+            seen.append(lanes.is_refusal())
+            if not seen[-1]:
+                release.wait(nodes.WAIT_S)
+
+        def cancel(self) -> None:
+            raise AssertionError
+
+    with lanes.LaneDispatcher(
+        threads={lanes.Lane.CALLER: 1},
+        classify=lambda parsed: lanes.Lane.CALLER,  # noqa: ARG005
+    ) as dispatcher:
+        for _ in range(1 + lanes.QUEUE_SHARE + 1):
+            dispatcher.add_task(_Task())  # type: ignore[arg-type]
+        nodes.wait_for(lambda: True in seen, "a refusal")
+        release.set()
+        nodes.wait_for(lambda: len(seen) == 4, "the queue")
+    assert seen.count(True) == 1
+
+
+def _is_refused(server: server_lib.HttpServer) -> bool:
+    try:
+        _connect(server).close()
+    except ConnectionError:
+        return True
+    return False
+
+
+load_tests = fixtures.collect(__name__)
