--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -8,7 +8,7 @@
 from lovagesaddle.core.routing import pick_policies
 from lovagesaddle.core.routing import table
 from tests import fixtures
-from tests import mesh
+from tests import routing_mesh
 
 Result = balancer_lib.AttemptResult
 Reason = balancer_lib.PickReason
@@ -89,7 +89,7 @@
 
 def test_own_domain_first_while_it_has_room() -> None:
     """Requests leave the failure domain only once its servers are filled."""
-    entry = Entry(mesh.make_candidates(3, slots=10))
+    entry = Entry(routing_mesh.make_candidates(3, slots=10))
     reasons = [entry.pick().reason for _ in range(9)]
     assert reasons[:8] == [Reason.OWN_DOMAIN] * 8
     assert reasons[8] is Reason.OTHER_DOMAIN
@@ -97,14 +97,14 @@
 
 def test_full_mesh_still_gets_a_pick() -> None:
     """With no room anywhere the cheapest server is picked and owns the no."""
-    entry = Entry(mesh.make_candidates(3, slots=1))
+    entry = Entry(routing_mesh.make_candidates(3, slots=1))
     reasons = [entry.pick().reason for _ in range(4)]
     assert reasons[3] is Reason.NO_ROOM, reasons
 
 
 def test_reported_load_of_other_entries_counts() -> None:
     """A server that its owner reports as busy is passed over."""
-    entry = Entry(mesh.make_candidates(2, domains=1))
+    entry = Entry(routing_mesh.make_candidates(2, domains=1))
     entry.finish("s0", Result.ANSWERED, 0.0, _report(15))
     entry.finish("s1", Result.ANSWERED, 0.0, _report(1))
     assert set(entry.sample(0.01)) == {"s1"}
@@ -112,7 +112,7 @@
 
 def test_slow_server_is_tried_again_once_its_report_is_old() -> None:
     """A slow report loses weight, so a server that recovered is found."""
-    entry = Entry(mesh.make_candidates(2, domains=1))
+    entry = Entry(routing_mesh.make_candidates(2, domains=1))
     entry.finish("s0", Result.ANSWERED, 0.0, _report(0, latency_s=1.0))
     entry.finish("s1", Result.ANSWERED, 0.0, _report(0, latency_s=0.01))
     assert set(entry.sample(0.1)) == {"s1"}
@@ -121,8 +121,8 @@
 
 def test_cold_server_starts_with_a_small_share() -> None:
     """A server that joins later gets few requests at a time at first."""
-    entry = Entry(mesh.make_candidates(2, domains=1))
-    entry.install(mesh.make_candidates(3, domains=1), 10.0)
+    entry = Entry(routing_mesh.make_candidates(2, domains=1))
+    entry.install(routing_mesh.make_candidates(3, domains=1), 10.0)
     counts = {"s0": 0, "s1": 0, "s2": 0}
     for _ in range(21):
         server = entry.pick(10.0).server
@@ -135,7 +135,7 @@
 
 def test_failures_in_a_row_eject_and_time_brings_back() -> None:
     """Three failures in a row eject a server; one trial brings it back."""
-    entry = Entry(mesh.make_candidates(3, domains=1))
+    entry = Entry(routing_mesh.make_candidates(3, domains=1))
     entry.fail("s0", 0.0, 2)
     assert "s0" in entry.sample(0.0)
     entry.fail("s0", 0.0, 1)
@@ -149,7 +149,7 @@
 
 def test_at_most_half_of_the_servers_stay_ejected() -> None:
     """However many servers fail, half of them stay available in turn."""
-    entry = Entry(mesh.make_candidates(6, domains=1))
+    entry = Entry(routing_mesh.make_candidates(6, domains=1))
     for number in range(6):
         entry.fail(f"s{number}", number * 0.01, 3)
     assert set(entry.sample(0.1)) == {"s0", "s1", "s2"}
@@ -157,7 +157,7 @@
 
 def test_draining_server_is_never_picked() -> None:
     """A refusal or a report as draining takes a server out at once."""
-    entry = Entry(mesh.make_candidates(2, domains=1))
+    entry = Entry(routing_mesh.make_candidates(2, domains=1))
     entry.finish("s0", Result.DRAINING)
     entry.finish("s1", Result.ANSWERED, 0.0, _report(0, draining=True))
     decision = entry.pick(1.0)
@@ -167,7 +167,7 @@
 
 def test_false_health_hints_only_rank_last() -> None:
     """A server called dead is used once the others are full."""
-    entry = Entry(mesh.make_candidates(3, slots=2, domains=1))
+    entry = Entry(routing_mesh.make_candidates(3, slots=2, domains=1))
     hint = balancer_lib.HealthHinted(server_id="s0", healthy=False)
     entry.balancer.step(hint, 0.0)
     decisions = [entry.pick() for _ in range(3)]
@@ -177,7 +177,7 @@
 
 def test_false_healthy_hint_does_not_undo_an_ejection() -> None:
     """A dead server whose health endpoint says it is well stays out."""
-    entry = Entry(mesh.make_candidates(3, domains=1))
+    entry = Entry(routing_mesh.make_candidates(3, domains=1))
     entry.fail("s0", 0.0, 3)
     hint = balancer_lib.HealthHinted(server_id="s0", healthy=True)
     entry.balancer.step(hint, 0.5)
@@ -186,7 +186,7 @@
 
 def test_tried_servers_are_not_picked_again() -> None:
     """A retry goes to another server, or is told that all were tried."""
-    entry = Entry(mesh.make_candidates(2))
+    entry = Entry(routing_mesh.make_candidates(2))
     tried = frozenset({"s0"})
     server = entry.pick(tried=tried).server
     assert server is not None
@@ -197,7 +197,7 @@
 
 def test_new_incarnation_starts_a_new_record() -> None:
     """A server that came back is neither ejected nor counted as busy."""
-    entry = Entry(mesh.make_candidates(1))
+    entry = Entry(routing_mesh.make_candidates(1))
     entry.finish("s0", Result.DRAINING)
     (old,) = entry.candidates
     reborn = table.Candidate(
