--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -19,6 +19,7 @@
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import admin
 from lovagesaddle.node import application
+from lovagesaddle.node import control_half
 from lovagesaddle.node import entry as entry_lib
 from lovagesaddle.node import hops
 from lovagesaddle.node import local_servers
@@ -44,6 +45,18 @@
 ]
 
 
+def make_control_half(
+    settings: schema.NodeSettings, context: Context, sink: ports.SnapshotSink
+) -> control_half.ControlHalf:
+    """Returns the control half of a node; see `ControlFactory`."""
+    return control_half.ControlHalf(
+        settings=settings,
+        http_address=settings.http_address,
+        sink=sink,
+        context=context,
+    )
+
+
 class NodeProgram(ports.SnapshotSink):
     """Serves callers, other nodes and the local backend server.
 
@@ -63,7 +76,7 @@
         settings: schema.NodeSettings,
         context: Context,
         *,
-        make_control: ControlFactory,
+        make_control: ControlFactory = make_control_half,
         routing_options: routing_lib.RoutingOptions | None = None,
         owner_options: owner_lib.OwnerOptions | None = None,
     ) -> None:
