--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -83,6 +83,7 @@
       keys: Keys of its links.
       log: Logging.
       election_timeout_s: Silence of the leader before a pre-vote.
+      heartbeat_s: Time between heartbeats to the nodes.
       lease_s: Lifetime of a node's lease without a heartbeat.
       expiry_share: Largest share of a failure domain to expire at once.
     """
@@ -96,6 +97,7 @@
     keys: KeySettings = KeySettings()
     log: LogSettings = LogSettings()
     election_timeout_s: PositiveSeconds = 0.5
+    heartbeat_s: PositiveSeconds = 1.0
     lease_s: PositiveSeconds = 6.0
     expiry_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.34
 
@@ -119,6 +121,9 @@
       heartbeat_s: Time between heartbeats.
       max_body_bytes: Largest request body that is read.
       threads: Threads that answer callers.
+      mesh_secret_file: File with the secret that all nodes share; empty for
+        trials on one machine only.
+      drain_s: Longest time that a stop waits for requests in progress.
     """
 
     node_id: Identifier
@@ -134,6 +139,8 @@
     heartbeat_s: PositiveSeconds = 1.0
     max_body_bytes: Size = 16 * 1024 * 1024
     threads: Annotated[int, msgspec.Meta(ge=1, le=512)] = 32
+    mesh_secret_file: str = ""
+    drain_s: PositiveSeconds = 30.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
