Run the whole system in one process with its promises checked

The demo starts three replicas, six nodes and their backend servers, publishes, calls, changes a route during traffic and drains a server. Each request is numbered and each backend server remembers what it ran, so that a lost, crossed, repeated or cut request is seen. Endpoints count their frames, and a node shows them as control_bytes_total.

--- /dev/null
+++ b/src/lovagesaddle/cli/demo.py
@@ -0,0 +1,177 @@
+"""The demo: the whole system in one process, with its promises checked."""
+
+import collections
+import pathlib
+import tempfile
+import time
+from typing import Annotated
+
+import typer
+
+from lovagesaddle.cli import client as client_lib
+from lovagesaddle.cli import context as context_lib
+from lovagesaddle.cli import demo_files
+from lovagesaddle.cli import demo_mesh
+from lovagesaddle.cli import demo_report
+from lovagesaddle.cli import demo_traffic
+from lovagesaddle.cli import demo_watch
+from lovagesaddle.cli import exits
+from lovagesaddle.cli import publishing
+from lovagesaddle.cli import reading
+from lovagesaddle.cli import views
+from lovagesaddle.core import errors
+from lovagesaddle.core.model import commands
+from lovagesaddle.observability import latencies
+from lovagesaddle.observability import logs
+from lovagesaddle.settings import schema
+
+OPERATOR = "demo"
+CALLERS = 4
+START_S = 10.0
+DIRECT_S = 2.0
+BEFORE_CHANGE_S = 2.0
+BEFORE_DRAIN_S = 1.5
+AFTER_DRAIN_S = 5.0
+POLL_S = 0.05
+
+
+def demo(
+    log_file: Annotated[
+        str, typer.Option(help="Keep the log lines in this file.")
+    ] = "",
+    json: reading.Json = False,
+) -> None:
+    """Run the whole system in one process for some seconds and check it."""
+    with tempfile.TemporaryDirectory(prefix="lovagesaddle-demo-") as name:
+        folder = pathlib.Path(name)
+        settings = schema.LogSettings(file=log_file or str(folder / "log"))
+        with logs.open_log(settings), demo_mesh.open_mesh(folder) as mesh:
+            report = demo_report.judge(_Session(mesh).run())
+    if json:
+        views.print_json(report)
+    else:
+        typer.echo(demo_report.describe(report))
+    if not report.holds:
+        context_lib.leave(exits.Exit.PROMISE_BROKEN)
+
+
+class _Session:
+    """Takes the mesh through publish, traffic, change and drain."""
+
+    def __init__(self, mesh: demo_mesh.Mesh) -> None:
+        self._mesh = mesh
+        self._settings = schema.OperatorSettings(
+            replicas=mesh.replicas, operator=OPERATOR
+        )
+
+    def run(self) -> demo_report.Seen:
+        places = self._mesh.places
+        with client_lib.Client(self._settings) as client:
+            _say("three replicas, six nodes and their servers start")
+            _wait_for_leader(client)
+            first_s = self._publish(client, revision=1, timeout="2s")
+            direct = self._call_directly()
+            _say("callers send requests through the nodes")
+            with (
+                demo_watch.VersionWatch(places) as watch,
+                self._open_traffic() as traffic,
+            ):
+                time.sleep(BEFORE_CHANGE_S)
+                second_s = self._publish(client, revision=2, timeout="3s")
+                time.sleep(BEFORE_DRAIN_S)
+                drained_at = self._drain(places[0])
+                time.sleep(AFTER_DRAIN_S)
+        return demo_report.Seen(
+            convergence_s=(first_s, second_s),
+            control_bytes=demo_watch.read_control_bytes(places),
+            calls=traffic.list_calls(),
+            runs=_count_runs(places),
+            drain=demo_report.Drain(
+                server=places[0].server.name,
+                at_s=drained_at,
+                runs=places[0].server.runs,
+            ),
+            steps_back=watch.list_steps_back(),
+            direct=direct,
+            through=_summarise(traffic.latency),
+        )
+
+    def _publish(
+        self, client: client_lib.Client, *, revision: int, timeout: str
+    ) -> float:
+        found = context_lib.take_answer(
+            publishing.publish_services(
+                client,
+                demo_files.make_services(revision=revision, timeout=timeout),
+                publish_id=f"demo-{revision}",
+                base_version=context_lib.take_answer(
+                    publishing.find_base(client)
+                ),
+            )
+        )
+        if found.outcome is not commands.PublishOutcome.ACCEPTED:
+            raise errors.LovagesaddleError(
+                step="publish", peer="leader", cause=str(found.causes)
+            )
+        seconds = demo_watch.wait_for_version(
+            self._mesh.places, found.version, START_S
+        )
+        _say(
+            f"order desk revision {revision} is version {found.version},"
+            f" in force on every node after {seconds:.2f} s"
+        )
+        return seconds
+
+    def _call_directly(self) -> demo_report.Latency:
+        _say("callers send requests straight to the servers, to compare")
+        addresses = [place.server.address for place in self._mesh.places]
+        with demo_traffic.Traffic(
+            addresses=addresses, targets=demo_files.TARGETS, callers=CALLERS
+        ) as traffic:
+            time.sleep(DIRECT_S)
+        for place in self._mesh.places:
+            place.server.forget_runs()
+        return _summarise(traffic.latency)
+
+    def _open_traffic(self) -> demo_traffic.Traffic:
+        return demo_traffic.Traffic(
+            addresses=[p.node.http_address for p in self._mesh.places],
+            targets=demo_files.TARGETS,
+            callers=CALLERS,
+        )
+
+    def _drain(self, place: demo_mesh.Place) -> float:
+        if not place.server.drain(place.node.admin_address):
+            raise errors.LovagesaddleError(
+                step="drain", peer=place.node_id, cause="the node refused"
+            )
+        _say(f"{place.server.name} is draining")
+        return time.monotonic()
+
+
+def _wait_for_leader(client: client_lib.Client) -> None:
+    deadline = time.monotonic() + START_S
+    while time.monotonic() < deadline:
+        status = context_lib.take_answer(publishing.ask_status(client))
+        if status.leader_id and status.node_count == len(demo_mesh.SERVICES):
+            return
+        time.sleep(POLL_S)
+    raise errors.LovagesaddleError(
+        step="start", peer="replicas", cause=f"no leader after {START_S:g} s"
+    )
+
+
+def _count_runs(places: tuple[demo_mesh.Place, ...]) -> dict[str, int]:
+    return collections.Counter(
+        run.path for place in places for run in place.server.runs
+    )
+
+
+def _summarise(recorder: latencies.LatencyRecorder) -> demo_report.Latency:
+    return demo_report.Latency(
+        p50_s=recorder.find_percentile(50), p99_s=recorder.find_percentile(99)
+    )
+
+
+def _say(text: str) -> None:
+    views.print_note(f"demo: {text}")
--- /dev/null
+++ b/src/lovagesaddle/cli/demo_mesh.py
@@ -0,0 +1,142 @@
+"""The processes of the demo, all in this one: replicas, nodes and servers."""
+
+from collections.abc import Iterator
+from concurrent import futures
+import contextlib
+import dataclasses
+import pathlib
+import socket
+
+import zmq
+
+from lovagesaddle.cli import demo_server
+from lovagesaddle.control import program as control_program
+from lovagesaddle.node import program as node_program
+from lovagesaddle.settings import schema
+
+CLUSTER_ID = "demo"
+REGION = "demo"
+DOMAINS = ("domain-a", "domain-b", "domain-c")
+REPLICA_COUNT = 3
+NODE_THREADS = 6
+ANY_HTTP = "127.0.0.1:0"
+ANY_CONTROL = "tcp://127.0.0.1:*"
+SERVICES = (
+    "orderdesk",
+    "orderdesk",
+    "orderdesk",
+    "artwork",
+    "orderdesk",
+    "artwork",
+)
+
+Context = zmq.Context[zmq.Socket[bytes]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Place:
+    """One VM of the demo: a node and the backend server beside it."""
+
+    node: node_program.NodeProgram
+    node_id: str
+    server: demo_server.DemoServer
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Mesh:
+    """Everything that runs.
+
+    Attributes:
+      replicas: Addresses of the control replicas.
+      places: The VMs, in the order of their names.
+    """
+
+    replicas: tuple[schema.ReplicaAddress, ...]
+    places: tuple[Place, ...]
+
+
+@contextlib.contextmanager
+def open_mesh(folder: pathlib.Path) -> Iterator[Mesh]:
+    """Runs replicas, nodes and backend servers while it is open.
+
+    Args:
+      folder: Where the replicas keep their data.
+    """
+    replicas = _choose_replicas()
+    with contextlib.ExitStack() as stack:
+        context: Context = stack.enter_context(zmq.Context())
+        _start_replicas(stack, context, replicas, folder)
+        places = tuple(
+            _start_place(stack, context, replicas, number)
+            for number in range(len(SERVICES))
+        )
+        for place in places:
+            place.server.announce(place.node.admin_address)
+        yield Mesh(replicas=replicas, places=places)
+
+
+def _choose_replicas() -> tuple[schema.ReplicaAddress, ...]:
+    with contextlib.ExitStack() as stack:
+        sockets = [
+            stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+            for _ in range(REPLICA_COUNT)
+        ]
+        ports = [each.getsockname()[1] for each in sockets]
+    return tuple(
+        schema.ReplicaAddress(
+            replica_id=f"control-{number}",
+            address=f"tcp://127.0.0.1:{port}",
+        )
+        for number, port in enumerate(ports, start=1)
+    )
+
+
+def _start_replicas(
+    stack: contextlib.ExitStack,
+    context: Context,
+    replicas: tuple[schema.ReplicaAddress, ...],
+    folder: pathlib.Path,
+) -> None:
+    pool = stack.enter_context(futures.ThreadPoolExecutor(REPLICA_COUNT))
+    for replica, domain in zip(replicas, DOMAINS, strict=True):
+        settings = schema.ControlSettings(
+            replica_id=replica.replica_id,
+            address=replica.address,
+            failure_domain=domain,
+            data_folder=str(folder / replica.replica_id),
+            cluster_id=CLUSTER_ID,
+            replicas=replicas,
+        )
+        program = stack.enter_context(
+            control_program.ControlProgram(settings, context, is_founding=True)
+        )
+        running = pool.submit(program.run)
+        stack.callback(running.result)
+        stack.callback(program.stop)
+
+
+def _start_place(
+    stack: contextlib.ExitStack,
+    context: Context,
+    replicas: tuple[schema.ReplicaAddress, ...],
+    number: int,
+) -> Place:
+    node_id = f"node-{number + 1}"
+    settings = schema.NodeSettings(
+        node_id=node_id,
+        failure_domain=DOMAINS[number % len(DOMAINS)],
+        region=REGION,
+        http_address=ANY_HTTP,
+        admin_address=ANY_HTTP,
+        control_address=ANY_CONTROL,
+        cluster_id=CLUSTER_ID,
+        replicas=replicas,
+        threads=NODE_THREADS,
+    )
+    server = stack.enter_context(
+        demo_server.DemoServer(
+            name=f"{node_id}-server", service=SERVICES[number]
+        )
+    )
+    node = stack.enter_context(node_program.NodeProgram(settings, context))
+    return Place(node=node, node_id=node_id, server=server)
--- a/src/lovagesaddle/cli/demo_server.py
+++ b/src/lovagesaddle/cli/demo_server.py
@@ -19,7 +19,9 @@
 
 import msgspec
 import typer
-import waitress.server
+
+from lovagesaddle.http import lanes
+from lovagesaddle.http import server as server_lib
 
 ANNOUNCE_PAUSE_S = 0.1
 ANNOUNCE_TIMEOUT_S = 10.0
@@ -27,6 +29,8 @@
 WORK_S = 0.004
 SLOTS = 8
 CONNECTIONS = 64
+MAX_BODY_BYTES = 16 * 1024 * 1024
+STOP_GRACE_S = 2.0
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -102,17 +106,19 @@
         self._work_s = work_s
         self._lock = threading.Lock()
         self._runs: list[Run] = []
-        self._server = waitress.server.create_server(
-            self._answer, listen=address, threads=SLOTS
-        )
-        host, port = self._server.effective_host, self._server.effective_port
-        self.address = f"{host}:{port}"
-        self._thread = threading.Thread(
-            target=self._server.run, name=name, daemon=True
+        self._server = server_lib.HttpServer(
+            application=self._answer,
+            dispatcher=lanes.LaneDispatcher(
+                threads={lanes.Lane.CALLER: SLOTS},
+                classify=lambda _: lanes.Lane.CALLER,
+            ),
+            options=server_lib.ServerOptions(
+                address=address, max_body_bytes=MAX_BODY_BYTES
+            ),
         )
 
     def __enter__(self) -> Self:
-        self._thread.start()
+        self._server.__enter__()
         return self
 
     def __exit__(
@@ -121,8 +127,12 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
-        self._server.close()
-        self._server.task_dispatcher.shutdown()
+        self._server.stop(grace_s=STOP_GRACE_S)
+
+    @property
+    def address(self) -> str:
+        """The bound `ip:port`."""
+        return self._server.address
 
     @property
     def runs(self) -> tuple[Run, ...]:
@@ -130,6 +140,11 @@
         with self._lock:
             return tuple(self._runs)
 
+    def forget_runs(self) -> None:
+        """Forgets what it ran so far."""
+        with self._lock:
+            self._runs.clear()
+
     def announce(self, admin_address: str) -> None:
         """Announces itself to the node on its VM.
 
--- a/src/lovagesaddle/cli/demo_traffic.py
+++ b/src/lovagesaddle/cli/demo_traffic.py
@@ -19,7 +19,7 @@
 from lovagesaddle.observability import latencies
 
 CALL_TIMEOUT_S = 5.0
-PAUSE_S = 0.05
+PAUSE_S = 0.1
 
 
 class CallEnd(enum.Enum):
@@ -155,7 +155,7 @@
         connection.request(target.method, path, body=body, headers=headers)
         answer = connection.getresponse()
         status, data = answer.status, answer.read()
-        end = _judge(
+        end = judge_answer(
             status, answer.getheader(outcomes.OUTCOME_HEADER), path, body, data
         )
     except ConnectionRefusedError:
@@ -173,9 +173,18 @@
     )
 
 
-def _judge(
+def judge_answer(
     status: int, outcome: str | None, path: str, body: bytes, data: bytes
 ) -> CallEnd:
+    """Returns how a call ended for its caller.
+
+    Args:
+      status: HTTP status of the answer.
+      outcome: Value of its Request-Outcome header, if any.
+      path: Path of the request.
+      body: Body of the request.
+      data: Body of the answer.
+    """
     if status != http.HTTPStatus.OK:
         refused = outcome == outcomes.RequestOutcome.NOT_RUN.value
         return CallEnd.REFUSED if refused else CallEnd.UNKNOWN
--- a/src/lovagesaddle/cli/main.py
+++ b/src/lovagesaddle/cli/main.py
@@ -8,6 +8,7 @@
 
 from lovagesaddle.cli import changing
 from lovagesaddle.cli import context as context_lib
+from lovagesaddle.cli import demo as demo_lib
 from lovagesaddle.cli import exits
 from lovagesaddle.cli import explaining
 from lovagesaddle.cli import reading
@@ -38,6 +39,7 @@
         reading.history,
         reading.diff,
         explaining.explain,
+        demo_lib.demo,
     ):
         app.command()(command)
     app.add_typer(changing.make_replica_app(), name="replica")
--- a/src/lovagesaddle/node/control_half.py
+++ b/src/lovagesaddle/node/control_half.py
@@ -88,6 +88,11 @@
         """Version that is held; 0 for none."""
         return self._follower.version
 
+    @property
+    def control_bytes(self) -> int:
+        """Bytes of every frame sent and received."""
+        return self._endpoint.traffic_bytes
+
     def start(self) -> None:
         """Starts the thread; subscribe first."""
         self._thread.start()
--- a/src/lovagesaddle/node/ports.py
+++ b/src/lovagesaddle/node/ports.py
@@ -36,6 +36,11 @@
 class ControlPort(abc.ABC):
     """Handle on the control half, for any thread."""
 
+    @property
+    @abc.abstractmethod
+    def control_bytes(self) -> int:
+        """Bytes of every frame that the control half sent and received."""
+
     @abc.abstractmethod
     def announce_server(self, server: snapshots.BackendServer) -> None:
         """Reports that the local backend server joined, changed or drains."""
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -109,6 +109,12 @@
                 self._make_control(self._bound_settings, self._context, self)
             )
             self._servers.connect(control)
+            self.metrics.set_gauge(
+                "control_bytes_total",
+                "Bytes of configuration traffic, both ways.",
+                lambda: control.control_bytes,
+                kind="counter",
+            )
             stack.enter_context(probes.Prober(self._servers))
             self._stack = stack.pop_all()
         _log.info(
--- a/src/lovagesaddle/observability/metrics.py
+++ b/src/lovagesaddle/observability/metrics.py
@@ -5,10 +5,12 @@
 
 from collections.abc import Callable, Mapping
 import threading
+from typing import Literal
 
 from lovagesaddle.observability import latencies
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+Kind = Literal["counter", "gauge"]
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
 
@@ -38,6 +40,7 @@
         self._help: dict[str, str] = {}
         self._counters: dict[str, dict[str, Counter]] = {}
         self._gauges: dict[str, Callable[[], float]] = {}
+        self._kinds: dict[str, Kind] = {}
         self._latencies: dict[str, latencies.LatencyRecorder] = {}
 
     def get_counter(
@@ -61,10 +64,23 @@
             return family.setdefault(rendered, Counter())
 
     def set_gauge(
-        self, name: str, help_text: str, read: Callable[[], float]
+        self,
+        name: str,
+        help_text: str,
+        read: Callable[[], float],
+        *,
+        kind: Kind = "gauge",
     ) -> None:
-        """Adds a value that is read each time the metrics are rendered."""
+        """Adds a value that is read each time the metrics are rendered.
+
+        Args:
+          name: Metric name.
+          help_text: One line for /metrics.
+          read: Returns the value; called on the thread that renders.
+          kind: "counter" for a value that only rises.
+        """
         with self._lock:
+            self._kinds[name] = kind
             self._help[name] = help_text
             self._gauges[name] = read
 
@@ -93,8 +109,8 @@
                 for labels, counter in sorted(counters[name].items())
             ]
         for name in sorted(gauges):
-            lines += self._render_head(name, "gauge")
-            lines.append(f"{name} {gauges[name]():g}")
+            lines += self._render_head(name, self._kinds[name])
+            lines.append(f"{name} {gauges[name]():.15g}")
         for name in sorted(recorders):
             lines += _render_latency(recorders[name])
         return "\n".join(lines) + "\n"
--- a/src/lovagesaddle/transport/endpoint.py
+++ b/src/lovagesaddle/transport/endpoint.py
@@ -76,6 +76,7 @@
         self._poller = zmq.Poller()
         self._router: zmq.Socket[bytes] | None = None
         self._links: dict[Peer, zmq.Socket[bytes]] = {}
+        self._traffic_bytes = 0
         self._wake_in = context.socket(zmq.PULL)
         wake_address = WAKE_ADDRESS.format(id(self))
         self._wake_in.bind(wake_address)
@@ -103,6 +104,11 @@
             return ""
         return self._router.getsockopt_string(zmq.LAST_ENDPOINT)
 
+    @property
+    def traffic_bytes(self) -> int:
+        """Bytes of every frame sent and received; any thread may read it."""
+        return self._traffic_bytes
+
     def send(self, peer: Peer, channel: Channel, data: bytes) -> bool:
         """Sends one message over this process's own connection to `peer`.
 
@@ -193,6 +199,7 @@
         except zmq.ZMQError:
             # Again: the queue is full; EHOSTUNREACH: the route is gone.
             return False
+        self._traffic_bytes += sum(map(len, frames))
         return True
 
     def _read(self, socket: zmq.Socket[bytes]) -> list[Received]:
@@ -202,6 +209,7 @@
                 frames = socket.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
                 return arrived
+            self._traffic_bytes += sum(map(len, frames))
             route = frames.pop(0) if socket is self._router else b""
             received = _parse(route, frames)
             if received is not None:
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -90,6 +90,11 @@
             for sink in self._sinks:
                 sink.install(stamped, joined=self.joined)
 
+    @property
+    def control_bytes(self) -> int:
+        """See base class; no bytes are sent."""
+        return 0
+
     def announce_server(self, server: snapshots.BackendServer) -> None:
         """Adds or changes a server."""
         with self._lock:
--- a/tests/test_endpoint.py
+++ b/tests/test_endpoint.py
@@ -25,6 +25,11 @@
         assert server.answer(asked.route, asked.channel, b"told")
         (told,) = client.receive(WAIT_S)
         assert (told.sender_id, told.data) == ("r1", b"told")
+        # Sender ID, channel and data each way; the router's also the route.
+        assert client.traffic_bytes == len("cli") + 1 + len("ask") + len(
+            "r1"
+        ) + 1 + len("told")
+        assert server.traffic_bytes > client.traffic_bytes
 
 
 def test_wake_ends_a_wait() -> None:
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -54,12 +54,14 @@
     registry.get_counter("calls_total", "Calls.", labels={"o": 'a"b'}).add(2)
     registry.get_counter("calls_total", "Calls.", labels={"o": 'a"b'}).add()
     registry.set_gauge("version", "Version held.", lambda: 7)
+    registry.set_gauge("b_total", "Bytes.", lambda: 12345678, kind="counter")
     recorder = registry.get_latency("call_seconds", "Whole call.")
     for millisecond in range(1, 101):
         recorder.record(millisecond / 1000)
     text = registry.render()
     assert 'calls_total{o="a\\"b"} 3\n' in text
-    assert "version 7\n" in text
+    assert "# TYPE version gauge\nversion 7\n" in text
+    assert "# TYPE b_total counter\nb_total 12345678\n" in text
     assert "call_seconds_count 100\n" in text
     assert 'call_seconds{quantile="0.5"} 0.05' in text, text
 
