--- a/src/lovagesaddle/transport/endpoint.py
+++ b/src/lovagesaddle/transport/endpoint.py
@@ -13,6 +13,7 @@
 import zmq
 
 from lovagesaddle.core import errors
+from lovagesaddle.core.model import peers
 
 ROUTER_HANDOVER = 1
 LINGER_MS = 0
@@ -32,19 +33,7 @@
     CLAIMS = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Peer:
-    """A process that this one can connect to.
-
-    Attributes:
-      peer_id: Its name, unique in the cluster.
-      address: `tcp://ip:port` that it binds.
-      public_key: CurveZMQ public key, Z85; empty when links are plain.
-    """
-
-    peer_id: str
-    address: str
-    public_key: str = ""
+Peer = peers.Peer
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -87,6 +76,7 @@
         self._poller = zmq.Poller()
         self._router: zmq.Socket[bytes] | None = None
         self._links: dict[Peer, zmq.Socket[bytes]] = {}
+        self._traffic_bytes = 0
         self._wake_in = context.socket(zmq.PULL)
         wake_address = WAKE_ADDRESS.format(id(self))
         self._wake_in.bind(wake_address)
@@ -114,6 +104,11 @@
             return ""
         return self._router.getsockopt_string(zmq.LAST_ENDPOINT)
 
+    @property
+    def traffic_bytes(self) -> int:
+        """Bytes of every frame sent and received; any thread may read it."""
+        return self._traffic_bytes
+
     def send(self, peer: Peer, channel: Channel, data: bytes) -> bool:
         """Sends one message over this process's own connection to `peer`.
 
@@ -204,6 +199,7 @@
         except zmq.ZMQError:
             # Again: the queue is full; EHOSTUNREACH: the route is gone.
             return False
+        self._traffic_bytes += sum(map(len, frames))
         return True
 
     def _read(self, socket: zmq.Socket[bytes]) -> list[Received]:
@@ -213,6 +209,7 @@
                 frames = socket.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
                 return arrived
+            self._traffic_bytes += sum(map(len, frames))
             route = frames.pop(0) if socket is self._router else b""
             received = _parse(route, frames)
             if received is not None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -296,7 +296,10 @@
         during_spread = round(spread_s / RESEND_EVERY_S)
         bound = quarantine_lib.MARKS_TO_REFUSE + 2 * during_spread
         assert mesh.deaths <= bound, (spread_s, mesh.deaths)
-        assert mesh.refused_good == 0, (spread_s, mesh.refused_good)
+        assert mesh.refused_good == 0, (
+            spread_s,
+            mesh.refused_good,
+        )
 
 
 def test_mark_that_comes_after_an_answer_counts_nothing() -> None:
