--- a/tests/claim_mesh.py
+++ b/tests/claim_mesh.py
@@ -12,7 +12,7 @@
 from lovagesaddle.core.routing import claim_keys
 from lovagesaddle.core.routing import claim_messages as messages
 from lovagesaddle.core.routing import shard_plan
-from tests import mesh as mesh_lib
+from tests import routing_mesh as mesh_lib
 
 HOLDER_MESSAGES = (
     messages.ClaimRequest,
