--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 import inspect
 import sys
-import time
 import unittest
 
 LoadTests = Callable[
@@ -16,18 +15,6 @@
 ]
 
 
-WAIT_S = 10.0
-POLL_S = 0.005
-
-
-def wait_until(condition: Callable[[], bool]) -> None:
-    """Waits for a condition, `WAIT_S` seconds at most."""
-    deadline = time.monotonic() + WAIT_S
-    while not condition():
-        assert time.monotonic() < deadline, "waited in vain"
-        time.sleep(POLL_S)
-
-
 class _NamedFunctionTest(unittest.FunctionTestCase):
     """A function test whose ID is `module.function`."""
 
--- a/tests/test_demo_report.py
+++ b/tests/test_demo_report.py
@@ -8,6 +8,7 @@
 from lovagesaddle.cli import demo_traffic
 from lovagesaddle.cli import demo_watch
 from tests import fixtures
+from tests import nodes
 
 CallEnd = demo_traffic.CallEnd
 PROOF, CONFIRMATION, *_ = demo_files.TARGETS
@@ -85,7 +86,7 @@
         with demo_traffic.Traffic(
             addresses=[server.address], targets=demo_files.TARGETS, callers=1
         ) as traffic:
-            fixtures.wait_until(lambda: len(server.runs) > 1)
+            nodes.wait_for(lambda: len(server.runs) > 1, "two calls")
         calls = traffic.list_calls()
     assert {call.end for call in calls} == {CallEnd.OK}
     body = b'{"server":"s","service":"d","path":"/a/1","body_digest":""}'
