--- a/src/lovagesaddle/cli/demo.py
+++ b/src/lovagesaddle/cli/demo.py
@@ -4,7 +4,6 @@
 import pathlib
 import tempfile
 import time
-from typing import Annotated
 
 import typer
 
@@ -17,7 +16,6 @@
 from lovagesaddle.cli import demo_watch
 from lovagesaddle.cli import exits
 from lovagesaddle.cli import publishing
-from lovagesaddle.cli import reading
 from lovagesaddle.cli import views
 from lovagesaddle.core import errors
 from lovagesaddle.core.model import commands
@@ -35,13 +33,13 @@
 POLL_S = 0.05
 
 
-def demo(
-    log_file: Annotated[
-        str, typer.Option(help="Keep the log lines in this file.")
-    ] = "",
-    json: reading.Json = False,
-) -> None:
-    """Run the whole system in one process for some seconds and check it."""
+def run_demo(*, log_file: str, json: bool) -> None:
+    """Runs the demo, prints its report and ends the command.
+
+    Args:
+      log_file: Where the log lines are kept; empty to drop them.
+      json: Whether the report is printed as JSON.
+    """
     with tempfile.TemporaryDirectory(prefix="lovagesaddle-demo-") as name:
         folder = pathlib.Path(name)
         settings = schema.LogSettings(file=log_file or str(folder / "log"))
--- a/src/lovagesaddle/cli/demo_server.py
+++ b/src/lovagesaddle/cli/demo_server.py
@@ -127,7 +127,7 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
-        self._server.stop(grace_s=STOP_GRACE_S)
+        self.finish()
 
     @property
     def address(self) -> str:
@@ -145,6 +145,10 @@
         with self._lock:
             self._runs.clear()
 
+    def finish(self) -> bool:
+        """Answers what runs and stops; returns whether nothing was cut."""
+        return self._server.stop(grace_s=STOP_GRACE_S)
+
     def announce(self, admin_address: str) -> None:
         """Announces itself to the node on its VM.
 
@@ -159,7 +163,7 @@
             connections=CONNECTIONS,
         )
         deadline = time.monotonic() + ANNOUNCE_TIMEOUT_S
-        while not _post(admin_address, "/announce", body):
+        while not _send(admin_address, "POST", "/announce", body):
             if time.monotonic() >= deadline:
                 raise TimeoutError(f"{admin_address} takes no announcement")
             time.sleep(ANNOUNCE_PAUSE_S)
@@ -167,7 +171,12 @@
     def drain(self, admin_address: str) -> bool:
         """Asks the node to send no new work; returns whether it agreed."""
         body = ServiceName(service=self.service)
-        return _post(admin_address, "/drain", body)
+        return _send(admin_address, "POST", "/drain", body)
+
+    def withdraw(self, admin_address: str) -> bool:
+        """Tells the node that it is gone; returns whether it knew it."""
+        body = ServiceName(service=self.service)
+        return _send(admin_address, "DELETE", "/announce", body)
 
     def _answer(
         self, environ: Environ, start_response: StartResponse
@@ -193,10 +202,10 @@
         return [data]
 
 
-def _post(address: str, path: str, body: object) -> bool:
+def _send(address: str, method: str, path: str, body: object) -> bool:
     connection = http.client.HTTPConnection(address, timeout=CONNECT_TIMEOUT_S)
     try:
-        connection.request("POST", path, body=msgspec.json.encode(body))
+        connection.request(method, path, body=msgspec.json.encode(body))
         return connection.getresponse().status == http.HTTPStatus.OK
     except (OSError, http.client.HTTPException):
         return False
@@ -209,7 +218,7 @@
     admin: Annotated[str, typer.Option(help="Admin ip:port of the node.")],
     listen: Annotated[str, typer.Option(help="Own ip:port.")] = "127.0.0.1:0",
 ) -> None:
-    """Run a backend server until it is interrupted."""
+    """Run a backend server until it is told to stop; then drain it."""
     stopped = threading.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, lambda *_: stopped.set())
@@ -217,6 +226,9 @@
         server.announce(admin)
         typer.echo(f"{service} answers on {server.address}")
         stopped.wait()
+        server.drain(admin)
+        server.finish()
+        server.withdraw(admin)
 
 
 if __name__ == "__main__":
--- a/src/lovagesaddle/cli/main.py
+++ b/src/lovagesaddle/cli/main.py
@@ -8,7 +8,6 @@
 
 from lovagesaddle.cli import changing
 from lovagesaddle.cli import context as context_lib
-from lovagesaddle.cli import demo as demo_lib
 from lovagesaddle.cli import exits
 from lovagesaddle.cli import explaining
 from lovagesaddle.cli import reading
@@ -39,7 +38,7 @@
         reading.history,
         reading.diff,
         explaining.explain,
-        demo_lib.demo,
+        demo,
     ):
         app.command()(command)
     app.add_typer(changing.make_replica_app(), name="replica")
@@ -59,6 +58,20 @@
     context.obj = settings
 
 
+def demo(
+    log_file: Annotated[
+        str, typer.Option(help="Keep the log lines in this file.")
+    ] = "",
+    json: reading.Json = False,
+) -> None:
+    """Run the whole system in one process for some seconds and check it."""
+    # It brings every program along, which would double the time that each
+    # of the other commands takes to start.
+    from lovagesaddle.cli import demo as demo_lib
+
+    demo_lib.run_demo(log_file=log_file, json=json)
+
+
 def main() -> None:
     """Runs the program; the exit status is an `exits.Exit`."""
     try:
--- a/src/lovagesaddle/cli/views.py
+++ b/src/lovagesaddle/cli/views.py
@@ -138,7 +138,9 @@
 
 def describe_explanation(found: explanation.Explanation) -> str:
     """Returns what would happen to a request, and why."""
-    lines = [f"{found.method} {found.host}{found.path} at {found.version}"]
+    lines = [
+        f"{found.method} {found.host}{found.path} at version {found.version}"
+    ]
     if found.status:
         allow = f", allowed: {' '.join(found.allow)}" if found.allow else ""
         cause = f"{found.reason}{allow}"
