--- a/src/lovagesaddle/http/hop.py
+++ b/src/lovagesaddle/http/hop.py
@@ -13,9 +13,11 @@
 from lovagesaddle.core import errors
 from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import feedback
+from lovagesaddle.core.routing import quarantine
 from lovagesaddle.http import headers as headers_lib
 
 RUN_PATH = "/.lovagesaddle/run"
+QUARANTINED = "quarantined"
 DIGEST_BYTES = 32
 HASH = "sha256"
 
@@ -34,7 +36,8 @@
       body: The whole body.
       remaining_ms: Time to the deadline, in milliseconds.
       priority: Of the route.
-      fingerprint: Digest of method, route and body.
+      fingerprint: Digest of method, route, target and body.
+      suspect: Whether the entry knows that it may crash a server.
     """
 
     attempt_id: str
@@ -47,6 +50,7 @@
     remaining_ms: int
     priority: services.Priority
     fingerprint: bytes
+    suspect: bool = False
 
 
 class RunOutcome(enum.Enum):
@@ -81,6 +85,7 @@
       headers: Of a whole answer.
       body: Of a whole answer.
       load: State of the backend server.
+      marks: The crash mark of the request when the server died.
     """
 
     attempt_id: str
@@ -91,6 +96,7 @@
     headers: headers_lib.Headers = ()
     body: bytes = b""
     load: feedback.Feedback | None = None
+    marks: tuple[quarantine.CrashMark, ...] = ()
 
 
 HopMessage = RunRequest | RunAnswer
--- a/src/lovagesaddle/node/attempts.py
+++ b/src/lovagesaddle/node/attempts.py
@@ -15,6 +15,7 @@
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import hops
 from lovagesaddle.node import routing as routing_lib
+from lovagesaddle.node import suspects as suspects_lib
 from lovagesaddle.observability import logs
 
 MS_PER_S = 1000
@@ -31,6 +32,8 @@
       target: Path and query.
       headers: Filtered.
       body: The whole body.
+      fingerprint: Digest of method, route, target and body.
+      suspect: Whether it may crash a server.
     """
 
     request_id: str
@@ -38,6 +41,8 @@
     target: str
     headers: headers_lib.Headers
     body: bytes
+    fingerprint: bytes
+    suspect: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -90,6 +95,7 @@
       arrived_at: Monotonic time of arrival, in seconds.
       routing: Tables, balancer and retry policies.
       carrier: Takes attempts to owners.
+      suspects: Learns of crashes that owners report.
     """
 
     def __init__(
@@ -102,12 +108,14 @@
         arrived_at: float,
         routing: routing_lib.Routing,
         carrier: hops.Carrier,
+        suspects: suspects_lib.Suspects,
     ) -> None:
         self._passed = passed
         self._match = match
         self._table = table
         self._routing = routing
         self._carrier = carrier
+        self._suspects = suspects
         self._answers: dict[int, hop.RunAnswer] = {}
         self._ended: Ended | None = None
         self._call = call_lib.Call(
@@ -198,6 +206,8 @@
         match outcome:
             case result.Success(answer):
                 self._answers[action.number] = answer
+                if answer.marks:
+                    self._suspects.take_marks(answer.marks)
                 return events.AttemptEnded(
                     number=action.number,
                     ending=hops.classify_answer(answer),
@@ -235,7 +245,8 @@
             body=passed.body,
             remaining_ms=int(remaining_s * MS_PER_S),
             priority=self._match.route.priority,
-            fingerprint=b"",
+            fingerprint=passed.fingerprint,
+            suspect=passed.suspect,
         )
 
     def _make_answer(self, action: events.AnswerCaller) -> Answered:
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -11,14 +11,17 @@
 from lovagesaddle.core import errors
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.routing import chain as chain_lib
+from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.http import gateway
 from lovagesaddle.http import headers as headers_lib
+from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import attempts
 from lovagesaddle.node import hops
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import routing as routing_lib
+from lovagesaddle.node import suspects as suspects_lib
 from lovagesaddle.observability import logs
 from lovagesaddle.observability import metrics as metrics_lib
 
@@ -38,6 +41,7 @@
       routing: Tables, balancer and retry policies.
       carrier: Takes attempts to owners.
       servers: Knows the tokens of local services.
+      suspects: Knows requests that crash servers.
       guards: Watches deadlines and callers that hang up.
       metrics: Of this process.
     """
@@ -48,12 +52,14 @@
         routing: routing_lib.Routing,
         carrier: hops.Carrier,
         servers: local_servers.LocalServers,
+        suspects: suspects_lib.Suspects,
         guards: watchdog.Watchdog,
         metrics: metrics_lib.Metrics,
     ) -> None:
         self._routing = routing
         self._carrier = carrier
         self._servers = servers
+        self._suspects = suspects
         self._guards = guards
         self._latency = metrics.get_latency(
             "call_seconds", "Time from a whole request to its answer"
@@ -146,12 +152,26 @@
         arrived_at: float,
     ) -> gateway.Answer:
         request_id = os.urandom(REQUEST_ID_BYTES).hex()
+        body = request.read_body()
+        fingerprint = quarantine.compute_fingerprint(
+            method=request.method,
+            service=match.service,
+            route=match.route.name,
+            target=request.target,
+            body_digest=hashlib.sha256(body).digest(),
+        )
+        verdict = self._suspects.judge(fingerprint)
+        if verdict is quarantine.Verdict.REFUSED:
+            _log.info("quarantined", request=request_id, service=match.service)
+            return gateway.make_failure(503, hop.QUARANTINED, _NOT_RUN)
         passed = attempts.Passed(
             request_id=request_id,
             method=request.method,
             target=request.target,
             headers=headers_lib.filter_request(request.headers),
-            body=request.read_body(),
+            body=body,
+            fingerprint=fingerprint,
+            suspect=verdict is quarantine.Verdict.SUSPECT,
         )
         runner = attempts.Runner(
             passed=passed,
@@ -163,6 +183,7 @@
             arrived_at=arrived_at,
             routing=self._routing,
             carrier=self._carrier,
+            suspects=self._suspects,
         )
         with self._guards.watch(
             deadline=runner.deadline, is_gone=request.is_gone
--- a/src/lovagesaddle/node/hops.py
+++ b/src/lovagesaddle/node/hops.py
@@ -20,7 +20,6 @@
         owner_lib.REFUSED_UNKNOWN,
     }
 )
-QUARANTINED = "quarantined"
 _ENDINGS = {
     hop.RunOutcome.ANSWERED: call_events.Ending.ANSWERED,
     hop.RunOutcome.TIMEOUT: call_events.Ending.TIMED_OUT,
@@ -118,7 +117,7 @@
         return call_events.Ending.DRAINING
     if answer.cause in _GONE:
         return call_events.Ending.SERVER_DOWN
-    if answer.cause == QUARANTINED:
+    if answer.cause == hop.QUARANTINED:
         return call_events.Ending.QUARANTINED
     return call_events.Ending.REFUSED
 
--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -76,20 +76,10 @@
         """
         with self._lock:
             held = self._entries.get(announcement.service)
-            if held is not None and _is_unchanged(held, announcement):
-                self._owner.revive(held.server.server_id)
-                return held.token
-            token = held.token if held is not None else _create_token()
-            entry = _Entry(
-                announcement=announcement,
-                server=self._describe(announcement, held),
-                token=token,
-            )
-            self._entries[announcement.service] = entry
-            self._services_by_token[token] = announcement.service
-            self._owner.open(entry.server, announcement.address)
-            self._report(entry.server)
-            return token
+            if held is None or not self._holds(held, announcement):
+                return self._open(announcement)
+            self._owner.revive(held.server.server_id)
+            return held.token
 
     def drain(self, service: str) -> None:
         """Stops new work to a server; what runs is finished.
@@ -105,6 +95,12 @@
             self._owner.drain(entry.server.server_id)
             self._report(entry.server)
 
+    def withdraw_all(self, reason: str) -> None:
+        """Withdraws every server, after the drain of the node."""
+        with self._lock:
+            for service in tuple(self._entries):
+                self.withdraw(service, reason)
+
     def drain_all(self) -> None:
         """Drains every server, for a stop of the node."""
         with self._lock:
@@ -158,7 +154,29 @@
             if entry is None:
                 return
             entry.misses = 0
-            self._owner.revive(entry.server.server_id)
+            if self._owner.is_dead(entry.server.server_id):
+                self._open(entry.announcement)
+            else:
+                self._owner.revive(entry.server.server_id)
+
+    def _holds(self, held: _Entry, announcement: Announcement) -> bool:
+        serving = held.server.state is snapshots.ServerState.SERVING
+        alive = not self._owner.is_dead(held.server.server_id)
+        return serving and alive and held.announcement == announcement
+
+    def _open(self, announcement: Announcement) -> str:
+        held = self._entries.get(announcement.service)
+        token = held.token if held is not None else _create_token()
+        entry = _Entry(
+            announcement=announcement,
+            server=self._describe(announcement, held),
+            token=token,
+        )
+        self._entries[announcement.service] = entry
+        self._services_by_token[token] = announcement.service
+        self._owner.open(entry.server, announcement.address)
+        self._report(entry.server)
+        return token
 
     def _find(self, service: str, step: str) -> _Entry:
         entry = self._entries.get(service)
@@ -189,10 +207,5 @@
         )
 
 
-def _is_unchanged(held: _Entry, announcement: Announcement) -> bool:
-    serving = held.server.state is snapshots.ServerState.SERVING
-    return serving and held.announcement == announcement
-
-
 def _create_token() -> str:
     return TOKEN_PREFIX + secrets.token_urlsafe(TOKEN_BYTES)
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -1,28 +1,28 @@
 """Owner side of a node: admits attempts and runs them on the local server."""
 
 import collections
-from collections.abc import Callable
-import dataclasses
+import socket
 import threading
-import time
 
 from returns import result
 
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import admission
-from lovagesaddle.core.routing import limits
-from lovagesaddle.core.routing import queues
+from lovagesaddle.core.routing import quarantine
 from lovagesaddle.http import client
 from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
+from lovagesaddle.node import slots as slots_lib
+from lovagesaddle.node import suspects as suspects_lib
 from lovagesaddle.observability import logs
 
 SEEN_ATTEMPTS = 65_536
+DEATH_CHECK_S = 0.2
 REFUSED_UNKNOWN = "server-unknown"
 SHEDDING_STATUSES = frozenset({429, 503})
 _OUTCOMES = {
-    client.FailureKind.CLOSED: hop.RunOutcome.CRASHED,
+    client.FailureKind.CLOSED: hop.RunOutcome.BROKEN,
     client.FailureKind.TRUNCATED: hop.RunOutcome.BROKEN,
     client.FailureKind.MALFORMED: hop.RunOutcome.BROKEN,
     client.FailureKind.TOO_LARGE: hop.RunOutcome.BROKEN,
@@ -31,129 +31,27 @@
 }
 _log = logs.get_logger("owner")
 
-LimitFactory = Callable[[int], limits.LimitPolicy]
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class OwnerOptions:
-    """Policies of an owner.
-
-    Attributes:
-      make_limit: Makes the limit of a server from its slots.
-      order: Order of the queue.
-      queue_share: Length of the queue, in shares of the limit.
-    """
-
-    make_limit: LimitFactory = limits.FixedLimit
-    order: queues.QueueOrder = dataclasses.field(
-        default_factory=queues.DeadlineOrder
-    )
-    queue_share: float = admission.QUEUE_SHARE
-
-
-class _Waiter:
-    """Holds the verdict on one attempt."""
-
-    __slots__ = ("action", "decided")
-
-    def __init__(self) -> None:
-        self.action: admission.Admitted | admission.Refused | None = None
-        self.decided: threading.Event | None = None
-
-    def decide(self, action: admission.Admitted | admission.Refused) -> None:
-        """Sets the verdict and wakes the thread that waits for it."""
-        self.action = action
-        if self.decided is not None:
-            self.decided.set()
-
-
-class _Slots:
-    """One local server's admission, shared by the owner's threads."""
-
-    def __init__(
-        self,
-        server: snapshots.BackendServer,
-        address: str,
-        options: OwnerOptions,
-    ) -> None:
-        self.server = server
-        self.address = address
-        self.admission = admission.Admission(
-            limit=options.make_limit(server.slots),
-            order=options.order,
-            queue_share=options.queue_share,
-        )
-        self.lock = threading.Lock()
-        self.idle = threading.Condition(self.lock)
-        self.down = False
-        self.draining = False
-        self._waiters: dict[str, _Waiter] = {}
-
-    def step(self, event: admission.Event) -> None:
-        """Hands an event to the admission and its verdicts to the waiters."""
-        with self.lock:
-            self._step(event)
-
-    def admit(
-        self, event: admission.Arrived, guard: watchdog.Guard
-    ) -> admission.Admitted | admission.Refused:
-        """Waits for the verdict on an attempt."""
-        waiter = _Waiter()
-        with self.lock:
-            if event.request_id in self._waiters:
-                return _refuse(event, admission.RefusalReason.DUPLICATE)
-            self._waiters[event.request_id] = waiter
-            self._step(event)
-            if waiter.action is not None:
-                return waiter.action
-            waiter.decided = threading.Event()
-        with guard.ending(waiter.decided.set):
-            waiter.decided.wait(guard.remaining_s)
-        with self.lock:
-            if waiter.action is not None:
-                return waiter.action
-            self._waiters.pop(event.request_id, None)
-            self._step(admission.Cancelled(request_id=event.request_id))
-        reason = admission.RefusalReason.DEADLINE
-        if guard.reason is watchdog.EndReason.CANCELLED:
-            reason = admission.RefusalReason.CANCELLED
-        return _refuse(event, reason)
-
-    def wait_until_idle(self, deadline: float) -> bool:
-        """Waits until nothing runs or waits; False at the deadline."""
-        with self.idle:
-            return self.idle.wait_for(
-                self._is_idle, max(0.0, deadline - time.monotonic())
-            )
-
-    def _is_idle(self) -> bool:
-        return not (self.admission.running or self.admission.waiting)
-
-    def _step(self, event: admission.Event) -> None:
-        for action in self.admission.step(event, time.monotonic()):
-            if isinstance(action, admission.Drained):
-                continue
-            waiter = self._waiters.pop(action.request_id, None)
-            if waiter is not None:
-                waiter.decide(action)
-        if self._is_idle():
-            self.idle.notify_all()
-
 
 class Owner:
     """Runs attempts on the local servers.
 
     Args:
       pool: Connections to the servers.
+      suspects: Knows requests that crash servers.
       options: Policies.
     """
 
     def __init__(
-        self, *, pool: client.Pool, options: OwnerOptions | None = None
+        self,
+        *,
+        pool: client.Pool,
+        suspects: suspects_lib.Suspects,
+        options: slots_lib.OwnerOptions | None = None,
     ) -> None:
         self._pool = pool
-        self._options = options or OwnerOptions()
-        self._slots: dict[str, _Slots] = {}
+        self._suspects = suspects
+        self._options = options or slots_lib.OwnerOptions()
+        self._slots: dict[str, slots_lib.Slots] = {}
         self._seen: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
@@ -161,7 +59,9 @@
 
     def open(self, server: snapshots.BackendServer, address: str) -> None:
         """Admits work to a server from now on."""
-        self._slots[server.server_id] = _Slots(server, address, self._options)
+        self._slots[server.server_id] = slots_lib.Slots(
+            server, address, self._options
+        )
         _log.info(
             "server_opened",
             server=server.server_id,
@@ -201,6 +101,11 @@
             slots.step(admission.ServerUp(slots=slots.server.slots))
             _log.info("server_up", server=server_id)
 
+    def is_dead(self, server_id: str) -> bool:
+        """Returns whether the known life of a server has ended."""
+        slots = self._slots.get(server_id)
+        return slots is not None and slots.dead
+
     def wait_until_idle(self, deadline: float) -> bool:
         """Waits until no server runs anything; False at the deadline."""
         return all(
@@ -223,10 +128,17 @@
         if not self._claim(request.attempt_id):
             reason = admission.RefusalReason.DUPLICATE.value
             return _refuse_run(request, reason, 0.0, slots)
+        judged = self._suspects.judge(
+            request.fingerprint, hinted=request.suspect
+        )
+        if judged is quarantine.Verdict.REFUSED:
+            return _refuse_run(request, hop.QUARANTINED, 0.0, slots)
+        suspect = judged is quarantine.Verdict.SUSPECT
         arrived = admission.Arrived(
             request_id=request.attempt_id,
             priority=request.priority,
             deadline=guard.deadline,
+            suspect=suspect,
         )
         verdict = slots.admit(arrived, guard)
         if isinstance(verdict, admission.Refused):
@@ -239,33 +151,41 @@
             return _refuse_run(
                 request, verdict.reason.value, verdict.retry_after_s, slots
             )
-        return self._hand_over(request, slots, guard)
+        running = quarantine.RunningRequest(
+            fingerprint=request.fingerprint, suspected=suspect
+        )
+        slots.start(request.attempt_id, running)
+        return self._hand_over(request, slots, guard, running)
 
     def _hand_over(
-        self, request: hop.RunRequest, slots: _Slots, guard: watchdog.Guard
+        self,
+        request: hop.RunRequest,
+        slots: slots_lib.Slots,
+        guard: watchdog.Guard,
+        running: quarantine.RunningRequest,
     ) -> hop.RunAnswer:
         failed = True
         try:
             outcome = self._pool.exchange(
                 slots.address, _format_request(request), guard
             )
-            answer = self._describe(request, outcome, slots, guard)
+            answer = self._describe(request, outcome, slots, guard, running)
             failed = _has_failed(answer)
         finally:
-            slots.step(
-                admission.Ended(request_id=request.attempt_id, failed=failed)
-            )
+            slots.finish(request.attempt_id, failed=failed)
         return answer
 
     def _describe(
         self,
         request: hop.RunRequest,
         outcome: client.ExchangeResult,
-        slots: _Slots,
+        slots: slots_lib.Slots,
         guard: watchdog.Guard,
+        running: quarantine.RunningRequest,
     ) -> hop.RunAnswer:
         match outcome:
             case result.Success(reply):
+                self._suspects.clear(request.fingerprint)
                 return hop.RunAnswer(
                     attempt_id=request.attempt_id,
                     outcome=hop.RunOutcome.ANSWERED,
@@ -277,15 +197,18 @@
                     load=slots.admission.report(),
                 )
             case result.Failure(error):
-                return self._describe_failure(request, error, slots, guard)
+                return self._describe_failure(
+                    request, error, slots, guard, running
+                )
         raise AssertionError("unreachable")
 
     def _describe_failure(
         self,
         request: hop.RunRequest,
         error: client.ExchangeError,
-        slots: _Slots,
+        slots: slots_lib.Slots,
         guard: watchdog.Guard,
+        running: quarantine.RunningRequest,
     ) -> hop.RunAnswer:
         _log.warning(
             "run_failed",
@@ -300,6 +223,8 @@
                 self.mark_down(request.server_id)
             reason = admission.RefusalReason.SERVER_DOWN.value
             return _refuse_run(request, reason, 0.0, slots)
+        if error.kind is client.FailureKind.CLOSED and self._is_dead(slots):
+            return self._describe_crash(request, slots, running)
         return hop.RunAnswer(
             attempt_id=request.attempt_id,
             outcome=_OUTCOMES[error.kind],
@@ -307,6 +232,50 @@
             load=slots.admission.report(),
         )
 
+    def _is_dead(self, slots: slots_lib.Slots) -> bool:
+        """Tells a dead server from one that only closed a connection."""
+        if slots.dead:
+            return True
+        host, _, port = slots.address.rpartition(":")
+        try:
+            with socket.create_connection(
+                (host.strip("[]"), int(port)), DEATH_CHECK_S
+            ):
+                return False
+        except OSError:
+            return True
+
+    def _describe_crash(
+        self,
+        request: hop.RunRequest,
+        slots: slots_lib.Slots,
+        running: quarantine.RunningRequest,
+    ) -> hop.RunAnswer:
+        server = slots.server
+        buried = slots.bury()
+        if buried is not None:
+            self.mark_down(server.server_id)
+            self._suspects.report_death(
+                quarantine.ServerDied(
+                    server_id=server.server_id,
+                    incarnation=server.incarnation,
+                    running=buried,
+                )
+            )
+        mark = quarantine.make_mark(
+            server_id=server.server_id,
+            incarnation=server.incarnation,
+            fingerprint=request.fingerprint,
+            suspected=running.suspected,
+        )
+        return hop.RunAnswer(
+            attempt_id=request.attempt_id,
+            outcome=hop.RunOutcome.CRASHED,
+            cause="server-died",
+            load=slots.admission.report(),
+            marks=(mark,),
+        )
+
     def _claim(self, attempt_id: str) -> bool:
         """Returns whether this is the first time an attempt is seen."""
         with self._seen_lock:
@@ -333,19 +302,11 @@
     return answer.status in SHEDDING_STATUSES
 
 
-def _refuse(
-    event: admission.Arrived, reason: admission.RefusalReason
-) -> admission.Refused:
-    return admission.Refused(
-        request_id=event.request_id, reason=reason, retry_after_s=0.0
-    )
-
-
 def _refuse_run(
     request: hop.RunRequest,
     reason: str,
     retry_after_s: float,
-    slots: _Slots | None,
+    slots: slots_lib.Slots | None,
 ) -> hop.RunAnswer:
     return hop.RunAnswer(
         attempt_id=request.attempt_id,
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -27,6 +27,8 @@
 from lovagesaddle.node import ports
 from lovagesaddle.node import probes
 from lovagesaddle.node import routing as routing_lib
+from lovagesaddle.node import slots as slots_lib
+from lovagesaddle.node import suspects as suspects_lib
 from lovagesaddle.observability import logs
 from lovagesaddle.observability import metrics as metrics_lib
 from lovagesaddle.settings import schema
@@ -78,7 +80,7 @@
         *,
         make_control: ControlFactory = make_control_half,
         routing_options: routing_lib.RoutingOptions | None = None,
-        owner_options: owner_lib.OwnerOptions | None = None,
+        owner_options: slots_lib.OwnerOptions | None = None,
     ) -> None:
         self._settings = settings
         self._context = context
@@ -90,7 +92,10 @@
             failure_domain=settings.failure_domain, options=routing_options
         )
         self._pool = client.Pool()
-        self._owner = owner_lib.Owner(pool=self._pool, options=owner_options)
+        self._suspects = suspects_lib.Suspects()
+        self._owner = owner_lib.Owner(
+            pool=self._pool, suspects=self._suspects, options=owner_options
+        )
         self._servers = local_servers.LocalServers(
             node_id=settings.node_id, owner=self._owner
         )
@@ -109,6 +114,7 @@
                 self._make_control(self._bound_settings, self._context, self)
             )
             self._servers.connect(control)
+            self._suspects.connect(control)
             stack.enter_context(probes.Prober(self._servers))
             self._stack = stack.pop_all()
         _log.info(
@@ -145,7 +151,7 @@
 
     def take_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
         """Takes crash marks of other nodes."""
-        del marks
+        self._suspects.take_marks(marks)
 
     def shut_down(self) -> bool:
         """Drains the local servers, answers what is held, stops listening.
@@ -164,6 +170,7 @@
         self._linger(deadline)
         left_s = max(0.0, deadline - time.monotonic())
         whole = self._http.stop(grace_s=left_s)
+        self._servers.withdraw_all("stopped")
         _log.info(
             "node_drained",
             node=self._settings.node_id,
@@ -206,6 +213,7 @@
             routing=self._routing,
             carrier=carrier,
             servers=self._servers,
+            suspects=self._suspects,
             guards=self._guards,
             metrics=self.metrics,
         )
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -16,10 +16,10 @@
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.model import services
 from lovagesaddle.core.model import snapshots
-from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import ports
 from lovagesaddle.node import program
 from lovagesaddle.node import routing as routing_lib
+from lovagesaddle.node import slots as slots_lib
 from lovagesaddle.settings import schema
 from lovagesaddle.transport import endpoint
 
@@ -161,7 +161,7 @@
         *,
         failure_domain: str = "a",
         routing_options: routing_lib.RoutingOptions | None = None,
-        owner_options: owner_lib.OwnerOptions | None = None,
+        owner_options: slots_lib.OwnerOptions | None = None,
         **fields: Any,
     ) -> program.NodeProgram:
         """Starts one more node."""
