--- /dev/null
+++ b/bench/calls.py
@@ -0,0 +1,252 @@
+"""Measures calls through a mesh of real processes, policies side by side.
+
+    python -m bench.calls [--only NAME ...] [--seconds 8]
+
+Writes JSON lines to results/calls.jsonl and exits with 1 when a figure
+breaches its bound.
+"""
+
+import argparse
+import dataclasses
+import pathlib
+import sys
+import tempfile
+import time
+
+import msgspec
+
+from bench import admin
+from bench import cluster as cluster_lib
+from bench import load
+from bench import policies
+from bench import processes
+from bench import results
+from bench import scenarios
+from bench import verdicts
+from bench import workloads
+
+GENERATORS = 2
+START_S = 1.5
+SETTLE_S = 1.0
+RESULT_FILE = results.RESULTS_FOLDER / "calls.jsonl"
+ADDED_KIND = "/layouts-meshed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Experiment:
+    """One mesh, one load and one disturbance.
+
+    Attributes:
+      name: For `--only` and the table.
+      workload: The mesh and its calls.
+      scenario: What is done to it.
+      policies: Names in `policies.POLICIES`, side by side.
+      rate: Calls a second of all generators.
+      threads: Of each generator.
+    """
+
+    name: str
+    workload: workloads.Workload
+    scenario: scenarios.Scenario
+    policies: tuple[str, ...]
+    rate: float
+    threads: int = 100
+
+
+def list_experiments() -> tuple[Experiment, ...]:
+    """Returns every experiment, cheapest first."""
+    quick = workloads.make_bentancor(run_ms=10)
+    slots_full_ms = 500
+    overload = workloads.make_bentancor(run_ms=slots_full_ms, timeout_s=1.5)
+    capacity = 200 * 1000 / slots_full_ms
+    picks = (policies.CHOSEN, "pick-random", "pick-least", "any-domain")
+    under_load = (
+        policies.CHOSEN,
+        "fifo",
+        "no-limit",
+        "adaptive-limit",
+        "retry-unlimited",
+        "retry-capped",
+    )
+    return (
+        Experiment(
+            name="added",
+            workload=_make_added(),
+            scenario=scenarios.Quiet(),
+            policies=(policies.CHOSEN,),
+            rate=60,
+        ),
+        Experiment(
+            name="bentancor",
+            workload=quick,
+            scenario=scenarios.Quiet(),
+            policies=picks,
+            rate=150,
+        ),
+        Experiment(
+            name="bajio",
+            workload=workloads.make_bajio(run_ms=10),
+            scenario=scenarios.Quiet(),
+            policies=(policies.CHOSEN,),
+            rate=150,
+        ),
+        Experiment(
+            name="one-slow",
+            workload=quick,
+            scenario=scenarios.SlowServer(),
+            policies=(*picks, "hedge"),
+            rate=150,
+        ),
+        *(
+            Experiment(
+                name=scenario.name,
+                workload=quick,
+                scenario=scenario,
+                policies=(policies.CHOSEN,),
+                rate=150,
+            )
+            for scenario in (
+                scenarios.DeadServer(),
+                scenarios.LostDomain(),
+                scenarios.ChangingConfiguration(),
+                scenarios.PlannedStop(),
+                scenarios.CrashingRequest(),
+            )
+        ),
+        Experiment(
+            name="overload-2x",
+            workload=overload,
+            scenario=scenarios.Quiet(),
+            policies=under_load,
+            rate=2 * capacity / 2,
+            threads=400,
+        ),
+    )
+
+
+def _make_added() -> workloads.Workload:
+    """Returns a mesh whose calls are compared with direct ones."""
+    workload = workloads.make_bentancor(run_ms=0)
+    layouts = next(k for k in workload.kinds if k.path == "/layouts")
+    return dataclasses.replace(
+        workload,
+        kinds=(
+            dataclasses.replace(layouts, name=ADDED_KIND, share=1.0),
+            dataclasses.replace(
+                layouts, name="/layouts-direct", direct=True, share=1.0
+            ),
+        ),
+    )
+
+
+def measure(
+    experiment: Experiment, policy: str, seconds: float, seed: int
+) -> results.Sample:
+    """Runs one experiment with one policy."""
+    workload = experiment.scenario.prepare(experiment.workload)
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        with cluster_lib.Cluster(
+            folder, workload.upstreams, workload.services, policy=policy
+        ) as cluster:
+            paths = _drive(experiment, workload, cluster, folder, seconds, seed)
+            attempts = _count_attempts(cluster)
+        calls = verdicts.read_calls(paths)
+        runs = verdicts.read_runs(cluster.record)
+    figures = verdicts.judge(calls, runs, seconds)
+    if any(call.direct for call in calls):
+        figures += verdicts.judge_added(calls)
+    meshed = sum(not call.direct for call in calls)
+    retries = max(0.0, attempts / meshed - 1) if meshed else 0.0
+    figures += (
+        results.Figure(name="retries per call", value=retries, unit="1"),
+    )
+    return results.Sample(
+        experiment=experiment.name,
+        variant=policy,
+        seed=seed,
+        figures=figures + experiment.scenario.judge(calls, runs),
+    )
+
+
+def _drive(
+    experiment: Experiment,
+    workload: workloads.Workload,
+    cluster: cluster_lib.Cluster,
+    folder: pathlib.Path,
+    seconds: float,
+    seed: int,
+) -> list[pathlib.Path]:
+    starts_at = time.time() + START_S
+    paths: list[pathlib.Path] = []
+    generators: list[processes.Process] = []
+    for number in range(GENERATORS):
+        plan = load.Plan(
+            name=f"g{number}",
+            targets=tuple(vm.addresses.http for vm in cluster.vms.values()),
+            direct_targets=_list_direct(cluster),
+            kinds=workload.kinds,
+            rate=experiment.rate / GENERATORS,
+            seconds=seconds,
+            threads=experiment.threads,
+            seed=seed * GENERATORS + number,
+            starts_at=starts_at,
+            output=str(folder / f"calls-{number}.jsonl"),
+        )
+        path = folder / f"plan-{number}.json"
+        path.write_bytes(msgspec.json.encode(plan))
+        paths.append(pathlib.Path(plan.output))
+        generators.append(
+            processes.Process("bench.load", str(path), log=folder / "load.err")
+        )
+    time.sleep(max(0.0, starts_at - time.time()))
+    experiment.scenario.disturb(cluster, workload, starts_at + seconds)
+    for generator in generators:
+        with generator:
+            generator.wait(seconds + processes.STOP_S)
+    return paths
+
+
+def _list_direct(cluster: cluster_lib.Cluster) -> dict[str, tuple[str, ...]]:
+    found: dict[str, tuple[str, ...]] = {}
+    for vm in cluster.vms.values():
+        host = f"{vm.upstream.service}.example"
+        found[host] = (*found.get(host, ()), vm.backend_address)
+    return found
+
+
+def _count_attempts(cluster: cluster_lib.Cluster) -> float:
+    return sum(
+        admin.read_counter(vm.addresses.admin, "attempts_total")
+        for vm in cluster.vms.values()
+        if vm.node.is_running
+    )
+
+
+def main(arguments: list[str]) -> int:
+    """Runs the chosen experiments; returns the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", nargs="*", default=[])
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parsed = parser.parse_args(arguments)
+    samples: list[results.Sample] = []
+    for experiment in list_experiments():
+        if parsed.only and experiment.name not in parsed.only:
+            continue
+        measured = [
+            measure(experiment, policy, parsed.seconds, parsed.seed)
+            for policy in experiment.policies
+        ]
+        print(f"\n{experiment.name}: {experiment.rate:g} calls/s")
+        print(results.format_table(measured), flush=True)
+        samples += measured
+    results.write_samples(RESULT_FILE, samples)
+    breaches = results.list_breaches(samples)
+    for breach in breaches:
+        print(f"breach: {breach}")
+    return 1 if breaches else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,60 @@
+"""Policies that are measured against each other."""
+
+import dataclasses
+
+from lovagesaddle.core.routing import call
+from lovagesaddle.core.routing import limits
+from lovagesaddle.core.routing import pick_policies
+from lovagesaddle.core.routing import queues
+from lovagesaddle.core.routing import retries
+from lovagesaddle.node import routing as routing_lib
+from lovagesaddle.node import slots
+
+CHOSEN = "chosen"
+RETRY_CAP = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Policy:
+    """What a node is made with."""
+
+    routing: routing_lib.RoutingOptions = dataclasses.field(
+        default_factory=routing_lib.RoutingOptions
+    )
+    owner: slots.OwnerOptions = dataclasses.field(
+        default_factory=slots.OwnerOptions
+    )
+
+
+POLICIES = {
+    CHOSEN: Policy(),
+    "pick-random": Policy(
+        routing=routing_lib.RoutingOptions(policy=pick_policies.RandomPick())
+    ),
+    "pick-least": Policy(
+        routing=routing_lib.RoutingOptions(policy=pick_policies.LeastCostPick())
+    ),
+    "any-domain": Policy(
+        routing=routing_lib.RoutingOptions(prefer_own_domain=False)
+    ),
+    "no-limit": Policy(
+        owner=slots.OwnerOptions(make_limit=lambda _: limits.NoLimit())
+    ),
+    "adaptive-limit": Policy(
+        owner=slots.OwnerOptions(make_limit=limits.AdaptiveLimit)
+    ),
+    "fifo": Policy(owner=slots.OwnerOptions(order=queues.ArrivalOrder())),
+    "retry-unlimited": Policy(
+        routing=routing_lib.RoutingOptions(
+            make_retry_policy=retries.UnlimitedRetries
+        )
+    ),
+    "retry-capped": Policy(
+        routing=routing_lib.RoutingOptions(
+            make_retry_policy=lambda: retries.CappedRetries(RETRY_CAP)
+        )
+    ),
+    "hedge": Policy(
+        routing=routing_lib.RoutingOptions(call=call.CallOptions(hedge=True))
+    ),
+}
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,106 @@
+"""Processes that a measurement or a test starts, and stops again."""
+
+import dataclasses
+import pathlib
+import select
+import signal
+import socket
+import subprocess
+import sys
+import types
+from typing import Self
+
+START_S = 30.0
+STOP_S = 40.0
+
+
+class Process:
+    """One started program, as a context manager.
+
+    Args:
+      module: Run with `python -m`.
+      arguments: Of the program.
+      log: File for its standard error.
+    """
+
+    def __init__(self, module: str, *arguments: str, log: pathlib.Path) -> None:
+        self._name = module
+        with log.open("ab") as stream:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=subprocess.PIPE,
+                stderr=stream,
+                text=True,
+            )
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        if self._process.poll() is None:
+            self._process.kill()
+        self._process.wait()
+        assert self._process.stdout is not None
+        self._process.stdout.close()
+
+    @property
+    def pid(self) -> int:
+        """Of the process."""
+        return self._process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether it has not ended."""
+        return self._process.poll() is None
+
+    def read_line(self) -> list[str]:
+        """Returns the words of the next line that it prints.
+
+        Raises:
+          OSError: It ended, or printed nothing in time.
+        """
+        assert self._process.stdout is not None
+        ready, _, _ = select.select([self._process.stdout], [], [], START_S)
+        line = self._process.stdout.readline() if ready else ""
+        if not line:
+            raise OSError(f"{self._name} printed nothing")
+        return line.split()
+
+    def stop(self) -> int:
+        """Asks for a graceful stop; returns the exit status."""
+        self._process.send_signal(signal.SIGTERM)
+        return self.wait()
+
+    def terminate(self) -> None:
+        """Asks for a graceful stop and does not wait for it."""
+        self._process.send_signal(signal.SIGTERM)
+
+    def wait(self, timeout_s: float = STOP_S) -> int:
+        """Waits for its end; returns the exit status."""
+        return self._process.wait(timeout_s)
+
+    def kill(self) -> None:
+        """Kills it, as a lost VM would end it."""
+        self._process.kill()
+        self._process.wait()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Addresses:
+    """Where a node listens."""
+
+    http: str
+    admin: str
+
+
+def find_port() -> int:
+    """Returns a port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -63,7 +63,7 @@
     Attributes:
       method: Upper-case method.
       target: Path and query, as received.
-      headers: Without Content-Length.
+      headers: Without Content-Length; "host" in lower case.
       body: The whole body.
     """
 
--- a/src/lovagesaddle/node/admin.py
+++ b/src/lovagesaddle/node/admin.py
@@ -40,13 +40,15 @@
     Attributes:
       joined: Whether callers are served.
       version: Version of the table; 0 before the node joined.
-      servers: Number of announced backend servers.
+      servers: Number of backend servers announced here.
+      known_servers: Number of serving backend servers in the table.
       stopping: Whether the node is shutting down.
     """
 
     joined: bool
     version: int
     servers: int
+    known_servers: int
     stopping: bool
 
 
--- a/src/lovagesaddle/node/attempts.py
+++ b/src/lovagesaddle/node/attempts.py
@@ -136,6 +136,11 @@
         """Monotonic time by which the caller has its answer, in seconds."""
         return self._call.deadline
 
+    @property
+    def attempts(self) -> int:
+        """Attempts sent so far."""
+        return self._call.attempts
+
     def run(self, guard: watchdog.Guard) -> Ended:
         """Returns how the call ended; `guard` watches caller and deadline."""
         pending: list[events.Event] = [events.Started()]
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -65,6 +65,9 @@
             "call_seconds", "Time from a whole request to its answer"
         )
         self._metrics = metrics
+        self._attempts = metrics.get_counter(
+            "attempts_total", "Attempts sent to owners"
+        )
 
     def answer(self, request: gateway.Incoming) -> gateway.Answer:
         """Returns the answer to a caller's request."""
@@ -188,7 +191,9 @@
         with self._guards.watch(
             deadline=runner.deadline, is_gone=request.is_gone
         ) as guard:
-            return _format(runner.run(guard), request_id)
+            ended = runner.run(guard)
+        self._attempts.add(runner.attempts)
+        return _format(ended, request_id)
 
 
 def _format(ended: attempts.Ended, request_id: str) -> gateway.Answer:
--- a/src/lovagesaddle/node/main.py
+++ b/src/lovagesaddle/node/main.py
@@ -12,6 +12,8 @@
 
 from lovagesaddle.core import errors
 from lovagesaddle.node import program
+from lovagesaddle.node import routing
+from lovagesaddle.node import slots
 from lovagesaddle.observability import logs
 from lovagesaddle.settings import loader
 from lovagesaddle.settings import schema
@@ -19,31 +21,37 @@
 EXIT_CUT = 1
 EXIT_SETTINGS = 2
 SWITCH_INTERVAL_S = 0.0005
-_app = typer.Typer(add_completion=False)
+app = typer.Typer(add_completion=False, no_args_is_help=True)
 
 
-def main() -> None:
-    """Runs the program; see `run`."""
-    _app()
+@app.callback()
+def describe() -> None:
+    """Node of lovagesaddle."""
 
 
-@_app.command()
+@app.command()
 def run(
-    settings: Annotated[pathlib.Path, typer.Argument(help="INI file.")],
+    settings_file: Annotated[pathlib.Path, typer.Argument(metavar="FILE")],
 ) -> None:
-    """Runs one node until SIGTERM or SIGINT, then stops it gracefully.
+    """Runs a node with the settings in FILE until SIGTERM or SIGINT.
 
     Exits with 0 when no request was cut, 1 when one was, 2 on bad settings.
     """
-    match loader.load_node(settings):
+    match loader.load_node(settings_file):
         case result.Success(loaded):
-            raise typer.Exit(_run(loaded))
+            raise typer.Exit(serve(loaded))
         case result.Failure(problems):
             typer.echo(loader.list_lines(problems), err=True)
             raise typer.Exit(EXIT_SETTINGS)
 
 
-def _run(settings: schema.NodeSettings) -> int:
+def serve(
+    settings: schema.NodeSettings,
+    *,
+    routing_options: routing.RoutingOptions | None = None,
+    owner_options: slots.OwnerOptions | None = None,
+) -> int:
+    """Runs a node until SIGTERM or SIGINT; returns the exit status."""
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
@@ -52,7 +60,12 @@
         with (
             logs.open_log(settings.log),
             zmq.Context() as context,
-            program.NodeProgram(settings, context) as node,
+            program.NodeProgram(
+                settings,
+                context,
+                routing_options=routing_options,
+                owner_options=owner_options,
+            ) as node,
         ):
             print(node.http_address, node.admin_address, flush=True)
             stopped.wait()
@@ -62,5 +75,10 @@
         return EXIT_SETTINGS
 
 
+def main() -> None:
+    """Entry point of the program."""
+    app()
+
+
 if __name__ == "__main__":
     main()
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -198,6 +198,7 @@
             joined=table is not None,
             version=table.version if table is not None else 0,
             servers=len(self._servers.list_announced()),
+            known_servers=self._routing.known_servers,
             stopping=self._stopping,
         )
 
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -62,6 +62,7 @@
             policy=self.options.policy,
             source=random.Random(),
         )
+        self._known_servers = 0
         self._lock = threading.Lock()
         self._retry_policies: dict[str, retries.RetryPolicy] = {}
 
@@ -70,6 +71,11 @@
         """The newest table; None until the join floor is reached."""
         return self._table
 
+    @property
+    def known_servers(self) -> int:
+        """Serving backend servers in the table."""
+        return self._known_servers
+
     def install(self, stamped: delta.Stamped, *, joined: bool) -> None:
         """Compiles a snapshot and swaps the table once the node joined."""
         if not joined:
@@ -86,6 +92,7 @@
             self._balancer.step(
                 balancer.Installed(candidates=candidates), time.monotonic()
             )
+            self._known_servers = len(candidates)
             self._table = made
         _log.info(
             "table_installed",
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -5,6 +5,7 @@
 import time
 
 from bench import backend
+from bench import stand_in
 from returns import result
 
 from lovagesaddle.core.routing import chain
@@ -18,7 +19,7 @@
 
 @contextlib.contextmanager
 def _open_server() -> Iterator[backend.Backend]:
-    with backend.Backend(backend.BackendOptions()) as server:
+    with backend.Backend(stand_in.BackendOptions()) as server:
         yield server
 
 
@@ -90,7 +91,7 @@
     ):
         gone.append(True)
         cancelled = _exchange(pool, server, guard=guard, Run_Ms="9000")
-        nodes.wait_for(lambda: not server.running, "the run to end")
+        nodes.wait_for(lambda: not server.state.running, "the run to end")
     assert _get_kind(cancelled) is client.FailureKind.CANCELLED
 
 
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -8,7 +8,9 @@
 import tempfile
 from typing import Any
 
+from bench import admin as admin_lib
 from bench import backend
+from bench import stand_in
 
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.routing import chain
@@ -27,7 +29,7 @@
     """Runs nodes; the first one owns a stand-in."""
     with (
         nodes.Mesh(*(services or (nodes.make_service(),))) as mesh,
-        backend.Backend(backend.BackendOptions(**options)) as server,
+        backend.Backend(stand_in.BackendOptions(**options)) as server,
     ):
         started = [mesh.start(f"n{number}") for number in range(count)]
         _announce(started[0], server)
@@ -37,7 +39,7 @@
 def _announce(
     node: program.NodeProgram, server: backend.Backend, slots: int = 20
 ) -> str:
-    return backend.announce(
+    return admin_lib.announce(
         node.admin_address, SERVICE, server.address, slots, 100
     )
 
@@ -72,7 +74,7 @@
         for status, reply in cases:
             assert reply.status == status, (status, reply)
             assert _get_outcome(reply) == "not-run", reply
-        assert server.most_running == 0
+        assert server.state.most_running == 0
 
 
 def test_forged_headers_stop_at_the_entry() -> None:
@@ -102,7 +104,7 @@
             started[0].http_address, "POST", hop.RUN_PATH, body=forged
         )
         assert reply.status == 403
-        assert server.most_running == 0
+        assert server.state.most_running == 0
 
 
 def test_node_refuses_callers_until_it_joined() -> None:
@@ -125,9 +127,11 @@
     outer = nodes.make_service()
     with (
         _run_mesh(services=(inner, outer)) as (_, started, server),
-        backend.Backend(backend.BackendOptions()) as other,
+        backend.Backend(stand_in.BackendOptions()) as other,
     ):
-        backend.announce(started[1].admin_address, "inner", other.address, 5, 5)
+        admin_lib.announce(
+            started[1].admin_address, "inner", other.address, 5, 5
+        )
         token = _announce(started[0], server)
         own = started[0].http_address
         assert nodes.send(own, Host="inner", token=token).status == 200
@@ -177,7 +181,7 @@
             reply = nodes.send(node.http_address, Run_Ms="5000")
             assert reply.status == 504, reply
             assert _get_outcome(reply) == "unknown"
-        nodes.wait_for(lambda: not server.running, "the slots to be free")
+        nodes.wait_for(lambda: not server.state.running, "the slots to be free")
 
 
 def test_caller_that_hangs_up_frees_its_slot() -> None:
@@ -185,9 +189,11 @@
     with _run_mesh() as (_, started, server):
         for node in started:
             gone = nodes.open_request(node.http_address, Run_Ms="4000")
-            nodes.wait_for(lambda: server.running, "the run to start")
+            nodes.wait_for(lambda: server.state.running, "the run to start")
             gone.close()
-            nodes.wait_for(lambda: not server.running, "the slot to be free")
+            nodes.wait_for(
+                lambda: not server.state.running, "the slot to be free"
+            )
 
 
 def test_full_owner_refuses_with_retry_after() -> None:
@@ -206,7 +212,7 @@
         assert refused
         assert all(_get_outcome(reply) == "not-run" for reply in refused)
         assert all("Retry-After" in reply.headers for reply in refused)
-        assert server.most_running == 1
+        assert server.state.most_running == 1
 
 
 def test_shut_down_finishes_what_runs() -> None:
@@ -219,7 +225,7 @@
             pool.submit(nodes.send, node.http_address, "POST", Run_Ms="300")
             for node in started
         ]
-        nodes.wait_for(lambda: server.running == 2, "both runs")
+        nodes.wait_for(lambda: server.state.running == 2, "both runs")
         stopped = pool.submit(started[0].shut_down)
         nodes.wait_for(
             lambda: nodes.send(started[1].http_address).status == 503,
