--- /dev/null
+++ b/bench/hops.py
@@ -0,0 +1,112 @@
+"""Measures what one and two hops add to a call of one caller.
+
+    python -m bench.hops [--calls 3000]
+"""
+
+import argparse
+import http.client
+import pathlib
+import sys
+import tempfile
+import time
+
+from bench import cluster as cluster_lib
+from bench import results
+from bench import verdicts
+from bench import workloads
+
+WARM_UP = 200
+BLOCK = 50
+MS_PER_S = 1000
+RESULT_FILE = results.RESULTS_FOLDER / "hops.jsonl"
+
+
+def measure(calls: int, log_level: str) -> results.Sample:
+    """Returns the times of a direct call and of calls over one and two hops."""
+    workload = workloads.make_bentancor(run_ms=0)
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        cluster_lib.Cluster(
+            pathlib.Path(folder),
+            (workload.upstreams[0], workload.upstreams[-1]),
+            workload.services,
+            log_level=log_level,
+        ) as cluster,
+    ):
+        other, owner = cluster.vms.values()
+        paths = {
+            "direct": owner.backend_address,
+            "one hop": owner.addresses.http,
+            "two hops": other.addresses.http,
+        }
+        callers = {name: _Caller(address) for name, address in paths.items()}
+        # Blocks take turns, so that a busy moment falls on every path.
+        for _ in range((calls + WARM_UP) // BLOCK):
+            for caller in callers.values():
+                caller.call(BLOCK)
+    base = callers["direct"]
+    figures: list[results.Figure] = []
+    for name, caller in callers.items():
+        for share in (0.5, 0.99):
+            value = caller.find(share)
+            label = f"p{share * 100:g}"
+            figures.append(
+                results.Figure(name=f"{name} {label}", value=value, unit="ms")
+            )
+            if caller is not base:
+                figures.append(
+                    results.Figure(
+                        name=f"{name} added {label}",
+                        value=value - base.find(share),
+                        unit="ms",
+                        bound=verdicts.ADDED_P99_MS if share > 0.5 else None,
+                    )
+                )
+    return results.Sample(
+        experiment="hops",
+        variant=f"log={log_level}",
+        seed=1,
+        figures=tuple(figures),
+    )
+
+
+class _Caller:
+    def __init__(self, address: str) -> None:
+        self._connection = http.client.HTTPConnection(address, timeout=10)
+        self._ms: list[float] = []
+
+    def call(self, count: int) -> None:
+        headers = {
+            "Host": "artwork.example",
+            "Authorization": f"Bearer {workloads.TOKEN}",
+        }
+        for _ in range(count):
+            started = time.perf_counter()
+            self._connection.request("GET", "/layouts", headers=headers)
+            response = self._connection.getresponse()
+            response.read()
+            if response.status != http.HTTPStatus.OK:
+                raise OSError(f"status {response.status}")
+            self._ms.append((time.perf_counter() - started) * MS_PER_S)
+
+    def find(self, share: float) -> float:
+        return verdicts.find_percentile(self._ms[WARM_UP:], share)
+
+
+def main(arguments: list[str]) -> int:
+    """Runs the measurement; returns the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--calls", type=int, default=3000)
+    parser.add_argument("--log-level", default="info")
+    parsed = parser.parse_args(arguments)
+    samples = [measure(parsed.calls, parsed.log_level)]
+    print(results.format_table(samples))
+    results.write_samples(RESULT_FILE, samples)
+    breaches = results.list_breaches(samples)
+    for breach in breaches:
+        print(f"breach: {breach}")
+    return 1 if breaches else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
