Run a request at most once for each Idempotency-Key

Cause: the core's claims had no shells: no leader assigned shards and no node asked or held claims. Change: the leader assigns shards to nodes and leaves a changed one alone until its holders took over; nodes claim a key before its request runs, keep the answer, and replay it. Waits for the claim end with the caller's connection. Tests: resends at once and through other nodes, another body, a lost answer, no majority, handover of a holder; each run is counted by the stand-in's record. Conclusion: a refusal without a majority says unknown, not not-run; see docs/decisions/0004.

--- a/src/lovagesaddle/control/fleet.py
+++ b/src/lovagesaddle/control/fleet.py
@@ -10,7 +10,7 @@
 from lovagesaddle.transport import lines
 
 
-class Fleet(ports.Subsystem):
+class Fleet(ports.Subsystem, ports.FleetView):
     """Moves bytes between the endpoint and `source.Source`.
 
     Args:
--- a/src/lovagesaddle/control/operators.py
+++ b/src/lovagesaddle/control/operators.py
@@ -22,7 +22,7 @@
       endpoint: The process's endpoint.
       consensus: The replica of this process.
       replicas: Changes of the replicas.
-      fleet: Knows which nodes hold which version; None without nodes.
+      fleet: Knows which nodes hold which version.
     """
 
     def __init__(
@@ -32,7 +32,7 @@
         endpoint: endpoint_lib.Endpoint,
         consensus: consensus_lib.Consensus,
         replicas: replicas_lib.Replicas,
-        fleet: ports.Subsystem | None,
+        fleet: ports.FleetView,
     ) -> None:
         self._log = logs.get_logger("operators")
         self._own_id = own_id
@@ -73,16 +73,6 @@
     def observe(self, view: ports.ClusterView, now: float) -> None:
         """Takes a new applied state, leader or leader stamp."""
 
-    def list_lagging(self, version: int) -> tuple[str, ...]:
-        """Returns IDs of nodes not known to hold `version`, capped."""
-        return () if self._fleet is None else self._fleet.list_lagging(version)
-
-    def find_version_in_force(self) -> int:
-        """Returns the version that every reporting node holds at least."""
-        if self._fleet is None:
-            return self._consensus.view().state.snapshot.version
-        return self._fleet.find_version_in_force()
-
     def _answer(
         self, route: bytes, answer: operator_messages.OperatorMessage
     ) -> None:
@@ -166,8 +156,8 @@
             stale_s=view.stamp_age_s,
             replicas=self._describe_replicas(),
             node_count=len(snapshot.nodes),
-            in_force_version=self.find_version_in_force(),
-            lagging=self.list_lagging(snapshot.version),
+            in_force_version=self._fleet.find_version_in_force(),
+            lagging=self._fleet.list_lagging(snapshot.version),
         )
 
     def _describe_replicas(
--- a/src/lovagesaddle/control/ports.py
+++ b/src/lovagesaddle/control/ports.py
@@ -78,6 +78,10 @@
     def observe(self, view: ClusterView, now: float) -> None:
         """Takes a new applied state, leader or leader stamp."""
 
+
+class FleetView(abc.ABC):
+    """What a replica knows of the versions that nodes hold."""
+
     @abc.abstractmethod
     def list_lagging(self, version: int) -> tuple[str, ...]:
         """Returns IDs of nodes not known to hold `version`, capped."""
--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -18,6 +18,7 @@
 from lovagesaddle.control import operators as operators_lib
 from lovagesaddle.control import ports
 from lovagesaddle.control import replicas as replicas_lib
+from lovagesaddle.control import shards as shards_lib
 from lovagesaddle.core import errors
 from lovagesaddle.core.consensus import entries as entries_lib
 from lovagesaddle.core.consensus import founding as founding_lib
@@ -241,7 +242,7 @@
             ),
             fleet=fleet,
         )
-        return (operators, fleet)
+        return (operators, fleet, shards_lib.Shards(self._consensus))
 
     def _list_replicas(self) -> tuple[peers.Peer, ...]:
         members = self._consensus.replica.members.members
--- a/src/lovagesaddle/node/attempts.py
+++ b/src/lovagesaddle/node/attempts.py
@@ -81,6 +81,7 @@
 
 Ended = result.Result[Answered, Failed]
 GONE_STATUS = 499
+FIRST_FAILURE_STATUS = call_lib.FIRST_FAILURE_STATUS
 GONE_REASON = "caller-gone"
 
 
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -11,6 +11,7 @@
 from lovagesaddle.core import errors
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.routing import chain as chain_lib
+from lovagesaddle.core.routing import claim_keys
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.http import gateway
@@ -19,6 +20,7 @@
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import attempts
 from lovagesaddle.node import hops
+from lovagesaddle.node import keyed as keyed_lib
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import routing as routing_lib
 from lovagesaddle.node import suspects as suspects_lib
@@ -42,6 +44,7 @@
       carrier: Takes attempts to owners.
       servers: Knows the tokens of local services.
       suspects: Knows requests that crash servers.
+      keyed: Runs requests with an Idempotency-Key.
       guards: Watches deadlines and callers that hang up.
       metrics: Of this process.
     """
@@ -53,6 +56,7 @@
         carrier: hops.Carrier,
         servers: local_servers.LocalServers,
         suspects: suspects_lib.Suspects,
+        keyed: keyed_lib.KeyedCalls,
         guards: watchdog.Watchdog,
         metrics: metrics_lib.Metrics,
     ) -> None:
@@ -60,6 +64,7 @@
         self._carrier = carrier
         self._servers = servers
         self._suspects = suspects
+        self._keyed = keyed
         self._guards = guards
         self._latency = metrics.get_latency(
             "call_seconds", "Time from a whole request to its answer"
@@ -100,38 +105,15 @@
         )
         if isinstance(match, table_lib.Miss):
             return _answer_miss(match)
-        refused = self._check(table, match, request)
+        access = table.authorise(match, self._find_credential(request))
+        refused = _check(access, match, request)
         if refused is not None:
             return refused
         try:
             chain = chain_lib.parse_headers(request.headers)
         except errors.ChainError as error:
             return gateway.make_failure(400, error.cause, _NOT_RUN)
-        return self._call(table, match, request, chain, arrived_at)
-
-    def _check(
-        self,
-        table: table_lib.Table,
-        match: table_lib.Match,
-        request: gateway.Incoming,
-    ) -> gateway.Answer | None:
-        access = table.authorise(match, self._find_credential(request))
-        if not access.allowed:
-            _log.info(
-                "access_denied",
-                service=match.service,
-                route=match.route.name,
-                version=match.version,
-                reason=access.reason.value,
-                client=access.client,
-            )
-            extra = (CHALLENGE,) if access.status == 401 else ()
-            return gateway.make_failure(
-                access.status, access.reason.value, _NOT_RUN, extra
-            )
-        if request.content_length > match.route.max_body_bytes:
-            return gateway.make_failure(413, "body-too-large", _NOT_RUN)
-        return None
+        return self._call(table, match, access, request, chain, arrived_at)
 
     def _find_credential(
         self, request: gateway.Incoming
@@ -150,6 +132,7 @@
         self,
         table: table_lib.Table,
         match: table_lib.Match,
+        access: table_lib.Access,
         request: gateway.Incoming,
         chain: chain_lib.Chain,
         arrived_at: float,
@@ -164,9 +147,6 @@
             body_digest=hashlib.sha256(body).digest(),
         )
         verdict = self._suspects.judge(fingerprint)
-        if verdict is quarantine.Verdict.REFUSED:
-            _log.info("quarantined", request=request_id, service=match.service)
-            return gateway.make_failure(503, hop.QUARANTINED, _NOT_RUN)
         passed = attempts.Passed(
             request_id=request_id,
             method=request.method,
@@ -191,11 +171,64 @@
         with self._guards.watch(
             deadline=runner.deadline, is_gone=request.is_gone
         ) as guard:
-            ended = runner.run(guard)
+
+            def run() -> attempts.Ended:
+                if verdict is quarantine.Verdict.REFUSED:
+                    return _refuse_quarantined(request_id, match)
+                return runner.run(guard)
+
+            key = keyed_lib.read_key(request)
+            if key is None:
+                ended = run()
+            else:
+                keyed = keyed_lib.make_keyed(
+                    key=key,
+                    match=match,
+                    access=access,
+                    request=request,
+                    body=body,
+                    deadline=runner.deadline,
+                )
+                ended = self._keyed.run(keyed, run, guard, request_id)
         self._attempts.add(runner.attempts)
         return _format(ended, request_id)
 
 
+def _check(
+    access: table_lib.Access,
+    match: table_lib.Match,
+    request: gateway.Incoming,
+) -> gateway.Answer | None:
+    if not access.allowed:
+        _log.info(
+            "access_denied",
+            service=match.service,
+            route=match.route.name,
+            version=match.version,
+            reason=access.reason.value,
+            client=access.client,
+        )
+        extra = (CHALLENGE,) if access.status == 401 else ()
+        return gateway.make_failure(
+            access.status, access.reason.value, _NOT_RUN, extra
+        )
+    if request.content_length > match.route.max_body_bytes:
+        return gateway.make_failure(413, "body-too-large", _NOT_RUN)
+    key = keyed_lib.read_key(request)
+    if key is not None and not claim_keys.is_valid_key(key):
+        return gateway.make_failure(400, "malformed-idempotency-key", _NOT_RUN)
+    return None
+
+
+def _refuse_quarantined(
+    request_id: str, match: table_lib.Match
+) -> attempts.Ended:
+    _log.info("quarantined", request=request_id, service=match.service)
+    return result.Failure(
+        attempts.Failed(status=503, outcome=_NOT_RUN, reason=hop.QUARANTINED)
+    )
+
+
 def _format(ended: attempts.Ended, request_id: str) -> gateway.Answer:
     trace: headers_lib.Headers = ((chain_lib.REQUEST_ID_HEADER, request_id),)
     match ended:
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -19,9 +19,11 @@
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import admin
 from lovagesaddle.node import application
+from lovagesaddle.node import claims as claims_lib
 from lovagesaddle.node import control_half
 from lovagesaddle.node import entry as entry_lib
 from lovagesaddle.node import hops
+from lovagesaddle.node import keyed as keyed_lib
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import ports
@@ -99,6 +101,7 @@
         self._servers = local_servers.LocalServers(
             node_id=settings.node_id, owner=self._owner
         )
+        self._claims = claims_lib.Claims(node_id=settings.node_id)
         self._guards = watchdog.Watchdog()
         self._application = self._make_application()
         self._http = self._listen()
@@ -108,12 +111,14 @@
         with contextlib.ExitStack() as stack:
             stack.enter_context(self._pool)
             stack.enter_context(self._guards)
+            stack.enter_context(self._claims)
             stack.enter_context(self._http)
             stack.enter_context(self._admin)
             control = stack.enter_context(
                 self._make_control(self._bound_settings, self._context, self)
             )
             self._servers.connect(control)
+            self._claims.connect(control)
             self.metrics.set_gauge(
                 "control_bytes_total",
                 "Bytes of configuration traffic, both ways.",
@@ -154,6 +159,7 @@
     def install(self, stamped: delta.Stamped, *, joined: bool) -> None:
         """Takes a newer snapshot from the control half."""
         self._routing.install(stamped, joined=joined)
+        self._claims.install(stamped, joined=joined)
 
     def take_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
         """Takes crash marks of other nodes."""
@@ -221,6 +227,7 @@
             carrier=carrier,
             servers=self._servers,
             suspects=self._suspects,
+            keyed=keyed_lib.KeyedCalls(self._claims),
             guards=self._guards,
             metrics=self.metrics,
         )
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -1,6 +1,7 @@
 """Nodes with a small fake of the control half, for tests and benches."""
 
 from collections.abc import Callable, Iterator
+from concurrent import futures
 import contextlib
 import dataclasses
 import hashlib
@@ -16,6 +17,7 @@
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.model import services
 from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.routing import shard_plan
 from lovagesaddle.node import ports
 from lovagesaddle.node import program
 from lovagesaddle.node import routing as routing_lib
@@ -27,6 +29,7 @@
 TOKEN = "token-of-a-foundation"
 WAIT_S = 10.0
 POLL_S = 0.005
+SHARDS = 4
 ANY = "127.0.0.1:0"
 
 
@@ -39,11 +42,18 @@
     body: bytes
 
 
-class FakeControl(ports.ControlPort):
-    """Merges announcements into one snapshot and installs it everywhere."""
+class FakeControl:
+    """Merges announcements into one snapshot and installs it everywhere.
+
+    Messages between nodes are delivered in order by one thread, but for those
+    to a node in `cut_off`.
+    """
 
     def __init__(self, *services_: services.Service) -> None:
         self._lock = threading.RLock()
+        self._handlers: dict[str, Callable[[str, bytes], None]] = {}
+        self._delivery = futures.ThreadPoolExecutor(max_workers=1)
+        self.cut_off: set[str] = set()
         self._sinks: list[ports.SnapshotSink] = []
         self._snapshot = snapshots.Snapshot(
             cluster_id="c", version=1, services=services_
@@ -76,9 +86,46 @@
         with self._lock:
             self._sinks.append(sink)
             self.change(nodes=self._merge("nodes", "node_id", node))
-        yield self
+        yield _NodeControl(self, settings.node_id)
         with self._lock:
             self._sinks.remove(sink)
+            self._handlers.pop(settings.node_id, None)
+
+    def close(self) -> None:
+        """Ends the delivery of messages."""
+        self._delivery.shutdown(wait=True, cancel_futures=True)
+
+    def assign_shards(self) -> None:
+        """Assigns shards to the nodes as a leader does."""
+        with self._lock:
+            command = shard_plan.plan_shards(self._snapshot, shard_count=SHARDS)
+            if command is not None:
+                self.change(
+                    shards=delta.merge(
+                        self._snapshot.shards, command.shards, ()
+                    )
+                )
+
+    def leave(self, node_id: str) -> None:
+        """Takes a node out of the snapshot."""
+        with self._lock:
+            kept = [n for n in self._snapshot.nodes if n.node_id != node_id]
+            self.change(nodes=tuple(kept))
+
+    def subscribe(
+        self, node_id: str, handler: Callable[[str, bytes], None]
+    ) -> None:
+        """Hands messages to a node from now on."""
+        self._handlers[node_id] = handler
+
+    def deliver(self, sender_id: str, node_id: str, data: bytes) -> bool:
+        """Delivers a message between nodes."""
+        handler = self._handlers.get(node_id)
+        if handler is None:
+            return False
+        if not self.cut_off.intersection((sender_id, node_id)):
+            self._delivery.submit(handler, sender_id, data)
+        return True
 
     def change(self, **fields: Any) -> None:
         """Installs a newer snapshot with other fields."""
@@ -90,11 +137,6 @@
             for sink in self._sinks:
                 sink.install(stamped, joined=self.joined)
 
-    @property
-    def control_bytes(self) -> int:
-        """See base class; no bytes are sent."""
-        return 0
-
     def announce_server(self, server: snapshots.BackendServer) -> None:
         """Adds or changes a server."""
         with self._lock:
@@ -117,19 +159,6 @@
         for sink in tuple(self._sinks):
             sink.take_marks(marks)
 
-    def send(
-        self, node_id: str, channel: endpoint.Channel, data: bytes
-    ) -> bool:
-        """Knows no other node."""
-        del node_id, channel, data
-        return False
-
-    def subscribe(
-        self, channel: endpoint.Channel, handler: Callable[[str, bytes], None]
-    ) -> None:
-        """Delivers nothing."""
-        del channel, handler
-
     def _merge(self, field: str, key: str, item: Any) -> tuple[Any, ...]:
         held = {getattr(each, key): each for each in self._read(field)}
         held[getattr(item, key)] = item
@@ -140,6 +169,45 @@
         return found
 
 
+class _NodeControl(ports.ControlPort):
+    """One node's handle on the fake control."""
+
+    def __init__(self, control: FakeControl, node_id: str) -> None:
+        self._control = control
+        self._node_id = node_id
+
+    @property
+    def control_bytes(self) -> int:
+        """See base class; no bytes are sent."""
+        return 0
+
+    def announce_server(self, server: snapshots.BackendServer) -> None:
+        """See base class."""
+        self._control.announce_server(server)
+
+    def withdraw_server(self, server_id: str, incarnation: int) -> None:
+        """See base class."""
+        self._control.withdraw_server(server_id, incarnation)
+
+    def spread_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
+        """See base class."""
+        self._control.spread_marks(marks)
+
+    def send(
+        self, node_id: str, channel: endpoint.Channel, data: bytes
+    ) -> bool:
+        """See base class; every channel is that of claims."""
+        del channel
+        return self._control.deliver(self._node_id, node_id, data)
+
+    def subscribe(
+        self, channel: endpoint.Channel, handler: Callable[[str, bytes], None]
+    ) -> None:
+        """See base class; every channel is that of claims."""
+        del channel
+        self._control.subscribe(self._node_id, handler)
+
+
 class Mesh:
     """Nodes in this process under one fake control, as a context manager."""
 
@@ -150,6 +218,7 @@
 
     def __enter__(self) -> Self:
         self._stack.callback(self._context.term)
+        self._stack.callback(self.control.close)
         return self
 
     def __exit__(
