--- a/bench/hops.py
+++ b/bench/hops.py
@@ -1,6 +1,6 @@
 """Measures what one and two hops add to a call of one caller.
 
-    python -m bench.hops [--calls 3000]
+python -m bench.hops [--calls 3000]
 """
 
 import argparse
@@ -40,10 +40,15 @@
             "two hops": other.addresses.http,
         }
         callers = {name: _Caller(address) for name, address in paths.items()}
+        used = dict.fromkeys(paths, 0.0)
+        nodes = (owner.node, other.node)
         # Blocks take turns, so that a busy moment falls on every path.
         for _ in range((calls + WARM_UP) // BLOCK):
-            for caller in callers.values():
+            for name, caller in callers.items():
+                before = sum(node.read_cpu_s() for node in nodes)
                 caller.call(BLOCK)
+                after = sum(node.read_cpu_s() for node in nodes)
+                used[name] += after - before
     base = callers["direct"]
     figures: list[results.Figure] = []
     for name, caller in callers.items():
@@ -62,6 +67,16 @@
                         bound=verdicts.ADDED_P99_MS if share > 0.5 else None,
                     )
                 )
+    sent = calls + WARM_UP
+    figures += [
+        results.Figure(
+            name=f"{name} processor of the nodes",
+            value=(spent - used["direct"]) / sent * MS_PER_S,
+            unit="ms/call",
+        )
+        for name, spent in used.items()
+        if name != "direct"
+    ]
     return results.Sample(
         experiment="hops",
         variant=f"log={log_level}",
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,6 +1,7 @@
 """Processes that a measurement or a test starts, and stops again."""
 
 import dataclasses
+import os
 import pathlib
 import select
 import signal
@@ -53,6 +54,18 @@
         """Of the process."""
         return self._process.pid
 
+    def read_cpu_s(self) -> float:
+        """Returns the processor time it has used, in seconds."""
+        stat = pathlib.Path(f"/proc/{self.pid}/stat").read_text("ascii")
+        fields = stat.rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
+    def read_memory_bytes(self) -> int:
+        """Returns its resident memory, in bytes."""
+        pages = pathlib.Path(f"/proc/{self.pid}/statm").read_text("ascii")
+        return int(pages.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
     @property
     def is_running(self) -> bool:
         """Whether it has not ended."""
--- a/src/lovagesaddle/http/watchdog.py
+++ b/src/lovagesaddle/http/watchdog.py
@@ -9,6 +9,7 @@
 from typing import Self
 
 SCAN_S = 0.02
+IDLE_SCANS = 50
 
 
 class EndReason(enum.Enum):
@@ -74,11 +75,17 @@
 
 
 class Watchdog:
-    """Scans the open guards on a thread of its own, as a context manager."""
+    """Scans the open guards on a thread of its own, as a context manager.
+
+    The thread sleeps while no guard was open for a time, so that an idle
+    node costs nothing.
+    """
 
     def __init__(self) -> None:
         self._guards: dict[int, Guard] = {}
-        self._stopped = threading.Event()
+        self._stopped = False
+        self._asleep = False
+        self._roused = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="watchdog", daemon=True
         )
@@ -93,7 +100,8 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
-        self._stopped.set()
+        self._stopped = True
+        self._roused.set()
         self._thread.join()
 
     @contextlib.contextmanager
@@ -108,13 +116,31 @@
         """
         guard = Guard(deadline, is_gone)
         self._guards[id(guard)] = guard
+        if self._asleep:
+            self._roused.set()
         try:
             yield guard
         finally:
             del self._guards[id(guard)]
 
     def _run(self) -> None:
-        while not self._stopped.wait(SCAN_S):
+        idle_scans = 0
+        while not self._stopped:
+            guards = tuple(self._guards.values())
+            idle_scans = 0 if guards else idle_scans + 1
             now = time.monotonic()
-            for guard in tuple(self._guards.values()):
+            for guard in guards:
                 guard.check(now)
+            if idle_scans > IDLE_SCANS:
+                self._sleep()
+                idle_scans = 0
+            else:
+                time.sleep(SCAN_S)
+
+    def _sleep(self) -> None:
+        """Waits for a guard; one opened meanwhile is seen after the flag."""
+        self._roused.clear()
+        self._asleep = True
+        if not self._guards and not self._stopped:
+            self._roused.wait()
+        self._asleep = False
