--- a/src/lovagesaddle/cli/demo_server.py
+++ b/src/lovagesaddle/cli/demo_server.py
@@ -19,7 +19,9 @@
 
 import msgspec
 import typer
-import waitress.server
+
+from lovagesaddle.http import lanes
+from lovagesaddle.http import server as server_lib
 
 ANNOUNCE_PAUSE_S = 0.1
 ANNOUNCE_TIMEOUT_S = 10.0
@@ -27,6 +29,8 @@
 WORK_S = 0.004
 SLOTS = 8
 CONNECTIONS = 64
+MAX_BODY_BYTES = 16 * 1024 * 1024
+STOP_GRACE_S = 2.0
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -102,17 +106,19 @@
         self._work_s = work_s
         self._lock = threading.Lock()
         self._runs: list[Run] = []
-        self._server = waitress.server.create_server(
-            self._answer, listen=address, threads=SLOTS
-        )
-        host, port = self._server.effective_host, self._server.effective_port
-        self.address = f"{host}:{port}"
-        self._thread = threading.Thread(
-            target=self._server.run, name=name, daemon=True
+        self._server = server_lib.HttpServer(
+            application=self._answer,
+            dispatcher=lanes.LaneDispatcher(
+                threads={lanes.Lane.CALLER: SLOTS},
+                classify=lambda _: lanes.Lane.CALLER,
+            ),
+            options=server_lib.ServerOptions(
+                address=address, max_body_bytes=MAX_BODY_BYTES
+            ),
         )
 
     def __enter__(self) -> Self:
-        self._thread.start()
+        self._server.__enter__()
         return self
 
     def __exit__(
@@ -121,8 +127,12 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
-        self._server.close()
-        self._server.task_dispatcher.shutdown()
+        self.finish()
+
+    @property
+    def address(self) -> str:
+        """The bound `ip:port`."""
+        return self._server.address
 
     @property
     def runs(self) -> tuple[Run, ...]:
@@ -130,6 +140,15 @@
         with self._lock:
             return tuple(self._runs)
 
+    def forget_runs(self) -> None:
+        """Forgets what it ran so far."""
+        with self._lock:
+            self._runs.clear()
+
+    def finish(self) -> bool:
+        """Answers what runs and stops; returns whether nothing was cut."""
+        return self._server.stop(grace_s=STOP_GRACE_S)
+
     def announce(self, admin_address: str) -> None:
         """Announces itself to the node on its VM.
 
@@ -144,7 +163,7 @@
             connections=CONNECTIONS,
         )
         deadline = time.monotonic() + ANNOUNCE_TIMEOUT_S
-        while not _post(admin_address, "/announce", body):
+        while not _send(admin_address, "POST", "/announce", body):
             if time.monotonic() >= deadline:
                 raise TimeoutError(f"{admin_address} takes no announcement")
             time.sleep(ANNOUNCE_PAUSE_S)
@@ -152,7 +171,12 @@
     def drain(self, admin_address: str) -> bool:
         """Asks the node to send no new work; returns whether it agreed."""
         body = ServiceName(service=self.service)
-        return _post(admin_address, "/drain", body)
+        return _send(admin_address, "POST", "/drain", body)
+
+    def withdraw(self, admin_address: str) -> bool:
+        """Tells the node that it is gone; returns whether it knew it."""
+        body = ServiceName(service=self.service)
+        return _send(admin_address, "DELETE", "/announce", body)
 
     def _answer(
         self, environ: Environ, start_response: StartResponse
@@ -178,10 +202,10 @@
         return [data]
 
 
-def _post(address: str, path: str, body: object) -> bool:
+def _send(address: str, method: str, path: str, body: object) -> bool:
     connection = http.client.HTTPConnection(address, timeout=CONNECT_TIMEOUT_S)
     try:
-        connection.request("POST", path, body=msgspec.json.encode(body))
+        connection.request(method, path, body=msgspec.json.encode(body))
         return connection.getresponse().status == http.HTTPStatus.OK
     except (OSError, http.client.HTTPException):
         return False
@@ -194,7 +218,7 @@
     admin: Annotated[str, typer.Option(help="Admin ip:port of the node.")],
     listen: Annotated[str, typer.Option(help="Own ip:port.")] = "127.0.0.1:0",
 ) -> None:
-    """Run a backend server until it is interrupted."""
+    """Run a backend server until it is told to stop; then drain it."""
     stopped = threading.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, lambda *_: stopped.set())
@@ -202,6 +226,9 @@
         server.announce(admin)
         typer.echo(f"{service} answers on {server.address}")
         stopped.wait()
+        server.drain(admin)
+        server.finish()
+        server.withdraw(admin)
 
 
 if __name__ == "__main__":
