--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,71 @@
+"""Tests of a node's graceful shutdown."""
+
+from lovagesaddle.core.routing import drain as drain_lib
+from tests import fixtures
+
+BOUND_S = 30.0
+
+
+def _begin(*servers: str) -> drain_lib.Drain:
+    node = drain_lib.Drain()
+    event = drain_lib.Begin(bound_s=BOUND_S, servers=servers)
+    actions = node.step(event, 0.0)
+    assert actions == (
+        *(drain_lib.DrainServer(server_id=each) for each in servers),
+        drain_lib.AnswerWithClose(),
+    )
+    return node
+
+
+def _tick(node: drain_lib.Drain, now: float) -> tuple[drain_lib.Action, ...]:
+    return node.step(drain_lib.Tick(), now)
+
+
+def test_listeners_stay_until_the_servers_are_idle() -> None:
+    """A running request may still call others through its node."""
+    node = _begin("s0", "s1")
+    node.step(drain_lib.ServerDrained(server_id="s0"), 5.0)
+    assert _tick(node, 10.0) == ()
+    last = node.step(drain_lib.ServerDrained(server_id="s1"), 10.0)
+    assert isinstance(last[0], drain_lib.CloseListeners)
+
+
+def test_nothing_in_progress_is_cut() -> None:
+    """The process exits after the last whole answer and settled claim."""
+    node = _begin()
+    node.step(drain_lib.EntryChanged(in_progress=2, settling=1), 0.1)
+    assert _tick(node, 3.0) == (drain_lib.CloseListeners(),)
+    node.step(drain_lib.EntryChanged(in_progress=0, settling=1), 4.0)
+    assert node.stage is drain_lib.Stage.CLOSING
+    done = node.step(drain_lib.EntryChanged(in_progress=0), 5.0)
+    assert done == (drain_lib.Exit(cut=0, busy_servers=()),)
+    assert _tick(node, 6.0) == ()
+
+
+def test_callers_get_time_to_turn_away() -> None:
+    """An idle node still listens for a moment after the drain began."""
+    node = _begin()
+    assert _tick(node, drain_lib.LINGER_S / 2) == ()
+    assert len(_tick(node, drain_lib.LINGER_S)) == 2
+
+
+def test_bound_of_time_ends_the_shutdown_and_counts_what_it_cuts() -> None:
+    """A request that never ends can't keep the node, and is reported."""
+    node = _begin("s0")
+    node.step(drain_lib.EntryChanged(in_progress=3), 0.1)
+    assert _tick(node, BOUND_S - 0.1) == ()
+    assert _tick(node, BOUND_S) == (
+        drain_lib.CloseListeners(),
+        drain_lib.Exit(cut=3, busy_servers=("s0",)),
+    )
+
+
+def test_second_request_for_a_shutdown_changes_nothing() -> None:
+    """A repeated signal neither restarts the bound nor drains twice."""
+    node = _begin("s0")
+    again = drain_lib.Begin(bound_s=BOUND_S, servers=("s0",))
+    assert node.step(again, BOUND_S - 1) == ()
+    assert len(_tick(node, BOUND_S)) == 2
+
+
+load_tests = fixtures.collect(__name__)
