Run requests with an Idempotency-Key behind a claim

A resend gets the stored answer through any entry, and another body 422. A caller that hangs up does not cancel a run with a key: its resend gets the answer instead.

--- /dev/null
+++ b/src/lovagesaddle/node/claimed_calls.py
@@ -0,0 +1,86 @@
+"""Runs a call behind the claim on its Idempotency-Key."""
+
+from collections.abc import Callable
+
+from returns import result
+
+from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.routing import claim_events
+from lovagesaddle.core.routing import claim_messages
+from lovagesaddle.node import attempts
+from lovagesaddle.node import claims as claims_lib
+
+MAX_KEPT_BYTES = 64 * 1024
+NO_SHARDS = attempts.Failed(
+    status=503,
+    outcome=outcomes.RequestOutcome.NOT_RUN,
+    reason=claim_events.RefusalReason.NO_MAJORITY.value,
+    retry_after_s=1.0,
+)
+
+
+def run_claimed(
+    claim: claims_lib.Claim | None, run: Callable[[], attempts.Ended]
+) -> attempts.Ended:
+    """Runs a call once its claim is granted.
+
+    Args:
+      claim: On its key; None when there is no shard map yet.
+      run: Carries out the call.
+    """
+    if claim is None:
+        return result.Failure(NO_SHARDS)
+    verdict = claim.claim()
+    match verdict:
+        case claim_events.Replay():
+            return result.Success(_restore(verdict.answer))
+        case claim_events.Refuse():
+            return result.Failure(
+                attempts.Failed(
+                    status=verdict.status,
+                    outcome=verdict.outcome,
+                    reason=verdict.reason.value,
+                )
+            )
+        case claim_events.Run():
+            pass
+    try:
+        ended = run()
+    except Exception:
+        claim.settle(
+            claim_events.Ended(outcome=outcomes.RequestOutcome.UNKNOWN)
+        )
+        raise
+    claim.settle(_describe(ended))
+    return ended
+
+
+def _describe(ended: attempts.Ended) -> claim_events.Ended:
+    match ended:
+        case result.Success(answered):
+            return claim_events.Ended(outcome=None, answer=_store(answered))
+        case result.Failure(failed):
+            return claim_events.Ended(outcome=failed.outcome)
+    raise AssertionError("unreachable")
+
+
+def _store(answered: attempts.Answered) -> claim_messages.StoredAnswer:
+    kept = len(answered.body) <= MAX_KEPT_BYTES
+    return claim_messages.StoredAnswer(
+        status=answered.status,
+        headers=tuple(
+            claim_messages.Header(name=name, value=value)
+            for name, value in answered.headers
+        ),
+        body=answered.body if kept else b"",
+        kept=kept,
+    )
+
+
+def _restore(stored: claim_messages.StoredAnswer) -> attempts.Answered:
+    return attempts.Answered(
+        status=stored.status,
+        headers=tuple((each.name, each.value) for each in stored.headers),
+        body=stored.body,
+        outcome=None,
+    )
--- /dev/null
+++ b/src/lovagesaddle/node/claims.py
@@ -0,0 +1,284 @@
+"""Claims on Idempotency-Keys: this node's entry and holder sides."""
+
+from concurrent import futures
+import dataclasses
+import queue
+import secrets
+import threading
+import time
+import types
+from typing import Self
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.routing import claim_client
+from lovagesaddle.core.routing import claim_events as events
+from lovagesaddle.core.routing import claim_holder
+from lovagesaddle.core.routing import claim_keys
+from lovagesaddle.core.routing import claim_messages as messages
+from lovagesaddle.node import ports
+from lovagesaddle.observability import logs
+from lovagesaddle.transport import endpoint
+
+TICK_S = 0.25
+SETTLING_THREADS = 4
+TOKEN_BYTES = 16
+_HOLDER_MESSAGES = (
+    messages.ClaimRequest,
+    messages.StoreRequest,
+    messages.ReleaseRequest,
+    messages.PullRequest,
+    messages.PullAnswer,
+)
+_log = logs.get_logger("claims")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Wanted:
+    """What a request with a key asks for.
+
+    Attributes:
+      service: Name of the service.
+      client: Who asks, with its kind.
+      key: Value of the Idempotency-Key header.
+      request_digest: Of method, target and body.
+      deadline: Monotonic time, in seconds.
+    """
+
+    service: str
+    client: str
+    key: str
+    request_digest: bytes
+    deadline: float
+
+
+Verdict = events.Run | events.Replay | events.Refuse
+
+
+class Claim:
+    """One open claim; driven by the thread that serves its caller.
+
+    Args:
+      client: State machine.
+      claims: Carries its messages.
+    """
+
+    def __init__(
+        self, client: claim_client.ClaimClient, claims: "Claims"
+    ) -> None:
+        self._client = client
+        self._claims = claims
+        self._events: queue.SimpleQueue[events.Event] = queue.SimpleQueue()
+        self._timer = float("inf")
+        self._finished = False
+
+    @property
+    def token(self) -> str:
+        """Names the claim in every message."""
+        return self._client.token
+
+    def post(self, event: events.Event) -> None:
+        """Hands an event over, from any thread."""
+        self._events.put(event)
+
+    def claim(self) -> Verdict:
+        """Waits for the verdict on the claim."""
+        verdict = self._drive(events.Started(), _Verdicts)
+        assert isinstance(verdict, _Verdicts)
+        if not isinstance(verdict, events.Run):
+            self._claims.drop(self)
+        return verdict
+
+    def settle(self, ended: events.Ended) -> bool:
+        """Tells the holders how the request ended.
+
+        Returns:
+          Whether a majority keeps it; what is missing is sent again by
+          another thread.
+        """
+        settled = self._drive(ended, (events.Settled,))
+        acknowledged = isinstance(settled, events.Settled) and (
+            settled.acknowledged
+        )
+        if self._finished:
+            self._claims.drop(self)
+        else:
+            self._claims.finish_later(self)
+        return acknowledged
+
+    def finish(self) -> None:
+        """Sends what is missing until the claim can be dropped."""
+        while not self._finished:
+            self._carry_out(self._wait(), ())
+        self._claims.drop(self)
+
+    def _drive(
+        self, event: events.Event, wanted: tuple[type[events.Action], ...]
+    ) -> events.Action | None:
+        found = self._carry_out(event, wanted)
+        while found is None and not self._finished:
+            found = self._carry_out(self._wait(), wanted)
+        return found
+
+    def _carry_out(
+        self, event: events.Event, wanted: tuple[type[events.Action], ...]
+    ) -> events.Action | None:
+        found: events.Action | None = None
+        for action in self._client.step(event, time.monotonic()):
+            if isinstance(action, wanted):
+                found = action
+            match action:
+                case events.Send():
+                    self._claims.send(action.node_id, action.message)
+                case events.SetTimer():
+                    self._timer = action.at
+                case events.Finish():
+                    self._finished = True
+                case _:
+                    pass
+        return found
+
+    def _wait(self) -> events.Event:
+        left_s = max(0.0, self._timer - time.monotonic())
+        try:
+            return self._events.get(timeout=min(left_s, TICK_S))
+        except queue.Empty:
+            return events.TimerFired()
+
+
+_Verdicts = (events.Run, events.Replay, events.Refuse)
+
+
+class Claims:
+    """Every claim that this node makes or holds, as a context manager.
+
+    Args:
+      node_id: Of this node.
+    """
+
+    def __init__(self, *, node_id: str) -> None:
+        self._node_id = node_id
+        self._holder = claim_holder.ClaimHolder(node_id=node_id)
+        self._lock = threading.Lock()
+        self._open: dict[str, Claim] = {}
+        self._shards: dict[int, snapshots.Shard] = {}
+        self._control: ports.ControlPort | None = None
+        self._settling = futures.ThreadPoolExecutor(
+            SETTLING_THREADS, thread_name_prefix="settling"
+        )
+        self._stopped = threading.Event()
+        self._ticker = threading.Thread(
+            target=self._run, name="claims", daemon=True
+        )
+
+    def __enter__(self) -> Self:
+        self._ticker.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._stopped.set()
+        self._ticker.join()
+        self._settling.shutdown(wait=False, cancel_futures=True)
+
+    def connect(self, control: ports.ControlPort) -> None:
+        """Sends and receives through the control half from now on."""
+        self._control = control
+        control.subscribe(endpoint.Channel.CLAIMS, self._receive)
+
+    def install(self, snapshot: snapshots.Snapshot, *, joined: bool) -> None:
+        """Takes the shard map of a newer snapshot."""
+        incarnation = _find_incarnation(snapshot, self._node_id)
+        installed = claim_holder.Installed(
+            shards=snapshot.shards,
+            incarnation=incarnation if joined else 0,
+        )
+        self._step(installed)
+        for shard in snapshot.shards:
+            held = self._shards.get(shard.number)
+            self._shards[shard.number] = shard
+            if held is not None and held.epoch < shard.epoch:
+                for claim in tuple(self._open.values()):
+                    claim.post(events.ShardChanged(shard=shard))
+
+    def open(self, wanted: Wanted) -> Claim | None:
+        """Returns a claim on a key; None without a shard map."""
+        if not self._shards:
+            return None
+        claim_id = claim_keys.compute_claim_id(
+            service=wanted.service, client=wanted.client, key=wanted.key
+        )
+        number = claim_keys.find_shard(claim_id, len(self._shards))
+        client = claim_client.ClaimClient(
+            options=claim_client.ClaimOptions(
+                claim_id=claim_id,
+                body_digest=wanted.request_digest,
+                token=secrets.token_hex(TOKEN_BYTES),
+                deadline=wanted.deadline,
+                shard=self._shards[number],
+            ),
+            source=secrets.SystemRandom(),
+        )
+        claim = Claim(client, self)
+        self._open[client.token] = claim
+        return claim
+
+    def drop(self, claim: Claim) -> None:
+        """Forgets a claim that is over."""
+        self._open.pop(claim.token, None)
+
+    def finish_later(self, claim: Claim) -> None:
+        """Sends what a claim still has to send, on another thread."""
+        self._settling.submit(claim.finish)
+
+    def send(self, node_id: str, message: messages.ClaimMessage) -> None:
+        """Sends a message to a holder or a claimant, this node included."""
+        if node_id == self._node_id:
+            self._take(node_id, message)
+        elif self._control is not None:
+            data = messages.CLAIM_MESSAGES.encode(message)
+            self._control.send(node_id, endpoint.Channel.CLAIMS, data)
+
+    def _receive(self, sender_id: str, data: bytes) -> None:
+        try:
+            message = messages.CLAIM_MESSAGES.decode(data, peer=sender_id)
+        except errors.CodecError as error:
+            _log.warning(
+                "message_dropped",
+                step=error.step,
+                peer=error.peer,
+                cause=error.cause,
+            )
+            return
+        self._take(sender_id, message)
+
+    def _take(self, sender_id: str, message: messages.ClaimMessage) -> None:
+        if isinstance(message, _HOLDER_MESSAGES):
+            self._step(
+                claim_holder.Received(sender_id=sender_id, message=message)
+            )
+            return
+        claim = self._open.get(message.token)
+        if claim is not None:
+            claim.post(events.Received(sender_id=sender_id, message=message))
+
+    def _step(self, event: claim_holder.Event) -> None:
+        with self._lock:
+            sends = self._holder.step(event, time.monotonic())
+        for action in sends:
+            self.send(action.node_id, action.message)
+
+    def _run(self) -> None:
+        while not self._stopped.wait(TICK_S):
+            self._step(claim_holder.Tick())
+
+
+def _find_incarnation(snapshot: snapshots.Snapshot, node_id: str) -> int:
+    for node in snapshot.nodes:
+        if node.node_id == node_id:
+            return node.incarnation
+    return 0
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -1,5 +1,6 @@
 """Entry side of a node: takes a caller's request to its one answer."""
 
+from collections.abc import Callable
 import dataclasses
 import hashlib
 import math
@@ -11,6 +12,7 @@
 from lovagesaddle.core import errors
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.routing import chain as chain_lib
+from lovagesaddle.core.routing import claim_keys
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.http import gateway
@@ -18,6 +20,8 @@
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import attempts
+from lovagesaddle.node import claimed_calls
+from lovagesaddle.node import claims as claims_lib
 from lovagesaddle.node import hops
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import routing as routing_lib
@@ -28,7 +32,7 @@
 BEARER = "bearer "
 CHALLENGE = ("WWW-Authenticate", "Bearer")
 REQUEST_ID_BYTES = 8
-NOT_JOINED_RETRY_S = 1
+KEY_HEADER = claim_keys.KEY_HEADER.lower()
 DIGEST_PREFIX = "sha256:"
 _NOT_RUN = outcomes.RequestOutcome.NOT_RUN
 _log = logs.get_logger("entry")
@@ -42,6 +46,7 @@
       carrier: Takes attempts to owners.
       servers: Knows the tokens of local services.
       suspects: Knows requests that crash servers.
+      claims: Claims Idempotency-Keys.
       guards: Watches deadlines and callers that hang up.
       metrics: Of this process.
     """
@@ -53,6 +58,7 @@
         carrier: hops.Carrier,
         servers: local_servers.LocalServers,
         suspects: suspects_lib.Suspects,
+        claims: claims_lib.Claims,
         guards: watchdog.Watchdog,
         metrics: metrics_lib.Metrics,
     ) -> None:
@@ -60,6 +66,7 @@
         self._carrier = carrier
         self._servers = servers
         self._suspects = suspects
+        self._claims = claims
         self._guards = guards
         self._latency = metrics.get_latency(
             "call_seconds", "Time from a whole request to its answer"
@@ -100,38 +107,24 @@
         )
         if isinstance(match, table_lib.Miss):
             return _answer_miss(match)
-        refused = self._check(table, match, request)
+        access = table.authorise(match, self._find_credential(request))
+        refused = _refuse_request(match, access, request)
         if refused is not None:
             return refused
         try:
             chain = chain_lib.parse_headers(request.headers)
         except errors.ChainError as error:
             return gateway.make_failure(400, error.cause, _NOT_RUN)
-        return self._call(table, match, request, chain, arrived_at)
-
-    def _check(
-        self,
-        table: table_lib.Table,
-        match: table_lib.Match,
-        request: gateway.Incoming,
-    ) -> gateway.Answer | None:
-        access = table.authorise(match, self._find_credential(request))
-        if not access.allowed:
-            _log.info(
-                "access_denied",
-                service=match.service,
-                route=match.route.name,
-                version=match.version,
-                reason=access.reason.value,
-                client=access.client,
-            )
-            extra = (CHALLENGE,) if access.status == 401 else ()
-            return gateway.make_failure(
-                access.status, access.reason.value, _NOT_RUN, extra
-            )
-        if request.content_length > match.route.max_body_bytes:
-            return gateway.make_failure(413, "body-too-large", _NOT_RUN)
-        return None
+        return self._call(
+            _Accepted(
+                table=table,
+                match=match,
+                access=access,
+                chain=chain,
+                arrived_at=arrived_at,
+            ),
+            request,
+        )
 
     def _find_credential(
         self, request: gateway.Incoming
@@ -147,21 +140,18 @@
         return table_lib.Credential(token_digest=DIGEST_PREFIX + digest)
 
     def _call(
-        self,
-        table: table_lib.Table,
-        match: table_lib.Match,
-        request: gateway.Incoming,
-        chain: chain_lib.Chain,
-        arrived_at: float,
+        self, accepted: "_Accepted", request: gateway.Incoming
     ) -> gateway.Answer:
         request_id = os.urandom(REQUEST_ID_BYTES).hex()
         body = request.read_body()
+        body_digest = hashlib.sha256(body).digest()
+        match = accepted.match
         fingerprint = quarantine.compute_fingerprint(
             method=request.method,
             service=match.service,
             route=match.route.name,
             target=request.target,
-            body_digest=hashlib.sha256(body).digest(),
+            body_digest=body_digest,
         )
         verdict = self._suspects.judge(fingerprint)
         if verdict is quarantine.Verdict.REFUSED:
@@ -176,24 +166,108 @@
             fingerprint=fingerprint,
             suspect=verdict is quarantine.Verdict.SUSPECT,
         )
-        runner = attempts.Runner(
+        runner = self._make_runner(accepted, passed)
+        key = request.headers.get(KEY_HEADER)
+        if key is None or match.route.idempotent:
+            ended = self._run(runner, request.is_gone)
+        elif claim_keys.is_valid_key(key):
+            claim = self._open_claim(
+                accepted, request, key, body_digest, runner
+            )
+            # A caller that hangs up will ask again, for the stored answer.
+            ended = claimed_calls.run_claimed(
+                claim, lambda: self._run(runner, _stay)
+            )
+        else:
+            return gateway.make_failure(400, "malformed-key", _NOT_RUN)
+        self._attempts.add(runner.attempts)
+        return _format(ended, request_id)
+
+    def _make_runner(
+        self, accepted: "_Accepted", passed: attempts.Passed
+    ) -> attempts.Runner:
+        chain = accepted.chain
+        return attempts.Runner(
             passed=passed,
-            match=match,
+            match=accepted.match,
             chain=dataclasses.replace(
-                chain, request_id=chain.request_id or request_id
+                chain, request_id=chain.request_id or passed.request_id
             ),
-            table=table,
-            arrived_at=arrived_at,
+            table=accepted.table,
+            arrived_at=accepted.arrived_at,
             routing=self._routing,
             carrier=self._carrier,
             suspects=self._suspects,
         )
+
+    def _open_claim(
+        self,
+        accepted: "_Accepted",
+        request: gateway.Incoming,
+        key: str,
+        body_digest: bytes,
+        runner: attempts.Runner,
+    ) -> claims_lib.Claim | None:
+        access = accepted.access
+        return self._claims.open(
+            claims_lib.Wanted(
+                service=accepted.match.service,
+                client=f"{access.reason.value}:{access.client}",
+                key=key,
+                request_digest=claim_keys.compute_request_digest(
+                    method=request.method,
+                    target=request.target,
+                    body_digest=body_digest,
+                ),
+                deadline=runner.deadline,
+            )
+        )
+
+    def _run(
+        self, runner: attempts.Runner, is_gone: Callable[[], bool]
+    ) -> attempts.Ended:
         with self._guards.watch(
-            deadline=runner.deadline, is_gone=request.is_gone
+            deadline=runner.deadline, is_gone=is_gone
         ) as guard:
-            ended = runner.run(guard)
-        self._attempts.add(runner.attempts)
-        return _format(ended, request_id)
+            return runner.run(guard)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Accepted:
+    """What is known of a request that may run."""
+
+    table: table_lib.Table
+    match: table_lib.Match
+    access: table_lib.Access
+    chain: chain_lib.Chain
+    arrived_at: float
+
+
+def _stay() -> bool:
+    return False
+
+
+def _refuse_request(
+    match: table_lib.Match,
+    access: table_lib.Access,
+    request: gateway.Incoming,
+) -> gateway.Answer | None:
+    if not access.allowed:
+        _log.info(
+            "access_denied",
+            service=match.service,
+            route=match.route.name,
+            version=match.version,
+            reason=access.reason.value,
+            client=access.client,
+        )
+        extra = (CHALLENGE,) if access.status == 401 else ()
+        return gateway.make_failure(
+            access.status, access.reason.value, _NOT_RUN, extra
+        )
+    if request.content_length > match.route.max_body_bytes:
+        return gateway.make_failure(413, "body-too-large", _NOT_RUN)
+    return None
 
 
 def _format(ended: attempts.Ended, request_id: str) -> gateway.Answer:
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -19,6 +19,7 @@
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import admin
 from lovagesaddle.node import application
+from lovagesaddle.node import claims as claims_lib
 from lovagesaddle.node import control_half
 from lovagesaddle.node import entry as entry_lib
 from lovagesaddle.node import hops
@@ -99,6 +100,7 @@
         self._servers = local_servers.LocalServers(
             node_id=settings.node_id, owner=self._owner
         )
+        self._claims = claims_lib.Claims(node_id=settings.node_id)
         self._guards = watchdog.Watchdog()
         self._application = self._make_application()
         self._http = self._listen()
@@ -108,6 +110,7 @@
         with contextlib.ExitStack() as stack:
             stack.enter_context(self._pool)
             stack.enter_context(self._guards)
+            stack.enter_context(self._claims)
             stack.enter_context(self._http)
             stack.enter_context(self._admin)
             control = stack.enter_context(
@@ -115,6 +118,7 @@
             )
             self._servers.connect(control)
             self._suspects.connect(control)
+            self._claims.connect(control)
             self.metrics.set_gauge(
                 "control_bytes_total",
                 "Bytes of configuration traffic, both ways.",
@@ -153,6 +157,7 @@
 
     def install(self, stamped: delta.Stamped, *, joined: bool) -> None:
         """Takes a newer snapshot from the control half."""
+        self._claims.install(stamped.snapshot, joined=joined)
         self._routing.install(stamped, joined=joined)
 
     def take_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
@@ -221,6 +226,7 @@
             carrier=carrier,
             servers=self._servers,
             suspects=self._suspects,
+            claims=self._claims,
             guards=self._guards,
             metrics=self.metrics,
         )
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -39,7 +39,7 @@
     body: bytes
 
 
-class FakeControl(ports.ControlPort):
+class FakeControl:
     """Merges announcements into one snapshot and installs it everywhere."""
 
     def __init__(self, *services_: services.Service) -> None:
@@ -48,6 +48,7 @@
         self._snapshot = snapshots.Snapshot(
             cluster_id="c", version=1, services=services_
         )
+        self.handlers: dict[str, Callable[[str, bytes], None]] = {}
         self.joined = True
 
     @property
@@ -76,9 +77,10 @@
         with self._lock:
             self._sinks.append(sink)
             self.change(nodes=self._merge("nodes", "node_id", node))
-        yield self
+        yield _NodePort(self, settings.node_id)
         with self._lock:
             self._sinks.remove(sink)
+            self.handlers.pop(settings.node_id, None)
 
     def change(self, **fields: Any) -> None:
         """Installs a newer snapshot with other fields."""
@@ -90,11 +92,6 @@
             for sink in self._sinks:
                 sink.install(stamped, joined=self.joined)
 
-    @property
-    def control_bytes(self) -> int:
-        """See base class; no bytes are sent."""
-        return 0
-
     def announce_server(self, server: snapshots.BackendServer) -> None:
         """Adds or changes a server."""
         with self._lock:
@@ -117,18 +114,14 @@
         for sink in tuple(self._sinks):
             sink.take_marks(marks)
 
-    def send(
-        self, node_id: str, channel: endpoint.Channel, data: bytes
-    ) -> bool:
-        """Knows no other node."""
-        del node_id, channel, data
-        return False
-
-    def subscribe(
-        self, channel: endpoint.Channel, handler: Callable[[str, bytes], None]
-    ) -> None:
-        """Delivers nothing."""
-        del channel, handler
+    def assign_shards(self) -> None:
+        """Lets the nodes that joined so far hold every claim."""
+        holders = tuple(
+            snapshots.Holder(node_id=node.node_id, incarnation=node.incarnation)
+            for node in self._snapshot.nodes
+        )
+        shard = snapshots.Shard(number=0, epoch=1, holders=holders, previous=())
+        self.change(shards=(shard,))
 
     def _merge(self, field: str, key: str, item: Any) -> tuple[Any, ...]:
         held = {getattr(each, key): each for each in self._read(field)}
@@ -140,6 +133,49 @@
         return found
 
 
+class _NodePort(ports.ControlPort):
+    """What one node sees of the fake; messages cross at once."""
+
+    def __init__(self, control: FakeControl, node_id: str) -> None:
+        self._control = control
+        self._node_id = node_id
+
+    @property
+    def control_bytes(self) -> int:
+        """See base class; no bytes are sent."""
+        return 0
+
+    def announce_server(self, server: snapshots.BackendServer) -> None:
+        """See base class."""
+        self._control.announce_server(server)
+
+    def withdraw_server(self, server_id: str, incarnation: int) -> None:
+        """See base class."""
+        self._control.withdraw_server(server_id, incarnation)
+
+    def spread_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
+        """See base class."""
+        self._control.spread_marks(marks)
+
+    def send(
+        self, node_id: str, channel: endpoint.Channel, data: bytes
+    ) -> bool:
+        """See base class."""
+        del channel
+        handler = self._control.handlers.get(node_id)
+        if handler is None:
+            return False
+        handler(self._node_id, data)
+        return True
+
+    def subscribe(
+        self, channel: endpoint.Channel, handler: Callable[[str, bytes], None]
+    ) -> None:
+        """See base class; only one channel is used."""
+        del channel
+        self._control.handlers[self._node_id] = handler
+
+
 class Mesh:
     """Nodes in this process under one fake control, as a context manager."""
 
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -252,6 +252,87 @@
         assert {call.result().status for call in calls} == {200}
 
 
+def test_key_makes_a_request_run_once() -> None:
+    """A resend with its key gets the stored answer through any entry."""
+    with tempfile.TemporaryDirectory() as folder:
+        record = pathlib.Path(folder) / "runs"
+        with (
+            _run_mesh(count=3, record=str(record)) as (mesh, started, _server),
+            futures.ThreadPoolExecutor() as pool,
+        ):
+            mesh.control.assign_shards()
+            calls = [
+                pool.submit(
+                    nodes.send,
+                    node.http_address,
+                    "POST",
+                    body=b"one",
+                    Idempotency_Key="k",
+                    Run_Ms="100",
+                )
+                for node in started
+            ]
+            replies = [call.result() for call in calls]
+            assert [reply.status for reply in replies] == [200] * 3, replies
+            assert len({reply.body for reply in replies}) == 1
+            other = nodes.send(
+                started[0].http_address,
+                "POST",
+                body=b"two",
+                Idempotency_Key="k",
+            )
+            assert other.status == 422, other
+            assert _get_outcome(other) == "not-run"
+        assert record.read_text().count('"start"') == 1
+
+
+def test_key_without_a_majority_does_not_run() -> None:
+    """Where no majority can be shown, a request with a key is refused."""
+    with _run_mesh() as (mesh, started, server):
+        address = started[0].http_address
+        refused = nodes.send(address, "POST", Idempotency_Key="k")
+        assert (refused.status, _get_outcome(refused)) == (503, "not-run"), (
+            refused
+        )
+        mesh.control.assign_shards()
+        mesh.control.handlers.clear()
+        # An earlier request with the key may have run, for all this node
+        # can tell.
+        refused = nodes.send(address, "POST", Idempotency_Key="k")
+        assert (refused.status, _get_outcome(refused)) == (503, "unknown")
+        assert server.state.most_running == 0
+
+
+def test_crashing_request_is_kept_from_further_servers() -> None:
+    """A request that crashed two servers is refused, others are not."""
+    with (
+        _run_mesh() as (mesh, started, server),
+        contextlib.ExitStack() as stack,
+    ):
+        address = started[1].http_address
+        fallen = 0
+        for _ in range(10):
+            reply = nodes.send(address, Act="crash-during")
+            if reply.status == 503 and b"quarantined" in reply.body:
+                break
+            fallen += 1
+            nodes.wait_for(
+                lambda: (
+                    not mesh.control.snapshot.servers
+                    or mesh.control.snapshot.servers[0].incarnation
+                ),
+                "the death to be known",
+            )
+            server = stack.enter_context(
+                backend.Backend(stand_in.BackendOptions())
+            )
+            _announce(started[0], server)
+        assert _get_outcome(reply) == "not-run"
+        assert fallen == 2, fallen
+        good = nodes.send(address, path="/good")
+        assert good.status == 200, good
+
+
 def test_admin_errors_are_clear() -> None:
     """The admin address says what is wrong with a request."""
     with _run_mesh(count=1) as (_, started, _server):
