--- a/src/lovagesaddle/http/parser.py
+++ b/src/lovagesaddle/http/parser.py
@@ -63,7 +63,8 @@
     each costs more than joining them.
     """
 
-    wrote_header: bool
+    wrote_header: bool = False
+    content_bytes_written: int = 0
 
     def write(self, data: bytes) -> None:
         """Writes a part of the body, the first one with the headers."""
--- a/src/lovagesaddle/node/main.py
+++ b/src/lovagesaddle/node/main.py
@@ -27,6 +27,8 @@
 @app.callback()
 def describe() -> None:
     """Node of lovagesaddle."""
+    # Without a callback typer would drop the name of the only command, and
+    # `run` is what lovagesaddle-control calls it too.
 
 
 @app.command()
