--- /dev/null
+++ b/bench/fuzz.py
@@ -0,0 +1,108 @@
+"""Runs seeded schedules of faults: `python -m bench.fuzz [--schedules N]`.
+
+First the product, which must pass them all; then each broken rule, which must
+be found by one of them.
+"""
+
+import argparse
+from concurrent import futures
+import dataclasses
+import functools
+import sys
+
+from tests import replica_cluster
+
+from bench import fuzz_mutants
+from bench import fuzz_schedule
+from lovagesaddle.core import errors
+
+SCHEDULES = 2000
+FIRST_SEED = 1
+CHUNK = 10
+ROUND = 100
+UNBROKEN = "none"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Outcome:
+    """What one schedule showed.
+
+    Attributes:
+      seed: Its seed.
+      failure: First failure, or empty.
+      is_breach: Whether a promise was broken; else nothing came of it.
+    """
+
+    seed: int
+    failure: str = ""
+    is_breach: bool = False
+
+
+def run_seed(seed: int, broken: str) -> Outcome:
+    """Runs one schedule with one rule broken, or with none."""
+    for mutant in fuzz_mutants.MUTANTS:
+        if mutant.name == broken:
+            with mutant.break_rule():
+                return _run(seed, mutant.options)
+    return _run(seed, fuzz_schedule.DEFAULTS)
+
+
+def _run(seed: int, options: fuzz_schedule.Options) -> Outcome:
+    try:
+        fuzz_schedule.Schedule(seed, options).run()
+    except (replica_cluster.BreachError, errors.ConsensusError) as error:
+        return Outcome(seed=seed, failure=str(error), is_breach=True)
+    except Exception as error:
+        return Outcome(seed=seed, failure=f"{type(error).__name__}: {error}")
+    return Outcome(seed=seed)
+
+
+def run_product(pool: futures.Executor, seeds: range) -> list[Outcome]:
+    """Returns the schedules that failed; there must be none."""
+    run = functools.partial(run_seed, broken=UNBROKEN)
+    outcomes = pool.map(run, seeds, chunksize=CHUNK)
+    return [outcome for outcome in outcomes if outcome.failure]
+
+
+def find_breach(
+    pool: futures.Executor, seeds: range, broken: str
+) -> Outcome | None:
+    """Returns the first schedule that shows a broken rule."""
+    run = functools.partial(run_seed, broken=broken)
+    for start in range(seeds.start, seeds.stop, ROUND):
+        part = range(start, min(start + ROUND, seeds.stop))
+        for outcome in pool.map(run, part, chunksize=CHUNK):
+            if outcome.is_breach:
+                return outcome
+    return None
+
+
+def main() -> int:
+    """Returns 0 if the product holds and every broken rule is found."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--schedules", type=int, default=SCHEDULES)
+    parser.add_argument("--workers", type=int, default=4)
+    parser.add_argument("--first", type=int, default=FIRST_SEED)
+    options = parser.parse_args()
+    seeds = range(options.first, options.first + options.schedules)
+    with futures.ProcessPoolExecutor(options.workers) as pool:
+        failed = run_product(pool, seeds)
+        print(f"{len(seeds)} schedules, {len(failed)} failed")
+        for outcome in failed:
+            print(f"  seed {outcome.seed}: {outcome.failure}")
+        is_good = not failed
+        for mutant in fuzz_mutants.MUTANTS:
+            found = find_breach(pool, seeds, mutant.name)
+            is_good = is_good and found is not None
+            print(f"{mutant.name}: {_describe(found)}")
+    return 0 if is_good else 1
+
+
+def _describe(found: Outcome | None) -> str:
+    if found is None:
+        return "NOT FOUND"
+    return f"seed {found.seed}: {found.failure}"
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/fuzz_mutants.py
@@ -0,0 +1,58 @@
+"""Deliberately broken rules that the schedules must find."""
+
+from collections.abc import Callable, Iterator
+import contextlib
+import dataclasses
+from unittest import mock
+
+from bench import fuzz_schedule
+from lovagesaddle.core.consensus import ballot
+from lovagesaddle.core.consensus import durable
+from lovagesaddle.core.consensus import events
+from lovagesaddle.core.consensus import replica
+
+Break = Callable[[], contextlib.AbstractContextManager[object]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Mutant:
+    """One broken rule.
+
+    Attributes:
+      name: What is broken.
+      break_rule: Context manager that breaks it.
+      options: What the schedules may do.
+    """
+
+    name: str
+    break_rule: Break
+    options: fuzz_schedule.Options = fuzz_schedule.DEFAULTS
+
+
+def _count_stale_votes() -> contextlib.AbstractContextManager[object]:
+    return mock.patch.object(ballot.Ballot, "_is_present", lambda *_: True)
+
+
+@contextlib.contextmanager
+def _answer_before_sync() -> Iterator[None]:
+    def hold_nothing(self: durable.Durable, send: events.Send) -> None:
+        self._held.append((0, send))
+
+    with mock.patch.object(durable.Durable, "send_after_sync", hold_nothing):
+        yield
+
+
+def _skip_term_check() -> contextlib.AbstractContextManager[object]:
+    return mock.patch.object(replica.Replica, "_may_commit", lambda *_: True)
+
+
+MUTANTS = (
+    Mutant(name="count a stale vote", break_rule=_count_stale_votes),
+    Mutant(name="answer before sync", break_rule=_answer_before_sync),
+    Mutant(name="skip the term check on commit", break_rule=_skip_term_check),
+    Mutant(
+        name="let an empty disk vote",
+        break_rule=contextlib.nullcontext,
+        options=fuzz_schedule.Options(keeps_identity=True),
+    ),
+)
--- a/src/lovagesaddle/core/consensus/timing.py
+++ b/src/lovagesaddle/core/consensus/timing.py
@@ -49,17 +49,20 @@
         self.timing = timing
         self._random = random
         self._now = 0.0
+        self._reading: float | None = None
         self._deadline: float | None = None
         self._heard_at: float | None = None
 
     @property
     def now(self) -> float:
-        """Newest time seen."""
+        """Seconds since the first event; a clock set back stands still."""
         return self._now
 
     def advance(self, now: float) -> None:
-        """Takes the time of an event; a step back is passed over."""
-        self._now = max(self._now, now)
+        """Takes the clock's reading at an event."""
+        if self._reading is not None:
+            self._now += max(0.0, now - self._reading)
+        self._reading = now
         if self._deadline is None:
             self.reset()
 
--- a/tests/replica_cluster.py
+++ b/tests/replica_cluster.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import hashlib
 import heapq
 import random
@@ -130,6 +131,7 @@
         self._image_every = image_every
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = 0
+        self._gone: list[Host] = []
         self._groups: dict[str, int] = {}
         self._leaders: dict[int, str] = {}
         self._chains: dict[int, bytes] = {0: GENESIS}
@@ -192,10 +194,18 @@
         return proposal_id
 
     def publish(self, payload: bytes) -> int:
-        """Has a command accepted by the leader and returns its index."""
-        proposal_id = self.propose(self.elect(), payload)
-        self.run_until(lambda: proposal_id in self.accepted)
-        return self.accepted[proposal_id].index
+        """Offers a command until it is accepted, and returns its index."""
+        end = self.now + LIMIT_S
+        while self.now < end:
+            proposal_id = self.propose(self.elect(), payload)
+            self.run_until(functools.partial(self._is_answered, proposal_id))
+            if proposal_id in self.accepted:
+                return self.accepted[proposal_id].index
+            self.run(TICK_S)
+        raise AssertionError(f"nothing was accepted in {LIMIT_S} s")
+
+    def _is_answered(self, proposal_id: int) -> bool:
+        return proposal_id in self.accepted or proposal_id in self.refused
 
     def change_members(self, name: str, members: entries_lib.Members) -> int:
         """Offers a change of the members; returns its proposal ID."""
@@ -207,14 +217,18 @@
         )
         return proposal_id
 
+    def find_committed_members(self) -> entries_lib.Members:
+        """Returns the newest members that any replica applied."""
+        return self._find_members(max(self._entries))
+
     def manage_members(self) -> None:
         """Makes leaders take the steps of changes that are under way."""
         self._steps_members = True
 
     def step(self, name: str, event: events.Event) -> None:
-        """Gives one event to a running replica."""
-        host = self.hosts[name]
-        if host.replica is None:
+        """Gives one event to a replica, if it runs."""
+        host = self.hosts.get(name)
+        if host is None or host.replica is None:
             return
         was_leader = host.replica.role is events.Role.LEADER
         actions = host.replica.step(event, self.now + host.skew_s)
@@ -252,6 +266,11 @@
         """Empties the disk of a stopped replica."""
         self.hosts[name].disk = Disk()
 
+    def lose(self, name: str) -> None:
+        """Takes a replica away for good, with its disk."""
+        self.crash(name)
+        self._gone.append(self.hosts.pop(name))
+
     def add_host(self, name: str) -> entries_lib.Member:
         """Starts a replica with an empty disk that is no member yet."""
         member = _make_member(name)
@@ -290,7 +309,7 @@
             case events.Restore():
                 self._restore(host, action.image)
             case events.Resolve():
-                self._check_accepted(action)
+                self._check_accepted(host, action)
             case events.Refuse():
                 self.refused[action.proposal_id] = action.cause
             case events.RoleChanged():
@@ -309,19 +328,16 @@
         group = self._groups.get
         if group(sender, 0) != group(send.receiver, 0):
             return
-        if send.receiver in self.hosts:
-            received = events.MessageReceived(
-                sender=sender, message=send.message
-            )
-            self.step(send.receiver, received)
+        received = events.MessageReceived(sender=sender, message=send.message)
+        self.step(send.receiver, received)
 
     def _sync_later(self, name: str, life: int) -> None:
         delay = self.random.random() * self.faults.sync_s
         self._later(delay, lambda: self._sync(name, life))
 
     def _sync(self, name: str, life: int) -> None:
-        host = self.hosts[name]
-        if host.life != life or not host.disk.pending:
+        host = self.hosts.get(name)
+        if host is None or host.life != life or not host.disk.pending:
             return
         if host.is_stuck:
             self._sync_later(name, life)
@@ -333,8 +349,8 @@
         self._later(TICK_S, lambda: self._tick(name, life))
 
     def _tick(self, name: str, life: int) -> None:
-        host = self.hosts[name]
-        if host.life != life or host.replica is None:
+        host = self.hosts.get(name)
+        if host is None or host.life != life or host.replica is None:
             return
         self.step(name, events.Tick())
         if self._steps_members:
@@ -386,19 +402,22 @@
         if self._leaders.setdefault(term, name) != name:
             raise BreachError(f"term {term} has two leaders")
 
-    def _check_accepted(self, action: events.Resolve) -> None:
+    def _check_accepted(self, host: Host, action: events.Resolve) -> None:
         entry = self._entries[action.index]
         if entry.payload != self._proposals[action.proposal_id]:
             raise BreachError(f"index {action.index} is another's proposal")
         self.accepted[action.proposal_id] = entry
-        holders = {n for n, h in self.hosts.items() if h.disk.holds(entry)}
-        voters = self._find_voters(action.index)
+        hosts = (*self.hosts.values(), *self._gone)
+        holders = {h.member.member_id for h in hosts if h.disk.holds(entry)}
+        # The newest members count as soon as they stand in the leader's log.
+        assert host.replica is not None
+        voters = host.replica.members.list_voters()
         if 2 * len(holders.intersection(voters)) <= len(voters):
             raise BreachError(
                 f"entry {action.index} is on no majority of disks"
             )
 
-    def _find_voters(self, index: int) -> tuple[str, ...]:
+    def _find_members(self, index: int) -> entries_lib.Members:
         brought = [
             entry
             for entry in self._entries.values()
@@ -406,7 +425,7 @@
             and entry.kind is entries_lib.EntryKind.MEMBERS
         ]
         newest = max(brought, key=lambda entry: entry.index)
-        return log_lib.decode_members(newest.payload).list_voters()
+        return log_lib.decode_members(newest.payload)
 
     def _later(self, delay: float, work: Callable[[], None]) -> None:
         self._sequence += 1
