--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,17 +1,27 @@
 """Tests of the replica core on fake networks and disks."""
 
+import dataclasses
+from unittest import mock
+
+from bench import fuzz_schedule
+import hypothesis
+from hypothesis import strategies
+
 from lovagesaddle.core.consensus import events
+from lovagesaddle.core.consensus import leadership
+from lovagesaddle.core.consensus import log as log_lib
 from tests import fixtures
 from tests import replica_cluster
 
+VERSIONS = 300
+IMAGE_EVERY = 50
+
 
 def test_publish_reaches_every_replica() -> None:
     """An accepted command is applied by all replicas at the same index."""
     cluster = replica_cluster.Cluster(seed=1)
     index = cluster.publish(b"one")
-    cluster.run_until(
-        lambda: all(host.applied >= index for host in cluster.hosts.values())
-    )
+    _wait_applied(cluster, index)
 
 
 def test_leader_loss_elects_another() -> None:
@@ -39,4 +49,217 @@
     cluster.check_accepted_kept()
 
 
+def test_reordered_and_doubled_messages_apply_in_order() -> None:
+    """Crossed and doubled messages leave one order of application."""
+    cluster = replica_cluster.Cluster(seed=4)
+    cluster.elect()
+    cluster.faults = replica_cluster.Faults(
+        loss=0.1, duplication=0.3, delay_s=0.08
+    )
+    for number in range(40):
+        cluster.publish(f"p{number}".encode())
+    cluster.check_accepted_kept()
+
+
+def test_returning_replica_raises_no_election() -> None:
+    """A replica cut off for hundreds of versions catches up in silence."""
+    for image_every in (0, IMAGE_EVERY):
+        cluster = replica_cluster.Cluster(seed=5, image_every=image_every)
+        leader = cluster.elect()
+        away = next(name for name in cluster.hosts if name != leader)
+        cluster.partition((away,))
+        term, elections = cluster.get(leader).term, cluster.elections
+        index = 0
+        for number in range(VERSIONS):
+            index = cluster.publish(f"p{number}".encode())
+        cluster.heal()
+        _wait_applied(cluster, index)
+        cluster.run(1.0)
+        assert cluster.get(leader).term == term
+        assert cluster.find_leader() == leader
+        assert cluster.elections == elections
+
+
+def test_restarted_replica_catches_up() -> None:
+    """A process that restarts after hundreds of versions gets them all."""
+    cluster = replica_cluster.Cluster(seed=6, image_every=IMAGE_EVERY)
+    leader = cluster.elect()
+    away = next(name for name in cluster.hosts if name != leader)
+    cluster.crash(away)
+    with mock.patch.object(log_lib, "KEPT_ENTRIES", 10):
+        for number in range(VERSIONS):
+            cluster.publish(f"p{number}".encode())
+        cluster.restart(away)
+        _wait_applied(cluster, cluster.publish(b"last"))
+    assert cluster.get(away).image.index >= VERSIONS - IMAGE_EVERY
+
+
+def test_snapshot_crosses_a_bad_network_in_pieces() -> None:
+    """A snapshot reaches a follower whole although pieces are lost."""
+    cluster = replica_cluster.Cluster(seed=7, image_every=IMAGE_EVERY)
+    leader = cluster.elect()
+    away = next(name for name in cluster.hosts if name != leader)
+    cluster.crash(away)
+    with (
+        mock.patch.object(log_lib, "KEPT_ENTRIES", 1),
+        mock.patch.object(leadership, "IMAGE_PIECE_BYTES", 3),
+    ):
+        for number in range(IMAGE_EVERY * 2):
+            cluster.publish(f"p{number}".encode())
+        cluster.faults = replica_cluster.Faults(
+            loss=0.2, duplication=0.2, delay_s=0.02
+        )
+        cluster.restart(away)
+        cluster.run_until(lambda: cluster.get(away).image.index > 0)
+    cluster.check_accepted_kept()
+
+
+def test_second_loss_after_a_repair_loses_nothing() -> None:
+    """After a disk was lost and replaced, a second lost disk harms nothing."""
+    for size in (3, 5):
+        cluster = replica_cluster.Cluster(seed=8, size=size, image_every=20)
+        cluster.manage_members()
+        for number in range(50):
+            cluster.publish(f"p{number}".encode())
+        first, second, *_ = cluster.hosts
+        _replace(cluster, first, "n1")
+        cluster.lose(second)
+        cluster.publish(b"after the second loss")
+        _replace(cluster, second, "n2", is_lost=True)
+        assert len(cluster.find_committed_members().list_voters()) == size
+        cluster.check_accepted_kept()
+
+
+def test_all_crash_at_once_and_return() -> None:
+    """Nothing accepted is lost when all crash, whatever reached the disks."""
+    for synced in range(4):
+        cluster = replica_cluster.Cluster(seed=9, size=5, image_every=7)
+        cluster.elect()
+        cluster.faults = replica_cluster.Faults(sync_s=0.02)
+        for number in range(10):
+            cluster.publish(f"p{number}".encode())
+            cluster.propose(cluster.elect(), b"under way")
+            cluster.run(0.002)
+            for name in cluster.hosts:
+                cluster.crash(name, synced=synced)
+            for name in cluster.hosts:
+                cluster.restart(name)
+        cluster.check_accepted_kept()
+
+
+def test_clock_jumps_change_nothing() -> None:
+    """Clocks that jump raise no term at a follower and lose nothing."""
+    cluster = replica_cluster.Cluster(seed=10)
+    leader = cluster.elect()
+    term = cluster.get(leader).term
+    for jump in (1000.0, -2000.0, 5.0):
+        for name, host in cluster.hosts.items():
+            if name != leader:
+                host.skew_s += jump
+        cluster.publish(b"after a jump")
+        assert cluster.get(leader).term == term
+    cluster.hosts[leader].skew_s -= 5000.0
+    cluster.publish(b"back")
+    assert cluster.get(leader).term == term
+    cluster.hosts[leader].skew_s += 5000.0
+    cluster.check_accepted_kept()
+
+
+def test_transfer_needs_no_timeout() -> None:
+    """A planned stop hands leadership over before an election timeout."""
+    cluster = replica_cluster.Cluster(seed=11)
+    cluster.publish(b"one")
+    old = cluster.find_leader()
+    started = cluster.now
+    cluster.step(old, events.TransferLeadership())
+    cluster.run_until(lambda: cluster.find_leader() not in ("", old))
+    assert cluster.now - started < replica_cluster.TIMEOUT_S
+    cluster.check_accepted_kept()
+
+
+def test_learner_counts_for_no_majority() -> None:
+    """A learner gets entries, and does not stand in for a voter."""
+    cluster = replica_cluster.Cluster(seed=12)
+    leader = cluster.elect()
+    learner = dataclasses.replace(cluster.add_host("n1"), is_voter=False)
+    cluster.change_members(leader, cluster.get(leader).members.put(learner))
+    cluster.publish(b"one")
+    cluster.run_until(lambda: cluster.hosts["n1"].applied > 0)
+    voters = [name for name in cluster.hosts if name not in (leader, "n1")]
+    cluster.partition((leader, "n1"), tuple(voters))
+    lost = cluster.propose(leader, b"lost")
+    cluster.run(1.0)
+    assert lost not in cluster.accepted
+
+
+def test_members_change_one_voter_at_a_time() -> None:
+    """A change of two voters, a second change, and own removal are refused."""
+    cluster = replica_cluster.Cluster(seed=13, size=5)
+    leader = cluster.elect()
+    members = cluster.get(leader).members
+    first, second, *_ = members.list_others(leader)
+    cluster.faults = replica_cluster.Faults(delay_s=0.01)
+    refused = [
+        cluster.change_members(leader, members.drop(first).drop(second)),
+        cluster.change_members(leader, members.drop(leader)),
+    ]
+    accepted = cluster.change_members(leader, members.drop(first))
+    refused.append(
+        cluster.change_members(leader, members.drop(first).drop(second))
+    )
+    cluster.run_until(lambda: accepted in cluster.accepted)
+    assert set(refused) <= set(cluster.refused)
+
+
+def test_removed_replica_disturbs_nobody() -> None:
+    """A removed replica that asks for votes raises no term."""
+    cluster = replica_cluster.Cluster(seed=14)
+    leader = cluster.elect()
+    gone = cluster.get(leader).members.list_others(leader)[0]
+    cluster.partition((gone,))
+    cluster.change_members(leader, cluster.get(leader).members.drop(gone))
+    cluster.publish(b"one")
+    term = cluster.get(leader).term
+    cluster.heal()
+    cluster.run(3.0)
+    assert cluster.get(leader).term == term
+
+
+@hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+@hypothesis.given(seed=strategies.integers(0, 2**32))
+def test_schedules_of_faults_break_no_promise(seed: int) -> None:
+    """Any schedule of faults keeps every promise of the log."""
+    fuzz_schedule.Schedule(seed, fuzz_schedule.DEFAULTS).run()
+
+
+def _wait_applied(cluster: replica_cluster.Cluster, index: int) -> None:
+    cluster.run_until(
+        lambda: all(host.applied >= index for host in cluster.hosts.values())
+    )
+
+
+def _replace(
+    cluster: replica_cluster.Cluster,
+    old: str,
+    new: str,
+    *,
+    is_lost: bool = False,
+) -> None:
+    if not is_lost:
+        cluster.lose(old)
+    learner = dataclasses.replace(
+        cluster.add_host(new), is_voter=False, replaces=old
+    )
+
+    def is_done() -> bool:
+        leader = cluster.find_leader()
+        if leader and cluster.get(leader).members.find(new) is None:
+            members = cluster.get(leader).members
+            cluster.change_members(leader, members.put(learner))
+        voters = cluster.find_committed_members().list_voters()
+        return new in voters and old not in voters
+
+    cluster.run_until(is_done)
+
+
 load_tests = fixtures.collect(__name__)
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,294 @@
+"""Tests of the data folder: what survives, and what stops the replica."""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import pathlib
+import tempfile
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.core.consensus import events
+from lovagesaddle.storage import disk as disk_lib
+from lovagesaddle.storage import identity as identity_lib
+from lovagesaddle.storage import store as store_lib
+from tests import fixtures
+
+IDENTITY = identity_lib.Identity(
+    cluster_id="c", replica_id="r1", member_id="r1-1"
+)
+
+
+class FaultyDisk(disk_lib.LocalDisk):
+    """A disk that is full, or can't sync, from some moment on."""
+
+    def __init__(self) -> None:
+        self.cause: OSError | None = None
+
+    def write(self, descriptor: int, data: bytes) -> None:
+        """See base class."""
+        if self.cause is not None and "space" in str(self.cause):
+            raise self.cause
+        super().write(descriptor, data)
+
+    def sync(self, descriptor: int) -> None:
+        """See base class."""
+        if self.cause is not None:
+            raise self.cause
+        super().sync(descriptor)
+
+
+def test_hard_state_and_entries_survive() -> None:
+    """What was written is there after a restart, in its newest form."""
+    with _folder() as folder:
+        with _open(folder) as store:
+            store.write((_persist(1, _entries(1, 5, term=1), term=1),))
+            store.write((_persist(2, _entries(4, 6, term=2), term=2),))
+        with _open(folder) as store:
+            restored = store.restored
+    assert restored.hard_state == entries_lib.HardState(term=2, vote="r1")
+    assert [(e.index, e.term) for e in restored.entries] == [
+        (1, 1),
+        (2, 1),
+        (3, 1),
+        (4, 2),
+        (5, 2),
+        (6, 2),
+    ]
+
+
+def test_many_actions_share_one_sync() -> None:
+    """Actions that are written together cost one sync."""
+    with _folder() as folder, _open(folder) as store:
+        persists = tuple(_persist(n, _entries(n, n)) for n in range(1, 9))
+        store.write(persists)
+        assert store.sync_count == 1
+
+
+def test_torn_tail_is_cut() -> None:
+    """A record that was cut off by a crash is dropped, the rest is kept."""
+    with _folder() as folder:
+        with _open(folder) as store:
+            store.write((_persist(1, _entries(1, 3)),))
+            synced = _newest_segment(folder).stat().st_size
+            store.write((_persist(2, _entries(4, 4)),))
+        whole = _newest_segment(folder).read_bytes()
+        for length in range(synced, len(whole) - 1, 7):
+            _newest_segment(folder).write_bytes(whole[:length])
+            with _open(folder) as store:
+                held = [e.index for e in store.restored.entries]
+                assert held in ([1, 2, 3], [1, 2, 3, 4])
+        with _open(folder) as store:
+            store.write((_persist(3, _entries(4, 4, term=9)),))
+        with _open(folder) as store:
+            assert store.restored.entries[-1].term == 9
+
+
+def test_flipped_bit_before_the_tail_stops_the_replica() -> None:
+    """Damage in synced records is an error that names file and byte."""
+    with _folder() as folder:
+        with _open(folder) as store:
+            for number in range(1, 6):
+                store.write((_persist(number, _entries(number, number)),))
+        path = _newest_segment(folder)
+        whole = path.read_bytes()
+        last_sync = whole.rindex(b"payload-5")
+        for position in range(0, last_sync, 11):
+            damaged = bytearray(whole)
+            damaged[position] ^= 0x10
+            path.write_bytes(bytes(damaged))
+            error = _fail_to_open(folder)
+            assert str(path) in str(error), position
+
+
+def test_damaged_snapshot_stops_the_replica() -> None:
+    """A flipped bit in a snapshot is an error and not an older state."""
+    with _folder() as folder:
+        with _open(folder) as store:
+            store.write((_persist(1, _entries(1, 5)),))
+            store.write((_image(2, 4, drop_log=False),))
+        (path,) = folder.glob("snapshot-*")
+        data = bytearray(path.read_bytes())
+        data[-1] ^= 1
+        path.write_bytes(bytes(data))
+        assert "damaged" in str(_fail_to_open(folder))
+
+
+def test_snapshot_replaces_old_segments() -> None:
+    """A snapshot and the entries after it survive; older files are gone."""
+    with _folder() as folder:
+        with _open(folder) as store:
+            for number in range(1, 6):
+                store.write((_persist(number, _entries(number, number)),))
+                store.write((_image(number, number, drop_log=False),))
+            store.write((_persist(9, _entries(6, 7)),))
+        assert len(tuple(folder.glob("segment-*"))) <= 2
+        assert len(tuple(folder.glob("snapshot-*"))) == 1
+        with _open(folder) as store:
+            assert store.restored.image.index == 5
+            assert [e.index for e in store.restored.entries] == [6, 7]
+            assert store.restored.hard_state.term == 1
+
+
+def test_snapshot_of_the_leader_drops_another_log() -> None:
+    """After a snapshot that contradicts the log, the old entries are gone."""
+    with _folder() as folder:
+        with _open(folder) as store:
+            store.write((_persist(1, _entries(1, 9)),))
+            store.write((_image(2, 4, drop_log=True),))
+            store.write((_persist(3, _entries(5, 5, term=7)),))
+        with _open(folder) as store:
+            held = [(e.index, e.term) for e in store.restored.entries]
+    assert held == [(5, 7)]
+
+
+def test_lost_files_stop_the_replica() -> None:
+    """A folder whose segments are gone is not taken for an empty one."""
+    with _folder() as folder:
+        with _open(folder) as store:
+            store.write((_persist(1, _entries(1, 3)),))
+        _newest_segment(folder).unlink()
+        assert "no segment" in str(_fail_to_open(folder))
+
+
+def test_identity_without_which_the_log_is_nobodys() -> None:
+    """A log without its identity file is refused."""
+    with _folder() as folder:
+        with _open(folder) as store:
+            store.write((_persist(1, _entries(1, 3)),))
+        (folder / identity_lib.IDENTITY_NAME).unlink()
+        assert "no identity" in str(_fail_to_open(folder))
+
+
+def test_folder_of_another_cluster_is_refused() -> None:
+    """A folder of another cluster or of another replica can't be used."""
+    with _folder() as folder:
+        _open(folder).close()
+        for other in (
+            dataclasses.replace(IDENTITY, cluster_id="d"),
+            dataclasses.replace(IDENTITY, replica_id="r2"),
+        ):
+            assert "is of replica r1" in str(_fail_to_open(folder, other))
+
+
+def test_restart_keeps_the_drawn_identity() -> None:
+    """The member ID is drawn once for a folder."""
+    with _folder() as folder:
+        _open(folder).close()
+        drawn_again = dataclasses.replace(IDENTITY, member_id="r1-2")
+        with store_lib.Store(folder=folder, identity=drawn_again) as store:
+            assert store.identity == IDENTITY
+
+
+def test_second_process_is_kept_out() -> None:
+    """A folder in use can't be opened again."""
+    with _folder() as folder, _open(folder):
+        assert "another process" in str(_fail_to_open(folder))
+
+
+def test_full_disk_and_sync_errors_are_reported() -> None:
+    """A write that may not be on the disk raises, and names the file."""
+    for cause in (
+        OSError(28, "No space left on device"),
+        OSError(5, "Input/output error"),
+    ):
+        disk = FaultyDisk()
+        with (
+            _folder() as folder,
+            store_lib.Store(
+                folder=folder, identity=IDENTITY, disk=disk
+            ) as store,
+        ):
+            store.write((_persist(1, _entries(1, 3)),))
+            disk.cause = cause
+            for persist in (
+                _persist(2, _entries(4, 4)),
+                _image(3, 2, drop_log=False),
+            ):
+                try:
+                    store.write((persist,))
+                except errors.StorageError as error:
+                    assert str(folder) in error.peer
+                else:
+                    raise AssertionError(f"{cause} was passed over")
+
+
+def test_other_format_version_is_refused() -> None:
+    """A file of another format version is not read."""
+    with _folder() as folder:
+        _open(folder).close()
+        path = _newest_segment(folder)
+        data = bytearray(path.read_bytes())
+        data[11] += 1
+        path.write_bytes(bytes(data))
+        assert "format version" in str(_fail_to_open(folder))
+
+
+def test_crash_while_files_are_made_is_passed_over() -> None:
+    """Half-made files of a crash don't keep a replica from starting."""
+    with _folder() as folder:
+        with _open(folder) as store:
+            store.write((_persist(1, _entries(1, 3)),))
+        (folder / "segment-0000000000000002").write_bytes(b"lvg")
+        (folder / "snapshot-0000000000000003.tmp").write_bytes(b"half")
+        with _open(folder) as store:
+            assert len(store.restored.entries) == 3
+            store.write((_persist(2, _entries(4, 4)),))
+        with _open(folder) as store:
+            assert len(store.restored.entries) == 4
+
+
+@contextlib.contextmanager
+def _folder() -> Iterator[pathlib.Path]:
+    with tempfile.TemporaryDirectory() as name:
+        yield pathlib.Path(name) / "data"
+
+
+def _open(folder: pathlib.Path) -> store_lib.Store:
+    return store_lib.Store(folder=folder, identity=IDENTITY)
+
+
+def _fail_to_open(
+    folder: pathlib.Path, identity: identity_lib.Identity = IDENTITY
+) -> errors.StorageError:
+    try:
+        store_lib.Store(folder=folder, identity=identity).close()
+    except errors.StorageError as error:
+        return error
+    raise AssertionError("the folder was opened")
+
+
+def _newest_segment(folder: pathlib.Path) -> pathlib.Path:
+    return max(folder.glob("segment-*"))
+
+
+def _entries(
+    first: int, last: int, term: int = 1
+) -> tuple[entries_lib.Entry, ...]:
+    return tuple(
+        entries_lib.Entry(
+            index=index,
+            term=term,
+            kind=entries_lib.EntryKind.COMMAND,
+            payload=f"payload-{index}".encode(),
+        )
+        for index in range(first, last + 1)
+    )
+
+
+def _persist(
+    sync_id: int, entries: tuple[entries_lib.Entry, ...], term: int = 1
+) -> events.Persist:
+    return events.Persist(
+        sync_id=sync_id,
+        hard_state=entries_lib.HardState(term=term, vote="r1"),
+        entries=entries,
+    )
+
+
+def _image(sync_id: int, index: int, *, drop_log: bool) -> events.Persist:
+    image = entries_lib.Image(index=index, term=1, data=b"state")
+    return events.Persist(sync_id=sync_id, image=image, drop_log=drop_log)
+
+
+load_tests = fixtures.collect(__name__)
