Let only answering learners vote

A replica whose folder was emptied twice was added under an identity that was gone already and made a voter at once, since its lag was small by number; two replicas of four were then no majority. A learner now votes only once it answers and has caught up, a newer try replaces an older learner, and founding replicas can't be added. The test that found it stands.

--- a/src/lovagesaddle/control/consensus.py
+++ b/src/lovagesaddle/control/consensus.py
@@ -234,7 +234,7 @@
         self, introduction: founding_lib.Introduction, route: bytes
     ) -> None:
         member = introduction.member
-        if not introduction.has_log:
+        if not introduction.has_log and not introduction.is_founding:
             self._seen[member.replica_id] = _Seen(member, self._now)
         if self._replica.last_index == 0:
             self._step_founding(
--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -26,6 +26,7 @@
 from lovagesaddle.core.model import peers
 from lovagesaddle.observability import logs
 from lovagesaddle.settings import schema
+from lovagesaddle.storage import disk as disk_lib
 from lovagesaddle.storage import identity as identity_lib
 from lovagesaddle.storage import store as store_lib
 from lovagesaddle.storage import syncer as syncer_lib
@@ -56,6 +57,7 @@
       context: ZeroMQ context of the process.
       is_founding: Whether an empty data folder may found the cluster; else
         the replica waits until an operator adds it.
+      disk: File operations; the operating system's own if None.
 
     Raises:
       errors.StorageError: The data folder can't be used.
@@ -68,6 +70,7 @@
         context: zmq.Context[zmq.Socket[bytes]],
         *,
         is_founding: bool = False,
+        disk: disk_lib.Disk | None = None,
     ) -> None:
         self._settings = settings
         self._log = logs.get_logger("control")
@@ -75,19 +78,23 @@
         self._wake_lock = threading.Lock()
         self._stack = contextlib.ExitStack()
         try:
-            self._open(context, is_founding)
+            self._open(context, is_founding, disk)
         except BaseException:
             self._stack.close()
             raise
 
     def _open(
-        self, context: zmq.Context[zmq.Socket[bytes]], is_founding: bool
+        self,
+        context: zmq.Context[zmq.Socket[bytes]],
+        is_founding: bool,
+        disk: disk_lib.Disk | None,
     ) -> None:
         settings = self._settings
         self._store = self._stack.enter_context(
             store_lib.Store(
                 folder=pathlib.Path(settings.data_folder),
                 identity=_draw_identity(settings),
+                disk=disk,
             )
         )
         self._endpoint = self._stack.enter_context(
--- a/src/lovagesaddle/control/replicas.py
+++ b/src/lovagesaddle/control/replicas.py
@@ -5,7 +5,6 @@
 
 from lovagesaddle.control import consensus as consensus_lib
 from lovagesaddle.core.consensus import entries as entries_lib
-from lovagesaddle.core.consensus import membership
 from lovagesaddle.core.model import operator_messages
 from lovagesaddle.observability import logs
 
@@ -79,11 +78,7 @@
     def tick(self) -> None:
         """Takes the next step of a change that is under way."""
         replica = self._consensus.replica
-        if self._is_changing or not replica.is_confirmed_leader:
-            return
-        planned = membership.plan_change(
-            replica.members, replica.list_matched(), replica.commit_index
-        )
+        planned = None if self._is_changing else replica.plan_members()
         if planned is None:
             return
         if planned.find(self._own_id) is None:
@@ -123,6 +118,7 @@
             member
             for member in members.members
             if member.replica_id == request.replaced_id
+            and member.is_voter
             and (newcomer is None or member.member_id != newcomer.member_id)
         ]
         if not old:
@@ -141,7 +137,7 @@
                 replaces="" if replaced is None else replaced.member_id,
             )
             return Verdict(
-                members=members.put(learner),
+                members=_drop_learners(members, replica_id).put(learner),
                 is_accepted=True,
                 cause="it votes once it has caught up",
             )
@@ -169,5 +165,16 @@
         )
 
 
+def _drop_learners(
+    members: entries_lib.Members, replica_id: str
+) -> entries_lib.Members:
+    """Returns the members without earlier tries to add the same replica."""
+    kept = members
+    for member in members.members:
+        if member.replica_id == replica_id and not member.is_voter:
+            kept = kept.drop(member.member_id)
+    return kept
+
+
 def _refuse(cause: str) -> Verdict:
     return Verdict(members=None, is_accepted=False, cause=cause)
--- a/src/lovagesaddle/core/consensus/leadership.py
+++ b/src/lovagesaddle/core/consensus/leadership.py
@@ -64,6 +64,11 @@
         matched[self._own_id] = self._durable.synced_index
         return matched
 
+    def list_heard(self, now: float) -> frozenset[str]:
+        """Returns the members that answered within an election timeout."""
+        others = (key for key in self._progress if self._is_heard(key, now))
+        return frozenset((self._own_id, *others))
+
     def append(self, kind: entries_lib.EntryKind, payload: bytes) -> int:
         """Appends an entry of this term and returns its index."""
         entry = entries_lib.Entry(
@@ -111,8 +116,8 @@
     def has_lost_quorum(self, now: float) -> bool:
         """Returns whether no majority answered for too long."""
         voters = self._durable.log.members.list_voters()
-        heard = sum(1 for voter in voters if self._is_heard(voter, now))
-        return 2 * heard <= len(voters)
+        heard = self.list_heard(now).intersection(voters)
+        return 2 * len(heard) <= len(voters)
 
     def take_answer(
         self,
--- a/src/lovagesaddle/core/consensus/replica.py
+++ b/src/lovagesaddle/core/consensus/replica.py
@@ -13,6 +13,7 @@
 from lovagesaddle.core.consensus import events
 from lovagesaddle.core.consensus import follower as follower_lib
 from lovagesaddle.core.consensus import leadership as leadership_lib
+from lovagesaddle.core.consensus import membership
 from lovagesaddle.core.consensus import messages
 from lovagesaddle.core.consensus import timing
 
@@ -103,6 +104,23 @@
             return {}
         return self._leadership.list_matched()
 
+    def list_heard(self) -> frozenset[str]:
+        """Returns the members that answered lately, if leading."""
+        if self._leadership is None:
+            return frozenset()
+        return self._leadership.list_heard(self._clock.now)
+
+    def plan_members(self) -> entries_lib.Members | None:
+        """Returns the members after the next step of a change under way."""
+        if not self.is_confirmed_leader:
+            return None
+        return membership.plan_change(
+            self.members,
+            self.list_matched(),
+            self.list_heard(),
+            self.commit_index,
+        )
+
     def step(
         self, event: events.Event, now: float
     ) -> tuple[events.Action, ...]:
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -1,6 +1,6 @@
 """Control replicas on threads of one process, on loopback."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 import contextlib
 import pathlib
 import socket
@@ -16,10 +16,12 @@
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import operator_messages
 from lovagesaddle.settings import schema
+from lovagesaddle.storage import disk as disk_lib
 from lovagesaddle.transport import endpoint as endpoint_lib
 
 AnswerT = TypeVar("AnswerT")
 
+SIZE = 3
 WAIT_S = 10.0
 RESEND_S = 0.5
 ELECTION_TIMEOUT_S = 0.3
@@ -28,9 +30,16 @@
 
 
 class ControlCluster:
-    """Three replicas or more, each on a thread, and one operator."""
+    """Three replicas, each on a thread, and one operator.
 
-    def __init__(self, size: int = 3) -> None:
+    Args:
+      disks: File operations of each replica; the real ones if absent.
+    """
+
+    def __init__(
+        self, disks: Mapping[str, disk_lib.Disk] | None = None
+    ) -> None:
+        self._disks = disks or {}
         self._stack = contextlib.ExitStack()
         self._folder = pathlib.Path(
             self._stack.enter_context(tempfile.TemporaryDirectory())
@@ -41,7 +50,7 @@
                 replica_id=f"r{number}",
                 address=f"tcp://127.0.0.1:{find_port()}",
             )
-            for number in range(1, size + 1)
+            for number in range(1, SIZE + 1)
         )
         self._threads: dict[str, threading.Thread] = {}
         self.programs: dict[str, program_lib.ControlProgram] = {}
@@ -94,6 +103,7 @@
             self.make_settings(name, address, folder),
             self._context,
             is_founding=is_founding,
+            disk=self._disks.get(name),
         )
         self.programs[name] = program
 
@@ -139,15 +149,9 @@
         self, publish_id: str, base: int
     ) -> operator_messages.PublishAnswer:
         """Publishes an empty set until a replica answers for the cluster."""
-        command = commands.PublishServices(
-            publish_id=publish_id,
-            operator="ana",
-            base_version=base,
-            services=(),
-        )
         return self.ask_leader(
             lambda request_id: operator_messages.PublishRequest(
-                request_id=request_id, command=command
+                request_id=request_id, command=make_publish(publish_id, base)
             ),
             operator_messages.PublishAnswer,
         )
@@ -167,6 +171,40 @@
                     return answer
         raise AssertionError("no replica answered")
 
+    def change(
+        self, action: str, name: str, *, replaced_id: str = ""
+    ) -> operator_messages.ChangeReplicaAnswer:
+        """Has a replica added, removed or replaced."""
+        return self.ask_leader(
+            lambda request_id: operator_messages.ChangeReplicaRequest(
+                request_id=request_id,
+                action=action,
+                replica_id=name,
+                replaced_id=replaced_id,
+            ),
+            operator_messages.ChangeReplicaAnswer,
+        )
+
+    def find_leader(self) -> str:
+        """Returns the replica that running ones believe to lead."""
+        leaders: list[str] = []
+
+        def is_known() -> bool:
+            statuses = [self.get_status(name) for name in self._threads]
+            leaders[:] = [s.leader_id for s in statuses]
+            return leaders[0] in self._threads and len(set(leaders)) == 1
+
+        self.wait_until(is_known)
+        return leaders[0]
+
+    def wait_until(self, condition: Callable[[], bool]) -> None:
+        """Asks until a condition holds."""
+        deadline = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline:
+            if condition():
+                return
+        raise AssertionError(f"nothing came of it in {WAIT_S} s")
+
     def get_status(self, name: str) -> operator_messages.StatusAnswer:
         """Returns what one replica knows."""
         self._requests += 1
@@ -183,12 +221,21 @@
         condition: Callable[[operator_messages.StatusAnswer], bool],
     ) -> operator_messages.StatusAnswer:
         """Asks one replica until its status meets a condition."""
-        deadline = time.monotonic() + WAIT_S
-        while time.monotonic() < deadline:
-            status = self.get_status(name)
-            if condition(status):
-                return status
-        raise AssertionError(f"{name} stays at {status}")
+        seen: list[operator_messages.StatusAnswer] = []
+
+        def is_met() -> bool:
+            seen[:] = [self.get_status(name)]
+            return condition(seen[0])
+
+        self.wait_until(is_met)
+        return seen[0]
+
+
+def make_publish(publish_id: str, base: int) -> commands.PublishServices:
+    """Returns a publish of an empty set."""
+    return commands.PublishServices(
+        publish_id=publish_id, operator="ana", base_version=base, services=()
+    )
 
 
 def find_port() -> int:
--- a/tests/replica_cluster.py
+++ b/tests/replica_cluster.py
@@ -16,7 +16,6 @@
 from lovagesaddle.core.consensus import events
 from lovagesaddle.core.consensus import founding
 from lovagesaddle.core.consensus import log as log_lib
-from lovagesaddle.core.consensus import membership
 from lovagesaddle.core.consensus import replica as replica_lib
 from lovagesaddle.core.consensus import timing
 
@@ -358,12 +357,7 @@
         self._tick_later(name, life)
 
     def _step_members(self, host: Host) -> None:
-        replica = host.replica
-        if replica is None or not replica.is_confirmed_leader:
-            return
-        planned = membership.plan_change(
-            replica.members, replica.list_matched(), replica.commit_index
-        )
+        planned = host.replica.plan_members() if host.replica else None
         if planned is not None:
             self.change_members(host.member.member_id, planned)
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,17 +1,21 @@
 """Tests of whole control replicas on loopback, with real folders."""
 
+from lovagesaddle.core import errors
 from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import operator_messages
 from tests import control_cluster
 from tests import fixtures
+from tests import test_store
+
+NAMES = ("r1", "r2", "r3")
+OUTCOME = commands.PublishOutcome
 
 
 def test_three_replicas_found_a_cluster_and_accept() -> None:
     """Three empty replicas elect a leader and accept a publish."""
     with control_cluster.ControlCluster() as cluster:
-        answer = cluster.publish("p1", 0)
-        assert answer.result.outcome is commands.PublishOutcome.ACCEPTED
-        version = answer.result.version
-        for name in ("r1", "r2", "r3"):
+        version = cluster.publish("p1", 0).result.version
+        for name in NAMES:
             status = cluster.wait_for_status(
                 name, lambda status: status.version >= version
             )
@@ -22,11 +26,97 @@
     """All stop and return; a resent publish gets its first answer."""
     with control_cluster.ControlCluster() as cluster:
         first = cluster.publish("p1", 0)
-        for name in ("r1", "r2", "r3"):
+        for name in NAMES:
             cluster.stop(name)
-        for name in ("r1", "r2", "r3"):
+        for name in NAMES:
             cluster.start(name)
         assert cluster.publish("p1", 0).result == first.result
 
 
+def test_equal_base_names_the_winner() -> None:
+    """Of two operators with one base, the loser learns who won."""
+    with control_cluster.ControlCluster() as cluster:
+        won = cluster.publish("p1", 0).result
+        lost = cluster.publish("p2", 0).result
+        assert won.outcome is OUTCOME.ACCEPTED
+        assert lost.outcome is OUTCOME.CONFLICT
+        assert (lost.winner_id, lost.version) == ("p1", won.version)
+
+
+def test_resend_after_the_leader_stopped_gets_the_same_version() -> None:
+    """The next leader answers a resent publish as the last one did."""
+    with control_cluster.ControlCluster() as cluster:
+        first = cluster.publish("p1", 0).result
+        cluster.stop(cluster.find_leader())
+        assert cluster.publish("p1", 0).result == first
+
+
+def test_failed_disk_stops_the_leader_unanswered() -> None:
+    """A leader that can't sync stops and does not answer its publish."""
+    disks = {name: test_store.FaultyDisk() for name in NAMES}
+    with control_cluster.ControlCluster(disks=disks) as cluster:
+        cluster.publish("p1", 0)
+        leader = cluster.find_leader()
+        disks[leader].cause = OSError(28, "No space left on device")
+        request = operator_messages.PublishRequest(
+            request_id="once", command=control_cluster.make_publish("p2", 0)
+        )
+        assert cluster.ask(leader, request) is None
+        assert isinstance(cluster.wait(leader), errors.StorageError)
+        second = cluster.publish("p2", 0).result
+        assert second.outcome is OUTCOME.CONFLICT
+
+
+def test_emptied_folder_is_refused_and_replaced() -> None:
+    """A replica with a lost disk founds nothing; replaced, it votes again."""
+    with control_cluster.ControlCluster() as cluster:
+        cluster.publish("p1", 0)
+        lost = next(n for n in NAMES if n != cluster.find_leader())
+        cluster.stop(lost)
+        cluster.start(lost, is_founding=True, folder="empty")
+        assert isinstance(cluster.wait(lost), errors.ConsensusError)
+        cluster.start(lost, folder="new")
+        cluster.wait_until(
+            lambda: cluster.change("replace", lost, replaced_id=lost).accepted
+        )
+        status = cluster.wait_for_status(
+            cluster.find_leader(), _has_three_synced_voters
+        )
+        second = next(n for n in NAMES if n not in (lost, status.leader_id))
+        cluster.stop(second)
+        assert cluster.publish("p1", 0).result.outcome is OUTCOME.ACCEPTED
+        assert cluster.publish("p2", 0).result.winner_id == "p1"
+
+
+def test_replica_is_added_and_removed() -> None:
+    """A fourth replica joins as a learner, votes, and can be removed."""
+    address = f"tcp://127.0.0.1:{control_cluster.find_port()}"
+    with control_cluster.ControlCluster() as cluster:
+        version = cluster.publish("p1", 0).result.version
+        assert not cluster.change("add", "r4").accepted
+        cluster.start("r4", address=address)
+        cluster.wait_until(lambda: cluster.change("add", "r4").accepted)
+        cluster.wait_for_status(
+            "r4",
+            lambda status: (
+                status.publication_version == version
+                and len(status.replicas) == len(NAMES) + 1
+                and all(r.role != "learner" for r in status.replicas)
+            ),
+        )
+        cluster.wait_until(lambda: cluster.change("remove", "r4").accepted)
+        status = cluster.wait_for_status(
+            cluster.find_leader(),
+            lambda status: len(status.replicas) == len(NAMES),
+        )
+        assert "r4" not in {r.replica_id for r in status.replicas}
+
+
+def _has_three_synced_voters(status: operator_messages.StatusAnswer) -> bool:
+    return len(status.replicas) == len(NAMES) and all(
+        replica.role != "learner" and replica.matched_version >= status.version
+        for replica in status.replicas
+    )
+
+
 load_tests = fixtures.collect(__name__)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -192,6 +192,23 @@
     assert lost not in cluster.accepted
 
 
+def test_silent_learner_never_votes() -> None:
+    """A learner that does not answer is not made a voter."""
+    cluster = replica_cluster.Cluster(seed=15)
+    cluster.manage_members()
+    leader = cluster.elect()
+    learner = dataclasses.replace(cluster.add_host("n1"), is_voter=False)
+    cluster.crash("n1")
+    cluster.change_members(leader, cluster.get(leader).members.put(learner))
+    cluster.publish(b"one")
+    cluster.run(1.0)
+    assert "n1" not in cluster.get(leader).members.list_voters()
+    cluster.restart("n1")
+    cluster.run_until(
+        lambda: "n1" in cluster.find_committed_members().list_voters()
+    )
+
+
 def test_members_change_one_voter_at_a_time() -> None:
     """A change of two voters, a second change, and own removal are refused."""
     cluster = replica_cluster.Cluster(seed=13, size=5)
