--- /dev/null
+++ b/bench/replica_processes.py
@@ -0,0 +1,206 @@
+"""Real control processes on loopback, and an operator that publishes."""
+
+import contextlib
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import types
+from typing import Self
+import uuid
+
+from tests import control_cluster
+import zmq
+
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import operator_messages
+from lovagesaddle.core.model import services
+from lovagesaddle.settings import schema
+from lovagesaddle.transport import endpoint as endpoint_lib
+
+WAIT_S = 20.0
+TRY_S = 0.2
+_MESSAGES = operator_messages.OPERATOR_MESSAGES
+_CHANNEL = endpoint_lib.Channel.OPERATOR
+_PROGRAM = "from lovagesaddle.control.main import main; main()"
+
+
+class ReplicaProcesses:
+    """Starts replicas in processes of their own.
+
+    Args:
+      size: Number of founding replicas.
+      election_timeout_s: Silence of the leader before a pre-vote.
+    """
+
+    def __init__(self, size: int, *, election_timeout_s: float = 0.5) -> None:
+        self._stack = contextlib.ExitStack()
+        self.folder = pathlib.Path(
+            self._stack.enter_context(tempfile.TemporaryDirectory())
+        )
+        self._election_timeout_s = election_timeout_s
+        self.addresses = {
+            f"r{number}": f"tcp://127.0.0.1:{control_cluster.find_port()}"
+            for number in range(1, size + 1)
+        }
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def __enter__(self) -> Self:
+        for name in self.addresses:
+            self.start(name, "--found")
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        for name in tuple(self._processes):
+            self.stop(name, signal.SIGKILL)
+        self._stack.close()
+
+    def list_addresses(self) -> tuple[schema.ReplicaAddress, ...]:
+        """Returns where the replicas listen."""
+        return tuple(
+            schema.ReplicaAddress(replica_id=name, address=address)
+            for name, address in self.addresses.items()
+        )
+
+    def start(self, name: str, *options: str) -> None:
+        """Starts one replica; its log goes to a file in the folder."""
+        settings = self.folder / f"{name}.ini"
+        settings.write_text(self._write_settings(name), encoding="utf-8")
+        self._processes[name] = subprocess.Popen(
+            [sys.executable, "-c", _PROGRAM, "run", *options, str(settings)]
+        )
+
+    def stop(self, name: str, number: signal.Signals) -> None:
+        """Signals one replica and waits for its end."""
+        process = self._processes.pop(name)
+        process.send_signal(number)
+        process.wait()
+
+    def _write_settings(self, name: str) -> str:
+        lines = [
+            "[control]",
+            f"replica-id = {name}",
+            f"address = {self.addresses[name]}",
+            "failure-domain = a",
+            f"data-folder = {self.folder / name}",
+            "cluster-id = bench",
+            f"election-timeout = {int(self._election_timeout_s * 1000)}ms",
+            "[log]",
+            f"file = {self.folder / name}.log",
+        ]
+        for other, address in self.addresses.items():
+            lines += [f"[replica {other}]", f"address = {address}"]
+        return "\n".join(lines) + "\n"
+
+
+class Publisher:
+    """An operator that publishes one set after another.
+
+    Args:
+      replicas: Where to ask.
+      published: The services of each publish.
+    """
+
+    def __init__(
+        self,
+        replicas: tuple[schema.ReplicaAddress, ...],
+        published: tuple[services.Service, ...] = (),
+    ) -> None:
+        self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+        self._endpoint = endpoint_lib.Endpoint(
+            context=self._context, own_id=uuid.uuid4().hex
+        )
+        self._peers = [
+            endpoint_lib.Peer(peer_id=r.replica_id, address=r.address)
+            for r in replicas
+        ]
+        self._published = published
+        self.leader = self._peers[0]
+        self.base = 0
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._endpoint.close()
+        self._context.term()
+
+    def publish(self, publish_id: str = "") -> commands.PublishResult:
+        """Publishes once, resending until a leader answers.
+
+        A conflict sets the base for the next publish.
+        """
+        command = commands.PublishServices(
+            publish_id=publish_id or uuid.uuid4().hex,
+            operator="bench",
+            base_version=self.base,
+            services=self._published,
+        )
+        deadline = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline:
+            result = self._try(command)
+            if result is not None:
+                self.base = result.version
+                return result
+        raise TimeoutError("no leader answered")
+
+    def publish_accepted(self) -> int:
+        """Publishes with ever new bases until it wins; returns the tries."""
+        tries = 1
+        while self.publish().outcome is not commands.PublishOutcome.ACCEPTED:
+            tries += 1
+        return tries
+
+    def ask_status(self) -> operator_messages.StatusAnswer | None:
+        """Returns what the replica asked last knows."""
+        request = operator_messages.StatusRequest(request_id=uuid.uuid4().hex)
+        answer = self._ask(request)
+        if isinstance(answer, operator_messages.StatusAnswer):
+            return answer
+        self._ask_next()
+        return None
+
+    def _try(
+        self, command: commands.PublishServices
+    ) -> commands.PublishResult | None:
+        request = operator_messages.PublishRequest(
+            request_id=uuid.uuid4().hex, command=command
+        )
+        answer = self._ask(request)
+        if isinstance(answer, operator_messages.PublishAnswer):
+            return answer.result
+        leader = getattr(answer, "leader_id", "")
+        known = [peer for peer in self._peers if peer.peer_id == leader]
+        if known and known[0] != self.leader:
+            self.leader = known[0]
+        else:
+            self._ask_next()
+        return None
+
+    def _ask_next(self) -> None:
+        position = self._peers.index(self.leader) + 1
+        self.leader = self._peers[position % len(self._peers)]
+
+    def _ask(
+        self, request: operator_messages.OperatorMessage
+    ) -> operator_messages.OperatorMessage | None:
+        self._endpoint.send(self.leader, _CHANNEL, _MESSAGES.encode(request))
+        deadline = time.monotonic() + TRY_S
+        while (left := deadline - time.monotonic()) > 0:
+            for received in self._endpoint.receive(left):
+                answer = _MESSAGES.decode(received.data, peer="replica")
+                if answer.request_id == request.request_id:
+                    return answer
+        return None
--- a/src/lovagesaddle/control/main.py
+++ b/src/lovagesaddle/control/main.py
@@ -9,6 +9,7 @@
 import zmq
 
 from lovagesaddle.control import program as program_lib
+from lovagesaddle.control import verification
 from lovagesaddle.core import errors
 from lovagesaddle.observability import logs
 from lovagesaddle.settings import loader
@@ -72,6 +73,29 @@
             raise typer.Exit(EXIT_FAILED) from error
 
 
+@app.command()
+def verify(
+    folder: Annotated[pathlib.Path, typer.Argument(metavar="DIR")],
+) -> None:
+    """Checks the data folder DIR while no replica uses it."""
+    try:
+        report = verification.verify_folder(folder)
+    except errors.LovagesaddleError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_FAILED) from error
+    typer.echo(
+        f"replica={report.identity.replica_id}"
+        f" member={report.identity.member_id}"
+        f" cluster={report.identity.cluster_id}"
+        f" term={report.term}"
+        f" snapshot-version={report.snapshot_version}"
+        f" first-version={report.first_version}"
+        f" last-version={report.last_version}"
+        f" segments={report.segments}"
+        f" torn-bytes={report.torn_bytes}"
+    )
+
+
 def main() -> None:
     """Entry point of the program."""
     app()
