--- a/bench/replica_processes.py
+++ b/bench/replica_processes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -21,7 +22,7 @@
 from lovagesaddle.transport import endpoint as endpoint_lib
 
 WAIT_S = 20.0
-TRY_S = 0.2
+TRY_S = 0.05
 _MESSAGES = operator_messages.OPERATOR_MESSAGES
 _CHANNEL = endpoint_lib.Channel.OPERATOR
 _PROGRAM = "from lovagesaddle.control.main import main; main()"
@@ -83,6 +84,16 @@
         process.send_signal(number)
         process.wait()
 
+    def stop_all(self) -> int:
+        """Stops every replica in order; returns the syncs of all of them."""
+        for name in tuple(self._processes):
+            self.stop(name, signal.SIGTERM)
+        text = "".join(
+            path.read_text(encoding="utf-8")
+            for path in self.folder.glob("*.log")
+        )
+        return sum(int(count) for count in re.findall(r"syncs=(\d+)", text))
+
     def _write_settings(self, name: str) -> str:
         lines = [
             "[control]",
--- a/src/lovagesaddle/control/consensus.py
+++ b/src/lovagesaddle/control/consensus.py
@@ -16,7 +16,8 @@
 from lovagesaddle.storage import syncer as syncer_lib
 from lovagesaddle.transport import endpoint as endpoint_lib
 
-IMAGE_ENTRIES = 10_000
+IMAGE_ENTRIES = 2_000
+IMAGE_BYTES = 32 * 1024 * 1024
 INTRODUCTION_LIFE_S = 5.0
 
 
@@ -285,7 +286,8 @@
 
     def _take_image_if_due(self) -> None:
         version = self._machine.version
-        if version - self._replica.image.index < IMAGE_ENTRIES:
+        entries = version - self._replica.image.index
+        if entries < IMAGE_ENTRIES and self._machine.log_bytes < IMAGE_BYTES:
             return
         data = self._machine.encode()
         self._step(events.ImageTaken(index=version, data=data))
--- a/src/lovagesaddle/control/machine.py
+++ b/src/lovagesaddle/control/machine.py
@@ -18,6 +18,7 @@
     def __init__(self) -> None:
         self._state = state_lib.found_state()
         self._stamped = state_lib.stamp_nothing()
+        self._log_bytes = 0
 
     @property
     def state(self) -> state_lib.State:
@@ -29,6 +30,11 @@
         """Index of the last applied entry."""
         return self._state.snapshot.version
 
+    @property
+    def log_bytes(self) -> int:
+        """Size of the entries applied since the last snapshot, in bytes."""
+        return self._log_bytes
+
     @property
     def stamped(self) -> delta.Stamped:
         """Snapshot of the state, with its digest."""
@@ -54,16 +60,19 @@
                 self._state, entry.index, _decode(entry)
             )
             self._state = applied.state
+            self._log_bytes += len(entry.payload)
 
     def restore(self, image: entries_lib.Image) -> None:
         """Replaces the state by a snapshot."""
         if image.index == 0:
             return
+        self._log_bytes = 0
         self._state = _DECODER.decode(image.data)
         self._stamped = delta.stamp(self._state.snapshot)
 
     def encode(self) -> bytes:
         """Returns the whole state, for a snapshot."""
+        self._log_bytes = 0
         return _ENCODER.encode(self._state)
 
 
--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -150,7 +150,11 @@
                     or time.monotonic() >= deadline
                 )
             )
-        self._log.info("replica_stopped", replica=self._settings.replica_id)
+        self._log.info(
+            "replica_stopped",
+            replica=self._settings.replica_id,
+            syncs=self._store.sync_count,
+        )
 
     def _serve_until(self, is_done: Callable[[], bool]) -> None:
         next_tick = time.monotonic()
--- a/src/lovagesaddle/core/configuration/state.py
+++ b/src/lovagesaddle/core/configuration/state.py
@@ -267,10 +267,12 @@
     kept_servers = (
         server for server in servers.values() if server.node_id in nodes
     )
+    is_same = not command.nodes and not command.gone_nodes
     return dataclasses.replace(
         old,
         version=version,
-        nodes=tuple(nodes[key] for key in sorted(nodes)),
+        # An unchanged group stays the same object, which costs no digest.
+        nodes=old.nodes if is_same else tuple(nodes[n] for n in sorted(nodes)),
         servers=tuple(
             sorted(kept_servers, key=lambda server: server.server_id)
         ),
--- a/src/lovagesaddle/core/consensus/log.py
+++ b/src/lovagesaddle/core/consensus/log.py
@@ -5,6 +5,7 @@
 from lovagesaddle.core.consensus import entries as entries_lib
 
 KEPT_ENTRIES = 1000
+KEPT_BYTES = 16 * 1024 * 1024
 
 _MEMBERS_ENCODER = msgspec.msgpack.Encoder()
 _MEMBERS_DECODER = msgspec.msgpack.Decoder(entries_lib.Members)
@@ -137,7 +138,7 @@
             data=data,
         )
         self._image = image
-        self._drop_before(index - KEPT_ENTRIES)
+        self._drop_before(self._choose_base(index))
         return image
 
     def install(self, image: entries_lib.Image) -> bool:
@@ -155,6 +156,17 @@
         self._members = [(image.index, image.members)]
         return True
 
+    def _choose_base(self, index: int) -> int:
+        """Returns the index up to which entries are not kept for followers."""
+        base = index
+        size = 0
+        while base > max(self.base_index, index - KEPT_ENTRIES):
+            size += len(self._entries[base - self.base_index - 1].payload)
+            if size > KEPT_BYTES:
+                break
+            base -= 1
+        return base
+
     def _drop_before(self, index: int) -> None:
         if index <= self.base_index:
             return
