Number membership batches and keep acks over a leader change

A late answer of the log could conclude another batch after leadership was lost and regained; batches carry tickets now. Acks are lower bounds that stay true, so a new leader keeps them and only starts the leases anew. Every replica is told the acks, so that any of them can answer status. A connection is closed with a short linger, so that Detach is not lost; links to nodes that left are closed.

--- a/src/lovagesaddle/control/fleet.py
+++ b/src/lovagesaddle/control/fleet.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from lovagesaddle.control import ports
+from lovagesaddle.core import errors
 from lovagesaddle.core.distribution import events
 from lovagesaddle.core.distribution import source as source_lib
 from lovagesaddle.core.model import peers
@@ -96,13 +97,11 @@
     def _carry_out(self, action: source_lib.SourceAction) -> None:
         match action:
             case events.Send():
-                self._endpoint.send(action.peer, self.channel, action.frame)
+                self._send(action)
             case events.Answer():
                 self._endpoint.answer(action.route, self.channel, action.frame)
             case source_lib.Propose():
-                self._replica.propose(
-                    action.command, self._note_applied, self._note_refused
-                )
+                self._propose(action)
             case events.Disconnect():
                 self._endpoint.disconnect(action.peer)
             case events.LogLine():
@@ -110,8 +109,23 @@
             case events.Install() | events.DeliverMarks():
                 raise AssertionError("a replica installs nothing")
 
-    def _note_applied(self, version: int) -> None:
-        self._step(source_lib.EntryApplied(version=version), self._now)
-
-    def _note_refused(self, cause: str) -> None:
-        self._step(source_lib.EntryRefused(cause=cause), self._now)
+    def _send(self, action: events.Send) -> None:
+        try:
+            self._endpoint.send(action.peer, self.channel, action.frame)
+        except errors.TransportError as error:
+            lines.write_error(error)
+
+    def _propose(self, proposal: source_lib.Propose) -> None:
+        def _note_applied(version: int) -> None:
+            applied = source_lib.EntryApplied(
+                ticket=proposal.ticket, version=version
+            )
+            self._step(applied, self._now)
+
+        def _note_refused(cause: str) -> None:
+            refused = source_lib.EntryRefused(
+                ticket=proposal.ticket, cause=cause
+            )
+            self._step(refused, self._now)
+
+        self._replica.propose(proposal.command, _note_applied, _note_refused)
--- a/src/lovagesaddle/core/distribution/parents.py
+++ b/src/lovagesaddle/core/distribution/parents.py
@@ -12,6 +12,7 @@
 
 SILENT_BEATS = 2.5
 STALE_BEATS = 5.0
+STARVED_BEATS = 10.0
 FAILED_FIRST_S = 2.0
 FAILED_CAP_S = 60.0
 NO_STAMP = stamps.LeaderStamp(term=0, counter=0)
@@ -48,7 +49,8 @@
     """Keeps one eager and one lazy parent.
 
     A silent parent, and an eager one whose leader stamp stands still while
-    the lazy one's rises, is passed over for a jittered, growing time.
+    the lazy one's rises, is passed over for a jittered, growing time. When
+    neither stamp rises, other lazy parents are tried in turn.
 
     Args:
       heartbeat_s: Time between beats, in seconds.
@@ -63,7 +65,10 @@
         self._plan = tree.Plan(eager=(), lazy=())
         self._eager: Link | None = None
         self._lazy: Link | None = None
-        self._failures: dict[str, Failure] = {}
+        self._failures: dict[peers.Peer, Failure] = {}
+        self._preferred: peers.Peer | None = None
+        self._risen_at = 0.0
+        self._newest = NO_STAMP
 
     @property
     def links(self) -> tuple[Link, ...]:
@@ -114,7 +119,7 @@
         link.version = max(link.version, beat.version)
         if beat.stamp > link.stamp:
             if link.stamp != NO_STAMP:
-                self._failures.pop(sender_id, None)
+                self._failures.pop(link.peer, None)
             link.stamp = beat.stamp
             link.risen_at = now
         return link
@@ -153,11 +158,24 @@
             return tuple(lines)
         stale_s = STALE_BEATS * self._heartbeat_s
         if now - eager.risen_at > stale_s and lazy.stamp > eager.stamp:
+            self._preferred = lazy.peer
             lines.append(self._fail(eager, "stale leader stamp", now))
+        elif self._is_starved(now):
+            lines.append(self._fail(lazy, "no fresh leader stamp", now))
         return tuple(lines)
 
+    def _is_starved(self, now: float) -> bool:
+        if self.stamp > self._newest or not self._risen_at:
+            self._newest = max(self.stamp, self._newest)
+            self._risen_at = now
+        limit_s = (STARVED_BEATS + self._random.random()) * self._heartbeat_s
+        if now - self._risen_at <= limit_s:
+            return False
+        self._risen_at = now
+        return True
+
     def _fail(self, link: Link, reason: str, now: float) -> events.Action:
-        failure = self._failures.get(link.peer.peer_id)
+        failure = self._failures.get(link.peer)
         if failure is None:
             failure = Failure(
                 until=now,
@@ -167,7 +185,7 @@
                     random=self._random,
                 ),
             )
-            self._failures[link.peer.peer_id] = failure
+            self._failures[link.peer] = failure
         failure.until = now + failure.backoff.draw()
         return events.LogLine(
             event="parent lost", peer=link.peer.peer_id, reason=reason
@@ -179,11 +197,16 @@
         allowed = [peer for peer in candidates if peer.peer_id != avoided]
         if not allowed:
             return None
+        if self._preferred is not None and self._preferred in allowed[1:]:
+            allowed.insert(1, self._preferred)
         for peer in allowed:
-            failure = self._failures.get(peer.peer_id)
-            if failure is None or failure.until <= now:
+            if self._is_usable(peer, now):
                 return peer
-        return min(allowed, key=lambda peer: self._failures[peer.peer_id].until)
+        return min(allowed, key=lambda peer: self._failures[peer].until)
+
+    def _is_usable(self, peer: peers.Peer, now: float) -> bool:
+        failure = self._failures.get(peer)
+        return failure is None or failure.until <= now
 
     def _link(self, peer: peers.Peer | None, now: float) -> Link | None:
         if peer is None:
--- a/src/lovagesaddle/core/distribution/source.py
+++ b/src/lovagesaddle/core/distribution/source.py
@@ -12,6 +12,7 @@
 from lovagesaddle.core.distribution import limiter as limiter_lib
 from lovagesaddle.core.distribution import marks as marks_lib
 from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import tree
 from lovagesaddle.core.distribution import wire
 from lovagesaddle.core.membership import leases as leases_lib
 from lovagesaddle.core.membership import registry as registry_lib
@@ -24,6 +25,8 @@
 REPORT_DELAY_S = 0.05
 SWEEP_S = 0.5
 LAGGING_CAP = 32
+HELPERS = 3
+HELPER_HEARD_S = 2.0
 NO_STAMP = stamps.LeaderStamp(term=0, counter=0)
 
 
@@ -48,15 +51,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EntryApplied:
-    """The proposed entry is applied at `version`."""
+    """A proposed entry is applied.
 
+    Attributes:
+      ticket: Of its proposal.
+      version: Its version.
+    """
+
+    ticket: int
     version: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EntryRefused:
-    """The proposed entry was refused or is in doubt."""
+    """A proposed entry was refused or is in doubt."""
 
+    ticket: int
     cause: str
 
 
@@ -64,6 +74,7 @@
 class Propose:
     """Offer an entry to the log; one is under way at a time."""
 
+    ticket: int
     command: commands.ChangeMembership
 
 
@@ -108,6 +119,8 @@
         self._report_at = 0.0
         self._sweep_at = 0.0
         self._held_domains: tuple[str, ...] = ()
+        self._told: tuple[messages.AckGroup, ...] = ()
+        self._turn = 0
 
     @property
     def version(self) -> int:
@@ -135,13 +148,15 @@
             case Observed():
                 return self._observe(event, now)
             case EntryApplied():
-                accepted = self._registry.conclude(event.version, now)
+                answers = self._registry.conclude(
+                    event.ticket, event.version, now
+                )
                 return tuple(
-                    self._answer_origin(answer.node_id, answer)
-                    for answer in accepted.answers
+                    self._answer_join(answer.node_id, answer, now)
+                    for answer in answers
                 )
             case EntryRefused():
-                self._registry.abandon()
+                self._registry.abandon(event.ticket)
                 return (
                     events.LogLine(
                         event="membership entry refused", reason=event.cause
@@ -252,7 +267,7 @@
             case messages.Join() if message.node.node_id == origin:
                 answer = self._registry.hear_join(message, now)
                 if answer is not None:
-                    return (self._answer_origin(origin, answer),)
+                    return (self._answer_join(origin, answer, now),)
             case messages.ServerReport() if message.node_id == origin:
                 self._registry.hear_report(message, now)
             case messages.Leave() if message.node_id == origin:
@@ -267,16 +282,26 @@
                 )
         return ()
 
-    def _answer_origin(
-        self, origin: str, message: messages.DistributionMessage
+    def _answer_join(
+        self, origin: str, answer: messages.JoinAccepted, now: float
     ) -> SourceAction:
         replica_id, route = self._origins.get(origin, ("", b""))
-        frame = wire.encode(message)
+        frame = wire.encode(
+            dataclasses.replace(answer, helpers=self._pick_helpers(now))
+        )
         if replica_id:
-            answer = messages.ForwardAnswer(origin_id=origin, data=frame)
-            frame = wire.encode(answer)
+            forward = messages.ForwardAnswer(origin_id=origin, data=frame)
+            frame = wire.encode(forward)
         return events.Answer(route=route, frame=frame)
 
+    def _pick_helpers(self, now: float) -> tuple[peers.Peer, ...]:
+        nodes = self._leases.list_heard(now - HELPER_HEARD_S)
+        picked: list[peers.Peer] = []
+        for _ in range(min(HELPERS, len(nodes))):
+            picked.append(tree.make_peer(nodes[self._turn % len(nodes)]))
+            self._turn += 1
+        return tuple(picked)
+
     def _tick(self, now: float) -> tuple[SourceAction, ...]:
         actions: list[SourceAction] = []
         actions.extend(self._children.tick(self._stamp, now))
@@ -286,9 +311,10 @@
         if now >= self._sweep_at:
             self._sweep_at = now + SWEEP_S
             actions.extend(self._sweep(now))
-        command = self._registry.flush(now)
-        if command is not None:
-            actions.append(Propose(command=command))
+            actions.extend(self._tell_replicas())
+        batch = self._registry.flush(now)
+        if batch is not None:
+            actions.append(Propose(ticket=batch.ticket, command=batch.command))
         return tuple(actions)
 
     def _report(self, now: float) -> tuple[SourceAction, ...]:
@@ -301,11 +327,21 @@
         if not groups:
             return ()
         self._leases.hear(groups, now)
-        if self._is_leader or self._leader is None:
+        if self._leader is None:
             return ()
         report = messages.ReplicaReport(groups=groups)
         return (events.Send(peer=self._leader, frame=wire.encode(report)),)
 
+    def _tell_replicas(self) -> tuple[SourceAction, ...]:
+        groups = self._leases.fold()
+        if groups == self._told:
+            return ()
+        self._told = groups
+        frame = wire.encode(messages.ReplicaReport(groups=groups))
+        return tuple(
+            events.Send(peer=peer, frame=frame) for peer in self._replicas
+        )
+
     def _sweep(self, now: float) -> tuple[SourceAction, ...]:
         sweep = self._leases.sweep(now)
         lines: list[SourceAction] = []
--- a/src/lovagesaddle/core/distribution/wire.py
+++ b/src/lovagesaddle/core/distribution/wire.py
@@ -9,8 +9,8 @@
 from lovagesaddle.core import errors
 from lovagesaddle.core.distribution import messages
 
-PLAIN = 0
-COMPRESSED = 1
+KIND_BYTES = 1
+COMPRESSED = 0x80
 COMPRESSION_LEVEL = 6
 WINDOW_BITS = -15
 MEMORY_LEVEL = 8
@@ -39,19 +39,20 @@
 def encode(message: messages.DistributionMessage) -> bytes:
     """Returns the message as one frame."""
     plain = messages.DISTRIBUTION_MESSAGES.encode(message)
-    if len(plain) >= LEAST_BYTES:
-        packer = zlib.compressobj(
-            COMPRESSION_LEVEL,
-            zlib.DEFLATED,
-            WINDOW_BITS,
-            MEMORY_LEVEL,
-            zlib.Z_DEFAULT_STRATEGY,
-            DICTIONARY,
-        )
-        packed = packer.compress(plain) + packer.flush()
-        if len(packed) < len(plain):
-            return bytes((COMPRESSED,)) + packed
-    return bytes((PLAIN,)) + plain
+    if len(plain) < LEAST_BYTES:
+        return plain
+    packer = zlib.compressobj(
+        COMPRESSION_LEVEL,
+        zlib.DEFLATED,
+        WINDOW_BITS,
+        MEMORY_LEVEL,
+        zlib.Z_DEFAULT_STRATEGY,
+        DICTIONARY,
+    )
+    packed = packer.compress(plain[KIND_BYTES:]) + packer.flush()
+    if KIND_BYTES + len(packed) >= len(plain):
+        return plain
+    return bytes((plain[0] | COMPRESSED,)) + packed
 
 
 def decode(frame: bytes, *, peer: str) -> messages.DistributionMessage:
@@ -60,28 +61,22 @@
     Raises:
       errors.CodecError: The frame is damaged, too large or unknown.
     """
-    return messages.DISTRIBUTION_MESSAGES.decode(
-        _unpack(frame, peer), peer=peer
-    )
+    if frame and frame[0] & COMPRESSED:
+        kind = bytes((frame[0] & ~COMPRESSED,))
+        frame = kind + _unpack(frame[KIND_BYTES:], peer)
+    return messages.DISTRIBUTION_MESSAGES.decode(frame, peer=peer)
 
 
 def name_kind(frame: bytes) -> str:
     """Returns the class name of an encoded message, or "unknown"."""
-    try:
-        plain = _unpack(frame, "self")
-    except errors.CodecError:
-        return "unknown"
-    return messages.DISTRIBUTION_MESSAGES.name_kind(plain)
+    kind = bytes((frame[0] & ~COMPRESSED,)) if frame else b""
+    return messages.DISTRIBUTION_MESSAGES.name_kind(kind)
 
 
-def _unpack(frame: bytes, peer: str) -> bytes:
-    if frame[:1] == bytes((PLAIN,)):
-        return frame[1:]
-    if frame[:1] != bytes((COMPRESSED,)):
-        raise _error(peer, "frame has no known packing")
+def _unpack(packed: bytes, peer: str) -> bytes:
     unpacker = zlib.decompressobj(WINDOW_BITS, DICTIONARY)
     try:
-        plain = unpacker.decompress(frame[1:], MAX_PLAIN_BYTES)
+        plain = unpacker.decompress(packed, MAX_PLAIN_BYTES)
     except zlib.error as error:
         raise _error(peer, str(error)) from error
     if not unpacker.eof:
--- a/src/lovagesaddle/core/membership/leases.py
+++ b/src/lovagesaddle/core/membership/leases.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import dataclasses
 
+from lovagesaddle.core.distribution import acks
 from lovagesaddle.core.distribution import messages
 from lovagesaddle.core.membership import tokens
 from lovagesaddle.core.model import snapshots
@@ -32,11 +33,13 @@
       node: The node.
       heard_at: When a report named it last.
       version: Newest version it reported; 0 before the first report.
+      is_expiring: Whether its expiry was asked for.
     """
 
     node: snapshots.Node
     heard_at: float
     version: int = 0
+    is_expiring: bool = False
 
 
 class Leases:
@@ -66,10 +69,10 @@
         self._leases = kept
 
     def renew_all(self, now: float) -> None:
-        """Starts every lease anew and forgets the acks, for a new leader."""
+        """Starts every lease anew, for a new leader."""
         for lease in self._leases.values():
             lease.heard_at = now
-            lease.version = 0
+            lease.is_expiring = False
 
     def hear(self, groups: tuple[messages.AckGroup, ...], now: float) -> None:
         """Takes a report; tokens of past lives change nothing."""
@@ -78,6 +81,7 @@
                 lease = self._leases.get(token)
                 if lease is not None:
                     lease.heard_at = now
+                    lease.is_expiring = False
                     lease.version = max(lease.version, group.version)
 
     def list_lagging(self, version: int) -> tuple[str, ...]:
@@ -105,6 +109,14 @@
             if lease.version and lease.heard_at >= since
         )
 
+    def fold(self) -> tuple[messages.AckGroup, ...]:
+        """Returns what is known of every node that reported."""
+        return acks.fold(
+            (messages.AckGroup(version=lease.version, tokens=token),)
+            for token, lease in self._leases.items()
+            if lease.version
+        )
+
     def sweep(self, now: float) -> Sweep:
         """Returns the nodes to expire, within the cap of each domain.
 
@@ -115,19 +127,27 @@
         held: list[str] = []
         for domain, leases in self._group_domains().items():
             lapsed = [
-                lease.node
+                lease
                 for lease in leases
                 if now - lease.heard_at > self._lease_s
             ]
             if not lapsed:
                 continue
             if self._is_allowed(domain, leases, now):
-                expired.extend(lapsed)
-                self._recent.setdefault(domain, []).extend(now for _ in lapsed)
+                expired.extend(self._expire(lapsed, domain, now))
             else:
                 held.append(domain)
         return Sweep(expired=tuple(expired), held_domains=tuple(sorted(held)))
 
+    def _expire(
+        self, lapsed: list[Lease], domain: str, now: float
+    ) -> list[snapshots.Node]:
+        for lease in lapsed:
+            if not lease.is_expiring:
+                lease.is_expiring = True
+                self._recent[domain].append(now)
+        return [lease.node for lease in lapsed]
+
     def _group_domains(self) -> dict[str, list[Lease]]:
         domains: dict[str, list[Lease]] = {}
         for lease in self._leases.values():
@@ -140,7 +160,8 @@
         ]
         self._recent[domain] = recent
         suspect_s = self._lease_s * SUSPECT_SHARE
-        silent = sum(now - lease.heard_at > suspect_s for lease in leases)
-        size = len(leases) + len(recent)
+        present = [lease for lease in leases if not lease.is_expiring]
+        silent = sum(now - lease.heard_at > suspect_s for lease in present)
+        size = len(present) + len(recent)
         allowed = max(1, int(size * self._expiry_share))
         return silent + len(recent) <= allowed
--- a/src/lovagesaddle/core/membership/registry.py
+++ b/src/lovagesaddle/core/membership/registry.py
@@ -4,14 +4,11 @@
 
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.distribution import messages
-from lovagesaddle.core.distribution import tree
 from lovagesaddle.core.model import commands
-from lovagesaddle.core.model import peers
 from lovagesaddle.core.model import snapshots
 
 FIRST_BATCH_S = 0.05
 BATCH_S = 0.3
-HELPERS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -34,21 +31,16 @@
     """One entry on its way into the log.
 
     Attributes:
+      ticket: Number of the batch, counted from 1.
       command: The entry.
       joined: Node IDs whose join it holds.
     """
 
+    ticket: int
     command: commands.ChangeMembership
     joined: tuple[str, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Accepted:
-    """Joins that are applied now, to be answered."""
-
-    answers: tuple[messages.JoinAccepted, ...]
-
-
 class Registry:
     """Collects what nodes ask and turns it into few entries.
 
@@ -58,6 +50,12 @@
 
     def __init__(self) -> None:
         self._snapshot: snapshots.Snapshot | None = None
+        self._ticket = 0
+        self._flushed_at = float("-inf")
+        self.reset()
+
+    def reset(self) -> None:
+        """Forgets what was asked, when this replica begins or stops leading."""
         self._lives: dict[str, Life] = {}
         self._joins: dict[str, messages.Join] = {}
         self._reports: dict[str, messages.ServerReport] = {}
@@ -65,14 +63,6 @@
         self._gone: dict[str, int] = {}
         self._in_flight: Batch | None = None
         self._flush_at: float | None = None
-        self._flushed_at = float("-inf")
-        self._turn = 0
-
-    def reset(self) -> None:
-        """Forgets everything, when this replica begins or ceases to lead."""
-        snapshot = self._snapshot
-        self.__init__()  # type: ignore[misc]
-        self._snapshot = snapshot
 
     def set_snapshot(self, snapshot: snapshots.Snapshot) -> None:
         """Takes a newly applied version."""
@@ -89,7 +79,7 @@
             if not known.floor or node_id in self._joins:
                 return None
             if listed is not None and listed.incarnation == known.incarnation:
-                return self._make_answer(node_id, known)
+                return _make_answer(node_id, known)
         self._joins[node_id] = join
         self._reports.pop(node_id, None)
         self._lives[node_id] = Life(
@@ -115,7 +105,7 @@
         self._gone[node_id] = held
         self._schedule(now)
 
-    def flush(self, now: float) -> commands.ChangeMembership | None:
+    def flush(self, now: float) -> Batch | None:
         """Returns the next entry to propose, when one is due."""
         if self._in_flight is not None or self._snapshot is None:
             return None
@@ -123,30 +113,46 @@
             return None
         self._flush_at = None
         self._flushed_at = now
-        batch = self._make_batch(self._snapshot)
+        self._prune(self._snapshot)
+        self._in_flight = self._make_batch(self._snapshot)
+        return self._in_flight
+
+    def conclude(
+        self, ticket: int, version: int, now: float
+    ) -> tuple[messages.JoinAccepted, ...]:
+        """Takes the version of an applied batch; returns answers to joins."""
+        batch = self._end_batch(ticket)
         if batch is None:
-            return None
-        self._in_flight = batch
-        return batch.command
-
-    def conclude(self, version: int, now: float) -> Accepted:
-        """Takes the version of the entry in flight, which is applied."""
-        batch, self._in_flight = self._in_flight, None
+            return ()
         answers: list[messages.JoinAccepted] = []
-        for node_id in batch.joined if batch is not None else ():
+        for node_id in batch.joined:
             life = dataclasses.replace(self._lives[node_id], floor=version)
             self._lives[node_id] = life
-            answers.append(self._make_answer(node_id, life))
+            answers.append(_make_answer(node_id, life))
         if self._joins or self._reports or self._gone:
             self._schedule(now)
-        return Accepted(answers=tuple(answers))
+        return tuple(answers)
 
-    def abandon(self) -> None:
-        """Forgets the entry in flight, which was refused or is in doubt."""
-        batch, self._in_flight = self._in_flight, None
+    def abandon(self, ticket: int) -> None:
+        """Forgets a batch that was refused or is in doubt; nodes ask again."""
+        batch = self._end_batch(ticket)
         for node_id in batch.joined if batch is not None else ():
             self._lives.pop(node_id, None)
 
+    def _end_batch(self, ticket: int) -> Batch | None:
+        batch = self._in_flight
+        if batch is None or batch.ticket != ticket:
+            return None
+        self._in_flight = None
+        return batch
+
+    def _prune(self, snapshot: snapshots.Snapshot) -> None:
+        listed = {node.node_id for node in snapshot.nodes}
+        for node_id in set(self._lives) - listed - set(self._joins):
+            del self._lives[node_id]
+        for node_id in set(self._sequences) - listed:
+            del self._sequences[node_id]
+
     def _schedule(self, now: float) -> None:
         if self._flush_at is None:
             self._flush_at = max(
@@ -190,30 +196,11 @@
         )
         if command == commands.ChangeMembership():
             return None
-        return Batch(command=command, joined=tuple(sorted(joins)))
-
-    def _make_answer(self, node_id: str, life: Life) -> messages.JoinAccepted:
-        return messages.JoinAccepted(
-            node_id=node_id,
-            life=life.life,
-            incarnation=life.incarnation,
-            floor=life.floor,
-            helpers=self._pick_helpers(),
+        self._ticket += 1
+        return Batch(
+            ticket=self._ticket, command=command, joined=tuple(sorted(joins))
         )
 
-    def _pick_helpers(self) -> tuple[peers.Peer, ...]:
-        assert self._snapshot is not None
-        nodes = [
-            node
-            for node in self._snapshot.nodes
-            if node.node_id not in self._lives
-        ]
-        picked: list[peers.Peer] = []
-        for _ in range(min(HELPERS, len(nodes))):
-            picked.append(tree.make_peer(nodes[self._turn % len(nodes)]))
-            self._turn += 1
-        return tuple(picked)
-
     def _find(self, node_id: str) -> snapshots.Node | None:
         assert self._snapshot is not None
         for node in self._snapshot.nodes:
@@ -258,6 +245,15 @@
     return tuple(changed), tuple(removed)
 
 
+def _make_answer(node_id: str, life: Life) -> messages.JoinAccepted:
+    return messages.JoinAccepted(
+        node_id=node_id,
+        life=life.life,
+        incarnation=life.incarnation,
+        floor=life.floor,
+    )
+
+
 def _name_life(server: snapshots.BackendServer) -> commands.Incarnation:
     return commands.Incarnation(
         member_id=delta.key_item(server), incarnation=server.incarnation
--- a/src/lovagesaddle/node/control_half.py
+++ b/src/lovagesaddle/node/control_half.py
@@ -11,6 +11,7 @@
 
 import zmq
 
+from lovagesaddle.core import errors
 from lovagesaddle.core.distribution import events
 from lovagesaddle.core.distribution import follower as follower_lib
 from lovagesaddle.core.distribution import messages
@@ -62,6 +63,8 @@
         self._work: collections.deque[Work] = collections.deque()
         self._lock = threading.Lock()
         self._stopping = False
+        self._leaving = False
+        self._left = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="control-half", daemon=True
         )
@@ -94,8 +97,9 @@
 
     def stop(self) -> None:
         """Ends the thread and closes the links."""
-        self._stopping = True
-        self._wake()
+        with self._lock:
+            self._endpoint.wake()
+            self._stopping = True
         self._thread.join(STOP_TIMEOUT_S)
         self._endpoint.close()
 
@@ -109,9 +113,16 @@
             events.ServerWithdrawn(server_id=server_id, incarnation=incarnation)
         )
 
-    def leave(self) -> None:
-        """Asks the leader to take this node out of the mesh."""
+    def leave(self, timeout_s: float) -> bool:
+        """Takes this node out of the mesh; called after draining.
+
+        Returns:
+          Whether a version without this node arrived in time. Otherwise its
+          lease lapses later.
+        """
+        self._leaving = True
         self._hand_over(events.LeaveAsked())
+        return self._left.wait(timeout_s)
 
     def spread_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
         """Sends crash marks to every node."""
@@ -133,10 +144,7 @@
         if peer is None:
             return False
 
-        def _send() -> None:
-            self._endpoint.send(peer, channel, data)
-
-        self._enqueue(_send)
+        self._enqueue(lambda: self._send(peer, channel, data))
         return True
 
     def subscribe(
@@ -183,7 +191,8 @@
 
     def _wake(self) -> None:
         with self._lock:
-            self._endpoint.wake()
+            if not self._stopping:
+                self._endpoint.wake()
 
     def _run(self) -> None:
         next_tick = 0.0
@@ -218,7 +227,7 @@
     def _carry_out(self, action: events.Action) -> None:
         match action:
             case events.Send():
-                self._endpoint.send(action.peer, _CHANNEL, action.frame)
+                self._send(action.peer, _CHANNEL, action.frame)
             case events.Answer():
                 self._endpoint.answer(action.route, _CHANNEL, action.frame)
             case events.Disconnect():
@@ -239,9 +248,22 @@
             case events.LogLine():
                 lines.write(action)
 
+    def _send(
+        self, peer: peers.Peer, channel: endpoint_lib.Channel, data: bytes
+    ) -> None:
+        try:
+            self._endpoint.send(peer, channel, data)
+        except errors.TransportError as error:
+            lines.write_error(error)
+
     def _install(self, action: events.Install) -> None:
-        self._peers = {
+        listed = {
             node.node_id: tree.make_peer(node)
             for node in action.stamped.snapshot.nodes
         }
+        for peer in set(self._peers.values()) - set(listed.values()):
+            self._endpoint.disconnect(peer)
+        self._peers = listed
         self._sink.install(action.stamped, joined=True)
+        if self._leaving and self._settings.node_id not in listed:
+            self._left.set()
--- a/src/lovagesaddle/transport/endpoint.py
+++ b/src/lovagesaddle/transport/endpoint.py
@@ -17,6 +17,7 @@
 
 ROUTER_HANDOVER = 1
 LINGER_MS = 0
+DISCONNECT_LINGER_MS = 200
 SEND_QUEUE_MESSAGES = 10_000
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 FRAME_COUNT = 3
@@ -148,7 +149,7 @@
         link = self._links.pop(peer, None)
         if link is not None:
             self._poller.unregister(link)
-            link.close(LINGER_MS)
+            link.close(DISCONNECT_LINGER_MS)
 
     def close(self) -> None:
         """Closes every socket; what was not sent yet is dropped."""
--- a/src/lovagesaddle/transport/lines.py
+++ b/src/lovagesaddle/transport/lines.py
@@ -2,6 +2,7 @@
 
 import structlog
 
+from lovagesaddle.core import errors
 from lovagesaddle.core.distribution import events
 
 _LOG = structlog.get_logger()
@@ -16,3 +17,8 @@
         "candidates": ",".join(line.candidates),
     }
     _LOG.info(line.event, **{k: v for k, v in fields.items() if v})
+
+
+def write_error(error: errors.LovagesaddleError) -> None:
+    """Writes one line for an error with its step and peer."""
+    _LOG.error(error.step, peer=error.peer, reason=error.cause)
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -204,7 +204,9 @@
             self._move(replica_id, 0, action)
         elif replica_id not in self._lags:
             version = self.commit(action.command)
-            applied = source_lib.EntryApplied(version=version)
+            applied = source_lib.EntryApplied(
+                ticket=action.ticket, version=version
+            )
             self.step(replica_id, applied)
 
     def _carry_out_at_node(
