Test distribution under failures, the tree, the registry and the leases

Each failure of the list is produced at the core over in-memory links with virtual time. Planning a node's parents cost a sort of the level above for each node in it; it is now done once for each change of the nodes and looks at few candidates.

--- a/src/lovagesaddle/core/distribution/follower.py
+++ b/src/lovagesaddle/core/distribution/follower.py
@@ -74,6 +74,7 @@
         )
         self._marks = marks_lib.Marks()
         self._helpers: tuple[peers.Peer, ...] = ()
+        self._planned: tuple[snapshots.Node, ...] | None = None
         self._next_beat_at = 0.0
         self._ack_at: float | None = None
 
@@ -211,14 +212,7 @@
         self._history.add(held, base_version=base_version, frame=frame)
         self._fetching.note_installed()
         self._joining.notice_version()
-        self._parents.set_plan(
-            tree.make_plan(
-                held.snapshot,
-                self._joining.node.node_id,
-                self._failure_domain,
-                self._replicas,
-            )
-        )
+        self._replan(held.snapshot)
         self._note_acks(now, changed=True)
         return (
             events.Install(stamped=held),
@@ -227,16 +221,28 @@
             *self._tick(now),
         )
 
+    def _replan(self, snapshot: snapshots.Snapshot) -> None:
+        if snapshot.nodes is self._planned:
+            return
+        self._planned = snapshot.nodes
+        self._parents.set_plan(
+            tree.make_plan(
+                snapshot,
+                self._joining.node.node_id,
+                self._failure_domain,
+                self._replicas,
+            )
+        )
+
     def _note_acks(self, now: float, *, changed: bool = False) -> None:
         changed = self._children.take_changed() or changed
         if changed and self._ack_at is None:
             self._ack_at = now + ACK_DELAY_S
 
     def _tick(self, now: float) -> tuple[events.Action, ...]:
-        before = self._parents.list_roles()
         moved = self._parents.tick(now) if self._holding.held else ()
-        roles = self._parents.list_roles()
-        self._fetching.forget({peer for peer, _ in roles})
+        if moved:
+            self._fetching.forget({link.peer for link in self._parents.links})
         joins = self._joining.tick(
             self._holding.held.snapshot if self._holding.held else None, now
         )
@@ -244,15 +250,13 @@
         served = self._children.tick(self._parents.stamp, now)
         return (
             *moved,
-            *self._beat(roles - before, now),
+            *self._beat(now),
             *joins,
             *pulls,
             *served,
         )
 
-    def _beat(
-        self, fresh: set[tuple[peers.Peer, bool]], now: float
-    ) -> tuple[events.Action, ...]:
+    def _beat(self, now: float) -> tuple[events.Action, ...]:
         due = now >= self._next_beat_at
         acks_due = self._ack_at is not None and now >= self._ack_at
         if due:
@@ -260,13 +264,14 @@
         actions: list[events.Action] = []
         for link in self._parents.links:
             eager = link is self._parents.eager
-            if due or (link.peer, eager) in fresh or (acks_due and eager):
+            if due or link.told_eager != eager or (acks_due and eager):
                 actions.append(self._make_beat(link, eager))
         if acks_due:
             self._ack_at = None
         return tuple(actions)
 
     def _make_beat(self, link: parents_lib.Link, eager: bool) -> events.Action:
+        link.told_eager = eager
         groups = self._children.fold_groups(self._own_group()) if eager else ()
         beat = messages.ChildBeat(
             eager=eager,
--- a/src/lovagesaddle/core/distribution/parents.py
+++ b/src/lovagesaddle/core/distribution/parents.py
@@ -28,6 +28,7 @@
       version: Newest version it spoke of.
       stamp: Newest leader stamp it passed on.
       risen_at: When that stamp last rose.
+      told_eager: The role that the parent was told last; None for none yet.
     """
 
     peer: peers.Peer
@@ -35,6 +36,7 @@
     version: int
     stamp: stamps.LeaderStamp
     risen_at: float
+    told_eager: bool | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -87,10 +89,6 @@
         """Newest leader stamp of the current parents."""
         return max((link.stamp for link in self.links), default=NO_STAMP)
 
-    def list_roles(self) -> set[tuple[peers.Peer, bool]]:
-        """Returns each parent with whether it is the eager one."""
-        return {(link.peer, link is self._eager) for link in self.links}
-
     def set_plan(self, plan: tree.Plan) -> None:
         """Takes the candidates of a new version."""
         self._plan = plan
--- a/src/lovagesaddle/core/distribution/tree.py
+++ b/src/lovagesaddle/core/distribution/tree.py
@@ -78,8 +78,10 @@
 
     def find_root(self, node_id: str) -> str:
         """Returns the root of the branch that a node lies in."""
-        while self._level_of[node_id]:
-            node_id = self.rank_parents(node_id)[0].node_id
+        for depth in range(self._level_of[node_id], 0, -1):
+            above = self._levels[depth - 1]
+            scores = [(_score(node_id, n.node_id), n.node_id) for n in above]
+            node_id = min(scores)[1]
         return node_id
 
 
@@ -123,10 +125,14 @@
 ) -> Plan:
     ranked = tree.rank_parents(node_id)
     branch = tree.find_root(ranked[0].node_id)
-    others = [node for node in ranked if tree.find_root(node.node_id) != branch]
-    rest = [node for node in ranked[1:] if node not in others[:1]]
-    lazy = (*others[:1], *rest[:SPARE_PARENTS])
-    eager = (ranked[0], *rest[:SPARE_PARENTS], *others[:1])
+    others = [
+        node
+        for node in ranked[1 : 1 + SPARE_PARENTS * ROOTS]
+        if tree.find_root(node.node_id) != branch
+    ][:1]
+    rest = [node for node in ranked[1:] if node not in others]
+    lazy = (*others, *rest[:SPARE_PARENTS])
+    eager = (ranked[0], *rest[:SPARE_PARENTS], *others)
     return Plan(
         eager=tuple(make_peer(node) for node in eager) + last,
         lazy=tuple(make_peer(node) for node in lazy) + last,
--- /dev/null
+++ b/tests/test_distribution_failures.py
@@ -0,0 +1,307 @@
+"""Tests of configuration reaching every node while things fail."""
+
+from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import tree
+from lovagesaddle.core.distribution import wire
+from lovagesaddle.core.model import peers
+from tests import fixtures
+from tests import mesh as mesh_lib
+
+BOUND_S = 4.0
+LONG_TICK_S = 0.2
+
+
+def _start(count: int, domains: tuple[str, ...] = ("a",)) -> mesh_lib.Mesh:
+    mesh = mesh_lib.Mesh()
+    for domain in domains:
+        mesh.add_nodes(count, domain)
+    mesh.run(4)
+    mesh.run_until_converged()
+    return mesh
+
+
+def _find_parents(
+    mesh: mesh_lib.Mesh, node_id: str
+) -> tuple[peers.Peer, peers.Peer]:
+    plan = tree.make_plan(
+        mesh.state.snapshot,
+        node_id,
+        node_id[0],
+        tuple(replica.peer for replica in mesh.replicas.values()),
+    )
+    lazy = [peer for peer in plan.lazy if peer != plan.eager[0]]
+    return plan.eager[0], lazy[0]
+
+
+def _find_deep_node(mesh: mesh_lib.Mesh) -> str:
+    for node_id in sorted(mesh.nodes):
+        parents = _find_parents(mesh, node_id)
+        if all(parent.peer_id in mesh.nodes for parent in parents):
+            return node_id
+    raise AssertionError("no node below two nodes")
+
+
+def _assert_never_back(mesh: mesh_lib.Mesh) -> None:
+    for node in mesh.nodes.values():
+        versions = [stamped.version for stamped in node.installed]
+        assert versions == sorted(set(versions)), versions
+        for stamped in node.installed[-1:]:
+            again = delta.stamp(stamped.snapshot)
+            assert stamped.digest == again.digest
+
+
+def test_parent_that_dies_in_mid_delta_costs_a_pull() -> None:
+    """A child whose parent died before it sent the delta pulls it."""
+    mesh = _start(30)
+    child = _find_deep_node(mesh)
+    eager, _ = _find_parents(mesh, child)
+    mesh.hold = lambda sender, _, frame: (
+        sender == eager.peer_id and wire.name_kind(frame) == "DeltaPush"
+    )
+    mesh.publish("orderdesk")
+    mesh.run(0.1)
+    mesh.kill(eager.peer_id)
+    assert mesh.run_until_converged() < BOUND_S
+    _assert_never_back(mesh)
+
+
+def test_both_parents_dying_is_survived_within_the_bound() -> None:
+    """A child that loses both parents at once finds another in time."""
+    mesh = _start(30)
+    child = _find_deep_node(mesh)
+    for parent in _find_parents(mesh, child):
+        mesh.kill(parent.peer_id)
+    mesh.publish("orderdesk")
+    assert mesh.run_until_converged() < BOUND_S
+
+
+def test_a_stale_replica_is_found_through_the_lazy_link() -> None:
+    """Nodes below a cut-off replica get each version in time all the same."""
+    mesh = _start(20, ("a", "b", "c"))
+    for replica_id in ("r1", "r2"):
+        mesh.isolate_replica(replica_id)
+        mesh.publish(f"{replica_id}s")
+        assert mesh.run_until_converged() < BOUND_S
+        mesh.run(20, LONG_TICK_S)
+        mesh.publish(f"{replica_id}later")
+        assert mesh.run_until_converged() < BOUND_S
+        mesh.heal()
+        mesh.run(5)
+    _assert_never_back(mesh)
+
+
+def test_leader_lost_in_mid_change_stops_nobody() -> None:
+    """A version that the lost leader fed to one root reaches every node."""
+    mesh = _start(20, ("a", "b"))
+    mesh.hold = lambda sender, *_: sender == "r0"
+    mesh.publish("orderdesk")
+    mesh.run(0.1)
+    mesh.leader_id = "r1"
+    mesh.cut({"r0"}, set(mesh.nodes) | {"r1", "r2"})
+    assert mesh.run_until_converged() < BOUND_S
+    mesh.add_node("a999")
+    mesh.run(4)
+    assert mesh.nodes["a999"].part.version > 0
+    assert mesh.state.snapshot.nodes[-1].node_id >= "a999"
+
+
+def test_a_failure_domain_restarts_at_once() -> None:
+    """90 nodes that die and return are all back within seconds."""
+    mesh = _start(90)
+    mesh.add_nodes(20, "b")
+    mesh.run(4)
+    entries = mesh.entries
+    before = mesh.versions()
+    for name in [name for name in mesh.nodes if name.startswith("a")]:
+        mesh.add_node(name)
+    took = mesh.run_until(
+        lambda: all(
+            node.part.version > before[name] or name[0] == "b"
+            for name, node in mesh.nodes.items()
+        ),
+        30.0,
+    )
+    assert took < 10.0, took
+    assert mesh.entries - entries <= 5
+    _assert_never_back(mesh)
+    mesh.run(5)
+    mesh.publish("orderdesk")
+    assert mesh.run_until_converged() < BOUND_S
+
+
+def test_two_failure_domains_cut_apart_and_healed() -> None:
+    """Each side keeps what it holds, and the healed one catches up."""
+    mesh = _start(10, ("a", "b"))
+    side = {name for name in mesh.nodes if name.startswith("a")}
+    other = set(mesh.nodes) - side
+    mesh.cut(side, other | set(mesh.replicas))
+    held = mesh.nodes["a000"].part.version
+    mesh.publish("orderdesk")
+    mesh.run(180, LONG_TICK_S)
+    assert {mesh.nodes[name].part.version for name in side} == {held}
+    assert len(mesh.state.snapshot.nodes) == 20, "the cut emptied the tables"
+    newest = mesh.publish("orderdesk", "artwork")
+    mesh.run(3)
+    assert {mesh.nodes[name].part.version for name in other} == {newest}
+    mesh.heal()
+    mesh.run_until_converged(70.0)
+    _assert_never_back(mesh)
+
+
+def test_control_away_leaves_everything_as_it_is() -> None:
+    """Nodes keep what they hold, and catch up when control returns."""
+    mesh = _start(12)
+    held = mesh.versions()
+    mesh.cut(set(mesh.replicas), set(mesh.nodes))
+    mesh.run(300, LONG_TICK_S)
+    assert mesh.versions() == held
+    mesh.sent.clear()
+    mesh.run(60, LONG_TICK_S)
+    asked = [s for s in mesh.sent if s[1] in mesh.replicas]
+    assert len(asked) / len(mesh.nodes) / 60 < 1.5, len(asked)
+    mesh.heal()
+    mesh.publish("orderdesk")
+    mesh.run_until_converged(70.0)
+
+
+def test_crossed_doubled_and_late_updates_change_nothing() -> None:
+    """Frames that arrive again, late or out of order never lead back."""
+    mesh = _start(12)
+    for number in range(6):
+        mesh.publish(f"s{number}")
+        mesh.run(0.4)
+    mesh.run_until_converged()
+    held = mesh.versions()
+    pushes = [
+        (sender, target, frame)
+        for sender, target, frame in mesh.sent
+        if wire.name_kind(frame) in {"DeltaPush", "SnapshotPush"}
+    ]
+    for sender, target, frame in (*reversed(pushes), *pushes):
+        arrival = events.Arrival(sender_id=sender, route=b"", frame=frame)
+        mesh.step(target, arrival)
+    assert mesh.versions() == held
+    _assert_never_back(mesh)
+
+
+def test_a_restarted_node_does_not_go_back_to_a_stale_replica() -> None:
+    """With only a stale replica in reach a restarted node installs nothing."""
+    mesh = _start(3)
+    mesh.isolate_replica("r2")
+    for number in range(300):
+        mesh.publish(f"s{number}")
+    mesh.run(3)
+    held = mesh.nodes["a000"].part.version
+    mesh.cut({"a000"}, (set(mesh.nodes) - {"a000"}) | {"r0", "r1"})
+    again = mesh.add_node("a000")
+    mesh.run(60)
+    assert not again.installed
+    mesh.heal()
+    mesh.run_until_converged(30.0)
+    assert again.installed[0].version > held
+
+
+def test_a_removed_service_leaves_every_node() -> None:
+    """A version without a service reaches nodes that missed many versions."""
+    mesh = _start(12)
+    mesh.publish("orderdesk", "artwork")
+    mesh.run_until_converged()
+    mesh.cut({"a005"}, set(mesh.replicas) | set(mesh.nodes))
+    for number in range(200):
+        mesh.publish("artwork", f"s{number}")
+        mesh.run(0.05)
+    mesh.heal()
+    mesh.run_until_converged(30.0)
+    for node in mesh.nodes.values():
+        names = [s.name for s in node.installed[-1].snapshot.services]
+        assert names == ["artwork", "s199"]
+
+
+def test_a_server_that_returns_within_a_second_is_the_new_one() -> None:
+    """A server that leaves and returns shows its new incarnation for good."""
+    mesh = _start(3)
+    first = mesh_lib.make_server("a000", incarnation=1)
+    again = mesh_lib.make_server("a000", incarnation=2)
+    mesh.step("a000", events.ServerAnnounced(server=first))
+    mesh.run(2)
+    reports = [
+        sent for sent in mesh.sent if wire.name_kind(sent[2]) == "ServerReport"
+    ]
+    gone = events.ServerWithdrawn(server_id=first.server_id, incarnation=1)
+    mesh.step("a000", gone)
+    mesh.run(0.4)
+    mesh.step("a000", events.ServerAnnounced(server=again))
+    mesh.step("a000", gone)
+    mesh.run(3)
+    assert mesh.state.snapshot.servers == (again,)
+    for _, target, frame in reports:
+        late = events.Arrival(sender_id="a000", route=b"a000/1/r", frame=frame)
+        mesh.step(target, late)
+    mesh.run(2)
+    assert mesh.state.snapshot.servers == (again,)
+
+
+def test_the_leader_serves_roots_only() -> None:
+    """Frames at the replicas do not grow with the size of a domain."""
+    counts = []
+    for size in (30, 90):
+        mesh = _start(size)
+        mesh.run(3)
+        mesh.sent.clear()
+        mesh.publish("orderdesk")
+        mesh.run_until_converged()
+        counts.append(
+            sum(
+                sender in mesh.replicas
+                for sender, _, frame in mesh.sent
+                if wire.name_kind(frame) == "DeltaPush"
+            )
+        )
+    assert counts[0] == counts[1] == tree.ROOTS
+
+
+def test_crash_marks_reach_every_node_once() -> None:
+    """A mark raised at one node is told to each other node, once."""
+    mesh = _start(20, ("a", "b"))
+    mark = messages.Mark(fingerprint=b"f", mark_id=b"m", age_s=0.5)
+    mesh.step("a003", events.MarksRaised(marks=(mark,)))
+    mesh.run(1)
+    for name, node in mesh.nodes.items():
+        assert node.marks == ([] if name == "a003" else [b"m"]), name
+
+
+def test_acks_name_who_lags() -> None:
+    """Exactly the nodes that do not hold a version are listed as lagging."""
+    mesh = _start(30)
+    leader = mesh.replicas["r0"].part
+    cut_off = {"a004", "a017"}
+    mesh.hold = lambda _, target, frame: (
+        target in cut_off
+        and wire.name_kind(frame) in {"DeltaPush", "SnapshotPush"}
+    )
+    before = mesh.state.snapshot.version
+    version = mesh.publish("orderdesk")
+    mesh.run(2)
+    assert set(leader.list_lagging(version)) >= cut_off
+    assert leader.find_version_in_force() == before
+    mesh.hold = lambda *_: False
+    mesh.run_until(lambda: not leader.list_lagging(version), 10.0)
+    assert leader.find_version_in_force() == version
+    follower = mesh.replicas["r1"].part
+    mesh.run_until(lambda: not follower.list_lagging(version), 2.0)
+
+
+def test_a_dead_node_expires_and_a_living_one_does_not() -> None:
+    """Within a few seconds of its death a node is out of the snapshot."""
+    mesh = _start(30)
+    mesh.kill("a007")
+    mesh.run_until(lambda: len(mesh.state.snapshot.nodes) == 29, 15.0)
+    mesh.run(30)
+    assert len(mesh.state.snapshot.nodes) == 29
+    names = {node.node_id for node in mesh.state.snapshot.nodes}
+    assert "a007" not in names
+
+
+load_tests = fixtures.collect(__name__)
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,136 @@
+"""Tests of the leader's registry of nodes and backend servers."""
+
+import dataclasses
+
+from lovagesaddle.core.configuration import state as state_lib
+from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.membership import registry as registry_lib
+from lovagesaddle.core.model import snapshots
+from tests import fixtures
+from tests import mesh
+
+
+class Log:
+    """Applies each batch of a registry at once."""
+
+    def __init__(self) -> None:
+        self.state = state_lib.found_state()
+        self.registry = registry_lib.Registry()
+        self.registry.set_snapshot(self.state.snapshot)
+        self.now = 0.0
+
+    @property
+    def snapshot(self) -> snapshots.Snapshot:
+        """The applied snapshot."""
+        return self.state.snapshot
+
+    def flush(self) -> tuple[messages.JoinAccepted, ...]:
+        """Lets a second pass and returns the joins that were answered."""
+        self.now += 1
+        batch = self.registry.flush(self.now)
+        if batch is None:
+            return ()
+        version = self.snapshot.version + 1
+        applied = state_lib.apply_command(self.state, version, batch.command)
+        self.state = applied.state
+        self.registry.set_snapshot(self.snapshot)
+        return self.registry.conclude(batch.ticket, version, self.now)
+
+    def join(
+        self, life: bytes, *servers: snapshots.BackendServer
+    ) -> tuple[messages.JoinAccepted, ...]:
+        """Joins the node n1."""
+        join = messages.Join(
+            node=mesh.make_node("n1"), life=life, servers=servers
+        )
+        answer = self.registry.hear_join(join, self.now)
+        return (answer,) if answer is not None else self.flush()
+
+    def report(
+        self, incarnation: int, sequence: int, *servers: snapshots.BackendServer
+    ) -> None:
+        """Reports the servers of the node n1."""
+        report = messages.ServerReport(
+            node_id="n1",
+            incarnation=incarnation,
+            sequence=sequence,
+            servers=servers,
+        )
+        self.registry.hear_report(report, self.now)
+        self.flush()
+
+
+def test_a_resent_join_gets_the_first_answer() -> None:
+    """The same process joins once, however often it asks."""
+    log = Log()
+    (first,) = log.join(b"1")
+    (again,) = log.join(b"1")
+    assert first == again
+    assert log.snapshot.version == first.floor == 1
+
+
+def test_incarnations_rise_without_memory() -> None:
+    """A new leader that knows no lives assigns a higher incarnation."""
+    log = Log()
+    (first,) = log.join(b"1")
+    log.registry.reset()
+    (second,) = log.join(b"2")
+    log.registry.hear_gone("n1", second.incarnation, log.now)
+    log.flush()
+    assert not log.snapshot.nodes
+    log.registry.reset()
+    (third,) = log.join(b"3")
+    assert first.incarnation < second.incarnation < third.incarnation
+
+
+def test_a_leave_of_a_past_life_changes_nothing() -> None:
+    """An old leave or expiry does not take the new process out."""
+    log = Log()
+    (first,) = log.join(b"1")
+    log.join(b"2")
+    log.registry.hear_gone("n1", first.incarnation, log.now)
+    log.flush()
+    assert len(log.snapshot.nodes) == 1
+
+
+def test_servers_of_a_past_life_are_gone_with_the_join() -> None:
+    """A restarted node shows its own servers only, whatever their number."""
+    log = Log()
+    old = mesh.make_server("n1", incarnation=9)
+    new = mesh.make_server("n1", incarnation=1)
+    log.join(b"1", old)
+    assert log.snapshot.servers == (old,)
+    log.join(b"2", new)
+    assert log.snapshot.servers == (new,)
+    log.join(b"3")
+    assert not log.snapshot.servers
+
+
+def test_old_and_foreign_reports_change_nothing() -> None:
+    """Reports that are late, of a past life or of others are passed over."""
+    log = Log()
+    (first,) = log.join(b"1")
+    server = mesh.make_server("n1", incarnation=2)
+    log.report(first.incarnation, 5, server)
+    assert log.snapshot.servers == (server,)
+    log.report(first.incarnation, 4)
+    log.report(first.incarnation - 1, 9)
+    foreign = dataclasses.replace(server, server_id="n2/x", node_id="n2")
+    log.report(first.incarnation, 6, server, foreign)
+    assert log.snapshot.servers == (server,)
+
+
+def test_a_refused_batch_is_asked_again() -> None:
+    """After a batch in doubt the same process can join with a new number."""
+    log = Log()
+    join = messages.Join(node=mesh.make_node("n1"), life=b"1")
+    log.registry.hear_join(join, log.now)
+    log.now += 1
+    batch = log.registry.flush(log.now)
+    assert batch is not None
+    log.registry.abandon(batch.ticket)
+    assert not log.registry.conclude(batch.ticket, 1, log.now)
+    assert len(log.join(b"1")) == 1
+
+
+load_tests = fixtures.collect(__name__)
--- /dev/null
+++ b/tests/test_tree.py
@@ -0,0 +1,75 @@
+"""Tests of who relays to whom."""
+
+import collections
+import dataclasses
+
+from lovagesaddle.core.distribution import tree
+from lovagesaddle.core.model import peers
+from lovagesaddle.core.model import snapshots
+from tests import fixtures
+from tests import mesh
+
+REPLICAS = tuple(peers.Peer(peer_id=f"r{n}", address="") for n in range(3))
+
+
+def _make_snapshot(count: int) -> snapshots.Snapshot:
+    return snapshots.Snapshot(
+        cluster_id=mesh.CLUSTER,
+        version=1,
+        nodes=tuple(mesh.make_node(f"a{n:03d}") for n in range(count)),
+    )
+
+
+def _plan(snapshot: snapshots.Snapshot, node_id: str) -> tree.Plan:
+    return tree.make_plan(snapshot, node_id, "a", REPLICAS)
+
+
+def test_only_the_roots_hang_on_replicas() -> None:
+    """Of 183 nodes exactly the roots have a replica as first parent."""
+    snapshot = _make_snapshot(183)
+    firsts = collections.Counter(
+        _plan(snapshot, node.node_id).eager[0].peer_id
+        for node in snapshot.nodes
+    )
+    at_replicas = [firsts[replica.peer_id] for replica in REPLICAS]
+    assert sum(at_replicas) == tree.ROOTS and max(at_replicas) == 1
+    assert max(firsts.values()) <= 4 * tree.FAN_OUT
+
+
+def test_lazy_parent_lies_in_another_branch() -> None:
+    """Hardly any node has both parents below the same root."""
+    snapshot = _make_snapshot(183)
+    domain = tree.Tree(snapshot.nodes)
+    roots = {root.node_id for root in domain.roots}
+    same = 0
+    for node in snapshot.nodes:
+        plan = _plan(snapshot, node.node_id)
+        assert plan.lazy[0] != plan.eager[0]
+        if node.node_id not in roots:
+            same += domain.find_root(plan.eager[0].peer_id) == domain.find_root(
+                plan.lazy[0].peer_id
+            )
+    assert same <= 6, same
+
+
+def test_a_node_that_leaves_moves_few_others() -> None:
+    """Without one node of 183 at most a tenth gets another eager parent."""
+    snapshot = _make_snapshot(183)
+    for gone in range(0, 183, 20):
+        nodes = snapshot.nodes[:gone] + snapshot.nodes[gone + 1 :]
+        after = dataclasses.replace(snapshot, nodes=nodes)
+        moved = sum(
+            _plan(snapshot, node.node_id).eager[0]
+            != _plan(after, node.node_id).eager[0]
+            for node in nodes
+        )
+        assert moved <= 4 * tree.FAN_OUT, (gone, moved)
+
+
+def test_a_node_that_is_not_listed_hangs_on_replicas() -> None:
+    """A node that was expired still has somewhere to go."""
+    plan = _plan(_make_snapshot(5), "z")
+    assert set(plan.eager) == set(REPLICAS) == set(plan.lazy)
+
+
+load_tests = fixtures.collect(__name__)
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,72 @@
+"""Tests of frames, folded acks and the limit on whole snapshots."""
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.distribution import acks
+from lovagesaddle.core.distribution import limiter as limiter_lib
+from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import wire
+from lovagesaddle.core.model import stamps
+from tests import fixtures
+
+BEAT = messages.ParentBeat(
+    version=70_000,
+    digest=bytes(range(16)),
+    stamp=stamps.LeaderStamp(term=3, counter=70_000),
+)
+
+
+def test_a_frame_comes_back_as_it_was() -> None:
+    """Packed and plain messages decode to what was encoded."""
+    later = messages.RetryLater(after_s=0.5)
+    for message in (BEAT, later):
+        frame = wire.encode(message)
+        assert wire.decode(frame, peer="n1") == message
+        assert wire.name_kind(frame) == type(message).__name__
+
+
+def test_an_idle_beat_is_small() -> None:
+    """The field names of a beat do not travel."""
+    assert len(wire.encode(BEAT)) <= 44
+
+
+def test_damaged_frames_are_refused() -> None:
+    """Empty, cut-off and foreign frames raise a codec error with the peer."""
+    frame = wire.encode(BEAT)
+    for bad in (b"", frame[:-4], b"\xff" + frame[1:], b"\x7f{}", b"\x88x"):
+        try:
+            wire.decode(bad, peer="n1")
+        except errors.CodecError as error:
+            assert error.peer == "n1"
+            continue
+        raise AssertionError(bad)
+
+
+def test_folded_acks_count_a_node_once() -> None:
+    """A node that two parents report counts with its newest version."""
+    a, b, c = b"aaaaaa", b"bbbbbb", b"cccccc"
+    folded = acks.fold(
+        (
+            (messages.AckGroup(version=4, tokens=a + b),),
+            (
+                messages.AckGroup(version=5, tokens=b),
+                messages.AckGroup(version=3, tokens=c),
+            ),
+        )
+    )
+    assert folded == (
+        messages.AckGroup(version=5, tokens=b),
+        messages.AckGroup(version=4, tokens=a),
+        messages.AckGroup(version=3, tokens=c),
+    )
+
+
+def test_refused_snapshots_are_spread_over_time() -> None:
+    """Each of a herd gets a turn of its own, at the steady rate."""
+    limiter = limiter_lib.Limiter(rate=4.0, burst=2)
+    waits = [limiter.take(0.0) for _ in range(10)]
+    assert waits[:2] == [0.0, 0.0]
+    assert waits[2:] == [0.25 * turn for turn in range(1, 9)]
+    assert limiter.take(10.0) == 0.0
+
+
+load_tests = fixtures.collect(__name__)
