--- a/src/lovagesaddle/core/errors.py
+++ b/src/lovagesaddle/core/errors.py
@@ -33,6 +33,13 @@
     """
 
 
+class ConsensusError(LovagesaddleError):
+    """Raised when a replica's log contradicts its leader's.
+
+    The replica must stop: its data folder or a leader's can't be trusted.
+    """
+
+
 class TransportError(LovagesaddleError):
     """Raised when a link can't be opened; check addresses and keys."""
 
@@ -48,6 +55,10 @@
     """
 
 
+class ChainError(LovagesaddleError):
+    """Raised for malformed chain headers; the request is answered 400."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FileProblem:
     """One mistake in an INI file.
