--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -134,11 +134,11 @@
         """Returns what each node holds."""
         return {name: node.part.version for name, node in self.nodes.items()}
 
-    def run(self, seconds: float) -> None:
-        """Lets virtual time pass."""
+    def run(self, seconds: float, tick_s: float = TICK_S) -> None:
+        """Lets virtual time pass, in steps of `tick_s`."""
         end = self.now + seconds
         while self.now < end:
-            self.now = round(self.now + TICK_S, 6)
+            self.now = round(self.now + tick_s, 6)
             while self._queue and self._queue[0][0] <= self.now:
                 heapq.heappop(self._queue)[2]()
             self._observe()
@@ -204,7 +204,9 @@
             self._move(replica_id, 0, action)
         elif replica_id not in self._lags:
             version = self.commit(action.command)
-            applied = source_lib.EntryApplied(version=version)
+            applied = source_lib.EntryApplied(
+                ticket=action.ticket, version=version
+            )
             self.step(replica_id, applied)
 
     def _carry_out_at_node(
