Let scenarios see a falsified, a late and an orphaned configuration

Each now fails a scenario when its guard is taken out (digest check, newer-only check, servers leave with their node). The join floor alone is shown by test_follower.test_nothing_older_than_the_join_is_installed only.

--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -67,6 +67,13 @@
     And the held messages arrive in reverse order
     Then it is in force on every proxy within 10 seconds
 
+  @fault:crossing @promise:no-step-back
+  Scenario: A whole older configuration arrives late
+    When the booking service is added
+    Then it is in force on every proxy within 2 seconds
+    When the configuration of before arrives at every proxy
+    Then every proxy still holds the booking service
+
   @fault:crossing @twice
   Scenario: Every message arrives twice
     When every message arrives twice from now on
@@ -123,3 +130,10 @@
     And the backend server of a proxy is leaving
     And 10 seconds pass
     Then every table points only at backend servers that it holds
+
+  @promise:references @fault:processes
+  Scenario: A proxy dies for good, and its backend server with it
+    Given every proxy has a backend server of the order desk
+    When a proxy dies
+    And 15 seconds pass
+    Then no table has that proxy or its backend server
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -1,5 +1,6 @@
 """Steps of distribution.feature."""
 
+import dataclasses
 from typing import Any
 
 from behave import given
@@ -11,6 +12,8 @@
 from tests import mesh as mesh_lib
 
 from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import wire
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import table
 
@@ -139,6 +142,16 @@
         _deliver(context, sender, target, frame)
 
 
+@when("the configuration of before arrives at every proxy")
+def send_older(context: Any) -> None:
+    for name, member in context.fleet.nodes.items():
+        before = member.installed[-2]
+        push = messages.SnapshotPush(
+            snapshot=before.snapshot, digest=before.digest
+        )
+        _deliver(context, "r1", name, wire.encode(push))
+
+
 @when("every message arrives twice from now on")
 def duplicate(context: Any) -> None:
     context.fleet.duplicates = True
@@ -155,13 +168,14 @@
     fleet = context.fleet
     version = fleet.state.snapshot.version
     fleet.run(context.damage_s)
-    for sender, target, frame in context.held:
-        for bad in (frame[:-3], frame[:5], frame[: len(frame) // 2]):
+    kept = tuple(context.held)
+    for sender, target, frame in kept:
+        for bad in (frame[:-3], frame[: len(frame) // 2], _falsify(frame)):
             _deliver(context, sender, target, bad)
     assert all(held < version for held in fleet.versions().values())
     # A flipped bit may leave a message whole; what it brings is checked
     # after the scenario.
-    for sender, target, frame in context.held:
+    for sender, target, frame in kept:
         _deliver(context, sender, target, _flip(frame))
 
 
@@ -205,6 +219,15 @@
         assert found, name
 
 
+@then("no table has that proxy or its backend server")
+def check_gone(context: Any) -> None:
+    (gone,) = context.dead
+    for member in context.fleet.nodes.values():
+        snapshot = member.installed[-1].snapshot
+        assert gone not in {node.node_id for node in snapshot.nodes}
+        assert gone not in {server.node_id for server in snapshot.servers}
+
+
 @then("every table points only at backend servers that it holds")
 def check_tables(context: Any) -> None:
     for member in context.fleet.nodes.values():
@@ -242,6 +265,19 @@
     return kept
 
 
+def _falsify(frame: bytes) -> bytes:
+    """Returns the frame with another revision in every service it brings."""
+    message = wire.decode(frame, peer="held")
+    if not isinstance(message, messages.DeltaPush):
+        return frame[:-1]
+    wrong = tuple(
+        dataclasses.replace(service, revision=service.revision + 1)
+        for service in message.delta.services
+    )
+    changed = dataclasses.replace(message.delta, services=wrong)
+    return wire.encode(dataclasses.replace(message, delta=changed))
+
+
 def _flip(frame: bytes) -> bytes:
     middle = len(frame) // 2
     return frame[:middle] + bytes((frame[middle] ^ 1,)) + frame[middle + 1 :]
--- a/features/support/proxies.py
+++ b/features/support/proxies.py
@@ -4,6 +4,7 @@
 
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.configuration import state as state_lib
+from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import snapshots
 
 Held = tuple[str, str, bytes]
@@ -13,6 +14,7 @@
     """A fleet whose installed versions are remembered over restarts."""
 
     def __init__(self) -> None:
+        self.digests: dict[int, bytes] = {}
         super().__init__()
         self.duplicates = False
         self.lives: dict[str, list[mesh_lib.Member]] = {}
@@ -29,6 +31,12 @@
         for _ in range(1 + self.duplicates):
             super()._carry(sender_id, target_id, route, frame)
 
+    def commit(self, command: commands.Command | None) -> int:
+        """Applies an entry and remembers what its version contains."""
+        version = super().commit(command)
+        self.digests[version] = delta.stamp(self.state.snapshot).digest
+        return version
+
     def list_versions(self, node_id: str) -> list[int]:
         """Returns every version that a proxy held, in all its lives."""
         return [
@@ -50,6 +58,7 @@
             for life in lives:
                 for stamped in life.installed:
                     _check_whole(stamped)
+                    assert stamped.digest == self.digests[stamped.version]
 
 
 def _check_whole(stamped: delta.Stamped) -> None:
