--- /dev/null
+++ b/tools/promises.py
@@ -0,0 +1,294 @@
+"""Writes docs/promises.md: `python -m tools.promises`.
+
+The page maps every promise and every fault to the scenarios that carry its
+tag and to the tests that show it. It is committed; a test compares it with
+what this module renders.
+"""
+
+import ast
+import dataclasses
+import pathlib
+import re
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs" / "promises.md"
+_SCENARIO = re.compile(
+    r"^(?P<tags>(?: *@\S.*\n)+) *Scenario: (?P<name>.+)$", re.MULTILINE
+)
+_INTRO = """\
+# Promises and faults, and what shows them
+
+Written by `python -m tools.promises`; a test keeps it current. A scenario
+stands in `features/` and runs with `make scenarios`, a test in `tests/`; both
+run with `make test`.
+Scenarios marked *together* combine two faults, those marked *twice* bring the
+same one again.
+"""
+
+
+class MissingTestError(Exception):
+    """Raised when the page names a test that does not exist."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Subject:
+    """A promise or a fault.
+
+    Attributes:
+      tag: Tag of its scenarios.
+      text: What it says.
+      tests: Names of test functions that show it.
+    """
+
+    tag: str
+    text: str
+    tests: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Scenario:
+    """A scenario of a feature file."""
+
+    name: str
+    tags: frozenset[str]
+
+
+PROMISES = (
+    Subject(
+        tag="promise:no-step-back",
+        text="No proxy ever moves back to an older configuration version.",
+        tests=(
+            "test_nothing_older_than_the_join_is_installed",
+            "test_updates_that_do_not_fit_are_refused",
+        ),
+    ),
+    Subject(
+        tag="promise:references",
+        text="No route in any proxy points at a service or backend server"
+        " that the proxy does not have.",
+        tests=(
+            "test_removing_a_needed_service_is_rejected",
+            "test_servers_leave_with_their_node",
+            "test_reference_to_an_absent_service_is_located",
+            "test_candidates_leave_out_draining_and_ownerless_servers",
+        ),
+    ),
+    Subject(
+        tag="promise:whole",
+        text="A bad version is never applied in part.",
+        tests=(
+            "test_delta_on_another_base_is_refused",
+            "test_any_text_is_read_or_refused",
+            "test_five_mistakes_are_five_located_lines",
+        ),
+    ),
+    Subject(
+        tag="promise:own-answer",
+        text="Every caller gets the whole answer to its own request, even"
+        " when answers arrive late or crossed.",
+        tests=(
+            "test_trailing_answer_reaches_no_other_request",
+            "test_late_answer_closes_its_connection",
+            "test_broken_answers_are_no_answers",
+            "test_ambiguous_framing_is_refused",
+        ),
+    ),
+    Subject(
+        tag="promise:not-run",
+        text="When a caller is told its request did not run, it did not run.",
+        tests=(
+            "test_refusals_everywhere_prove_that_it_did_not_run",
+            "test_one_unproven_attempt_makes_the_outcome_unknown",
+            "test_refused_connection_proves_that_nothing_was_sent",
+            "test_broken_backend_answers_have_an_unknown_outcome",
+        ),
+    ),
+    Subject(
+        tag="promise:at-most-once",
+        text="A non-idempotent request runs at most once.",
+        tests=(
+            "test_non_idempotent_request_is_never_sent_after_hand_over",
+            "test_no_key_runs_twice_under_random_schedules",
+            "test_upload_cut_halfway_never_starts",
+        ),
+    ),
+    Subject(
+        tag="promise:leaving",
+        text="A backend server that is leaving receives no new work after a"
+        " few seconds.",
+        tests=(
+            "test_drain_refuses_new_work_and_reports_once_empty",
+            "test_draining_server_is_never_picked",
+        ),
+    ),
+    Subject(
+        tag="promise:graceful",
+        text="A planned stop cuts no request in progress.",
+        tests=(
+            "test_shut_down_finishes_what_runs",
+            "test_configuration_changes_cut_nothing",
+            "test_stop_answers_what_it_holds",
+        ),
+    ),
+    Subject(
+        tag="promise:in-force",
+        text="An accepted configuration is in force on every proxy within"
+        " seconds and never reverts.",
+        tests=(
+            "test_leader_loss_elects_another",
+            "test_publish_survives_a_restart_of_all",
+            "test_a_node_joins_through_any_replica_and_follows",
+        ),
+    ),
+)
+
+FAULTS = (
+    Subject(
+        tag="fault:processes",
+        text="Processes and backend servers die.",
+        tests=(
+            "test_tutorial_works_as_written",
+            "test_dead_backend_is_proof_that_nothing_ran",
+            "test_dead_entry_leaves_the_outcome_unknown_for_good",
+        ),
+    ),
+    Subject(
+        tag="fault:herd",
+        text="The system's own processes die in herds.",
+        tests=("test_a_herd_of_joins_costs_few_versions",),
+    ),
+    Subject(
+        tag="fault:storm",
+        text="They reconnect all at once in storms.",
+        tests=("test_a_herd_of_joins_costs_few_versions",),
+    ),
+    Subject(
+        tag="fault:outage",
+        text="The publishing source has outages.",
+        tests=(
+            "test_publish_survives_a_restart_of_all",
+            "test_silence_is_no_refusal",
+        ),
+    ),
+    Subject(
+        tag="fault:crossing",
+        text="Updates and answers cross each other in flight.",
+        tests=(
+            "test_updates_that_do_not_fit_are_refused",
+            "test_crossed_answer_is_passed_over",
+            "test_late_end_of_an_attempt_changes_nothing",
+        ),
+    ),
+    Subject(
+        tag="fault:partition",
+        text="A control VM is silently cut off for a long time while still"
+        " believing that it is current.",
+        tests=(
+            "test_minority_leader_steps_down",
+            "test_stale_status_never_shows_a_version_in_force",
+            "test_without_a_majority_nothing_runs_or_is_called_not_run",
+        ),
+    ),
+    Subject(
+        tag="fault:race",
+        text="Operators race one another with equal version numbers.",
+        tests=(
+            "test_equal_base_lets_one_publish_win",
+            "test_conflict_names_the_winner",
+        ),
+    ),
+    Subject(
+        tag="fault:resend",
+        text="Operators and callers resend after losing an answer.",
+        tests=(
+            "test_resent_publish_gets_the_first_answer",
+            "test_unanswered_publish_is_reported_as_unknown",
+            "test_resend_through_another_entry_gets_the_stored_answer",
+        ),
+    ),
+    Subject(
+        tag="fault:second-loss",
+        text="A second VM is lost right after the first was repaired.",
+        tests=("test_claims_survive_the_handover_to_other_holders",),
+    ),
+    Subject(
+        tag="fault:late-return",
+        text="Processes restart only after hundreds of changes have passed"
+        " them by.",
+        tests=("test_delta_reproduces_the_target",),
+    ),
+    Subject(
+        tag="fault:poison",
+        text="A request crashes each backend server that runs it, and its"
+        " caller sends it again.",
+        tests=(
+            "test_poison_resent_through_one_entry_kills_two_servers",
+            "test_poison_resent_through_all_entries_is_bounded_by_the_spread",
+        ),
+    ),
+)
+
+
+def render_page() -> str:
+    """Returns the text of docs/promises.md.
+
+    Raises:
+      MissingTestError: A named test does not exist.
+    """
+    scenarios = list_scenarios()
+    tests = list_tests()
+    parts = [_INTRO]
+    for title, subjects in (("Promises", PROMISES), ("Faults", FAULTS)):
+        parts.append(f"## {title}\n")
+        parts += [
+            _render_subject(subject, scenarios, tests) for subject in subjects
+        ]
+    return "\n".join(parts)
+
+
+def list_scenarios() -> tuple[Scenario, ...]:
+    """Returns every scenario of features/."""
+    found: list[Scenario] = []
+    for path in sorted((ROOT / "features").glob("*.feature")):
+        text = path.read_text(encoding="utf-8")
+        for match in _SCENARIO.finditer(text):
+            tags = frozenset(t.strip("@") for t in match["tags"].split())
+            found.append(Scenario(name=match["name"], tags=tags))
+    return tuple(found)
+
+
+def _render_subject(
+    subject: Subject, scenarios: tuple[Scenario, ...], tests: frozenset[str]
+) -> str:
+    lines = [f"### {subject.text}", "", f"Tag `@{subject.tag}`.", ""]
+    for scenario in scenarios:
+        if subject.tag in scenario.tags:
+            marks = [m for m in ("together", "twice") if m in scenario.tags]
+            note = f" (*{', '.join(marks)}*)" if marks else ""
+            lines.append(f"- scenario: {scenario.name}{note}")
+    for name in subject.tests:
+        if name not in tests:
+            raise MissingTestError(name)
+        lines.append(f"- test: `{name}`")
+    return "\n".join([*lines, ""])
+
+
+def list_tests() -> frozenset[str]:
+    """Returns the name of every test function."""
+    found: set[str] = set()
+    for path in (ROOT / "tests").glob("test_*.py"):
+        tree = ast.parse(path.read_text(encoding="utf-8"))
+        functions = (n for n in tree.body if isinstance(n, ast.FunctionDef))
+        found.update(function.name for function in functions)
+    return frozenset(found)
+
+
+def main() -> int:
+    """Writes the page; returns the exit status."""
+    PAGE.write_text(render_page(), encoding="utf-8")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
