Choose between two servers when none has room

The balancer compared one server of each failure domain when all were full, a choice of four by stale reports, on which all entries ran to the same server.

--- a/src/lovagesaddle/core/routing/balancer.py
+++ b/src/lovagesaddle/core/routing/balancer.py
@@ -193,15 +193,16 @@
         def cost(candidate: table.Candidate) -> float:
             return self._loads[candidate.server_id].estimate_cost(now)
 
-        fallback: list[table.Candidate] = []
         for pool, reason in self._list_tiers(eligible):
             if not pool:
                 continue
             server = self._policy.choose(pool, cost, self._source)
             if self._loads[server.server_id].has_room(now):
                 return server, reason
-            fallback.append(server)
-        return min(fallback, key=cost), PickReason.NO_ROOM
+        # Comparing the servers found so far would make this a choice of four
+        # by stale reports, on which all entries run to the same server.
+        server = self._policy.choose(eligible, cost, self._source)
+        return server, PickReason.NO_ROOM
 
     def _list_tiers(
         self, eligible: Sequence[table.Candidate]
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -102,6 +102,16 @@
     assert reasons[3] is Reason.NO_ROOM, reasons
 
 
+def test_full_servers_are_chosen_between_two_and_not_among_all() -> None:
+    """Without room, a stale report doesn't draw every entry to one server."""
+    entry = Entry(routing_mesh.make_candidates(6))
+    for number in range(6):
+        running = 30 if number == 1 else 40
+        entry.finish(f"s{number}", Result.ANSWERED, 0.0, _report(running))
+    counts = entry.sample(0.01)
+    assert counts["s1"] < 0.45 * 200, counts
+
+
 def test_reported_load_of_other_entries_counts() -> None:
     """A server that its owner reports as busy is passed over."""
     entry = Entry(routing_mesh.make_candidates(2, domains=1))
--- /dev/null
+++ b/tests/test_claim_parts.py
@@ -0,0 +1,327 @@
+"""Tests of the parts of claims: ballot, records, pull, holder, client."""
+
+import random
+
+from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.routing import claim_ballot
+from lovagesaddle.core.routing import claim_client
+from lovagesaddle.core.routing import claim_events
+from lovagesaddle.core.routing import claim_holder
+from lovagesaddle.core.routing import claim_keys
+from lovagesaddle.core.routing import claim_messages as messages
+from lovagesaddle.core.routing import claim_pull
+from lovagesaddle.core.routing import claim_records
+from tests import fixtures
+
+KEY = b"key"
+State = messages.ClaimState
+Vote = messages.Vote
+
+
+def _holders(*names: str, incarnation: int = 1) -> tuple[snapshots.Holder, ...]:
+    return tuple(
+        snapshots.Holder(node_id=name, incarnation=incarnation)
+        for name in names
+    )
+
+
+def _shard(
+    epoch: int = 1, *, previous: tuple[snapshots.Holder, ...] = ()
+) -> snapshots.Shard:
+    return snapshots.Shard(
+        number=0,
+        epoch=epoch,
+        holders=_holders("a", "b", "c"),
+        previous=previous,
+    )
+
+
+def _record(
+    token: str = "t",
+    *,
+    round_: int = 1,
+    state: State = State.CLAIMED,
+    body: bytes = b"b",
+    age_s: float = 0.0,
+) -> messages.Record:
+    answered = state is State.ANSWERED
+    return messages.Record(
+        claim_id=KEY,
+        token=token,
+        round=round_,
+        body_digest=body,
+        state=state,
+        age_s=age_s,
+        expires_s=2.0,
+        answer=messages.StoredAnswer(status=200) if answered else None,
+    )
+
+
+def _vote(
+    vote: Vote = Vote.GRANTED,
+    *held: messages.Record,
+    epoch: int = 1,
+    round_: int = 1,
+) -> messages.ClaimVote:
+    return messages.ClaimVote(
+        shard=0, epoch=epoch, token="t", round=round_, vote=vote, held=held
+    )
+
+
+def _judge(
+    votes: dict[str, messages.ClaimVote], *, final: bool = True
+) -> claim_ballot.Kind:
+    ballot = claim_ballot.Ballot(shard=_shard(), round_=1, body_digest=b"b")
+    for sender_id, vote in votes.items():
+        ballot.count(sender_id, vote)
+    return ballot.judge(final=final).kind
+
+
+def test_votes_of_other_rounds_epochs_and_nodes_do_not_count() -> None:
+    """A grant that was given up, or of another epoch, is no grant."""
+    for stray in (_vote(round_=2), _vote(epoch=2)):
+        kind = _judge({"a": _vote(), "b": stray})
+        assert kind is claim_ballot.Kind.SPLIT, stray
+    kind = _judge({"a": _vote(), "stranger": _vote()})
+    assert kind is claim_ballot.Kind.SPLIT
+    kind = _judge({"a": _vote(), "b": _vote()}, final=False)
+    assert kind is claim_ballot.Kind.GRANTED
+
+
+def test_another_body_is_only_shown_by_enough_holders() -> None:
+    """One lapsed record of another body doesn't prove what ran."""
+    other = _record("o", body=b"other", state=State.UNKNOWN)
+    held = _vote(Vote.HELD, other)
+    alone = _judge({"a": held})
+    assert alone is claim_ballot.Kind.ENDED_UNKNOWN
+    enough = _judge({"a": held, "b": _vote(Vote.HELD, other)})
+    assert enough is claim_ballot.Kind.OTHER_BODY
+    both = _judge({"a": held, "b": _vote(Vote.HELD, other, _record(age_s=9))})
+    assert both is claim_ballot.Kind.ENDED_UNKNOWN
+
+
+def test_release_takes_back_only_what_it_names() -> None:
+    """A late release neither frees a newer round nor what ran."""
+    records = claim_records.Records()
+    records.keep(_record(round_=2), 0.0)
+    records.release(KEY, "t", 1, 0.1)
+    assert len(records) == 1
+    records.keep(_record(round_=2, state=State.ANSWERED), 0.2)
+    records.release(KEY, "t", 2, 0.3)
+    assert len(records) == 1
+
+
+def test_released_claim_is_not_kept_again() -> None:
+    """A claim that arrives after its release leaves nothing behind."""
+    records = claim_records.Records()
+    records.release(KEY, "t", 2, 0.0)
+    records.keep(_record(round_=1), 0.1)
+    assert len(records) == 0
+    records.keep(_record(round_=3), 0.2)
+    assert len(records) == 1
+
+
+def test_end_of_a_claim_is_not_unlearnt() -> None:
+    """A claim that arrives after its end changes nothing."""
+    records = claim_records.Records()
+    records.keep(_record(state=State.ANSWERED), 0.0)
+    records.keep(_record(round_=5), 0.1)
+    (held,) = records.list_held(KEY, 0.2)
+    assert held.state is State.ANSWERED
+
+
+def test_claims_are_forgotten_after_their_retention() -> None:
+    """A claim keeps its age, also when it was handed over."""
+    records = claim_records.Records()
+    records.keep(_record(age_s=100.0), 0.0)
+    records.expire(claim_records.RETENTION_S - 1)
+    assert len(records) == 1
+    records.expire(claim_records.RETENTION_S + 1)
+    assert len(records) == 0
+
+
+def test_pages_carry_every_claim_once() -> None:
+    """A handover of many claims comes in pages without gaps."""
+    records = claim_records.Records()
+    count = 2 * claim_records.PAGE_RECORDS + 1
+    for number in range(count):
+        name = number.to_bytes(4, "big")
+        claim = messages.Record(
+            claim_id=name,
+            token="t",
+            round=1,
+            body_digest=b"b",
+            state=State.CLAIMED,
+            age_s=0.0,
+            expires_s=1.0,
+        )
+        records.keep(claim, 0.0)
+    found: list[bytes] = []
+    cursor = b""
+    for _ in range(3):
+        page = records.read_page(cursor, 0.0)
+        found.extend(record.claim_id for record in page.records)
+        cursor = page.next_cursor
+    assert cursor == b""
+    assert len(set(found)) == len(found) == count
+
+
+def _page(*, lost: bool = False) -> messages.PullAnswer:
+    return messages.PullAnswer(shard=0, epoch=2, cursor=b"", lost=lost)
+
+
+def test_pull_needs_one_of_every_majority() -> None:
+    """Two of three former holders are needed, and none is counted twice."""
+    pull = claim_pull.Pull(shard=_shard(2, previous=_holders("a", "b", "c")))
+    pull.take("a", _page(), 0.0)
+    pull.take("a", _page(), 0.0)
+    pull.take("stranger", _page(), 0.0)
+    assert not pull.is_complete(10 * claim_records.RETENTION_S)
+    pull.take("b", _page(), 0.0)
+    assert pull.is_complete(0.0)
+
+
+def test_lost_memories_count_only_after_the_retention() -> None:
+    """A former holder without memory stands in only for lapsed claims."""
+    pull = claim_pull.Pull(shard=_shard(2, previous=_holders("a", "b", "c")))
+    pull.take("a", _page(), 0.0)
+    pull.take("b", _page(lost=True), 5.0)
+    assert not pull.is_complete(claim_records.RETENTION_S)
+    assert pull.is_complete(claim_records.RETENTION_S + 5.1)
+
+
+def _ask(
+    holder: claim_holder.ClaimHolder, epoch: int, incarnation: int = 1
+) -> messages.PullAnswer | None:
+    request = messages.PullRequest(
+        shard=0, epoch=epoch, incarnation=incarnation
+    )
+    event = claim_holder.Received(sender_id="x", message=request)
+    sends = holder.step(event, 0.0)
+    if not sends:
+        return None
+    answer = sends[0].message
+    assert isinstance(answer, messages.PullAnswer)
+    return answer
+
+
+def _install(
+    holder: claim_holder.ClaimHolder, shard: snapshots.Shard, incarnation: int
+) -> None:
+    event = claim_holder.Installed(shards=(shard,), incarnation=incarnation)
+    holder.step(event, 0.0)
+
+
+def test_holder_hands_over_only_what_it_knows() -> None:
+    """A holder that may still learn claims stays silent until it did."""
+    holder = claim_holder.ClaimHolder(node_id="a")
+    assert _ask(holder, 2) is None
+    _install(holder, _shard(2, previous=_holders("x", "y", "z")), 1)
+    assert _ask(holder, 3) is None
+    ready = claim_holder.ClaimHolder(node_id="a")
+    _install(ready, _shard(1), 1)
+    answer = _ask(ready, 2)
+    assert answer is not None
+    assert not answer.lost
+
+
+def test_holder_that_lags_behind_does_not_say_lost() -> None:
+    """Only a later life of the asked node has lost its memory for sure."""
+    holder = claim_holder.ClaimHolder(node_id="a")
+    _install(holder, _shard(1), 1)
+    assert _ask(holder, 3, incarnation=1) is None
+    reborn = claim_holder.ClaimHolder(node_id="a")
+    _install(reborn, _shard(1), 2)
+    answer = _ask(reborn, 3, incarnation=1)
+    assert answer is not None
+    assert answer.lost
+
+
+def _start(deadline: float = 3.0) -> claim_client.ClaimClient:
+    client = claim_client.ClaimClient(
+        options=claim_client.ClaimOptions(
+            claim_id=KEY,
+            body_digest=b"b",
+            token="t",
+            deadline=deadline,
+            shard=_shard(),
+        ),
+        source=random.Random(1),
+    )
+    client.step(claim_events.Started(), 0.0)
+    return client
+
+
+def _receive(
+    client: claim_client.ClaimClient,
+    sender_id: str,
+    message: messages.ClaimMessage,
+    now: float = 0.0,
+) -> tuple[claim_events.Action, ...]:
+    event = claim_events.Received(sender_id=sender_id, message=message)
+    return client.step(event, now)
+
+
+def test_claim_granted_too_late_does_not_run() -> None:
+    """A majority past the deadline proves that nothing ran."""
+    client = _start()
+    _receive(client, "a", _vote(), 1.0)
+    actions = _receive(client, "b", _vote(), 3.5)
+    refusals = [a for a in actions if isinstance(a, claim_events.Refuse)]
+    assert [refusal.outcome for refusal in refusals] == [
+        outcomes.RequestOutcome.NOT_RUN
+    ]
+
+
+def test_acknowledged_release_of_an_old_round_settles_nothing() -> None:
+    """Only acknowledgements of the end itself let the caller be answered."""
+    client = _start()
+    client.step(claim_events.TimerFired(), 0.3)
+    client.step(claim_events.TimerFired(), 0.5)
+    for name in "ab":
+        _receive(client, name, _vote(round_=2), 0.5)
+    answer = messages.StoredAnswer(status=200)
+    client.step(claim_events.Ended(outcome=None, answer=answer), 0.6)
+    for name in "abc":
+        old = messages.Settled(shard=0, token="t", round=1)
+        assert _receive(client, name, old, 0.6) == ()
+    done = messages.Settled(shard=0, token="t", round=2)
+    assert _receive(client, "a", done, 0.7) == ()
+    settled = claim_events.Settled(acknowledged=True)
+    assert _receive(client, "b", done, 0.7) == (settled,)
+
+
+def test_full_or_overlong_claims_are_refused() -> None:
+    """A claim that outlives the retention is never granted."""
+    holder = claim_holder.ClaimHolder(node_id="a")
+    _install(holder, _shard(1), 1)
+    record = messages.Record(
+        claim_id=KEY,
+        token="t",
+        round=1,
+        body_digest=b"b",
+        state=State.CLAIMED,
+        age_s=0.0,
+        expires_s=claim_records.MAX_CLAIM_S + 1,
+    )
+    request = messages.ClaimRequest(shard=0, epoch=1, record=record)
+    event = claim_holder.Received(sender_id="x", message=request)
+    (send,) = holder.step(event, 0.0)
+    assert isinstance(send.message, messages.ClaimVote)
+    assert send.message.vote is Vote.FULL
+
+
+def test_keys_of_different_clients_are_different_claims() -> None:
+    """A caller can't reach another one's answer by its key."""
+    found = {
+        claim_keys.compute_claim_id(service="s", client=client, key="k")
+        for client in ("a", "b")
+    }
+    assert len(found) == 2
+    assert not claim_keys.is_valid_key("")
+    assert not claim_keys.is_valid_key("a\nb")
+    assert not claim_keys.is_valid_key("x" * 256)
+
+
+load_tests = fixtures.collect(__name__)
