--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -143,8 +143,10 @@
 
 def test_idle_owner_is_drained_at_once() -> None:
     """Nothing to finish means that the drain ends at once."""
-    drained = _create().step(admission_lib.Drain(), 0.0)
+    owner = _create()
+    drained = owner.step(admission_lib.Drain(), 0.0)
     assert _describe(drained) == ["drained"]
+    assert owner.step(admission_lib.Tick(), 1.0) == ()
 
 
 def test_attempt_is_not_admitted_twice() -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -306,14 +306,17 @@
     """A death before the last answer was another request's fault."""
     node = quarantine_lib.Quarantine()
     node.step(quarantine_lib.Answered(fingerprint=COMMON), 2.0)
-    mark = quarantine_lib.make_mark(
-        server_id="s0",
-        incarnation=1,
-        fingerprint=COMMON,
-        suspected=True,
-        age_s=1.0,
+    marks = tuple(
+        quarantine_lib.make_mark(
+            server_id=f"s{number}",
+            incarnation=1,
+            fingerprint=COMMON,
+            suspected=True,
+            age_s=1.0,
+        )
+        for number in range(5)
     )
-    node.step(quarantine_lib.Marked(marks=(mark,)), 2.5)
+    node.step(quarantine_lib.Marked(marks=marks), 2.5)
     assert node.judge(COMMON, 2.5, hinted=True) is Verdict.CLEAR
 
 
