--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -19,6 +19,7 @@
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import admin
 from lovagesaddle.node import application
+from lovagesaddle.node import claims as claims_lib
 from lovagesaddle.node import control_half
 from lovagesaddle.node import entry as entry_lib
 from lovagesaddle.node import hops
@@ -27,6 +28,8 @@
 from lovagesaddle.node import ports
 from lovagesaddle.node import probes
 from lovagesaddle.node import routing as routing_lib
+from lovagesaddle.node import slots as slots_lib
+from lovagesaddle.node import suspects as suspects_lib
 from lovagesaddle.observability import logs
 from lovagesaddle.observability import metrics as metrics_lib
 from lovagesaddle.settings import schema
@@ -78,7 +81,7 @@
         *,
         make_control: ControlFactory = make_control_half,
         routing_options: routing_lib.RoutingOptions | None = None,
-        owner_options: owner_lib.OwnerOptions | None = None,
+        owner_options: slots_lib.OwnerOptions | None = None,
     ) -> None:
         self._settings = settings
         self._context = context
@@ -90,10 +93,14 @@
             failure_domain=settings.failure_domain, options=routing_options
         )
         self._pool = client.Pool()
-        self._owner = owner_lib.Owner(pool=self._pool, options=owner_options)
+        self._suspects = suspects_lib.Suspects()
+        self._owner = owner_lib.Owner(
+            pool=self._pool, suspects=self._suspects, options=owner_options
+        )
         self._servers = local_servers.LocalServers(
             node_id=settings.node_id, owner=self._owner
         )
+        self._claims = claims_lib.Claims(node_id=settings.node_id)
         self._guards = watchdog.Watchdog()
         self._application = self._make_application()
         self._http = self._listen()
@@ -103,12 +110,15 @@
         with contextlib.ExitStack() as stack:
             stack.enter_context(self._pool)
             stack.enter_context(self._guards)
+            stack.enter_context(self._claims)
             stack.enter_context(self._http)
             stack.enter_context(self._admin)
             control = stack.enter_context(
                 self._make_control(self._bound_settings, self._context, self)
             )
             self._servers.connect(control)
+            self._suspects.connect(control)
+            self._claims.connect(control)
             self.metrics.set_gauge(
                 "control_bytes_total",
                 "Bytes of configuration traffic, both ways.",
@@ -147,11 +157,12 @@
 
     def install(self, stamped: delta.Stamped, *, joined: bool) -> None:
         """Takes a newer snapshot from the control half."""
+        self._claims.install(stamped.snapshot, joined=joined)
         self._routing.install(stamped, joined=joined)
 
     def take_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
         """Takes crash marks of other nodes."""
-        del marks
+        self._suspects.take_marks(marks)
 
     def shut_down(self) -> bool:
         """Drains the local servers, answers what is held, stops listening.
@@ -170,6 +181,7 @@
         self._linger(deadline)
         left_s = max(0.0, deadline - time.monotonic())
         whole = self._http.stop(grace_s=left_s)
+        self._servers.withdraw_all("stopped")
         _log.info(
             "node_drained",
             node=self._settings.node_id,
@@ -197,6 +209,7 @@
             joined=table is not None,
             version=table.version if table is not None else 0,
             servers=len(self._servers.list_announced()),
+            known_servers=self._routing.known_servers,
             stopping=self._stopping,
         )
 
@@ -212,6 +225,8 @@
             routing=self._routing,
             carrier=carrier,
             servers=self._servers,
+            suspects=self._suspects,
+            claims=self._claims,
             guards=self._guards,
             metrics=self.metrics,
         )
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -4,7 +4,7 @@
 import functools
 import random
 
-from bench import policies
+from bench import virtual_policies as policies
 
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.routing import balancer as balancer_lib
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -8,7 +8,9 @@
 import tempfile
 from typing import Any
 
+from bench import admin as admin_lib
 from bench import backend
+from bench import stand_in
 
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.routing import chain
@@ -27,7 +29,7 @@
     """Runs nodes; the first one owns a stand-in."""
     with (
         nodes.Mesh(*(services or (nodes.make_service(),))) as mesh,
-        backend.Backend(backend.BackendOptions(**options)) as server,
+        backend.Backend(stand_in.BackendOptions(**options)) as server,
     ):
         started = [mesh.start(f"n{number}") for number in range(count)]
         _announce(started[0], server)
@@ -37,7 +39,7 @@
 def _announce(
     node: program.NodeProgram, server: backend.Backend, slots: int = 20
 ) -> str:
-    return backend.announce(
+    return admin_lib.announce(
         node.admin_address, SERVICE, server.address, slots, 100
     )
 
@@ -72,7 +74,7 @@
         for status, reply in cases:
             assert reply.status == status, (status, reply)
             assert _get_outcome(reply) == "not-run", reply
-        assert server.most_running == 0
+        assert server.state.most_running == 0
 
 
 def test_forged_headers_stop_at_the_entry() -> None:
@@ -102,7 +104,7 @@
             started[0].http_address, "POST", hop.RUN_PATH, body=forged
         )
         assert reply.status == 403
-        assert server.most_running == 0
+        assert server.state.most_running == 0
 
 
 def test_node_refuses_callers_until_it_joined() -> None:
@@ -125,9 +127,11 @@
     outer = nodes.make_service()
     with (
         _run_mesh(services=(inner, outer)) as (_, started, server),
-        backend.Backend(backend.BackendOptions()) as other,
+        backend.Backend(stand_in.BackendOptions()) as other,
     ):
-        backend.announce(started[1].admin_address, "inner", other.address, 5, 5)
+        admin_lib.announce(
+            started[1].admin_address, "inner", other.address, 5, 5
+        )
         token = _announce(started[0], server)
         own = started[0].http_address
         assert nodes.send(own, Host="inner", token=token).status == 200
@@ -177,7 +181,7 @@
             reply = nodes.send(node.http_address, Run_Ms="5000")
             assert reply.status == 504, reply
             assert _get_outcome(reply) == "unknown"
-        nodes.wait_for(lambda: not server.running, "the slots to be free")
+        nodes.wait_for(lambda: not server.state.running, "the slots to be free")
 
 
 def test_caller_that_hangs_up_frees_its_slot() -> None:
@@ -185,9 +189,11 @@
     with _run_mesh() as (_, started, server):
         for node in started:
             gone = nodes.open_request(node.http_address, Run_Ms="4000")
-            nodes.wait_for(lambda: server.running, "the run to start")
+            nodes.wait_for(lambda: server.state.running, "the run to start")
             gone.close()
-            nodes.wait_for(lambda: not server.running, "the slot to be free")
+            nodes.wait_for(
+                lambda: not server.state.running, "the slot to be free"
+            )
 
 
 def test_full_owner_refuses_with_retry_after() -> None:
@@ -206,7 +212,7 @@
         assert refused
         assert all(_get_outcome(reply) == "not-run" for reply in refused)
         assert all("Retry-After" in reply.headers for reply in refused)
-        assert server.most_running == 1
+        assert server.state.most_running == 1
 
 
 def test_shut_down_finishes_what_runs() -> None:
@@ -219,7 +225,7 @@
             pool.submit(nodes.send, node.http_address, "POST", Run_Ms="300")
             for node in started
         ]
-        nodes.wait_for(lambda: server.running == 2, "both runs")
+        nodes.wait_for(lambda: server.state.running == 2, "both runs")
         stopped = pool.submit(started[0].shut_down)
         nodes.wait_for(
             lambda: nodes.send(started[1].http_address).status == 503,
@@ -246,6 +252,76 @@
         assert {call.result().status for call in calls} == {200}
 
 
+def test_key_makes_a_request_run_once() -> None:
+    """A resend with its key gets the stored answer through any entry."""
+    with tempfile.TemporaryDirectory() as folder:
+        record = pathlib.Path(folder) / "runs"
+        with (
+            _run_mesh(count=3, record=str(record)) as (mesh, started, _server),
+            futures.ThreadPoolExecutor() as pool,
+        ):
+            mesh.control.assign_shards()
+            calls = [
+                pool.submit(
+                    nodes.send,
+                    node.http_address,
+                    "POST",
+                    body=b"one",
+                    Idempotency_Key="k",
+                    Run_Ms="100",
+                )
+                for node in started
+            ]
+            replies = [call.result() for call in calls]
+            assert [reply.status for reply in replies] == [200] * 3, replies
+            assert len({reply.body for reply in replies}) == 1
+            other = nodes.send(
+                started[0].http_address,
+                "POST",
+                body=b"two",
+                Idempotency_Key="k",
+            )
+            assert other.status == 422, other
+            assert _get_outcome(other) == "not-run"
+        assert record.read_text().count('"start"') == 1
+
+
+def test_key_without_a_majority_does_not_run() -> None:
+    """Where no majority can be shown, a request with a key is refused."""
+    with _run_mesh() as (mesh, started, server):
+        address = started[0].http_address
+        refused = nodes.send(address, "POST", Idempotency_Key="k")
+        assert (refused.status, _get_outcome(refused)) == (503, "unknown")
+        mesh.control.assign_shards()
+        mesh.control.handlers.clear()
+        # An earlier request with the key may have run, for all this node
+        # can tell.
+        refused = nodes.send(address, "POST", Idempotency_Key="k")
+        assert (refused.status, _get_outcome(refused)) == (503, "unknown")
+        assert server.state.most_running == 0
+
+
+def test_crashing_request_is_kept_from_further_servers() -> None:
+    """A request that crashed two servers is refused, others are not."""
+    with (
+        _run_mesh() as (_, started, _server),
+        contextlib.ExitStack() as stack,
+    ):
+        address = started[1].http_address
+        fallen = 0
+        for _ in range(10):
+            reply = nodes.send(address, Act="crash-during")
+            if reply.status == 503 and b"quarantined" in reply.body:
+                break
+            fallen += 1
+            again = backend.Backend(stand_in.BackendOptions())
+            _announce(started[0], stack.enter_context(again))
+        assert _get_outcome(reply) == "not-run"
+        assert fallen == 2, fallen
+        good = nodes.send(address, path="/good")
+        assert good.status == 200, good
+
+
 def test_admin_errors_are_clear() -> None:
     """The admin address says what is wrong with a request."""
     with _run_mesh(count=1) as (_, started, _server):
