Encrypt links with CurveZMQ and count every frame by kind

Links were plain and frames were not told apart in control_bytes. A process with keys takes links only from the keys in its allowed file, and each key speaks for the one process that the file names (a suffix after / tells the runs of the command line apart). The file is read again when it changed, so that a second key is valid while a process rotates.

A message is now one ZeroMQ frame with the channel and the sender's ID in front, which saves two headers a message, 66 bytes more on encrypted links. test_message_and_answer_cross asserted the bytes of the old framing, where the router also counted the connection's route that never travels; it now asserts the new framing, and that both ends count the same.

--- a/src/lovagesaddle/cli/client.py
+++ b/src/lovagesaddle/cli/client.py
@@ -13,6 +13,7 @@
 from lovagesaddle.core.model import operator_messages
 from lovagesaddle.settings import schema
 from lovagesaddle.transport import endpoint
+from lovagesaddle.transport import keys
 
 AnswerT = TypeVar("AnswerT")
 
@@ -75,8 +76,12 @@
             for replica in settings.replicas
         }
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
-        own_id = f"operator-{uuid.uuid4().hex}"
-        self._endpoint = endpoint.Endpoint(context=self._context, own_id=own_id)
+        own_id = f"{settings.operator}/{uuid.uuid4().hex}"
+        self._endpoint = endpoint.Endpoint(
+            context=self._context,
+            own_id=own_id,
+            keys=keys.load(settings.keys),
+        )
         self._leader_id = ""
 
     def __enter__(self) -> Self:
--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -30,6 +30,7 @@
 from lovagesaddle.storage import store as store_lib
 from lovagesaddle.storage import syncer as syncer_lib
 from lovagesaddle.transport import endpoint as endpoint_lib
+from lovagesaddle.transport import keys as keys_lib
 
 TICK_S = 0.02
 TRANSFER_S = 2.0
@@ -95,6 +96,7 @@
                 context=context,
                 own_id=settings.replica_id,
                 bind_address=settings.address,
+                keys=keys_lib.load(settings.keys),
             )
         )
         self._syncer = self._stack.enter_context(
--- a/src/lovagesaddle/node/control_half.py
+++ b/src/lovagesaddle/node/control_half.py
@@ -21,7 +21,9 @@
 from lovagesaddle.node import ports
 from lovagesaddle.settings import schema
 from lovagesaddle.transport import endpoint as endpoint_lib
+from lovagesaddle.transport import keys as keys_lib
 from lovagesaddle.transport import lines
+from lovagesaddle.transport import traffic as traffic_lib
 
 TICK_S = 0.05
 LIFE_BYTES = 8
@@ -52,10 +54,12 @@
     ) -> None:
         self._settings = settings
         self._sink = sink
+        self._keys = keys_lib.load(settings.keys)
         self._endpoint = endpoint_lib.Endpoint(
             context=context,
             own_id=settings.node_id,
             bind_address=settings.control_address,
+            keys=self._keys,
         )
         self._follower = self._make_follower(http_address)
         self._peers: dict[str, peers.Peer] = {}
@@ -96,6 +100,11 @@
         """Bytes of every frame sent and received."""
         return self._endpoint.traffic_bytes
 
+    @property
+    def traffic(self) -> traffic_lib.Traffic:
+        """Counts of the frames, by kind."""
+        return self._endpoint.traffic
+
     def start(self) -> None:
         """Starts the thread; subscribe first."""
         self._thread.start()
@@ -168,7 +177,7 @@
             region=settings.region,
             http_address=http_address,
             control_address=self._endpoint.address,
-            public_key="",
+            public_key=self._keys.pair.public if self._keys else "",
         )
         replicas = tuple(
             peers.Peer(
--- a/src/lovagesaddle/transport/endpoint.py
+++ b/src/lovagesaddle/transport/endpoint.py
@@ -14,13 +14,18 @@
 
 from lovagesaddle.core import errors
 from lovagesaddle.core.model import peers
+from lovagesaddle.transport import authentication
+from lovagesaddle.transport import keys as keys_lib
+from lovagesaddle.transport import lines
+from lovagesaddle.transport import traffic as traffic_lib
 
 ROUTER_HANDOVER = 1
 LINGER_MS = 0
 DISCONNECT_LINGER_MS = 200
 SEND_QUEUE_MESSAGES = 10_000
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
-FRAME_COUNT = 3
+HEAD_BYTES = 2
+SUFFIX_MARK = "/"
 MS_PER_S = 1000
 WAKE_ADDRESS = "inproc://wake-{}"
 
@@ -60,9 +65,12 @@
 
     Args:
       context: ZeroMQ context of the process.
-      own_id: Name put on every message.
+      own_id: Name put on every message. What follows a `/` tells processes
+        apart that share a key.
       bind_address: `tcp://ip:port` (port `*` for any), or None for a process
         that only connects.
+      keys: Keys for encrypted links, or None for plain ones. With keys the
+        context must be of this endpoint alone.
     """
 
     def __init__(
@@ -71,19 +79,28 @@
         context: zmq.Context[zmq.Socket[bytes]],
         own_id: str,
         bind_address: str | None = None,
+        keys: keys_lib.LinkKeys | None = None,
     ) -> None:
+        self._keys = keys
+        self._authenticator: authentication.Authenticator | None = None
         self._context = context
         self._own_id = own_id.encode()
         self._poller = zmq.Poller()
         self._router: zmq.Socket[bytes] | None = None
         self._links: dict[Peer, zmq.Socket[bytes]] = {}
-        self._traffic_bytes = 0
+        self._peers: dict[zmq.Socket[bytes], Peer] = {}
+        self._traffic = traffic_lib.Traffic(sealed=keys is not None)
         self._wake_in = context.socket(zmq.PULL)
         wake_address = WAKE_ADDRESS.format(id(self))
         self._wake_in.bind(wake_address)
         self._wake_out = context.socket(zmq.PUSH)
         self._wake_out.connect(wake_address)
         self._poller.register(self._wake_in, zmq.POLLIN)
+        if keys is not None:
+            self._authenticator = authentication.Authenticator(
+                context, keys.allowed
+            )
+            self._poller.register(self._authenticator.socket, zmq.POLLIN)
         if bind_address is not None:
             self._router = self._bind(bind_address)
 
@@ -108,7 +125,12 @@
     @property
     def traffic_bytes(self) -> int:
         """Bytes of every frame sent and received; any thread may read it."""
-        return self._traffic_bytes
+        return self._traffic.total
+
+    @property
+    def traffic(self) -> traffic_lib.Traffic:
+        """Counts of the frames, by kind."""
+        return self._traffic
 
     def send(self, peer: Peer, channel: Channel, data: bytes) -> bool:
         """Sends one message over this process's own connection to `peer`.
@@ -119,7 +141,7 @@
         link = self._links.get(peer)
         if link is None:
             link = self._connect(peer)
-        return self._send(link, [self._own_id, _encode(channel), data])
+        return self._send(link, [], channel, data)
 
     def answer(self, route: bytes, channel: Channel, data: bytes) -> bool:
         """Sends one message back on the connection a message came over.
@@ -129,8 +151,7 @@
         """
         if self._router is None:
             return False
-        frames = [route, self._own_id, _encode(channel), data]
-        return self._send(self._router, frames)
+        return self._send(self._router, [route], channel, data)
 
     def receive(self, timeout_s: float) -> tuple[Received, ...]:
         """Returns what arrived, after waiting `timeout_s` at most."""
@@ -139,6 +160,8 @@
         for socket in ready:
             if socket is self._wake_in:
                 _drain_wakes(self._wake_in)
+            elif self._authenticator and socket is self._authenticator.socket:
+                self._authenticator.answer()
             else:
                 arrived.extend(self._read(socket))
         return tuple(arrived)
@@ -155,6 +178,7 @@
         link = self._links.pop(peer, None)
         if link is not None:
             self._poller.unregister(link)
+            del self._peers[link]
             link.close(DISCONNECT_LINGER_MS)
 
     def close(self) -> None:
@@ -164,12 +188,17 @@
         for socket in (self._router, self._wake_in, self._wake_out):
             if socket is not None:
                 socket.close(LINGER_MS)
+        if self._authenticator is not None:
+            self._authenticator.socket.close(LINGER_MS)
 
     def _bind(self, address: str) -> zmq.Socket[bytes]:
         router = self._context.socket(zmq.ROUTER)
         router.setsockopt(zmq.ROUTER_HANDOVER, ROUTER_HANDOVER)
         router.setsockopt(zmq.ROUTER_MANDATORY, 1)
         _limit(router)
+        if self._keys is not None:
+            router.curve_server = True
+            router.curve_secretkey = self._keys.pair.secret.encode()
         try:
             router.bind(address)
         except zmq.ZMQError as error:
@@ -184,6 +213,7 @@
         link = self._context.socket(zmq.DEALER)
         _limit(link)
         try:
+            self._seal(link, peer)
             link.connect(peer.address)
         except zmq.ZMQError as error:
             link.close(LINGER_MS)
@@ -191,30 +221,84 @@
                 step="connect", peer=peer.address, cause=str(error)
             ) from error
         self._links[peer] = link
+        self._peers[link] = peer
         self._poller.register(link, zmq.POLLIN)
         return link
 
-    def _send(self, socket: zmq.Socket[bytes], frames: list[bytes]) -> bool:
+    def _seal(self, link: zmq.Socket[bytes], peer: Peer) -> None:
+        if self._keys is None:
+            return
+        if not peer.public_key:
+            raise errors.TransportError(
+                step="connect", peer=peer.address, cause="its key is unknown"
+            )
+        link.curve_serverkey = peer.public_key.encode()
+        link.curve_publickey = self._keys.pair.public.encode()
+        link.curve_secretkey = self._keys.pair.secret.encode()
+
+    def _send(
+        self,
+        socket: zmq.Socket[bytes],
+        route: list[bytes],
+        channel: Channel,
+        data: bytes,
+    ) -> bool:
+        head = bytes((channel.value, len(self._own_id)))
+        frame = head + self._own_id + data
         try:
-            socket.send_multipart(frames, zmq.NOBLOCK)
+            socket.send_multipart([*route, frame], zmq.NOBLOCK)
         except zmq.ZMQError:
             # Again: the queue is full; EHOSTUNREACH: the route is gone.
             return False
-        self._traffic_bytes += sum(map(len, frames))
+        self._traffic.count(
+            traffic_lib.Direction.SENT, channel.value, data, len(frame)
+        )
         return True
 
     def _read(self, socket: zmq.Socket[bytes]) -> list[Received]:
         arrived: list[Received] = []
         while True:
             try:
-                frames = socket.recv_multipart(zmq.NOBLOCK)
+                frames = socket.recv_multipart(zmq.NOBLOCK, copy=False)
             except zmq.Again:
                 return arrived
-            self._traffic_bytes += sum(map(len, frames))
-            route = frames.pop(0) if socket is self._router else b""
-            received = _parse(route, frames)
-            if received is not None:
+            route = frames.pop(0).bytes if socket is self._router else b""
+            if len(frames) != 1:
+                continue
+            received = _parse(route, frames[0].bytes)
+            if received is None:
+                continue
+            size = len(frames[0].bytes)
+            self._traffic.count(
+                traffic_lib.Direction.RECEIVED,
+                received.channel.value,
+                received.data,
+                size,
+            )
+            speaker = self._find_speaker(socket, frames[0])
+            if speaker in (None, received.sender_id.split(SUFFIX_MARK)[0]):
                 arrived.append(received)
+            else:
+                self._refuse(received, speaker)
+
+    def _find_speaker(
+        self, socket: zmq.Socket[bytes], frame: zmq.Frame
+    ) -> str | None:
+        """Returns who the link's key speaks for; None on plain links."""
+        if self._keys is None:
+            return None
+        if socket is self._router:
+            return str(frame.get("User-Id"))
+        return self._peers[socket].peer_id
+
+    def _refuse(self, received: Received, speaker: str | None) -> None:
+        lines.write_error(
+            errors.TransportError(
+                step="receive",
+                peer=speaker or "",
+                cause=f"speaks as {received.sender_id}",
+            )
+        )
 
 
 def _limit(socket: zmq.Socket[bytes]) -> None:
@@ -223,19 +307,16 @@
     socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
 
 
-def _encode(channel: Channel) -> bytes:
-    return bytes((channel.value,))
-
-
-def _parse(route: bytes, frames: list[bytes]) -> Received | None:
-    if len(frames) != FRAME_COUNT or len(frames[1]) != 1:
+def _parse(route: bytes, frame: bytes) -> Received | None:
+    if len(frame) < HEAD_BYTES or len(frame) < HEAD_BYTES + frame[1]:
         return None
+    end = HEAD_BYTES + frame[1]
     try:
         return Received(
-            sender_id=frames[0].decode(),
+            sender_id=frame[HEAD_BYTES:end].decode(),
             route=route,
-            channel=Channel(frames[1][0]),
-            data=frames[2],
+            channel=Channel(frame[0]),
+            data=frame[end:],
         )
     except ValueError:
         return None
--- /dev/null
+++ b/src/lovagesaddle/transport/keys.py
@@ -0,0 +1,162 @@
+"""CurveZMQ keys: made, written, read, and checked when a link opens."""
+
+import collections
+import dataclasses
+import os
+import pathlib
+
+import zmq
+
+from lovagesaddle.core import errors
+from lovagesaddle.settings import schema
+
+KEY_CHARACTERS = 40
+SECRET_FILE_MODE = 0o600
+PUBLIC_PREFIX = "public "
+SECRET_PREFIX = "secret "
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KeyPair:
+    """Key pair of a process, both Z85.
+
+    Attributes:
+      public: What others allow and connect to.
+      secret: Never leaves the process's own file.
+    """
+
+    public: str
+    secret: str = dataclasses.field(repr=False)
+
+
+def generate_keys() -> KeyPair:
+    """Returns a new key pair."""
+    public, secret = zmq.curve_keypair()
+    return KeyPair(public=public.decode(), secret=secret.decode())
+
+
+def write_keys(path: pathlib.Path, pair: KeyPair) -> None:
+    """Writes a key pair to a new file that only its owner can read.
+
+    Raises:
+      errors.SettingsError: The file exists already or can't be written.
+    """
+    text = f"{PUBLIC_PREFIX}{pair.public}\n{SECRET_PREFIX}{pair.secret}\n"
+    flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL
+    try:
+        with os.fdopen(os.open(path, flags, SECRET_FILE_MODE), "w") as file:
+            file.write(text)
+    except OSError as error:
+        raise _error("write keys", path, str(error)) from error
+
+
+def read_keys(path: pathlib.Path) -> KeyPair:
+    """Reads a file that `write_keys` wrote.
+
+    Raises:
+      errors.SettingsError: The file can't be read or its keys don't match.
+    """
+    lines = _read_lines(path)
+    found = {line[: len(PUBLIC_PREFIX)]: line[7:].strip() for line in lines}
+    public, secret = found.get(PUBLIC_PREFIX), found.get(SECRET_PREFIX)
+    if public is None or secret is None:
+        raise _error("read keys", path, "a public or secret key is missing")
+    try:
+        matching = zmq.curve_public(secret.encode()).decode() == public
+    except (ValueError, zmq.ZMQError):
+        matching = False
+    if not matching:
+        raise _error("read keys", path, "the keys do not belong together")
+    return KeyPair(public=public, secret=secret)
+
+
+class AllowedKeys:
+    """Which public keys may connect, and which process each one speaks for.
+
+    The file has one key a line, followed by the ID of its process. A process
+    may have several keys, as during a rotation. A changed file is read again
+    when the next link opens.
+
+    Args:
+      path: The file.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+        self._read_at = -1
+        self._owners: dict[str, str] = {}
+        self._refresh()
+
+    def find_owner(self, public_key: str) -> str | None:
+        """Returns the process that a key speaks for, or None."""
+        self._refresh()
+        return self._owners.get(public_key)
+
+    def _refresh(self) -> None:
+        try:
+            changed_at = self._path.stat().st_mtime_ns
+        except OSError as error:
+            raise _error("read keys", self._path, str(error)) from error
+        if changed_at != self._read_at:
+            self._owners = _parse_allowed(self._path)
+            self._read_at = changed_at
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LinkKeys:
+    """What a process needs for encrypted links.
+
+    Attributes:
+      pair: Its own keys.
+      allowed: Who may connect.
+    """
+
+    pair: KeyPair
+    allowed: AllowedKeys
+
+
+def load(settings: schema.KeySettings) -> LinkKeys | None:
+    """Reads the key files of the settings.
+
+    Returns:
+      None when no secret key file is set: links are plain.
+
+    Raises:
+      errors.SettingsError: A file is missing or damaged.
+    """
+    if not settings.secret_key_file:
+        return None
+    return LinkKeys(
+        pair=read_keys(pathlib.Path(settings.secret_key_file)),
+        allowed=AllowedKeys(pathlib.Path(settings.allowed_keys_file)),
+    )
+
+
+def _parse_allowed(path: pathlib.Path) -> dict[str, str]:
+    owners: dict[str, str] = {}
+    counts: collections.Counter[str] = collections.Counter()
+    for number, line in enumerate(_read_lines(path), start=1):
+        words = line.split("#")[0].split()
+        if not words:
+            continue
+        if len(words) != 2 or len(words[0]) != KEY_CHARACTERS:
+            cause = f"line {number}: expected a key and a process ID"
+            raise _error("read keys", path, cause)
+        owners[words[0]] = words[1]
+        counts[words[0]] += 1
+    doubled = [key for key, count in counts.items() if count > 1]
+    if doubled:
+        cause = f"key {doubled[0]} is listed twice"
+        raise _error("read keys", path, cause)
+    return owners
+
+
+def _read_lines(path: pathlib.Path) -> list[str]:
+    try:
+        return path.read_text(encoding="utf-8").splitlines()
+    except (OSError, UnicodeDecodeError) as error:
+        raise _error("read keys", path, str(error)) from error
+
+
+def _error(step: str, path: pathlib.Path, cause: str) -> errors.SettingsError:
+    return errors.SettingsError(step=step, peer=str(path), cause=cause)
--- a/tests/test_endpoint.py
+++ b/tests/test_endpoint.py
@@ -25,11 +25,12 @@
         assert server.answer(asked.route, asked.channel, b"told")
         (told,) = client.receive(WAIT_S)
         assert (told.sender_id, told.data) == ("r1", b"told")
-        # Sender ID, channel and data each way; the router's also the route.
-        assert client.traffic_bytes == len("cli") + 1 + len("ask") + len(
-            "r1"
-        ) + 1 + len("told")
-        assert server.traffic_bytes > client.traffic_bytes
+        # ZMTP header, channel, length of the ID, ID and data, each way.
+        head = 2 + 1 + 1
+        asked_bytes = head + len("cli") + len("ask")
+        told_bytes = head + len("r1") + len("told")
+        assert client.traffic_bytes == asked_bytes + told_bytes
+        assert server.traffic_bytes == client.traffic_bytes
 
 
 def test_wake_ends_a_wait() -> None:
@@ -42,4 +43,31 @@
         assert waiting.receive(WAIT_S) == ()
 
 
+def test_frames_are_counted_by_kind_on_both_ends() -> None:
+    """What one end counts as sent the other counts as received."""
+    with (
+        zmq.Context() as context,
+        endpoint.Endpoint(
+            context=context, own_id="r1", bind_address=ANY_PORT
+        ) as server,
+        endpoint.Endpoint(context=context, own_id="n1") as client,
+    ):
+        peer = endpoint.Peer(peer_id="r1", address=server.address)
+        for data in (b"\x07beat", b"\x87packed", b"\x0b" + b"x" * 300):
+            client.send(peer, endpoint.Channel.DISTRIBUTION, data)
+        heard = 0
+        while heard < 3:
+            heard += len(server.receive(WAIT_S))
+        sent = client.traffic.list_counts()
+        received = server.traffic.list_counts()
+        assert [(c.kind, c.frames, c.size) for c in sent] == [
+            (7, 2, (2 + 2 + 2 + 5) + (2 + 2 + 2 + 7)),
+            (11, 1, 9 + 2 + 2 + 301),
+        ]
+        assert [(c.kind, c.frames, c.size) for c in received] == [
+            (c.kind, c.frames, c.size) for c in sent
+        ]
+        assert client.traffic_bytes == sum(c.size for c in sent)
+
+
 load_tests = fixtures.collect(__name__)
