--- a/src/lovagesaddle/transport/keys.py
+++ b/src/lovagesaddle/transport/keys.py
@@ -14,6 +14,7 @@
 SECRET_FILE_MODE = 0o600
 PUBLIC_PREFIX = "public "
 SECRET_PREFIX = "secret "
+COMMENT = "#"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -136,10 +137,10 @@
     owners: dict[str, str] = {}
     counts: collections.Counter[str] = collections.Counter()
     for number, line in enumerate(_read_lines(path), start=1):
-        words = line.split("#")[0].split()
-        if not words:
+        words = line.split(maxsplit=2)
+        if not words or words[0] == COMMENT:
             continue
-        if len(words) != 2 or len(words[0]) != KEY_CHARACTERS:
+        if not _is_entry(words):
             cause = f"line {number}: expected a key and a process ID"
             raise _error("read keys", path, cause)
         owners[words[0]] = words[1]
@@ -151,6 +152,12 @@
     return owners
 
 
+def _is_entry(words: list[str]) -> bool:
+    # A key may hold the mark of a comment, so only a word of its own is one.
+    is_pair = len(words) >= 2 and len(words[0]) == KEY_CHARACTERS
+    return is_pair and (len(words) == 2 or words[2].startswith(COMMENT))
+
+
 def _read_lines(path: pathlib.Path) -> list[str]:
     try:
         return path.read_text(encoding="utf-8").splitlines()
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -150,4 +150,13 @@
             raise AssertionError("nothing was raised")
 
 
+def test_a_key_may_hold_the_mark_of_a_comment() -> None:
+    """Every character of Z85 may stand in a key, also the first."""
+    with tempfile.TemporaryDirectory() as folder:
+        allowed = pathlib.Path(folder) / "allowed"
+        key = "#" * keys.KEY_CHARACTERS
+        allowed.write_text(f"# both valid\n\n{key} n1 # old\n")
+        assert keys.AllowedKeys(allowed).find_owner(key) == "n1"
+
+
 load_tests = fixtures.collect(__name__)
