--- a/src/lovagesaddle/node/attempts.py
+++ b/src/lovagesaddle/node/attempts.py
@@ -9,12 +9,14 @@
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import call_events as events
 from lovagesaddle.core.routing import chain as chain_lib
+from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import hops
 from lovagesaddle.node import routing as routing_lib
+from lovagesaddle.node import suspects as suspects_lib
 from lovagesaddle.observability import logs
 
 MS_PER_S = 1000
@@ -31,6 +33,8 @@
       target: Path and query.
       headers: Filtered.
       body: The whole body.
+      fingerprint: Digest of method, route, target and body.
+      verdict: What the quarantine says of it.
     """
 
     request_id: str
@@ -38,6 +42,8 @@
     target: str
     headers: headers_lib.Headers
     body: bytes
+    fingerprint: bytes
+    verdict: quarantine.Verdict
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,6 +82,7 @@
 
 Ended = result.Result[Answered, Failed]
 GONE_STATUS = 499
+FIRST_FAILURE_STATUS = call_lib.FIRST_FAILURE_STATUS
 GONE_REASON = "caller-gone"
 
 
@@ -90,6 +97,7 @@
       arrived_at: Monotonic time of arrival, in seconds.
       routing: Tables, balancer and retry policies.
       carrier: Takes attempts to owners.
+      suspects: Learns of crashes that owners report.
     """
 
     def __init__(
@@ -102,12 +110,14 @@
         arrived_at: float,
         routing: routing_lib.Routing,
         carrier: hops.Carrier,
+        suspects: suspects_lib.Suspects,
     ) -> None:
         self._passed = passed
         self._match = match
         self._table = table
         self._routing = routing
         self._carrier = carrier
+        self._suspects = suspects
         self._answers: dict[int, hop.RunAnswer] = {}
         self._ended: Ended | None = None
         self._call = call_lib.Call(
@@ -128,8 +138,15 @@
         """Monotonic time by which the caller has its answer, in seconds."""
         return self._call.deadline
 
+    @property
+    def attempts(self) -> int:
+        """Attempts sent so far."""
+        return self._call.attempts
+
     def run(self, guard: watchdog.Guard) -> Ended:
         """Returns how the call ended; `guard` watches caller and deadline."""
+        if self._passed.verdict is quarantine.Verdict.REFUSED:
+            return self._refuse_quarantined()
         pending: list[events.Event] = [events.Started()]
         while pending:
             event = pending.pop(0)
@@ -141,6 +158,20 @@
             raise AssertionError("call ended without an answer")
         return self._ended
 
+    def _refuse_quarantined(self) -> Ended:
+        _log.info(
+            "quarantined",
+            request=self._passed.request_id,
+            service=self._match.service,
+        )
+        return result.Failure(
+            Failed(
+                status=503,
+                outcome=outcomes.RequestOutcome.NOT_RUN,
+                reason=hop.QUARANTINED,
+            )
+        )
+
     def _carry_out(
         self, action: events.Action, guard: watchdog.Guard
     ) -> events.Event | None:
@@ -198,6 +229,8 @@
         match outcome:
             case result.Success(answer):
                 self._answers[action.number] = answer
+                if answer.marks:
+                    self._suspects.take_marks(answer.marks)
                 return events.AttemptEnded(
                     number=action.number,
                     ending=hops.classify_answer(answer),
@@ -235,7 +268,8 @@
             body=passed.body,
             remaining_ms=int(remaining_s * MS_PER_S),
             priority=self._match.route.priority,
-            fingerprint=b"",
+            fingerprint=passed.fingerprint,
+            suspect=passed.verdict is quarantine.Verdict.SUSPECT,
         )
 
     def _make_answer(self, action: events.AnswerCaller) -> Answered:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,11 +1,14 @@
 """Tests of Idempotency-Keys: no request with a key runs twice."""
 
+import dataclasses
 import random
 
 import hypothesis
 from hypothesis import strategies
 
 from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.routing import claim_client
 from lovagesaddle.core.routing import claim_events
 from lovagesaddle.core.routing import claim_messages
 from lovagesaddle.core.routing import claim_records
@@ -228,6 +231,34 @@
     assert _read_refusal(resend).reason is Reason.ANSWER_NOT_KEPT
 
 
+def test_change_of_another_shard_leaves_a_claim_alone() -> None:
+    """A claim goes on with its holders when another shard's change."""
+    own = _make_shard(0, "n0", "n1", "n2")
+    client = claim_client.ClaimClient(
+        options=claim_client.ClaimOptions(
+            claim_id=b"c",
+            body_digest=b"b",
+            token="t",
+            deadline=10.0,
+            shard=own,
+        ),
+        source=random.Random(1),
+    )
+    client.step(claim_events.Started(), 0.0)
+    other = dataclasses.replace(_make_shard(1, "n3", "n4", "n5"), epoch=2)
+    changed = claim_events.ShardChanged(shard=other)
+    assert client.step(changed, 0.1) == ()
+    moved = dataclasses.replace(_make_shard(0, "n3", "n4", "n5"), epoch=2)
+    assert client.step(claim_events.ShardChanged(shard=moved), 0.2)
+
+
+def _make_shard(number: int, *node_ids: str) -> snapshots.Shard:
+    holders = tuple(
+        snapshots.Holder(node_id=node_id, incarnation=1) for node_id in node_ids
+    )
+    return snapshots.Shard(number=number, epoch=1, holders=holders, previous=())
+
+
 def _act(mesh: claim_mesh.ClaimMesh, source: random.Random) -> None:
     """Carries out one random step."""
     node_ids = list(mesh.processes)
