--- a/src/lovagesaddle/node/main.py
+++ b/src/lovagesaddle/node/main.py
@@ -24,6 +24,11 @@
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 
 
+@app.callback()
+def describe() -> None:
+    """Node of lovagesaddle."""
+
+
 @app.command()
 def run(
     settings_file: Annotated[pathlib.Path, typer.Argument(metavar="FILE")],
