Read answers strictly, and wake the HTTP loop only when it has work

http.client took the first of several lengths, and parsed heads as mail; the loop was woken after each answer.

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -9,6 +9,7 @@
 import argparse
 import dataclasses
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -230,6 +231,8 @@
     parser.add_argument("--seconds", type=float, default=8.0)
     parser.add_argument("--seed", type=int, default=1)
     parsed = parser.parse_args(arguments)
+    # Unwinds the contexts, so that no started process is left behind.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     samples: list[results.Sample] = []
     for experiment in list_experiments():
         if parsed.only and experiment.name not in parsed.only:
--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -21,6 +21,7 @@
 from lovagesaddle.core import errors
 from lovagesaddle.core.routing import chain
 from lovagesaddle.http import headers as headers_lib
+from lovagesaddle.http import responses
 from lovagesaddle.http import watchdog
 
 CONNECT_TIMEOUT_S = 1.0
@@ -175,6 +176,7 @@
         connection = http.client.HTTPConnection(
             host.strip("[]"), int(port), timeout=timeout_s
         )
+        connection.response_class = responses.StrictResponse
         connection.connect()
         return connection
 
--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -30,6 +30,8 @@
 IDLE_LINGER_S = 0.3
 JOIN_S = 5.0
 
+_serving = threading.local()
+
 Application = Callable[[dict[str, Any], Callable[..., Any]], Any]
 
 
@@ -38,6 +40,40 @@
     task_class = parser.ClosingTask
     error_task_class = parser.OutcomeErrorTask
 
+    # Whether the loop has passed over this connection when it last polled.
+    unwatched = False
+
+    @property
+    def needs_loop(self) -> bool:
+        """Whether the loop has to look at this connection at once."""
+        return bool(
+            self.total_outbufs_len
+            or self.will_close
+            or self.close_when_flushed
+            or self.unwatched
+        )
+
+    def readable(self) -> bool:
+        """Whether the loop polls for more of the requester.
+
+        Unlike waitress's own, it holds while an answer is written, so that
+        the loop need not be woken after each answer.
+        """
+        self.unwatched = bool(
+            self.will_close
+            or self.close_when_flushed
+            or len(self.requests) > self.adj.channel_request_lookahead
+        )
+        return not self.unwatched
+
+    def service(self) -> None:
+        """Runs one request on the current thread."""
+        _serving.channel = self
+        try:
+            super().service()
+        finally:
+            _serving.channel = None
+
     @property
     def idle(self) -> bool:
         """Whether no request is being read, run or answered."""
@@ -48,6 +84,12 @@
     channel_class = _Channel
     stopping = False
 
+    def pull_trigger(self) -> None:
+        """Wakes the loop, unless an answer has left nothing for it to do."""
+        served = getattr(_serving, "channel", None)
+        if served is None or served.needs_loop:
+            super().pull_trigger()
+
     def stop_listening(self) -> None:
         """Takes what has connected already, then closes the listener."""
         self.stopping = True
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,7 +1,9 @@
 """Tests of exchanges over pooled connections."""
 
 from collections.abc import Iterator
+from concurrent import futures
 import contextlib
+import socket
 import time
 
 from bench import backend
@@ -112,4 +114,50 @@
     assert b'"again"' in again.unwrap().body
 
 
+def test_ambiguous_answers_are_refused() -> None:
+    """An answer that two readers could frame apart is no answer."""
+    length = b"Content-Length: 1\r\n"
+    chunked = b"Transfer-Encoding: chunked\r\n"
+    heads = (
+        length + length,
+        length + chunked,
+        b"Transfer-Encoding: gzip\r\n",
+        b"Content-Length: -1\r\n",
+        b"Content-Length : 1\r\n",
+        b"",
+    )
+    for head in heads:
+        raw = b"HTTP/1.1 200 OK\r\n" + head + b"\r\n1\r\nx\r\n0\r\n\r\n"
+        assert _ask_raw(raw) is client.FailureKind.MALFORMED, head
+    assert _ask_raw(b"HTTP/2 200\r\n\r\n") is client.FailureKind.MALFORMED
+    cut = b"HTTP/1.1 200 OK\r\n" + chunked + b"\r\n9\r\nx"
+    assert _ask_raw(cut) is client.FailureKind.TRUNCATED
+
+
+def _ask_raw(answer: bytes) -> client.FailureKind:
+    """Returns how an exchange fails whose server answers `answer`."""
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        futures.ThreadPoolExecutor(1) as pool,
+        client.Pool() as connections,
+        watchdog.Watchdog() as guards,
+        guards.watch(
+            deadline=time.monotonic() + LONG_S, is_gone=lambda: False
+        ) as guard,
+    ):
+        served = pool.submit(_serve_raw, listener, answer)
+        host, port = listener.getsockname()
+        request = client.Request(method="GET", target="/", headers={}, body=b"")
+        outcome = connections.exchange(f"{host}:{port}", request, guard)
+        served.result()
+        return _get_kind(outcome)
+
+
+def _serve_raw(listener: socket.socket, answer: bytes) -> None:
+    accepted, _ = listener.accept()
+    with accepted:
+        accepted.recv(65536)
+        accepted.sendall(answer)
+
+
 load_tests = fixtures.collect(__name__)
