--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -18,6 +18,7 @@
 from lovagesaddle.control import operators as operators_lib
 from lovagesaddle.control import ports
 from lovagesaddle.control import replicas as replicas_lib
+from lovagesaddle.control import shards as shards_lib
 from lovagesaddle.core import errors
 from lovagesaddle.core.consensus import entries as entries_lib
 from lovagesaddle.core.consensus import founding as founding_lib
@@ -26,6 +27,7 @@
 from lovagesaddle.core.model import peers
 from lovagesaddle.observability import logs
 from lovagesaddle.settings import schema
+from lovagesaddle.storage import disk as disk_lib
 from lovagesaddle.storage import identity as identity_lib
 from lovagesaddle.storage import store as store_lib
 from lovagesaddle.storage import syncer as syncer_lib
@@ -56,6 +58,7 @@
       context: ZeroMQ context of the process.
       is_founding: Whether an empty data folder may found the cluster; else
         the replica waits until an operator adds it.
+      disk: File operations; the operating system's own if None.
 
     Raises:
       errors.StorageError: The data folder can't be used.
@@ -68,6 +71,7 @@
         context: zmq.Context[zmq.Socket[bytes]],
         *,
         is_founding: bool = False,
+        disk: disk_lib.Disk | None = None,
     ) -> None:
         self._settings = settings
         self._log = logs.get_logger("control")
@@ -75,19 +79,23 @@
         self._wake_lock = threading.Lock()
         self._stack = contextlib.ExitStack()
         try:
-            self._open(context, is_founding)
+            self._open(context, is_founding, disk)
         except BaseException:
             self._stack.close()
             raise
 
     def _open(
-        self, context: zmq.Context[zmq.Socket[bytes]], is_founding: bool
+        self,
+        context: zmq.Context[zmq.Socket[bytes]],
+        is_founding: bool,
+        disk: disk_lib.Disk | None,
     ) -> None:
         settings = self._settings
         self._store = self._stack.enter_context(
             store_lib.Store(
                 folder=pathlib.Path(settings.data_folder),
                 identity=_draw_identity(settings),
+                disk=disk,
             )
         )
         self._endpoint = self._stack.enter_context(
@@ -143,7 +151,11 @@
                     or time.monotonic() >= deadline
                 )
             )
-        self._log.info("replica_stopped", replica=self._settings.replica_id)
+        self._log.info(
+            "replica_stopped",
+            replica=self._settings.replica_id,
+            syncs=self._store.sync_count,
+        )
 
     def _serve_until(self, is_done: Callable[[], bool]) -> None:
         next_tick = time.monotonic()
@@ -241,7 +253,7 @@
             ),
             fleet=fleet,
         )
-        return (operators, fleet)
+        return (operators, fleet, shards_lib.Shards(self._consensus))
 
     def _list_replicas(self) -> tuple[peers.Peer, ...]:
         members = self._consensus.replica.members.members
--- a/src/lovagesaddle/node/attempts.py
+++ b/src/lovagesaddle/node/attempts.py
@@ -9,6 +9,7 @@
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import call_events as events
 from lovagesaddle.core.routing import chain as chain_lib
+from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import hop
@@ -33,7 +34,7 @@
       headers: Filtered.
       body: The whole body.
       fingerprint: Digest of method, route, target and body.
-      suspect: Whether it may crash a server.
+      verdict: What the quarantine says of it.
     """
 
     request_id: str
@@ -42,7 +43,7 @@
     headers: headers_lib.Headers
     body: bytes
     fingerprint: bytes
-    suspect: bool
+    verdict: quarantine.Verdict
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,6 +82,7 @@
 
 Ended = result.Result[Answered, Failed]
 GONE_STATUS = 499
+FIRST_FAILURE_STATUS = call_lib.FIRST_FAILURE_STATUS
 GONE_REASON = "caller-gone"
 
 
@@ -143,6 +145,8 @@
 
     def run(self, guard: watchdog.Guard) -> Ended:
         """Returns how the call ended; `guard` watches caller and deadline."""
+        if self._passed.verdict is quarantine.Verdict.REFUSED:
+            return self._refuse_quarantined()
         pending: list[events.Event] = [events.Started()]
         while pending:
             event = pending.pop(0)
@@ -154,6 +158,20 @@
             raise AssertionError("call ended without an answer")
         return self._ended
 
+    def _refuse_quarantined(self) -> Ended:
+        _log.info(
+            "quarantined",
+            request=self._passed.request_id,
+            service=self._match.service,
+        )
+        return result.Failure(
+            Failed(
+                status=503,
+                outcome=outcomes.RequestOutcome.NOT_RUN,
+                reason=hop.QUARANTINED,
+            )
+        )
+
     def _carry_out(
         self, action: events.Action, guard: watchdog.Guard
     ) -> events.Event | None:
@@ -251,7 +269,7 @@
             remaining_ms=int(remaining_s * MS_PER_S),
             priority=self._match.route.priority,
             fingerprint=passed.fingerprint,
-            suspect=passed.suspect,
+            suspect=passed.verdict is quarantine.Verdict.SUSPECT,
         )
 
     def _make_answer(self, action: events.AnswerCaller) -> Answered:
--- a/src/lovagesaddle/node/claimed_calls.py
+++ b/src/lovagesaddle/node/claimed_calls.py
@@ -11,9 +11,12 @@
 from lovagesaddle.node import claims as claims_lib
 
 MAX_KEPT_BYTES = 64 * 1024
+REPLAYED = ("Idempotency-Replayed", "true")
+# An earlier request with the key may have run through a node that learnt of
+# the shards before this one, so this is no proof of the contrary.
 NO_SHARDS = attempts.Failed(
     status=503,
-    outcome=outcomes.RequestOutcome.NOT_RUN,
+    outcome=outcomes.RequestOutcome.UNKNOWN,
     reason=claim_events.RefusalReason.NO_MAJORITY.value,
     retry_after_s=1.0,
 )
@@ -78,9 +81,11 @@
 
 
 def _restore(stored: claim_messages.StoredAnswer) -> attempts.Answered:
+    headers = tuple((each.name, each.value) for each in stored.headers)
+    failed = stored.status >= attempts.FIRST_FAILURE_STATUS
     return attempts.Answered(
         status=stored.status,
-        headers=tuple((each.name, each.value) for each in stored.headers),
+        headers=(*headers, REPLAYED),
         body=stored.body,
-        outcome=None,
+        outcome=outcomes.RequestOutcome.UNKNOWN if failed else None,
     )
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -17,7 +17,6 @@
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.http import gateway
 from lovagesaddle.http import headers as headers_lib
-from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import attempts
 from lovagesaddle.node import claimed_calls
@@ -34,6 +33,8 @@
 REQUEST_ID_BYTES = 8
 KEY_HEADER = claim_keys.KEY_HEADER.lower()
 DIGEST_PREFIX = "sha256:"
+# A safe method changes nothing, so its key is passed over.
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 _NOT_RUN = outcomes.RequestOutcome.NOT_RUN
 _log = logs.get_logger("entry")
 
@@ -153,10 +154,6 @@
             target=request.target,
             body_digest=body_digest,
         )
-        verdict = self._suspects.judge(fingerprint)
-        if verdict is quarantine.Verdict.REFUSED:
-            _log.info("quarantined", request=request_id, service=match.service)
-            return gateway.make_failure(503, hop.QUARANTINED, _NOT_RUN)
         passed = attempts.Passed(
             request_id=request_id,
             method=request.method,
@@ -164,11 +161,11 @@
             headers=headers_lib.filter_request(request.headers),
             body=body,
             fingerprint=fingerprint,
-            suspect=verdict is quarantine.Verdict.SUSPECT,
+            verdict=self._suspects.judge(fingerprint),
         )
         runner = self._make_runner(accepted, passed)
         key = request.headers.get(KEY_HEADER)
-        if key is None or match.route.idempotent:
+        if key is None or request.method in SAFE_METHODS:
             ended = self._run(runner, request.is_gone)
         elif claim_keys.is_valid_key(key):
             claim = self._open_claim(
