Compare whole sessions with golden files, byte for byte

Six sessions: first start to first answer, conflicting publishes, leader loss in a publish, drain under traffic, a crashing request, rolling replacement.

--- a/Makefile
+++ b/Makefile
@@ -41,4 +41,4 @@
 	$(BIN)/python -m bench.experiment $(FILE)
 
 golden: setup
-	LOVAGESADDLE_RENEW_GOLDEN=1 $(BIN)/python -m tests
+	LOVAGESADDLE_RENEW_GOLDEN=1 $(BIN)/python -m tests tests.test_golden
--- a/features/support/calls.py
+++ b/features/support/calls.py
@@ -1,5 +1,6 @@
 """Callers, an entry and backend servers with their owners, without links."""
 
+from collections.abc import Callable
 import dataclasses
 
 from tests import routing_mesh
@@ -98,6 +99,7 @@
 
     def __init__(self, servers: int, slots: int) -> None:
         self.now = 0.0
+        self.narrate: Callable[[str], None] = lambda _: None
         self.servers = {
             each.server_id: BackendServer(each.server_id, slots)
             for each in routing_mesh.make_candidates(servers)
@@ -119,8 +121,7 @@
         self.runs.setdefault(name, 0)
         verdict = self._entry.judge(call.fingerprint, self.now)
         if verdict is quarantine_lib.Verdict.REFUSED:
-            told = Told(outcome=outcomes.RequestOutcome.NOT_RUN)
-            call.told.append(told)
+            self._tell(call, Told(outcome=outcomes.RequestOutcome.NOT_RUN))
         else:
             self._step(call, events.Started())
         return call
@@ -138,6 +139,7 @@
     def crash(self, server: BackendServer) -> None:
         """Ends a backend server with everything that it runs."""
         self.deaths += 1
+        self.narrate(f"{server.name} dies")
         died, server.running = server.running, []
         running = tuple(
             quarantine_lib.RunningRequest(
@@ -172,6 +174,9 @@
             if not call.part.is_over and call.timer <= self.now:
                 self._step(call, events.TimerFired())
 
+    def release(self, finished: balancer.Finished) -> None:
+        """Takes how a picked server did."""
+
     def check_told(self) -> None:
         """Checks what no caller may ever be told.
 
@@ -193,7 +198,7 @@
             match action:
                 case events.PickServer():
                     call.newest.append(action.newest)
-                    decision = self._pick(action.tried)
+                    decision = self.pick(action)
                     self._step(call, events.Picked(decision=decision))
                 case events.SendAttempt():
                     call.sent[action.number] = action.server.server_id
@@ -203,12 +208,17 @@
                 case events.SetTimer():
                     call.timer = action.at
                 case events.AnswerCaller():
-                    call.told.append(
-                        Told(answer=call.name, outcome=action.outcome)
-                    )
+                    told = Told(answer=call.name, outcome=action.outcome)
+                    self._tell(call, told)
                 case events.FailCaller():
-                    call.told.append(Told(outcome=action.outcome))
-                case events.ReleaseServer() | events.EndCall():
+                    self.narrate(
+                        f"{call.name} failed status={action.status}"
+                        f" reason={action.reason.value}"
+                    )
+                    self._tell(call, Told(outcome=action.outcome))
+                case events.ReleaseServer():
+                    self.release(action.finished)
+                case events.EndCall():
                     pass
 
     def _hand_over(self, call: Call, sent: events.SendAttempt) -> None:
@@ -240,12 +250,18 @@
         for action in server.owner.step(event, self.now):
             match action:
                 case admission_lib.Admitted():
+                    self.narrate(f"{server.name} admits {action.request_id}")
                     server.running.append(action.request_id)
                     self.runs[_name_of(action.request_id)] += 1
                 case admission_lib.Refused():
+                    self.narrate(
+                        f"{server.name} refuses {action.request_id}"
+                        f" reason={action.reason.value}"
+                    )
                     ending = _ENDINGS.get(action.reason, events.Ending.REFUSED)
                     self._end(action.request_id, ending)
                 case admission_lib.Drained():
+                    self.narrate(f"{server.name} is drained")
                     server.drained = True
 
     def _end(
@@ -256,9 +272,12 @@
         ended = events.AttemptEnded(number=number, ending=ending, status=status)
         self._step(call, ended)
 
-    def _pick(self, tried: frozenset[str]) -> balancer.Decision:
+    def pick(self, asked: events.PickServer) -> balancer.Decision:
+        """Picks the first server that was not tried."""
         left = [
-            each for each in self._candidates if each.server_id not in tried
+            each
+            for each in self._candidates
+            if each.server_id not in asked.tried
         ]
         return balancer.Decision(
             server=left[0] if left else None,
@@ -269,6 +288,12 @@
             eligible=len(left),
         )
 
+    def _tell(self, call: Call, told: Told) -> None:
+        call.told.append(told)
+        word = f"answer to {told.answer}" if told.answer else "no answer"
+        outcome = f" outcome={told.outcome.value}" if told.outcome else ""
+        self.narrate(f"caller of {call.name} gets {word}{outcome}")
+
     def _spread(self, marks: tuple[quarantine_lib.CrashMark, ...]) -> None:
         marked = quarantine_lib.Marked(marks=marks)
         self._entry.step(marked, self.now)
--- /dev/null
+++ b/tests/sessions.py
@@ -0,0 +1,301 @@
+"""Whole sessions in virtual time that write down all that is seen.
+
+A line is what an operator types or reads, a decision of a part, or what a
+caller sends or gets. The same session always gives the same lines.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import random
+
+from features.support import calls as calls_lib
+from features.support import control_vms
+from features.support import files
+from features.support import proxies
+
+from lovagesaddle.cli import views
+from lovagesaddle.core.consensus import events as replica_events
+from lovagesaddle.core.distribution import events
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.routing import balancer as balancer_lib
+from lovagesaddle.core.routing import call_events
+from lovagesaddle.core.routing import explanation
+from lovagesaddle.core.routing import pick_policies
+from lovagesaddle.core.routing import table as table_lib
+from tests import mesh as mesh_lib
+from tests import replica_cluster
+
+BOTH = ("artwork", "orderdesk")
+SLOTS = 2
+TOKEN_DIGEST = "sha256:" + "0a" * 32
+Say = Callable[[str], None]
+
+
+class Transcript:
+    """The lines of a session, with the virtual time."""
+
+    def __init__(self) -> None:
+        self._lines: list[str] = []
+
+    def write(self, text: str) -> None:
+        """Adds lines as they are."""
+        self._lines.extend(text.splitlines())
+
+    def note(self, now: float, text: str) -> None:
+        """Adds a line of a part, with its time in seconds."""
+        self._lines.append(f"  {now:8.3f} {text}")
+
+    def restart(self, text: str) -> None:
+        """Puts `text` in the place of all lines so far."""
+        self._lines = [text]
+
+    def render(self) -> str:
+        """Returns the whole session."""
+        return "\n".join([*self._lines, ""])
+
+
+class PublishingSession(control_vms.ControlVms):
+    """Operators and three control replicas."""
+
+    def __init__(self) -> None:
+        self.transcript = Transcript()
+        super().__init__()
+
+    def type_publish(
+        self, operator: str, revision: int, *, base: int, publish_id: str
+    ) -> control_vms.Attempt:
+        """Sends a publish to the leader."""
+        self.transcript.write(
+            f"{operator}$ lovagesaddle publish services --base {base}"
+            f" --id {publish_id}  # revision {revision}"
+        )
+        found, _ = files.check_files(BOTH, revision)
+        command = control_vms.make_command(operator, publish_id, base, found)
+        return self.send(self.elect(), command)
+
+    def read_answer(self, attempt: control_vms.Attempt) -> None:
+        """Writes down what the operator gets."""
+        found = self.await_answer(attempt)
+        operator = attempt.command.operator
+        text = (
+            "outcome unknown" if found is None else views.describe_result(found)
+        )
+        self.transcript.write(f"{operator}> {text}")
+
+    def show_history(self) -> None:
+        """Writes down the accepted publications of the leader."""
+        kept = reversed(self.read_accepted().publications)
+        text = views.describe_history(each.publication for each in kept)
+        self.transcript.write(f"ana$ lovagesaddle history\n{text}")
+
+    def note(self, text: str) -> None:
+        """Writes down an event with its time."""
+        self.transcript.note(self.now, text)
+
+    def _carry_out(
+        self, host: replica_cluster.Host, action: replica_events.Action
+    ) -> None:
+        if isinstance(action, replica_events.RoleChanged):
+            self.note(
+                f"{host.member.member_id} {action.role.value}"
+                f" term={action.term} leader={action.leader or 'none'}"
+            )
+        if isinstance(action, replica_events.Refuse):
+            self.note(f"{host.member.member_id} refuses: {action.cause}")
+        super()._carry_out(host, action)
+
+
+class _Fleet(proxies.Proxies):
+    def __init__(self, say: Say) -> None:
+        self._say = say
+        super().__init__()
+
+    def commit(self, command: commands.Command | None) -> int:
+        version = super().commit(command)
+        self._say(f"accepted version={version} {_summarise(command)}")
+        return version
+
+    def _carry_out_at_node(
+        self, node_id: str, node: mesh_lib.Member, action: events.Action
+    ) -> None:
+        if isinstance(action, events.LogLine):
+            self._say(f"{node_id} {_describe_line(action)}")
+        super()._carry_out_at_node(node_id, node, action)
+
+
+class _Calls(calls_lib.Mesh):
+    """Calls through the entry that is on proxy `entry`."""
+
+    def __init__(self, session: "FleetSession") -> None:
+        super().__init__(servers=0, slots=SLOTS)
+        self._session = session
+        self._balancer = balancer_lib.Balancer(
+            options=balancer_lib.BalancerOptions(failure_domain="a"),
+            policy=pick_policies.TwoChoicesPick(),
+            source=random.Random(5),
+        )
+        self.narrate = session.note
+
+    def pick(self, asked: call_events.PickServer) -> balancer_lib.Decision:
+        """Picks by the newest table of the entry."""
+        table = table_lib.Table(self._session.read_snapshot())
+        decision = self._balancer.pick(
+            balancer_lib.Pick(
+                service="orderdesk",
+                version=table.version,
+                candidates=table.list_candidates("orderdesk"),
+                tried=asked.tried,
+            ),
+            self.now,
+        )
+        picked = decision.server.server_id if decision.server else "none"
+        self.narrate(
+            f"server_picked server={picked} reason={decision.reason.value}"
+            f" version={decision.version} candidates={decision.candidates}"
+            f" eligible={decision.eligible}"
+        )
+        return decision
+
+    def release(self, finished: balancer_lib.Finished) -> None:
+        """Tells the balancer how a server did."""
+        self._balancer.step(finished, self.now)
+
+
+class FleetSession:
+    """Operators, proxies with backend servers, and callers of one entry."""
+
+    def __init__(self) -> None:
+        self.transcript = Transcript()
+        self.fleet: _Fleet | None = None
+        self._fleet = _Fleet(self._say_early)
+        self.fleet = self._fleet
+        self.calls = _Calls(self)
+        self._incarnations: dict[str, int] = {}
+
+    def start(self, *node_ids: str) -> None:
+        """Starts proxies; the first letter is the failure domain."""
+        for node_id in node_ids:
+            self.note(f"{node_id} starts")
+            self._fleet.add_node(node_id, node_id[0])
+        self.run(3.0)
+
+    def announce(self, *node_ids: str) -> None:
+        """Lets the backend servers beside the proxies announce themselves."""
+        for node_id in node_ids:
+            number = self._incarnations.get(node_id, 0) + 1
+            self._incarnations[node_id] = number
+            server = mesh_lib.make_server(node_id, number)
+            name = server.server_id
+            self.calls.servers[name] = calls_lib.BackendServer(name, SLOTS)
+            event = events.ServerAnnounced(server=server)
+            self._fleet.step(node_id, event)
+        self.run(2.0)
+
+    def drain(self, node_id: str) -> None:
+        """Lets a backend server leave."""
+        self.note(f"{node_id}/orderdesk is told to drain")
+        server = dataclasses.replace(
+            mesh_lib.make_server(node_id, self._incarnations[node_id]),
+            state=snapshots.ServerState.DRAINING,
+        )
+        self.calls.drain(self.calls.servers[server.server_id])
+        self._fleet.step(node_id, events.ServerAnnounced(server=server))
+
+    def leave(self, node_id: str) -> None:
+        """Stops a proxy."""
+        self._fleet.step(node_id, events.LeaveAsked())
+        self.run(1.0)
+        self._fleet.kill(node_id)
+        self.note(f"{node_id} stopped")
+
+    def publish(self, operator: str, revision: int) -> None:
+        """Publishes the order desk and the artwork service."""
+        base = self._fleet.state.publication_version
+        publish_id = f"{operator}-{revision}"
+        self.transcript.write(
+            f"{operator}$ lovagesaddle publish services --wait"
+            f"  # revision {revision}"
+        )
+        found, _ = files.check_files(BOTH, revision)
+        command = control_vms.make_command(operator, publish_id, base, found)
+        self._fleet.commit(command)
+        result = control_vms.find_result(self._fleet.state, publish_id)
+        self.transcript.write(f"{operator}> {views.describe_result(result)}")
+        took_s = self._fleet.run_until_converged()
+        self.transcript.write(
+            f"{operator}> in force on all {len(self._fleet.nodes)} nodes"
+            f" after {took_s:.2f} s"
+        )
+
+    def send(
+        self, name: str, *, idempotent: bool = False, token: bool = True
+    ) -> None:
+        """Sends a caller's request to the entry."""
+        self.transcript.write(f"caller of {name}: GET orderdesk.example/")
+        found = explanation.explain_request(
+            self.read_snapshot(),
+            method="GET",
+            url="http://orderdesk.example/",
+            sender=explanation.Sender(
+                token_digest=TOKEN_DIGEST if token else ""
+            ),
+        )
+        if found.status:
+            self.note(
+                f"{name} refused status={found.status} reason={found.reason}"
+                " outcome=not-run"
+            )
+            return
+        self.calls.now = self._fleet.now
+        self.calls.send(name, idempotent=idempotent)
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        self._fleet.run(seconds)
+        self.calls.pass_time(self._fleet.now - self.calls.now)
+
+    def note(self, text: str) -> None:
+        """Writes down an event with its time since the start."""
+        now = self._fleet.now if self.fleet is not None else 0.0
+        self.transcript.note(now, text)
+
+    def read_snapshot(self) -> snapshots.Snapshot:
+        """Returns what the entry, the first proxy, routes by."""
+        entry = sorted(self._fleet.nodes)[0]
+        return self._fleet.nodes[entry].installed[-1].snapshot
+
+    def _say_early(self, text: str) -> None:
+        self.note(text)
+
+
+def _describe_line(line: events.LogLine) -> str:
+    fields = {
+        "peer": line.peer,
+        "version": line.version,
+        "reason": line.reason,
+        "candidates": ",".join(line.candidates),
+    }
+    pairs = [f"{key}={value}" for key, value in fields.items() if value]
+    return " ".join([line.event.replace(" ", "_"), *pairs])
+
+
+def _summarise(command: commands.Command | None) -> str:
+    match command:
+        case commands.PublishServices():
+            return f"publish={command.publish_id}"
+        case commands.ChangeMembership():
+            joined = [n.node_id for n in command.nodes]
+            servers = [
+                f"{s.server_id}:{s.state.value}" for s in command.servers
+            ]
+            gone = [m.member_id for m in command.gone_nodes]
+            return (
+                f"membership joined={','.join(joined) or '-'}"
+                f" servers={','.join(servers) or '-'}"
+                f" gone={','.join(gone) or '-'}"
+            )
+        case commands.FoundCluster():
+            return f"founded={command.cluster_id}"
+        case _:
+            return type(command).__name__
--- /dev/null
+++ b/tests/test_golden.py
@@ -0,0 +1,155 @@
+"""Compares whole sessions with their golden files, byte for byte.
+
+`make golden` renews the files; the difference is for review.
+"""
+
+import difflib
+import os
+import pathlib
+
+from features.support import calls
+
+from tests import fixtures
+from tests import sessions
+
+FOLDER = pathlib.Path(__file__).resolve().parent / "golden"
+RENEW_VARIABLE = "LOVAGESADDLE_RENEW_GOLDEN"
+
+
+def test_first_start_to_first_answer() -> None:
+    """From three empty processes to the first answer, every line is as is."""
+    session = sessions.FleetSession()
+    session.start("a1", "b1", "c1")
+    session.announce("a1", "b1", "c1")
+    session.publish("ana", 1)
+    session.send("A", token=False)
+    session.send("B")
+    session.calls.answer("B")
+    _compare("first_start.txt", session.transcript)
+
+
+def test_conflicting_publishes() -> None:
+    """Two operators race, the loser looks and publishes again."""
+    session = sessions.PublishingSession()
+    first = session.type_publish("ana", 1, base=0, publish_id="p1")
+    session.read_answer(first)
+    base = session.read_accepted().publication_version
+    ana = session.type_publish("ana", 2, base=base, publish_id="p2")
+    luis = session.type_publish("luis", 3, base=base, publish_id="p3")
+    session.read_answer(ana)
+    session.read_answer(luis)
+    session.read_answer(
+        session.type_publish("luis", 3, base=base, publish_id="p3")
+    )
+    base = session.read_accepted().publication_version
+    session.read_answer(
+        session.type_publish("luis", 3, base=base, publish_id="p4")
+    )
+    session.show_history()
+    _compare("conflicting_publishes.txt", session.transcript)
+
+
+def test_leader_loss_in_a_publish() -> None:
+    """The leader dies with a publish in hand; a resend settles it."""
+    session = sessions.PublishingSession()
+    session.read_answer(session.type_publish("ana", 1, base=0, publish_id="p1"))
+    base = session.read_accepted().publication_version
+    lost = session.type_publish("ana", 2, base=base, publish_id="p2")
+    leader = session.find_leader()
+    session.note(f"{leader} is lost")
+    session.crash(leader)
+    session.read_answer(lost)
+    session.read_answer(
+        session.type_publish("ana", 2, base=base, publish_id="p2")
+    )
+    session.note(f"{leader} returns")
+    session.restart(leader)
+    session.settle()
+    session.show_history()
+    _compare("leader_loss.txt", session.transcript)
+
+
+def test_drain_under_traffic() -> None:
+    """A server leaves while it runs requests and others arrive."""
+    session = _start_fleet()
+    session.send("A")
+    session.send("B")
+    session.drain("a1")
+    session.send("C")
+    session.run(1.0)
+    session.send("D")
+    for name in ("A", "B", "C", "D"):
+        session.calls.answer(name)
+    _compare("drain_under_traffic.txt", session.transcript)
+
+
+def test_crashing_request() -> None:
+    """A request kills two servers and is refused afterwards."""
+    session = _start_fleet()
+    for number in range(1, 5):
+        session.send(f"X#{number}", idempotent=True)
+        while running := _find_poisoned(session):
+            session.calls.crash(running)
+        for server in session.calls.servers.values():
+            session.calls.restart(server, sessions.SLOTS)
+        session.run(0.5)
+    session.send("B")
+    session.calls.answer("B")
+    _compare("crashing_request.txt", session.transcript)
+
+
+def test_rolling_replacement() -> None:
+    """Every proxy and its server are replaced, one after the other."""
+    session = _start_fleet()
+    for number, node_id in enumerate(("a1", "b1", "c1")):
+        session.send(f"before{number}")
+        session.drain(node_id)
+        session.send(f"during{number}")
+        session.calls.answer(f"before{number}")
+        session.calls.answer(f"during{number}")
+        session.run(1.0)
+        session.leave(node_id)
+        session.start(node_id)
+        session.announce(node_id)
+    session.publish("ana", 2)
+    session.send("last")
+    session.calls.answer("last")
+    _compare("rolling_replacement.txt", session.transcript)
+
+
+def _start_fleet() -> sessions.FleetSession:
+    session = sessions.FleetSession()
+    session.start("a1", "b1", "c1")
+    session.announce("a1", "b1", "c1")
+    session.publish("ana", 1)
+    session.transcript.restart("started as in first_start.txt")
+    return session
+
+
+def _find_poisoned(
+    session: sessions.FleetSession,
+) -> calls.BackendServer | None:
+    for server in session.calls.servers.values():
+        if any(attempt.startswith("X#") for attempt in server.running):
+            return server
+    return None
+
+
+def _compare(name: str, transcript: sessions.Transcript) -> None:
+    path = FOLDER / name
+    seen = transcript.render()
+    if os.environ.get(RENEW_VARIABLE):
+        path.write_text(seen, encoding="utf-8")
+        return
+    golden = path.read_text(encoding="utf-8")
+    difference = difflib.unified_diff(
+        golden.splitlines(keepends=True),
+        seen.splitlines(keepends=True),
+        fromfile=f"golden/{name}",
+        tofile="this run",
+    )
+    text = "".join(difference)
+    assert not text, f"\n{text}run make golden if this is meant"
+
+
+load_tests = fixtures.collect(__name__)
