--- a/tests/replica_cluster.py
+++ b/tests/replica_cluster.py
@@ -10,6 +10,7 @@
 import functools
 import hashlib
 import heapq
+import itertools
 import random
 
 from lovagesaddle.core.consensus import entries as entries_lib
@@ -78,7 +79,8 @@
             if persist.drop_log:
                 self.entries.clear()
         for entry in persist.entries:
-            self.entries = [e for e in self.entries if e.index < entry.index]
+            while self.entries and self.entries[-1].index >= entry.index:
+                self.entries.pop()
             self.entries.append(entry)
         return persist.sync_id
 
@@ -91,7 +93,12 @@
 
     def holds(self, entry: entries_lib.Entry) -> bool:
         """Returns whether an entry is synced here."""
-        return entry in self.entries or entry.index <= self.image.index
+        if entry.index <= self.image.index:
+            return True
+        later = itertools.takewhile(
+            lambda held: held.index >= entry.index, reversed(self.entries)
+        )
+        return entry in later
 
 
 @dataclasses.dataclass(slots=True)
