--- a/src/lovagesaddle/core/routing/claim_client.py
+++ b/src/lovagesaddle/core/routing/claim_client.py
@@ -259,6 +259,8 @@
     def _change_shard(
         self, shard: snapshots.Shard, now: float
     ) -> tuple[events.Action, ...]:
+        if shard.number != self._shard.number:
+            return ()
         if shard.epoch <= self._shard.epoch:
             return ()
         released = self._release() if self._phase is _Phase.VOTING else []
--- a/src/lovagesaddle/node/claims.py
+++ b/src/lovagesaddle/node/claims.py
@@ -1,159 +1,156 @@
-"""This node's part in claims on Idempotency-Keys: claimant and holder."""
+"""Claims on Idempotency-Keys: this node's entry and holder sides."""
 
-from collections.abc import Callable
+from concurrent import futures
 import dataclasses
-import os
 import queue
-import random
+import secrets
 import threading
 import time
 import types
 from typing import Self
 
 from lovagesaddle.core import errors
-from lovagesaddle.core.configuration import delta
-from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import claim_client
 from lovagesaddle.core.routing import claim_events as events
 from lovagesaddle.core.routing import claim_holder
 from lovagesaddle.core.routing import claim_keys
 from lovagesaddle.core.routing import claim_messages as messages
-from lovagesaddle.http import watchdog
 from lovagesaddle.node import ports
 from lovagesaddle.observability import logs
 from lovagesaddle.transport import endpoint
 
-TOKEN_BYTES = 8
-HOLDER_TICK_S = 0.1
-_CHANNEL = endpoint.Channel.CLAIMS
-_CODEC = messages.CLAIM_MESSAGES
-_FOR_CLAIMANTS = (messages.ClaimVote, messages.Settled)
+TICK_S = 0.25
+SETTLING_THREADS = 4
+TOKEN_BYTES = 16
+_HOLDER_MESSAGES = (
+    messages.ClaimRequest,
+    messages.StoreRequest,
+    messages.ReleaseRequest,
+    messages.PullRequest,
+    messages.PullAnswer,
+)
 _log = logs.get_logger("claims")
 
-Send = Callable[[str, messages.ClaimMessage], None]
-Decision = events.Run | events.Replay | events.Refuse
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Keyed:
-    """A request with an Idempotency-Key.
+class Wanted:
+    """What a request with a key asks for.
 
     Attributes:
-      claim_id: Digest of service, client and key.
-      request_digest: Digest of method, target and body.
-      deadline: Monotonic time by which the caller has its answer, in seconds.
+      service: Name of the service.
+      client: Who asks, with its kind.
+      key: Value of the Idempotency-Key header.
+      request_digest: Of method, target and body.
+      deadline: Monotonic time, in seconds.
     """
 
-    claim_id: bytes
+    service: str
+    client: str
+    key: str
     request_digest: bytes
     deadline: float
 
 
+Verdict = events.Run | events.Replay | events.Refuse
+
+
 class Claim:
-    """One claim, driven by the thread that serves its caller.
+    """One open claim; driven by the thread that serves its caller.
 
     Args:
-      client: The claimant's state machine.
-      shard_number: Shard that the claim belongs to.
-      send: Sends to a holder.
+      client: State machine.
+      claims: Carries its messages.
     """
 
     def __init__(
-        self,
-        *,
-        client: claim_client.ClaimClient,
-        shard_number: int,
-        send: Send,
+        self, client: claim_client.ClaimClient, claims: "Claims"
     ) -> None:
-        self.shard_number = shard_number
         self._client = client
-        self._send = send
-        self._inbox: queue.SimpleQueue[events.Event | None] = (
-            queue.SimpleQueue()
-        )
-        self._timer_at: float | None = None
-        self._outcome: events.Action | None = None
-        self.is_finished = False
+        self._claims = claims
+        self._events: queue.SimpleQueue[events.Event] = queue.SimpleQueue()
+        self._timer = float("inf")
+        self._finished = False
 
     @property
     def token(self) -> str:
-        """Unique among all claims."""
+        """Names the claim in every message."""
         return self._client.token
 
-    def put(self, event: events.Event) -> None:
-        """Hands over an event; for any thread."""
-        self._inbox.put(event)
-
-    def acquire(self, guard: watchdog.Guard) -> Decision | None:
-        """Returns what is to be done, None when the caller hung up."""
-        self._step(events.Started())
-        with guard.ending(lambda: self._inbox.put(None)):
-            while self._outcome is None:
-                if guard.reason is watchdog.EndReason.CANCELLED:
-                    return None
-                self._wait()
-        outcome, self._outcome = self._outcome, None
-        if isinstance(outcome, (events.Run, events.Replay, events.Refuse)):
-            return outcome
-        raise AssertionError(f"claim decided {outcome}")
+    def post(self, event: events.Event) -> None:
+        """Hands an event over, from any thread."""
+        self._events.put(event)
+
+    def claim(self) -> Verdict:
+        """Waits for the verdict on the claim."""
+        verdict = self._drive(events.Started(), _Verdicts)
+        assert isinstance(verdict, _Verdicts)
+        if not isinstance(verdict, events.Run):
+            self._claims.drop(self)
+        return verdict
 
     def settle(self, ended: events.Ended) -> bool:
         """Tells the holders how the request ended.
 
         Returns:
-          Whether a majority of them keeps it; False when that could not be
-          shown in time.
+          Whether a majority keeps it; what is missing is sent again by
+          another thread.
         """
-        self._step(ended)
-        while self._outcome is None and not self.is_finished:
-            self._wait()
-        outcome, self._outcome = self._outcome, None
-        return isinstance(outcome, events.Settled) and outcome.acknowledged
-
-    def advance(self) -> None:
-        """Goes on without waiting, after its caller is answered or gone."""
-        while not self._inbox.empty():
-            self._take(self._inbox.get())
-        if self._timer_at is not None and time.monotonic() >= self._timer_at:
-            self._take(events.TimerFired())
-        if isinstance(self._outcome, events.Run):
-            # Its caller hung up while it waited for the grants.
-            self._outcome = None
-            self._step(events.Ended(outcome=outcomes.RequestOutcome.NOT_RUN))
-
-    def _wait(self) -> None:
-        if self._timer_at is None:
-            self._take(self._inbox.get())
-            return
-        left_s = self._timer_at - time.monotonic()
-        try:
-            self._take(self._inbox.get(timeout=max(0.0, left_s)))
-        except queue.Empty:
-            self._take(events.TimerFired())
-
-    def _take(self, event: events.Event | None) -> None:
-        if event is None:
-            return
-        if isinstance(event, events.TimerFired):
-            self._timer_at = None
-        self._step(event)
-
-    def _step(self, event: events.Event) -> None:
+        settled = self._drive(ended, (events.Settled,))
+        acknowledged = isinstance(settled, events.Settled) and (
+            settled.acknowledged
+        )
+        if self._finished:
+            self._claims.drop(self)
+        else:
+            self._claims.finish_later(self)
+        return acknowledged
+
+    def finish(self) -> None:
+        """Sends what is missing until the claim can be dropped."""
+        while not self._finished:
+            self._carry_out(self._wait(), ())
+        self._claims.drop(self)
+
+    def _drive(
+        self, event: events.Event, wanted: tuple[type[events.Action], ...]
+    ) -> events.Action | None:
+        found = self._carry_out(event, wanted)
+        while found is None and not self._finished:
+            found = self._carry_out(self._wait(), wanted)
+        return found
+
+    def _carry_out(
+        self, event: events.Event, wanted: tuple[type[events.Action], ...]
+    ) -> events.Action | None:
+        found: events.Action | None = None
         for action in self._client.step(event, time.monotonic()):
+            if isinstance(action, wanted):
+                found = action
             match action:
                 case events.Send():
-                    self._send(action.node_id, action.message)
+                    self._claims.send(action.node_id, action.message)
                 case events.SetTimer():
-                    self._timer_at = action.at
+                    self._timer = action.at
                 case events.Finish():
-                    self.is_finished = True
+                    self._finished = True
                 case _:
-                    self._outcome = action
+                    pass
+        return found
+
+    def _wait(self) -> events.Event:
+        left_s = max(0.0, self._timer - time.monotonic())
+        try:
+            return self._events.get(timeout=min(left_s, TICK_S))
+        except queue.Empty:
+            return events.TimerFired()
+
+
+_Verdicts = (events.Run, events.Replay, events.Refuse)
 
 
 class Claims:
-    """Makes claims and holds those of others, as a context manager.
+    """Every claim that this node makes or holds, as a context manager.
 
     Args:
       node_id: Of this node.
@@ -162,20 +159,20 @@
     def __init__(self, *, node_id: str) -> None:
         self._node_id = node_id
         self._holder = claim_holder.ClaimHolder(node_id=node_id)
+        self._lock = threading.Lock()
+        self._open: dict[str, Claim] = {}
+        self._shards: dict[int, snapshots.Shard] = {}
         self._control: ports.ControlPort | None = None
-        self._shards: tuple[snapshots.Shard, ...] = ()
-        self._claims: dict[str, Claim] = {}
-        self._left: dict[str, Claim] = {}
-        # Reentrant, since a holder's answer to its own node comes at once.
-        self._lock = threading.RLock()
-        self._random = random.Random()
+        self._settling = futures.ThreadPoolExecutor(
+            SETTLING_THREADS, thread_name_prefix="settling"
+        )
         self._stopped = threading.Event()
-        self._thread = threading.Thread(
+        self._ticker = threading.Thread(
             target=self._run, name="claims", daemon=True
         )
 
     def __enter__(self) -> Self:
-        self._thread.start()
+        self._ticker.start()
         return self
 
     def __exit__(
@@ -185,97 +182,99 @@
         trace: types.TracebackType | None,
     ) -> None:
         self._stopped.set()
-        self._thread.join()
+        self._ticker.join()
+        self._settling.shutdown(wait=False, cancel_futures=True)
 
     def connect(self, control: ports.ControlPort) -> None:
         """Sends and receives through the control half from now on."""
         self._control = control
-        control.subscribe(_CHANNEL, self._receive)
+        control.subscribe(endpoint.Channel.CLAIMS, self._receive)
 
-    def install(self, stamped: delta.Stamped, *, joined: bool) -> None:
+    def install(self, snapshot: snapshots.Snapshot, *, joined: bool) -> None:
         """Takes the shard map of a newer snapshot."""
-        snapshot = stamped.snapshot
-        incarnation = 0
-        if joined:
-            incarnation = _find_incarnation(snapshot, self._node_id)
-        with self._lock:
-            self._shards = snapshot.shards
-            self._step_holder(
-                claim_holder.Installed(
-                    shards=snapshot.shards, incarnation=incarnation
-                )
-            )
-            for claim in self._claims.values():
-                shard = snapshot.shards[claim.shard_number]
-                claim.put(events.ShardChanged(shard=shard))
+        incarnation = _find_incarnation(snapshot, self._node_id)
+        installed = claim_holder.Installed(
+            shards=snapshot.shards,
+            incarnation=incarnation if joined else 0,
+        )
+        self._step(installed)
+        for shard in snapshot.shards:
+            held = self._shards.get(shard.number)
+            self._shards[shard.number] = shard
+            if held is not None and held.epoch < shard.epoch:
+                for claim in tuple(self._open.values()):
+                    claim.post(events.ShardChanged(shard=shard))
+
+    def open(self, wanted: Wanted) -> Claim | None:
+        """Returns a claim on a key; None without a shard map."""
+        if not self._shards:
+            return None
+        claim_id = claim_keys.compute_claim_id(
+            service=wanted.service, client=wanted.client, key=wanted.key
+        )
+        number = claim_keys.find_shard(claim_id, len(self._shards))
+        client = claim_client.ClaimClient(
+            options=claim_client.ClaimOptions(
+                claim_id=claim_id,
+                body_digest=wanted.request_digest,
+                token=secrets.token_hex(TOKEN_BYTES),
+                deadline=wanted.deadline,
+                shard=self._shards[number],
+            ),
+            source=secrets.SystemRandom(),
+        )
+        claim = Claim(client, self)
+        self._open[client.token] = claim
+        return claim
 
-    def open(self, keyed: Keyed) -> Claim | None:
-        """Returns a claim to acquire; None when no shard is assigned yet."""
-        with self._lock:
-            if not self._shards:
-                return None
-            number = claim_keys.find_shard(keyed.claim_id, len(self._shards))
-            token = f"{self._node_id}-{os.urandom(TOKEN_BYTES).hex()}"
-            client = claim_client.ClaimClient(
-                options=claim_client.ClaimOptions(
-                    claim_id=keyed.claim_id,
-                    body_digest=keyed.request_digest,
-                    token=token,
-                    deadline=keyed.deadline,
-                    shard=self._shards[number],
-                ),
-                source=self._random,
-            )
-            claim = Claim(client=client, shard_number=number, send=self._send)
-            self._claims[token] = claim
-            return claim
+    def drop(self, claim: Claim) -> None:
+        """Forgets a claim that is over."""
+        self._open.pop(claim.token, None)
 
-    def leave(self, claim: Claim) -> None:
-        """Finishes a claim beside its caller's thread."""
-        with self._lock:
-            self._left[claim.token] = claim
+    def finish_later(self, claim: Claim) -> None:
+        """Sends what a claim still has to send, on another thread."""
+        self._settling.submit(claim.finish)
 
-    def _run(self) -> None:
-        while not self._stopped.wait(HOLDER_TICK_S):
-            with self._lock:
-                self._step_holder(claim_holder.Tick())
-                for token, claim in tuple(self._left.items()):
-                    claim.advance()
-                    if claim.is_finished:
-                        del self._left[token]
-                        del self._claims[token]
+    def send(self, node_id: str, message: messages.ClaimMessage) -> None:
+        """Sends a message to a holder or a claimant, this node included."""
+        if node_id == self._node_id:
+            self._take(node_id, message)
+        elif self._control is not None:
+            data = messages.CLAIM_MESSAGES.encode(message)
+            self._control.send(node_id, endpoint.Channel.CLAIMS, data)
 
     def _receive(self, sender_id: str, data: bytes) -> None:
         try:
-            message = _CODEC.decode(data, peer=sender_id)
+            message = messages.CLAIM_MESSAGES.decode(data, peer=sender_id)
         except errors.CodecError as error:
-            _log.warning("message_dropped", peer=sender_id, cause=error.cause)
+            _log.warning(
+                "message_dropped",
+                step=error.step,
+                peer=error.peer,
+                cause=error.cause,
+            )
             return
-        self._deliver(sender_id, message)
+        self._take(sender_id, message)
 
-    def _deliver(self, sender_id: str, message: messages.ClaimMessage) -> None:
-        with self._lock:
-            if isinstance(message, _FOR_CLAIMANTS):
-                claim = self._claims.get(message.token)
-                if claim is not None:
-                    claim.put(
-                        events.Received(sender_id=sender_id, message=message)
-                    )
-                return
-            self._step_holder(
+    def _take(self, sender_id: str, message: messages.ClaimMessage) -> None:
+        if isinstance(message, _HOLDER_MESSAGES):
+            self._step(
                 claim_holder.Received(sender_id=sender_id, message=message)
             )
+            return
+        claim = self._open.get(message.token)
+        if claim is not None:
+            claim.post(events.Received(sender_id=sender_id, message=message))
 
-    def _step_holder(self, event: claim_holder.Event) -> None:
-        for send in self._holder.step(event, time.monotonic()):
-            self._send(send.node_id, send.message)
+    def _step(self, event: claim_holder.Event) -> None:
+        with self._lock:
+            sends = self._holder.step(event, time.monotonic())
+        for action in sends:
+            self.send(action.node_id, action.message)
 
-    def _send(self, node_id: str, message: messages.ClaimMessage) -> None:
-        if node_id == self._node_id:
-            self._deliver(node_id, message)
-        elif self._control is not None:
-            # A lost message is repeated by whoever waits for its answer.
-            self._control.send(node_id, _CHANNEL, _CODEC.encode(message))
+    def _run(self) -> None:
+        while not self._stopped.wait(TICK_S):
+            self._step(claim_holder.Tick())
 
 
 def _find_incarnation(snapshot: snapshots.Snapshot, node_id: str) -> int:
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -23,7 +23,6 @@
 from lovagesaddle.node import control_half
 from lovagesaddle.node import entry as entry_lib
 from lovagesaddle.node import hops
-from lovagesaddle.node import keyed as keyed_lib
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import ports
@@ -118,6 +117,7 @@
                 self._make_control(self._bound_settings, self._context, self)
             )
             self._servers.connect(control)
+            self._suspects.connect(control)
             self._claims.connect(control)
             self.metrics.set_gauge(
                 "control_bytes_total",
@@ -125,7 +125,6 @@
                 lambda: control.control_bytes,
                 kind="counter",
             )
-            self._suspects.connect(control)
             stack.enter_context(probes.Prober(self._servers))
             self._stack = stack.pop_all()
         _log.info(
@@ -158,8 +157,8 @@
 
     def install(self, stamped: delta.Stamped, *, joined: bool) -> None:
         """Takes a newer snapshot from the control half."""
+        self._claims.install(stamped.snapshot, joined=joined)
         self._routing.install(stamped, joined=joined)
-        self._claims.install(stamped, joined=joined)
 
     def take_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
         """Takes crash marks of other nodes."""
@@ -227,7 +226,7 @@
             carrier=carrier,
             servers=self._servers,
             suspects=self._suspects,
-            keyed=keyed_lib.KeyedCalls(self._claims),
+            claims=self._claims,
             guards=self._guards,
             metrics=self.metrics,
         )
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -46,18 +46,18 @@
     """Merges announcements into one snapshot and installs it everywhere.
 
     Messages between nodes are delivered in order by one thread, but for those
-    to a node in `cut_off`.
+    from or to a node in `cut_off`.
     """
 
     def __init__(self, *services_: services.Service) -> None:
         self._lock = threading.RLock()
-        self._handlers: dict[str, Callable[[str, bytes], None]] = {}
-        self._delivery = futures.ThreadPoolExecutor(max_workers=1)
-        self.cut_off: set[str] = set()
         self._sinks: list[ports.SnapshotSink] = []
         self._snapshot = snapshots.Snapshot(
             cluster_id="c", version=1, services=services_
         )
+        self.handlers: dict[str, Callable[[str, bytes], None]] = {}
+        self._delivery = futures.ThreadPoolExecutor(max_workers=1)
+        self.cut_off: set[str] = set()
         self.joined = True
 
     @property
@@ -86,46 +86,10 @@
         with self._lock:
             self._sinks.append(sink)
             self.change(nodes=self._merge("nodes", "node_id", node))
-        yield _NodeControl(self, settings.node_id)
+        yield _NodePort(self, settings.node_id)
         with self._lock:
             self._sinks.remove(sink)
-            self._handlers.pop(settings.node_id, None)
-
-    def close(self) -> None:
-        """Ends the delivery of messages."""
-        self._delivery.shutdown(wait=True, cancel_futures=True)
-
-    def assign_shards(self) -> None:
-        """Assigns shards to the nodes as a leader does."""
-        with self._lock:
-            command = shard_plan.plan_shards(self._snapshot, shard_count=SHARDS)
-            if command is not None:
-                self.change(
-                    shards=delta.merge(
-                        self._snapshot.shards, command.shards, ()
-                    )
-                )
-
-    def leave(self, node_id: str) -> None:
-        """Takes a node out of the snapshot."""
-        with self._lock:
-            kept = [n for n in self._snapshot.nodes if n.node_id != node_id]
-            self.change(nodes=tuple(kept))
-
-    def subscribe(
-        self, node_id: str, handler: Callable[[str, bytes], None]
-    ) -> None:
-        """Hands messages to a node from now on."""
-        self._handlers[node_id] = handler
-
-    def deliver(self, sender_id: str, node_id: str, data: bytes) -> bool:
-        """Delivers a message between nodes."""
-        handler = self._handlers.get(node_id)
-        if handler is None:
-            return False
-        if not self.cut_off.intersection((sender_id, node_id)):
-            self._delivery.submit(handler, sender_id, data)
-        return True
+            self.handlers.pop(settings.node_id, None)
 
     def change(self, **fields: Any) -> None:
         """Installs a newer snapshot with other fields."""
@@ -159,6 +123,33 @@
         for sink in tuple(self._sinks):
             sink.take_marks(marks)
 
+    def close(self) -> None:
+        """Ends the delivery of messages."""
+        self._delivery.shutdown(wait=True, cancel_futures=True)
+
+    def leave(self, node_id: str) -> None:
+        """Takes a node out of the snapshot."""
+        with self._lock:
+            kept = [n for n in self._snapshot.nodes if n.node_id != node_id]
+            self.change(nodes=tuple(kept))
+
+    def assign_shards(self) -> None:
+        """Assigns shards to the nodes as a leader does."""
+        with self._lock:
+            command = shard_plan.plan_shards(self._snapshot, shard_count=SHARDS)
+            if command is not None:
+                shards = self._snapshot.shards
+                self.change(shards=delta.merge(shards, command.shards, ()))
+
+    def deliver(self, sender_id: str, node_id: str, data: bytes) -> bool:
+        """Delivers a message between nodes."""
+        handler = self.handlers.get(node_id)
+        if handler is None:
+            return False
+        if not self.cut_off.intersection((sender_id, node_id)):
+            self._delivery.submit(handler, sender_id, data)
+        return True
+
     def _merge(self, field: str, key: str, item: Any) -> tuple[Any, ...]:
         held = {getattr(each, key): each for each in self._read(field)}
         held[getattr(item, key)] = item
@@ -169,8 +160,8 @@
         return found
 
 
-class _NodeControl(ports.ControlPort):
-    """One node's handle on the fake control."""
+class _NodePort(ports.ControlPort):
+    """What one node sees of the fake."""
 
     def __init__(self, control: FakeControl, node_id: str) -> None:
         self._control = control
@@ -196,16 +187,16 @@
     def send(
         self, node_id: str, channel: endpoint.Channel, data: bytes
     ) -> bool:
-        """See base class; every channel is that of claims."""
+        """See base class."""
         del channel
         return self._control.deliver(self._node_id, node_id, data)
 
     def subscribe(
         self, channel: endpoint.Channel, handler: Callable[[str, bytes], None]
     ) -> None:
-        """See base class; every channel is that of claims."""
+        """See base class; only one channel is used."""
         del channel
-        self._control.subscribe(self._node_id, handler)
+        self._control.handlers[self._node_id] = handler
 
 
 class Mesh:
--- a/tests/test_keyed.py
+++ b/tests/test_claimed_calls.py
@@ -1,4 +1,4 @@
-"""Tests of requests with an Idempotency-Key through whole nodes."""
+"""Tests of calls behind a claim on their key, through whole nodes."""
 
 from collections.abc import Iterator
 from concurrent import futures
