Don't forget a sync that ends at once

The shell polled the syncer a second time to start the next sync and dropped what that poll returned. A sync that had ended by then was never reported, and every promise behind it stayed held: three replicas stood still for good.

--- a/src/lovagesaddle/control/consensus.py
+++ b/src/lovagesaddle/control/consensus.py
@@ -160,10 +160,8 @@
             proposals = tuple(self._batch)
             self._batch.clear()
             self._step(events.Propose(proposals=proposals))
-        persisted = self._syncer.poll()
-        if persisted is not None:
+        while (persisted := self._syncer.poll()) is not None:
             self._step(persisted)
-            self._syncer.poll()
         self._note_stamp()
 
     def transfer(self, now: float) -> None:
