Judge a request again before each hand-over, and doubt a doubled attempt

An attempt that an owner refuses as a duplicate was counted as proof that the request did not run, though its first copy may be running: a false not-run. It now counts as lost. The quarantine was asked once for each call, so a repetition after a crash was not sent as a suspect and a third server fell; it is asked before each attempt and again when a slot is free.

--- a/src/lovagesaddle/core/routing/admission.py
+++ b/src/lovagesaddle/core/routing/admission.py
@@ -19,7 +19,11 @@
 
 
 class RefusalReason(enum.Enum):
-    """Why an owner refuses a request that it did not start."""
+    """Why an owner refuses a request.
+
+    Each is proof that the request did not run but DUPLICATE: the first copy
+    of the attempt may be running.
+    """
 
     QUEUE_FULL = "queue-full"
     DEADLINE = "deadline"
@@ -114,7 +118,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Refused:
-    """The request did not run and will not.
+    """This copy of the request did not run and will not.
 
     Attributes:
       request_id: Of the request.
--- a/src/lovagesaddle/core/routing/claim_client.py
+++ b/src/lovagesaddle/core/routing/claim_client.py
@@ -14,6 +14,7 @@
 from lovagesaddle.core.routing import claim_ballot
 from lovagesaddle.core.routing import claim_events as events
 from lovagesaddle.core.routing import claim_messages as messages
+from lovagesaddle.core.routing import claim_records
 from lovagesaddle.core.routing import claim_settlement
 from lovagesaddle.core.routing import pick_policies
 
@@ -126,7 +127,9 @@
             body_digest=self._options.body_digest,
             state=state,
             age_s=0.0,
-            expires_s=remaining_s + CLAIM_GRACE_S,
+            expires_s=min(
+                remaining_s + CLAIM_GRACE_S, claim_records.MAX_CLAIM_S
+            ),
         )
 
     def _send_all(self, message: messages.ClaimMessage) -> list[events.Send]:
--- a/src/lovagesaddle/node/attempts.py
+++ b/src/lovagesaddle/node/attempts.py
@@ -221,16 +221,20 @@
     def _send(
         self, action: events.SendAttempt, guard: watchdog.Guard
     ) -> events.Event:
-        outcome = self._carrier.carry(
-            action.server, self._make_request(action), guard
-        )
+        # An earlier attempt may have shown that the request crashes servers.
+        verdict = self._suspects.judge(self._passed.fingerprint)
+        if verdict is quarantine.Verdict.REFUSED:
+            return events.AttemptEnded(
+                number=action.number, ending=events.Ending.QUARANTINED
+            )
+        request = self._make_request(action, verdict)
+        outcome = self._carrier.carry(action.server, request, guard)
         if guard.reason is watchdog.EndReason.CANCELLED:
             return events.CallerGone()
         match outcome:
             case result.Success(answer):
                 self._answers[action.number] = answer
-                if answer.marks:
-                    self._suspects.take_marks(answer.marks)
+                self._learn(answer)
                 return events.AttemptEnded(
                     number=action.number,
                     ending=hops.classify_answer(answer),
@@ -254,7 +258,15 @@
                 )
         raise AssertionError("unreachable")
 
-    def _make_request(self, action: events.SendAttempt) -> hop.RunRequest:
+    def _learn(self, answer: hop.RunAnswer) -> None:
+        if answer.marks:
+            self._suspects.take_marks(answer.marks)
+        if answer.outcome is hop.RunOutcome.ANSWERED:
+            self._suspects.clear(self._passed.fingerprint)
+
+    def _make_request(
+        self, action: events.SendAttempt, verdict: quarantine.Verdict
+    ) -> hop.RunRequest:
         passed = self._passed
         remaining_s = max(0.0, action.deadline - time.monotonic())
         chain = chain_lib.format_headers(action.chain)
@@ -269,7 +281,7 @@
             remaining_ms=int(remaining_s * MS_PER_S),
             priority=self._match.route.priority,
             fingerprint=passed.fingerprint,
-            suspect=passed.verdict is quarantine.Verdict.SUSPECT,
+            suspect=verdict is quarantine.Verdict.SUSPECT,
         )
 
     def _make_answer(self, action: events.AnswerCaller) -> Answered:
--- a/src/lovagesaddle/node/hops.py
+++ b/src/lovagesaddle/node/hops.py
@@ -13,6 +13,7 @@
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import owner as owner_lib
 
+_DUPLICATE = admission.RefusalReason.DUPLICATE.value
 _DRAINING = admission.RefusalReason.DRAINING.value
 _GONE = frozenset(
     {
@@ -113,6 +114,9 @@
     """Returns how an attempt ended, by its owner's word."""
     if answer.outcome is not hop.RunOutcome.REFUSED:
         return _ENDINGS[answer.outcome]
+    if answer.cause == _DUPLICATE:
+        # The first copy of the attempt may be running.
+        return call_events.Ending.LOST
     if answer.cause == _DRAINING:
         return call_events.Ending.DRAINING
     if answer.cause in _GONE:
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -128,9 +128,20 @@
         if not self._claim(request.attempt_id):
             reason = admission.RefusalReason.DUPLICATE.value
             return _refuse_run(request, reason, 0.0, slots)
-        judged = self._suspects.judge(
-            request.fingerprint, hinted=request.suspect
-        )
+        running = self._admit(request, slots, guard)
+        if isinstance(running, hop.RunAnswer):
+            return running
+        slots.start(request.attempt_id, running)
+        return self._hand_over(request, slots, guard, running)
+
+    def _admit(
+        self,
+        request: hop.RunRequest,
+        slots: slots_lib.Slots,
+        guard: watchdog.Guard,
+    ) -> quarantine.RunningRequest | hop.RunAnswer:
+        """Returns what may run now, or the refusal."""
+        judged = self._judge(request)
         if judged is quarantine.Verdict.REFUSED:
             return _refuse_run(request, hop.QUARANTINED, 0.0, slots)
         suspect = judged is quarantine.Verdict.SUSPECT
@@ -151,11 +162,16 @@
             return _refuse_run(
                 request, verdict.reason.value, verdict.retry_after_s, slots
             )
-        running = quarantine.RunningRequest(
+        if self._judge(request) is quarantine.Verdict.REFUSED:
+            # It was found guilty elsewhere while it waited.
+            slots.step(admission.Cancelled(request_id=request.attempt_id))
+            return _refuse_run(request, hop.QUARANTINED, 0.0, slots)
+        return quarantine.RunningRequest(
             fingerprint=request.fingerprint, suspected=suspect
         )
-        slots.start(request.attempt_id, running)
-        return self._hand_over(request, slots, guard, running)
+
+    def _judge(self, request: hop.RunRequest) -> quarantine.Verdict:
+        return self._suspects.judge(request.fingerprint, hinted=request.suspect)
 
     def _hand_over(
         self,
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,131 @@
+"""Tests of carrying out one call at its entry."""
+
+import time
+
+from returns import result
+
+from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.routing import admission
+from lovagesaddle.core.routing import quarantine
+from lovagesaddle.core.routing import table as table_lib
+from lovagesaddle.http import hop
+from lovagesaddle.http import watchdog
+from lovagesaddle.node import attempts
+from lovagesaddle.node import hops
+from lovagesaddle.node import routing as routing_lib
+from lovagesaddle.node import suspects as suspects_lib
+from tests import fixtures
+from tests import routing_mesh
+
+FINGERPRINT = bytes(16)
+TIMEOUT_S = 60.0
+
+
+class ScriptedCarrier(hops.Carrier):
+    """Answers attempts as scripted; each crash is of another server."""
+
+    def __init__(self, *script: hop.RunOutcome, cause: str = "") -> None:
+        self.requests: list[hop.RunRequest] = []
+        self._script = script
+        self._cause = cause
+
+    def carry(
+        self,
+        server: table_lib.Candidate,
+        request: hop.RunRequest,
+        guard: watchdog.Guard,
+    ) -> hops.HopResult:
+        """Returns the next scripted answer."""
+        del guard
+        outcome = self._script[len(self.requests)]
+        self.requests.append(request)
+        crashed = outcome is hop.RunOutcome.CRASHED
+        mark = quarantine.make_mark(
+            server_id=server.server_id,
+            incarnation=server.incarnation,
+            fingerprint=request.fingerprint,
+            suspected=request.suspect,
+        )
+        return result.Success(
+            hop.RunAnswer(
+                attempt_id=request.attempt_id,
+                outcome=outcome,
+                status=200,
+                cause=self._cause,
+                marks=(mark,) if crashed else (),
+            )
+        )
+
+
+def _run(
+    carrier: hops.Carrier, suspects: suspects_lib.Suspects
+) -> attempts.Ended:
+    route = routing_mesh.make_route(
+        idempotent=True, retries=2, timeout_s=TIMEOUT_S
+    )
+    routing = routing_lib.Routing(failure_domain="d0")
+    snapshot = routing_mesh.make_snapshot(route, count=5)
+    routing.install(delta.stamp(snapshot), joined=True)
+    table = routing.table
+    assert table is not None
+    match = table.match(host=routing_mesh.HOST, path="/orders", method="POST")
+    assert isinstance(match, table_lib.Match)
+    arrived_at = time.monotonic()
+    runner = attempts.Runner(
+        passed=attempts.Passed(
+            request_id="r",
+            method="POST",
+            target="/orders",
+            headers=(),
+            body=b"",
+            fingerprint=FINGERPRINT,
+            verdict=suspects.judge(FINGERPRINT),
+        ),
+        match=match,
+        chain=routing_mesh.make_chain(),
+        table=table,
+        arrived_at=arrived_at,
+        routing=routing,
+        carrier=carrier,
+        suspects=suspects,
+    )
+    guard = watchdog.Guard(arrived_at + TIMEOUT_S, lambda: False)
+    return runner.run(guard)
+
+
+def test_repetition_after_a_crash_is_sent_as_a_suspect() -> None:
+    """Two servers fall to one call, and then its request is refused."""
+    crash = hop.RunOutcome.CRASHED
+    suspects = suspects_lib.Suspects()
+    carrier = ScriptedCarrier(crash, crash)
+    _run(carrier, suspects)
+    assert [each.suspect for each in carrier.requests] == [False, True]
+    again = _run(carrier, suspects)
+    assert len(carrier.requests) == 2
+    failed = again.failure()
+    assert failed.outcome is outcomes.RequestOutcome.NOT_RUN
+
+
+def test_answered_request_is_no_suspect_any_more() -> None:
+    """An answer after a crash clears the request at its entry."""
+    suspects = suspects_lib.Suspects()
+    carrier = ScriptedCarrier(hop.RunOutcome.CRASHED, hop.RunOutcome.ANSWERED)
+    _run(carrier, suspects)
+    assert suspects.judge(FINGERPRINT) is quarantine.Verdict.CLEAR
+
+
+def test_doubled_attempt_proves_nothing() -> None:
+    """A second copy that is refused says nothing about the first one."""
+    refused = hop.RunOutcome.REFUSED
+    carrier = ScriptedCarrier(
+        refused,
+        refused,
+        refused,
+        cause=admission.RefusalReason.DUPLICATE.value,
+    )
+    ended = _run(carrier, suspects_lib.Suspects())
+    assert ended.failure().outcome is outcomes.RequestOutcome.UNKNOWN
+
+
+load_tests = fixtures.collect(__name__)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -151,9 +151,9 @@
     entry.fail("s0", 0.0, 1)
     assert "s0" not in entry.sample(1.0)
     assert "s0" in entry.sample(loads.EJECTION_S + 0.1)
-    trial = entry.pick(loads.EJECTION_S + 0.1, frozenset({"s1", "s2"}))
-    assert trial.server is not None
-    assert "s0" not in entry.sample(loads.EJECTION_S + 0.1)
+    others = frozenset({"s1", "s2"})
+    assert entry.pick(loads.EJECTION_S + 0.1, others).server is not None
+    assert entry.pick(loads.EJECTION_S + 0.1, others).server is None
     entry.fail("s0", loads.EJECTION_S + 0.1, 1)
     assert "s0" not in entry.sample(2 * loads.EJECTION_S)
     entry.finish("s0", Result.ANSWERED, 2 * loads.EJECTION_S)
--- a/tests/test_claim_parts.py
+++ b/tests/test_claim_parts.py
@@ -274,6 +274,28 @@
     ]
 
 
+def test_long_call_is_claimed_like_a_short_one() -> None:
+    """A route with a long timeout asks for no more than holders grant."""
+    holder = claim_holder.ClaimHolder(node_id="a")
+    _install(holder, _shard(1), 1)
+    client = claim_client.ClaimClient(
+        options=claim_client.ClaimOptions(
+            claim_id=KEY,
+            body_digest=b"b",
+            token="t",
+            deadline=3600.0,
+            shard=_shard(),
+        ),
+        source=random.Random(1),
+    )
+    action = client.step(claim_events.Started(), 0.0)[0]
+    assert isinstance(action, claim_events.Send)
+    event = claim_holder.Received(sender_id="x", message=action.message)
+    (send,) = holder.step(event, 0.0)
+    assert isinstance(send.message, messages.ClaimVote)
+    assert send.message.vote is Vote.GRANTED
+
+
 def test_acknowledged_release_of_an_old_round_settles_nothing() -> None:
     """Only acknowledgements of the end itself let the caller be answered."""
     client = _start()
