Keep each key in its one shard, and tell a 422 only for what was started

It now needs a request that was started for certain, and votes that are not stale. Retention counts from the claim and not from the handover.

--- a/src/lovagesaddle/core/routing/admission.py
+++ b/src/lovagesaddle/core/routing/admission.py
@@ -199,10 +199,12 @@
                 self._running.pop(event.request_id, None)
             case Drain():
                 self._draining = True
-                self._refuse_waiting(RefusalReason.DRAINING, actions)
+                waiting = self._queue.take_all()
+                self._refuse_all(waiting, RefusalReason.DRAINING, actions)
             case ServerDown():
                 self._down = True
-                self._refuse_waiting(RefusalReason.SERVER_DOWN, actions)
+                waiting = self._queue.take_all()
+                self._refuse_all(waiting, RefusalReason.SERVER_DOWN, actions)
             case ServerUp():
                 self._down = False
                 self._draining = False
@@ -286,14 +288,16 @@
         # An idle server is tried whatever its last runs took: only a run
         # can bring the expected time down again.
         run_s = self._run_s if self._running else 0.0
-        for waiting in self._queue.take_hopeless(run_s, now):
-            actions.append(self._refuse(waiting, RefusalReason.DEADLINE))
+        hopeless = self._queue.take_hopeless(run_s, now)
+        self._refuse_all(hopeless, RefusalReason.DEADLINE, actions)
 
-    def _refuse_waiting(
-        self, reason: RefusalReason, actions: list[Action]
+    def _refuse_all(
+        self,
+        refused: tuple[queues.Waiting, ...],
+        reason: RefusalReason,
+        actions: list[Action],
     ) -> None:
-        for waiting in self._queue.take_all():
-            actions.append(self._refuse(waiting, reason))
+        actions.extend(self._refuse(waiting, reason) for waiting in refused)
 
     def _refuse(
         self, refused: queues.Waiting | Arrived, reason: RefusalReason
--- a/src/lovagesaddle/core/routing/call.py
+++ b/src/lovagesaddle/core/routing/call.py
@@ -13,6 +13,7 @@
 from lovagesaddle.core.routing import balancer
 from lovagesaddle.core.routing import call_events as events
 from lovagesaddle.core.routing import chain as chain_lib
+from lovagesaddle.core.routing import releases
 from lovagesaddle.core.routing import retries
 from lovagesaddle.core.routing import table
 
@@ -23,18 +24,6 @@
 RETRIED_STATUSES = frozenset({502, 503, 504})
 FIRST_FAILURE_STATUS = 500
 
-_RESULTS = {
-    events.Ending.UNREACHABLE: balancer.AttemptResult.UNREACHABLE,
-    events.Ending.REFUSED: balancer.AttemptResult.REFUSED,
-    events.Ending.DRAINING: balancer.AttemptResult.DRAINING,
-    events.Ending.SERVER_DOWN: balancer.AttemptResult.UNREACHABLE,
-    events.Ending.QUARANTINED: balancer.AttemptResult.ABANDONED,
-    events.Ending.ANSWERED: balancer.AttemptResult.ANSWERED,
-    events.Ending.LOST: balancer.AttemptResult.FAILED,
-    events.Ending.CRASHED: balancer.AttemptResult.FAILED,
-    events.Ending.TIMED_OUT: balancer.AttemptResult.FAILED,
-}
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallOptions:
@@ -163,7 +152,7 @@
         server = self._open.pop(event.number, None)
         if server is None:
             return ()
-        released = _release(server, event)
+        released = releases.release(server, event)
         if event.ending is events.Ending.ANSWERED:
             self._may_have_run = True
             if event.status not in RETRIED_STATUSES:
@@ -249,7 +238,7 @@
         actions: list[events.Action] = []
         for number, server in self._open.items():
             actions.append(events.CancelAttempt(number=number))
-            actions.append(_abandon_server(server))
+            actions.append(releases.abandon(server))
         self._open.clear()
         return tuple(actions)
 
@@ -275,7 +264,7 @@
 
     def _release_late(self, event: events.Event) -> tuple[events.Action, ...]:
         if isinstance(event, events.Picked) and event.decision.server:
-            return (_abandon_server(event.decision.server),)
+            return (releases.abandon(event.decision.server),)
         return ()
 
 
@@ -284,26 +273,3 @@
     if remaining_s is None:
         return request.route.timeout_s
     return min(request.route.timeout_s, remaining_s)
-
-
-def _release(
-    server: table.Candidate, event: events.AttemptEnded
-) -> events.ReleaseServer:
-    return events.ReleaseServer(
-        finished=balancer.Finished(
-            server_id=server.server_id,
-            incarnation=server.incarnation,
-            result=_RESULTS[event.ending],
-            feedback=event.feedback,
-        )
-    )
-
-
-def _abandon_server(server: table.Candidate) -> events.ReleaseServer:
-    return events.ReleaseServer(
-        finished=balancer.Finished(
-            server_id=server.server_id,
-            incarnation=server.incarnation,
-            result=balancer.AttemptResult.ABANDONED,
-        )
-    )
--- a/src/lovagesaddle/core/routing/claim_ballot.py
+++ b/src/lovagesaddle/core/routing/claim_ballot.py
@@ -6,6 +6,9 @@
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import claim_messages as messages
 from lovagesaddle.core.routing import claim_pull
+from lovagesaddle.core.routing import claim_records
+
+RETENTION_MARGIN_S = 60.0
 
 
 class Kind(enum.Enum):
@@ -94,17 +97,20 @@
             return Kind.SPLIT
         if not all(_is_ended(record) for record in held):
             return Kind.IN_PROGRESS
-        if same or not self._knows_every_claim():
-            return Kind.ENDED_UNKNOWN
-        return Kind.OTHER_BODY
-
-    def _knows_every_claim(self) -> bool:
-        """Returns whether a claim of a majority would be among the votes."""
-        knowing = sum(
-            vote.vote in (messages.Vote.GRANTED, messages.Vote.HELD)
-            for vote in self._votes.values()
-        )
-        return knowing >= claim_pull.count_blocking(len(self._holders))
+        if not same and any(_has_run(record) for record in held):
+            return Kind.OTHER_BODY
+        return Kind.ENDED_UNKNOWN
+
+
+def _has_run(record: messages.Record) -> bool:
+    """Returns whether the request of a claim was started for certain.
+
+    Then no other request with the key ran or will. A claim that only lapsed
+    may still be released, and one that is old may be forgotten elsewhere.
+    """
+    if record.state is messages.ClaimState.CLAIMED:
+        return False
+    return record.age_s < claim_records.RETENTION_S - RETENTION_MARGIN_S
 
 
 def _is_ended(record: messages.Record) -> bool:
--- a/src/lovagesaddle/core/routing/claim_client.py
+++ b/src/lovagesaddle/core/routing/claim_client.py
@@ -14,14 +14,14 @@
 from lovagesaddle.core.routing import claim_ballot
 from lovagesaddle.core.routing import claim_events as events
 from lovagesaddle.core.routing import claim_messages as messages
-from lovagesaddle.core.routing import claim_records
 from lovagesaddle.core.routing import claim_settlement
+from lovagesaddle.core.routing import claim_writer
 from lovagesaddle.core.routing import pick_policies
 
 ROUND_TIMEOUT_S = 0.25
 POLL_S = 0.05
 UNAVAILABLE_S = 2.0
-CLAIM_GRACE_S = 1.0
+STALE_VOTES_S = 5.0
 
 
 class _Phase(enum.Enum):
@@ -65,6 +65,13 @@
         self._options = options
         self._source = source
         self._shard = options.shard
+        self._writer = claim_writer.ClaimWriter(
+            number=options.shard.number,
+            claim_id=options.claim_id,
+            body_digest=options.body_digest,
+            token=options.token,
+            deadline=options.deadline,
+        )
         self._phase = _Phase.VOTING
         self._round = 0
         self._ballot = claim_ballot.Ballot(
@@ -111,27 +118,11 @@
         request = messages.ClaimRequest(
             shard=self._shard.number,
             epoch=self._shard.epoch,
-            record=self._make_record(messages.ClaimState.CLAIMED, now),
+            record=self._writer.write_claim(self._round, now),
         )
         timer = events.SetTimer(at=self._round_ends_at)
         return (*self._send_all(request), timer)
 
-    def _make_record(
-        self, state: messages.ClaimState, now: float
-    ) -> messages.Record:
-        remaining_s = max(0.0, self._options.deadline - now)
-        return messages.Record(
-            claim_id=self._options.claim_id,
-            token=self._options.token,
-            round=self._round,
-            body_digest=self._options.body_digest,
-            state=state,
-            age_s=0.0,
-            expires_s=min(
-                remaining_s + CLAIM_GRACE_S, claim_records.MAX_CLAIM_S
-            ),
-        )
-
     def _send_all(self, message: messages.ClaimMessage) -> list[events.Send]:
         return [
             events.Send(node_id=holder.node_id, message=message)
@@ -155,6 +146,9 @@
         return self._judge(now, final=False)
 
     def _judge(self, now: float, *, final: bool) -> tuple[events.Action, ...]:
+        if now - self._round_ends_at > STALE_VOTES_S:
+            # This process stood still: the holders may know better by now.
+            return self._pause(now)
         verdict = self._ballot.judge(final=final)
         match verdict.kind:
             case claim_ballot.Kind.OPEN:
@@ -208,15 +202,7 @@
         return self._refuse_unknown(events.RefusalReason.NO_MAJORITY)
 
     def _release(self) -> list[events.Send]:
-        return self._send_all(self._make_release())
-
-    def _make_release(self) -> messages.ReleaseRequest:
-        return messages.ReleaseRequest(
-            shard=self._shard.number,
-            claim_id=self._options.claim_id,
-            token=self._options.token,
-            round=self._round,
-        )
+        return self._send_all(self._writer.write_release(self._round))
 
     def _replay(
         self, answer: messages.StoredAnswer | None
@@ -264,7 +250,8 @@
     ) -> tuple[events.Action, ...]:
         if shard.number != self._shard.number:
             return ()
-        if shard.epoch <= self._shard.epoch:
+        same = shard.number == self._shard.number
+        if not same or shard.epoch <= self._shard.epoch:
             return ()
         released = self._release() if self._phase is _Phase.VOTING else []
         self._shard = shard
@@ -281,24 +268,13 @@
             return ()
         self._phase = _Phase.SETTLING
         settlement = claim_settlement.Settlement(
-            end=self._make_end(event, now), shard=self._shard, started_at=now
+            end=self._writer.write_end(event, self._round, now),
+            shard=self._shard,
+            started_at=now,
         )
         self._settlement = settlement
         return settlement.send(now)
 
-    def _make_end(
-        self, event: events.Ended, now: float
-    ) -> messages.ClaimMessage:
-        if event.outcome is outcomes.RequestOutcome.NOT_RUN:
-            return self._make_release()
-        state = messages.ClaimState.UNKNOWN
-        if event.answer is not None:
-            state = messages.ClaimState.ANSWERED
-        record = dataclasses.replace(
-            self._make_record(state, now), answer=event.answer
-        )
-        return messages.StoreRequest(shard=self._shard.number, record=record)
-
     def _conclude(
         self, actions: tuple[events.Action, ...]
     ) -> tuple[events.Action, ...]:
--- a/src/lovagesaddle/core/routing/claim_records.py
+++ b/src/lovagesaddle/core/routing/claim_records.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import heapq
 
 from lovagesaddle.core.routing import claim_messages as messages
 
@@ -38,9 +39,7 @@
 
     def __init__(self) -> None:
         self._claims: dict[bytes, dict[str, _Kept]] = {}
-        self._ages: collections.deque[tuple[float, bytes, str]] = (
-            collections.deque()
-        )
+        self._ages: list[tuple[float, bytes, str]] = []
         self._released: collections.OrderedDict[str, tuple[float, int]] = (
             collections.OrderedDict()
         )
@@ -91,7 +90,7 @@
     def expire(self, now: float) -> None:
         """Forgets what is older than it has to be."""
         while self._ages and now - self._ages[0][0] > RETENTION_S:
-            _, claim_id, token = self._ages.popleft()
+            _, claim_id, token = heapq.heappop(self._ages)
             held = self._claims.get(claim_id, {}).get(token)
             if held is not None and now - held.claimed_at > RETENTION_S:
                 self._drop(claim_id, token)
@@ -116,7 +115,8 @@
         claimed_at = now - record.age_s
         kept = _Kept(record=record, claimed_at=claimed_at)
         self._claims.setdefault(record.claim_id, {})[record.token] = kept
-        self._ages.append((now, record.claim_id, record.token))
+        age = (claimed_at, record.claim_id, record.token)
+        heapq.heappush(self._ages, age)
         self._answer_bytes += _count_bytes(record)
 
     def _drop(self, claim_id: bytes, token: str) -> None:
--- /dev/null
+++ b/src/lovagesaddle/core/routing/claim_writer.py
@@ -0,0 +1,65 @@
+"""Writes what a claimant tells the holders of its claim."""
+
+import dataclasses
+
+from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.routing import claim_events as events
+from lovagesaddle.core.routing import claim_messages as messages
+from lovagesaddle.core.routing import claim_records
+
+CLAIM_GRACE_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimWriter:
+    """Fields that all messages of one claim share.
+
+    Attributes:
+      number: Of the shard.
+      claim_id: Digest of service, client and key.
+      body_digest: Digest of method, target and body.
+      token: Of the claimant.
+      deadline: Monotonic time by which the caller has its answer, seconds.
+    """
+
+    number: int
+    claim_id: bytes
+    body_digest: bytes
+    token: str
+    deadline: float
+
+    def write_claim(self, round_: int, now: float) -> messages.Record:
+        """Returns the claim as a holder shall keep it."""
+        expires_s = max(0.0, self.deadline - now) + CLAIM_GRACE_S
+        return messages.Record(
+            claim_id=self.claim_id,
+            token=self.token,
+            round=round_,
+            body_digest=self.body_digest,
+            state=messages.ClaimState.CLAIMED,
+            age_s=0.0,
+            expires_s=min(expires_s, claim_records.MAX_CLAIM_S),
+        )
+
+    def write_release(self, round_: int) -> messages.ReleaseRequest:
+        """Returns what gives a round up that did not run."""
+        return messages.ReleaseRequest(
+            shard=self.number,
+            claim_id=self.claim_id,
+            token=self.token,
+            round=round_,
+        )
+
+    def write_end(
+        self, ended: events.Ended, round_: int, now: float
+    ) -> messages.StoreRequest | messages.ReleaseRequest:
+        """Returns what tells how the request ended."""
+        if ended.outcome is outcomes.RequestOutcome.NOT_RUN:
+            return self.write_release(round_)
+        state = messages.ClaimState.UNKNOWN
+        if ended.answer is not None:
+            state = messages.ClaimState.ANSWERED
+        record = dataclasses.replace(
+            self.write_claim(round_, now), state=state, answer=ended.answer
+        )
+        return messages.StoreRequest(shard=self.number, record=record)
--- a/src/lovagesaddle/core/routing/quarantine.py
+++ b/src/lovagesaddle/core/routing/quarantine.py
@@ -8,12 +8,12 @@
 since one that is sent often runs beside every crash.
 """
 
-import collections
 import dataclasses
 import enum
 import hashlib
 
 from lovagesaddle.core import part
+from lovagesaddle.core.routing import answer_memory
 
 FINGERPRINT_BYTES = 16
 MARK_MEMORY_S = 60.0
@@ -22,8 +22,6 @@
 MARKS_TO_REFUSE = 2
 UNSUSPECTED_MARKS_TO_REFUSE = 4
 MAX_RECORDS = 4096
-ANSWER_MEMORY_S = 60.0
-MAX_ANSWERS = 4096
 DEATH_BYTES = 16
 SUSPECTED = b"\x01"
 UNSUSPECTED = b"\x00"
@@ -136,9 +134,7 @@
 
     def __init__(self) -> None:
         self._records: dict[bytes, _Record] = {}
-        self._answers: collections.OrderedDict[bytes, float] = (
-            collections.OrderedDict()
-        )
+        self._answers = answer_memory.AnswerMemory()
 
     def judge(
         self, fingerprint: bytes, now: float, *, hinted: bool = False
@@ -152,7 +148,7 @@
         """
         record = self._records.get(fingerprint)
         if record is None:
-            trusted = not hinted or self._is_trusted(fingerprint, now)
+            trusted = not hinted or self._answers.is_recent(fingerprint, now)
             return Verdict.CLEAR if trusted else Verdict.SUSPECT
         if now < record.refused_until:
             return Verdict.REFUSED
@@ -180,13 +176,13 @@
         if mark.age_s > MARK_MEMORY_S:
             return
         at = now - max(0.0, mark.age_s)
-        if at < self._answers.get(mark.fingerprint, float("-inf")):
+        if at < self._answers.find_last(mark.fingerprint):
             # It has been answered since, so another request was guilty.
             return
         record = self._records.get(mark.fingerprint)
         if record is None or self._is_forgotten(record, now):
             self._make_room(now)
-            trusted = self._is_trusted(mark.fingerprint, now)
+            trusted = self._answers.is_recent(mark.fingerprint, now)
             record = _Record(marks={}, last_at=at, trusted=trusted)
             self._records[mark.fingerprint] = record
         suspected = record.marks.get(mark.death_id, False) or mark.suspected
@@ -202,18 +198,11 @@
         record.trusted = False
 
     def _clear(self, fingerprint: bytes, now: float) -> None:
-        self._answers[fingerprint] = now
-        self._answers.move_to_end(fingerprint)
-        if len(self._answers) > MAX_ANSWERS:
-            self._answers.popitem(last=False)
+        self._answers.note(fingerprint, now)
         record = self._records.get(fingerprint)
         if record is not None and now >= record.refused_until:
             del self._records[fingerprint]
 
-    def _is_trusted(self, fingerprint: bytes, now: float) -> bool:
-        answered_at = self._answers.get(fingerprint, float("-inf"))
-        return now - answered_at < ANSWER_MEMORY_S
-
     def _is_forgotten(self, record: _Record, now: float) -> bool:
         since = max(record.last_at, record.refused_until)
         return now - since > MARK_MEMORY_S
--- /dev/null
+++ b/src/lovagesaddle/core/routing/releases.py
@@ -0,0 +1,42 @@
+"""What the end of an attempt tells the balancer about its server."""
+
+from lovagesaddle.core.routing import balancer
+from lovagesaddle.core.routing import call_events as events
+from lovagesaddle.core.routing import table
+
+_RESULTS = {
+    events.Ending.UNREACHABLE: balancer.AttemptResult.UNREACHABLE,
+    events.Ending.REFUSED: balancer.AttemptResult.REFUSED,
+    events.Ending.DRAINING: balancer.AttemptResult.DRAINING,
+    events.Ending.SERVER_DOWN: balancer.AttemptResult.UNREACHABLE,
+    events.Ending.QUARANTINED: balancer.AttemptResult.ABANDONED,
+    events.Ending.ANSWERED: balancer.AttemptResult.ANSWERED,
+    events.Ending.LOST: balancer.AttemptResult.FAILED,
+    events.Ending.CRASHED: balancer.AttemptResult.FAILED,
+    events.Ending.TIMED_OUT: balancer.AttemptResult.FAILED,
+}
+
+
+def release(
+    server: table.Candidate, event: events.AttemptEnded
+) -> events.ReleaseServer:
+    """Returns what an attempt that ended tells the balancer."""
+    return events.ReleaseServer(
+        finished=balancer.Finished(
+            server_id=server.server_id,
+            incarnation=server.incarnation,
+            result=_RESULTS[event.ending],
+            feedback=event.feedback,
+        )
+    )
+
+
+def abandon(server: table.Candidate) -> events.ReleaseServer:
+    """Returns what an attempt that was given up tells the balancer."""
+    return events.ReleaseServer(
+        finished=balancer.Finished(
+            server_id=server.server_id,
+            incarnation=server.incarnation,
+            result=balancer.AttemptResult.ABANDONED,
+        )
+    )
--- a/src/lovagesaddle/node/claims.py
+++ b/src/lovagesaddle/node/claims.py
@@ -16,6 +16,7 @@
 from lovagesaddle.core.routing import claim_holder
 from lovagesaddle.core.routing import claim_keys
 from lovagesaddle.core.routing import claim_messages as messages
+from lovagesaddle.core.routing import shard_plan
 from lovagesaddle.node import ports
 from lovagesaddle.observability import logs
 from lovagesaddle.transport import endpoint
@@ -206,20 +207,23 @@
                     claim.post(events.ShardChanged(shard=shard))
 
     def open(self, wanted: Wanted) -> Claim | None:
-        """Returns a claim on a key; None without a shard map."""
-        if not self._shards:
-            return None
+        """Returns a claim on a key; None while its shard has no holders."""
         claim_id = claim_keys.compute_claim_id(
             service=wanted.service, client=wanted.client, key=wanted.key
         )
-        number = claim_keys.find_shard(claim_id, len(self._shards))
+        # Not by the shards known so far: another node may know more of them
+        # and would look for the same key elsewhere.
+        number = claim_keys.find_shard(claim_id, shard_plan.SHARD_COUNT)
+        shard = self._shards.get(number)
+        if shard is None:
+            return None
         client = claim_client.ClaimClient(
             options=claim_client.ClaimOptions(
                 claim_id=claim_id,
                 body_digest=wanted.request_digest,
                 token=secrets.token_hex(TOKEN_BYTES),
                 deadline=wanted.deadline,
-                shard=self._shards[number],
+                shard=shard,
             ),
             source=secrets.SystemRandom(),
         )
--- /dev/null
+++ b/tests/test_node_claims.py
@@ -0,0 +1,48 @@
+"""Tests of a node's wiring of claims."""
+
+from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.routing import claim_keys
+from lovagesaddle.core.routing import shard_plan
+from lovagesaddle.node import claims as claims_lib
+from tests import fixtures
+
+
+def _install(claims: claims_lib.Claims, numbers: range) -> None:
+    holder = snapshots.Holder(node_id="n0", incarnation=1)
+    shards = tuple(
+        snapshots.Shard(number=number, epoch=1, holders=(holder,), previous=())
+        for number in numbers
+    )
+    snapshot = snapshots.Snapshot(
+        cluster_id="test", version=len(numbers), shards=shards
+    )
+    claims.install(snapshot, joined=True)
+
+
+def _is_open(claims: claims_lib.Claims, key: str) -> bool:
+    wanted = claims_lib.Wanted(
+        service="desk",
+        client="caller:foundation",
+        key=key,
+        request_digest=b"",
+        deadline=1.0,
+    )
+    return claims.open(wanted) is not None
+
+
+def test_key_belongs_to_one_shard_however_few_are_known() -> None:
+    """While shards are being founded, no key is claimed in a wrong one."""
+    claims = claims_lib.Claims(node_id="n0")
+    known = shard_plan.MAX_SHARDS_PER_COMMAND
+    _install(claims, range(known))
+    for each in range(100):
+        claim_id = claim_keys.compute_claim_id(
+            service="desk", client="caller:foundation", key=str(each)
+        )
+        number = claim_keys.find_shard(claim_id, shard_plan.SHARD_COUNT)
+        assert _is_open(claims, str(each)) is (number < known), each
+    _install(claims, range(shard_plan.SHARD_COUNT))
+    assert all(_is_open(claims, str(each)) for each in range(100))
+
+
+load_tests = fixtures.collect(__name__)
