Expect the time of a run by its priority

An owner gave a request up when the mean time of all runs exceeded the time left. A few uploads of seconds made every lookup of half a second hopeless on a busy server, with slots free.

--- a/src/lovagesaddle/core/routing/admission.py
+++ b/src/lovagesaddle/core/routing/admission.py
@@ -12,9 +12,10 @@
 from lovagesaddle.core.routing import feedback
 from lovagesaddle.core.routing import limits
 from lovagesaddle.core.routing import queues
+from lovagesaddle.core.routing import run_times
+from lovagesaddle.core.routing import running as running_lib
 
 QUEUE_SHARE = 1.0
-RUN_WEIGHT = 0.1
 MIN_RETRY_AFTER_S = 0.05
 
 
@@ -158,10 +159,9 @@
         self._limit = limit
         self._queue = queues.Queue(order)
         self._queue_share = queue_share
-        self._running: dict[str, float] = {}
-        self._running_suspect = ""
+        self._running = running_lib.Running()
         self._arrivals = 0
-        self._run_s = 0.0
+        self._times = run_times.RunTimes()
         self._draining = False
         self._drained = False
         self._down = False
@@ -182,7 +182,7 @@
             running=len(self._running),
             queued=len(self._queue),
             limit=self._limit.limit,
-            latency_s=self._run_s,
+            latency_s=self._times.mean_s,
             draining=self._draining,
         )
 
@@ -196,15 +196,15 @@
                 self._end(event, now)
             case Cancelled():
                 self._queue.remove(event.request_id)
-                self._running.pop(event.request_id, None)
+                self._running.end(event.request_id)
             case Drain():
                 self._draining = True
                 waiting = self._queue.take_all()
-                self._refuse_all(waiting, RefusalReason.DRAINING, actions)
+                actions += self._refuse_all(waiting, RefusalReason.DRAINING)
             case ServerDown():
                 self._down = True
                 waiting = self._queue.take_all()
-                self._refuse_all(waiting, RefusalReason.SERVER_DOWN, actions)
+                actions += self._refuse_all(waiting, RefusalReason.SERVER_DOWN)
             case ServerUp():
                 self._down = False
                 self._draining = False
@@ -248,14 +248,12 @@
         return None
 
     def _end(self, event: Ended, now: float) -> None:
-        started_at = self._running.pop(event.request_id, None)
-        if started_at is None:
+        ended = self._running.end(event.request_id)
+        if ended is None:
             return
-        run_s = now - started_at
+        run_s = now - ended.started_at
         if not event.failed:
-            if not self._run_s:
-                self._run_s = run_s
-            self._run_s += RUN_WEIGHT * (run_s - self._run_s)
+            self._times.note(ended.waiting.priority, run_s)
         self._limit.observe(
             latency_s=run_s,
             running=len(self._running) + 1,
@@ -266,13 +264,11 @@
     def _serve(self, now: float, actions: list[Action]) -> None:
         self._drop_hopeless(now, actions)
         while len(self._running) < self._limit.limit:
-            suspects = self._running_suspect not in self._running
+            suspects = not self._running.has_suspect
             first = self._queue.take_first(suspects=suspects)
             if first is None:
                 break
-            if first.suspect:
-                self._running_suspect = first.request_id
-            self._running[first.request_id] = now
+            self._running.start(first, now)
             actions.append(
                 Admitted(
                     request_id=first.request_id,
@@ -285,19 +281,18 @@
             actions.append(Drained())
 
     def _drop_hopeless(self, now: float, actions: list[Action]) -> None:
-        # An idle server is tried whatever its last runs took: only a run
-        # can bring the expected time down again.
-        run_s = self._run_s if self._running else 0.0
-        hopeless = self._queue.take_hopeless(run_s, now)
-        self._refuse_all(hopeless, RefusalReason.DEADLINE, actions)
+        # A free slot that nobody else waits for is tried whatever the last
+        # runs took: only a run can bring the expected time down again.
+        full = len(self._running) >= self._limit.limit
+        contended = full or len(self._queue) > 1
+        times = self._times if contended else run_times.RunTimes()
+        hopeless = self._queue.take_hopeless(times, now)
+        actions += self._refuse_all(hopeless, RefusalReason.DEADLINE)
 
     def _refuse_all(
-        self,
-        refused: tuple[queues.Waiting, ...],
-        reason: RefusalReason,
-        actions: list[Action],
-    ) -> None:
-        actions.extend(self._refuse(waiting, reason) for waiting in refused)
+        self, refused: tuple[queues.Waiting, ...], reason: RefusalReason
+    ) -> list[Refused]:
+        return [self._refuse(waiting, reason) for waiting in refused]
 
     def _refuse(
         self, refused: queues.Waiting | Arrived, reason: RefusalReason
@@ -306,5 +301,5 @@
         return Refused(
             request_id=refused.request_id,
             reason=reason,
-            retry_after_s=max(MIN_RETRY_AFTER_S, rounds * self._run_s),
+            retry_after_s=max(MIN_RETRY_AFTER_S, rounds * self._times.mean_s),
         )
--- a/src/lovagesaddle/core/routing/claim_client.py
+++ b/src/lovagesaddle/core/routing/claim_client.py
@@ -250,8 +250,7 @@
     ) -> tuple[events.Action, ...]:
         if shard.number != self._shard.number:
             return ()
-        same = shard.number == self._shard.number
-        if not same or shard.epoch <= self._shard.epoch:
+        if shard.epoch <= self._shard.epoch:
             return ()
         released = self._release() if self._phase is _Phase.VOTING else []
         self._shard = shard
--- a/src/lovagesaddle/core/routing/queues.py
+++ b/src/lovagesaddle/core/routing/queues.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from lovagesaddle.core.model import services
+from lovagesaddle.core.routing import run_times
 
 RANKS = {
     services.Priority.URGENT: 0,
@@ -127,12 +128,16 @@
         last = max(self._waiting.values(), key=self._order.rank)
         return self._waiting.pop(last.request_id)
 
-    def take_hopeless(self, run_s: float, now: float) -> tuple[Waiting, ...]:
+    def take_hopeless(
+        self, times: run_times.RunTimes, now: float
+    ) -> tuple[Waiting, ...]:
         """Removes and returns what can't meet its deadline any more."""
         hopeless = tuple(
             waiting
             for waiting in self._waiting.values()
-            if self._order.is_hopeless(waiting, run_s, now)
+            if self._order.is_hopeless(
+                waiting, times.expect(waiting.priority), now
+            )
         )
         for waiting in hopeless:
             del self._waiting[waiting.request_id]
--- /dev/null
+++ b/src/lovagesaddle/core/routing/running.py
@@ -0,0 +1,48 @@
+"""Requests that hold a slot of a backend server."""
+
+import dataclasses
+
+from lovagesaddle.core.routing import queues
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Run:
+    """A request that holds a slot.
+
+    Attributes:
+      waiting: The request as it waited.
+      started_at: When it got its slot, in seconds.
+    """
+
+    waiting: queues.Waiting
+    started_at: float
+
+
+class Running:
+    """What runs now, with at most one suspect among it."""
+
+    def __init__(self) -> None:
+        self._runs: dict[str, Run] = {}
+        self._suspect_id = ""
+
+    def __len__(self) -> int:
+        return len(self._runs)
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._runs
+
+    @property
+    def has_suspect(self) -> bool:
+        """Whether a suspect runs."""
+        return self._suspect_id in self._runs
+
+    def start(self, waiting: queues.Waiting, now: float) -> None:
+        """Gives a slot to a request."""
+        if waiting.suspect:
+            self._suspect_id = waiting.request_id
+        run = Run(waiting=waiting, started_at=now)
+        self._runs[waiting.request_id] = run
+
+    def end(self, request_id: str) -> Run | None:
+        """Frees the slot of a request; None if it holds none."""
+        return self._runs.pop(request_id, None)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -100,6 +100,22 @@
     assert _end(owner, "b", 2.6) == ["deadline d"]
 
 
+def test_slow_uploads_do_not_make_lookups_hopeless() -> None:
+    """A lookup is judged by lookups, whatever uploads take beside it."""
+    owner = _create(2)
+    for now in (0.0, 10.0):
+        name = f"upload{now}"
+        _arrive(owner, name, now=now, deadline=100.0)
+        _end(owner, name, now + 10.0)
+    _arrive(owner, "u1", now=20.0, deadline=100.0)
+    urgent = Priority.URGENT
+    first = _arrive(owner, "l1", now=20.0, deadline=20.5, priority=urgent)
+    assert first == ["run l1"]
+    waiting = _arrive(owner, "l2", now=20.0, deadline=20.5, priority=urgent)
+    assert waiting == []
+    assert _end(owner, "l1", 20.1) == ["run l2"]
+
+
 def test_slow_history_does_not_lock_the_server() -> None:
     """An idle server is tried again however slow its last runs were."""
     owner = _create(1)
--- a/tests/test_claim_parts.py
+++ b/tests/test_claim_parts.py
@@ -235,6 +235,20 @@
     assert not answer.lost
 
 
+def test_holder_that_was_asked_votes_no_more_in_its_epoch() -> None:
+    """Handing claims over ends the votes of the epoch they are from."""
+    holder = claim_holder.ClaimHolder(node_id="a")
+    _install(holder, _shard(1), 1)
+    assert holder.is_ready(0)
+    assert _ask(holder, 2) is not None
+    assert not holder.is_ready(0)
+    request = messages.ClaimRequest(shard=0, epoch=1, record=_record())
+    event = claim_holder.Received(sender_id="x", message=request)
+    (send,) = holder.step(event, 0.0)
+    assert isinstance(send.message, messages.ClaimVote)
+    assert send.message.vote is Vote.WRONG_EPOCH
+
+
 def test_holder_that_lags_behind_does_not_say_lost() -> None:
     """Only a later life of the asked node has lost its memory for sure."""
     holder = claim_holder.ClaimHolder(node_id="a")
