--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -97,6 +97,7 @@
         while before != len(self.active_channels):
             before = len(self.active_channels)
             self.handle_accept()
+        self.accepting = False
         wasyncore.dispatcher.close(self)
 
     def close_idle(self, quiet_since: float) -> None:
@@ -165,9 +166,18 @@
         """The bound `ip:port`."""
         return f"{self._server.effective_host}:{self._server.effective_port}"
 
+    def answer_with_close(self) -> None:
+        """Adds `Connection: close` to every answer from now on."""
+        self._server.stopping = True
+
+    def count_busy(self) -> int:
+        """Returns how many connections hold a request or an answer."""
+        held = tuple(self._server.active_channels.values())
+        return sum(not each.idle for each in held)
+
     def close_listener(self) -> None:
         """Takes no new connection; answers carry `Connection: close`."""
-        if not self._server.stopping:
+        if self._server.accepting:
             closed = threading.Event()
             self._call(self._server.stop_listening, closed)
             closed.wait(JOIN_S)
--- a/src/lovagesaddle/node/claims.py
+++ b/src/lovagesaddle/node/claims.py
@@ -205,6 +205,10 @@
                 for claim in tuple(self._open.values()):
                     claim.post(events.ShardChanged(shard=shard))
 
+    def count_open(self) -> int:
+        """Returns how many claims of this node are not over."""
+        return len(self._open)
+
     def open(self, wanted: Wanted) -> Claim | None:
         """Returns a claim on a key; None without a shard map."""
         if not self._shards:
--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -101,11 +101,17 @@
             for service in tuple(self._entries):
                 self.withdraw(service, reason)
 
-    def drain_all(self) -> None:
-        """Drains every server, for a stop of the node."""
+    def drain_server(self, server_id: str) -> None:
+        """Drains a server that is announced; one that is gone needs none."""
         with self._lock:
-            for service in tuple(self._entries):
-                self.drain(service)
+            for service, entry in tuple(self._entries.items()):
+                if entry.server.server_id == server_id:
+                    self.drain(service)
+
+    def list_server_ids(self) -> tuple[str, ...]:
+        """Returns the IDs of the announced servers."""
+        with self._lock:
+            return tuple(e.server.server_id for e in self._entries.values())
 
     def withdraw(self, service: str, reason: str) -> None:
         """Forgets a server that is gone.
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -106,12 +106,10 @@
         slots = self._slots.get(server_id)
         return slots is not None and slots.dead
 
-    def wait_until_idle(self, deadline: float) -> bool:
-        """Waits until no server runs anything; False at the deadline."""
-        return all(
-            slots.wait_until_idle(deadline)
-            for slots in tuple(self._slots.values())
-        )
+    def is_idle(self, server_id: str) -> bool:
+        """Returns whether a server runs nothing, or is gone."""
+        slots = self._slots.get(server_id)
+        return slots is None or slots.is_idle()
 
     def run(
         self, request: hop.RunRequest, guard: watchdog.Guard
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -4,7 +4,6 @@
 import contextlib
 import dataclasses
 import pathlib
-import time
 import types
 from typing import Self
 
@@ -28,6 +27,7 @@
 from lovagesaddle.node import ports
 from lovagesaddle.node import probes
 from lovagesaddle.node import routing as routing_lib
+from lovagesaddle.node import shutdown
 from lovagesaddle.node import slots as slots_lib
 from lovagesaddle.node import suspects as suspects_lib
 from lovagesaddle.observability import logs
@@ -38,7 +38,6 @@
 MAX_ADMIN_BODY_BYTES = 64 * 1024
 # An envelope holds the headers beside the body.
 ENVELOPE_MARGIN_BYTES = 64 * 1024
-DRAIN_NOTICE_S = 1.0
 _log = logs.get_logger("node")
 
 Context = zmq.Context[zmq.Socket[bytes]]
@@ -165,35 +164,17 @@
         self._suspects.take_marks(marks)
 
     def shut_down(self) -> bool:
-        """Drains the local servers, answers what is held, stops listening.
-
-        The listener outlives the drain, since the local server may still call
-        other services to finish what it runs.
-
-        Returns:
-          Whether nothing was cut.
-        """
+        """Stops gracefully; returns whether nothing was cut."""
         self._stopping = True
-        deadline = time.monotonic() + self._settings.drain_s
         _log.info("node_draining", node=self._settings.node_id)
-        self._servers.drain_all()
-        drained = self._owner.wait_until_idle(deadline)
-        self._linger(deadline)
-        left_s = max(0.0, deadline - time.monotonic())
-        whole = self._http.stop(grace_s=left_s)
+        whole = shutdown.Shutdown(
+            servers=self._servers,
+            owner=self._owner,
+            http=self._http,
+            claims=self._claims,
+        ).run(self._settings.drain_s)
         self._servers.withdraw_all("stopped")
-        _log.info(
-            "node_drained",
-            node=self._settings.node_id,
-            whole=whole and drained,
-        )
-        return whole and drained
-
-    def _linger(self, deadline: float) -> None:
-        """Refuses new attempts until other nodes know of the drain."""
-        left_s = max(0.0, deadline - time.monotonic())
-        if self._servers.list_announced():
-            time.sleep(min(DRAIN_NOTICE_S, left_s))
+        return whole
 
     @property
     def _bound_settings(self) -> schema.NodeSettings:
--- /dev/null
+++ b/src/lovagesaddle/node/shutdown.py
@@ -0,0 +1,78 @@
+"""Carries out the graceful shutdown of a node."""
+
+import time
+
+from lovagesaddle.core.routing import drain
+from lovagesaddle.http import server as server_lib
+from lovagesaddle.node import claims as claims_lib
+from lovagesaddle.node import local_servers
+from lovagesaddle.node import owner as owner_lib
+from lovagesaddle.observability import logs
+
+POLL_S = 0.02
+IDLE_GRACE_S = 1.0
+_log = logs.get_logger("shutdown")
+
+
+class Shutdown:
+    """Drains the local servers, answers what is held, stops listening.
+
+    Args:
+      servers: The local servers.
+      owner: Runs their attempts.
+      http: Server towards callers and other nodes.
+      claims: Ends of claims that holders have to be told.
+    """
+
+    def __init__(
+        self,
+        *,
+        servers: local_servers.LocalServers,
+        owner: owner_lib.Owner,
+        http: server_lib.HttpServer,
+        claims: claims_lib.Claims,
+    ) -> None:
+        self._servers = servers
+        self._owner = owner
+        self._http = http
+        self._claims = claims
+        self._drain = drain.Drain()
+        self._exit: drain.Exit | None = None
+
+    def run(self, bound_s: float) -> bool:
+        """Shuts down within `bound_s`; returns whether nothing was cut."""
+        begin = drain.Begin(
+            bound_s=bound_s, servers=self._servers.list_server_ids()
+        )
+        self._step(begin)
+        while self._exit is None:
+            time.sleep(POLL_S)
+            for server_id in begin.servers:
+                if self._owner.is_idle(server_id):
+                    self._step(drain.ServerDrained(server_id=server_id))
+            self._step(
+                drain.EntryChanged(
+                    in_progress=self._http.count_busy(),
+                    settling=self._claims.count_open(),
+                )
+            )
+        whole = not self._exit.cut and not self._exit.busy_servers
+        _log.info(
+            "node_drained",
+            whole=whole,
+            cut=self._exit.cut,
+            busy_servers=",".join(self._exit.busy_servers),
+        )
+        return self._http.stop(grace_s=IDLE_GRACE_S) and whole
+
+    def _step(self, event: drain.Event) -> None:
+        for action in self._drain.step(event, time.monotonic()):
+            match action:
+                case drain.DrainServer():
+                    self._servers.drain_server(action.server_id)
+                case drain.AnswerWithClose():
+                    self._http.answer_with_close()
+                case drain.CloseListeners():
+                    self._http.close_listener()
+                case drain.Exit():
+                    self._exit = action
--- a/src/lovagesaddle/node/slots.py
+++ b/src/lovagesaddle/node/slots.py
@@ -71,7 +71,6 @@
             queue_share=options.queue_share,
         )
         self.lock = threading.Lock()
-        self.idle = threading.Condition(self.lock)
         self.down = False
         self.draining = False
         self.dead = False
@@ -133,14 +132,8 @@
             self.dead = True
             return tuple(self._running.values())
 
-    def wait_until_idle(self, deadline: float) -> bool:
-        """Waits until nothing runs or waits; False at the deadline."""
-        with self.idle:
-            return self.idle.wait_for(
-                self._is_idle, max(0.0, deadline - time.monotonic())
-            )
-
-    def _is_idle(self) -> bool:
+    def is_idle(self) -> bool:
+        """Returns whether nothing runs or waits."""
         return not (self.admission.running or self.admission.waiting)
 
     def _step(self, event: admission.Event) -> None:
@@ -150,8 +143,6 @@
             waiter = self._waiters.pop(action.request_id, None)
             if waiter is not None:
                 waiter.decide(action)
-        if self._is_idle():
-            self.idle.notify_all()
 
 
 def _refuse(
