--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -6,6 +6,7 @@
 import json
 import pathlib
 import tempfile
+import time
 from typing import Any
 
 from bench import admin as admin_lib
@@ -13,9 +14,16 @@
 from bench import stand_in
 
 from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.model import services as services_lib
+from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import chain
+from lovagesaddle.core.routing import quarantine
+from lovagesaddle.http import client
 from lovagesaddle.http import hop
+from lovagesaddle.http import watchdog
+from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import program
+from lovagesaddle.node import suspects as suspects_lib
 from tests import fixtures
 from tests import nodes
 
@@ -186,9 +194,10 @@
 
 def test_caller_that_hangs_up_frees_its_slot() -> None:
     """Closing the caller's connection cancels the run behind two hops."""
-    with _run_mesh() as (_, started, server):
+    service = nodes.make_service(timeout_s=60.0)
+    with _run_mesh(services=(service,)) as (_, started, server):
         for node in started:
-            gone = nodes.open_request(node.http_address, Run_Ms="4000")
+            gone = nodes.open_request(node.http_address, Run_Ms="50000")
             nodes.wait_for(lambda: server.state.running, "the run to start")
             gone.close()
             nodes.wait_for(
@@ -222,7 +231,7 @@
         futures.ThreadPoolExecutor() as pool,
     ):
         calls = [
-            pool.submit(nodes.send, node.http_address, "POST", Run_Ms="300")
+            pool.submit(nodes.send, node.http_address, "POST", Run_Ms="1500")
             for node in started
         ]
         nodes.wait_for(lambda: server.state.running == 2, "both runs")
@@ -231,6 +240,7 @@
             lambda: nodes.send(started[1].http_address).status == 503,
             "new work to be refused",
         )
+        assert server.state.running == 2
         assert [call.result().status for call in calls] == [200, 200]
         assert stopped.result()
 
@@ -301,6 +311,47 @@
         assert server.state.most_running == 0
 
 
+def test_owner_refuses_what_its_entry_does_not_know() -> None:
+    """An owner that knows a crashing request refuses it for any entry."""
+    suspects = suspects_lib.Suspects()
+    marks = tuple(
+        quarantine.make_mark(
+            server_id="n/s", incarnation=life, fingerprint=b"f", suspected=True
+        )
+        for life in range(4)
+    )
+    suspects.take_marks(marks)
+    with client.Pool() as pool:
+        owner = owner_lib.Owner(pool=pool, suspects=suspects)
+        server = snapshots.BackendServer(
+            server_id="n/s",
+            incarnation=9,
+            service="s",
+            node_id="n",
+            slots=1,
+            connections=1,
+            state=snapshots.ServerState.SERVING,
+        )
+        owner.open(server, "127.0.0.1:1")
+        answer = owner.run(
+            hop.RunRequest(
+                attempt_id="a.1",
+                server_id="n/s",
+                incarnation=9,
+                method="GET",
+                target="/",
+                headers=(),
+                body=b"",
+                remaining_ms=1000,
+                priority=services_lib.Priority.NORMAL,
+                fingerprint=b"f",
+            ),
+            watchdog.Guard(time.monotonic() + nodes.WAIT_S, lambda: False),
+        )
+    assert answer.outcome is hop.RunOutcome.REFUSED
+    assert answer.cause == hop.QUARANTINED
+
+
 def test_crashing_request_is_kept_from_further_servers() -> None:
     """A request that crashed two servers is refused, others are not."""
     with (
