--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -9,8 +9,6 @@
 import dataclasses
 import enum
 import http.client
-import select
-import socket
 import threading
 import time
 import types
@@ -22,6 +20,7 @@
 from lovagesaddle.core.routing import chain
 from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import responses
+from lovagesaddle.http import sockets
 from lovagesaddle.http import watchdog
 
 CONNECT_TIMEOUT_S = 1.0
@@ -166,16 +165,16 @@
                 idle = stack.pop()
             except IndexError:
                 break
-            if now - idle.since < MAX_IDLE_S and _is_quiet(idle.connection):
+            if now - idle.since < MAX_IDLE_S and sockets.is_quiet(
+                idle.connection.sock
+            ):
                 return idle.connection
             idle.connection.close()
-        host, _, port = address.rpartition(":")
+        host, port = sockets.parse_address(address)
         timeout_s = min(CONNECT_TIMEOUT_S, guard.remaining_s)
         if timeout_s <= 0:
             raise TimeoutError("no time is left to connect")
-        connection = http.client.HTTPConnection(
-            host.strip("[]"), int(port), timeout=timeout_s
-        )
+        connection = http.client.HTTPConnection(host, port, timeout=timeout_s)
         connection.response_class = responses.StrictResponse
         connection.connect()
         return connection
@@ -206,15 +205,6 @@
     return ""
 
 
-def _is_quiet(connection: http.client.HTTPConnection) -> bool:
-    """Whether nothing arrived on an idle connection, not even its end."""
-    if connection.sock is None:
-        return False
-    poll = select.poll()
-    poll.register(connection.sock, select.POLLIN | select.POLLHUP)
-    return not poll.poll(0)
-
-
 def _exchange(
     connection: http.client.HTTPConnection,
     address: str,
@@ -225,7 +215,7 @@
     sock.settimeout(max(watchdog.SCAN_S, guard.remaining_s))
     step = "send request"
     try:
-        with guard.ending(lambda: _shut_down(sock)):
+        with guard.ending(lambda: sockets.shut_down(sock)):
             _send(connection, request)
             step = "read answer"
             response = connection.getresponse()
@@ -290,13 +280,5 @@
     return FailureKind.MALFORMED
 
 
-def _shut_down(sock: socket.socket) -> None:
-    try:
-        sock.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        # The peer closed the connection first.
-        return
-
-
 def _fail(step: str, peer: str, cause: str, kind: FailureKind) -> ExchangeError:
     return ExchangeError(step=step, peer=peer, cause=cause, kind=kind)
--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -17,6 +17,7 @@
 from lovagesaddle.core import errors
 from lovagesaddle.http import lanes
 from lovagesaddle.http import parser
+from lovagesaddle.http import sockets
 
 CONNECTION_LIMIT = 4096
 BACKLOG = 1024
@@ -227,11 +228,11 @@
             self._server.trigger.pull_trigger(run)
 
     def _listen(self) -> _Server:
-        host, _, port = self._options.address.rpartition(":")
+        host, port = sockets.parse_address(self._options.address)
         sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            sock.bind((host.strip("[]"), int(port)))
+            sock.bind((host, port))
         except OSError as error:
             sock.close()
             raise errors.TransportError(
--- /dev/null
+++ b/src/lovagesaddle/http/sockets.py
@@ -0,0 +1,37 @@
+"""Small helpers on TCP sockets and their addresses."""
+
+import select
+import socket
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Returns host and port of `ip:port` or `[ip]:port`."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def is_quiet(sock: socket.socket | None) -> bool:
+    """Returns whether nothing arrived on an idle socket, not even its end."""
+    if sock is None:
+        return False
+    poll = select.poll()
+    poll.register(sock, select.POLLIN | select.POLLHUP)
+    return not poll.poll(0)
+
+
+def shut_down(sock: socket.socket) -> None:
+    """Ends a socket in both directions, whoever waits on it."""
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The peer closed the connection first.
+        return
+
+
+def accepts(address: str, timeout_s: float) -> bool:
+    """Returns whether something listens at an address."""
+    try:
+        with socket.create_connection(parse_address(address), timeout_s):
+            return True
+    except OSError:
+        return False
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -1,7 +1,6 @@
 """Owner side of a node: admits attempts and runs them on the local server."""
 
 import collections
-import socket
 import threading
 
 from returns import result
@@ -10,9 +9,10 @@
 from lovagesaddle.core.routing import admission
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.http import client
-from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import hop
+from lovagesaddle.http import sockets
 from lovagesaddle.http import watchdog
+from lovagesaddle.node import run_answers
 from lovagesaddle.node import slots as slots_lib
 from lovagesaddle.node import suspects as suspects_lib
 from lovagesaddle.observability import logs
@@ -20,15 +20,6 @@
 SEEN_ATTEMPTS = 65_536
 DEATH_CHECK_S = 0.2
 REFUSED_UNKNOWN = "server-unknown"
-SHEDDING_STATUSES = frozenset({429, 503})
-_OUTCOMES = {
-    client.FailureKind.CLOSED: hop.RunOutcome.BROKEN,
-    client.FailureKind.TRUNCATED: hop.RunOutcome.BROKEN,
-    client.FailureKind.MALFORMED: hop.RunOutcome.BROKEN,
-    client.FailureKind.TOO_LARGE: hop.RunOutcome.BROKEN,
-    client.FailureKind.TIMEOUT: hop.RunOutcome.TIMEOUT,
-    client.FailureKind.CANCELLED: hop.RunOutcome.CANCELLED,
-}
 _log = logs.get_logger("owner")
 
 
@@ -122,15 +113,15 @@
         """
         slots = self._slots.get(request.server_id)
         if slots is None:
-            return _refuse_run(request, REFUSED_UNKNOWN, 0.0, None)
+            return run_answers.refuse(request, REFUSED_UNKNOWN, None)
         if not self._claim(request.attempt_id):
             reason = admission.RefusalReason.DUPLICATE.value
-            return _refuse_run(request, reason, 0.0, slots)
+            return run_answers.refuse(request, reason, slots)
         judged = self._suspects.judge(
             request.fingerprint, hinted=request.suspect
         )
         if judged is quarantine.Verdict.REFUSED:
-            return _refuse_run(request, hop.QUARANTINED, 0.0, slots)
+            return run_answers.refuse(request, hop.QUARANTINED, slots)
         suspect = judged is quarantine.Verdict.SUSPECT
         arrived = admission.Arrived(
             request_id=request.attempt_id,
@@ -146,8 +137,8 @@
                 server=request.server_id,
                 reason=verdict.reason.value,
             )
-            return _refuse_run(
-                request, verdict.reason.value, verdict.retry_after_s, slots
+            return run_answers.refuse(
+                request, verdict.reason.value, slots, verdict.retry_after_s
             )
         running = quarantine.RunningRequest(
             fingerprint=request.fingerprint, suspected=suspect
@@ -168,7 +159,7 @@
                 slots.address, _format_request(request), guard
             )
             answer = self._describe(request, outcome, slots, guard, running)
-            failed = _has_failed(answer)
+            failed = run_answers.has_failed(answer)
         finally:
             slots.finish(request.attempt_id, failed=failed)
         return answer
@@ -184,16 +175,7 @@
         match outcome:
             case result.Success(reply):
                 self._suspects.clear(request.fingerprint)
-                return hop.RunAnswer(
-                    attempt_id=request.attempt_id,
-                    outcome=hop.RunOutcome.ANSWERED,
-                    status=reply.status,
-                    headers=headers_lib.filter_answer(
-                        reply.headers, bodyless=request.method == "HEAD"
-                    ),
-                    body=reply.body,
-                    load=slots.admission.report(),
-                )
+                return run_answers.pass_on(request, reply, slots)
             case result.Failure(error):
                 return self._describe_failure(
                     request, error, slots, guard, running
@@ -220,28 +202,14 @@
             if guard.remaining_s:
                 self.mark_down(request.server_id)
             reason = admission.RefusalReason.SERVER_DOWN.value
-            return _refuse_run(request, reason, 0.0, slots)
+            return run_answers.refuse(request, reason, slots)
         if error.kind is client.FailureKind.CLOSED and self._is_dead(slots):
             return self._describe_crash(request, slots, running)
-        return hop.RunAnswer(
-            attempt_id=request.attempt_id,
-            outcome=_OUTCOMES[error.kind],
-            cause=error.kind.value,
-            load=slots.admission.report(),
-        )
+        return run_answers.report_failure(request, error.kind, slots)
 
     def _is_dead(self, slots: slots_lib.Slots) -> bool:
         """Tells a dead server from one that only closed a connection."""
-        if slots.dead:
-            return True
-        host, _, port = slots.address.rpartition(":")
-        try:
-            with socket.create_connection(
-                (host.strip("[]"), int(port)), DEATH_CHECK_S
-            ):
-                return False
-        except OSError:
-            return True
+        return slots.dead or not sockets.accepts(slots.address, DEATH_CHECK_S)
 
     def _describe_crash(
         self,
@@ -260,19 +228,7 @@
                     running=buried,
                 )
             )
-        mark = quarantine.make_mark(
-            server_id=server.server_id,
-            incarnation=server.incarnation,
-            fingerprint=request.fingerprint,
-            suspected=running.suspected,
-        )
-        return hop.RunAnswer(
-            attempt_id=request.attempt_id,
-            outcome=hop.RunOutcome.CRASHED,
-            cause="server-died",
-            load=slots.admission.report(),
-            marks=(mark,),
-        )
+        return run_answers.report_crash(request, slots, running)
 
     def _claim(self, attempt_id: str) -> bool:
         """Returns whether this is the first time an attempt is seen."""
@@ -292,24 +248,3 @@
         headers=dict(request.headers),
         body=request.body,
     )
-
-
-def _has_failed(answer: hop.RunAnswer) -> bool:
-    if answer.outcome is not hop.RunOutcome.ANSWERED:
-        return True
-    return answer.status in SHEDDING_STATUSES
-
-
-def _refuse_run(
-    request: hop.RunRequest,
-    reason: str,
-    retry_after_s: float,
-    slots: slots_lib.Slots | None,
-) -> hop.RunAnswer:
-    return hop.RunAnswer(
-        attempt_id=request.attempt_id,
-        outcome=hop.RunOutcome.REFUSED,
-        cause=reason,
-        retry_after_s=retry_after_s,
-        load=slots.admission.report() if slots is not None else None,
-    )
--- a/src/lovagesaddle/node/probes.py
+++ b/src/lovagesaddle/node/probes.py
@@ -1,10 +1,10 @@
 """Probes the local backend servers, so that dead ones are withdrawn."""
 
-import socket
 import threading
 import types
 from typing import Self
 
+from lovagesaddle.http import sockets
 from lovagesaddle.node import local_servers
 
 PROBE_S = 1.0
@@ -47,16 +47,12 @@
                 self._probe(announcement)
 
     def _probe(self, announcement: local_servers.Announcement) -> None:
-        host, _, port = announcement.address.rpartition(":")
-        try:
-            with socket.create_connection(
-                (host.strip("[]"), int(port)), PROBE_TIMEOUT_S
-            ):
-                self._servers.count_hit(announcement.service)
-        except OSError:
-            misses = self._servers.count_miss(announcement.service)
-            if misses >= MISSES_TO_WITHDRAW:
-                self._withdraw(announcement.service)
+        if sockets.accepts(announcement.address, PROBE_TIMEOUT_S):
+            self._servers.count_hit(announcement.service)
+            return
+        misses = self._servers.count_miss(announcement.service)
+        if misses >= MISSES_TO_WITHDRAW:
+            self._withdraw(announcement.service)
 
     def _withdraw(self, service: str) -> None:
         try:
--- /dev/null
+++ b/src/lovagesaddle/node/run_answers.py
@@ -0,0 +1,90 @@
+"""What an owner answers to an entry."""
+
+from lovagesaddle.core.routing import quarantine
+from lovagesaddle.http import client
+from lovagesaddle.http import headers as headers_lib
+from lovagesaddle.http import hop
+from lovagesaddle.node import slots as slots_lib
+
+SHEDDING_STATUSES = frozenset({429, 503})
+SERVER_DIED = "server-died"
+_OUTCOMES = {
+    client.FailureKind.CLOSED: hop.RunOutcome.BROKEN,
+    client.FailureKind.TRUNCATED: hop.RunOutcome.BROKEN,
+    client.FailureKind.MALFORMED: hop.RunOutcome.BROKEN,
+    client.FailureKind.TOO_LARGE: hop.RunOutcome.BROKEN,
+    client.FailureKind.TIMEOUT: hop.RunOutcome.TIMEOUT,
+    client.FailureKind.CANCELLED: hop.RunOutcome.CANCELLED,
+}
+
+
+def pass_on(
+    request: hop.RunRequest, reply: client.Reply, slots: slots_lib.Slots
+) -> hop.RunAnswer:
+    """Returns the whole answer of the backend server."""
+    return hop.RunAnswer(
+        attempt_id=request.attempt_id,
+        outcome=hop.RunOutcome.ANSWERED,
+        status=reply.status,
+        headers=headers_lib.filter_answer(
+            reply.headers, bodyless=request.method == "HEAD"
+        ),
+        body=reply.body,
+        load=slots.admission.report(),
+    )
+
+
+def refuse(
+    request: hop.RunRequest,
+    reason: str,
+    slots: slots_lib.Slots | None,
+    retry_after_s: float = 0.0,
+) -> hop.RunAnswer:
+    """Returns the proof that a request was not handed over."""
+    return hop.RunAnswer(
+        attempt_id=request.attempt_id,
+        outcome=hop.RunOutcome.REFUSED,
+        cause=reason,
+        retry_after_s=retry_after_s,
+        load=slots.admission.report() if slots is not None else None,
+    )
+
+
+def report_failure(
+    request: hop.RunRequest, kind: client.FailureKind, slots: slots_lib.Slots
+) -> hop.RunAnswer:
+    """Returns how a run failed that was handed over."""
+    return hop.RunAnswer(
+        attempt_id=request.attempt_id,
+        outcome=_OUTCOMES[kind],
+        cause=kind.value,
+        load=slots.admission.report(),
+    )
+
+
+def report_crash(
+    request: hop.RunRequest,
+    slots: slots_lib.Slots,
+    running: quarantine.RunningRequest,
+) -> hop.RunAnswer:
+    """Returns that the server died, with the mark of the request."""
+    mark = quarantine.make_mark(
+        server_id=slots.server.server_id,
+        incarnation=slots.server.incarnation,
+        fingerprint=request.fingerprint,
+        suspected=running.suspected,
+    )
+    return hop.RunAnswer(
+        attempt_id=request.attempt_id,
+        outcome=hop.RunOutcome.CRASHED,
+        cause=SERVER_DIED,
+        load=slots.admission.report(),
+        marks=(mark,),
+    )
+
+
+def has_failed(answer: hop.RunAnswer) -> bool:
+    """Returns whether the server failed or shed the request."""
+    if answer.outcome is not hop.RunOutcome.ANSWERED:
+        return True
+    return answer.status in SHEDDING_STATUSES
