--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -102,6 +102,16 @@
     assert reasons[3] is Reason.NO_ROOM, reasons
 
 
+def test_full_servers_are_chosen_between_two_and_not_among_all() -> None:
+    """Without room, a stale report doesn't draw every entry to one server."""
+    entry = Entry(routing_mesh.make_candidates(6))
+    for number in range(6):
+        running = 30 if number == 1 else 40
+        entry.finish(f"s{number}", Result.ANSWERED, 0.0, _report(running))
+    counts = entry.sample(0.01)
+    assert counts["s1"] < 0.45 * 200, counts
+
+
 def test_reported_load_of_other_entries_counts() -> None:
     """A server that its owner reports as busy is passed over."""
     entry = Entry(routing_mesh.make_candidates(2, domains=1))
@@ -141,6 +151,9 @@
     entry.fail("s0", 0.0, 1)
     assert "s0" not in entry.sample(1.0)
     assert "s0" in entry.sample(loads.EJECTION_S + 0.1)
+    trial = entry.pick(loads.EJECTION_S + 0.1, frozenset({"s1", "s2"}))
+    assert trial.server is not None
+    assert "s0" not in entry.sample(loads.EJECTION_S + 0.1)
     entry.fail("s0", loads.EJECTION_S + 0.1, 1)
     assert "s0" not in entry.sample(2 * loads.EJECTION_S)
     entry.finish("s0", Result.ANSWERED, 2 * loads.EJECTION_S)
