--- /dev/null
+++ b/bench/distribution_methods.py
@@ -0,0 +1,73 @@
+"""Ways of distribution that are measured beside the relay tree."""
+
+import abc
+
+from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import follower
+from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import tree
+from lovagesaddle.core.distribution import wire
+from lovagesaddle.core.model import snapshots
+from lovagesaddle.node import control_half
+
+LEADER = "r0"
+
+
+class PushedFollower(follower.Follower):
+    """Hangs on the leader, as every other node does."""
+
+    def _make_plan(self, snapshot: snapshots.Snapshot) -> tree.Plan:
+        del snapshot
+        leaders = tuple(p for p in self._replicas if p.peer_id == LEADER)
+        return tree.Plan(eager=leaders, lazy=())
+
+
+class PollingFollower(follower.Follower):
+    """Asks one replica for news once in each heartbeat."""
+
+    _poll_at = 0.0
+
+    def _make_plan(self, snapshot: snapshots.Snapshot) -> tree.Plan:
+        del snapshot
+        return tree.Plan(eager=(), lazy=())
+
+    def _tick(self, now: float) -> tuple[events.Action, ...]:
+        actions = super()._tick(now)
+        if self._holding.held is None or now < self._poll_at:
+            return actions
+        self._poll_at = now + self._heartbeat_s
+        name = self._joining.node.node_id
+        replica = self._replicas[hash(name) % len(self._replicas)]
+        pull = messages.Pull(
+            version=self._holding.version,
+            digest=self._holding.digest,
+            least=0,
+        )
+        return (*actions, events.Send(peer=replica, frame=wire.encode(pull)))
+
+
+class Node(control_half.ControlHalf, abc.ABC):
+    """A control half without an HTTP half."""
+
+
+class TreeNode(Node):
+    """Follows over the relay tree."""
+
+
+class PushedNode(Node):
+    """Follows the leader."""
+
+    follower_type = PushedFollower
+
+
+class PollingNode(Node):
+    """Polls a replica."""
+
+    follower_type = PollingFollower
+
+
+NODE_TYPES: dict[str, type[Node]] = {
+    "tree": TreeNode,
+    "push": PushedNode,
+    "poll": PollingNode,
+}
--- a/src/lovagesaddle/core/distribution/follower.py
+++ b/src/lovagesaddle/core/distribution/follower.py
@@ -225,13 +225,14 @@
         if snapshot.nodes is self._planned:
             return
         self._planned = snapshot.nodes
-        self._parents.set_plan(
-            tree.make_plan(
-                snapshot,
-                self._joining.node.node_id,
-                self._failure_domain,
-                self._replicas,
-            )
+        self._parents.set_plan(self._make_plan(snapshot))
+
+    def _make_plan(self, snapshot: snapshots.Snapshot) -> tree.Plan:
+        return tree.make_plan(
+            snapshot,
+            self._joining.node.node_id,
+            self._failure_domain,
+            self._replicas,
         )
 
     def _note_acks(self, now: float, *, changed: bool = False) -> None:
--- a/src/lovagesaddle/node/control_half.py
+++ b/src/lovagesaddle/node/control_half.py
@@ -42,8 +42,13 @@
       http_address: `ip:port` where the node serves callers.
       sink: Takes versions and crash marks.
       context: ZeroMQ context of the process.
+
+    Attributes:
+      follower_type: Class of the follower.
     """
 
+    follower_type = follower_lib.Follower
+
     def __init__(
         self,
         *,
@@ -110,8 +115,10 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Ends the thread and closes the links."""
+        """Ends the thread and closes the links; a second call is harmless."""
         with self._lock:
+            if self._stopping:
+                return
             self._endpoint.wake()
             self._stopping = True
         self._thread.join(STOP_TIMEOUT_S)
@@ -187,7 +194,7 @@
             )
             for replica in settings.replicas
         )
-        return follower_lib.Follower(
+        return self.follower_type(
             node=node,
             life=life,
             cluster_id=settings.cluster_id,
--- a/src/lovagesaddle/transport/endpoint.py
+++ b/src/lovagesaddle/transport/endpoint.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import math
 import types
 from typing import Self
 
@@ -155,7 +156,9 @@
 
     def receive(self, timeout_s: float) -> tuple[Received, ...]:
         """Returns what arrived, after waiting `timeout_s` at most."""
-        ready = dict(self._poller.poll(int(max(0.0, timeout_s) * MS_PER_S)))
+        # Rounded down, the last millisecond would be spent polling for nothing.
+        wait_ms = math.ceil(max(0.0, timeout_s) * MS_PER_S)
+        ready = dict(self._poller.poll(wait_ms))
         arrived: list[Received] = []
         for socket in ready:
             if socket is self._wake_in:
--- a/tests/test_control_half.py
+++ b/tests/test_control_half.py
@@ -214,6 +214,8 @@
         halves[0].spread_marks((mark,))
         _wait(lambda: sinks[1].marks == [mark])
         assert not sinks[0].marks
+        halves[0].stop()
+        halves[0].stop()
 
 
 load_tests = fixtures.collect(__name__)
--- a/tests/test_endpoint.py
+++ b/tests/test_endpoint.py
@@ -1,5 +1,7 @@
 """Tests of the ZeroMQ endpoint on loopback."""
 
+from unittest import mock
+
 import zmq
 
 from lovagesaddle.transport import endpoint
@@ -70,4 +72,16 @@
         assert client.traffic_bytes == sum(c.size for c in sent)
 
 
+def test_a_short_wait_is_not_spent_polling() -> None:
+    """A wait below a millisecond blocks and does not return at once."""
+    with (
+        zmq.Context() as context,
+        endpoint.Endpoint(context=context, own_id="n1") as waiting,
+        mock.patch.object(zmq.Poller, "poll", return_value=[]) as poll,
+    ):
+        waiting.receive(0.0004)
+        waiting.receive(0.0)
+    assert [call.args[0] for call in poll.call_args_list] == [1, 0]
+
+
 load_tests = fixtures.collect(__name__)
