--- a/tests/test_control_half.py
+++ b/tests/test_control_half.py
@@ -142,7 +142,8 @@
     )
 
 
-def _wait(done: Callable[[], bool]) -> None:
+def wait(done: Callable[[], bool]) -> None:
+    """Waits until `done()` holds."""
     deadline = time.monotonic() + WAIT_S
     while not done():
         assert time.monotonic() < deadline, "condition did not come true"
@@ -167,16 +168,16 @@
                     context=context,
                 )
             )
-        _wait(lambda: len(control.replica.state.snapshot.nodes) == 6)
+        wait(lambda: len(control.replica.state.snapshot.nodes) == 6)
         control.published.set()
-        _wait(
+        wait(
             lambda: all(
                 sink.installed and sink.installed[-1].snapshot.services
                 for sink in sinks
             )
         )
         version = sinks[0].installed[-1].version
-        _wait(lambda: not control.fleet.list_lagging(version))
+        wait(lambda: not control.fleet.list_lagging(version))
         assert control.fleet.find_version_in_force() >= version
 
 
@@ -201,7 +202,7 @@
                 lambda sender, data: heard.append((sender, data)),
             )
             halves.append(stack.enter_context(half))
-        _wait(
+        wait(
             lambda: all(
                 sink.installed and len(sink.installed[-1].snapshot.nodes) == 2
                 for sink in sinks
@@ -209,10 +210,10 @@
         )
         assert halves[0].send("n1", endpoint.Channel.CLAIMS, b"claim")
         assert not halves[0].send("n9", endpoint.Channel.CLAIMS, b"claim")
-        _wait(lambda: heard == [("n0", b"claim")])
+        wait(lambda: heard == [("n0", b"claim")])
         mark = ports.CrashMark(fingerprint=b"f", mark_id=b"m", age_s=0.0)
         halves[0].spread_marks((mark,))
-        _wait(lambda: sinks[1].marks == [mark])
+        wait(lambda: sinks[1].marks == [mark])
         assert not sinks[0].marks
         halves[0].stop()
         halves[0].stop()
