--- a/src/lovagesaddle/control/fleet.py
+++ b/src/lovagesaddle/control/fleet.py
@@ -6,6 +6,7 @@
 from lovagesaddle.core import errors
 from lovagesaddle.core.distribution import events
 from lovagesaddle.core.distribution import source as source_lib
+from lovagesaddle.core.distribution import source_events
 from lovagesaddle.core.model import peers
 from lovagesaddle.transport import endpoint as endpoint_lib
 from lovagesaddle.transport import lines
@@ -72,7 +73,7 @@
             if peer.peer_id != self._own_id
         )
         leaders = [peer for peer in others if peer.peer_id == view.leader_id]
-        observed = source_lib.Observed(
+        observed = source_events.Observed(
             stamped=view.stamped,
             is_leader=view.is_leader,
             leader=leaders[0] if leaders else None,
@@ -89,18 +90,18 @@
         """Returns the version that every reporting node holds at least."""
         return self._source.find_version_in_force()
 
-    def _step(self, event: source_lib.SourceEvent, now: float) -> None:
+    def _step(self, event: source_events.SourceEvent, now: float) -> None:
         self._now = now
         for action in self._source.step(event, now):
             self._carry_out(action)
 
-    def _carry_out(self, action: source_lib.SourceAction) -> None:
+    def _carry_out(self, action: source_events.SourceAction) -> None:
         match action:
             case events.Send():
                 self._send(action)
             case events.Answer():
                 self._endpoint.answer(action.route, self.channel, action.frame)
-            case source_lib.Propose():
+            case source_events.Propose():
                 self._propose(action)
             case events.Disconnect():
                 self._endpoint.disconnect(action.peer)
@@ -115,15 +116,15 @@
         except errors.TransportError as error:
             lines.write_error(error)
 
-    def _propose(self, proposal: source_lib.Propose) -> None:
+    def _propose(self, proposal: source_events.Propose) -> None:
         def _note_applied(version: int) -> None:
-            applied = source_lib.EntryApplied(
+            applied = source_events.EntryApplied(
                 ticket=proposal.ticket, version=version
             )
             self._step(applied, self._now)
 
         def _note_refused(cause: str) -> None:
-            refused = source_lib.EntryRefused(
+            refused = source_events.EntryRefused(
                 ticket=proposal.ticket, cause=cause
             )
             self._step(refused, self._now)
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -14,6 +14,7 @@
 from lovagesaddle.core.distribution import events
 from lovagesaddle.core.distribution import follower as follower_lib
 from lovagesaddle.core.distribution import source as source_lib
+from lovagesaddle.core.distribution import source_events
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import peers
 from lovagesaddle.core.model import services
@@ -163,7 +164,9 @@
         )
 
     def step(
-        self, process_id: str, event: source_lib.SourceEvent | events.NodeEvent
+        self,
+        process_id: str,
+        event: source_events.SourceEvent | events.NodeEvent,
     ) -> None:
         """Gives one event to a process and carries out its actions."""
         if process_id in self.replicas:
@@ -184,7 +187,7 @@
                 )
             leads = replica_id == self.leader_id
             leader = self.replicas.get(self.leader_id)
-            observed = source_lib.Observed(
+            observed = source_events.Observed(
                 stamped=replica.stamped,
                 is_leader=leads,
                 leader=None if leads or leader is None else leader.peer,
@@ -198,13 +201,13 @@
             self.step(replica_id, observed)
 
     def _carry_out_at_replica(
-        self, replica_id: str, action: source_lib.SourceAction
+        self, replica_id: str, action: source_events.SourceAction
     ) -> None:
-        if not isinstance(action, source_lib.Propose):
+        if not isinstance(action, source_events.Propose):
             self._move(replica_id, 0, action)
         elif replica_id not in self._lags:
             version = self.commit(action.command)
-            applied = source_lib.EntryApplied(
+            applied = source_events.EntryApplied(
                 ticket=action.ticket, version=version
             )
             self.step(replica_id, applied)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -171,4 +171,24 @@
     assert kinds.count("SnapshotPush") == 2
 
 
+def test_only_replicas_speak_for_others() -> None:
+    """A node can neither forward for another one nor speak as it."""
+    mesh = mesh_lib.Mesh()
+    mesh.add_node("n1")
+    mesh.add_node("n2")
+    mesh.run(3)
+    leave = messages.Leave(
+        node_id="n2", incarnation=mesh.nodes["n2"].part.node.incarnation
+    )
+    forward = messages.Forward(origin_id="n2", data=wire.encode(leave))
+    for sender, message in (("n1", forward), ("n1", leave), ("r1", forward)):
+        frame = wire.encode(message)
+        arrival = events.Arrival(sender_id=sender, route=b"x", frame=frame)
+        mesh.step("r0", arrival)
+        mesh.run(2)
+        (listed,) = [n for n in mesh.state.snapshot.nodes if n.node_id == "n2"]
+        stayed = listed.incarnation == leave.incarnation
+        assert stayed is (sender == "n1"), sender
+
+
 load_tests = fixtures.collect(__name__)
