--- a/src/lovagesaddle/core/distribution/children.py
+++ b/src/lovagesaddle/core/distribution/children.py
@@ -1,5 +1,6 @@
 """The children of a parent: who they are, what they hold, what they get."""
 
+import collections
 import dataclasses
 
 from lovagesaddle.core.distribution import acks
@@ -7,11 +8,15 @@
 from lovagesaddle.core.distribution import history as history_lib
 from lovagesaddle.core.distribution import limiter as limiter_lib
 from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import tree
 from lovagesaddle.core.distribution import wire
+from lovagesaddle.core.model import peers
 from lovagesaddle.core.model import stamps
 
 SILENT_BEATS = 2.5
 BEHIND_RETRY_S = 0.2
+KEPT_SERVED = 32
+HELPERS = 3
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -55,6 +60,9 @@
         self._limiter = limiter
         self._heartbeat_s = heartbeat_s
         self._children: dict[str, Child] = {}
+        self._served: collections.deque[str] = collections.deque(
+            maxlen=KEPT_SERVED
+        )
         self._next_beat_at = 0.0
         self._changed = False
 
@@ -124,18 +132,33 @@
             )
         frame = self._history.make_update(pull.version, pull.digest)
         if frame is None:
-            after_s = self._limiter.take(now)
-            frame = (
-                wire.encode(messages.RetryLater(after_s=after_s))
-                if after_s
-                else self._history.make_whole()
-            )
+            frame = self._serve_whole(arrival.sender_id, now)
         child = self._children.get(arrival.sender_id)
         if child is not None:
             child.version = self._history.version
             child.digest = self._history.digest
         return (events.Answer(route=arrival.route, frame=frame),)
 
+    def _serve_whole(self, sender_id: str, now: float) -> bytes:
+        after_s = self._limiter.take(now)
+        if after_s:
+            later = messages.RetryLater(
+                after_s=after_s, helpers=self._list_served()
+            )
+            return wire.encode(later)
+        if sender_id not in self._served:
+            self._served.append(sender_id)
+        return self._history.make_whole()
+
+    def _list_served(self) -> tuple[peers.Peer, ...]:
+        self._served.rotate(1)
+        wanted = set(tuple(self._served)[:HELPERS])
+        newest = self._history.newest
+        listed = newest.snapshot.nodes if newest is not None else ()
+        return tuple(
+            tree.make_peer(node) for node in listed if node.node_id in wanted
+        )
+
     def drop(self, sender_id: str) -> None:
         """Forgets a child that has another parent now."""
         if self._children.pop(sender_id, None) is not None:
--- a/src/lovagesaddle/core/distribution/fetching.py
+++ b/src/lovagesaddle/core/distribution/fetching.py
@@ -10,6 +10,9 @@
 PULL_AFTER_S = 0.3
 ANSWER_TIMEOUT_S = 1.0
 RETRY_CAP_S = 8.0
+BETWEEN_TRIES_S = 0.1
+TRIES = 4
+KEPT_HELPERS = 8
 
 
 class Fetching:
@@ -30,7 +33,8 @@
         self._whole = False
         self._turn = 0
         self._next_at = 0.0
-        self._asked: peers.Peer | None = None
+        self._helpers: tuple[peers.Peer, ...] = ()
+        self._refusals = 0
         self._backoff = backoff_lib.Backoff(
             first_s=ANSWER_TIMEOUT_S, cap_s=RETRY_CAP_S, random=random
         )
@@ -57,7 +61,7 @@
     def note_installed(self) -> None:
         """Notes a new version, which fills some gaps."""
         self._whole = False
-        self._asked = None
+        self._refusals = 0
         self._next_at = 0.0
         self._backoff.reset()
         version = self._holding.version
@@ -67,28 +71,38 @@
             if seen > version
         }
 
-    def hear_later(self, after_s: float, now: float) -> None:
-        """Takes a refusal with the time of the reserved turn."""
-        wait_s = min(after_s, RETRY_CAP_S)
-        self._next_at = now + wait_s * (1 + self._random.random() / 2)
-        self._asked = None
+    def set_helpers(self, helpers: tuple[peers.Peer, ...]) -> None:
+        """Takes nodes that may serve the first snapshot."""
+        self._helpers = helpers
+
+    def hear_later(self, later: messages.RetryLater, now: float) -> None:
+        """Takes a refusal; others are asked before the reserved turn."""
+        known = set(self._helpers)
+        fresh = tuple(peer for peer in later.helpers if peer not in known)
+        self._helpers = (*fresh, *self._helpers)[:KEPT_HELPERS]
+        self._refusals += 1
+        spread = 1 + self._random.random() / 2
+        if self._holding.held is None and self._refusals % TRIES:
+            self._turn = 0 if fresh else self._turn
+            self._next_at = now + BETWEEN_TRIES_S * spread
+        else:
+            self._next_at = now + min(later.after_s, RETRY_CAP_S) * spread
 
     def tick(
-        self, sources: tuple[peers.Peer, ...], now: float
+        self, replicas: tuple[peers.Peer, ...], now: float
     ) -> tuple[events.Action, ...]:
         """Pulls when a gap has lasted long enough.
 
         Args:
-          sources: Whom to ask while nothing is held, in turn.
+          replicas: Whom to ask while nothing is held, after the helpers.
           now: Monotonic time in seconds.
         """
         if now < self._next_at:
             return ()
-        source = self._choose(sources, now)
+        source = self._choose((*self._helpers, *replicas), now)
         if source is None:
             return ()
         self._next_at = now + self._backoff.draw()
-        self._asked = source
         digest = b"" if self._whole else self._holding.digest
         pull = messages.Pull(
             version=self._holding.version,
--- a/src/lovagesaddle/core/distribution/follower.py
+++ b/src/lovagesaddle/core/distribution/follower.py
@@ -73,7 +73,8 @@
             holding=self._holding, random=random
         )
         self._marks = marks_lib.Marks()
-        self._helpers: tuple[peers.Peer, ...] = ()
+        turn = int(random.random() * len(replicas))
+        self._turned = replicas[turn:] + replicas[:turn]
         self._planned: tuple[snapshots.Node, ...] | None = None
         self._next_beat_at = 0.0
         self._ack_at: float | None = None
@@ -166,7 +167,7 @@
                 )
                 return self._conclude(arrival, verdict, 0, now)
             case messages.RetryLater():
-                self._fetching.hear_later(message.after_s, now)
+                self._fetching.hear_later(message, now)
                 return ()
             case messages.JoinAccepted():
                 return self._take_join(arrival, message, now)
@@ -186,7 +187,8 @@
             return (_log("join answer refused", arrival, reason="other life"),)
         if self._holding.held is None:
             self._holding.raise_floor(accepted.floor)
-            self._helpers = accepted.helpers
+            self._fetching.set_helpers(accepted.helpers)
+            self._parents.set_plan(tree.Plan(eager=self._turned, lazy=()))
         line = events.LogLine(
             event="joined", peer=arrival.sender_id, version=accepted.floor
         )
@@ -241,13 +243,13 @@
             self._ack_at = now + ACK_DELAY_S
 
     def _tick(self, now: float) -> tuple[events.Action, ...]:
-        moved = self._parents.tick(now) if self._holding.held else ()
+        moved = self._parents.tick(now)
         if moved:
             self._fetching.forget({link.peer for link in self._parents.links})
         joins = self._joining.tick(
             self._holding.held.snapshot if self._holding.held else None, now
         )
-        pulls = self._fetching.tick((*self._helpers, *self._replicas), now)
+        pulls = self._fetching.tick(self._turned, now)
         served = self._children.tick(self._parents.stamp, now)
         return (
             *moved,
--- a/src/lovagesaddle/core/distribution/messages.py
+++ b/src/lovagesaddle/core/distribution/messages.py
@@ -193,9 +193,11 @@
 
     Attributes:
       after_s: Seconds after which the sender has one to give.
+      helpers: Nodes that got one from the sender lately.
     """
 
     after_s: float
+    helpers: tuple[peers.Peer, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_distribution_failures.py
+++ b/tests/test_distribution_failures.py
@@ -143,6 +143,17 @@
     assert mesh.run_until_converged() < BOUND_S
 
 
+def test_a_cold_start_serves_itself() -> None:
+    """Nodes that start together serve each other, and none expires."""
+    mesh = mesh_lib.Mesh()
+    mesh.add_nodes(200)
+    took = mesh.run_until(lambda: all(mesh.versions().values()), 30.0)
+    assert took < 5.0, took
+    mesh.run(8, LONG_TICK_S)
+    assert len(mesh.state.snapshot.nodes) == 200
+    assert mesh.entries <= 6
+
+
 def test_two_failure_domains_cut_apart_and_healed() -> None:
     """Each side keeps what it holds, and the healed one catches up."""
     mesh = _start(10, ("a", "b"))
