--- /dev/null
+++ b/src/lovagesaddle/core/distribution/beats.py
@@ -0,0 +1,75 @@
+"""A node's heartbeats to its parents, with the acks of its subtree."""
+
+from lovagesaddle.core.distribution import children as children_lib
+from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import holding as holding_lib
+from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import parents as parents_lib
+from lovagesaddle.core.distribution import wire
+
+ACK_DELAY_S = 0.05
+
+
+class Beats:
+    """Beats at an interval, at once to a new parent, and soon after acks.
+
+    Args:
+      holding: What the node holds.
+      parents: Whom to beat to.
+      children: Whose acks to fold.
+      heartbeat_s: Time between beats, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        holding: holding_lib.Holding,
+        parents: parents_lib.Parents,
+        children: children_lib.Children,
+        heartbeat_s: float,
+    ) -> None:
+        self._holding = holding
+        self._parents = parents
+        self._children = children
+        self._heartbeat_s = heartbeat_s
+        self._next_at = 0.0
+        self._acks_at: float | None = None
+
+    def hurry(self, now: float) -> None:
+        """Notes that acks changed, which the eager parent is told soon."""
+        if self._acks_at is None:
+            self._acks_at = now + ACK_DELAY_S
+
+    def tick(
+        self, own: tuple[messages.AckGroup, ...], now: float
+    ) -> tuple[events.Action, ...]:
+        """Returns the beats that are due.
+
+        Args:
+          own: The node's own ack.
+          now: Monotonic time in seconds.
+        """
+        due = now >= self._next_at
+        acks_due = self._acks_at is not None and now >= self._acks_at
+        if due:
+            self._next_at = now + self._heartbeat_s
+        if acks_due:
+            self._acks_at = None
+        actions: list[events.Action] = []
+        for link in self._parents.links:
+            eager = link is self._parents.eager
+            if due or link.told_eager != eager or (acks_due and eager):
+                actions.append(self._make_beat(link, own if eager else None))
+        return tuple(actions)
+
+    def _make_beat(
+        self, link: parents_lib.Link, own: tuple[messages.AckGroup, ...] | None
+    ) -> events.Action:
+        link.told_eager = own is not None
+        beat = messages.ChildBeat(
+            eager=own is not None,
+            version=self._holding.version,
+            digest=self._holding.digest,
+            groups=() if own is None else self._children.fold_groups(own),
+        )
+        return events.Send(peer=link.peer, frame=wire.encode(beat))
--- a/src/lovagesaddle/core/distribution/follower.py
+++ b/src/lovagesaddle/core/distribution/follower.py
@@ -6,6 +6,7 @@
 from lovagesaddle.core import errors
 from lovagesaddle.core import part
 from lovagesaddle.core.distribution import backoff as backoff_lib
+from lovagesaddle.core.distribution import beats as beats_lib
 from lovagesaddle.core.distribution import children as children_lib
 from lovagesaddle.core.distribution import events
 from lovagesaddle.core.distribution import fetching as fetching_lib
@@ -24,7 +25,6 @@
 
 SNAPSHOTS_PER_S = 4.0
 SNAPSHOT_BURST = 4
-ACK_DELAY_S = 0.05
 
 Outcome = holding_lib.Outcome
 
@@ -72,12 +72,16 @@
         self._fetching = fetching_lib.Fetching(
             holding=self._holding, random=random
         )
+        self._beats = beats_lib.Beats(
+            holding=self._holding,
+            parents=self._parents,
+            children=self._children,
+            heartbeat_s=heartbeat_s,
+        )
         self._marks = marks_lib.Marks()
         turn = int(random.random() * len(replicas))
         self._turned = replicas[turn:] + replicas[:turn]
         self._planned: tuple[snapshots.Node, ...] | None = None
-        self._next_beat_at = 0.0
-        self._ack_at: float | None = None
 
     @property
     def node(self) -> snapshots.Node:
@@ -132,7 +136,8 @@
             case messages.ChildBeat():
                 stamp = self._parents.stamp
                 done = self._children.hear_beat(arrival, message, stamp, now)
-                self._note_acks(now)
+                if self._children.take_changed():
+                    self._beats.hurry(now)
                 return done
             case messages.Pull():
                 return self._children.hear_pull(arrival, message, now)
@@ -140,7 +145,7 @@
                 self._children.drop(arrival.sender_id)
                 return ()
             case messages.MarkSpread():
-                return self._take_marks(arrival, message, now)
+                return self._spread(message.marks, arrival.sender_id, now)
             case _:
                 kind = type(message).__name__
                 return (_log("message refused", arrival, reason=kind),)
@@ -172,7 +177,7 @@
             case messages.JoinAccepted():
                 return self._take_join(arrival, message, now)
             case messages.MarkSpread():
-                return self._take_marks(arrival, message, now)
+                return self._spread(message.marks, arrival.sender_id, now)
             case _:
                 kind = type(message).__name__
                 return (_log("message refused", arrival, reason=kind),)
@@ -215,7 +220,7 @@
         self._fetching.note_installed()
         self._joining.notice_version()
         self._replan(held.snapshot)
-        self._note_acks(now, changed=True)
+        self._beats.hurry(now)
         return (
             events.Install(stamped=held),
             *self._children.push_newest(self._parents.stamp),
@@ -237,11 +242,6 @@
             self._replicas,
         )
 
-    def _note_acks(self, now: float, *, changed: bool = False) -> None:
-        changed = self._children.take_changed() or changed
-        if changed and self._ack_at is None:
-            self._ack_at = now + ACK_DELAY_S
-
     def _tick(self, now: float) -> tuple[events.Action, ...]:
         moved = self._parents.tick(now)
         if moved:
@@ -253,37 +253,12 @@
         served = self._children.tick(self._parents.stamp, now)
         return (
             *moved,
-            *self._beat(now),
+            *self._beats.tick(self._own_group(), now),
             *joins,
             *pulls,
             *served,
         )
 
-    def _beat(self, now: float) -> tuple[events.Action, ...]:
-        due = now >= self._next_beat_at
-        acks_due = self._ack_at is not None and now >= self._ack_at
-        if due:
-            self._next_beat_at = now + self._heartbeat_s
-        actions: list[events.Action] = []
-        for link in self._parents.links:
-            eager = link is self._parents.eager
-            if due or link.told_eager != eager or (acks_due and eager):
-                actions.append(self._make_beat(link, eager))
-        if acks_due:
-            self._ack_at = None
-        return tuple(actions)
-
-    def _make_beat(self, link: parents_lib.Link, eager: bool) -> events.Action:
-        link.told_eager = eager
-        groups = self._children.fold_groups(self._own_group()) if eager else ()
-        beat = messages.ChildBeat(
-            eager=eager,
-            version=self._holding.version,
-            digest=self._holding.digest,
-            groups=groups,
-        )
-        return events.Send(peer=link.peer, frame=wire.encode(beat))
-
     def _own_group(self) -> tuple[messages.AckGroup, ...]:
         node = self._joining.node
         if self._joining.superseded:
@@ -291,14 +266,6 @@
         token = tokens.make_token(node.node_id, node.incarnation)
         return (messages.AckGroup(version=self._holding.version, tokens=token),)
 
-    def _take_marks(
-        self,
-        arrival: events.Arrival,
-        spread: messages.MarkSpread,
-        now: float,
-    ) -> tuple[events.Action, ...]:
-        return self._spread(spread.marks, arrival.sender_id, now)
-
     def _spread(
         self, marks: tuple[messages.Mark, ...], source_id: str, now: float
     ) -> tuple[events.Action, ...]:
