Tell nodes which replicas there are now

Nodes knew the replicas of their settings only, so a fleet whose replicas were replaced one after the other lost them all (test_nodes_follow_replicas_to_new_vms). The current list goes down the tree with the leader stamp at which it was true; the newest one counts.

--- a/src/lovagesaddle/control/fleet.py
+++ b/src/lovagesaddle/control/fleet.py
@@ -67,11 +67,9 @@
 
     def observe(self, view: ports.ClusterView, now: float) -> None:
         """Takes a new applied state, leader or leader stamp."""
-        others = tuple(
-            peer
-            for peer in self._list_replicas()
-            if peer.peer_id != self._own_id
-        )
+        everyone = self._list_replicas()
+        others = tuple(p for p in everyone if p.peer_id != self._own_id)
+        own = [peer for peer in everyone if peer.peer_id == self._own_id]
         leaders = [peer for peer in others if peer.peer_id == view.leader_id]
         observed = source_events.Observed(
             stamped=view.stamped,
@@ -79,6 +77,7 @@
             leader=leaders[0] if leaders else None,
             stamp=view.stamp,
             replicas=others,
+            own=own[0] if own else None,
         )
         self._step(observed, now)
 
--- a/src/lovagesaddle/core/distribution/children.py
+++ b/src/lovagesaddle/core/distribution/children.py
@@ -65,6 +65,7 @@
         )
         self._next_beat_at = 0.0
         self._changed = False
+        self._greeting = b""
 
     @property
     def child_ids(self) -> tuple[str, ...]:
@@ -117,7 +118,12 @@
             child.version, child.digest = beat.version, beat.digest
         if known:
             return ()
-        return (*self._push(child), self._beat(child, stamp))
+        greeting = (
+            (events.Answer(route=arrival.route, frame=self._greeting),)
+            if self._greeting
+            else ()
+        )
+        return (*greeting, *self._push(child), self._beat(child, stamp))
 
     def hear_pull(
         self, arrival: events.Arrival, pull: messages.Pull, now: float
@@ -176,6 +182,11 @@
             actions.extend(pushed or (self._beat(child, stamp),))
         return tuple(actions)
 
+    def spread_greeting(self, frame: bytes) -> tuple[events.Action, ...]:
+        """Sends a frame to every child, and to each one that comes later."""
+        self._greeting = frame
+        return self.send_all(frame, except_id="")
+
     def send_all(
         self, frame: bytes, *, except_id: str
     ) -> tuple[events.Action, ...]:
--- a/src/lovagesaddle/core/distribution/events.py
+++ b/src/lovagesaddle/core/distribution/events.py
@@ -120,3 +120,12 @@
     | LeaveAsked
 )
 Action = Send | Answer | Disconnect | Install | DeliverMarks | LogLine
+
+
+def describe(
+    event: str, arrival: Arrival, *, version: int = 0, reason: str = ""
+) -> LogLine:
+    """Returns the log line for what became of an arrival."""
+    return LogLine(
+        event=event, peer=arrival.sender_id, version=version, reason=reason
+    )
--- a/src/lovagesaddle/core/distribution/follower.py
+++ b/src/lovagesaddle/core/distribution/follower.py
@@ -1,6 +1,5 @@
 """The control half of a node: follows the configuration and relays it."""
 
-import itertools
 from typing import assert_never
 
 from lovagesaddle.core import errors
@@ -78,6 +77,7 @@
             children=self._children,
             heartbeat_s=heartbeat_s,
         )
+        self._listed_at = parents_lib.NO_STAMP
         self._marks = marks_lib.Marks()
         turn = int(random.random() * len(replicas))
         self._turned = replicas[turn:] + replicas[:turn]
@@ -120,7 +120,9 @@
         try:
             message = wire.decode(arrival.frame, peer=arrival.sender_id)
         except errors.CodecError as error:
-            return (_log("frame refused", arrival, reason=error.cause),)
+            return (
+                events.describe("frame refused", arrival, reason=error.cause),
+            )
         self._parents.hear(arrival.sender_id, now)
         if arrival.route:
             return self._serve(arrival, message, now)
@@ -148,7 +150,9 @@
                 return self._spread(message.marks, arrival.sender_id, now)
             case _:
                 kind = type(message).__name__
-                return (_log("message refused", arrival, reason=kind),)
+                return (
+                    events.describe("message refused", arrival, reason=kind),
+                )
 
     def _follow(
         self,
@@ -178,9 +182,33 @@
                 return self._take_join(arrival, message, now)
             case messages.MarkSpread():
                 return self._spread(message.marks, arrival.sender_id, now)
+            case messages.ReplicaList():
+                return self._take_list(arrival, message)
             case _:
                 kind = type(message).__name__
-                return (_log("message refused", arrival, reason=kind),)
+                return (
+                    events.describe("message refused", arrival, reason=kind),
+                )
+
+    def _take_list(
+        self, arrival: events.Arrival, listed: messages.ReplicaList
+    ) -> tuple[events.Action, ...]:
+        if listed.stamp <= self._listed_at or not listed.replicas:
+            return ()
+        self._listed_at = listed.stamp
+        self._replicas = self._turned = listed.replicas
+        self._joining.set_replicas(listed.replicas)
+        held = self._holding.held
+        if held is not None:
+            self._parents.set_plan(self._make_plan(held.snapshot))
+        return (
+            *self._children.spread_greeting(arrival.frame),
+            events.LogLine(
+                event="replicas listed",
+                peer=arrival.sender_id,
+                candidates=tuple(peer.peer_id for peer in listed.replicas),
+            ),
+        )
 
     def _take_join(
         self,
@@ -189,7 +217,11 @@
         now: float,
     ) -> tuple[events.Action, ...]:
         if not self._joining.accept(accepted):
-            return (_log("join answer refused", arrival, reason="other life"),)
+            return (
+                events.describe(
+                    "join answer refused", arrival, reason="other life"
+                ),
+            )
         if self._holding.held is None:
             self._holding.raise_floor(accepted.floor)
             self._fetching.set_helpers(accepted.helpers)
@@ -212,7 +244,7 @@
             self._fetching.demand_whole(now)
         if verdict.outcome is not Outcome.INSTALLED:
             reason = f"{verdict.outcome.value}: {verdict.cause}"
-            return (_log("update refused", arrival, reason=reason),)
+            return (events.describe("update refused", arrival, reason=reason),)
         held = self._holding.held
         assert held is not None
         frame = arrival.frame if base_version else b""
@@ -224,7 +256,7 @@
         return (
             events.Install(stamped=held),
             *self._children.push_newest(self._parents.stamp),
-            _log("installed", arrival, version=held.version),
+            events.describe("installed", arrival, version=held.version),
             *self._tick(now),
         )
 
@@ -273,23 +305,9 @@
         if not fresh:
             return ()
         frame = wire.encode(messages.MarkSpread(marks=fresh))
-        up = tuple(
-            events.Send(peer=link.peer, frame=frame)
-            for link in self._parents.links
-            if link.peer.peer_id != source_id
-        )
-        down = self._children.send_all(frame, except_id=source_id)
         own = (events.DeliverMarks(marks=fresh),) if source_id else ()
-        return tuple(itertools.chain(own, up, down))
-
-
-def _log(
-    event: str,
-    arrival: events.Arrival,
-    *,
-    version: int = 0,
-    reason: str = "",
-) -> events.Action:
-    return events.LogLine(
-        event=event, peer=arrival.sender_id, version=version, reason=reason
-    )
+        return (
+            *own,
+            *self._parents.send_all(frame, except_id=source_id),
+            *self._children.send_all(frame, except_id=source_id),
+        )
--- a/src/lovagesaddle/core/distribution/joining.py
+++ b/src/lovagesaddle/core/distribution/joining.py
@@ -74,6 +74,10 @@
         self._backoff.reset()
         return True
 
+    def set_replicas(self, replicas: tuple[peers.Peer, ...]) -> None:
+        """Takes the replicas there are now."""
+        self._replicas = replicas
+
     def put_server(self, server: snapshots.BackendServer) -> None:
         """Notes that a local server joined or changed."""
         self._servers[server.server_id] = server
--- a/src/lovagesaddle/core/distribution/messages.py
+++ b/src/lovagesaddle/core/distribution/messages.py
@@ -223,6 +223,19 @@
     groups: tuple[AckGroup, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaList:
+    """Tells the nodes which replicas there are now.
+
+    Attributes:
+      stamp: Leader stamp at which the list was true; the newest one counts.
+      replicas: Every replica, sorted by ID.
+    """
+
+    stamp: stamps.LeaderStamp
+    replicas: tuple[peers.Peer, ...]
+
+
 DistributionMessage = (
     Join
     | JoinAccepted
@@ -239,6 +252,7 @@
     | RetryLater
     | MarkSpread
     | ReplicaReport
+    | ReplicaList
 )
 
 DISTRIBUTION_MESSAGES: codec.Registry[DistributionMessage] = codec.Registry(
@@ -259,5 +273,6 @@
         13: RetryLater,
         14: MarkSpread,
         15: ReplicaReport,
+        16: ReplicaList,
     },
 )
--- a/src/lovagesaddle/core/distribution/parents.py
+++ b/src/lovagesaddle/core/distribution/parents.py
@@ -129,6 +129,16 @@
             link.risen_at = now
         return link
 
+    def send_all(
+        self, frame: bytes, *, except_id: str
+    ) -> tuple[events.Action, ...]:
+        """Sends one frame to every parent but the one that it came from."""
+        return tuple(
+            events.Send(peer=link.peer, frame=frame)
+            for link in self.links
+            if link.peer.peer_id != except_id
+        )
+
     def tick(self, now: float) -> tuple[events.Action, ...]:
         """Passes over parents that failed and links to the best others."""
         lines = self._find_failed(now)
--- a/src/lovagesaddle/core/distribution/source.py
+++ b/src/lovagesaddle/core/distribution/source.py
@@ -54,6 +54,7 @@
         self._marks = marks_lib.Marks()
         self._leader: peers.Peer | None = None
         self._replicas: tuple[peers.Peer, ...] = ()
+        self._listed: tuple[peers.Peer, ...] = ()
         self._stamp = NO_STAMP
         self._report_at = 0.0
 
@@ -94,10 +95,22 @@
         self._leader = observed.leader
         self._replicas = observed.replicas
         self._stamp = max(self._stamp, observed.stamp)
+        told = self._tell_list(observed)
         if observed.stamped.version <= self._history.version:
-            return ()
+            return told
         self._history.add(observed.stamped)
-        return self._children.push_newest(self._stamp)
+        return (*told, *self._children.push_newest(self._stamp))
+
+    def _tell_list(self, observed: source_events.Observed) -> Actions:
+        if observed.own is None:
+            return ()
+        everyone = (observed.own, *observed.replicas)
+        listed = tuple(sorted(everyone, key=lambda peer: peer.peer_id))
+        if listed == self._listed:
+            return ()
+        self._listed = listed
+        message = messages.ReplicaList(stamp=observed.stamp, replicas=listed)
+        return self._children.spread_greeting(wire.encode(message))
 
     def _receive(self, arrival: events.Arrival, now: float) -> Actions:
         try:
--- a/src/lovagesaddle/core/distribution/source_events.py
+++ b/src/lovagesaddle/core/distribution/source_events.py
@@ -19,6 +19,7 @@
       leader: The believed leader, if another replica is.
       stamp: Newest leader stamp.
       replicas: The other replicas.
+      own: This replica; None while it is no member.
     """
 
     stamped: delta.Stamped
@@ -26,6 +27,7 @@
     leader: peers.Peer | None
     stamp: stamps.LeaderStamp
     replicas: tuple[peers.Peer, ...]
+    own: peers.Peer | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/core/membership/registrar.py
+++ b/src/lovagesaddle/core/membership/registrar.py
@@ -226,6 +226,4 @@
 
 def refuse(arrival: events.Arrival, reason: str) -> events.LogLine:
     """Returns the log line for a message that is passed over."""
-    return events.LogLine(
-        event="message refused", peer=arrival.sender_id, reason=reason
-    )
+    return events.describe("message refused", arrival, reason=reason)
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -111,6 +111,13 @@
         self.cut({replica_id}, set(self.replicas) - {replica_id})
         self._lags.add(replica_id)
 
+    def replace_replica(self, old_id: str, new_id: str) -> None:
+        """Puts a replica with a new name and address in place of another."""
+        del self.replicas[old_id]
+        self.replicas[new_id] = Replica(new_id)
+        if self.leader_id == old_id:
+            self.leader_id = new_id
+
     def commit(self, command: commands.Command | None) -> int:
         """Applies an entry at every replica that is not cut off."""
         self.entries += 1
@@ -197,6 +204,7 @@
                     for other in self.replicas.values()
                     if other is not replica
                 ),
+                own=replica.peer,
             )
             self.step(replica_id, observed)
 
--- a/tests/test_distribution_failures.py
+++ b/tests/test_distribution_failures.py
@@ -189,6 +189,22 @@
     mesh.run_until_converged(70.0)
 
 
+def test_nodes_follow_replicas_to_new_vms() -> None:
+    """Nodes know every replica, also when none of their settings is left."""
+    mesh = _start(20, ("a", "b"))
+    for number, old_id in enumerate(("r2", "r1", "r0")):
+        mesh.replace_replica(old_id, f"x{number}")
+        mesh.run(6)
+    mesh.publish("orderdesk")
+    assert mesh.run_until_converged() < BOUND_S
+    assert len(mesh.state.snapshot.nodes) == 40
+    mesh.step(
+        "a003", events.ServerAnnounced(server=mesh_lib.make_server("a003"))
+    )
+    mesh.run(8)
+    assert len(mesh.state.snapshot.servers) == 1
+
+
 def test_crossed_doubled_and_late_updates_change_nothing() -> None:
     """Frames that arrive again, late or out of order never lead back."""
     mesh = _start(12)
