--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -14,6 +14,7 @@
 from lovagesaddle.core.distribution import events
 from lovagesaddle.core.distribution import follower as follower_lib
 from lovagesaddle.core.distribution import source as source_lib
+from lovagesaddle.core.distribution import source_events
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import peers
 from lovagesaddle.core.model import services
@@ -110,6 +111,13 @@
         self.cut({replica_id}, set(self.replicas) - {replica_id})
         self._lags.add(replica_id)
 
+    def replace_replica(self, old_id: str, new_id: str) -> None:
+        """Puts a replica with a new name and address in place of another."""
+        del self.replicas[old_id]
+        self.replicas[new_id] = Replica(new_id)
+        if self.leader_id == old_id:
+            self.leader_id = new_id
+
     def commit(self, command: commands.Command | None) -> int:
         """Applies an entry at every replica that is not cut off."""
         self.entries += 1
@@ -163,7 +171,9 @@
         )
 
     def step(
-        self, process_id: str, event: source_lib.SourceEvent | events.NodeEvent
+        self,
+        process_id: str,
+        event: source_events.SourceEvent | events.NodeEvent,
     ) -> None:
         """Gives one event to a process and carries out its actions."""
         if process_id in self.replicas:
@@ -184,7 +194,7 @@
                 )
             leads = replica_id == self.leader_id
             leader = self.replicas.get(self.leader_id)
-            observed = source_lib.Observed(
+            observed = source_events.Observed(
                 stamped=replica.stamped,
                 is_leader=leads,
                 leader=None if leads or leader is None else leader.peer,
@@ -194,17 +204,18 @@
                     for other in self.replicas.values()
                     if other is not replica
                 ),
+                own=replica.peer,
             )
             self.step(replica_id, observed)
 
     def _carry_out_at_replica(
-        self, replica_id: str, action: source_lib.SourceAction
+        self, replica_id: str, action: source_events.SourceAction
     ) -> None:
-        if not isinstance(action, source_lib.Propose):
+        if not isinstance(action, source_events.Propose):
             self._move(replica_id, 0, action)
         elif replica_id not in self._lags:
             version = self.commit(action.command)
-            applied = source_lib.EntryApplied(
+            applied = source_events.EntryApplied(
                 ticket=action.ticket, version=version
             )
             self.step(replica_id, applied)
