Show what a replica without a leader knows, and no more

A trial of a lost majority showed two misleading lines of status: a replica that had never heard a leader claimed to have heard one as long ago as the machine is up, and a follower printed version 0 as in force. The age of the stamp now counts from the start of the process, and only a leader's figure for what is in force is printed. The tutorial replaces the lost replica.

--- a/src/lovagesaddle/cli/views.py
+++ b/src/lovagesaddle/cli/views.py
@@ -60,14 +60,17 @@
 def describe_status(status: operator_messages.StatusAnswer) -> str:
     """Returns the state of the cluster as lines."""
     leader = f"{status.leader_id or 'none'} (term {status.term})"
-    in_force = f"{status.in_force_version} ({status.node_count} nodes)"
+    in_force, lagging = "unknown, no leader answered", "unknown"
+    if status.leader_id == status.replica_id:
+        in_force = f"{status.in_force_version} ({status.node_count} nodes)"
+        lagging = join_names(status.lagging)
     source = f"{status.replica_id}, leader heard {status.stale_s:.1f} s ago"
     lines = [
         f"leader               {leader}",
         f"version              {status.version}",
         f"last publication     {status.publication_version}",
         f"in force everywhere  {in_force}",
-        f"lagging              {join_names(status.lagging)}",
+        f"lagging              {lagging}",
         f"answered by          {source}",
     ]
     lines += [
--- a/src/lovagesaddle/control/consensus.py
+++ b/src/lovagesaddle/control/consensus.py
@@ -142,6 +142,9 @@
     def tick(self, now: float) -> None:
         """Lets time pass."""
         self._now = now
+        if not self._stamp_at:
+            # Without any stamp yet, its age counts from the start.
+            self._stamp_at = now
         self._step(events.Tick())
         if self._replica.last_index == 0:
             self._step_founding(founding_lib.Tick())
--- a/tests/fake_replica.py
+++ b/tests/fake_replica.py
@@ -137,7 +137,7 @@
         return operator_messages.StatusAnswer(
             request_id=request.request_id,
             replica_id="c1",
-            leader_id="c1",
+            leader_id="" if self.stale_s else "c1",
             term=3,
             version=version,
             publication_version=self.state.publication_version,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -142,7 +142,8 @@
     with _Desk(DESK) as desk:
         desk.cluster.stale_s = 30.0
         found = desk.run("status")
-    assert "leader               c1 (term 3)" in found.stdout
+    assert "leader               none (term 3)" in found.stdout
+    assert "in force everywhere  unknown, no leader answered" in found.stdout
     assert "heard from no leader for 30.0 s" in found.stderr
 
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -39,7 +39,7 @@
         settings = load[kind](path).unwrap()
         for key in ("address", "http_address", "admin_address"):
             addresses.append(getattr(settings, key, path.name + key))
-    assert len(addresses) == 24
+    assert len(addresses) == 27
     assert len(set(addresses)) == len(addresses)
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -29,4 +29,15 @@
         assert cluster.publish("p1", 0).result == first.result
 
 
+def test_replica_without_a_leader_counts_from_its_start() -> None:
+    """Before the first leader a replica is as stale as it is old."""
+    with control_cluster.ControlCluster() as cluster:
+        cluster.stop("r2")
+        cluster.stop("r3")
+        status = cluster.wait_for_status(
+            "r1", lambda found: not found.leader_id
+        )
+        assert 0 <= status.stale_s < control_cluster.WAIT_S
+
+
 load_tests = fixtures.collect(__name__)
--- a/tests/test_tutorial.py
+++ b/tests/test_tutorial.py
@@ -23,7 +23,12 @@
 # Left out: the packages are there, and the copy is no repository.
 LEFT_OUT = ("make setup", "git checkout")
 # Typed again until the expected output comes, as a user would.
-REPEATED = ("curl", "lovagesaddle status", "grep")
+REPEATED = (
+    "curl",
+    "lovagesaddle status",
+    "lovagesaddle replica replace",
+    "grep",
+)
 _BLOCK = re.compile(r"^```console\n(.*?)^```$", re.MULTILINE | re.DOTALL)
 _PORT = re.compile(r"127\.0\.0\.1:(\d{4})\b")
 
