Write the operators' page, and make keys from the command line

The page holds the settings reference, first cluster, publish, upgrade, replacing a replica, lost majority, keys, reading the logs, and each error with its remedy. Tests keep its references complete and every link of every page alive. keys new and keys show make and show CurveZMQ keys; a key without an allowed keys file is a located mistake.

--- /dev/null
+++ b/bench/log_cost.py
@@ -0,0 +1,50 @@
+"""Measures what a log line and a latency cost the calling thread.
+
+`python -m bench.log_cost` prints the microseconds of one call, as the median
+of several rounds.
+"""
+
+from collections.abc import Callable
+import os
+import statistics
+import time
+
+from lovagesaddle.observability import latencies
+from lovagesaddle.observability import logs
+
+ROUNDS = 9
+CALLS = 5_000
+US_PER_S = 1_000_000
+
+
+def main() -> None:
+    """Prints one line for each kind of call."""
+    with (
+        open(os.devnull, "w", encoding="utf-8") as sink,
+        logs.LogWriter(sink, level="info", owned=False),
+    ):
+        log = logs.get_logger("bench")
+        bound = log.bind()
+        _report("line", lambda: log.info("server_picked", version=7, a="x"))
+        _report("line_bound", lambda: bound.info("server_picked", version=7))
+        _report("line_below_level", lambda: log.debug("quiet", version=7))
+    recorder = latencies.LatencyRecorder("call_seconds", "")
+    _report("latency", lambda: recorder.record(0.0123))
+
+
+def _report(name: str, call: Callable[[], object]) -> None:
+    rounds = [_time(call) for _ in range(ROUNDS)]
+    low, high = min(rounds), max(rounds)
+    middle = statistics.median(rounds)
+    print(f"{name}: {middle:.1f} us (from {low:.1f} to {high:.1f})")
+
+
+def _time(call: Callable[[], object]) -> float:
+    started = time.perf_counter()
+    for _ in range(CALLS):
+        call()
+    return (time.perf_counter() - started) / CALLS * US_PER_S
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lovagesaddle/cli/main.py
+++ b/src/lovagesaddle/cli/main.py
@@ -10,6 +10,7 @@
 from lovagesaddle.cli import context as context_lib
 from lovagesaddle.cli import exits
 from lovagesaddle.cli import explaining
+from lovagesaddle.cli import keys
 from lovagesaddle.cli import reading
 from lovagesaddle.core import errors
 
@@ -42,6 +43,7 @@
     ):
         app.command()(command)
     app.add_typer(changing.make_replica_app(), name="replica")
+    app.add_typer(keys.make_keys_app(), name="keys")
     return app
 
 
--- a/src/lovagesaddle/settings/loader.py
+++ b/src/lovagesaddle/settings/loader.py
@@ -109,6 +109,8 @@
         if section is None:
             return schema_class()
         converted = self.take(sections.convert_section(section, schema_class))
+        if isinstance(converted, schema.KeySettings):
+            self._check_keys(section, converted)
         return schema_class() if converted is None else converted
 
     def take_replicas(self) -> tuple[schema.ReplicaAddress, ...]:
@@ -151,6 +153,13 @@
                 return section
         return None
 
+    def _check_keys(
+        self, section: ini.Section, keys: schema.KeySettings
+    ) -> None:
+        if bool(keys.secret_key_file) != bool(keys.allowed_keys_file):
+            cause = "secret-key-file and allowed-keys-file belong together"
+            self.problems.append(section.report("secret-key-file", cause))
+
     def _check_addresses(self, replicas: list[schema.ReplicaAddress]) -> None:
         if not replicas:
             self.problems.append(
--- a/tests/fake_replica.py
+++ b/tests/fake_replica.py
@@ -11,6 +11,7 @@
 from lovagesaddle.core.model import operator_messages
 from lovagesaddle.settings import schema
 from lovagesaddle.transport import endpoint
+from lovagesaddle.transport import keys as keys_lib
 
 ANY_PORT = "tcp://127.0.0.1:*"
 POLL_S = 0.02
@@ -26,15 +27,24 @@
       replica_id: Its name.
       answer: Gives the answer to a request; None for silence. Runs on the
         replica's thread.
+      keys: Keys of its link, or None for a plain one.
     """
 
-    def __init__(self, replica_id: str, answer: Answerer) -> None:
+    def __init__(
+        self,
+        replica_id: str,
+        answer: Answerer,
+        keys: keys_lib.LinkKeys | None = None,
+    ) -> None:
         self.replica_id = replica_id
         self.seen: list[Message] = []
         self._answer = answer
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._endpoint = endpoint.Endpoint(
-            context=self._context, own_id=replica_id, bind_address=ANY_PORT
+            context=self._context,
+            own_id=replica_id,
+            bind_address=ANY_PORT,
+            keys=keys,
         )
         self.address = self._endpoint.address
         self._stopping = threading.Event()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,6 +10,8 @@
 
 from lovagesaddle.cli import exits
 from lovagesaddle.cli import main
+from lovagesaddle.core import errors
+from lovagesaddle.transport import keys as keys_lib
 from tests import fake_replica
 from tests import fixtures
 
@@ -177,23 +179,57 @@
     assert "no backend server takes new work" in admitted.stdout
 
 
+def test_only_an_operator_whose_key_is_allowed_is_answered() -> None:
+    """Keys of `keys new` open an encrypted link once they are allowed."""
+    with _Desk(DESK, sealed=True) as desk:
+        refused = desk.run("status")
+        desk.allow_operator()
+        allowed = desk.run("status")
+    assert refused.exit_code == exits.Exit.UNREACHABLE
+    assert allowed.exit_code == 0, allowed.output
+
+
+def test_key_file_is_never_written_over() -> None:
+    """`keys new` refuses a file that exists; `keys show` reads it."""
+    with _Desk(DESK) as desk:
+        path = str(desk.folder / "ana.key")
+        made = desk.run("keys", "new", path)
+        again = desk.run("keys", "new", path)
+        shown = desk.run("keys", "show", path)
+    assert made.stdout == shown.stdout
+    assert len(made.stdout.strip()) == 40
+    assert isinstance(again.exception, errors.SettingsError)
+
+
 class _Desk:
     """A folder of service files, a fake cluster and its settings."""
 
-    def __init__(self, text: str, *, answered: bool = True) -> None:
+    def __init__(
+        self, text: str, *, answered: bool = True, sealed: bool = False
+    ) -> None:
         self.cluster = fake_replica.FakeCluster()
         self._text = text
-        self._timeout = "5s" if answered else "200ms"
+        self._timeout = "5s" if answered and not sealed else "500ms"
         answer = self.cluster.answer if answered else lambda _: None
-        self._replica = fake_replica.FakeReplica("c1", answer)
         self._temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self._temporary.name)
+        self._allowed = self.folder / "allowed"
+        self._allowed.write_text("", encoding="utf-8")
+        self._pair = keys_lib.generate_keys() if sealed else None
+        self._replica = fake_replica.FakeReplica(
+            "c1", answer, keys=self._load_keys()
+        )
 
     def __enter__(self) -> "_Desk":
         self._replica.__enter__()
         self.write(self._text)
         text = SETTINGS.format(address=self._replica.address)
         text = text.replace("5s", self._timeout)
+        if self._pair is not None:
+            self._public = self.run("keys", "new", str(self.folder / "k"))
+            text += f"public-key = {self._pair.public}\n"
+            text += f"[keys]\nsecret-key-file = {self.folder / 'k'}\n"
+            text += f"allowed-keys-file = {self._allowed}\n"
         (self.folder / "settings.ini").write_text(text, encoding="utf-8")
         return self
 
@@ -201,6 +237,10 @@
         self._replica.__exit__(None, None, None)
         self._temporary.cleanup()
 
+    def allow_operator(self) -> None:
+        line = f"{self._public.stdout.strip()} ana\n"
+        self._allowed.write_text(line, encoding="utf-8")
+
     def write(self, text: str) -> None:
         path = self.folder / "desk.service.ini"
         path.write_text(text, encoding="utf-8")
@@ -210,5 +250,12 @@
         with mock.patch.dict(os.environ, variables):
             return testing.CliRunner().invoke(main.make_app(), arguments)
 
+    def _load_keys(self) -> keys_lib.LinkKeys | None:
+        if self._pair is None:
+            return None
+        return keys_lib.LinkKeys(
+            pair=self._pair, allowed=keys_lib.AllowedKeys(self._allowed)
+        )
+
 
 load_tests = fixtures.collect(__name__)
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,73 @@
+"""Tests that the pages name what exists, and all of it."""
+
+import pathlib
+import re
+import typing
+
+from lovagesaddle.cli import exits
+from lovagesaddle.core.configuration import sections
+from lovagesaddle.core.configuration import service_files
+from lovagesaddle.settings import schema
+from tests import fixtures
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+DOCS = ROOT / "docs"
+LINK = re.compile(r"\]\((?!https?:)([^)#\s]+)")
+SETTINGS = (
+    schema.ControlSettings,
+    schema.NodeSettings,
+    schema.OperatorSettings,
+    schema.KeySettings,
+    schema.LogSettings,
+)
+NESTED = frozenset({"replicas", "keys", "log"})
+
+
+def test_every_setting_is_in_the_reference() -> None:
+    """Each key of each program stands in docs/operators.md."""
+    page = (DOCS / "operators.md").read_text(encoding="utf-8")
+    missing = [
+        f"{kind.__name__}.{name}"
+        for kind in SETTINGS
+        for name in typing.get_type_hints(kind)
+        if name not in NESTED and f"| `{sections.name_key(name)}` |" not in page
+    ]
+    assert not missing, missing
+
+
+def test_every_key_of_a_service_file_is_in_the_reference() -> None:
+    """Each key of a service file stands in docs/service-files.md."""
+    page = (DOCS / "service-files.md").read_text(encoding="utf-8")
+    kinds = (
+        service_files.ServiceSection,
+        service_files.CallerSection,
+        service_files.RouteSection,
+    )
+    keys = {
+        sections.name_key(name)
+        for kind in kinds
+        for name in typing.get_type_hints(kind)
+    }
+    assert not [key for key in keys if f"| `{key}` |" not in page]
+
+
+def test_every_exit_status_is_explained() -> None:
+    """Each exit status has its row in docs/operators.md."""
+    page = (DOCS / "operators.md").read_text(encoding="utf-8")
+    rows = [f"\n| {each.value} |" for each in exits.Exit]
+    assert not [row for row in rows if row not in page]
+
+
+def test_every_link_leads_to_a_file() -> None:
+    """No page links to a file that does not exist."""
+    pages = [*ROOT.glob("*.md"), *DOCS.rglob("*.md")]
+    broken = [
+        f"{page.relative_to(ROOT)}: {target}"
+        for page in pages
+        for target in LINK.findall(page.read_text(encoding="utf-8"))
+        if not (page.parent / target).exists()
+    ]
+    assert not broken, broken
+
+
+load_tests = fixtures.collect(__name__)
--- a/tests/test_loader.py
+++ b/tests/test_loader.py
@@ -95,6 +95,13 @@
     assert (problem.line, problem.key) == (3, "address")
 
 
+def test_key_without_allowed_keys_is_refused() -> None:
+    """A process with a key of its own must say whose keys it allows."""
+    text = CONTROL + "[keys]\nsecret-key-file = c1.key\n"
+    (problem,) = _write(text, loader.load_control).failure()
+    assert (problem.section, problem.key) == ("keys", "secret-key-file")
+
+
 def test_missing_file_is_a_located_problem() -> None:
     """A settings file that can't be read is reported with its name."""
     (problem,) = loader.load_node(pathlib.Path("/nonexistent.ini")).failure()
