--- a/tests/test_results.py
+++ b/tests/test_results.py
@@ -3,6 +3,7 @@
 import pathlib
 import tempfile
 
+from bench import draw
 from bench import results
 
 from tests import fixtures
@@ -51,4 +52,19 @@
     assert overlap.splitlines()[1].endswith("overlaps")
 
 
+def test_curves_join_the_points_of_a_label() -> None:
+    """Variants of one label are one curve, in rising x, by their medians."""
+    samples = (
+        _sample("tree 50 beat 1", 1, 3.0),
+        _sample("tree 10 beat 1", 1, 1.0),
+        _sample("tree 10 beat 1", 2, 2.0),
+        _sample("push 10 beat 1", 1, 9.0),
+    )
+    curves = {c.label: c.points for c in draw.make_curves(samples, "p99")}
+    assert curves == {
+        "tree": ((10.0, 1.5), (50.0, 3.0)),
+        "push": ((10.0, 9.0),),
+    }
+
+
 load_tests = fixtures.collect(__name__)
