--- a/features/support/proxies.py
+++ b/features/support/proxies.py
@@ -3,7 +3,7 @@
 from tests import mesh as mesh_lib
 
 from lovagesaddle.core.configuration import delta
-from lovagesaddle.core.configuration import state as state_lib
+from lovagesaddle.core.configuration import references
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import snapshots
 
@@ -64,7 +64,7 @@
 def _check_whole(stamped: delta.Stamped) -> None:
     snapshot = stamped.snapshot
     assert delta.stamp(snapshot).digest == stamped.digest
-    assert not state_lib.check_references(snapshot.services)
+    assert not references.check_references(snapshot.services)
     nodes = {node.node_id for node in snapshot.nodes}
     assert all(server.node_id in nodes for server in snapshot.servers)
 
--- a/src/lovagesaddle/core/configuration/state.py
+++ b/src/lovagesaddle/core/configuration/state.py
@@ -8,6 +8,8 @@
 
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.configuration import digest
+from lovagesaddle.core.configuration import membership
+from lovagesaddle.core.configuration import references
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import operator_messages
 from lovagesaddle.core.model import services
@@ -98,9 +100,15 @@
         case commands.PublishServices():
             return _publish(state, version, command)
         case commands.ChangeMembership():
-            return _keep(state, _change_members(state, version, command))
+            return _keep(
+                state,
+                membership.change_members(state.snapshot, version, command),
+            )
         case commands.AssignShards():
-            return _keep(state, _assign_shards(state, version, command))
+            return _keep(
+                state,
+                membership.assign_shards(state.snapshot, version, command),
+            )
         case None:
             return _keep(state, _advance(state, version))
 
@@ -161,7 +169,7 @@
 ) -> commands.PublishResult:
     if command.base_version != state.publication_version:
         return _describe_conflict(state)
-    causes = check_references(command.services)
+    causes = references.check_references(command.services)
     if causes:
         return commands.PublishResult(
             outcome=commands.PublishOutcome.REJECTED, version=0, causes=causes
@@ -188,29 +196,6 @@
     )
 
 
-def check_references(
-    published: tuple[services.Service, ...],
-) -> tuple[str, ...]:
-    """Returns one sentence for each reference to a service that is absent."""
-    names = {service.name for service in published}
-    causes: list[str] = []
-    for service in published:
-        for needed in service.depends_on:
-            if needed not in names:
-                causes.append(
-                    f'service "{needed}" does not exist but is needed by'
-                    f' service "{service.name}"'
-                )
-        for route in service.routes:
-            causes.extend(
-                f'service "{client}" does not exist but may use route'
-                f' "{route.name}" of service "{service.name}"'
-                for client in route.services
-                if client not in names
-            )
-    return tuple(causes)
-
-
 def _record_publication(
     version: int, command: commands.PublishServices
 ) -> KeptPublication:
@@ -242,59 +227,6 @@
     return tuple(sorted(reused, key=lambda service: service.name))
 
 
-def _change_members(
-    state: State, version: int, command: commands.ChangeMembership
-) -> snapshots.Snapshot:
-    old = state.snapshot
-    nodes = {node.node_id: node for node in old.nodes}
-    servers = {server.server_id: server for server in old.servers}
-    for gone in command.gone_servers:
-        held = servers.get(gone.member_id)
-        if held is not None and held.incarnation <= gone.incarnation:
-            del servers[gone.member_id]
-    for gone in command.gone_nodes:
-        held_node = nodes.get(gone.member_id)
-        if held_node is not None and held_node.incarnation <= gone.incarnation:
-            del nodes[gone.member_id]
-    for node in command.nodes:
-        held_node = nodes.get(node.node_id)
-        if held_node is None or held_node.incarnation <= node.incarnation:
-            nodes[node.node_id] = node
-    for server in command.servers:
-        held = servers.get(server.server_id)
-        if held is None or held.incarnation <= server.incarnation:
-            servers[server.server_id] = server
-    kept_servers = (
-        server for server in servers.values() if server.node_id in nodes
-    )
-    is_same = not command.nodes and not command.gone_nodes
-    return dataclasses.replace(
-        old,
-        version=version,
-        # An unchanged group stays the same object, which costs no digest.
-        nodes=old.nodes if is_same else tuple(nodes[n] for n in sorted(nodes)),
-        servers=tuple(
-            sorted(kept_servers, key=lambda server: server.server_id)
-        ),
-    )
-
-
-def _assign_shards(
-    state: State, version: int, command: commands.AssignShards
-) -> snapshots.Snapshot:
-    held = {shard.number: shard for shard in state.snapshot.shards}
-    newer = tuple(
-        shard
-        for shard in command.shards
-        if shard.number not in held or held[shard.number].epoch < shard.epoch
-    )
-    return dataclasses.replace(
-        state.snapshot,
-        version=version,
-        shards=delta.merge(state.snapshot.shards, newer, ()),
-    )
-
-
 def restamp_state(base: delta.Stamped, state: State) -> delta.Stamped:
     """Returns the state's snapshot with its digest, reusing the base's."""
     return delta.restamp(base, state.snapshot)
