--- a/bench/version_ids.py
+++ b/bench/version_ids.py
@@ -42,13 +42,14 @@
             delay_s=2 * majority_ids.DELAY_S, sync_s=2 * majority_ids.SYNC_S
         )
 
-    def _send(self, host: replica_cluster.Host, send: events.Send) -> None:
+    def transmit(self, host: replica_cluster.Host, send: events.Send) -> None:
+        """See base class."""
         match send.message:
             case messages.AppendRequest(entries=()):
                 pass
             case _:
                 self.messages += 1
-        super()._send(host, send)
+        super().transmit(host, send)
 
 
 def measure_majority(size: int, publishers: int) -> results.Sample:
--- a/src/lovagesaddle/core/consensus/applier.py
+++ b/src/lovagesaddle/core/consensus/applier.py
@@ -3,7 +3,9 @@
 from lovagesaddle.core.consensus import durable as durable_lib
 from lovagesaddle.core.consensus import entries as entries_lib
 from lovagesaddle.core.consensus import events
+from lovagesaddle.core.consensus import leadership as leadership_lib
 
+NO_LEADER = "this replica does not lead"
 LEADERSHIP_LOST = "leadership was lost before the outcome was known"
 
 
@@ -30,9 +32,37 @@
         """Takes note that entries up to `index` are on a majority."""
         self._commit = max(self._commit, index)
 
-    def expect(self, index: int, proposal_id: int) -> None:
-        """Ties a proposal to the entry that carries it."""
-        self._proposals[index] = proposal_id
+    def propose(
+        self,
+        event: events.Propose,
+        leadership: leadership_lib.Leadership | None,
+    ) -> None:
+        """Appends commands if this replica leads, and refuses them if not."""
+        if leadership is None or leadership.is_transferring:
+            for proposal in event.proposals:
+                self.refuse(proposal.proposal_id, NO_LEADER)
+            return
+        for proposal in event.proposals:
+            index = leadership.append(
+                entries_lib.EntryKind.COMMAND, proposal.payload
+            )
+            self._expect(index, proposal.proposal_id)
+
+    def propose_members(
+        self,
+        event: events.ProposeMembers,
+        leadership: leadership_lib.Leadership | None,
+    ) -> None:
+        """Appends a change of the members if it is allowed now."""
+        if leadership is None:
+            self.refuse(event.proposal_id, NO_LEADER)
+            return
+        cause = leadership.check_members(event.members, self._commit)
+        if cause:
+            self.refuse(event.proposal_id, cause)
+            return
+        index = leadership.append_members(event.members)
+        self._expect(index, event.proposal_id)
 
     def refuse(
         self, proposal_id: int, cause: str, *, is_unknown: bool = False
@@ -61,6 +91,9 @@
         if self._durable.log.image.index < event.index <= self._applied:
             self._durable.compact(event.index, event.data)
 
+    def _expect(self, index: int, proposal_id: int) -> None:
+        self._proposals[index] = proposal_id
+
     def collect(self) -> list[events.Action]:
         """Returns refusals, then entries to apply, then resolved proposals."""
         actions = self._actions
--- /dev/null
+++ b/src/lovagesaddle/core/consensus/candidacy.py
@@ -0,0 +1,95 @@
+"""How a replica stands for election: pre-vote, vote, or by transfer."""
+
+from lovagesaddle.core.consensus import ballot as ballot_lib
+from lovagesaddle.core.consensus import durable as durable_lib
+from lovagesaddle.core.consensus import events
+from lovagesaddle.core.consensus import messages
+from lovagesaddle.core.consensus import timing
+
+
+class Candidacy:
+    """Asks for votes and gives them.
+
+    Args:
+      own_id: Member ID of this replica.
+      durable: Its term, vote and log.
+      clock: Its time.
+    """
+
+    def __init__(
+        self, *, own_id: str, durable: durable_lib.Durable, clock: timing.Clock
+    ) -> None:
+        self._own_id = own_id
+        self._durable = durable
+        self._clock = clock
+        self._ballot = ballot_lib.Ballot(own_id, durable)
+        self._role = events.Role.FOLLOWER
+
+    @property
+    def role(self) -> events.Role:
+        """Follower, pre-candidate or candidate."""
+        return self._role
+
+    def withdraw(self) -> None:
+        """Stops standing for election."""
+        self._role = events.Role.FOLLOWER
+
+    def is_voter(self) -> bool:
+        """Returns whether this replica may be elected."""
+        return self._own_id in self._durable.log.members.list_voters()
+
+    def start_pre_vote(self) -> None:
+        """Asks whether an election would be won; binds nobody."""
+        self._clock.reset()
+        if not self.is_voter():
+            return
+        self._role = events.Role.PRE_CANDIDATE
+        self._ballot.open(self._durable.term + 1, is_pre=True)
+        self._ballot.add_own()
+        self._ask_votes(is_transfer=False)
+        self._is_won()
+
+    def start_election(self, *, is_transfer: bool) -> None:
+        """Starts a new term and asks for votes in it."""
+        self._clock.reset()
+        self._role = events.Role.CANDIDATE
+        self._durable.start_term(self._durable.term + 1, self._own_id)
+        self._ballot.open(self._durable.term, is_pre=False)
+        self._ask_votes(is_transfer=is_transfer)
+
+    def add_own_vote(self) -> bool:
+        """Counts the own vote once it is synced; returns whether it won."""
+        if self._role is events.Role.CANDIDATE and self._durable.is_settled:
+            self._ballot.add_own()
+            return self._is_won()
+        return False
+
+    def add_vote(self, sender: str, answer: messages.VoteAnswer) -> bool:
+        """Counts another member's vote; returns whether it won."""
+        self._ballot.add(sender, answer)
+        return self._is_won()
+
+    def answer(self, sender: str, request: messages.VoteRequest) -> None:
+        """Answers a request for a vote."""
+        answer = self._ballot.answer(sender, request)
+        if answer.is_granted and not request.is_pre:
+            self._clock.reset()
+        self._durable.send_after_sync(
+            events.Send(receiver=sender, message=answer)
+        )
+
+    def _is_won(self) -> bool:
+        if not self._ballot.is_won():
+            return False
+        if self._role is events.Role.PRE_CANDIDATE:
+            self.start_election(is_transfer=False)
+            return False
+        return self._role is events.Role.CANDIDATE
+
+    def _ask_votes(self, *, is_transfer: bool) -> None:
+        request = self._ballot.make_request(is_transfer=is_transfer)
+        for voter in self._durable.log.members.list_voters():
+            if voter != self._own_id:
+                self._durable.send_after_sync(
+                    events.Send(receiver=voter, message=request)
+                )
--- a/src/lovagesaddle/core/consensus/messages.py
+++ b/src/lovagesaddle/core/consensus/messages.py
@@ -167,3 +167,13 @@
         7: TransferRequest,
     },
 )
+
+
+def has_started(message: Message) -> bool:
+    """Returns whether a message's term was really started by someone."""
+    match message:
+        case VoteRequest():
+            return not message.is_pre
+        case VoteAnswer():
+            return not (message.is_pre and message.is_granted)
+    return True
--- a/src/lovagesaddle/core/consensus/replica.py
+++ b/src/lovagesaddle/core/consensus/replica.py
@@ -7,7 +7,7 @@
 
 from lovagesaddle.core import part
 from lovagesaddle.core.consensus import applier as applier_lib
-from lovagesaddle.core.consensus import ballot as ballot_lib
+from lovagesaddle.core.consensus import candidacy as candidacy_lib
 from lovagesaddle.core.consensus import durable as durable_lib
 from lovagesaddle.core.consensus import entries as entries_lib
 from lovagesaddle.core.consensus import events
@@ -17,8 +17,6 @@
 from lovagesaddle.core.consensus import messages
 from lovagesaddle.core.consensus import timing
 
-NO_LEADER = "this replica does not lead"
-
 
 class Replica(part.Part[events.Event, events.Action]):
     """One member's part in the replicated log.
@@ -41,18 +39,21 @@
         self._own_id = own_id
         self._clock = timing.Clock(limits, random)
         self._durable = durable_lib.Durable(restored)
-        self._ballot = ballot_lib.Ballot(own_id, self._durable)
+        self._candidacy = candidacy_lib.Candidacy(
+            own_id=own_id, durable=self._durable, clock=self._clock
+        )
         self._follower = follower_lib.Follower(self._durable)
         self._applier = applier_lib.Applier(self._durable)
         self._leadership: leadership_lib.Leadership | None = None
-        self._role = events.Role.FOLLOWER
         self._leader = ""
-        self._reported = (self._role, self._durable.term, self._leader)
+        self._reported = (self.role, self._durable.term, self._leader)
 
     @property
     def role(self) -> events.Role:
         """What this replica does in its term."""
-        return self._role
+        if self._leadership is not None:
+            return events.Role.LEADER
+        return self._candidacy.role
 
     @property
     def term(self) -> int:
@@ -136,9 +137,9 @@
             case events.MessageReceived():
                 self._receive(event.sender, event.message)
             case events.Propose():
-                self._propose(event)
+                self._applier.propose(event, self._leadership)
             case events.ProposeMembers():
-                self._propose_members(event)
+                self._applier.propose_members(event, self._leadership)
             case events.Persisted():
                 self._complete(event.sync_id)
             case events.ImageTaken():
@@ -154,7 +155,7 @@
         if self._leadership is not None:
             sends = self._leadership.collect_sends(self.commit_index)
         actions = [*self._durable.flush(), *sends, *self._applier.collect()]
-        state = (self._role, self._durable.term, self._leader)
+        state = (self.role, self._durable.term, self._leader)
         if state != self._reported:
             self._reported = state
             role, term, leader = state
@@ -170,49 +171,13 @@
             else:
                 self._leadership.tick(self._clock.now)
         elif self._clock.is_election_due():
-            self._start_pre_vote()
-
-    def _start_pre_vote(self) -> None:
-        self._clock.reset()
-        self._leader = ""
-        if not self._is_voter():
-            return
-        self._role = events.Role.PRE_CANDIDATE
-        self._ballot.open(self._durable.term + 1, is_pre=True)
-        self._ballot.add_own()
-        self._ask_votes(is_transfer=False)
-        self._count_votes()
-
-    def _start_election(self, *, is_transfer: bool) -> None:
-        self._clock.reset()
-        self._role = events.Role.CANDIDATE
-        self._leader = ""
-        self._durable.start_term(self._durable.term + 1, self._own_id)
-        self._ballot.open(self._durable.term, is_pre=False)
-        self._ask_votes(is_transfer=is_transfer)
-
-    def _ask_votes(self, *, is_transfer: bool) -> None:
-        request = self._ballot.make_request(is_transfer=is_transfer)
-        for voter in self.members.list_voters():
-            if voter != self._own_id:
-                self._promise(voter, request)
-
-    def _add_own_vote(self) -> None:
-        if self._role is events.Role.CANDIDATE and self._durable.is_settled:
-            self._ballot.add_own()
-            self._count_votes()
-
-    def _count_votes(self) -> None:
-        if not self._ballot.is_won():
-            return
-        if self._role is events.Role.PRE_CANDIDATE:
-            self._start_election(is_transfer=False)
-        elif self._role is events.Role.CANDIDATE:
-            self._become_leader()
+            self._leader = ""
+            self._candidacy.start_pre_vote()
 
     def _complete(self, sync_id: int) -> None:
         self._durable.complete(sync_id)
-        self._add_own_vote()
+        if self._candidacy.add_own_vote():
+            self._become_leader()
 
     def _found_log(self, entry: entries_lib.Entry) -> None:
         if self.last_index == 0:
@@ -222,22 +187,13 @@
         if self._leadership is not None:
             self._leadership.transfer(self._clock.now)
 
-    def _answer_vote(self, sender: str, request: messages.VoteRequest) -> None:
-        answer = self._ballot.answer(sender, request)
-        if answer.is_granted and not request.is_pre:
-            self._clock.reset()
-        self._promise(sender, answer)
-
-    def _is_voter(self) -> bool:
-        return self._own_id in self.members.list_voters()
-
     def _promise(self, receiver: str, message: messages.Message) -> None:
         self._durable.send_after_sync(
             events.Send(receiver=receiver, message=message)
         )
 
     def _become_leader(self) -> None:
-        self._role = events.Role.LEADER
+        self._candidacy.withdraw()
         self._leader = self._own_id
         self._leadership = leadership_lib.Leadership(
             own_id=self._own_id,
@@ -253,20 +209,19 @@
             self._leadership = None
             self._clock.reset()
             self._applier.abandon()
-        self._role = events.Role.FOLLOWER
+        self._candidacy.withdraw()
         self._leader = leader
 
     def _receive(self, sender: str, message: messages.Message) -> None:
         if isinstance(message, messages.VoteRequest) and self._ignores(message):
             return
-        if message.term > self._durable.term and not _is_hypothetical(message):
+        if message.term > self._durable.term and messages.has_started(message):
             self._become_follower(message.term, leader="")
         match message:
             case messages.VoteRequest():
-                self._answer_vote(sender, message)
+                self._candidacy.answer(sender, message)
             case messages.VoteAnswer():
-                self._ballot.add(sender, message)
-                self._count_votes()
+                self._take_vote(sender, message)
             case messages.AppendRequest() | messages.ImageRequest():
                 self._follow(sender, message)
             case messages.AppendAnswer() | messages.ImageAnswer():
@@ -274,6 +229,10 @@
             case messages.TransferRequest():
                 self._take_transfer(message)
 
+    def _take_vote(self, sender: str, answer: messages.VoteAnswer) -> None:
+        if self._candidacy.add_vote(sender, answer):
+            self._become_leader()
+
     def _ignores(self, request: messages.VoteRequest) -> bool:
         if request.is_transfer:
             return False
@@ -315,32 +274,10 @@
         if (
             request.term == self._durable.term
             and self._leadership is None
-            and self._is_voter()
+            and self._candidacy.is_voter()
         ):
-            self._start_election(is_transfer=True)
-
-    def _propose(self, event: events.Propose) -> None:
-        leadership = self._leadership
-        if leadership is None or leadership.is_transferring:
-            for proposal in event.proposals:
-                self._applier.refuse(proposal.proposal_id, NO_LEADER)
-            return
-        for proposal in event.proposals:
-            index = leadership.append(
-                entries_lib.EntryKind.COMMAND, proposal.payload
-            )
-            self._applier.expect(index, proposal.proposal_id)
-
-    def _propose_members(self, event: events.ProposeMembers) -> None:
-        if self._leadership is None:
-            self._applier.refuse(event.proposal_id, NO_LEADER)
-            return
-        cause = self._leadership.check_members(event.members, self.commit_index)
-        if cause:
-            self._applier.refuse(event.proposal_id, cause)
-            return
-        index = self._leadership.append_members(event.members)
-        self._applier.expect(index, event.proposal_id)
+            self._leader = ""
+            self._candidacy.start_election(is_transfer=True)
 
     def _advance_commit(self) -> None:
         if self._leadership is None:
@@ -352,13 +289,3 @@
     def _may_commit(self, index: int) -> bool:
         # An entry of an earlier term on a majority may still be replaced.
         return self._durable.log.find_term(index) == self._durable.term
-
-
-def _is_hypothetical(message: messages.Message) -> bool:
-    """Returns whether the term of a message has not been started."""
-    match message:
-        case messages.VoteRequest():
-            return message.is_pre
-        case messages.VoteAnswer():
-            return message.is_pre and message.is_granted
-    return False
--- a/tests/replica_cluster.py
+++ b/tests/replica_cluster.py
@@ -304,7 +304,7 @@
     def _carry_out(self, host: Host, action: events.Action) -> None:
         match action:
             case events.Send():
-                self._send(host, action)
+                self.transmit(host, action)
             case events.Persist():
                 host.disk.pending.append(action)
                 self._sync_later(host.member.member_id, host.life)
@@ -322,7 +322,8 @@
                 if action.role is events.Role.CANDIDATE:
                     self.elections += 1
 
-    def _send(self, host: Host, send: events.Send) -> None:
+    def transmit(self, host: Host, send: events.Send) -> None:
+        """Puts a message on the network."""
         sender = host.member.member_id
         for _ in range(1 + (self.random.random() < self.faults.duplication)):
             if self.random.random() < self.faults.loss:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -10,6 +10,8 @@
 from lovagesaddle.core.consensus import events
 from lovagesaddle.core.consensus import leadership
 from lovagesaddle.core.consensus import log as log_lib
+from lovagesaddle.core.consensus import messages
+from lovagesaddle.core.consensus import progress
 from tests import fixtures
 from tests import replica_cluster
 
@@ -94,6 +96,29 @@
     assert cluster.get(away).image.index >= VERSIONS - IMAGE_EVERY
 
 
+def test_silent_follower_gets_a_bounded_backlog() -> None:
+    """A follower that does not answer is not sent every new entry."""
+    cluster = replica_cluster.Cluster(seed=16)
+    leader = cluster.elect()
+    away = cluster.get(leader).members.list_others(leader)[0]
+    cluster.run(1.0)
+    cluster.partition((away,))
+    sent: list[events.Send] = []
+    send_on = cluster.transmit
+
+    def record(host: replica_cluster.Host, send: events.Send) -> None:
+        match send.message:
+            case messages.AppendRequest(entries=(_, *_)):
+                sent.extend([send] if send.receiver == away else [])
+        send_on(host, send)
+
+    with mock.patch.object(cluster, "transmit", record):
+        for number in range(VERSIONS):
+            cluster.publish(f"p{number}".encode())
+    assert 0 < len(sent) <= progress.MAX_IN_FLIGHT
+    cluster.check_accepted_kept()
+
+
 def test_snapshot_crosses_a_bad_network_in_pieces() -> None:
     """A snapshot reaches a follower whole although pieces are lost."""
     cluster = replica_cluster.Cluster(seed=7, image_every=IMAGE_EVERY)
