Make six tests of replica and folder able to fail

Twenty rules were broken one at a time on a scratch copy; the tests passed over six of them (a silent learner, stickiness to a leader that is heard, a clock set back, a short older segment, the log's reset, the hard state of a new segment). Each is found now.

--- a/tests/replica_cluster.py
+++ b/tests/replica_cluster.py
@@ -139,6 +139,7 @@
         self._sequence = 0
         self._gone: list[Host] = []
         self._groups: dict[str, int] = {}
+        self._cuts: set[frozenset[str]] = set()
         self._leaders: dict[int, str] = {}
         self._chains: dict[int, bytes] = {0: GENESIS}
         self._entries: dict[int, entries_lib.Entry] = {}
@@ -292,9 +293,14 @@
             for name in group
         }
 
+    def cut(self, first: str, second: str) -> None:
+        """Lets no message pass between two replicas."""
+        self._cuts.add(frozenset((first, second)))
+
     def heal(self) -> None:
         """Ends every fault of the network and the disks."""
         self._groups = {}
+        self._cuts.clear()
         self.faults = Faults()
         for host in self.hosts.values():
             host.is_stuck = False
@@ -333,7 +339,8 @@
 
     def _deliver(self, sender: str, send: events.Send) -> None:
         group = self._groups.get
-        if group(sender, 0) != group(send.receiver, 0):
+        is_cut = frozenset((sender, send.receiver)) in self._cuts
+        if is_cut or group(sender, 0) != group(send.receiver, 0):
             return
         received = events.MessageReceived(sender=sender, message=send.message)
         self.step(send.receiver, received)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -184,9 +184,11 @@
         cluster.publish(b"after a jump")
         assert cluster.get(leader).term == term
     cluster.hosts[leader].skew_s -= 5000.0
+    cluster.run(2.0)
     cluster.publish(b"back")
     assert cluster.get(leader).term == term
-    cluster.hosts[leader].skew_s += 5000.0
+    cluster.crash(leader)
+    cluster.publish(b"after the leader")
     cluster.check_accepted_kept()
 
 
@@ -218,15 +220,18 @@
 
 
 def test_silent_learner_never_votes() -> None:
-    """A learner that does not answer is not made a voter."""
+    """A learner that answers no more is not made a voter."""
     cluster = replica_cluster.Cluster(seed=15)
-    cluster.manage_members()
     leader = cluster.elect()
     learner = dataclasses.replace(cluster.add_host("n1"), is_voter=False)
-    cluster.crash("n1")
     cluster.change_members(leader, cluster.get(leader).members.put(learner))
     cluster.publish(b"one")
     cluster.run(1.0)
+    assert cluster.get(leader).list_matched()["n1"] > 0
+    cluster.crash("n1")
+    cluster.run(1.0)
+    cluster.manage_members()
+    cluster.run(1.0)
     assert "n1" not in cluster.get(leader).members.list_voters()
     cluster.restart("n1")
     cluster.run_until(
@@ -253,6 +258,19 @@
     assert set(refused) <= set(cluster.refused)
 
 
+def test_replica_cut_off_from_the_leader_alone_disturbs_nobody() -> None:
+    """Who hears the leader gives no vote to one that does not."""
+    cluster = replica_cluster.Cluster(seed=17)
+    leader = cluster.elect()
+    cluster.run(1.0)
+    away = cluster.get(leader).members.list_others(leader)[0]
+    cluster.cut(leader, away)
+    term, elections = cluster.get(leader).term, cluster.elections
+    cluster.run(3.0)
+    assert cluster.get(leader).term == term
+    assert cluster.elections == elections
+
+
 def test_removed_replica_disturbs_nobody() -> None:
     """A removed replica that asks for votes raises no term."""
     cluster = replica_cluster.Cluster(seed=14)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -101,6 +101,18 @@
             assert str(path) in str(error), position
 
 
+def test_short_older_segment_stops_the_replica() -> None:
+    """A torn tail is passed over in the newest segment only."""
+    with _folder() as folder:
+        with _open(folder) as store:
+            store.write((_persist(1, _entries(1, 5)),))
+            older = _newest_segment(folder)
+            store.write((_image(2, 3, drop_log=False),))
+        assert older != _newest_segment(folder)
+        older.write_bytes(older.read_bytes()[:-3])
+        assert "newer segment follows" in str(_fail_to_open(folder))
+
+
 def test_damaged_snapshot_stops_the_replica() -> None:
     """A flipped bit in a snapshot is an error and not an older state."""
     with _folder() as folder:
@@ -121,7 +133,7 @@
             for number in range(1, 6):
                 store.write((_persist(number, _entries(number, number)),))
                 store.write((_image(number, number, drop_log=False),))
-            store.write((_persist(9, _entries(6, 7)),))
+            store.write((events.Persist(sync_id=9, entries=_entries(6, 7)),))
         assert len(tuple(folder.glob("segment-*"))) <= 2
         assert len(tuple(folder.glob("snapshot-*"))) == 1
         with _open(folder) as store:
@@ -131,15 +143,19 @@
 
 
 def test_snapshot_of_the_leader_drops_another_log() -> None:
-    """After a snapshot that contradicts the log, the old entries are gone."""
+    """After a snapshot that the log does not reach, old entries are gone."""
     with _folder() as folder:
         with _open(folder) as store:
             store.write((_persist(1, _entries(1, 9)),))
-            store.write((_image(2, 4, drop_log=True),))
-            store.write((_persist(3, _entries(5, 5, term=7)),))
+            old = _newest_segment(folder)
+            content = old.read_bytes()
+            store.write((_image(2, 12, drop_log=True),))
+            store.write((_persist(3, _entries(13, 13, term=7)),))
+        # As after a crash before the old segment was removed.
+        old.write_bytes(content)
         with _open(folder) as store:
             held = [(e.index, e.term) for e in store.restored.entries]
-    assert held == [(5, 7)]
+    assert held == [(13, 7)]
 
 
 def test_lost_files_stop_the_replica() -> None:
