Keep vanished peers from holding links, and split the endpoint

A VM that is cut off closes no connection, so its routes stayed at replicas and parents for ever; TCP keepalive finds them within 45 s.

--- a/bench/distribution_slopes.py
+++ b/bench/distribution_slopes.py
@@ -4,8 +4,10 @@
 meshes up to the size of the target.
 """
 
+import base64
 from collections.abc import Callable
 import dataclasses
+import hashlib
 import pathlib
 import sys
 import time
@@ -39,7 +41,7 @@
 
 def measure(size: int) -> results.Sample:
     """Returns the figures of a mesh with `size` nodes."""
-    base = delta.stamp(fleet_state.build_snapshot(size))
+    base = delta.stamp(_give_keys(fleet_state.build_snapshot(size)))
     changed = delta.restamp(base, _change_service(base.snapshot))
     restarted = delta.restamp(base, _restart(base.snapshot, 1))
     herd = delta.restamp(base, _restart(base.snapshot, HERD))
@@ -67,6 +69,20 @@
     )
 
 
+def _give_keys(base: snapshots.Snapshot) -> snapshots.Snapshot:
+    """Returns the nodes with keys that differ, as real ones do."""
+    nodes = tuple(
+        dataclasses.replace(
+            node,
+            public_key=base64.b85encode(
+                hashlib.blake2b(node.node_id.encode(), digest_size=32).digest()
+            ).decode(),
+        )
+        for node in base.nodes
+    )
+    return dataclasses.replace(base, nodes=nodes)
+
+
 def _change_service(base: snapshots.Snapshot) -> snapshots.Snapshot:
     changed = dataclasses.replace(
         base.services[0], revision=base.services[0].revision + base.version
--- a/src/lovagesaddle/transport/endpoint.py
+++ b/src/lovagesaddle/transport/endpoint.py
@@ -5,8 +5,6 @@
 `Endpoint.wake` and a queue of their own.
 """
 
-import dataclasses
-import enum
 import math
 import types
 from typing import Self
@@ -16,51 +14,25 @@
 from lovagesaddle.core import errors
 from lovagesaddle.core.model import peers
 from lovagesaddle.transport import authentication
+from lovagesaddle.transport import frames as frames_lib
 from lovagesaddle.transport import keys as keys_lib
 from lovagesaddle.transport import lines
+from lovagesaddle.transport import options
 from lovagesaddle.transport import traffic as traffic_lib
 
 ROUTER_HANDOVER = 1
 LINGER_MS = 0
 DISCONNECT_LINGER_MS = 200
-SEND_QUEUE_MESSAGES = 10_000
-MAX_MESSAGE_BYTES = 64 * 1024 * 1024
-HEAD_BYTES = 2
 SUFFIX_MARK = "/"
 MS_PER_S = 1000
 WAKE_ADDRESS = "inproc://wake-{}"
 
 
-class Channel(enum.Enum):
-    """Which part of the receiving process a message is for."""
-
-    CONSENSUS = 1
-    DISTRIBUTION = 2
-    OPERATOR = 3
-    CLAIMS = 4
-
-
+Channel = frames_lib.Channel
+Received = frames_lib.Received
 Peer = peers.Peer
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Received:
-    """A message that arrived.
-
-    Attributes:
-      sender_id: Name that the sender gives itself.
-      route: Connection to answer on with `Endpoint.answer`; empty when the
-        message came over a connection of this process's own making.
-      channel: Part it is for.
-      data: Encoded message.
-    """
-
-    sender_id: str
-    route: bytes
-    channel: Channel
-    data: bytes
-
-
 class Endpoint:
     """Binds one address, connects to peers on demand, sends and receives.
 
@@ -198,7 +170,7 @@
         router = self._context.socket(zmq.ROUTER)
         router.setsockopt(zmq.ROUTER_HANDOVER, ROUTER_HANDOVER)
         router.setsockopt(zmq.ROUTER_MANDATORY, 1)
-        _limit(router)
+        options.limit(router)
         if self._keys is not None:
             router.curve_server = True
             router.curve_secretkey = self._keys.pair.secret.encode()
@@ -214,7 +186,7 @@
 
     def _connect(self, peer: Peer) -> zmq.Socket[bytes]:
         link = self._context.socket(zmq.DEALER)
-        _limit(link)
+        options.limit(link)
         try:
             self._seal(link, peer)
             link.connect(peer.address)
@@ -246,8 +218,7 @@
         channel: Channel,
         data: bytes,
     ) -> bool:
-        head = bytes((channel.value, len(self._own_id)))
-        frame = head + self._own_id + data
+        frame = frames_lib.encode(self._own_id, channel, data)
         try:
             socket.send_multipart([*route, frame], zmq.NOBLOCK)
         except zmq.ZMQError:
@@ -268,7 +239,7 @@
             route = frames.pop(0).bytes if socket is self._router else b""
             if len(frames) != 1:
                 continue
-            received = _parse(route, frames[0].bytes)
+            received = frames_lib.parse(route, frames[0].bytes)
             if received is None:
                 continue
             size = len(frames[0].bytes)
@@ -304,27 +275,6 @@
         )
 
 
-def _limit(socket: zmq.Socket[bytes]) -> None:
-    socket.setsockopt(zmq.LINGER, LINGER_MS)
-    socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
-    socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
-
-
-def _parse(route: bytes, frame: bytes) -> Received | None:
-    if len(frame) < HEAD_BYTES or len(frame) < HEAD_BYTES + frame[1]:
-        return None
-    end = HEAD_BYTES + frame[1]
-    try:
-        return Received(
-            sender_id=frame[HEAD_BYTES:end].decode(),
-            route=route,
-            channel=Channel(frame[0]),
-            data=frame[end:],
-        )
-    except ValueError:
-        return None
-
-
 def _drain_wakes(socket: zmq.Socket[bytes]) -> None:
     try:
         while True:
--- /dev/null
+++ b/src/lovagesaddle/transport/options.py
@@ -0,0 +1,25 @@
+"""Options that every socket between processes has."""
+
+import zmq
+
+LINGER_MS = 0
+RECONNECT_FIRST_MS = 100
+RECONNECT_CAP_MS = 1000
+KEEPALIVE_IDLE_S = 30
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
+SEND_QUEUE_MESSAGES = 10_000
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+
+
+def limit(socket: zmq.Socket[bytes]) -> None:
+    """Bounds queues and messages, and finds links whose peer vanished."""
+    socket.setsockopt(zmq.LINGER, LINGER_MS)
+    socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+    socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+    socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_FIRST_MS)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_CAP_MS)
+    socket.setsockopt(zmq.TCP_KEEPALIVE, 1)
+    socket.setsockopt(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S)
+    socket.setsockopt(zmq.TCP_KEEPALIVE_INTVL, KEEPALIVE_INTERVAL_S)
+    socket.setsockopt(zmq.TCP_KEEPALIVE_CNT, KEEPALIVE_PROBES)
