--- a/src/lovagesaddle/core/distribution/children.py
+++ b/src/lovagesaddle/core/distribution/children.py
@@ -86,6 +86,25 @@
         ]
         return acks.fold((own, *reported))
 
+    def serve(
+        self,
+        arrival: events.Arrival,
+        message: messages.DistributionMessage,
+        stamp: stamps.LeaderStamp,
+        now: float,
+    ) -> tuple[events.Action, ...] | None:
+        """Handles a message of a child; returns None for any other message."""
+        match message:
+            case messages.ChildBeat():
+                return self.hear_beat(arrival, message, stamp, now)
+            case messages.Pull():
+                return self.hear_pull(arrival, message, now)
+            case messages.Detach():
+                self.drop(arrival.sender_id)
+                return ()
+            case _:
+                return None
+
     def hear_beat(
         self,
         arrival: events.Arrival,
--- a/src/lovagesaddle/core/distribution/events.py
+++ b/src/lovagesaddle/core/distribution/events.py
@@ -129,3 +129,8 @@
     return LogLine(
         event=event, peer=arrival.sender_id, version=version, reason=reason
     )
+
+
+def refuse(arrival: Arrival, reason: str) -> LogLine:
+    """Returns the log line for a message that is passed over."""
+    return describe("message refused", arrival, reason=reason)
--- a/src/lovagesaddle/core/distribution/follower.py
+++ b/src/lovagesaddle/core/distribution/follower.py
@@ -25,8 +25,6 @@
 SNAPSHOTS_PER_S = 4.0
 SNAPSHOT_BURST = 4
 
-Outcome = holding_lib.Outcome
-
 
 class Follower(part.Part[events.NodeEvent, events.Action]):
     """Joins, holds a version, follows its parents and serves its children.
@@ -134,25 +132,18 @@
         message: messages.DistributionMessage,
         now: float,
     ) -> tuple[events.Action, ...]:
+        served = self._children.serve(
+            arrival, message, self._parents.stamp, now
+        )
+        if served is not None:
+            if self._children.take_changed():
+                self._beats.hurry(now)
+            return served
         match message:
-            case messages.ChildBeat():
-                stamp = self._parents.stamp
-                done = self._children.hear_beat(arrival, message, stamp, now)
-                if self._children.take_changed():
-                    self._beats.hurry(now)
-                return done
-            case messages.Pull():
-                return self._children.hear_pull(arrival, message, now)
-            case messages.Detach():
-                self._children.drop(arrival.sender_id)
-                return ()
             case messages.MarkSpread():
                 return self._spread(message.marks, arrival.sender_id, now)
             case _:
-                kind = type(message).__name__
-                return (
-                    events.describe("message refused", arrival, reason=kind),
-                )
+                return (events.refuse(arrival, type(message).__name__),)
 
     def _follow(
         self,
@@ -185,10 +176,7 @@
             case messages.ReplicaList():
                 return self._take_list(arrival, message)
             case _:
-                kind = type(message).__name__
-                return (
-                    events.describe("message refused", arrival, reason=kind),
-                )
+                return (events.refuse(arrival, type(message).__name__),)
 
     def _take_list(
         self, arrival: events.Arrival, listed: messages.ReplicaList
@@ -238,11 +226,11 @@
         base_version: int,
         now: float,
     ) -> tuple[events.Action, ...]:
-        if verdict.outcome is Outcome.OLDER:
+        if verdict.outcome is holding_lib.Outcome.OLDER:
             return ()
-        if verdict.outcome is Outcome.MISMATCH:
+        if verdict.outcome is holding_lib.Outcome.MISMATCH:
             self._fetching.demand_whole(now)
-        if verdict.outcome is not Outcome.INSTALLED:
+        if verdict.outcome is not holding_lib.Outcome.INSTALLED:
             reason = f"{verdict.outcome.value}: {verdict.cause}"
             return (events.describe("update refused", arrival, reason=reason),)
         held = self._holding.held
--- a/src/lovagesaddle/core/distribution/source.py
+++ b/src/lovagesaddle/core/distribution/source.py
@@ -116,17 +116,11 @@
         try:
             message = wire.decode(arrival.frame, peer=arrival.sender_id)
         except errors.CodecError as error:
-            return (registrar_lib.refuse(arrival, error.cause),)
+            return (events.refuse(arrival, error.cause),)
+        served = self._children.serve(arrival, message, self._stamp, now)
+        if served is not None:
+            return served
         match message:
-            case messages.ChildBeat():
-                return self._children.hear_beat(
-                    arrival, message, self._stamp, now
-                )
-            case messages.Pull():
-                return self._children.hear_pull(arrival, message, now)
-            case messages.Detach():
-                self._children.drop(arrival.sender_id)
-                return ()
             case messages.MarkSpread():
                 return self._spread(message.marks, arrival.sender_id, now)
             case _:
--- a/src/lovagesaddle/core/membership/registrar.py
+++ b/src/lovagesaddle/core/membership/registrar.py
@@ -99,7 +99,7 @@
             case messages.Join() | messages.ServerReport() | messages.Leave():
                 return self._take_or_forward(arrival, message, now)
             case _ if not self._is_replica(arrival.sender_id):
-                return (refuse(arrival, type(message).__name__),)
+                return (events.refuse(arrival, type(message).__name__),)
             case messages.Forward():
                 return self._take_forwarded(arrival, message, now)
             case messages.ForwardAnswer():
@@ -111,7 +111,7 @@
                 self._leases.hear(message.groups, now)
                 return ()
             case _:
-                return (refuse(arrival, type(message).__name__),)
+                return (events.refuse(arrival, type(message).__name__),)
 
     def _take_or_forward(
         self,
@@ -124,7 +124,7 @@
             self._origins[origin] = ("", arrival.route)
             return self._take(origin, message, now)
         if self._leader is None:
-            return (refuse(arrival, "no leader is known"),)
+            return (events.refuse(arrival, "no leader is known"),)
         if isinstance(message, messages.Join):
             self._routes[origin] = arrival.route
         forward = messages.Forward(origin_id=origin, data=arrival.frame)
@@ -134,11 +134,13 @@
         self, arrival: events.Arrival, forward: messages.Forward, now: float
     ) -> Actions:
         if not self._is_leader:
-            return (refuse(arrival, "forwarded to a replica without lead"),)
+            return (
+                events.refuse(arrival, "forwarded to a replica without lead"),
+            )
         try:
             message = wire.decode(forward.data, peer=forward.origin_id)
         except errors.CodecError as error:
-            return (refuse(arrival, error.cause),)
+            return (events.refuse(arrival, error.cause),)
         self._origins[forward.origin_id] = (arrival.sender_id, arrival.route)
         return self._take(forward.origin_id, message, now)
 
@@ -222,8 +224,3 @@
 
     def _is_replica(self, sender_id: str) -> bool:
         return any(peer.peer_id == sender_id for peer in self._replicas)
-
-
-def refuse(arrival: events.Arrival, reason: str) -> events.LogLine:
-    """Returns the log line for a message that is passed over."""
-    return events.describe("message refused", arrival, reason=reason)
