Report every mistake of a section beside a wrong value

Cause: a key that did not convert ended the checks of its section, so a file with eight mistakes showed four. Change: a section is checked further with defaults in place of wrong keys. test_mistakes_of_one_file_are_all_located took the mistakes in two steps, as the old check gave them; it asks for all six at once now, which is stricter.

--- a/src/lovagesaddle/core/configuration/sections.py
+++ b/src/lovagesaddle/core/configuration/sections.py
@@ -27,10 +27,14 @@
 
     Attributes:
       value: The dataclass; None when there is any problem.
+      draft: The same with defaults in place of wrong keys, so that the other
+        keys can be checked all the same; None when a key without a default
+        is missing or wrong.
       problems: Every mistake of the section.
     """
 
     value: T | None
+    draft: T | None
     problems: tuple[errors.FileProblem, ...]
 
 
@@ -70,9 +74,14 @@
             values[field.name] = _convert_entry(entry, hints[field.name])
         except ValueError as error:
             problems.append(section.report(key, _describe(entry, error)))
-    if problems:
-        return Converted(value=None, problems=tuple(problems))
-    return Converted(value=kind(**values), problems=())
+    draft = None
+    if all(f.name in values for f in fields if _is_required(f)):
+        draft = kind(**values)
+    return Converted(
+        value=None if problems else draft,
+        draft=draft,
+        problems=tuple(problems),
+    )
 
 
 def name_key(field_name: str) -> str:
--- a/src/lovagesaddle/core/configuration/service_files.py
+++ b/src/lovagesaddle/core/configuration/service_files.py
@@ -68,7 +68,7 @@
     """Keys of [route NAME], with the defaults of those that may be left out."""
 
     name: _Name
-    host: _Host
+    host: _Host = ""
     path: str = "/"
     methods: _Words = ("GET",)
     timeout_s: _Timeout = 5.0
@@ -208,11 +208,18 @@
                 section, RouteSection, given={"name": section.label}
             )
             self._problems.extend(converted.problems)
-            if converted.value is None:
+            if converted.draft is None:
                 continue
-            found = _list_route_problems(section, converted.value, callers)
+            wrong = {problem.key for problem in converted.problems}
+            found = [
+                problem
+                for problem in _list_route_problems(
+                    section, converted.draft, callers
+                )
+                if problem.key not in wrong
+            ]
             self._problems.extend(found)
-            if not found:
+            if converted.value is not None and not found:
                 route = _make_route(converted.value)
                 placed.append(PlacedRoute(section=section, route=route))
         return placed
@@ -259,6 +266,8 @@
         for method in route.methods
         if method not in METHODS
     ]
+    if section.find("host") is None:
+        found.append(section.report("host", "key is missing"))
     if not route.methods:
         found.append(section.report("methods", "no method is given"))
     cause = _judge_path(route.path)
--- a/tests/test_service_files.py
+++ b/tests/test_service_files.py
@@ -69,16 +69,37 @@
     )
     assert _list_places(text, ARTWORK) == [
         "0.service.ini:3: service/revision",
+        "0.service.ini:12: route confirm/path",
+        "0.service.ini:13: route confirm/methods",
         "0.service.ini:14: route confirm/timeout",
+        "0.service.ini:16: route confirm/callers",
         "0.service.ini:17: route confirm/colour",
     ]
-    text = text.replace("timeout = 0s", "timeout = 1s")
-    text = text.replace("colour = red\n", "")
-    assert _list_places(text, ARTWORK) == [
+
+
+def test_wrong_key_hides_no_other_mistake_of_its_section() -> None:
+    """The other keys of a section are checked beside a wrong one."""
+    text = """\
+[service]
+name = Order Desk
+revision = x
+speed = 3
+
+[route a]
+path = proofs
+methods = FETCH
+timeout = 2 parsecs
+callers = nobody
+"""
+    assert _list_places(text) == [
+        "0.service.ini:2: service/name",
         "0.service.ini:3: service/revision",
-        "0.service.ini:12: route confirm/path",
-        "0.service.ini:13: route confirm/methods",
-        "0.service.ini:16: route confirm/callers",
+        "0.service.ini:4: service/speed",
+        "0.service.ini:6: route a/host",
+        "0.service.ini:7: route a/path",
+        "0.service.ini:8: route a/methods",
+        "0.service.ini:9: route a/timeout",
+        "0.service.ini:10: route a/callers",
     ]
 
 
