--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -25,9 +25,6 @@
 CLEANUP_S = 5
 SPOOL_BYTES = 512 * 1024
 RECV_BYTES = 64 * 1024
-# More than the largest answer, so that a caller that does not read its answer
-# holds no thread.
-UNREAD_BYTES = 128 * 1024 * 1024
 LOOKAHEAD_REQUESTS = 1
 LOOP_TIMEOUT_S = 1
 STOP_POLL_S = 0.02
@@ -264,7 +261,6 @@
             "max_request_body_size": self._options.max_body_bytes + 1,
             "inbuf_overflow": SPOOL_BYTES,
             "recv_bytes": RECV_BYTES,
-            "outbuf_high_watermark": UNREAD_BYTES,
             "asyncore_use_poll": True,
             "asyncore_loop_timeout": LOOP_TIMEOUT_S,
             "log_socket_errors": False,
