--- a/bench/calls.py
+++ b/bench/calls.py
@@ -95,7 +95,7 @@
             name="one-slow",
             workload=quick,
             scenario=scenarios.SlowServer(),
-            policies=(*picks, "hedge"),
+            policies=picks,
             rate=150,
         ),
         *(
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -47,12 +47,17 @@
     Args:
       failure_domain: Of this node.
       options: Policies.
+
+    Raises:
+      ValueError: The options ask for hedging.
     """
 
     def __init__(
         self, *, failure_domain: str, options: RoutingOptions | None = None
     ) -> None:
         self.options = options or RoutingOptions()
+        if self.options.call.hedge:
+            raise ValueError("attempts run one at a time, so none is hedged")
         self._table: table_lib.Table | None = None
         self._balancer = balancer.Balancer(
             options=balancer.BalancerOptions(
