--- a/bench/calls.py
+++ b/bench/calls.py
@@ -30,6 +30,8 @@
 START_S = 1.5
 SETTLE_S = 1.0
 RESULT_FILE = results.RESULTS_FOLDER / "calls.jsonl"
+MS_PER_S = 1000
+OVERLOAD_RUN_MS = 1000.0
 ADDED_KIND = "/layouts-meshed"
 
 
@@ -57,9 +59,9 @@
 def list_experiments() -> tuple[Experiment, ...]:
     """Returns every experiment, cheapest first."""
     quick = workloads.make_bentancor(run_ms=10)
-    slots_full_ms = 500
-    overload = workloads.make_bentancor(run_ms=slots_full_ms, timeout_s=1.5)
-    capacity = 200 * 1000 / slots_full_ms
+    overload = workloads.make_bentancor(run_ms=OVERLOAD_RUN_MS, timeout_s=2.5)
+    slots = sum(upstream.slots for upstream in overload.upstreams)
+    capacity = slots * MS_PER_S / OVERLOAD_RUN_MS
     picks = (policies.CHOSEN, "pick-random", "pick-least", "any-domain")
     under_load = (
         policies.CHOSEN,
@@ -119,8 +121,8 @@
             workload=overload,
             scenario=scenarios.Quiet(),
             policies=under_load,
-            rate=2 * capacity / 2,
-            threads=400,
+            rate=2 * capacity,
+            threads=600,
         ),
     )
 
