--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -117,9 +117,20 @@
         if not self._claim(request.attempt_id):
             reason = admission.RefusalReason.DUPLICATE.value
             return run_answers.refuse(request, reason, slots)
-        judged = self._suspects.judge(
-            request.fingerprint, hinted=request.suspect
-        )
+        running = self._admit(request, slots, guard)
+        if isinstance(running, hop.RunAnswer):
+            return running
+        slots.start(request.attempt_id, running)
+        return self._hand_over(request, slots, guard, running)
+
+    def _admit(
+        self,
+        request: hop.RunRequest,
+        slots: slots_lib.Slots,
+        guard: watchdog.Guard,
+    ) -> quarantine.RunningRequest | hop.RunAnswer:
+        """Returns what may run now, or the refusal."""
+        judged = self._judge(request)
         if judged is quarantine.Verdict.REFUSED:
             return run_answers.refuse(request, hop.QUARANTINED, slots)
         suspect = judged is quarantine.Verdict.SUSPECT
@@ -140,11 +151,16 @@
             return run_answers.refuse(
                 request, verdict.reason.value, slots, verdict.retry_after_s
             )
-        running = quarantine.RunningRequest(
+        if self._judge(request) is quarantine.Verdict.REFUSED:
+            # It was found guilty elsewhere while it waited.
+            slots.step(admission.Cancelled(request_id=request.attempt_id))
+            return run_answers.refuse(request, hop.QUARANTINED, slots)
+        return quarantine.RunningRequest(
             fingerprint=request.fingerprint, suspected=suspect
         )
-        slots.start(request.attempt_id, running)
-        return self._hand_over(request, slots, guard, running)
+
+    def _judge(self, request: hop.RunRequest) -> quarantine.Verdict:
+        return self._suspects.judge(request.fingerprint, hinted=request.suspect)
 
     def _hand_over(
         self,
