--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -28,6 +28,7 @@
 SIZES = (3, 5)
 PUBLISH_S = 5.0
 OPERATORS = (1, 4)
+IDLE_S = 10.0
 LOSSES = 9
 LOG_LENGTHS = (1_000, 10_000, 100_000)
 NODES = 50
@@ -48,7 +49,7 @@
         done = pool.map(_publish_for_a_while, publishers)
         answers = [answer for part in done for answer in part]
         took = time.monotonic() - started
-        syncs = replicas.stop_all()
+        syncs = replicas.stop_all().syncs
     accepted = sum(answer.is_accepted for answer in answers)
     latencies = sorted(answer.latency_s for answer in answers)
     return results.Sample(
@@ -65,6 +66,36 @@
     )
 
 
+def measure_idle(size: int) -> results.Sample:
+    """Returns what replicas cost that have nothing to do."""
+    with (
+        replica_processes.ReplicaProcesses(size) as replicas,
+        replica_processes.Publisher(replicas.list_addresses()) as operator,
+    ):
+        operator.publish_accepted()
+        before = replicas.read_cpu_s()
+        started = time.monotonic()
+        time.sleep(IDLE_S)
+        took = time.monotonic() - started
+        used = replicas.read_cpu_s() - before
+        memory = replicas.read_memory_bytes()
+        totals = replicas.stop_all()
+    return results.Sample(
+        experiment="consensus",
+        variant=f"{size} replicas, idle",
+        seed=1,
+        figures=(
+            _figure("processor of a replica", used / took / size * 100, "%"),
+            _figure("memory of a replica", memory / 1e6, "MB"),
+            _figure(
+                "traffic of a replica",
+                totals.traffic_bytes / took / size,
+                "B/s",
+            ),
+        ),
+    )
+
+
 def measure_leader_loss(size: int) -> results.Sample:
     """Returns the time from a leader's kill to the next accepted publish."""
     gaps: list[float] = []
@@ -125,6 +156,7 @@
         for operators in OPERATORS:
             samples.append(measure_publishes(size, operators))
         samples.append(measure_leader_loss(size))
+        samples.append(measure_idle(size))
     samples.extend(measure_recovery(length) for length in LOG_LENGTHS)
     results.write_samples(RESULTS_FILE, samples)
     print(results.format_table(samples))
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -56,15 +56,11 @@
 
     def read_cpu_s(self) -> float:
         """Returns the processor time it has used, in seconds."""
-        stat = pathlib.Path(f"/proc/{self.pid}/stat").read_text("ascii")
-        fields = stat.rpartition(")")[2].split()
-        ticks = int(fields[11]) + int(fields[12])
-        return ticks / os.sysconf("SC_CLK_TCK")
+        return read_cpu_s(self.pid)
 
     def read_memory_bytes(self) -> int:
         """Returns its resident memory, in bytes."""
-        pages = pathlib.Path(f"/proc/{self.pid}/statm").read_text("ascii")
-        return int(pages.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+        return read_memory_bytes(self.pid)
 
     @property
     def is_running(self) -> bool:
@@ -103,6 +99,20 @@
         self._process.wait()
 
 
+def read_cpu_s(pid: int) -> float:
+    """Returns the processor time a process has used, in seconds."""
+    stat = pathlib.Path(f"/proc/{pid}/stat").read_text("ascii")
+    fields = stat.rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def read_memory_bytes(pid: int) -> int:
+    """Returns a process's resident memory, in bytes."""
+    pages = pathlib.Path(f"/proc/{pid}/statm").read_text("ascii")
+    return int(pages.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Addresses:
     """Where a node listens."""
--- a/bench/replica_processes.py
+++ b/bench/replica_processes.py
@@ -1,6 +1,7 @@
 """Real control processes on loopback, and an operator that publishes."""
 
 import contextlib
+import dataclasses
 import pathlib
 import re
 import signal
@@ -15,6 +16,7 @@
 from tests import control_cluster
 import zmq
 
+from bench import processes
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import operator_messages
 from lovagesaddle.core.model import services
@@ -28,6 +30,19 @@
 _PROGRAM = "from lovagesaddle.control.main import main; main()"
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Totals:
+    """What all replicas did in their lives.
+
+    Attributes:
+      syncs: Syncs of the log.
+      traffic_bytes: Sent and received; a byte between two counts twice.
+    """
+
+    syncs: int
+    traffic_bytes: int
+
+
 class ReplicaProcesses:
     """Starts replicas in processes of their own.
 
@@ -84,15 +99,32 @@
         process.send_signal(number)
         process.wait()
 
-    def stop_all(self) -> int:
-        """Stops every replica in order; returns the syncs of all of them."""
+    def read_cpu_s(self) -> float:
+        """Returns the processor time of all replicas so far."""
+        return sum(
+            processes.read_cpu_s(process.pid)
+            for process in self._processes.values()
+        )
+
+    def read_memory_bytes(self) -> int:
+        """Returns the resident memory of the largest replica."""
+        return max(
+            processes.read_memory_bytes(process.pid)
+            for process in self._processes.values()
+        )
+
+    def stop_all(self) -> Totals:
+        """Stops every replica in order; returns what all of them did."""
         for name in tuple(self._processes):
             self.stop(name, signal.SIGTERM)
         text = "".join(
             path.read_text(encoding="utf-8")
             for path in self.folder.glob("*.log")
         )
-        return sum(int(count) for count in re.findall(r"syncs=(\d+)", text))
+        return Totals(
+            syncs=_sum_values(text, "syncs"),
+            traffic_bytes=_sum_values(text, "traffic_bytes"),
+        )
 
     def _write_settings(self, name: str) -> str:
         lines = [
@@ -111,6 +143,10 @@
         return "\n".join(lines) + "\n"
 
 
+def _sum_values(text: str, key: str) -> int:
+    return sum(int(value) for value in re.findall(rf"{key}=(\d+)", text))
+
+
 class Publisher:
     """An operator that publishes one set after another.
 
--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -157,6 +157,7 @@
             "replica_stopped",
             replica=self._settings.replica_id,
             syncs=self._store.sync_count,
+            traffic_bytes=self._endpoint.traffic_bytes,
         )
 
     def _serve_until(self, is_done: Callable[[], bool]) -> None:
