--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -78,6 +78,7 @@
         self._log = logs.get_logger("control")
         self._stopping = threading.Event()
         self._wake_lock = threading.Lock()
+        self._is_closed = False
         self._stack = contextlib.ExitStack()
         try:
             self._open(context, is_founding, disk)
@@ -123,10 +124,15 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
+        with self._wake_lock:
+            self._is_closed = True
         self._stack.close()
 
     def stop(self) -> None:
-        """Makes `run` hand leadership over and return; for any thread."""
+        """Makes `run` hand leadership over and return.
+
+        For any thread, also after the end.
+        """
         self._stopping.set()
         self._wake()
 
@@ -200,7 +206,8 @@
 
     def _wake(self) -> None:
         with self._wake_lock:
-            self._endpoint.wake()
+            if not self._is_closed:
+                self._endpoint.wake()
 
     def _make_consensus(self, is_founding: bool) -> consensus_lib.Consensus:
         settings = self._settings
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -51,6 +51,13 @@
         assert cluster.publish("p1", 0).result == first
 
 
+def test_late_stop_is_harmless() -> None:
+    """A signal that comes when the replica has ended changes nothing."""
+    with control_cluster.ControlCluster() as cluster:
+        cluster.stop("r1")
+        cluster.programs["r1"].stop()
+
+
 def test_failed_disk_stops_the_leader_unanswered() -> None:
     """A leader that can't sync stops and does not answer its publish."""
     disks = {name: test_store.FaultyDisk() for name in NAMES}
