--- /dev/null
+++ b/bench/distribution_deaths.py
@@ -0,0 +1,74 @@
+"""Both parents of a node die: `python -m bench.distribution_deaths`.
+
+In virtual time over the tests' in-memory links, for several heartbeats: how
+long until a version that is accepted at that moment is in force everywhere.
+"""
+
+import logging
+import pathlib
+import sys
+
+import structlog
+from tests import mesh as mesh_lib
+
+from bench import results
+from lovagesaddle.core.distribution import tree
+
+BEATS_S = (0.25, 0.5, 1.0, 2.0, 4.0)
+NODES = 30
+RUNS = 6
+LIMIT_S = 60.0
+BOUND_S = 4.0
+RESULTS_FILE = pathlib.Path("results") / "distribution_deaths.jsonl"
+
+
+def measure(heartbeat_s: float, run: int) -> results.Sample:
+    """Returns the time to convergence after one double death."""
+    mesh = mesh_lib.Mesh(heartbeat_s=heartbeat_s)
+    mesh.add_nodes(NODES)
+    mesh.run(4 * (1 + heartbeat_s))
+    mesh.run_until_converged()
+    for parent in _list_deep(mesh)[run]:
+        mesh.kill(parent)
+    mesh.publish("orderdesk")
+    return results.Sample(
+        experiment="distribution deaths",
+        variant=f"beat {heartbeat_s:g}",
+        seed=run,
+        figures=(
+            results.Figure(
+                name="in force everywhere",
+                value=mesh.run_until_converged(LIMIT_S),
+                unit="s",
+                bound=BOUND_S,
+            ),
+        ),
+    )
+
+
+def _list_deep(mesh: mesh_lib.Mesh) -> list[tuple[str, str]]:
+    """Returns both parents of each node whose parents are nodes."""
+    replicas = tuple(replica.peer for replica in mesh.replicas.values())
+    pairs: list[tuple[str, str]] = []
+    for name in sorted(mesh.nodes):
+        plan = tree.make_plan(mesh.state.snapshot, name, "a", replicas)
+        eager, lazy = plan.eager[0].peer_id, plan.lazy[0].peer_id
+        if eager in mesh.nodes and lazy in mesh.nodes:
+            pairs.append((eager, lazy))
+    return pairs
+
+
+def main() -> int:
+    """Prints one column for each heartbeat."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING)
+    )
+    samples = [measure(beat, run) for beat in BEATS_S for run in range(RUNS)]
+    print(results.format_table(samples))
+    results.write_samples(RESULTS_FILE, samples)
+    print("\n".join(results.list_breaches(samples)))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -32,10 +32,10 @@
 class Replica:
     """A source with the state it has applied."""
 
-    def __init__(self, replica_id: str) -> None:
+    def __init__(self, replica_id: str, heartbeat_s: float) -> None:
         self.peer = peers.Peer(peer_id=replica_id, address=replica_id)
         self.part = source_lib.Source(
-            heartbeat_s=HEARTBEAT_S, lease_s=LEASE_S, expiry_share=SHARE
+            heartbeat_s=heartbeat_s, lease_s=LEASE_S, expiry_share=SHARE
         )
         self.stamped = state_lib.stamp_nothing()
         self.stamp = stamps.LeaderStamp(term=1, counter=0)
@@ -55,10 +55,13 @@
 class Mesh:
     """Replicas and nodes on in-memory links."""
 
-    def __init__(self, replica_count: int = 3) -> None:
+    def __init__(
+        self, replica_count: int = 3, heartbeat_s: float = HEARTBEAT_S
+    ) -> None:
+        self.heartbeat_s = heartbeat_s
         self.now = 100.0
         self.replicas = {
-            f"r{n}": Replica(f"r{n}") for n in range(replica_count)
+            f"r{n}": Replica(f"r{n}", heartbeat_s) for n in range(replica_count)
         }
         self.leader_id = "r0"
         self.nodes: dict[str, Member] = {}
@@ -82,7 +85,7 @@
             life=epoch.to_bytes(4, "big"),
             cluster_id=CLUSTER,
             replicas=tuple(r.peer for r in self.replicas.values()),
-            heartbeat_s=HEARTBEAT_S,
+            heartbeat_s=self.heartbeat_s,
             random=random.Random(epoch),
         )
         self.nodes[node_id] = Member(part, epoch)
@@ -114,7 +117,7 @@
     def replace_replica(self, old_id: str, new_id: str) -> None:
         """Puts a replica with a new name and address in place of another."""
         del self.replicas[old_id]
-        self.replicas[new_id] = Replica(new_id)
+        self.replicas[new_id] = Replica(new_id, self.heartbeat_s)
         if self.leader_id == old_id:
             self.leader_id = new_id
 
