--- a/src/lovagesaddle/control/consensus.py
+++ b/src/lovagesaddle/control/consensus.py
@@ -143,6 +143,9 @@
     def tick(self, now: float) -> None:
         """Lets time pass."""
         self._now = now
+        if not self._stamp_at:
+            # Without any stamp yet, its age counts from the start.
+            self._stamp_at = now
         self._step(events.Tick())
         if self._replica.last_index == 0:
             self._step_founding(founding_lib.Tick())
@@ -160,10 +163,8 @@
             proposals = tuple(self._batch)
             self._batch.clear()
             self._step(events.Propose(proposals=proposals))
-        persisted = self._syncer.poll()
-        if persisted is not None:
+        while (persisted := self._syncer.poll()) is not None:
             self._step(persisted)
-            self._syncer.poll()
         self._note_stamp()
 
     def transfer(self, now: float) -> None:
--- a/src/lovagesaddle/core/distribution/follower.py
+++ b/src/lovagesaddle/core/distribution/follower.py
@@ -1,11 +1,11 @@
 """The control half of a node: follows the configuration and relays it."""
 
-import itertools
 from typing import assert_never
 
 from lovagesaddle.core import errors
 from lovagesaddle.core import part
 from lovagesaddle.core.distribution import backoff as backoff_lib
+from lovagesaddle.core.distribution import beats as beats_lib
 from lovagesaddle.core.distribution import children as children_lib
 from lovagesaddle.core.distribution import events
 from lovagesaddle.core.distribution import fetching as fetching_lib
@@ -24,9 +24,6 @@
 
 SNAPSHOTS_PER_S = 4.0
 SNAPSHOT_BURST = 4
-ACK_DELAY_S = 0.05
-
-Outcome = holding_lib.Outcome
 
 
 class Follower(part.Part[events.NodeEvent, events.Action]):
@@ -72,11 +69,17 @@
         self._fetching = fetching_lib.Fetching(
             holding=self._holding, random=random
         )
+        self._beats = beats_lib.Beats(
+            holding=self._holding,
+            parents=self._parents,
+            children=self._children,
+            heartbeat_s=heartbeat_s,
+        )
+        self._listed_at = parents_lib.NO_STAMP
         self._marks = marks_lib.Marks()
-        self._helpers: tuple[peers.Peer, ...] = ()
+        turn = int(random.random() * len(replicas))
+        self._turned = replicas[turn:] + replicas[:turn]
         self._planned: tuple[snapshots.Node, ...] | None = None
-        self._next_beat_at = 0.0
-        self._ack_at: float | None = None
 
     @property
     def node(self) -> snapshots.Node:
@@ -115,7 +118,9 @@
         try:
             message = wire.decode(arrival.frame, peer=arrival.sender_id)
         except errors.CodecError as error:
-            return (_log("frame refused", arrival, reason=error.cause),)
+            return (
+                events.describe("frame refused", arrival, reason=error.cause),
+            )
         self._parents.hear(arrival.sender_id, now)
         if arrival.route:
             return self._serve(arrival, message, now)
@@ -127,22 +132,18 @@
         message: messages.DistributionMessage,
         now: float,
     ) -> tuple[events.Action, ...]:
+        served = self._children.serve(
+            arrival, message, self._parents.stamp, now
+        )
+        if served is not None:
+            if self._children.take_changed():
+                self._beats.hurry(now)
+            return served
         match message:
-            case messages.ChildBeat():
-                stamp = self._parents.stamp
-                done = self._children.hear_beat(arrival, message, stamp, now)
-                self._note_acks(now)
-                return done
-            case messages.Pull():
-                return self._children.hear_pull(arrival, message, now)
-            case messages.Detach():
-                self._children.drop(arrival.sender_id)
-                return ()
             case messages.MarkSpread():
-                return self._take_marks(arrival, message, now)
+                return self._spread(message.marks, arrival.sender_id, now)
             case _:
-                kind = type(message).__name__
-                return (_log("message refused", arrival, reason=kind),)
+                return (events.refuse(arrival, type(message).__name__),)
 
     def _follow(
         self,
@@ -166,15 +167,36 @@
                 )
                 return self._conclude(arrival, verdict, 0, now)
             case messages.RetryLater():
-                self._fetching.hear_later(message.after_s, now)
+                self._fetching.hear_later(message, now)
                 return ()
             case messages.JoinAccepted():
                 return self._take_join(arrival, message, now)
             case messages.MarkSpread():
-                return self._take_marks(arrival, message, now)
+                return self._spread(message.marks, arrival.sender_id, now)
+            case messages.ReplicaList():
+                return self._take_list(arrival, message)
             case _:
-                kind = type(message).__name__
-                return (_log("message refused", arrival, reason=kind),)
+                return (events.refuse(arrival, type(message).__name__),)
+
+    def _take_list(
+        self, arrival: events.Arrival, listed: messages.ReplicaList
+    ) -> tuple[events.Action, ...]:
+        if listed.stamp <= self._listed_at or not listed.replicas:
+            return ()
+        self._listed_at = listed.stamp
+        self._replicas = self._turned = listed.replicas
+        self._joining.set_replicas(listed.replicas)
+        held = self._holding.held
+        if held is not None:
+            self._parents.set_plan(self._make_plan(held.snapshot))
+        return (
+            *self._children.spread_greeting(arrival.frame),
+            events.LogLine(
+                event="replicas listed",
+                peer=arrival.sender_id,
+                candidates=tuple(peer.peer_id for peer in listed.replicas),
+            ),
+        )
 
     def _take_join(
         self,
@@ -183,10 +205,15 @@
         now: float,
     ) -> tuple[events.Action, ...]:
         if not self._joining.accept(accepted):
-            return (_log("join answer refused", arrival, reason="other life"),)
+            return (
+                events.describe(
+                    "join answer refused", arrival, reason="other life"
+                ),
+            )
         if self._holding.held is None:
             self._holding.raise_floor(accepted.floor)
-            self._helpers = accepted.helpers
+            self._fetching.set_helpers(accepted.helpers)
+            self._parents.set_plan(tree.Plan(eager=self._turned, lazy=()))
         line = events.LogLine(
             event="joined", peer=arrival.sender_id, version=accepted.floor
         )
@@ -199,13 +226,13 @@
         base_version: int,
         now: float,
     ) -> tuple[events.Action, ...]:
-        if verdict.outcome is Outcome.OLDER:
+        if verdict.outcome is holding_lib.Outcome.OLDER:
             return ()
-        if verdict.outcome is Outcome.MISMATCH:
+        if verdict.outcome is holding_lib.Outcome.MISMATCH:
             self._fetching.demand_whole(now)
-        if verdict.outcome is not Outcome.INSTALLED:
+        if verdict.outcome is not holding_lib.Outcome.INSTALLED:
             reason = f"{verdict.outcome.value}: {verdict.cause}"
-            return (_log("update refused", arrival, reason=reason),)
+            return (events.describe("update refused", arrival, reason=reason),)
         held = self._holding.held
         assert held is not None
         frame = arrival.frame if base_version else b""
@@ -213,11 +240,11 @@
         self._fetching.note_installed()
         self._joining.notice_version()
         self._replan(held.snapshot)
-        self._note_acks(now, changed=True)
+        self._beats.hurry(now)
         return (
             events.Install(stamped=held),
             *self._children.push_newest(self._parents.stamp),
-            _log("installed", arrival, version=held.version),
+            events.describe("installed", arrival, version=held.version),
             *self._tick(now),
         )
 
@@ -225,62 +252,33 @@
         if snapshot.nodes is self._planned:
             return
         self._planned = snapshot.nodes
-        self._parents.set_plan(
-            tree.make_plan(
-                snapshot,
-                self._joining.node.node_id,
-                self._failure_domain,
-                self._replicas,
-            )
-        )
+        self._parents.set_plan(self._make_plan(snapshot))
 
-    def _note_acks(self, now: float, *, changed: bool = False) -> None:
-        changed = self._children.take_changed() or changed
-        if changed and self._ack_at is None:
-            self._ack_at = now + ACK_DELAY_S
+    def _make_plan(self, snapshot: snapshots.Snapshot) -> tree.Plan:
+        return tree.make_plan(
+            snapshot,
+            self._joining.node.node_id,
+            self._failure_domain,
+            self._replicas,
+        )
 
     def _tick(self, now: float) -> tuple[events.Action, ...]:
-        moved = self._parents.tick(now) if self._holding.held else ()
+        moved = self._parents.tick(now)
         if moved:
             self._fetching.forget({link.peer for link in self._parents.links})
         joins = self._joining.tick(
             self._holding.held.snapshot if self._holding.held else None, now
         )
-        pulls = self._fetching.tick((*self._helpers, *self._replicas), now)
+        pulls = self._fetching.tick(self._turned, now)
         served = self._children.tick(self._parents.stamp, now)
         return (
             *moved,
-            *self._beat(now),
+            *self._beats.tick(self._own_group(), now),
             *joins,
             *pulls,
             *served,
         )
 
-    def _beat(self, now: float) -> tuple[events.Action, ...]:
-        due = now >= self._next_beat_at
-        acks_due = self._ack_at is not None and now >= self._ack_at
-        if due:
-            self._next_beat_at = now + self._heartbeat_s
-        actions: list[events.Action] = []
-        for link in self._parents.links:
-            eager = link is self._parents.eager
-            if due or link.told_eager != eager or (acks_due and eager):
-                actions.append(self._make_beat(link, eager))
-        if acks_due:
-            self._ack_at = None
-        return tuple(actions)
-
-    def _make_beat(self, link: parents_lib.Link, eager: bool) -> events.Action:
-        link.told_eager = eager
-        groups = self._children.fold_groups(self._own_group()) if eager else ()
-        beat = messages.ChildBeat(
-            eager=eager,
-            version=self._holding.version,
-            digest=self._holding.digest,
-            groups=groups,
-        )
-        return events.Send(peer=link.peer, frame=wire.encode(beat))
-
     def _own_group(self) -> tuple[messages.AckGroup, ...]:
         node = self._joining.node
         if self._joining.superseded:
@@ -288,14 +286,6 @@
         token = tokens.make_token(node.node_id, node.incarnation)
         return (messages.AckGroup(version=self._holding.version, tokens=token),)
 
-    def _take_marks(
-        self,
-        arrival: events.Arrival,
-        spread: messages.MarkSpread,
-        now: float,
-    ) -> tuple[events.Action, ...]:
-        return self._spread(spread.marks, arrival.sender_id, now)
-
     def _spread(
         self, marks: tuple[messages.Mark, ...], source_id: str, now: float
     ) -> tuple[events.Action, ...]:
@@ -303,23 +293,9 @@
         if not fresh:
             return ()
         frame = wire.encode(messages.MarkSpread(marks=fresh))
-        up = tuple(
-            events.Send(peer=link.peer, frame=frame)
-            for link in self._parents.links
-            if link.peer.peer_id != source_id
-        )
-        down = self._children.send_all(frame, except_id=source_id)
         own = (events.DeliverMarks(marks=fresh),) if source_id else ()
-        return tuple(itertools.chain(own, up, down))
-
-
-def _log(
-    event: str,
-    arrival: events.Arrival,
-    *,
-    version: int = 0,
-    reason: str = "",
-) -> events.Action:
-    return events.LogLine(
-        event=event, peer=arrival.sender_id, version=version, reason=reason
-    )
+        return (
+            *own,
+            *self._parents.send_all(frame, except_id=source_id),
+            *self._children.send_all(frame, except_id=source_id),
+        )
