--- a/tests/replica_cluster.py
+++ b/tests/replica_cluster.py
@@ -10,6 +10,7 @@
 import functools
 import hashlib
 import heapq
+import itertools
 import random
 
 from lovagesaddle.core.consensus import entries as entries_lib
@@ -78,7 +79,8 @@
             if persist.drop_log:
                 self.entries.clear()
         for entry in persist.entries:
-            self.entries = [e for e in self.entries if e.index < entry.index]
+            while self.entries and self.entries[-1].index >= entry.index:
+                self.entries.pop()
             self.entries.append(entry)
         return persist.sync_id
 
@@ -91,7 +93,12 @@
 
     def holds(self, entry: entries_lib.Entry) -> bool:
         """Returns whether an entry is synced here."""
-        return entry in self.entries or entry.index <= self.image.index
+        if entry.index <= self.image.index:
+            return True
+        later = itertools.takewhile(
+            lambda held: held.index >= entry.index, reversed(self.entries)
+        )
+        return entry in later
 
 
 @dataclasses.dataclass(slots=True)
@@ -132,6 +139,7 @@
         self._sequence = 0
         self._gone: list[Host] = []
         self._groups: dict[str, int] = {}
+        self._cuts: set[frozenset[str]] = set()
         self._leaders: dict[int, str] = {}
         self._chains: dict[int, bytes] = {0: GENESIS}
         self._entries: dict[int, entries_lib.Entry] = {}
@@ -285,9 +293,14 @@
             for name in group
         }
 
+    def cut(self, first: str, second: str) -> None:
+        """Lets no message pass between two replicas."""
+        self._cuts.add(frozenset((first, second)))
+
     def heal(self) -> None:
         """Ends every fault of the network and the disks."""
         self._groups = {}
+        self._cuts.clear()
         self.faults = Faults()
         for host in self.hosts.values():
             host.is_stuck = False
@@ -297,7 +310,7 @@
     def _carry_out(self, host: Host, action: events.Action) -> None:
         match action:
             case events.Send():
-                self._send(host, action)
+                self.transmit(host, action)
             case events.Persist():
                 host.disk.pending.append(action)
                 self._sync_later(host.member.member_id, host.life)
@@ -315,7 +328,8 @@
                 if action.role is events.Role.CANDIDATE:
                     self.elections += 1
 
-    def _send(self, host: Host, send: events.Send) -> None:
+    def transmit(self, host: Host, send: events.Send) -> None:
+        """Puts a message on the network."""
         sender = host.member.member_id
         for _ in range(1 + (self.random.random() < self.faults.duplication)):
             if self.random.random() < self.faults.loss:
@@ -325,7 +339,8 @@
 
     def _deliver(self, sender: str, send: events.Send) -> None:
         group = self._groups.get
-        if group(sender, 0) != group(send.receiver, 0):
+        is_cut = frozenset((sender, send.receiver)) in self._cuts
+        if is_cut or group(sender, 0) != group(send.receiver, 0):
             return
         received = events.MessageReceived(sender=sender, message=send.message)
         self.step(send.receiver, received)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -10,6 +10,8 @@
 from lovagesaddle.core.consensus import events
 from lovagesaddle.core.consensus import leadership
 from lovagesaddle.core.consensus import log as log_lib
+from lovagesaddle.core.consensus import messages
+from lovagesaddle.core.consensus import progress
 from tests import fixtures
 from tests import replica_cluster
 
@@ -94,6 +96,29 @@
     assert cluster.get(away).image.index >= VERSIONS - IMAGE_EVERY
 
 
+def test_silent_follower_gets_a_bounded_backlog() -> None:
+    """A follower that does not answer is not sent every new entry."""
+    cluster = replica_cluster.Cluster(seed=16)
+    leader = cluster.elect()
+    away = cluster.get(leader).members.list_others(leader)[0]
+    cluster.run(1.0)
+    cluster.partition((away,))
+    sent: list[events.Send] = []
+    send_on = cluster.transmit
+
+    def record(host: replica_cluster.Host, send: events.Send) -> None:
+        match send.message:
+            case messages.AppendRequest(entries=(_, *_)):
+                sent.extend([send] if send.receiver == away else [])
+        send_on(host, send)
+
+    with mock.patch.object(cluster, "transmit", record):
+        for number in range(VERSIONS):
+            cluster.publish(f"p{number}".encode())
+    assert 0 < len(sent) <= progress.MAX_IN_FLIGHT
+    cluster.check_accepted_kept()
+
+
 def test_snapshot_crosses_a_bad_network_in_pieces() -> None:
     """A snapshot reaches a follower whole although pieces are lost."""
     cluster = replica_cluster.Cluster(seed=7, image_every=IMAGE_EVERY)
@@ -159,9 +184,11 @@
         cluster.publish(b"after a jump")
         assert cluster.get(leader).term == term
     cluster.hosts[leader].skew_s -= 5000.0
+    cluster.run(2.0)
     cluster.publish(b"back")
     assert cluster.get(leader).term == term
-    cluster.hosts[leader].skew_s += 5000.0
+    cluster.crash(leader)
+    cluster.publish(b"after the leader")
     cluster.check_accepted_kept()
 
 
@@ -193,15 +220,18 @@
 
 
 def test_silent_learner_never_votes() -> None:
-    """A learner that does not answer is not made a voter."""
+    """A learner that answers no more is not made a voter."""
     cluster = replica_cluster.Cluster(seed=15)
-    cluster.manage_members()
     leader = cluster.elect()
     learner = dataclasses.replace(cluster.add_host("n1"), is_voter=False)
-    cluster.crash("n1")
     cluster.change_members(leader, cluster.get(leader).members.put(learner))
     cluster.publish(b"one")
     cluster.run(1.0)
+    assert cluster.get(leader).list_matched()["n1"] > 0
+    cluster.crash("n1")
+    cluster.run(1.0)
+    cluster.manage_members()
+    cluster.run(1.0)
     assert "n1" not in cluster.get(leader).members.list_voters()
     cluster.restart("n1")
     cluster.run_until(
@@ -228,6 +258,19 @@
     assert set(refused) <= set(cluster.refused)
 
 
+def test_replica_cut_off_from_the_leader_alone_disturbs_nobody() -> None:
+    """Who hears the leader gives no vote to one that does not."""
+    cluster = replica_cluster.Cluster(seed=17)
+    leader = cluster.elect()
+    cluster.run(1.0)
+    away = cluster.get(leader).members.list_others(leader)[0]
+    cluster.cut(leader, away)
+    term, elections = cluster.get(leader).term, cluster.elections
+    cluster.run(3.0)
+    assert cluster.get(leader).term == term
+    assert cluster.elections == elections
+
+
 def test_removed_replica_disturbs_nobody() -> None:
     """A removed replica that asks for votes raises no term."""
     cluster = replica_cluster.Cluster(seed=14)
