--- a/src/lovagesaddle/http/gateway.py
+++ b/src/lovagesaddle/http/gateway.py
@@ -8,6 +8,7 @@
 
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.http import headers as headers_lib
+from lovagesaddle.http import parser
 
 HEADER_PREFIX = "HTTP_"
 JSON_TYPE = "application/json"
@@ -31,6 +32,7 @@
       content_length: Length of the body, in bytes.
       read_body: Returns the body.
       is_gone: Whether the requester hung up.
+      arrived_at: Monotonic time when it was whole, in seconds.
     """
 
     method: str
@@ -40,6 +42,7 @@
     content_length: int
     read_body: Callable[[], bytes]
     is_gone: Callable[[], bool]
+    arrived_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,6 +79,7 @@
         content_length=int(received.get("content-length") or 0),
         read_body=environ["wsgi.input"].read,
         is_gone=environ["waitress.client_disconnected"],
+        arrived_at=environ[parser.ARRIVED_AT],
     )
 
 
--- a/src/lovagesaddle/http/lanes.py
+++ b/src/lovagesaddle/http/lanes.py
@@ -9,6 +9,7 @@
 from concurrent import futures
 import enum
 import threading
+import time
 import types
 from typing import Any, Protocol, Self
 
@@ -85,6 +86,8 @@
 
     def add_task(self, task: Task) -> None:
         """Queues a request in its lane, or in REFUSAL when that is full."""
+        # The wait for a thread counts towards the deadline.
+        task.requests[0].arrived_at = time.monotonic()
         lane = self._reserve(self._classify(task.requests[0]))
         self._pools[lane].submit(self._serve, lane, task)
 
--- a/src/lovagesaddle/http/parser.py
+++ b/src/lovagesaddle/http/parser.py
@@ -16,6 +16,7 @@
 
 FRAMING_HEADERS = (b"transfer-encoding", b"content-length", b"host")
 MAX_HEADER_BYTES = 16 * 1024
+ARRIVED_AT = "lovagesaddle.arrived_at"
 HTTP_10 = "1.0"
 UNPROVEN = http.HTTPStatus.INTERNAL_SERVER_ERROR
 
@@ -66,6 +67,12 @@
     wrote_header: bool = False
     content_bytes_written: int = 0
 
+    def get_environment(self) -> dict[str, Any]:
+        """Returns the WSGI environment, with the time of arrival."""
+        environ: dict[str, Any] = super().get_environment()
+        environ[ARRIVED_AT] = self.request.arrived_at
+        return environ
+
     def write(self, data: bytes) -> None:
         """Writes a part of the body, the first one with the headers."""
         joined = (
--- a/src/lovagesaddle/node/application.py
+++ b/src/lovagesaddle/node/application.py
@@ -1,6 +1,5 @@
 """The WSGI application on the address for callers and other nodes."""
 
-import time
 from typing import Any
 
 from lovagesaddle.core import errors
@@ -67,7 +66,7 @@
         return self._entry.answer(request)
 
     def _run(self, request: gateway.Incoming) -> gateway.Answer:
-        arrived_at = time.monotonic()
+        arrived_at = request.arrived_at
         try:
             message = self._seal.open(request.read_body(), peer="entry")
         except errors.CodecError as error:
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -79,7 +79,7 @@
 
     def answer(self, request: gateway.Incoming) -> gateway.Answer:
         """Returns the answer to a caller's request."""
-        arrived_at = time.monotonic()
+        arrived_at = request.arrived_at
         answer = self._answer(request, arrived_at)
         self._latency.record(time.monotonic() - arrived_at)
         self._metrics.get_counter(
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 import threading
+import types
 from typing import Any
 
 from lovagesaddle.core.model import outcomes
@@ -181,7 +182,7 @@
     release = threading.Event()
 
     class _Task:
-        requests = (None,)
+        requests = (types.SimpleNamespace(),)
 
         def service(self) -> None:
             seen.append(lanes.is_refusal())
