--- a/src/lovagesaddle/node/control_half.py
+++ b/src/lovagesaddle/node/control_half.py
@@ -135,12 +135,7 @@
         )
 
     def leave(self, timeout_s: float) -> bool:
-        """Takes this node out of the mesh; called after draining.
-
-        Returns:
-          Whether a version without this node arrived in time. Otherwise its
-          lease lapses later.
-        """
+        """Takes this node out of the mesh, after draining."""
         self._leaving = True
         self._hand_over(events.LeaveAsked())
         return self._left.wait(timeout_s)
--- a/src/lovagesaddle/node/ports.py
+++ b/src/lovagesaddle/node/ports.py
@@ -49,6 +49,18 @@
     def withdraw_server(self, server_id: str, incarnation: int) -> None:
         """Reports that the local backend server is gone."""
 
+    @abc.abstractmethod
+    def leave(self, timeout_s: float) -> bool:
+        """Takes this node out of the mesh, after draining.
+
+        Args:
+          timeout_s: How long to wait, in seconds.
+
+        Returns:
+          Whether a version without this node arrived in time. Otherwise its
+          lease lapses later.
+        """
+
     @abc.abstractmethod
     def spread_marks(self, marks: tuple[CrashMark, ...]) -> None:
         """Sends crash marks to every node, with the next heartbeats."""
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -38,6 +38,7 @@
 MAX_ADMIN_BODY_BYTES = 64 * 1024
 # An envelope holds the headers beside the body.
 ENVELOPE_MARGIN_BYTES = 64 * 1024
+LEAVE_S = 2.0
 _log = logs.get_logger("node")
 
 Context = zmq.Context[zmq.Socket[bytes]]
@@ -99,6 +100,7 @@
         self._servers = local_servers.LocalServers(
             node_id=settings.node_id, owner=self._owner
         )
+        self._control: ports.ControlPort | None = None
         self._claims = claims_lib.Claims(node_id=settings.node_id)
         self._guards = watchdog.Watchdog()
         self._application = self._make_application()
@@ -115,6 +117,7 @@
             control = stack.enter_context(
                 self._make_control(self._bound_settings, self._context, self)
             )
+            self._control = control
             self._servers.connect(control)
             self._suspects.connect(control)
             self._claims.connect(control)
@@ -174,6 +177,8 @@
             claims=self._claims,
         ).run(self._settings.drain_s)
         self._servers.withdraw_all("stopped")
+        if self._control is not None and not self._control.leave(LEAVE_S):
+            _log.warning("leave_unconfirmed", node=self._settings.node_id)
         return whole
 
     @property
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -184,6 +184,12 @@
         """See base class."""
         self._control.withdraw_server(server_id, incarnation)
 
+    def leave(self, timeout_s: float) -> bool:
+        """See base class."""
+        del timeout_s
+        self._control.leave(self._node_id)
+        return True
+
     def spread_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
         """See base class."""
         self._control.spread_marks(marks)
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -253,6 +253,14 @@
         assert server.state.most_running == 1
 
 
+def test_planned_stop_leaves_the_mesh() -> None:
+    """After a graceful stop no snapshot lists the node, before any lease."""
+    with _run_mesh() as (mesh, started, _server):
+        assert started[1].shut_down()
+        listed = [node.node_id for node in mesh.control.snapshot.nodes]
+        assert listed == ["n0"]
+
+
 def test_shut_down_finishes_what_runs() -> None:
     """A stopping node cuts nothing and its server gets no new work."""
     with (
