--- a/src/lovagesaddle/cli/changing.py
+++ b/src/lovagesaddle/cli/changing.py
@@ -50,12 +50,10 @@
     with context_lib.open_client(context) as client:
         if base == NO_BASE:
             base = context_lib.take_answer(publishing.find_base(client))
-        found = _take_result(
-            publishing.publish_services(
-                client, published, publish_id=chosen_id, base_version=base
-            ),
-            _describe_resend(folder, chosen_id, base),
+        asked = publishing.publish_services(
+            client, published, publish_id=chosen_id, base_version=base
         )
+        found = _take_result(asked, _describe_resend(folder, chosen_id, base))
         _print_result(found, json=json)
         if found.outcome is not commands.PublishOutcome.ACCEPTED:
             context_lib.leave(exits.Exit.REFUSED)
--- a/src/lovagesaddle/cli/demo_report.py
+++ b/src/lovagesaddle/cli/demo_report.py
@@ -119,21 +119,12 @@
 
 
 def _list_promises(seen: Seen) -> tuple[Promise, ...]:
+    return (*_judge_calls(seen), *_judge_configuration(seen))
+
+
+def _judge_calls(seen: Seen) -> tuple[Promise, ...]:
     calls, runs = seen.calls, seen.runs
-    late = [
-        run
-        for run in seen.drain.runs
-        if run.started_s > seen.drain.at_s + DRAIN_NOTICE_S
-    ]
-    slow = [s for s in seen.convergence_s if s > CONVERGENCE_S]
     return (
-        Promise(
-            text="no node moves back to an older version",
-            breaches=tuple(
-                f"{s.node_id} went from {s.before} to {s.after}"
-                for s in seen.steps_back
-            ),
-        ),
         Promise(
             text="every caller gets the whole answer to its own request",
             breaches=_name_calls(calls, lambda c: c.end is CallEnd.WRONG),
@@ -155,13 +146,31 @@
                 ),
             ),
         ),
+        Promise(
+            text="configuration and drain cut no request",
+            breaches=_name_calls(calls, lambda c: c.end is CallEnd.UNKNOWN),
+        ),
+    )
+
+
+def _judge_configuration(seen: Seen) -> tuple[Promise, ...]:
+    late = [
+        run
+        for run in seen.drain.runs
+        if run.started_s > seen.drain.at_s + DRAIN_NOTICE_S
+    ]
+    slow = [s for s in seen.convergence_s if s > CONVERGENCE_S]
+    return (
         Promise(
             text="a leaving server gets no new work after a few seconds",
             breaches=tuple(f"{seen.drain.server} ran {r.path}" for r in late),
         ),
         Promise(
-            text="configuration and drain cut no request",
-            breaches=_name_calls(calls, lambda c: c.end is CallEnd.UNKNOWN),
+            text="no node moves back to an older version",
+            breaches=tuple(
+                f"{s.node_id} went from {s.before} to {s.after}"
+                for s in seen.steps_back
+            ),
         ),
         Promise(
             text="an accepted version is in force within seconds",
--- a/src/lovagesaddle/core/configuration/service_files.py
+++ b/src/lovagesaddle/core/configuration/service_files.py
@@ -2,83 +2,23 @@
 
 import dataclasses
 import re
-from typing import Annotated
-
-import msgspec
 
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import ini
 from lovagesaddle.core.configuration import sections
-from lovagesaddle.core.configuration import units
+from lovagesaddle.core.configuration import service_sections
 from lovagesaddle.core.model import services
 
 SUFFIX = ".service.ini"
 MAX_DIGESTS = 2
-MAX_RETRIES = 10
-MAX_TIMEOUT_S = 3600.0
-MAX_BODY_BYTES = 1024**3
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 
 _SERVICE = "service"
 _CALLER = "caller"
 _ROUTE = "route"
-_NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
-_HOST_PATTERN = r"^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$"
 _DIGEST = re.compile(r"^sha256:[0-9a-f]{64}$")
 _PATH = re.compile(r"^/[A-Za-z0-9._~!$&'()*+,;=:@/-]*$")
 
-_Name = Annotated[str, msgspec.Meta(pattern=_NAME_PATTERN)]
-_Host = Annotated[str, msgspec.Meta(pattern=_HOST_PATTERN)]
-_Words = Annotated[
-    tuple[str, ...], msgspec.Meta(extra={"unit": units.Unit.WORDS})
-]
-_Names = Annotated[
-    tuple[_Name, ...], msgspec.Meta(extra={"unit": units.Unit.WORDS})
-]
-_Switch = Annotated[bool, msgspec.Meta(extra={"unit": units.Unit.SWITCH})]
-_Timeout = Annotated[
-    float,
-    msgspec.Meta(gt=0, le=MAX_TIMEOUT_S, extra={"unit": units.Unit.DURATION}),
-]
-_BodySize = Annotated[
-    int,
-    msgspec.Meta(ge=0, le=MAX_BODY_BYTES, extra={"unit": units.Unit.SIZE}),
-]
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ServiceSection:
-    """Keys of [service]."""
-
-    name: _Name
-    revision: Annotated[int, msgspec.Meta(ge=0)]
-    depends_on: _Names = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class CallerSection:
-    """Keys of [caller NAME]."""
-
-    name: _Name
-    digests: _Words
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class RouteSection:
-    """Keys of [route NAME], with the defaults of those that may be left out."""
-
-    name: _Name
-    host: _Host
-    path: str = "/"
-    methods: _Words = ("GET",)
-    timeout_s: _Timeout = 5.0
-    retries: Annotated[int, msgspec.Meta(ge=0, le=MAX_RETRIES)] = 1
-    priority: services.Priority = services.Priority.NORMAL
-    idempotent: _Switch = False
-    callers: _Names = ()
-    services: _Names = ()
-    max_body_bytes: _BodySize = 1024**2
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PlacedRoute:
@@ -179,8 +119,12 @@
         )
         return None
 
-    def _convert_main(self, section: ini.Section) -> ServiceSection | None:
-        converted = sections.convert_section(section, ServiceSection)
+    def _convert_main(
+        self, section: ini.Section
+    ) -> service_sections.ServiceSection | None:
+        converted = sections.convert_section(
+            section, service_sections.ServiceSection
+        )
         self._problems.extend(converted.problems)
         return converted.value
 
@@ -189,7 +133,9 @@
         owner_of: dict[str, str] = {}
         for section in self._list_labelled(_CALLER):
             converted = sections.convert_section(
-                section, CallerSection, given={"name": section.label}
+                section,
+                service_sections.CallerSection,
+                given={"name": section.label},
             )
             self._problems.extend(converted.problems)
             if converted.value is None:
@@ -205,7 +151,9 @@
         placed: list[PlacedRoute] = []
         for section in self._list_labelled(_ROUTE):
             converted = sections.convert_section(
-                section, RouteSection, given={"name": section.label}
+                section,
+                service_sections.RouteSection,
+                given={"name": section.label},
             )
             self._problems.extend(converted.problems)
             if converted.value is None:
@@ -222,7 +170,7 @@
         for section in self._document.sections:
             if section.kind != kind:
                 continue
-            if re.match(_NAME_PATTERN, section.label):
+            if re.match(service_sections.NAME_PATTERN, section.label):
                 found.append(section)
             else:
                 cause = f"section needs a name in lower case: [{kind} NAME]"
@@ -252,7 +200,9 @@
 
 
 def _list_route_problems(
-    section: ini.Section, route: RouteSection, callers: set[str]
+    section: ini.Section,
+    route: service_sections.RouteSection,
+    callers: set[str],
 ) -> list[errors.FileProblem]:
     found = [
         section.report("methods", f'"{method}" is not an HTTP method')
@@ -286,7 +236,7 @@
     return ""
 
 
-def _make_route(section: RouteSection) -> services.Route:
+def _make_route(section: service_sections.RouteSection) -> services.Route:
     return services.Route(
         name=section.name,
         host=section.host,
--- a/tests/test_demo_report.py
+++ b/tests/test_demo_report.py
@@ -61,17 +61,17 @@
     unknown = (*CALM.calls, _call(PROOF, 4, CallEnd.UNKNOWN))
     late = demo_server.Run(path="/proofs/5", started_s=14.0)
     changes = (
-        dataclasses.replace(
-            CALM,
-            steps_back=(demo_watch.Step(node_id="n", before=3, after=2),),
-        ),
         dataclasses.replace(CALM, calls=wrong),
         dataclasses.replace(CALM, runs={"/confirmations/3": 1}),
         dataclasses.replace(CALM, runs={"/confirmations/2": 2}),
+        dataclasses.replace(CALM, calls=unknown),
         dataclasses.replace(
             CALM, drain=dataclasses.replace(CALM.drain, runs=(late,))
         ),
-        dataclasses.replace(CALM, calls=unknown),
+        dataclasses.replace(
+            CALM,
+            steps_back=(demo_watch.Step(node_id="n", before=3, after=2),),
+        ),
         dataclasses.replace(CALM, convergence_s=(9.0,)),
     )
     for place, seen in enumerate(changes):
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -6,7 +6,7 @@
 
 from lovagesaddle.cli import exits
 from lovagesaddle.core.configuration import sections
-from lovagesaddle.core.configuration import service_files
+from lovagesaddle.core.configuration import service_sections
 from lovagesaddle.settings import schema
 from tests import fixtures
 
@@ -39,9 +39,9 @@
     """Each key of a service file stands in docs/service-files.md."""
     page = (DOCS / "service-files.md").read_text(encoding="utf-8")
     kinds = (
-        service_files.ServiceSection,
-        service_files.CallerSection,
-        service_files.RouteSection,
+        service_sections.ServiceSection,
+        service_sections.CallerSection,
+        service_sections.RouteSection,
     )
     keys = {
         sections.name_key(name)
