--- a/src/lovagesaddle/observability/logs.py
+++ b/src/lovagesaddle/observability/logs.py
@@ -1,11 +1,12 @@
 """One key=value log line for each event, written off the calling thread.
 
-`open_log` sets structlog up for the whole process. A logging call filters by
-level, notes the time and puts the event on a queue; a thread of its own
-renders and writes the lines. When the queue is full, lines are dropped and
+`open_log` opens the log of the whole process. A logging call filters by level,
+notes the time and puts the event on a queue; a thread of its own renders and
+writes the lines. When the queue is full, lines are dropped and
 their number is logged, so that a slow disk never delays a call.
 """
 
+import dataclasses
 import datetime
 import os
 import queue
@@ -24,19 +25,55 @@
 BATCH_LINES = 1_000
 LINE_KEYS = ("ts", "level", "event")
 
-_LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+_DEBUG, _INFO, _WARNING, _ERROR = 10, 20, 30, 40
+_LEVELS = {
+    "debug": _DEBUG,
+    "info": _INFO,
+    "warning": _WARNING,
+    "error": _ERROR,
+}
 _STOP: dict[str, Any] = {}
 
-Logger = structlog.typing.FilteringBoundLogger
+
+class Logger(structlog.BoundLoggerBase):
+    """Logs events of one part of the process, wherever the log goes now.
+
+    It is bound once, when it is made, and asks for the level at each call, so
+    that a module may keep one from before the log was opened.
+    """
+
+    def debug(self, event: str, **keys: Any) -> None:
+        """Logs an event for whoever looks for a fault."""
+        if _current.level <= _DEBUG:
+            self._proxy_to_logger("debug", event, **keys)
+
+    def info(self, event: str, **keys: Any) -> None:
+        """Logs an event or a decision."""
+        if _current.level <= _INFO:
+            self._proxy_to_logger("info", event, **keys)
+
+    def warning(self, event: str, **keys: Any) -> None:
+        """Logs what needs a look."""
+        if _current.level <= _WARNING:
+            self._proxy_to_logger("warning", event, **keys)
+
+    def error(self, event: str, **keys: Any) -> None:
+        """Logs what needs a remedy."""
+        if _current.level <= _ERROR:
+            self._proxy_to_logger("error", event, **keys)
 
 
 def get_logger(part: str) -> Logger:
     """Returns a logger whose lines carry `part=`.
 
     Its methods take the event's name and its keys:
-    `log.info("route_chosen", version=7, reason="own domain")`.
+    `log.info("route_chosen", version=7, reason="own domain")`. Without an open
+    log, events are dropped.
     """
-    logger: Logger = structlog.get_logger(part=part)
+    wrapped = structlog.wrap_logger(
+        _QueueLogger(), processors=[_note_origin], wrapper_class=Logger
+    )
+    logger: Logger = wrapped.bind(part=part)
     return logger
 
 
@@ -80,12 +117,7 @@
         )
 
     def __enter__(self) -> Self:
-        structlog.configure(
-            processors=[_note_origin],
-            wrapper_class=structlog.make_filtering_bound_logger(self._level),
-            logger_factory=lambda *_: _QueueLogger(self),
-            cache_logger_on_first_use=False,
-        )
+        _current.writer, _current.level = self, self._level
         self._thread.start()
         return self
 
@@ -105,13 +137,9 @@
             self._dropped += 1
 
     def close(self) -> None:
-        """Writes what is queued, ends the thread and resets structlog."""
-        structlog.configure(
-            processors=[_note_origin],
-            wrapper_class=structlog.make_filtering_bound_logger(self._level),
-            logger_factory=lambda *_: _ClosedLogger(),
-            cache_logger_on_first_use=False,
-        )
+        """Writes what is queued and ends the thread; later events drop."""
+        if _current.writer is self:
+            _current.writer, _current.level = None, _CLOSED
         self._queue.put(_STOP)
         self._thread.join()
         if self._owned:
@@ -162,26 +190,35 @@
             os.write(2, f"level=error event=log_failed {error}\n".encode())
 
 
-class _QueueLogger:
-    """The end of structlog's chain: hands events to the writer."""
+_CLOSED = _ERROR + 1
 
-    def __init__(self, writer: LogWriter) -> None:
-        self._writer = writer
 
-    def msg(self, **event: Any) -> None:
-        """Queues one event."""
-        self._writer.put(event)
+@dataclasses.dataclass(slots=True)
+class _Current:
+    """Where the process's events go.
+
+    Attributes:
+      writer: The open log, or None.
+      level: Lowest level that is written.
+    """
 
-    debug = info = warning = error = critical = msg
+    writer: LogWriter | None = None
+    level: int = _CLOSED
 
 
-class _ClosedLogger:
-    """Drops events after the log was closed."""
+_current = _Current()
+
+
+class _QueueLogger:
+    """The end of structlog's chain: hands events to the open log."""
 
     def msg(self, **event: Any) -> None:
-        """Drops one event."""
+        """Queues one event."""
+        writer = _current.writer
+        if writer is not None:
+            writer.put(event)
 
-    debug = info = warning = error = critical = msg
+    debug = info = warning = error = msg
 
 
 def _note_origin(
--- a/src/lovagesaddle/transport/lines.py
+++ b/src/lovagesaddle/transport/lines.py
@@ -1,11 +1,10 @@
 """Writes the log lines of distribution parts."""
 
-import structlog
-
 from lovagesaddle.core import errors
 from lovagesaddle.core.distribution import events
+from lovagesaddle.observability import logs
 
-_LOG = structlog.get_logger()
+_LOG = logs.get_logger("transport")
 
 
 def write(line: events.LogLine) -> None:
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -38,6 +38,23 @@
     assert "loud" in stream.getvalue()
 
 
+def test_logger_from_before_the_log_was_opened_works() -> None:
+    """A module's logger follows the log that is open, and its level."""
+    log = logs.get_logger("x")
+    log.error("early")
+    first, second = io.StringIO(), io.StringIO()
+    with logs.LogWriter(first, level="info", owned=False):
+        log.debug("quiet")
+        log.info("one")
+    with logs.LogWriter(second, level="debug", owned=False):
+        log.debug("two")
+    assert [
+        text.count("event=") for text in (first.getvalue(), second.getvalue())
+    ] == [1, 1]
+    assert "event=one" in first.getvalue()
+    assert "event=two" in second.getvalue()
+
+
 def test_closed_log_drops_events() -> None:
     """Logging after the log was closed neither fails nor writes."""
     stream = io.StringIO()
