--- a/src/lovagesaddle/core/distribution/messages.py
+++ b/src/lovagesaddle/core/distribution/messages.py
@@ -193,9 +193,11 @@
 
     Attributes:
       after_s: Seconds after which the sender has one to give.
+      helpers: Nodes that got one from the sender lately.
     """
 
     after_s: float
+    helpers: tuple[peers.Peer, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -221,6 +223,19 @@
     groups: tuple[AckGroup, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaList:
+    """Tells the nodes which replicas there are now.
+
+    Attributes:
+      stamp: Leader stamp at which the list was true; the newest one counts.
+      replicas: Every replica, sorted by ID.
+    """
+
+    stamp: stamps.LeaderStamp
+    replicas: tuple[peers.Peer, ...]
+
+
 DistributionMessage = (
     Join
     | JoinAccepted
@@ -237,6 +252,7 @@
     | RetryLater
     | MarkSpread
     | ReplicaReport
+    | ReplicaList
 )
 
 DISTRIBUTION_MESSAGES: codec.Registry[DistributionMessage] = codec.Registry(
@@ -257,5 +273,6 @@
         13: RetryLater,
         14: MarkSpread,
         15: ReplicaReport,
+        16: ReplicaList,
     },
 )
