--- a/bench/calls.py
+++ b/bench/calls.py
@@ -2,8 +2,8 @@
 
     python -m bench.calls [--only NAME ...] [--seconds 8]
 
-Writes JSON lines to results/calls.jsonl and exits with 1 when a figure
-breaches its bound.
+Writes JSON lines to results/calls.jsonl and an HdrHistogram log for each run,
+and exits with 1 when a figure breaches its bound.
 """
 
 import argparse
@@ -18,6 +18,7 @@
 
 from bench import admin
 from bench import cluster as cluster_lib
+from bench import histograms
 from bench import load
 from bench import policies
 from bench import processes
@@ -156,6 +157,8 @@
             attempts = _count_attempts(cluster)
         calls = verdicts.read_calls(paths)
         runs = verdicts.read_runs(cluster.record)
+    log = f"{experiment.name}-{policy}-{seed}.hlog"
+    histograms.write_log(results.RESULTS_FOLDER / log, calls)
     figures = verdicts.judge(calls, runs, seconds)
     if any(call.direct for call in calls):
         figures += verdicts.judge_added(calls)
