--- a/src/lovagesaddle/node/attempts.py
+++ b/src/lovagesaddle/node/attempts.py
@@ -14,6 +14,7 @@
 from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
+from lovagesaddle.node import endings
 from lovagesaddle.node import hops
 from lovagesaddle.node import routing as routing_lib
 from lovagesaddle.node import suspects as suspects_lib
@@ -46,46 +47,6 @@
     verdict: quarantine.Verdict
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Answered:
-    """The answer of a backend server.
-
-    Attributes:
-      status: HTTP status.
-      headers: Filtered.
-      body: The whole body.
-      outcome: Of a failed call, else None.
-    """
-
-    status: int
-    headers: headers_lib.Headers
-    body: bytes
-    outcome: outcomes.RequestOutcome | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Failed:
-    """The mesh's own answer.
-
-    Attributes:
-      status: HTTP status.
-      outcome: What the caller may rely on.
-      reason: Why.
-      retry_after_s: When to come back; 0 for no hint.
-    """
-
-    status: int
-    outcome: outcomes.RequestOutcome
-    reason: str
-    retry_after_s: float = 0.0
-
-
-Ended = result.Result[Answered, Failed]
-GONE_STATUS = 499
-FIRST_FAILURE_STATUS = call_lib.FIRST_FAILURE_STATUS
-GONE_REASON = "caller-gone"
-
-
 class Runner:
     """Runs one call on the thread that serves its caller.
 
@@ -119,7 +80,7 @@
         self._carrier = carrier
         self._suspects = suspects
         self._answers: dict[int, hop.RunAnswer] = {}
-        self._ended: Ended | None = None
+        self._ended: endings.Ended | None = None
         self._call = call_lib.Call(
             request=events.CallRequest(
                 request_id=passed.request_id,
@@ -143,7 +104,7 @@
         """Attempts sent so far."""
         return self._call.attempts
 
-    def run(self, guard: watchdog.Guard) -> Ended:
+    def run(self, guard: watchdog.Guard) -> endings.Ended:
         """Returns how the call ended; `guard` watches caller and deadline."""
         if self._passed.verdict is quarantine.Verdict.REFUSED:
             return self._refuse_quarantined()
@@ -158,14 +119,14 @@
             raise AssertionError("call ended without an answer")
         return self._ended
 
-    def _refuse_quarantined(self) -> Ended:
+    def _refuse_quarantined(self) -> endings.Ended:
         _log.info(
             "quarantined",
             request=self._passed.request_id,
             service=self._match.service,
         )
         return result.Failure(
-            Failed(
+            endings.Failed(
                 status=503,
                 outcome=outcomes.RequestOutcome.NOT_RUN,
                 reason=hop.QUARANTINED,
@@ -188,10 +149,10 @@
                 self._fail(action)
             case events.EndCall():
                 self._ended = result.Failure(
-                    Failed(
-                        status=GONE_STATUS,
+                    endings.Failed(
+                        status=endings.GONE_STATUS,
                         outcome=action.outcome,
-                        reason=GONE_REASON,
+                        reason=endings.GONE_REASON,
                     )
                 )
             case events.CancelAttempt() | events.SetTimer():
@@ -284,9 +245,9 @@
             suspect=verdict is quarantine.Verdict.SUSPECT,
         )
 
-    def _make_answer(self, action: events.AnswerCaller) -> Answered:
+    def _make_answer(self, action: events.AnswerCaller) -> endings.Answered:
         answer = self._answers[action.number]
-        return Answered(
+        return endings.Answered(
             status=answer.status,
             headers=answer.headers,
             body=answer.body,
@@ -303,7 +264,7 @@
             attempts=self._call.attempts,
         )
         self._ended = result.Failure(
-            Failed(
+            endings.Failed(
                 status=action.status,
                 outcome=action.outcome,
                 reason=action.reason.value,
--- a/src/lovagesaddle/node/claimed_calls.py
+++ b/src/lovagesaddle/node/claimed_calls.py
@@ -5,16 +5,17 @@
 from returns import result
 
 from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.routing import call
 from lovagesaddle.core.routing import claim_events
 from lovagesaddle.core.routing import claim_messages
-from lovagesaddle.node import attempts
 from lovagesaddle.node import claims as claims_lib
+from lovagesaddle.node import endings
 
 MAX_KEPT_BYTES = 64 * 1024
 REPLAYED = ("Idempotency-Replayed", "true")
 # An earlier request with the key may have run through a node that learnt of
 # the shards before this one, so this is no proof of the contrary.
-NO_SHARDS = attempts.Failed(
+NO_SHARDS = endings.Failed(
     status=503,
     outcome=outcomes.RequestOutcome.UNKNOWN,
     reason=claim_events.RefusalReason.NO_MAJORITY.value,
@@ -23,8 +24,8 @@
 
 
 def run_claimed(
-    claim: claims_lib.Claim | None, run: Callable[[], attempts.Ended]
-) -> attempts.Ended:
+    claim: claims_lib.Claim | None, run: Callable[[], endings.Ended]
+) -> endings.Ended:
     """Runs a call once its claim is granted.
 
     Args:
@@ -39,7 +40,7 @@
             return result.Success(_restore(verdict.answer))
         case claim_events.Refuse():
             return result.Failure(
-                attempts.Failed(
+                endings.Failed(
                     status=verdict.status,
                     outcome=verdict.outcome,
                     reason=verdict.reason.value,
@@ -58,7 +59,7 @@
     return ended
 
 
-def _describe(ended: attempts.Ended) -> claim_events.Ended:
+def _describe(ended: endings.Ended) -> claim_events.Ended:
     match ended:
         case result.Success(answered):
             return claim_events.Ended(outcome=None, answer=_store(answered))
@@ -67,7 +68,7 @@
     raise AssertionError("unreachable")
 
 
-def _store(answered: attempts.Answered) -> claim_messages.StoredAnswer:
+def _store(answered: endings.Answered) -> claim_messages.StoredAnswer:
     kept = len(answered.body) <= MAX_KEPT_BYTES
     return claim_messages.StoredAnswer(
         status=answered.status,
@@ -80,10 +81,10 @@
     )
 
 
-def _restore(stored: claim_messages.StoredAnswer) -> attempts.Answered:
+def _restore(stored: claim_messages.StoredAnswer) -> endings.Answered:
     headers = tuple((each.name, each.value) for each in stored.headers)
-    failed = stored.status >= attempts.FIRST_FAILURE_STATUS
-    return attempts.Answered(
+    failed = stored.status >= call.FIRST_FAILURE_STATUS
+    return endings.Answered(
         status=stored.status,
         headers=(*headers, REPLAYED),
         body=stored.body,
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -21,6 +21,7 @@
 from lovagesaddle.node import attempts
 from lovagesaddle.node import claimed_calls
 from lovagesaddle.node import claims as claims_lib
+from lovagesaddle.node import endings
 from lovagesaddle.node import hops
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import routing as routing_lib
@@ -222,7 +223,7 @@
 
     def _run(
         self, runner: attempts.Runner, is_gone: Callable[[], bool]
-    ) -> attempts.Ended:
+    ) -> endings.Ended:
         with self._guards.watch(
             deadline=runner.deadline, is_gone=is_gone
         ) as guard:
@@ -267,7 +268,7 @@
     return None
 
 
-def _format(ended: attempts.Ended, request_id: str) -> gateway.Answer:
+def _format(ended: endings.Ended, request_id: str) -> gateway.Answer:
     trace: headers_lib.Headers = ((chain_lib.REQUEST_ID_HEADER, request_id),)
     match ended:
         case result.Success(answered):
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -12,6 +12,7 @@
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import attempts
+from lovagesaddle.node import endings
 from lovagesaddle.node import hops
 from lovagesaddle.node import routing as routing_lib
 from lovagesaddle.node import suspects as suspects_lib
@@ -60,7 +61,7 @@
 
 def _run(
     carrier: hops.Carrier, suspects: suspects_lib.Suspects
-) -> attempts.Ended:
+) -> endings.Ended:
     route = routing_mesh.make_route(
         idempotent=True, retries=2, timeout_s=TIMEOUT_S
     )
