--- a/bench/hops.py
+++ b/bench/hops.py
@@ -11,6 +11,7 @@
 import time
 
 from bench import cluster as cluster_lib
+from bench import processes
 from bench import results
 from bench import verdicts
 from bench import workloads
@@ -18,6 +19,7 @@
 WARM_UP = 200
 BLOCK = 50
 MS_PER_S = 1000
+DIRECT = "direct"
 RESULT_FILE = results.RESULTS_FOLDER / "hops.jsonl"
 
 
@@ -35,21 +37,44 @@
     ):
         other, owner = cluster.vms.values()
         paths = {
-            "direct": owner.backend_address,
+            DIRECT: owner.backend_address,
             "one hop": owner.addresses.http,
             "two hops": other.addresses.http,
         }
         callers = {name: _Caller(address) for name, address in paths.items()}
-        used = dict.fromkeys(paths, 0.0)
-        nodes = (owner.node, other.node)
-        # Blocks take turns, so that a busy moment falls on every path.
-        for _ in range((calls + WARM_UP) // BLOCK):
-            for name, caller in callers.items():
-                before = sum(node.read_cpu_s() for node in nodes)
-                caller.call(BLOCK)
-                after = sum(node.read_cpu_s() for node in nodes)
-                used[name] += after - before
-    base = callers["direct"]
+        used = _take_turns(callers, calls, (owner.node, other.node))
+    return results.Sample(
+        experiment="hops",
+        variant=f"log={log_level}",
+        seed=1,
+        figures=(
+            *_list_times(callers),
+            *_list_processor(used, calls + WARM_UP),
+        ),
+    )
+
+
+def _take_turns(
+    callers: dict[str, "_Caller"],
+    calls: int,
+    nodes: tuple[processes.Process, ...],
+) -> dict[str, float]:
+    """Makes the calls; returns the nodes' processor time for each path.
+
+    Blocks take turns, so that a busy moment falls on every path.
+    """
+    used = dict.fromkeys(callers, 0.0)
+    for _ in range((calls + WARM_UP) // BLOCK):
+        for name, caller in callers.items():
+            before = sum(node.read_cpu_s() for node in nodes)
+            caller.call(BLOCK)
+            after = sum(node.read_cpu_s() for node in nodes)
+            used[name] += after - before
+    return used
+
+
+def _list_times(callers: dict[str, "_Caller"]) -> list[results.Figure]:
+    base = callers[DIRECT]
     figures: list[results.Figure] = []
     for name, caller in callers.items():
         for share in (0.5, 0.99):
@@ -67,22 +92,19 @@
                         bound=verdicts.ADDED_P99_MS if share > 0.5 else None,
                     )
                 )
-    sent = calls + WARM_UP
-    figures += [
+    return figures
+
+
+def _list_processor(used: dict[str, float], sent: int) -> list[results.Figure]:
+    return [
         results.Figure(
             name=f"{name} processor of the nodes",
-            value=(spent - used["direct"]) / sent * MS_PER_S,
+            value=(spent - used[DIRECT]) / sent * MS_PER_S,
             unit="ms/call",
         )
         for name, spent in used.items()
-        if name != "direct"
+        if name != DIRECT
     ]
-    return results.Sample(
-        experiment="hops",
-        variant=f"log={log_level}",
-        seed=1,
-        figures=tuple(figures),
-    )
 
 
 class _Caller:
