--- a/bench/state_cost.py
+++ b/bench/state_cost.py
@@ -14,6 +14,10 @@
 from bench import fleet_state
 from bench import results
 from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.configuration import state as state_lib
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import operator_messages
+from lovagesaddle.core.model import snapshots
 
 SIZES = (100, 200, 550, 1_100)
 REPEATS = 15
@@ -45,10 +49,41 @@
             ),
             _time("compute delta", lambda: delta.compute_delta(base, target)),
             _time("apply delta", lambda: delta.apply_delta(base, change)),
+            *_measure_state(snapshot),
         ),
     )
 
 
+def _measure_state(snapshot: snapshots.Snapshot) -> list[results.Figure]:
+    """Returns the cost of what a replica's own snapshot holds."""
+    publication = operator_messages.Publication(
+        version=1,
+        publish_id="p" * 32,
+        operator="bench",
+        base_version=0,
+        revisions=tuple(f"{s.name}={s.revision}" for s in snapshot.services),
+    )
+    kept = state_lib.KeptPublication(
+        publication=publication, services=snapshot.services
+    )
+    state = state_lib.State(
+        snapshot=snapshot,
+        publications=(kept,) * state_lib.KEPT_PUBLICATIONS,
+    )
+    publish = commands.PublishServices(
+        publish_id="p" * 32,
+        operator="bench",
+        base_version=0,
+        services=snapshot.services,
+    )
+    encoder = msgspec.msgpack.Encoder()
+    return [
+        _size("publish command", encoder.encode(publish)),
+        _size("replica's state", encoder.encode(state)),
+        _time("encode replica's state", lambda: encoder.encode(state)),
+    ]
+
+
 def main() -> int:
     """Prints the table and writes the samples."""
     samples = tuple(measure(size) for size in SIZES)
