--- a/bench/virtual_policies.py
+++ b/bench/virtual_policies.py
@@ -384,7 +384,7 @@
         if not self._measured:
             return
         tally = self.simulation.tally
-        urgent = self.priority is services.Priority.URGENT
+        urgent = self.priority == services.Priority.URGENT
         tally.calls += 1
         tally.urgent += urgent
         tally.attempts += self._call.attempts
@@ -413,10 +413,10 @@
     )
 
 
-def _make_route(setup: Setup, priority: services.Priority) -> services.Route:
-    urgent = priority is services.Priority.URGENT
+def _make_route(setup: Setup, priority: int) -> services.Route:
+    urgent = priority == services.Priority.URGENT
     return services.Route(
-        name=priority.value,
+        name=f"rank-{priority}",
         host="h",
         path_prefix="/",
         methods=("GET",),
--- a/src/lovagesaddle/cli/client.py
+++ b/src/lovagesaddle/cli/client.py
@@ -140,13 +140,13 @@
     def write(
         self, request: operator_messages.OperatorMessage, kind: type[AnswerT]
     ) -> Answer[AnswerT]:
-        """Sends a change to the leader until it is answered.
+        """Sends a request that only the leader answers, until it does.
 
-        The same request may reach several replicas and several times; the
-        change itself must be safe to repeat.
+        The same request may reach several replicas and several times; a
+        change must be safe to repeat.
 
         Args:
-          request: A changing request; its `request_id` is replaced.
+          request: A change or a confirmed read; its `request_id` is replaced.
           kind: Class of the answer; has `request_id`.
         """
         request_id, request = _number(request)
--- a/src/lovagesaddle/cli/publishing.py
+++ b/src/lovagesaddle/cli/publishing.py
@@ -34,8 +34,14 @@
 
 
 def find_base(client: Client) -> client_lib.Answer[int]:
-    """Returns the version of the last publication; 0 before the first."""
-    return ask_status(client).map(lambda status: status.publication_version)
+    """Returns the version of the last publication; 0 before the first.
+
+    Only the leader can answer, after a majority has confirmed it: a base from
+    a replica that lags would make every publish with it a conflict.
+    """
+    request = operator_messages.NewestRequest(request_id=client_lib.UNNUMBERED)
+    answer = client.write(request, operator_messages.NewestAnswer)
+    return answer.map(lambda newest: newest.publication_version)
 
 
 def ask_status(
--- a/src/lovagesaddle/cli/views.py
+++ b/src/lovagesaddle/cli/views.py
@@ -165,7 +165,9 @@
 
 
 def _describe_route(service: str, route: services.Route) -> list[str]:
-    methods = " ".join(route.methods)
+    methods = " ".join(route.methods) or "any method"
+    rank = services.name_rank(route.priority)
+    shares = ", ".join(f"{part.service}:{part.weight}" for part in route.split)
     repeat = "idempotent" if route.idempotent else "not idempotent"
     limits = (
         f"timeout {route.timeout_s:g} s, {route.retries} retries,"
@@ -174,9 +176,10 @@
     return [
         f"service {service}, route {route.name}",
         f"matches {methods} {route.host}{route.path_prefix}",
-        f"{repeat}, {route.priority.value}, {limits}",
-        f"callers {join_names(route.callers)}",
+        f"{repeat}, {rank}, {limits}",
+        f"callers {'any' if route.is_open else join_names(route.callers)}",
         f"services {join_names(route.services)}",
+        *([f"split {shares}"] if shares else []),
     ]
 
 
--- a/src/lovagesaddle/control/consensus.py
+++ b/src/lovagesaddle/control/consensus.py
@@ -116,6 +116,19 @@
             events.ProposeMembers(proposal_id=proposal_id, members=members)
         )
 
+    def read(
+        self,
+        on_ready: Callable[[int], None],
+        on_refused: Callable[[str], None],
+    ) -> None:
+        """Calls `on_ready` once the view is sure to be the newest.
+
+        What was accepted before this call is applied by then. `on_refused` is
+        called where this replica can't be sure, such as on a follower.
+        """
+        proposal_id = self._expect(on_ready, on_refused)
+        self._step(events.Read(proposal_id=proposal_id))
+
     def find_replica_id(self, member_id: str) -> str:
         """Returns a member's name; empty if it is unknown."""
         member = self._replica.members.find(member_id)
--- a/src/lovagesaddle/control/main.py
+++ b/src/lovagesaddle/control/main.py
@@ -1,8 +1,10 @@
 """The command line of lovagesaddle-control."""
 
+from collections.abc import Callable
+import contextlib
 import pathlib
 import signal
-from typing import Annotated
+from typing import Annotated, Any
 
 from returns import result
 import typer
@@ -18,6 +20,10 @@
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
 
+Attach = Callable[
+    [program_lib.ControlProgram], contextlib.AbstractContextManager[Any]
+]
+
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 
 
@@ -26,9 +32,26 @@
     """Control replica of lovagesaddle."""
 
 
-def serve(settings: schema.ControlSettings, *, is_founding: bool) -> None:
+def _attach_nothing(
+    replica: program_lib.ControlProgram,
+) -> contextlib.AbstractContextManager[Any]:
+    del replica
+    return contextlib.nullcontext()
+
+
+def serve(
+    settings: schema.ControlSettings,
+    *,
+    is_founding: bool,
+    attach: Attach = _attach_nothing,
+) -> None:
     """Runs a replica until SIGTERM or SIGINT.
 
+    Args:
+      settings: Of the replica.
+      is_founding: Whether an empty data folder may found the cluster.
+      attach: Opens what else serves while the replica runs.
+
     Raises:
       errors.LovagesaddleError: The replica can't start or must stop.
     """
@@ -37,6 +60,7 @@
         program_lib.ControlProgram(
             settings, context, is_founding=is_founding
         ) as program,
+        attach(program),
     ):
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: program.stop())
--- a/src/lovagesaddle/control/operators.py
+++ b/src/lovagesaddle/control/operators.py
@@ -1,5 +1,7 @@
 """Answers operators: publish, status, history, services, replicas."""
 
+from collections.abc import Callable
+
 from lovagesaddle.control import consensus as consensus_lib
 from lovagesaddle.control import ports
 from lovagesaddle.control import replicas as replicas_lib
@@ -10,6 +12,8 @@
 from lovagesaddle.observability import logs
 from lovagesaddle.transport import endpoint as endpoint_lib
 
+Reply = Callable[[operator_messages.OperatorMessage], None]
+
 NOT_LEADING = "this replica does not lead"
 _MESSAGES = operator_messages.OPERATOR_MESSAGES
 
@@ -51,19 +55,35 @@
         del now
         request = _MESSAGES.decode(received.data, peer=received.sender_id)
         route = received.route
+
+        def reply(answer: operator_messages.OperatorMessage) -> None:
+            self._endpoint.answer(route, self.channel, _MESSAGES.encode(answer))
+
+        self.handle(request, reply)
+
+    def handle(
+        self, request: operator_messages.OperatorMessage, reply: Reply
+    ) -> None:
+        """Handles one request and calls `reply` with its answer.
+
+        The answer to a change comes once it is committed; answers to other
+        messages, which are no requests, never come.
+        """
         match request:
             case operator_messages.PublishRequest():
-                self._publish(route, request)
+                self._publish(request, reply)
             case operator_messages.ChangeReplicaRequest():
-                self._change_replica(route, request)
+                self._change_replica(request, reply)
+            case operator_messages.NewestRequest():
+                self._read_newest(request, reply)
             case operator_messages.StatusRequest():
-                self._answer(route, self._describe_status(request))
+                reply(self._describe_status(request))
             case operator_messages.HistoryRequest():
-                self._answer(route, self._list_history(request))
+                reply(self._list_history(request))
             case operator_messages.ServicesRequest():
-                self._answer(route, self._find_services(request))
+                reply(self._find_services(request))
             case operator_messages.SnapshotRequest():
-                self._answer(route, self._get_snapshot(request))
+                reply(self._get_snapshot(request))
 
     def tick(self, now: float) -> None:
         """Lets time pass."""
@@ -73,12 +93,7 @@
     def observe(self, view: ports.ClusterView, now: float) -> None:
         """Takes a new applied state, leader or leader stamp."""
 
-    def _answer(
-        self, route: bytes, answer: operator_messages.OperatorMessage
-    ) -> None:
-        self._endpoint.answer(route, self.channel, _MESSAGES.encode(answer))
-
-    def _refuse(self, route: bytes, request_id: str, cause: str) -> None:
+    def _refuse(self, request_id: str, cause: str, reply: Reply) -> None:
         leader_id = self._consensus.view().leader_id
         leader = self._consensus.replica.members.find_replica(leader_id)
         self._log.info("request_refused", request=request_id, cause=cause)
@@ -88,22 +103,40 @@
             leader_address="" if leader is None else leader.address,
             cause=cause,
         )
-        self._answer(route, answer)
+        reply(answer)
 
     def _publish(
-        self, route: bytes, request: operator_messages.PublishRequest
+        self, request: operator_messages.PublishRequest, reply: Reply
     ) -> None:
         if not self._consensus.view().is_leader:
-            self._refuse(route, request.request_id, NOT_LEADING)
+            self._refuse(request.request_id, NOT_LEADING, reply)
             return
         self._consensus.propose(
             request.command,
-            lambda _: self._finish_publish(route, request),
-            lambda cause: self._refuse(route, request.request_id, cause),
+            lambda _: self._finish_publish(request, reply),
+            lambda cause: self._refuse(request.request_id, cause, reply),
+        )
+
+    def _read_newest(
+        self, request: operator_messages.NewestRequest, reply: Reply
+    ) -> None:
+        def finish(_: int) -> None:
+            state = self._consensus.view().state
+            reply(
+                operator_messages.NewestAnswer(
+                    request_id=request.request_id,
+                    publication_version=state.publication_version,
+                    document=state.document,
+                )
+            )
+
+        self._consensus.read(
+            finish,
+            lambda cause: self._refuse(request.request_id, cause, reply),
         )
 
     def _finish_publish(
-        self, route: bytes, request: operator_messages.PublishRequest
+        self, request: operator_messages.PublishRequest, reply: Reply
     ) -> None:
         result = self._find_result(request.command.publish_id)
         self._log.info(
@@ -113,10 +146,11 @@
             outcome=result.outcome.value,
             version=result.version,
         )
-        answer = operator_messages.PublishAnswer(
-            request_id=request.request_id, result=result
+        reply(
+            operator_messages.PublishAnswer(
+                request_id=request.request_id, result=result
+            )
         )
-        self._answer(route, answer)
 
     def _find_result(self, publish_id: str) -> commands.PublishResult:
         for kept in reversed(self._consensus.view().state.results):
@@ -125,10 +159,10 @@
         raise AssertionError(f"publish {publish_id} was not applied")
 
     def _change_replica(
-        self, route: bytes, request: operator_messages.ChangeReplicaRequest
+        self, request: operator_messages.ChangeReplicaRequest, reply: Reply
     ) -> None:
         if not self._consensus.view().is_leader:
-            self._refuse(route, request.request_id, NOT_LEADING)
+            self._refuse(request.request_id, NOT_LEADING, reply)
             return
 
         def finish(verdict: replicas_lib.Verdict) -> None:
@@ -137,7 +171,7 @@
                 accepted=verdict.is_accepted,
                 cause=verdict.cause,
             )
-            self._answer(route, answer)
+            reply(answer)
 
         self._replicas.change(request, finish)
 
--- a/src/lovagesaddle/control/ports.py
+++ b/src/lovagesaddle/control/ports.py
@@ -11,6 +11,7 @@
 from lovagesaddle.transport import endpoint
 
 LeaderStamp = stamps.LeaderStamp
+Wake = Callable[[], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -14,6 +14,7 @@
 
 from lovagesaddle.control import consensus as consensus_lib
 from lovagesaddle.control import fleet as fleet_lib
+from lovagesaddle.control import forwarder as forwarder_lib
 from lovagesaddle.control import links as links_lib
 from lovagesaddle.control import operators as operators_lib
 from lovagesaddle.control import ports
@@ -128,6 +129,11 @@
             self._is_closed = True
         self._stack.close()
 
+    @property
+    def forwarder(self) -> forwarder_lib.Forwarder:
+        """Publishes and reads for other threads of this process."""
+        return self._forwarder
+
     def stop(self) -> None:
         """Makes `run` hand leadership over and return.
 
@@ -159,6 +165,7 @@
                     or time.monotonic() >= deadline
                 )
             )
+        self._forwarder.close()
         self._log.info(
             "replica_stopped",
             replica=self._settings.replica_id,
@@ -176,6 +183,7 @@
             if now >= next_tick:
                 next_tick = now + TICK_S
                 self._tick(now)
+            self._forwarder.flush()
             self._consensus.flush(now)
             self._observe(now)
 
@@ -263,7 +271,15 @@
             ),
             fleet=fleet,
         )
-        return (operators, fleet, shards_lib.Shards(self._consensus))
+        self._forwarder = forwarder_lib.Forwarder(
+            own_id=self._settings.replica_id,
+            endpoint=self._endpoint,
+            consensus=self._consensus,
+            operators=operators,
+            wake=self._wake,
+        )
+        shards = shards_lib.Shards(self._consensus)
+        return (operators, self._forwarder, fleet, shards)
 
     def _list_replicas(self) -> tuple[peers.Peer, ...]:
         members = self._consensus.replica.members.members
--- a/src/lovagesaddle/core/configuration/comparison.py
+++ b/src/lovagesaddle/core/configuration/comparison.py
@@ -89,8 +89,8 @@
         Change(
             kind=ChangeKind.CHANGED,
             place=f"{place} / {field.name}",
-            before=_write(getattr(old, field.name)),
-            after=_write(getattr(new, field.name)),
+            before=_write(_name(field.name, getattr(old, field.name))),
+            after=_write(_name(field.name, getattr(new, field.name))),
         )
         for field in dataclasses.fields(old)
         if not (
@@ -105,11 +105,19 @@
     return Change(kind=kind, place=place, before="", after="")
 
 
+def _name(field: str, value: object) -> object:
+    if field == "priority" and isinstance(value, int):
+        return services.name_rank(value)
+    return value
+
+
 def _write(value: object) -> str:
     if isinstance(value, enum.Enum):
         return str(value.value)
+    if isinstance(value, services.SplitPart):
+        return f"{value.service}:{value.weight}"
     if isinstance(value, tuple):
-        return " ".join(value) or "none"
+        return " ".join(_write(item) for item in value) or "none"
     if isinstance(value, bool):
         return "yes" if value else "no"
     return str(value)
--- a/src/lovagesaddle/core/configuration/delta.py
+++ b/src/lovagesaddle/core/configuration/delta.py
@@ -75,6 +75,7 @@
         servers=_list_changed(old.servers, new.servers),
         removed_servers=_list_removed(old.servers, new.servers),
         shards=_list_changed(old.shards, new.shards),
+        limits=new.limits,
     )
 
 
@@ -94,6 +95,7 @@
         nodes=merge(old.nodes, delta.nodes, delta.removed_nodes),
         servers=merge(old.servers, delta.servers, delta.removed_servers),
         shards=merge(old.shards, delta.shards, ()),
+        limits=delta.limits,
     )
     result = restamp(base, merged)
     if result.digest != delta.digest:
@@ -118,6 +120,8 @@
     for before, after in pairs:
         if before is not after:
             total = _replace(total, before, after)
+    if old.limits != snapshot.limits:
+        total = total.replace_limits(old.limits, snapshot.limits)
     return Stamped(snapshot=snapshot, accumulator=total)
 
 
--- a/src/lovagesaddle/core/configuration/digest.py
+++ b/src/lovagesaddle/core/configuration/digest.py
@@ -44,13 +44,31 @@
         """Returns the sum without an item that was added before."""
         return Accumulator((self.total - hash_item(item)) % _MODULUS)
 
+    def replace_limits(
+        self,
+        old: services.CallerLimits | None,
+        new: services.CallerLimits | None,
+    ) -> "Accumulator":
+        """Returns the sum with other limits on callers."""
+        change = hash_limits(new) - hash_limits(old)
+        return Accumulator((self.total + change) % _MODULUS)
+
     def to_bytes(self) -> bytes:
         """Returns the digest, `DIGEST_BYTES` long."""
         return self.total.to_bytes(DIGEST_BYTES, "big")
 
 
+def hash_limits(limits: services.CallerLimits | None) -> int:
+    """Returns the hash of the limits on callers; 0 for none."""
+    return 0 if limits is None else _hash(limits)
+
+
 def hash_item(item: Item) -> int:
     """Returns the hash of one item, which covers its class and content."""
+    return _hash(item)
+
+
+def _hash(item: Item | services.CallerLimits) -> int:
     data = type(item).__name__.encode() + _ENCODER.encode(item)
     return int.from_bytes(
         hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest(), "big"
@@ -66,4 +84,4 @@
         snapshot.shards,
     )
     total = sum(hash_item(item) for group in groups for item in group)
-    return Accumulator(total % _MODULUS)
+    return Accumulator((total + hash_limits(snapshot.limits)) % _MODULUS)
--- a/src/lovagesaddle/core/configuration/references.py
+++ b/src/lovagesaddle/core/configuration/references.py
@@ -23,4 +23,10 @@
                 for client in route.services
                 if client not in names
             )
+            causes.extend(
+                f'service "{part.service}" does not exist but takes a share of'
+                f' route "{route.name}" of service "{service.name}"'
+                for part in route.split
+                if part.service not in names
+            )
     return tuple(causes)
--- a/src/lovagesaddle/core/configuration/service_files.py
+++ b/src/lovagesaddle/core/configuration/service_files.py
@@ -12,6 +12,7 @@
 SUFFIX = ".service.ini"
 MAX_DIGESTS = 2
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+ANY = (service_sections.ANY,)
 
 _SERVICE = "service"
 _CALLER = "caller"
@@ -95,6 +96,7 @@
                     sorted((p.route for p in routes), key=lambda r: r.name)
                 ),
                 depends_on=tuple(sorted(head.depends_on)),
+                health_path=head.health_path,
             )
         return ServiceFile(
             file=document.file,
@@ -214,7 +216,7 @@
     found = [
         section.report("methods", f'"{method}" is not an HTTP method')
         for method in route.methods
-        if method not in METHODS
+        if method not in METHODS and route.methods != ANY
     ]
     if section.find("host") is None:
         found.append(section.report("host", "key is missing"))
@@ -226,8 +228,10 @@
     found.extend(
         section.report("callers", f'caller "{name}" is not in this file')
         for name in route.callers
-        if name not in callers
+        if name not in callers and route.callers != ANY
     )
+    if route.split and not any(part.weight for part in route.split):
+        found.append(section.report("split", "the weights add up to 0"))
     if not route.callers and not route.services:
         cause = "nobody may use the route; name callers or services"
         found.append(section.report("callers", cause))
@@ -250,12 +254,20 @@
         name=section.name,
         host=section.host,
         path_prefix=section.path,
-        methods=tuple(sorted(set(section.methods))),
+        methods=_list_unless_any(section.methods),
         timeout_s=section.timeout_s,
         retries=section.retries,
         priority=section.priority,
         idempotent=section.idempotent,
-        callers=tuple(sorted(set(section.callers))),
+        callers=_list_unless_any(section.callers),
         services=tuple(sorted(set(section.services))),
         max_body_bytes=section.max_body_bytes,
+        is_open=section.callers == ANY,
+        target_latency_s=section.target_latency_s or 0.0,
+        split=section.split,
     )
+
+
+def _list_unless_any(words: tuple[str, ...]) -> tuple[str, ...]:
+    """Returns the words sorted, each once; none for the single word any."""
+    return () if words == ANY else tuple(sorted(set(words)))
--- a/src/lovagesaddle/core/configuration/service_sections.py
+++ b/src/lovagesaddle/core/configuration/service_sections.py
@@ -10,6 +10,8 @@
 
 MAX_RETRIES = 10
 MAX_TIMEOUT_S = 3600.0
+MAX_RANK = 99
+ANY = "any"
 MAX_BODY_BYTES = 1024**3
 NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
 HOST_PATTERN = r"^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$"
@@ -27,6 +29,13 @@
     float,
     msgspec.Meta(gt=0, le=MAX_TIMEOUT_S, extra={"unit": units.Unit.DURATION}),
 ]
+_Rank = Annotated[
+    int, msgspec.Meta(ge=0, le=MAX_RANK, extra={"unit": units.Unit.RANK})
+]
+_Shares = Annotated[
+    tuple[services.SplitPart, ...],
+    msgspec.Meta(extra={"unit": units.Unit.SHARES}),
+]
 _BodySize = Annotated[
     int,
     msgspec.Meta(ge=0, le=MAX_BODY_BYTES, extra={"unit": units.Unit.SIZE}),
@@ -40,6 +49,7 @@
     name: _Name
     revision: Annotated[int, msgspec.Meta(ge=0)]
     depends_on: _Names = ()
+    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -63,8 +73,10 @@
     methods: _Words = ("GET",)
     timeout_s: _Timeout = 5.0
     retries: Annotated[int, msgspec.Meta(ge=0, le=MAX_RETRIES)] = 1
-    priority: services.Priority = services.Priority.NORMAL
+    priority: _Rank = services.Priority.NORMAL
     idempotent: _Switch = False
     callers: _Names = ()
     services: _Names = ()
     max_body_bytes: _BodySize = 1024**2
+    target_latency_s: _Timeout | None = None
+    split: _Shares = ()
--- a/src/lovagesaddle/core/configuration/service_sets.py
+++ b/src/lovagesaddle/core/configuration/service_sets.py
@@ -7,6 +7,7 @@
 
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import service_files
+from lovagesaddle.core.configuration import units
 from lovagesaddle.core.model import services
 
 Problems = tuple[errors.FileProblem, ...]
@@ -68,16 +69,20 @@
     names = {file.name for file in parsed}
     problems: list[errors.FileProblem] = []
     for file in parsed:
-        places = [(placed.section, "services") for placed in file.routes]
+        places = [
+            (placed.section, key)
+            for placed in file.routes
+            for key in ("services", "split")
+        ]
         if file.name_section is not None:
             places.append((file.name_section, "depends-on"))
         for section, key in places:
             entry = section.find(key)
-            words = entry.value.replace(",", " ").split() if entry else []
+            words = units.split_words(entry.value) if entry else ()
             problems.extend(
-                section.report(key, f'service "{word}" does not exist')
-                for word in words
-                if word not in names
+                section.report(key, f'service "{name}" does not exist')
+                for name in (word.partition(":")[0] for word in words)
+                if name not in names
             )
     return problems
 
@@ -92,7 +97,7 @@
             route, section = placed.route, placed.section
             place = f"{section.file}:{section.line}"
             taken: set[str] = set()
-            for method in route.methods:
+            for method in route.methods or service_files.METHODS:
                 key = (route.host, route.path_prefix, method)
                 earlier = first.setdefault(key, place)
                 if earlier != place:
--- a/src/lovagesaddle/core/configuration/state.py
+++ b/src/lovagesaddle/core/configuration/state.py
@@ -11,6 +11,7 @@
 from lovagesaddle.core.configuration import membership
 from lovagesaddle.core.configuration import references
 from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import documents
 from lovagesaddle.core.model import operator_messages
 from lovagesaddle.core.model import services
 from lovagesaddle.core.model import snapshots
@@ -34,7 +35,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class KeptResult:
-    """The first answer to a publish ID, repeated for every resend."""
+    """An answer to a publish ID; an acceptance is repeated to resends."""
 
     publish_id: str
     result: commands.PublishResult
@@ -48,11 +49,13 @@
       snapshot: What nodes route by.
       publications: The newest publications, oldest first.
       results: Answers to the newest publish IDs, oldest first.
+      document: The newest published document; None before the first.
     """
 
     snapshot: snapshots.Snapshot
     publications: tuple[KeptPublication, ...] = ()
     results: tuple[KeptResult, ...] = ()
+    document: documents.Document | None = None
 
     @property
     def publication_version(self) -> int:
@@ -61,6 +64,11 @@
             return 0
         return self.publications[-1].publication.version
 
+    @property
+    def serial(self) -> int:
+        """Serial of the newest document; 0 before the first."""
+        return 0 if self.document is None else self.document.serial
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Applied:
@@ -134,17 +142,17 @@
     state: State, version: int, command: commands.PublishServices
 ) -> Applied:
     for kept in reversed(state.results):
-        if kept.publish_id == command.publish_id:
+        if kept.publish_id == command.publish_id and _is_accepted(kept.result):
             unchanged = dataclasses.replace(
                 state, snapshot=_advance(state, version)
             )
             return Applied(state=unchanged, result=kept.result)
     result = _judge(state, version, command)
     results = (
-        *state.results,
+        *(r for r in state.results if r.publish_id != command.publish_id),
         KeptResult(publish_id=command.publish_id, result=result),
     )[-KEPT_PUBLISH_RESULTS:]
-    if result.outcome is not commands.PublishOutcome.ACCEPTED:
+    if not _is_accepted(result):
         refused = dataclasses.replace(
             state, snapshot=_advance(state, version), results=results
         )
@@ -154,22 +162,40 @@
             state.snapshot,
             version=version,
             services=_reuse(state.snapshot.services, command.services),
+            limits=command.limits,
         ),
         publications=(
             *state.publications,
             _record_publication(version, command),
         )[-KEPT_PUBLICATIONS:],
         results=results,
+        document=_keep_document(state, command),
     )
     return Applied(state=accepted, result=result)
 
 
+def _is_accepted(result: commands.PublishResult) -> bool:
+    return result.outcome is commands.PublishOutcome.ACCEPTED
+
+
+def _keep_document(
+    state: State, command: commands.PublishServices
+) -> documents.Document | None:
+    if command.document is not None or state.document is None:
+        return command.document
+    # The held one no longer says what is in force, but its serial counts on.
+    return dataclasses.replace(state.document, content=b"")
+
+
 def _judge(
     state: State, version: int, command: commands.PublishServices
 ) -> commands.PublishResult:
-    if command.base_version != state.publication_version:
+    if _is_overtaken(state, command):
         return _describe_conflict(state)
-    causes = references.check_references(command.services)
+    causes = (
+        *_check_serial(state, command),
+        *references.check_references(command.services),
+    )
     if causes:
         return commands.PublishResult(
             outcome=commands.PublishOutcome.REJECTED, version=0, causes=causes
@@ -179,6 +205,21 @@
     )
 
 
+def _is_overtaken(state: State, command: commands.PublishServices) -> bool:
+    if command.document is not None:
+        return command.document.base_serial != state.serial
+    return command.base_version != state.publication_version
+
+
+def _check_serial(
+    state: State, command: commands.PublishServices
+) -> tuple[str, ...]:
+    document = command.document
+    if document is None or document.serial > state.serial:
+        return ()
+    return (f"serial {document.serial} is not above {state.serial}",)
+
+
 def _describe_conflict(state: State) -> commands.PublishResult:
     if not state.publications:
         return commands.PublishResult(
--- a/src/lovagesaddle/core/configuration/units.py
+++ b/src/lovagesaddle/core/configuration/units.py
@@ -3,11 +3,21 @@
 import enum
 import re
 
+from lovagesaddle.core.model import services
+
 _DURATION = re.compile(r"^(?P<amount>\d+(\.\d+)?)\s*(?P<unit>ms|s|m)$")
 _SECONDS_OF = {"ms": 0.001, "s": 1.0, "m": 60.0}
 _SIZE = re.compile(r"^(?P<amount>\d+)\s*(?P<unit>B|KB|MB|GB)$")
 _BYTES_OF = {"B": 1, "KB": 1024, "MB": 1024**2, "GB": 1024**3}
 _SWITCH = {"yes": True, "no": False}
+_RANKS = {
+    services.name_rank(rank): rank
+    for rank in (
+        services.Priority.URGENT,
+        services.Priority.NORMAL,
+        services.Priority.BULK,
+    )
+}
 
 
 class Unit(enum.Enum):
@@ -18,9 +28,12 @@
     SIZE = "size"
     SWITCH = "switch"
     WORDS = "words"
+    RANK = "rank"
+    SHARES = "shares"
 
 
-Plain = str | float | int | bool | tuple[str, ...]
+Shares = tuple[dict[str, str], ...]
+Plain = str | float | int | bool | tuple[str, ...] | Shares
 
 
 def parse_value(text: str, unit: Unit) -> Plain:
@@ -43,7 +56,16 @@
         case Unit.SWITCH:
             return _parse_switch(text)
         case Unit.WORDS:
-            return tuple(text.replace(",", " ").split())
+            return split_words(text)
+        case Unit.RANK:
+            return _parse_rank(text)
+        case Unit.SHARES:
+            return tuple(_parse_share(word) for word in split_words(text))
+
+
+def split_words(text: str) -> tuple[str, ...]:
+    """Returns the words of a list separated by blanks or commas."""
+    return tuple(text.replace(",", " ").split())
 
 
 def _parse_duration(text: str) -> float:
@@ -65,3 +87,19 @@
     if value is None:
         raise ValueError(f'"{text}" is neither yes nor no')
     return value
+
+
+def _parse_rank(text: str) -> int:
+    rank = _RANKS.get(text)
+    if rank is not None:
+        return rank
+    if text.isascii() and text.isdigit():
+        return int(text)
+    raise ValueError(f'"{text}" is not urgent, normal, bulk or a rank from 0')
+
+
+def _parse_share(word: str) -> dict[str, str]:
+    name, colon, weight = word.partition(":")
+    if not (name and colon and weight.isascii() and weight.isdigit()):
+        raise ValueError(f'"{word}" is not a share such as desk:90')
+    return {"service": name, "weight": weight}
--- a/src/lovagesaddle/core/consensus/events.py
+++ b/src/lovagesaddle/core/consensus/events.py
@@ -62,6 +62,17 @@
     members: entries_lib.Members
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Read:
+    """A read that must see everything committed before it began.
+
+    Attributes:
+      proposal_id: Chosen by the shell, unique in its life.
+    """
+
+    proposal_id: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Persisted:
     """Everything up to a Persist action is synced."""
@@ -94,6 +105,7 @@
     | MessageReceived
     | Propose
     | ProposeMembers
+    | Read
     | Persisted
     | ImageTaken
     | FoundLog
@@ -145,7 +157,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Resolve:
-    """A proposal is committed and was applied at `index`."""
+    """A proposal was applied at `index`, or a read may be answered.
+
+    A read's index is the last entry committed when it began; it is applied.
+    """
 
     proposal_id: int
     index: int
--- a/src/lovagesaddle/core/consensus/leadership.py
+++ b/src/lovagesaddle/core/consensus/leadership.py
@@ -113,6 +113,11 @@
             if now - held.heard_at >= self._limits.silence_s:
                 held.suspend()
 
+    def request_round(self) -> int:
+        """Makes a heartbeat round due at once and returns its number."""
+        self._is_beat_due = True
+        return self._round + 1
+
     def has_lost_quorum(self, now: float) -> bool:
         """Returns whether no majority answered for too long."""
         voters = self._durable.log.members.list_voters()
--- /dev/null
+++ b/src/lovagesaddle/core/consensus/reads.py
@@ -0,0 +1,75 @@
+"""Reads that are sure to see everything accepted before they began.
+
+A leader may have been deposed without knowing it yet. It therefore answers a
+read only after a majority has confirmed a heartbeat round that began later
+than the read.
+"""
+
+import dataclasses
+
+from lovagesaddle.core.consensus import applier as applier_lib
+from lovagesaddle.core.consensus import events
+from lovagesaddle.core.consensus import leadership as leadership_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Waiting:
+    proposal_id: int
+    round: int
+    index: int
+
+
+class Reads:
+    """Reads that wait for their heartbeat round."""
+
+    def __init__(self) -> None:
+        self._waiting: list[_Waiting] = []
+        self._refused: list[events.Refuse] = []
+
+    def open(
+        self,
+        event: events.Read,
+        leadership: leadership_lib.Leadership | None,
+        commit: int,
+    ) -> None:
+        """Starts a read, or refuses it where this replica can't be sure."""
+        if leadership is None or not leadership.is_ready(commit):
+            self._refuse(event.proposal_id, applier_lib.NO_LEADER)
+            return
+        self._waiting.append(
+            _Waiting(
+                proposal_id=event.proposal_id,
+                round=leadership.request_round(),
+                index=commit,
+            )
+        )
+
+    def abandon(self) -> None:
+        """Refuses every open read, since leadership is lost."""
+        for waiting in self._waiting:
+            self._refuse(waiting.proposal_id, applier_lib.LEADERSHIP_LOST)
+        self._waiting.clear()
+
+    def collect(self, counter: int) -> list[events.Action]:
+        """Returns what is refused, and reads whose round is confirmed.
+
+        Args:
+          counter: Newest heartbeat round that a majority confirmed.
+        """
+        actions: list[events.Action] = [*self._refused]
+        self._refused = []
+        ready = [each for each in self._waiting if each.round <= counter]
+        if ready:
+            self._waiting = [e for e in self._waiting if e.round > counter]
+        actions.extend(
+            events.Resolve(proposal_id=each.proposal_id, index=each.index)
+            for each in ready
+        )
+        return actions
+
+    def _refuse(self, proposal_id: int, cause: str) -> None:
+        self._refused.append(
+            events.Refuse(
+                proposal_id=proposal_id, cause=cause, is_unknown=False
+            )
+        )
--- a/src/lovagesaddle/core/consensus/replica.py
+++ b/src/lovagesaddle/core/consensus/replica.py
@@ -15,6 +15,7 @@
 from lovagesaddle.core.consensus import leadership as leadership_lib
 from lovagesaddle.core.consensus import membership
 from lovagesaddle.core.consensus import messages
+from lovagesaddle.core.consensus import reads as reads_lib
 from lovagesaddle.core.consensus import timing
 
 
@@ -44,6 +45,7 @@
         )
         self._follower = follower_lib.Follower(self._durable)
         self._applier = applier_lib.Applier(self._durable)
+        self._reads = reads_lib.Reads()
         self._leadership: leadership_lib.Leadership | None = None
         self._leader = ""
         self._reported = (self.role, self._durable.term, self._leader)
@@ -140,6 +142,8 @@
                 self._applier.propose(event, self._leadership)
             case events.ProposeMembers():
                 self._applier.propose_members(event, self._leadership)
+            case events.Read():
+                self._reads.open(event, self._leadership, self.commit_index)
             case events.Persisted():
                 self._complete(event.sync_id)
             case events.ImageTaken():
@@ -154,7 +158,12 @@
         sends: list[events.Send] = []
         if self._leadership is not None:
             sends = self._leadership.collect_sends(self.commit_index)
-        actions = [*self._durable.flush(), *sends, *self._applier.collect()]
+        actions = [
+            *self._durable.flush(),
+            *sends,
+            *self._applier.collect(),
+            *self._reads.collect(self.counter),
+        ]
         state = (self.role, self._durable.term, self._leader)
         if state != self._reported:
             self._reported = state
@@ -209,6 +218,7 @@
             self._leadership = None
             self._clock.reset()
             self._applier.abandon()
+            self._reads.abandon()
         self._candidacy.withdraw()
         self._leader = leader
 
--- a/src/lovagesaddle/core/model/commands.py
+++ b/src/lovagesaddle/core/model/commands.py
@@ -4,6 +4,7 @@
 import enum
 
 from lovagesaddle.core import codec
+from lovagesaddle.core.model import documents
 from lovagesaddle.core.model import services as services_lib
 from lovagesaddle.core.model import snapshots
 
@@ -23,14 +24,18 @@
       publish_id: Chosen by the operator; a resend gets the first answer.
       operator: Who publishes, for the history.
       base_version: Version of the last publication that the operator saw;
-        0 when the operator saw none.
+        0 when the operator saw none. Not judged beside a document.
       services: The complete set, sorted by name.
+      document: What the services were read from, if it is kept.
+      limits: Limits on callers; None leaves those of each node's settings.
     """
 
     publish_id: str
     operator: str
     base_version: int
     services: tuple[services_lib.Service, ...]
+    document: documents.Document | None = None
+    limits: services_lib.CallerLimits | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/core/model/operator_messages.py
+++ b/src/lovagesaddle/core/model/operator_messages.py
@@ -8,6 +8,7 @@
 
 from lovagesaddle.core import codec
 from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import documents
 from lovagesaddle.core.model import services as services_lib
 from lovagesaddle.core.model import snapshots
 
@@ -100,6 +101,28 @@
     lagging: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NewestRequest:
+    """Asks the leader for what is sure to be the newest publication."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NewestAnswer:
+    """The newest publication, confirmed by a majority after the request.
+
+    Attributes:
+      request_id: Of the request.
+      publication_version: Version of the publication; 0 before the first.
+      document: What it was read from, if it brought a document.
+    """
+
+    request_id: str
+    publication_version: int
+    document: documents.Document | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class HistoryRequest:
     """Asks for the last publications, newest first."""
@@ -229,6 +252,8 @@
     | SnapshotAnswer
     | ChangeReplicaRequest
     | ChangeReplicaAnswer
+    | NewestRequest
+    | NewestAnswer
 )
 
 OPERATOR_MESSAGES: codec.Registry[OperatorMessage] = codec.Registry(
@@ -247,5 +272,7 @@
         11: SnapshotAnswer,
         12: ChangeReplicaRequest,
         13: ChangeReplicaAnswer,
+        14: NewestRequest,
+        15: NewestAnswer,
     },
 )
--- a/src/lovagesaddle/core/model/snapshots.py
+++ b/src/lovagesaddle/core/model/snapshots.py
@@ -105,6 +105,7 @@
       nodes: Sorted by node ID.
       servers: Sorted by server ID; every server's node is in `nodes`.
       shards: Sorted by number.
+      limits: Limits on callers; None leaves those of each node's settings.
     """
 
     cluster_id: str
@@ -113,6 +114,7 @@
     nodes: tuple[Node, ...] = ()
     servers: tuple[BackendServer, ...] = ()
     shards: tuple[Shard, ...] = ()
+    limits: services_lib.CallerLimits | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -132,6 +134,7 @@
       servers: Added or changed backend servers.
       removed_servers: Server IDs.
       shards: Added or changed shards.
+      limits: Limits of the result, whether they changed or not.
     """
 
     cluster_id: str
@@ -146,3 +149,4 @@
     servers: tuple[BackendServer, ...] = ()
     removed_servers: tuple[str, ...] = ()
     shards: tuple[Shard, ...] = ()
+    limits: services_lib.CallerLimits | None = None
--- a/src/lovagesaddle/core/routing/admission.py
+++ b/src/lovagesaddle/core/routing/admission.py
@@ -8,7 +8,6 @@
 import enum
 
 from lovagesaddle.core import part
-from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import feedback
 from lovagesaddle.core.routing import limits
 from lovagesaddle.core.routing import queues
@@ -46,7 +45,7 @@
     """
 
     request_id: str
-    priority: services.Priority
+    priority: int
     deadline: float
     suspect: bool = False
 
--- a/src/lovagesaddle/core/routing/attempt_rules.py
+++ b/src/lovagesaddle/core/routing/attempt_rules.py
@@ -13,6 +13,7 @@
         events.Ending.DRAINING,
         events.Ending.SERVER_DOWN,
         events.Ending.QUARANTINED,
+        events.Ending.SHED,
     }
 )
 
@@ -51,6 +52,10 @@
         """Asks for one more attempt after one that ended, and counts it."""
         if ending is events.Ending.QUARANTINED:
             return False
+        if ending is events.Ending.SHED:
+            # It did not run, but it reached a server and so counts as one of
+            # the attempts that the route allows.
+            return self._allow_attempt()
         if ending in NOT_RUN_ENDINGS:
             return self._allow_move(ending)
         if ending is events.Ending.CRASHED:
@@ -76,6 +81,9 @@
     def _allow_rerun(self) -> bool:
         if not self._route.idempotent or not self._may_retry:
             return False
+        return self._allow_attempt()
+
+    def _allow_attempt(self) -> bool:
         if self._reruns >= self._route.retries or not self._spend():
             return False
         self._reruns += 1
--- a/src/lovagesaddle/core/routing/call.py
+++ b/src/lovagesaddle/core/routing/call.py
@@ -218,7 +218,7 @@
         return (
             self._options.hedge
             and route.idempotent
-            and route.priority is services.Priority.URGENT
+            and route.priority == services.Priority.URGENT
             and self._request.chain.may_retry
         )
 
--- a/src/lovagesaddle/core/routing/call_events.py
+++ b/src/lovagesaddle/core/routing/call_events.py
@@ -14,13 +14,14 @@
 class Ending(enum.Enum):
     """How an attempt ended, as the entry saw it.
 
-    The first five are proof that the request did not run in this attempt.
+    The first six are proof that the request did not run in this attempt.
 
     UNREACHABLE: no connection to the owner, so not a byte was sent.
     REFUSED: the owner refused it for want of room or time.
     DRAINING: the owner refused it because its server is leaving.
     SERVER_DOWN: the owner refused it because its server is gone.
     QUARANTINED: the owner refused it because it crashes servers.
+    SHED: the server itself says that it did not run it.
     ANSWERED: a whole answer of the backend server came.
     LOST: the connection broke, or the answer was cut or malformed.
     CRASHED: the owner says that its server died while it ran.
@@ -32,6 +33,7 @@
     DRAINING = "draining"
     SERVER_DOWN = "server-down"
     QUARANTINED = "quarantined"
+    SHED = "shed"
     ANSWERED = "answered"
     LOST = "lost"
     CRASHED = "crashed"
--- a/src/lovagesaddle/core/routing/chain.py
+++ b/src/lovagesaddle/core/routing/chain.py
@@ -9,11 +9,12 @@
 import dataclasses
 
 from lovagesaddle.core import errors
+from lovagesaddle.core.routing import header_names
 
-DEADLINE_HEADER = "Request-Deadline-Ms"
-DEPTH_HEADER = "Request-Depth"
-RETRY_HEADER = "Request-Retry"
-REQUEST_ID_HEADER = "Request-Id"
+DEADLINE_HEADER = header_names.DEFAULT.deadline_ms
+DEPTH_HEADER = header_names.DEFAULT.depth
+RETRY_HEADER = header_names.DEFAULT.retry
+REQUEST_ID_HEADER = header_names.DEFAULT.request_id
 RETRY_FORBIDDEN = "none"
 HEADERS = (DEADLINE_HEADER, DEPTH_HEADER, RETRY_HEADER, REQUEST_ID_HEADER)
 
@@ -42,22 +43,26 @@
     may_retry: bool = True
 
 
-def parse_headers(headers: Mapping[str, str]) -> Chain:
+def parse_headers(
+    headers: Mapping[str, str],
+    names: header_names.HeaderNames = header_names.DEFAULT,
+) -> Chain:
     """Reads the chain headers of an incoming request.
 
     Args:
       headers: Header names in any case, each with a single value.
+      names: Names of the chain headers.
 
     Raises:
       errors.ChainError: A header is malformed; the request is answered 400.
     """
     values = {name.lower(): value.strip() for name, value in headers.items()}
-    request_id = values.get(REQUEST_ID_HEADER.lower(), "")
+    request_id = values.get(names.request_id.lower(), "")
     if len(request_id) > MAX_REQUEST_ID_CHARS or not _is_plain(request_id):
-        raise _refuse(REQUEST_ID_HEADER)
-    depth = _parse_number(values, DEPTH_HEADER)
-    remaining_ms = _parse_number(values, DEADLINE_HEADER)
-    retry = values.get(RETRY_HEADER.lower())
+        raise _refuse(names.request_id)
+    depth = _parse_number(values, names.depth)
+    remaining_ms = _parse_number(values, names.deadline_ms)
+    retry = values.get(names.retry.lower()) if names.retry else None
     return Chain(
         request_id=request_id,
         depth=depth or 0,
@@ -66,19 +71,26 @@
     )
 
 
-def format_headers(chain: Chain) -> dict[str, str]:
+def format_headers(
+    chain: Chain,
+    names: header_names.HeaderNames = header_names.DEFAULT,
+) -> dict[str, str]:
     """Returns the headers of `chain`, for the backend server or the owner."""
-    headers = {DEPTH_HEADER: str(chain.depth)}
+    headers = {names.depth: str(chain.depth)} if names.depth else {}
     if chain.request_id:
-        headers[REQUEST_ID_HEADER] = chain.request_id
+        headers[names.request_id] = chain.request_id
     if chain.remaining_s is not None:
-        remaining_ms = max(0, int(chain.remaining_s * MS_PER_S))
-        headers[DEADLINE_HEADER] = str(remaining_ms)
-    if not chain.may_retry:
-        headers[RETRY_HEADER] = RETRY_FORBIDDEN
+        headers[names.deadline_ms] = format_remaining(chain.remaining_s)
+    if not chain.may_retry and names.retry:
+        headers[names.retry] = RETRY_FORBIDDEN
     return headers
 
 
+def format_remaining(remaining_s: float) -> str:
+    """Returns the value of the deadline header."""
+    return str(max(0, int(remaining_s * MS_PER_S)))
+
+
 def descend(chain: Chain, *, remaining_s: float) -> Chain:
     """Returns the chain that the next entry inward has to see."""
     return dataclasses.replace(
@@ -87,7 +99,7 @@
 
 
 def _parse_number(values: Mapping[str, str], header: str) -> int | None:
-    text = values.get(header.lower())
+    text = values.get(header.lower()) if header else None
     if text is None:
         return None
     if len(text) > MAX_NUMBER_DIGITS or not (text.isascii() and text.isdigit()):
--- a/src/lovagesaddle/core/routing/paths.py
+++ b/src/lovagesaddle/core/routing/paths.py
@@ -16,8 +16,14 @@
 
 
 def normalise_prefix(prefix: str) -> str:
-    """Returns a path prefix without a slash at its end, except for `/`."""
-    return prefix.rstrip("/") or ROOT
+    """Returns a path prefix in the one form that the table is keyed by.
+
+    A slash at the end is kept: it says that the path itself is not matched.
+    """
+    stripped = prefix.rstrip("/")
+    if not stripped:
+        return ROOT
+    return f"{stripped}/" if prefix.endswith("/") else stripped
 
 
 def decode_path(path: str) -> str | None:
--- a/src/lovagesaddle/core/routing/queues.py
+++ b/src/lovagesaddle/core/routing/queues.py
@@ -3,15 +3,8 @@
 import abc
 import dataclasses
 
-from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import run_times
 
-RANKS = {
-    services.Priority.URGENT: 0,
-    services.Priority.NORMAL: 1,
-    services.Priority.BULK: 2,
-}
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Waiting:
@@ -27,7 +20,7 @@
     """
 
     request_id: str
-    priority: services.Priority
+    priority: int
     deadline: float
     arrived_at: float
     number: int
@@ -73,7 +66,7 @@
 
     def rank(self, waiting: Waiting) -> SortKey:
         """Returns priority, deadline, arrival."""
-        return RANKS[waiting.priority], waiting.deadline, waiting.number
+        return waiting.priority, waiting.deadline, waiting.number
 
     def is_hopeless(self, waiting: Waiting, run_s: float, now: float) -> bool:
         """Returns whether a run that starts now would end too late."""
--- a/src/lovagesaddle/core/routing/releases.py
+++ b/src/lovagesaddle/core/routing/releases.py
@@ -10,6 +10,7 @@
     events.Ending.DRAINING: balancer.AttemptResult.DRAINING,
     events.Ending.SERVER_DOWN: balancer.AttemptResult.UNREACHABLE,
     events.Ending.QUARANTINED: balancer.AttemptResult.ABANDONED,
+    events.Ending.SHED: balancer.AttemptResult.FAILED,
     events.Ending.ANSWERED: balancer.AttemptResult.ANSWERED,
     events.Ending.LOST: balancer.AttemptResult.FAILED,
     events.Ending.CRASHED: balancer.AttemptResult.FAILED,
--- a/src/lovagesaddle/core/routing/retries.py
+++ b/src/lovagesaddle/core/routing/retries.py
@@ -10,6 +10,13 @@
 class RetryPolicy(abc.ABC):
     """Bounds the attempts of calls to one service; shared by its calls."""
 
+    def set_nodes(self, count: int) -> None:
+        """Takes the number of nodes that share one budget.
+
+        Policies that bound each node by itself pass it over.
+        """
+        del count
+
     @abc.abstractmethod
     def count_call(self) -> None:
         """Takes the first attempt of a call."""
@@ -63,6 +70,8 @@
       cap: Attempts allowed after the first, for each call.
       share: Tokens that each call adds.
       bucket: Most tokens that are kept, and those at the start.
+      reserve: Retries beyond the share that all nodes together may make; if
+        it is above 0, each node's bucket is its part of the reserve.
     """
 
     def __init__(
@@ -71,12 +80,20 @@
         cap: int,
         share: float = BUDGET_SHARE,
         bucket: float = BUDGET_CAP,
+        reserve: float = 0.0,
     ) -> None:
+        self._reserve = reserve
         self._cap = cap
         self._share = share
         self._bucket = bucket
         self._tokens = bucket
 
+    def set_nodes(self, count: int) -> None:
+        """Takes this node's part of the reserve."""
+        if self._reserve:
+            self._bucket = max(1.0, self._reserve / max(1, count))
+            self._tokens = min(self._tokens, self._bucket)
+
     def count_call(self) -> None:
         """Adds the share of one call."""
         self._tokens = min(self._bucket, self._tokens + self._share)
--- a/src/lovagesaddle/core/routing/run_times.py
+++ b/src/lovagesaddle/core/routing/run_times.py
@@ -4,8 +4,6 @@
 so one mean for all would call every lookup hopeless beside a few uploads.
 """
 
-from lovagesaddle.core.model import services
-
 RUN_WEIGHT = 0.1
 
 
@@ -14,20 +12,20 @@
 
     def __init__(self) -> None:
         self._mean_s = 0.0
-        self._mean_of: dict[services.Priority, float] = {}
+        self._mean_of: dict[int, float] = {}
 
     @property
     def mean_s(self) -> float:
         """Mean over all priorities, in seconds; 0 before the first run."""
         return self._mean_s
 
-    def note(self, priority: services.Priority, run_s: float) -> None:
+    def note(self, priority: int, run_s: float) -> None:
         """Takes the time of one run."""
         self._mean_s = _move(self._mean_s, run_s)
         held_s = self._mean_of.get(priority, 0.0)
         self._mean_of[priority] = _move(held_s, run_s)
 
-    def expect(self, priority: services.Priority) -> float:
+    def expect(self, priority: int) -> float:
         """Returns the expected time of a run; 0 before the first one."""
         return self._mean_of.get(priority, 0.0)
 
--- a/src/lovagesaddle/core/routing/table.py
+++ b/src/lovagesaddle/core/routing/table.py
@@ -11,6 +11,8 @@
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import paths
 
+ANY_METHOD = ""
+
 
 class MissReason(enum.Enum):
     """Why no route takes a request."""
@@ -56,6 +58,7 @@
 class AccessReason(enum.Enum):
     """Why a request may or may not use a route."""
 
+    OPEN = "open"
     CALLER = "caller"
     SERVICE = "service"
     NO_CREDENTIAL = "no-credential"
@@ -164,7 +167,7 @@
         methods = _find_longest(prefixes, decoded)
         if methods is None:
             return self._miss(MissReason.UNKNOWN_PATH, 404)
-        target = methods.get(method)
+        target = methods.get(method) or methods.get(ANY_METHOD)
         if target is None:
             return self._miss(
                 MissReason.METHOD_NOT_ALLOWED, 405, tuple(sorted(methods))
@@ -173,6 +176,13 @@
 
     def authorise(self, match: Match, credential: Credential) -> Access:
         """Returns whether the sender of a request may use its route."""
+        if match.route.is_open:
+            return Access(
+                allowed=True,
+                status=0,
+                client=credential.service,
+                reason=AccessReason.OPEN,
+            )
         target = self._targets[match.service, match.route.name]
         if credential.service:
             return _judge_service(match.route, credential.service)
@@ -223,7 +233,7 @@
             methods = prefixes.setdefault(
                 paths.normalise_prefix(route.path_prefix), {}
             )
-            for method in route.methods:
+            for method in route.methods or (ANY_METHOD,):
                 methods.setdefault(method, target)
 
 
@@ -263,9 +273,12 @@
 
 def _find_longest(prefixes: dict[str, _Methods], path: str) -> _Methods | None:
     prefix = path.rstrip("/")
+    is_below = path.endswith("/")
     while prefix:
-        methods = prefixes.get(prefix)
+        methods = prefixes.get(f"{prefix}/") if is_below else None
+        methods = methods or prefixes.get(prefix)
         if methods is not None:
             return methods
         prefix = prefix.rpartition("/")[0]
+        is_below = True
     return prefixes.get(paths.ROOT)
--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -17,7 +17,7 @@
 from returns import result
 
 from lovagesaddle.core import errors
-from lovagesaddle.core.routing import chain
+from lovagesaddle.core.routing import header_names
 from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import responses
 from lovagesaddle.http import sockets
@@ -25,8 +25,9 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_S = 20.0
+# A peer states whole seconds, counted from when it wrote its answer.
+IDLE_MARGIN_S = 1.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
-_REQUEST_ID = chain.REQUEST_ID_HEADER.lower()
 BODYLESS_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
 
 
@@ -88,16 +89,28 @@
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Idle:
     connection: http.client.HTTPConnection
-    since: float
+    until: float
 
 
 class Pool:
     """Keeps idle connections by address, as a context manager.
 
     A peer that names a request ID in its answer must name the request's own.
+
+    Args:
+      request_id_header: Name of the header with that ID.
+      takes_unframed: Whether an answer may end with its connection. Such an
+        answer can't be told from one that its sender cut off cleanly.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        *,
+        request_id_header: str = header_names.DEFAULT.request_id,
+        takes_unframed: bool = False,
+    ) -> None:
+        self._request_id_header = request_id_header
+        self._takes_unframed = takes_unframed
         self._idle: dict[str, collections.deque[_Idle]] = {}
         self._lock = threading.Lock()
         self._closed = False
@@ -134,10 +147,10 @@
             return result.Failure(
                 _fail("connect", address, str(error), FailureKind.NOT_SENT)
             )
-        outcome = _exchange(connection, address, request, guard)
+        outcome = self._exchange(connection, address, request, guard)
         match outcome:
-            case result.Success((reply, reusable)):
-                wrong = _find_crossing(request, reply)
+            case result.Success((reply, idle_s)):
+                wrong = self._find_crossing(request, reply)
                 if wrong:
                     connection.close()
                     return result.Failure(
@@ -148,7 +161,7 @@
                             FailureKind.MALFORMED,
                         )
                     )
-                self._keep(address, connection, reusable)
+                self._keep(address, connection, idle_s)
                 return result.Success(reply)
             case result.Failure(error):
                 connection.close()
@@ -165,9 +178,7 @@
                 idle = stack.pop()
             except IndexError:
                 break
-            if now - idle.since < MAX_IDLE_S and sockets.is_quiet(
-                idle.connection.sock
-            ):
+            if now < idle.until and sockets.is_quiet(idle.connection.sock):
                 return idle.connection
             idle.connection.close()
         host, port = sockets.parse_address(address)
@@ -183,50 +194,86 @@
         self,
         address: str,
         connection: http.client.HTTPConnection,
-        reusable: bool,
+        idle_s: float,
     ) -> None:
-        if not reusable:
+        if idle_s <= 0:
             connection.close()
             return
-        idle = _Idle(connection=connection, since=time.monotonic())
+        until = time.monotonic() + idle_s
+        idle = _Idle(connection=connection, until=until)
         with self._lock:
             if not self._closed:
                 self._idle.setdefault(address, collections.deque()).append(idle)
                 return
         connection.close()
 
+    def _find_crossing(self, request: Request, reply: Reply) -> str:
+        """Says why an answer is another request's; empty when it is not."""
+        own = request.headers.get(self._request_id_header)
+        lowered = self._request_id_header.lower()
+        for name, value in reply.headers:
+            if name.lower() == lowered and own is not None and value != own:
+                return f"answer is to request {value}, not to {own}"
+        return ""
+
+    def _exchange(
+        self,
+        connection: http.client.HTTPConnection,
+        address: str,
+        request: Request,
+        guard: watchdog.Guard,
+    ) -> result.Result[tuple[Reply, float], ExchangeError]:
+        """Returns the answer and how long its connection may stay idle."""
+        sock = connection.sock
+        sock.settimeout(max(watchdog.SCAN_S, guard.remaining_s))
+        step = "send request"
+        try:
+            with guard.ending(lambda: sockets.shut_down(sock)):
+                _send(connection, request)
+                step = "read answer"
+                response = connection.getresponse()
+                reply = self._read(response, address)
+                idle_s = 0.0 if response.will_close else _find_idle_s(response)
+        except ExchangeError as error:
+            return result.Failure(error)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            kind = _classify(error, guard)
+            return result.Failure(_fail(step, address, repr(error), kind))
+        return result.Success((reply, idle_s))
+
+    def _read(self, response: http.client.HTTPResponse, address: str) -> Reply:
+        unframed = response.length is None and not response.chunked
+        if unframed and not self._takes_unframed:
+            raise _fail(
+                "read answer",
+                address,
+                "answer states no length, so its end can't be checked",
+                FailureKind.MALFORMED,
+            )
+        body = response.read(MAX_ANSWER_BYTES + 1)
+        if len(body) > MAX_ANSWER_BYTES:
+            raise _fail(
+                "read answer",
+                address,
+                f"answer exceeds {MAX_ANSWER_BYTES} bytes",
+                FailureKind.TOO_LARGE,
+            )
+        if response.length:
+            raise http.client.IncompleteRead(body, response.length)
+        return Reply(
+            status=response.status,
+            headers=tuple(response.getheaders()),
+            body=body,
+        )
+
 
-def _find_crossing(request: Request, reply: Reply) -> str:
-    """Says why an answer is another request's; empty when it is not."""
-    own = request.headers.get(chain.REQUEST_ID_HEADER)
-    for name, value in reply.headers:
-        if name.lower() == _REQUEST_ID and own is not None and value != own:
-            return f"answer is to request {value}, not to {own}"
-    return ""
-
-
-def _exchange(
-    connection: http.client.HTTPConnection,
-    address: str,
-    request: Request,
-    guard: watchdog.Guard,
-) -> result.Result[tuple[Reply, bool], ExchangeError]:
-    sock = connection.sock
-    sock.settimeout(max(watchdog.SCAN_S, guard.remaining_s))
-    step = "send request"
-    try:
-        with guard.ending(lambda: sockets.shut_down(sock)):
-            _send(connection, request)
-            step = "read answer"
-            response = connection.getresponse()
-            reply = _read(response, address)
-            reusable = not response.will_close
-    except ExchangeError as error:
-        return result.Failure(error)
-    except (OSError, http.client.HTTPException, ValueError) as error:
-        kind = _classify(error, guard)
-        return result.Failure(_fail(step, address, repr(error), kind))
-    return result.Success((reply, reusable))
+def _find_idle_s(response: http.client.HTTPResponse) -> float:
+    """Returns how long a peer keeps the connection, less a margin."""
+    for option in response.headers.get("keep-alive", "").split(","):
+        name, _, value = option.strip().partition("=")
+        if name.lower() == "timeout" and value.isascii() and value.isdigit():
+            return min(MAX_IDLE_S, int(value) - IDLE_MARGIN_S)
+    return MAX_IDLE_S
 
 
 def _send(connection: http.client.HTTPConnection, request: Request) -> None:
@@ -243,31 +290,6 @@
     connection.endheaders(request.body or None)
 
 
-def _read(response: http.client.HTTPResponse, address: str) -> Reply:
-    if response.length is None and not response.chunked:
-        raise _fail(
-            "read answer",
-            address,
-            "answer states no length, so its end can't be checked",
-            FailureKind.MALFORMED,
-        )
-    body = response.read(MAX_ANSWER_BYTES + 1)
-    if len(body) > MAX_ANSWER_BYTES:
-        raise _fail(
-            "read answer",
-            address,
-            f"answer exceeds {MAX_ANSWER_BYTES} bytes",
-            FailureKind.TOO_LARGE,
-        )
-    if response.length:
-        raise http.client.IncompleteRead(body, response.length)
-    return Reply(
-        status=response.status,
-        headers=tuple(response.getheaders()),
-        body=body,
-    )
-
-
 def _classify(error: Exception, guard: watchdog.Guard) -> FailureKind:
     if guard.reason is watchdog.EndReason.CANCELLED:
         return FailureKind.CANCELLED
--- a/src/lovagesaddle/http/headers.py
+++ b/src/lovagesaddle/http/headers.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable, Mapping
 
 from lovagesaddle.core.model import outcomes
-from lovagesaddle.core.routing import chain
 from lovagesaddle.core.routing import feedback
+from lovagesaddle.core.routing import header_names
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -24,30 +24,34 @@
         "expect",
     }
 )
-CHAIN = frozenset(name.lower() for name in chain.HEADERS)
 # Only a node writes these; one sent by a caller or a server is dropped.
 INTERNAL = frozenset(
     {outcomes.OUTCOME_HEADER.lower(), feedback.LOAD_HEADER.lower()}
 )
-_REQUEST_DROPPED = (
-    HOP_BY_HOP | INTERNAL | CHAIN | {CONTENT_LENGTH, AUTHORIZATION}
-)
+_REQUEST_DROPPED = HOP_BY_HOP | INTERNAL | {CONTENT_LENGTH}
 _ANSWER_DROPPED = HOP_BY_HOP | INTERNAL | {CONTENT_LENGTH}
 
 
-def filter_request(received: Mapping[str, str]) -> Headers:
+def filter_request(
+    received: Mapping[str, str],
+    names: header_names.HeaderNames = header_names.DEFAULT,
+) -> Headers:
     """Returns what passes on from a caller to a backend server.
 
-    The credential stays at the entry, and chain headers are written anew.
+    Headers that only a node writes are written anew.
 
     Args:
       received: Lower-case names to values.
+      names: Names of the headers that only a node writes.
     """
+    dropped = _REQUEST_DROPPED | names.list_reserved()
+    if not names.passes_credentials:
+        dropped |= {AUTHORIZATION}
     listed = _list_connection_options(received.get("connection", ""))
     return tuple(
         (name, value)
         for name, value in received.items()
-        if name not in _REQUEST_DROPPED and name not in listed
+        if name not in dropped and name not in listed
     )
 
 
@@ -76,6 +80,12 @@
     )
 
 
+def drop(headers: Headers, name: str) -> Headers:
+    """Returns the headers without those of one name."""
+    lowered = name.lower()
+    return tuple(pair for pair in headers if pair[0].lower() != lowered)
+
+
 def _list_connection_options(value: str) -> frozenset[str]:
     if not value:
         return frozenset()
--- a/src/lovagesaddle/http/hop.py
+++ b/src/lovagesaddle/http/hop.py
@@ -11,7 +11,6 @@
 
 from lovagesaddle.core import codec
 from lovagesaddle.core import errors
-from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import feedback
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.http import headers as headers_lib
@@ -48,7 +47,7 @@
     headers: headers_lib.Headers
     body: bytes
     remaining_ms: int
-    priority: services.Priority
+    priority: int
     fingerprint: bytes
     suspect: bool = False
 
@@ -58,6 +57,7 @@
 
     ANSWERED: the backend server gave a whole answer.
     REFUSED: the request was not handed over.
+    SHED: the backend server says that it did not run the request.
     TIMEOUT: the deadline passed after the hand-over.
     CRASHED: the backend server died or closed without an answer.
     BROKEN: the answer was cut or malformed.
@@ -66,6 +66,7 @@
 
     ANSWERED = "answered"
     REFUSED = "refused"
+    SHED = "shed"
     TIMEOUT = "timeout"
     CRASHED = "crashed"
     BROKEN = "broken"
--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -15,6 +15,7 @@
 from waitress import wasyncore
 
 from lovagesaddle.core import errors
+from lovagesaddle.core.model import services
 from lovagesaddle.http import lanes
 from lovagesaddle.http import parser
 from lovagesaddle.http import sockets
@@ -167,6 +168,13 @@
         """The bound `ip:port`."""
         return f"{self._server.effective_host}:{self._server.effective_port}"
 
+    def set_limits(self, limits: services.CallerLimits) -> None:
+        """Takes other limits on requesters, for what arrives from now on."""
+        adjustments = self._server.adj
+        adjustments.max_request_header_size = limits.max_header_bytes
+        adjustments.max_request_body_size = limits.max_body_bytes + 1
+        adjustments.channel_timeout = limits.idle_timeout_s
+
     def answer_with_close(self) -> None:
         """Adds `Connection: close` to every answer from now on."""
         self._server.stopping = True
--- a/src/lovagesaddle/node/application.py
+++ b/src/lovagesaddle/node/application.py
@@ -1,5 +1,6 @@
 """The WSGI application on the address for callers and other nodes."""
 
+import enum
 from typing import Any
 
 from lovagesaddle.core import errors
@@ -19,6 +20,14 @@
 _log = logs.get_logger("application")
 
 
+class Side(enum.Enum):
+    """Whose requests an address takes."""
+
+    ALL = "all"
+    CALLERS = "callers"
+    NODES = "nodes"
+
+
 class Application:
     """Tells hops of other nodes from callers and answers both.
 
@@ -27,6 +36,7 @@
       owner: Runs attempts.
       seal: Checks hops.
       guards: Watches deadlines and entries that hang up.
+      side: Whose requests are taken.
     """
 
     def __init__(
@@ -36,7 +46,9 @@
         owner: owner_lib.Owner,
         seal: hop.Seal,
         guards: watchdog.Watchdog,
+        side: Side = Side.ALL,
     ) -> None:
+        self._side = side
         self._entry = entry
         self._owner = owner
         self._seal = seal
@@ -59,8 +71,11 @@
         return gateway.write_answer(answer, request.method, start_response)
 
     def _answer(self, request: gateway.Incoming) -> gateway.Answer:
-        if request.path == hop.RUN_PATH:
+        is_hop = request.path == hop.RUN_PATH
+        if is_hop and self._side is not Side.CALLERS:
             return self._run(request)
+        if self._side is Side.NODES:
+            return _refuse_hop(404, "only nodes are served here")
         if lanes.is_refusal():
             return self._entry.refuse(OVERLOADED)
         return self._entry.answer(request)
--- a/src/lovagesaddle/node/attempts.py
+++ b/src/lovagesaddle/node/attempts.py
@@ -1,6 +1,7 @@
 """Carries out what the state machine of one call decides."""
 
 import dataclasses
+import os
 import time
 
 from returns import result
@@ -9,6 +10,7 @@
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import call_events as events
 from lovagesaddle.core.routing import chain as chain_lib
+from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.http import headers as headers_lib
@@ -21,6 +23,7 @@
 from lovagesaddle.observability import logs
 
 MS_PER_S = 1000
+MARK_BYTES = 4
 _log = logs.get_logger("call")
 
 
@@ -47,6 +50,11 @@
     verdict: quarantine.Verdict
 
 
+def _draw_mark() -> str:
+    """Returns what tells two requests with the same ID apart."""
+    return os.urandom(MARK_BYTES).hex()
+
+
 class Runner:
     """Runs one call on the thread that serves its caller.
 
@@ -59,6 +67,7 @@
       routing: Tables, balancer and retry policies.
       carrier: Takes attempts to owners.
       suspects: Learns of crashes that owners report.
+      names: Names of the headers that pass on.
     """
 
     def __init__(
@@ -72,7 +81,9 @@
         routing: routing_lib.Routing,
         carrier: hops.Carrier,
         suspects: suspects_lib.Suspects,
+        names: header_names.HeaderNames = header_names.DEFAULT,
     ) -> None:
+        self._names = names
         self._passed = passed
         self._match = match
         self._table = table
@@ -83,7 +94,7 @@
         self._ended: endings.Ended | None = None
         self._call = call_lib.Call(
             request=events.CallRequest(
-                request_id=passed.request_id,
+                request_id=f"{passed.request_id}-{_draw_mark()}",
                 service=match.service,
                 route=match.route,
                 version=match.version,
@@ -230,7 +241,7 @@
     ) -> hop.RunRequest:
         passed = self._passed
         remaining_s = max(0.0, action.deadline - time.monotonic())
-        chain = chain_lib.format_headers(action.chain)
+        chain = chain_lib.format_headers(action.chain, self._names)
         return hop.RunRequest(
             attempt_id=action.attempt_id,
             server_id=action.server.server_id,
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -13,6 +13,7 @@
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.routing import chain as chain_lib
 from lovagesaddle.core.routing import claim_keys
+from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.http import gateway
@@ -51,6 +52,9 @@
       claims: Claims Idempotency-Keys.
       guards: Watches deadlines and callers that hang up.
       metrics: Of this process.
+      names: Names of the headers towards callers and backend servers.
+      caller_service: Service of this VM, named to backend servers; empty for
+        none.
     """
 
     def __init__(
@@ -63,7 +67,13 @@
         claims: claims_lib.Claims,
         guards: watchdog.Watchdog,
         metrics: metrics_lib.Metrics,
+        names: header_names.HeaderNames = header_names.DEFAULT,
+        caller_service: str = "",
     ) -> None:
+        self._names = names
+        self._origin: headers_lib.Headers = ()
+        if caller_service and names.caller_service:
+            self._origin = ((names.caller_service, caller_service),)
         self._routing = routing
         self._carrier = carrier
         self._servers = servers
@@ -114,13 +124,13 @@
         if refused is not None:
             return refused
         try:
-            chain = chain_lib.parse_headers(request.headers)
+            chain = chain_lib.parse_headers(request.headers, self._names)
         except errors.ChainError as error:
             return gateway.make_failure(400, error.cause, _NOT_RUN)
         return self._call(
             _Accepted(
                 table=table,
-                match=match,
+                match=self._routing.choose_service(match),
                 access=access,
                 chain=chain,
                 arrived_at=arrived_at,
@@ -144,7 +154,7 @@
     def _call(
         self, accepted: "_Accepted", request: gateway.Incoming
     ) -> gateway.Answer:
-        request_id = os.urandom(REQUEST_ID_BYTES).hex()
+        request_id = accepted.chain.request_id or _draw_id()
         body = request.read_body()
         body_digest = hashlib.sha256(body).digest()
         match = accepted.match
@@ -159,7 +169,8 @@
             request_id=request_id,
             method=request.method,
             target=request.target,
-            headers=headers_lib.filter_request(request.headers),
+            headers=self._origin
+            + headers_lib.filter_request(request.headers, self._names),
             body=body,
             fingerprint=fingerprint,
             verdict=self._suspects.judge(fingerprint),
@@ -179,7 +190,7 @@
         else:
             return gateway.make_failure(400, "malformed-key", _NOT_RUN)
         self._attempts.add(runner.attempts)
-        return _format(ended, request_id)
+        return self._format(ended, request_id)
 
     def _make_runner(
         self, accepted: "_Accepted", passed: attempts.Passed
@@ -196,6 +207,7 @@
             routing=self._routing,
             carrier=self._carrier,
             suspects=self._suspects,
+            names=self._names,
         )
 
     def _open_claim(
@@ -229,6 +241,38 @@
         ) as guard:
             return runner.run(guard)
 
+    def _format(self, ended: endings.Ended, request_id: str) -> gateway.Answer:
+        trace: headers_lib.Headers = ((self._names.request_id, request_id),)
+        match ended:
+            case result.Success(answered):
+                outcome: headers_lib.Headers = ()
+                if answered.outcome is not None:
+                    outcome = (
+                        (outcomes.OUTCOME_HEADER, answered.outcome.value),
+                    )
+                kept = headers_lib.drop(
+                    answered.headers, self._names.request_id
+                )
+                return gateway.Answer(
+                    status=answered.status,
+                    headers=kept + trace + outcome,
+                    body=answered.body,
+                )
+            case result.Failure(failed):
+                extra = trace
+                if failed.retry_after_s:
+                    seconds = self._format_retry_after(failed.retry_after_s)
+                    extra = (*trace, ("Retry-After", seconds))
+                return gateway.make_failure(
+                    failed.status, failed.reason, failed.outcome, extra
+                )
+        raise AssertionError("unreachable")
+
+    def _format_retry_after(self, seconds: float) -> str:
+        if self._names.has_fractional_retry:
+            return f"{seconds:.3f}"
+        return str(math.ceil(seconds))
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Accepted:
@@ -241,6 +285,10 @@
     arrived_at: float
 
 
+def _draw_id() -> str:
+    return os.urandom(REQUEST_ID_BYTES).hex()
+
+
 def _stay() -> bool:
     return False
 
@@ -268,32 +316,6 @@
     return None
 
 
-def _format(ended: endings.Ended, request_id: str) -> gateway.Answer:
-    trace: headers_lib.Headers = ((chain_lib.REQUEST_ID_HEADER, request_id),)
-    match ended:
-        case result.Success(answered):
-            extra = trace
-            if answered.outcome is not None:
-                extra = (
-                    *trace,
-                    (outcomes.OUTCOME_HEADER, answered.outcome.value),
-                )
-            return gateway.Answer(
-                status=answered.status,
-                headers=answered.headers + extra,
-                body=answered.body,
-            )
-        case result.Failure(failed):
-            extra = trace
-            if failed.retry_after_s:
-                seconds = str(math.ceil(failed.retry_after_s))
-                extra = (*trace, ("Retry-After", seconds))
-            return gateway.make_failure(
-                failed.status, failed.reason, failed.outcome, extra
-            )
-    raise AssertionError("unreachable")
-
-
 def _answer_miss(miss: table_lib.Miss) -> gateway.Answer:
     extra = (("Allow", ", ".join(miss.allow)),) if miss.allow else ()
     return gateway.make_failure(miss.status, miss.reason.value, _NOT_RUN, extra)
--- a/src/lovagesaddle/node/hops.py
+++ b/src/lovagesaddle/node/hops.py
@@ -22,6 +22,7 @@
     }
 )
 _ENDINGS = {
+    hop.RunOutcome.SHED: call_events.Ending.SHED,
     hop.RunOutcome.ANSWERED: call_events.Ending.ANSWERED,
     hop.RunOutcome.TIMEOUT: call_events.Ending.TIMED_OUT,
     hop.RunOutcome.CRASHED: call_events.Ending.CRASHED,
--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -7,13 +7,16 @@
 import time
 
 from lovagesaddle.core import errors
+from lovagesaddle.core.membership import sightings
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import ports
+from lovagesaddle.observability import logs
 
 TOKEN_PREFIX = "local-"
 TOKEN_BYTES = 24
 MS_PER_S = 1000
+_log = logs.get_logger("local_servers")
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -25,12 +28,16 @@
       address: `ip:port` where it answers HTTP.
       slots: Requests that it runs at a time.
       connections: Connections that it accepts.
+      instance: Name that it gives itself; empty for none.
+      born_ms: Start of its life, in milliseconds since 1970; 0 when unknown.
     """
 
     service: str
     address: str
     slots: int
     connections: int
+    instance: str = ""
+    born_ms: int = 0
 
 
 class AnnouncementError(errors.LovagesaddleError):
@@ -59,6 +66,7 @@
         self._control: ports.ControlPort | None = None
         self._entries: dict[str, _Entry] = {}
         self._services_by_token: dict[str, str] = {}
+        self._orders: dict[str, sightings.SightingOrder] = {}
         self._lock = threading.RLock()
 
     def connect(self, control: ports.ControlPort) -> None:
@@ -81,6 +89,54 @@
             self._owner.revive(held.server.server_id)
             return held.token
 
+    def take_beat(
+        self, announcement: Announcement, sequence: int, *, is_leaving: bool
+    ) -> None:
+        """Takes a server's periodic word about itself.
+
+        A late word changes nothing. Once this returns, a server that is
+        leaving is handed no new work.
+
+        Args:
+          announcement: What the server says of itself.
+          sequence: Rises with every word of one life.
+          is_leaving: Whether it asks for no new work.
+        """
+        sighting = sightings.Sighting(
+            instance=announcement.instance,
+            born_ms=announcement.born_ms,
+            sequence=sequence,
+        )
+        with self._lock:
+            if not self._find_order(announcement.service).admit(sighting):
+                _log.info(
+                    "beat_passed_over",
+                    service=announcement.service,
+                    instance=announcement.instance,
+                    born_ms=announcement.born_ms,
+                    sequence=sequence,
+                )
+                return
+            held = self._entries.get(announcement.service)
+            same = held is not None and held.announcement == announcement
+            if is_leaving:
+                self._take_leaving(announcement, same)
+            elif not (same and held is not None and _is_draining(held)):
+                self.announce(announcement)
+
+    def take_farewell(self, service: str, instance: str, born_ms: int) -> None:
+        """Takes a server's last word; it is handed no new work any more.
+
+        Args:
+          service: Service that it runs.
+          instance: Name that it gives itself.
+          born_ms: Start of its life; 0 when it did not say.
+        """
+        with self._lock:
+            is_latest = self._find_order(service).end(instance, born_ms)
+            if is_latest and service in self._entries:
+                self.withdraw(service, "it said farewell")
+
     def drain(self, service: str) -> None:
         """Stops new work to a server; what runs is finished.
 
@@ -165,6 +221,17 @@
             else:
                 self._owner.revive(entry.server.server_id)
 
+    def _find_order(self, service: str) -> sightings.SightingOrder:
+        return self._orders.setdefault(service, sightings.SightingOrder())
+
+    def _take_leaving(self, announcement: Announcement, same: bool) -> None:
+        service = announcement.service
+        if same:
+            self.drain(service)
+        elif service in self._entries:
+            # The server that was here before has ended.
+            self.withdraw(service, f"{announcement.instance} took its place")
+
     def _holds(self, held: _Entry, announcement: Announcement) -> bool:
         serving = held.server.state is snapshots.ServerState.SERVING
         alive = not self._owner.is_dead(held.server.server_id)
@@ -180,7 +247,9 @@
         )
         self._entries[announcement.service] = entry
         self._services_by_token[token] = announcement.service
-        self._owner.open(entry.server, announcement.address)
+        self._owner.open(
+            entry.server, announcement.address, announcement.instance
+        )
         self._report(entry.server)
         return token
 
@@ -213,5 +282,9 @@
         )
 
 
+def _is_draining(entry: _Entry) -> bool:
+    return entry.server.state is snapshots.ServerState.DRAINING
+
+
 def _create_token() -> str:
     return TOKEN_PREFIX + secrets.token_urlsafe(TOKEN_BYTES)
--- a/src/lovagesaddle/node/main.py
+++ b/src/lovagesaddle/node/main.py
@@ -1,16 +1,19 @@
 """The program lovagesaddle-node."""
 
+from collections.abc import Callable
+import contextlib
 import pathlib
 import signal
 import sys
 import threading
-from typing import Annotated
+from typing import Annotated, Any
 
 from returns import result
 import typer
 import zmq
 
 from lovagesaddle.core import errors
+from lovagesaddle.core.routing import header_names
 from lovagesaddle.node import program
 from lovagesaddle.node import routing
 from lovagesaddle.node import slots
@@ -21,6 +24,7 @@
 EXIT_CUT = 1
 EXIT_SETTINGS = 2
 SWITCH_INTERVAL_S = 0.0005
+Attach = Callable[[program.NodeProgram], contextlib.AbstractContextManager[Any]]
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 
 
@@ -47,13 +51,30 @@
             raise typer.Exit(EXIT_SETTINGS)
 
 
+def _attach_nothing(
+    node: program.NodeProgram,
+) -> contextlib.AbstractContextManager[Any]:
+    del node
+    return contextlib.nullcontext()
+
+
 def serve(
     settings: schema.NodeSettings,
     *,
     routing_options: routing.RoutingOptions | None = None,
     owner_options: slots.OwnerOptions | None = None,
+    names: header_names.HeaderNames = header_names.DEFAULT,
+    attach: Attach = _attach_nothing,
 ) -> int:
-    """Runs a node until SIGTERM or SIGINT; returns the exit status."""
+    """Runs a node until SIGTERM or SIGINT; returns the exit status.
+
+    Args:
+      settings: Of the node.
+      routing_options: Policies of its entry.
+      owner_options: Policies of its owner.
+      names: Names of the headers towards callers and backend servers.
+      attach: Opens what else serves while the node runs.
+    """
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
@@ -67,7 +88,9 @@
                 context,
                 routing_options=routing_options,
                 owner_options=owner_options,
+                names=names,
             ) as node,
+            attach(node),
         ):
             print(node.http_address, node.admin_address, flush=True)
             stopped.wait()
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -7,6 +7,8 @@
 
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import admission
+from lovagesaddle.core.routing import chain
+from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
@@ -30,6 +32,7 @@
       pool: Connections to the servers.
       suspects: Knows requests that crash servers.
       options: Policies.
+      names: Names of the headers that tell a server what it needs to know.
     """
 
     def __init__(
@@ -38,7 +41,9 @@
         pool: client.Pool,
         suspects: suspects_lib.Suspects,
         options: slots_lib.OwnerOptions | None = None,
+        names: header_names.HeaderNames = header_names.DEFAULT,
     ) -> None:
+        self._names = names
         self._pool = pool
         self._suspects = suspects
         self._options = options or slots_lib.OwnerOptions()
@@ -48,10 +53,22 @@
         )
         self._seen_lock = threading.Lock()
 
-    def open(self, server: snapshots.BackendServer, address: str) -> None:
-        """Admits work to a server from now on."""
+    def open(
+        self,
+        server: snapshots.BackendServer,
+        address: str,
+        instance: str = "",
+    ) -> None:
+        """Admits work to a server from now on.
+
+        Args:
+          server: The server.
+          address: `ip:port` where it answers HTTP.
+          instance: Its own name for itself, told to it on each request so
+            that no other server at that address runs one; empty for none.
+        """
         self._slots[server.server_id] = slots_lib.Slots(
-            server, address, self._options
+            server, address, self._options, instance
         )
         _log.info(
             "server_opened",
@@ -59,6 +76,7 @@
             incarnation=server.incarnation,
             slots=server.slots,
             address=address,
+            instance=instance,
         )
 
     def close(self, server_id: str, reason: str) -> None:
@@ -172,7 +190,9 @@
         failed = True
         try:
             outcome = self._pool.exchange(
-                slots.address, _format_request(request), guard
+                slots.address,
+                self._format_request(request, slots, guard),
+                guard,
             )
             answer = self._describe(request, outcome, slots, guard, running)
             failed = run_answers.has_failed(answer)
@@ -191,13 +211,34 @@
         match outcome:
             case result.Success(reply):
                 self._suspects.clear(request.fingerprint)
-                return run_answers.pass_on(request, reply, slots)
+                return run_answers.pass_on(request, reply, slots, self._names)
             case result.Failure(error):
                 return self._describe_failure(
                     request, error, slots, guard, running
                 )
         raise AssertionError("unreachable")
 
+    def _format_request(
+        self,
+        request: hop.RunRequest,
+        slots: slots_lib.Slots,
+        guard: watchdog.Guard,
+    ) -> client.Request:
+        names = self._names
+        headers = dict(request.headers)
+        if names.deadline_ms in headers:
+            # The wait for a slot has used up some of the entry's figure.
+            left = chain.format_remaining(guard.remaining_s)
+            headers[names.deadline_ms] = left
+        if slots.instance and names.expected_instance:
+            headers[names.expected_instance] = slots.instance
+        return client.Request(
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            body=request.body,
+        )
+
     def _describe_failure(
         self,
         request: hop.RunRequest,
@@ -255,12 +296,3 @@
             if len(self._seen) > SEEN_ATTEMPTS:
                 self._seen.popitem(last=False)
             return True
-
-
-def _format_request(request: hop.RunRequest) -> client.Request:
-    return client.Request(
-        method=request.method,
-        target=request.target,
-        headers=dict(request.headers),
-        body=request.body,
-    )
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -11,6 +11,9 @@
 
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.model import services
+from lovagesaddle.core.routing import header_names
+from lovagesaddle.core.routing import retries
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
 from lovagesaddle.http import lanes
@@ -72,6 +75,7 @@
       make_control: Makes the control half.
       routing_options: Policies of the entry.
       owner_options: Policies of the owner.
+      names: Names of the headers towards callers and backend servers.
     """
 
     def __init__(
@@ -82,7 +86,9 @@
         make_control: ControlFactory = make_control_half,
         routing_options: routing_lib.RoutingOptions | None = None,
         owner_options: slots_lib.OwnerOptions | None = None,
+        names: header_names.HeaderNames = header_names.DEFAULT,
     ) -> None:
+        self._names = names
         self._settings = settings
         self._context = context
         self._make_control = make_control
@@ -90,12 +96,19 @@
         self._stopping = False
         self.metrics = metrics_lib.Metrics()
         self._routing = routing_lib.Routing(
-            failure_domain=settings.failure_domain, options=routing_options
+            failure_domain=settings.failure_domain,
+            options=routing_options or _make_routing_options(settings),
+        )
+        self._pool = client.Pool(
+            request_id_header=names.request_id,
+            takes_unframed=settings.unframed_answers,
         )
-        self._pool = client.Pool()
         self._suspects = suspects_lib.Suspects()
         self._owner = owner_lib.Owner(
-            pool=self._pool, suspects=self._suspects, options=owner_options
+            pool=self._pool,
+            suspects=self._suspects,
+            options=owner_options,
+            names=names,
         )
         self._servers = local_servers.LocalServers(
             node_id=settings.node_id, owner=self._owner
@@ -103,8 +116,20 @@
         self._control: ports.ControlPort | None = None
         self._claims = claims_lib.Claims(node_id=settings.node_id)
         self._guards = watchdog.Watchdog()
-        self._application = self._make_application()
-        self._http = self._listen()
+        self._limits: services.CallerLimits | None = None
+        seal = hop.Seal(_read_secret(settings))
+        entry = self._make_entry(seal)
+        apart = bool(settings.hop_address)
+        side = application.Side.CALLERS if apart else application.Side.ALL
+        self._http = self._listen(
+            settings.http_address, self._make_application(entry, seal, side)
+        )
+        self._hops = self._http
+        if apart:
+            side = application.Side.NODES
+            self._hops = self._listen(
+                settings.hop_address, self._make_application(entry, seal, side)
+            )
         self._admin = self._listen_admin()
 
     def __enter__(self) -> Self:
@@ -113,6 +138,8 @@
             stack.enter_context(self._guards)
             stack.enter_context(self._claims)
             stack.enter_context(self._http)
+            if self._hops is not self._http:
+                stack.enter_context(self._hops)
             stack.enter_context(self._admin)
             control = stack.enter_context(
                 self._make_control(self._bound_settings, self._context, self)
@@ -127,7 +154,8 @@
                 lambda: control.control_bytes,
                 kind="counter",
             )
-            stack.enter_context(probes.Prober(self._servers))
+            if self._settings.probe:
+                stack.enter_context(probes.Prober(self._servers))
             self._stack = stack.pop_all()
         _log.info(
             "node_started",
@@ -147,9 +175,20 @@
         self._stack.close()
         _log.info("node_stopped", node=self._settings.node_id)
 
+    @property
+    def servers(self) -> local_servers.LocalServers:
+        """The backend servers on this VM."""
+        return self._servers
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should come to this node."""
+        health = self._read_health()
+        return health.joined and not health.stopping
+
     @property
     def http_address(self) -> str:
-        """The bound `ip:port` for callers and other nodes."""
+        """The bound `ip:port` for callers, and for nodes if not apart."""
         return self._http.address
 
     @property
@@ -159,6 +198,10 @@
 
     def install(self, stamped: delta.Stamped, *, joined: bool) -> None:
         """Takes a newer snapshot from the control half."""
+        limits = stamped.snapshot.limits
+        if limits is not None and limits != self._limits:
+            self._limits = limits
+            self._http.set_limits(limits)
         self._claims.install(stamped.snapshot, joined=joined)
         self._routing.install(stamped, joined=joined)
 
@@ -174,6 +217,7 @@
             servers=self._servers,
             owner=self._owner,
             http=self._http,
+            hops=self._hops,
             claims=self._claims,
         ).run(self._settings.drain_s)
         self._servers.withdraw_all("stopped")
@@ -185,7 +229,7 @@
     def _bound_settings(self) -> schema.NodeSettings:
         return dataclasses.replace(
             self._settings,
-            http_address=self.http_address,
+            http_address=self._hops.address,
             admin_address=self.admin_address,
         )
 
@@ -199,15 +243,14 @@
             stopping=self._stopping,
         )
 
-    def _make_application(self) -> application.Application:
-        seal = hop.Seal(_read_secret(self._settings))
+    def _make_entry(self, seal: hop.Seal) -> entry_lib.Entry:
         carrier = hops.HttpCarrier(
             node_id=self._settings.node_id,
             owner=self._owner,
             pool=self._pool,
             seal=seal,
         )
-        entry = entry_lib.Entry(
+        return entry_lib.Entry(
             routing=self._routing,
             carrier=carrier,
             servers=self._servers,
@@ -215,12 +258,24 @@
             claims=self._claims,
             guards=self._guards,
             metrics=self.metrics,
+            names=self._names,
+            caller_service=self._settings.service,
         )
+
+    def _make_application(
+        self, entry: entry_lib.Entry, seal: hop.Seal, side: application.Side
+    ) -> application.Application:
         return application.Application(
-            entry=entry, owner=self._owner, seal=seal, guards=self._guards
+            entry=entry,
+            owner=self._owner,
+            seal=seal,
+            guards=self._guards,
+            side=side,
         )
 
-    def _listen(self) -> server_lib.HttpServer:
+    def _listen(
+        self, address: str, made: application.Application
+    ) -> server_lib.HttpServer:
         threads = self._settings.threads
         dispatcher = lanes.LaneDispatcher(
             threads=dict.fromkeys(
@@ -230,10 +285,10 @@
             classify=application.classify,
         )
         return server_lib.HttpServer(
-            application=self._application,
+            application=made,
             dispatcher=dispatcher,
             options=server_lib.ServerOptions(
-                address=self._settings.http_address,
+                address=address,
                 max_body_bytes=self._settings.max_body_bytes
                 + ENVELOPE_MARGIN_BYTES,
             ),
@@ -258,6 +313,19 @@
         )
 
 
+def _make_routing_options(
+    settings: schema.NodeSettings,
+) -> routing_lib.RoutingOptions:
+    def make_budget() -> retries.RetryPolicy:
+        return retries.RetryBudget(
+            cap=routing_lib.MAX_MOVES,
+            share=settings.retry_share,
+            reserve=settings.retry_reserve,
+        )
+
+    return routing_lib.RoutingOptions(make_retry_policy=make_budget)
+
+
 def _read_secret(settings: schema.NodeSettings) -> bytes:
     if not settings.mesh_secret_file:
         _log.warning("mesh_secret_missing", node=settings.node_id)
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -11,6 +11,7 @@
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import pick_policies
 from lovagesaddle.core.routing import retries
+from lovagesaddle.core.routing import splits
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.observability import logs
 
@@ -70,6 +71,8 @@
         self._known_servers = 0
         self._lock = threading.Lock()
         self._retry_policies: dict[str, retries.RetryPolicy] = {}
+        self._splits = splits.Splits()
+        self._node_count = 1
 
     @property
     def table(self) -> table_lib.Table | None:
@@ -98,6 +101,9 @@
                 balancer.Installed(candidates=candidates), time.monotonic()
             )
             self._known_servers = len(candidates)
+            self._node_count = max(1, len(stamped.snapshot.nodes))
+            for policy in self._retry_policies.values():
+                policy.set_nodes(self._node_count)
             self._table = made
         _log.info(
             "table_installed",
@@ -130,8 +136,17 @@
     def get_retry_policy(self, service: str) -> retries.RetryPolicy:
         """Returns the policy that the calls of a service share."""
         policy = self._retry_policies.get(service)
-        if policy is None:
-            policy = self._retry_policies.setdefault(
-                service, self.options.make_retry_policy()
-            )
-        return policy
+        if policy is not None:
+            return policy
+        with self._lock:
+            made = self.options.make_retry_policy()
+            made.set_nodes(self._node_count)
+            return self._retry_policies.setdefault(service, made)
+
+    def choose_service(self, match: table_lib.Match) -> table_lib.Match:
+        """Returns the match with the service that takes this request."""
+        if not match.route.split:
+            return match
+        with self._lock:
+            service = self._splits.choose(match.service, match.route)
+        return dataclasses.replace(match, service=service)
--- a/src/lovagesaddle/node/run_answers.py
+++ b/src/lovagesaddle/node/run_answers.py
@@ -1,5 +1,8 @@
 """What an owner answers to an entry."""
 
+import http
+
+from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.http import client
 from lovagesaddle.http import headers as headers_lib
@@ -19,9 +22,24 @@
 
 
 def pass_on(
-    request: hop.RunRequest, reply: client.Reply, slots: slots_lib.Slots
+    request: hop.RunRequest,
+    reply: client.Reply,
+    slots: slots_lib.Slots,
+    names: header_names.HeaderNames,
 ) -> hop.RunAnswer:
-    """Returns the whole answer of the backend server."""
+    """Returns the whole answer of the backend server.
+
+    An answer that says that nothing ran is passed on as such, so that the
+    entry may send the request elsewhere.
+    """
+    if _says_not_run(reply, names):
+        return hop.RunAnswer(
+            attempt_id=request.attempt_id,
+            outcome=hop.RunOutcome.SHED,
+            cause=f"status {reply.status}",
+            status=reply.status,
+            load=slots.admission.report(),
+        )
     return hop.RunAnswer(
         attempt_id=request.attempt_id,
         outcome=hop.RunOutcome.ANSWERED,
@@ -34,6 +52,14 @@
     )
 
 
+def _says_not_run(reply: client.Reply, names: header_names.HeaderNames) -> bool:
+    if reply.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+        # Another backend server has the address of the expected one.
+        return True
+    marker = names.not_run.lower()
+    return any(name.lower() == marker for name, _ in reply.headers)
+
+
 def refuse(
     request: hop.RunRequest,
     reason: str,
--- a/src/lovagesaddle/node/shutdown.py
+++ b/src/lovagesaddle/node/shutdown.py
@@ -20,7 +20,8 @@
     Args:
       servers: The local servers.
       owner: Runs their attempts.
-      http: Server towards callers and other nodes.
+      http: Server towards callers.
+      hops: Server towards other nodes; may be the same one.
       claims: Ends of claims that holders have to be told.
     """
 
@@ -30,11 +31,12 @@
         servers: local_servers.LocalServers,
         owner: owner_lib.Owner,
         http: server_lib.HttpServer,
+        hops: server_lib.HttpServer,
         claims: claims_lib.Claims,
     ) -> None:
         self._servers = servers
         self._owner = owner
-        self._http = http
+        self._listening = tuple(dict.fromkeys((http, hops)))
         self._claims = claims
         self._drain = drain.Drain()
         self._exit: drain.Exit | None = None
@@ -52,7 +54,9 @@
                     self._step(drain.ServerDrained(server_id=server_id))
             self._step(
                 drain.EntryChanged(
-                    in_progress=self._http.count_busy(),
+                    in_progress=sum(
+                        each.count_busy() for each in self._listening
+                    ),
                     settling=self._claims.count_open(),
                 )
             )
@@ -63,7 +67,8 @@
             cut=self._exit.cut,
             busy_servers=",".join(self._exit.busy_servers),
         )
-        return self._http.stop(grace_s=IDLE_GRACE_S) and whole
+        stopped = [each.stop(grace_s=IDLE_GRACE_S) for each in self._listening]
+        return all(stopped) and whole
 
     def _step(self, event: drain.Event) -> None:
         for action in self._drain.step(event, time.monotonic()):
@@ -71,8 +76,10 @@
                 case drain.DrainServer():
                     self._servers.drain_server(action.server_id)
                 case drain.AnswerWithClose():
-                    self._http.answer_with_close()
+                    for each in self._listening:
+                        each.answer_with_close()
                 case drain.CloseListeners():
-                    self._http.close_listener()
+                    for each in self._listening:
+                        each.close_listener()
                 case drain.Exit():
                     self._exit = action
--- a/src/lovagesaddle/node/slots.py
+++ b/src/lovagesaddle/node/slots.py
@@ -55,6 +55,7 @@
       server: The server.
       address: `ip:port` where it answers HTTP.
       options: Policies.
+      instance: The server's own name for itself; empty when it has none.
     """
 
     def __init__(
@@ -62,9 +63,11 @@
         server: snapshots.BackendServer,
         address: str,
         options: OwnerOptions,
+        instance: str = "",
     ) -> None:
         self.server = server
         self.address = address
+        self.instance = instance
         self.admission = admission.Admission(
             limit=options.make_limit(server.slots),
             order=options.order,
--- a/src/lovagesaddle/observability/logs.py
+++ b/src/lovagesaddle/observability/logs.py
@@ -23,6 +23,7 @@
 
 QUEUE_LINES = 100_000
 BATCH_LINES = 1_000
+STANDARD_OUTPUT = "-"
 LINE_KEYS = ("ts", "level", "event")
 
 _DEBUG, _INFO, _WARNING, _ERROR = 10, 20, 30, 40
@@ -85,6 +86,8 @@
     """
     if not settings.file:
         return LogWriter(sys.stderr, level=settings.level, owned=False)
+    if settings.file == STANDARD_OUTPUT:
+        return LogWriter(sys.stdout, level=settings.level, owned=False)
     try:
         stream = open(settings.file, "a", encoding="utf-8")  # noqa: SIM115
     except OSError as error:
--- a/src/lovagesaddle/settings/loader.py
+++ b/src/lovagesaddle/settings/loader.py
@@ -1,6 +1,6 @@
 """Loads the settings file of a program and checks all of it at once."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 import dataclasses
 import pathlib
 from typing import Any, TypeVar
@@ -11,6 +11,7 @@
 from lovagesaddle.core.configuration import ini
 from lovagesaddle.core.configuration import sections
 from lovagesaddle.settings import schema
+from lovagesaddle.settings import seeds
 
 T = TypeVar("T")
 
@@ -21,19 +22,33 @@
 
 
 def load_control(
-    path: pathlib.Path,
+    path: pathlib.Path, *, foreign: Collection[str] = ()
 ) -> result.Result[schema.ControlSettings, Problems]:
-    """Returns the settings of lovagesaddle-control, or every mistake."""
+    """Returns the settings of lovagesaddle-control, or every mistake.
+
+    Args:
+      path: The settings file.
+      foreign: Sections of the file that another reader takes.
+    """
     return _load(
-        path, schema.ControlSettings, "control", _check_founding_replicas
+        path,
+        schema.ControlSettings,
+        "control",
+        _check_founding_replicas,
+        foreign,
     )
 
 
 def load_node(
-    path: pathlib.Path,
+    path: pathlib.Path, *, foreign: Collection[str] = ()
 ) -> result.Result[schema.NodeSettings, Problems]:
-    """Returns the settings of lovagesaddle-node, or every mistake."""
-    return _load(path, schema.NodeSettings, "node", _accept)
+    """Returns the settings of lovagesaddle-node, or every mistake.
+
+    Args:
+      path: The settings file.
+      foreign: Sections of the file that another reader takes.
+    """
+    return _load(path, schema.NodeSettings, "node", _accept, foreign)
 
 
 def load_operator(
@@ -53,12 +68,13 @@
     kind: type[T],
     main: str,
     check: Callable[[ini.Section, T], Problems],
+    foreign: Collection[str] = (),
 ) -> result.Result[T, Problems]:
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         return result.Failure((_locate_file(path, f"can't be read: {error}"),))
-    return _check_text(text, str(path), kind, main, check)
+    return _check_text(text, str(path), kind, main, check, foreign)
 
 
 def _check_text(
@@ -67,6 +83,7 @@
     kind: type[T],
     main: str,
     check: Callable[[ini.Section, T], Problems],
+    foreign: Collection[str],
 ) -> result.Result[T, Problems]:
     document = ini.parse_document(text, file=file)
     draft = _Draft(document, problems=list(document.problems))
@@ -76,14 +93,19 @@
     if "log" in names:
         shared["log"] = draft.take_single("log", schema.LogSettings)
     section = draft.take_main(main)
-    draft.report_unknown()
+    draft.report_unknown(foreign)
     value = None
     if section is not None:
         value = draft.take(
             sections.convert_section(section, kind, given=shared)
         )
         if value is not None:
+            value = seeds.add_seeds(value)
             draft.problems.extend(check(section, value))
+    if not shared["replicas"] and not _has_seeds(section):
+        draft.problems.append(
+            _locate(str(file), _REPLICA, "no [replica NAME] is given")
+        )
     if draft.problems or value is None:
         ordered = sorted(draft.problems, key=lambda problem: problem.line)
         return result.Failure(tuple(ordered))
@@ -141,9 +163,11 @@
             )
         return section
 
-    def report_unknown(self) -> None:
+    def report_unknown(self, foreign: Collection[str]) -> None:
         self.problems.extend(
-            section.report("", "section is unknown") for section in self._left
+            section.report("", "section is unknown")
+            for section in self._left
+            if section.name not in foreign
         )
 
     def _pop(self, kind: str) -> ini.Section | None:
@@ -161,10 +185,6 @@
             self.problems.append(section.report("secret-key-file", cause))
 
     def _check_addresses(self, replicas: list[schema.ReplicaAddress]) -> None:
-        if not replicas:
-            self.problems.append(
-                _locate(self._file, _REPLICA, "no [replica NAME] is given")
-            )
         addresses = [replica.address for replica in replicas]
         for address in sorted({a for a in addresses if addresses.count(a) > 1}):
             self.problems.append(
@@ -176,6 +196,11 @@
             )
 
 
+def _has_seeds(section: ini.Section | None) -> bool:
+    entry = None if section is None else section.find("seeds")
+    return entry is not None and bool(entry.value.strip())
+
+
 def _accept(section: ini.Section, settings: Any) -> Problems:
     del section, settings
     return ()
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -22,6 +22,17 @@
     str, msgspec.Meta(pattern=r"^[0-9]+(\.[0-9]+){3}:[0-9]{1,5}$")
 ]
 PublicKey = Annotated[str, msgspec.Meta(pattern=r"^(\S{40})?$")]
+HttpAddresses = Annotated[
+    tuple[HttpAddress, ...],
+    msgspec.Meta(extra={"unit": units.Unit.WORDS}),
+]
+Switch = Annotated[bool, msgspec.Meta(extra={"unit": units.Unit.SWITCH})]
+OptionalAddress = Annotated[
+    str, msgspec.Meta(pattern=r"^([0-9]+(\.[0-9]+){3}:[0-9]{1,5})?$")
+]
+OptionalIdentifier = Annotated[
+    str, msgspec.Meta(pattern=r"^([a-z0-9][a-z0-9._-]{0,62})?$")
+]
 NonEmpty = Annotated[str, msgspec.Meta(min_length=1)]
 LogLevel = Literal["debug", "info", "warning", "error"]
 
@@ -62,7 +73,7 @@
 
     Attributes:
       level: "debug", "info", "warning" or "error".
-      file: Path, or empty for standard error.
+      file: Path; empty for standard error, "-" for standard output.
     """
 
     level: LogLevel = "info"
@@ -86,6 +97,9 @@
       heartbeat_s: Time between heartbeats to the nodes.
       lease_s: Lifetime of a node's lease without a heartbeat.
       expiry_share: Largest share of a failure domain to expire at once.
+      seeds: `ip:port` of processes on VMs that run founding replicas. Only
+        the IPs count: a seed's replica bears its IP as a name and listens at
+        the port of `address`.
     """
 
     replica_id: Identifier
@@ -100,6 +114,7 @@
     heartbeat_s: PositiveSeconds = 1.0
     lease_s: PositiveSeconds = 6.0
     expiry_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.34
+    seeds: HttpAddresses = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -124,6 +139,18 @@
       mesh_secret_file: File with the secret that all nodes share; empty for
         trials on one machine only.
       drain_s: Longest time that a stop waits for requests in progress.
+      seeds: `ip:port` of processes on VMs that run replicas. Only the IPs
+        count: a seed's replica bears its IP as a name and listens at the port
+        of `control_address`.
+      service: Service of the backend server on this VM, told to other
+        servers with each request that begins here; empty when unknown.
+      hop_address: `ip:port` for other nodes; empty to take them at
+        `http_address`.
+      probe: Whether local servers are probed; no where they send beats.
+      unframed_answers: Whether a server's answer may end with its connection.
+      retry_share: Retries allowed to a service, as a share of its calls.
+      retry_reserve: Retries beyond the share that all nodes together may
+        make; 0 for a bound of each node's own.
     """
 
     node_id: Identifier
@@ -141,6 +168,13 @@
     threads: Annotated[int, msgspec.Meta(ge=1, le=512)] = 32
     mesh_secret_file: str = ""
     drain_s: PositiveSeconds = 30.0
+    seeds: HttpAddresses = ()
+    service: OptionalIdentifier = ""
+    hop_address: OptionalAddress = ""
+    probe: Switch = True
+    unframed_answers: Switch = False
+    retry_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.2
+    retry_reserve: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/fake_replica.py
+++ b/tests/fake_replica.py
@@ -101,6 +101,12 @@
                 return self._publish(request)
             case operator_messages.StatusRequest():
                 return self._report(request)
+            case operator_messages.NewestRequest():
+                return operator_messages.NewestAnswer(
+                    request_id=request.request_id,
+                    publication_version=self.state.publication_version,
+                    document=self.state.document,
+                )
             case operator_messages.HistoryRequest():
                 kept = reversed(self.state.publications)
                 return operator_messages.HistoryAnswer(
--- a/tests/routing_mesh.py
+++ b/tests/routing_mesh.py
@@ -21,7 +21,7 @@
     idempotent: bool = False,
     retries: int = 0,
     timeout_s: float = 1.0,
-    priority: services.Priority = services.Priority.NORMAL,
+    priority: int = services.Priority.NORMAL,
     callers: Sequence[str] = ("foundation",),
 ) -> services.Route:
     """Returns a route of the service `desk`."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -24,7 +24,7 @@
     *,
     now: float = 0.0,
     deadline: float = 10.0,
-    priority: Priority = Priority.NORMAL,
+    priority: int = Priority.NORMAL,
 ) -> list[str]:
     event = admission_lib.Arrived(
         request_id=name, priority=priority, deadline=deadline
