--- /dev/null
+++ b/src/lovagesaddle/platform/beats.py
@@ -0,0 +1,101 @@
+"""Reads what backend servers say of themselves."""
+
+import dataclasses
+from typing import Annotated, Literal
+
+import msgspec
+
+from lovagesaddle.core import errors
+from lovagesaddle.node import local_servers
+
+Count = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+Address = Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9]+(\.[0-9]+){3}:[0-9]{1,5}$")
+]
+BORN_UNKNOWN = 0
+
+
+class BeatError(errors.LovagesaddleError):
+    """Raised for a word of a backend server that can't be read."""
+
+
+class _Beat(msgspec.Struct, frozen=True, rename="pascal"):
+    service: Annotated[str, msgspec.Meta(min_length=1)]
+    address: Address
+    slots: Count
+    state: Literal["ready", "draining"]
+    sequence: Annotated[int, msgspec.Meta(ge=0)]
+    # Start of the server's life, in milliseconds since 1970.
+    born: Annotated[int, msgspec.Meta(ge=0)] = msgspec.field(
+        default=BORN_UNKNOWN, name="born"
+    )
+
+
+class _Farewell(msgspec.Struct, frozen=True):
+    born: Annotated[int, msgspec.Meta(ge=0)] = BORN_UNKNOWN
+
+
+_BEATS = msgspec.json.Decoder(_Beat)
+_FAREWELLS = msgspec.json.Decoder(_Farewell)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Beat:
+    """One periodic word of a backend server.
+
+    Attributes:
+      announcement: What it says of itself.
+      sequence: Rises with every word of one life.
+      is_leaving: Whether it asks for no new work.
+    """
+
+    announcement: local_servers.Announcement
+    sequence: int
+    is_leaving: bool
+
+
+def parse_beat(instance: str, content: bytes) -> Beat:
+    """Returns a beat.
+
+    Args:
+      instance: Name of the server, from the path of the call.
+      content: Body of the call.
+
+    Raises:
+      BeatError: The body is malformed.
+    """
+    try:
+        beat = _BEATS.decode(content)
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        raise _refuse(instance, str(error)) from error
+    return Beat(
+        announcement=local_servers.Announcement(
+            service=beat.service,
+            address=beat.address,
+            slots=beat.slots,
+            # An owner holds one connection for each slot and no more.
+            connections=beat.slots,
+            instance=instance,
+            born_ms=beat.born,
+        ),
+        sequence=beat.sequence,
+        is_leaving=beat.state == "draining",
+    )
+
+
+def parse_farewell(instance: str, content: bytes) -> int:
+    """Returns the start of the life that ends, 0 when it is not stated.
+
+    Raises:
+      BeatError: The body is malformed.
+    """
+    if not content.strip():
+        return BORN_UNKNOWN
+    try:
+        return _FAREWELLS.decode(content).born
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        raise _refuse(instance, str(error)) from error
+
+
+def _refuse(instance: str, cause: str) -> BeatError:
+    return BeatError(step="read beat", peer=instance, cause=cause)
--- /dev/null
+++ b/src/lovagesaddle/platform/documents.py
@@ -0,0 +1,217 @@
+"""Reads the platform's configuration documents into publications."""
+
+from collections.abc import Iterable
+import hashlib
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+from lovagesaddle.core import errors
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import documents
+from lovagesaddle.core.model import services
+
+MS_PER_S = 1000
+SERIAL_DIGITS = 8
+OPERATOR = "platform"
+
+Text = Annotated[str, msgspec.Meta(min_length=1)]
+Natural = Annotated[int, msgspec.Meta(ge=0)]
+Positive = Annotated[int, msgspec.Meta(ge=1)]
+Duration = Annotated[float, msgspec.Meta(gt=0)]
+Prefix = Annotated[str, msgspec.Meta(pattern=r"^/")]
+
+
+class DocumentError(errors.LovagesaddleError):
+    """Raised for a document that can't be published."""
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="pascal"):
+    max_header_bytes: Positive
+    max_body_bytes: Natural
+    header_timeout_ms: Duration
+    idle_timeout_ms: Duration
+
+
+class _Part(msgspec.Struct, frozen=True, rename="pascal"):
+    service: Text
+    weight: Natural
+
+
+class _Match(msgspec.Struct, frozen=True, rename="pascal"):
+    path_prefix: Prefix
+
+
+class _Action(msgspec.Struct, frozen=True, rename="pascal"):
+    timeout_ms: Duration
+    attempts: Positive = 1
+    service: str = ""
+    weighted_split: tuple[_Part, ...] = ()
+
+
+class _Rule(msgspec.Struct, frozen=True, rename="pascal"):
+    name: Text
+    # What may be repeated, not how the route is matched.
+    route_kind: Literal["idempotent", "non_idempotent", "upload"]
+    match: _Match
+    action: _Action
+    target_latency_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
+    priority: Natural = 0
+
+
+class _Listener(msgspec.Struct, frozen=True, rename="pascal"):
+    # A host that requests name, not an address to listen at.
+    host: Text
+    route_rules: tuple[_Rule, ...] = ()
+
+
+class _Cluster(msgspec.Struct, frozen=True, rename="pascal"):
+    # One service with its backend servers.
+    name: Text
+    health_path: str = ""
+
+
+class _Configuration(msgspec.Struct, frozen=True, rename="pascal"):
+    # The operator's number of this document, in hexadecimal.
+    version: Text
+    limits: _Limits
+    listeners: tuple[_Listener, ...]
+    clusters: tuple[_Cluster, ...]
+
+
+_DECODER = msgspec.json.Decoder(_Configuration)
+
+
+def parse_serial(text: str) -> int:
+    """Returns the number of a document.
+
+    Raises:
+      DocumentError: The text is not hexadecimal.
+    """
+    if not 0 < len(text) <= SERIAL_DIGITS:
+        raise _refuse(f'"{text}" is not a number of {SERIAL_DIGITS} digits')
+    try:
+        return int(text, 16)
+    except ValueError as error:
+        raise _refuse(f'"{text}" is not hexadecimal') from error
+
+
+def parse_publication(content: bytes, base: str) -> commands.PublishServices:
+    """Returns the publish that a document asks for.
+
+    Its ID is a digest of the document and its base, so that the same order
+    is recognised when it is sent again, by whichever replica.
+
+    Args:
+      content: The document as it was sent.
+      base: Number of the document that it builds on, as it was sent.
+
+    Raises:
+      DocumentError: The document is invalid.
+    """
+    try:
+        configuration = _DECODER.decode(content)
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        raise _refuse(str(error)) from error
+    base_serial = parse_serial(base) if base else 0
+    return commands.PublishServices(
+        publish_id=hashlib.sha256(
+            f"{base_serial:x}\n".encode() + content
+        ).hexdigest(),
+        operator=OPERATOR,
+        base_version=0,
+        services=_convert_services(configuration),
+        document=documents.Document(
+            serial=parse_serial(configuration.version),
+            base_serial=base_serial,
+            content=content,
+        ),
+        limits=services.CallerLimits(
+            max_header_bytes=configuration.limits.max_header_bytes,
+            max_body_bytes=configuration.limits.max_body_bytes,
+            header_timeout_s=configuration.limits.header_timeout_ms / MS_PER_S,
+            idle_timeout_s=configuration.limits.idle_timeout_ms / MS_PER_S,
+        ),
+    )
+
+
+def _convert_services(
+    configuration: _Configuration,
+) -> tuple[services.Service, ...]:
+    names = [cluster.name for cluster in configuration.clusters]
+    _check_unique("service", names)
+    routes: dict[str, list[services.Route]] = {name: [] for name in names}
+    for listener in configuration.listeners:
+        _check_unique(
+            f"prefix of host {listener.host}",
+            (rule.match.path_prefix for rule in listener.route_rules),
+        )
+        for rule in listener.route_rules:
+            route = _convert_route(listener, rule, configuration.limits)
+            for part in route.split:
+                _check_service(part.service, rule, routes)
+            home = rule.action.service or route.split[0].service
+            _check_service(home, rule, routes)
+            routes[home].append(route)
+    return tuple(
+        services.Service(
+            name=cluster.name,
+            revision=0,
+            callers=(),
+            routes=tuple(
+                sorted(routes[cluster.name], key=lambda route: route.name)
+            ),
+            depends_on=(),
+            health_path=cluster.health_path,
+        )
+        for cluster in sorted(configuration.clusters, key=lambda c: c.name)
+    )
+
+
+def _convert_route(
+    listener: _Listener, rule: _Rule, limits: _Limits
+) -> services.Route:
+    action = rule.action
+    if bool(action.service) == bool(action.weighted_split):
+        raise _refuse(f"route {rule.name} needs one of a service and a split")
+    if action.weighted_split and not any(
+        part.weight for part in action.weighted_split
+    ):
+        raise _refuse(f"weights of route {rule.name} add up to 0")
+    return services.Route(
+        # Rules of several hosts may bear the same name.
+        name=f"{rule.name}@{listener.host}{rule.match.path_prefix}",
+        host=listener.host.lower(),
+        path_prefix=rule.match.path_prefix,
+        methods=(),
+        timeout_s=action.timeout_ms / MS_PER_S,
+        retries=action.attempts - 1,
+        priority=rule.priority,
+        idempotent=rule.route_kind == "idempotent",
+        callers=(),
+        services=(),
+        max_body_bytes=limits.max_body_bytes,
+        is_open=True,
+        target_latency_s=rule.target_latency_ms / MS_PER_S,
+        split=tuple(
+            services.SplitPart(service=part.service, weight=part.weight)
+            for part in action.weighted_split
+        ),
+    )
+
+
+def _check_service(name: str, rule: _Rule, known: dict[str, Any]) -> None:
+    if name not in known:
+        raise _refuse(f"route {rule.name} names unknown service {name}")
+
+
+def _check_unique(what: str, names: Iterable[str]) -> None:
+    seen: set[str] = set()
+    for name in names:
+        if name in seen:
+            raise _refuse(f"{what} stands twice: {name}")
+        seen.add(name)
+
+
+def _refuse(cause: str) -> DocumentError:
+    return DocumentError(step="read document", peer="operator", cause=cause)
--- a/tests/replica_cluster.py
+++ b/tests/replica_cluster.py
@@ -133,6 +133,7 @@
         self.hosts: dict[str, Host] = {}
         self.accepted: dict[int, entries_lib.Entry] = {}
         self.refused: dict[int, str] = {}
+        self.reads: dict[int, int] = {}
         self.elections = 0
         self._image_every = image_every
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -321,13 +322,19 @@
             case events.Restore():
                 self._restore(host, action.image)
             case events.Resolve():
-                self._check_accepted(host, action)
+                self._resolve(host, action)
             case events.Refuse():
                 self.refused[action.proposal_id] = action.cause
             case events.RoleChanged():
                 if action.role is events.Role.CANDIDATE:
                     self.elections += 1
 
+    def _resolve(self, host: Host, action: events.Resolve) -> None:
+        if action.proposal_id in self._proposals:
+            self._check_accepted(host, action)
+        else:
+            self.reads[action.proposal_id] = action.index
+
     def transmit(self, host: Host, send: events.Send) -> None:
         """Puts a message on the network."""
         sender = host.member.member_id
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -52,6 +52,24 @@
     assert not found, found
 
 
+def test_only_one_folder_speaks_the_platform() -> None:
+    """No module outside `platform` imports it or knows a name of its wire."""
+    words = ("Lovagesaddle-", "Config.Put", "RouteKind", "HeartbeatAddr")
+    others = [
+        path
+        for path in sorted(SOURCE.rglob("*.py"))
+        if SOURCE / "platform" not in path.parents
+    ]
+    found = [
+        f"{path.relative_to(ROOT)}: {word}"
+        for path in others
+        for word in (*words, "lovagesaddle.platform")
+        if word in path.read_text(encoding="utf-8")
+    ]
+    assert others
+    assert not found, found
+
+
 def test_modules_are_imported_and_not_names() -> None:
     """Every `from a import b` brings a module, except for typing names."""
     found: list[str] = []
--- /dev/null
+++ b/tests/test_beats_of_the_platform.py
@@ -0,0 +1,67 @@
+"""Tests of what backend servers say of themselves on the platform."""
+
+import json
+from typing import Any
+
+from lovagesaddle.platform import beats
+from tests import fixtures
+
+BEAT: dict[str, Any] = {
+    "Service": "desk",
+    "Address": "10.128.0.9:8080",
+    "Zone": "a",
+    "Version": "v1",
+    "Slots": 8,
+    "State": "ready",
+    "ColdRemainingMs": 0,
+    "Sequence": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+def test_beat_becomes_an_announcement() -> None:
+    """Every field that matters arrives, and unknown ones are passed over."""
+    beat = beats.parse_beat("i-7", json.dumps({**BEAT, "New": 1}).encode())
+    announced = beat.announcement
+    assert (announced.service, announced.slots) == ("desk", 8)
+    assert (announced.instance, announced.born_ms) == ("i-7", BEAT["born"])
+    assert (beat.sequence, beat.is_leaving) == (4, False)
+    leaving = {**BEAT, "State": "draining"}
+    assert beats.parse_beat("i-7", json.dumps(leaving).encode()).is_leaving
+
+
+def test_malformed_beats_are_refused() -> None:
+    """Bytes of another writer name no server."""
+    bodies = [b"", b"{", b"[]", b"\xff\xfe", b'"beat"']
+    for name, value in (
+        ("Service", ""),
+        ("Service", 7),
+        ("Address", "somewhere"),
+        ("Slots", 0),
+        ("Slots", "8"),
+        ("State", "asleep"),
+        ("Sequence", -1),
+        ("Sequence", 1.5),
+        ("born", "now"),
+        ("born", 1.5),
+    ):
+        bodies.append(json.dumps({**BEAT, name: value}).encode())
+    for name in ("Service", "Address", "Slots", "State", "Sequence"):
+        left = {key: value for key, value in BEAT.items() if key != name}
+        bodies.append(json.dumps(left).encode())
+    for body in bodies:
+        try:
+            beats.parse_beat("i-7", body)
+        except beats.BeatError as error:
+            assert error.peer == "i-7"
+        else:
+            raise AssertionError(body)
+
+
+def test_farewell_may_be_empty() -> None:
+    """A farewell without a body ends the life that is known."""
+    assert beats.parse_farewell("i-7", b"") == beats.BORN_UNKNOWN
+    assert beats.parse_farewell("i-7", b'{"born": 5}') == 5
+
+
+load_tests = fixtures.collect(__name__)
--- /dev/null
+++ b/tests/test_documents_of_the_platform.py
@@ -0,0 +1,184 @@
+"""Tests of the platform's documents, read into publications."""
+
+import copy
+import json
+from typing import Any
+
+from lovagesaddle.core.configuration import state as state_lib
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import services
+from lovagesaddle.platform import documents
+from tests import fixtures
+
+BASE = "00000005"
+
+
+def _make() -> dict[str, Any]:
+    return {
+        "Version": "00000007",
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 67108864,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        },
+        "Listeners": [
+            {
+                "Host": "desk.example",
+                "RouteRules": [
+                    {
+                        "Name": "confirm",
+                        "RouteKind": "non_idempotent",
+                        "TargetLatencyMs": 250,
+                        "Priority": 1,
+                        "Match": {"PathPrefix": "/orders/"},
+                        "Action": {
+                            "Service": "desk",
+                            "TimeoutMs": 600,
+                            "Attempts": 2,
+                        },
+                    },
+                    {
+                        "Name": "proofs",
+                        "RouteKind": "idempotent",
+                        "TargetLatencyMs": 200,
+                        "Priority": 4,
+                        "Match": {"PathPrefix": "/proofs/"},
+                        "Action": {
+                            "WeightedSplit": [
+                                {"Service": "desk", "Weight": 90},
+                                {"Service": "art", "Weight": 10},
+                            ],
+                            "TimeoutMs": 500,
+                            "Attempts": 3,
+                        },
+                    },
+                ],
+            }
+        ],
+        "Clusters": [
+            {"Name": "desk", "HealthPath": "/health", "Tls": False},
+            {"Name": "art", "HealthPath": "/health", "Protocol": "h1"},
+        ],
+    }
+
+
+def _parse(document: Any, base: str = BASE) -> commands.PublishServices:
+    return documents.parse_publication(json.dumps(document).encode(), base)
+
+
+def test_document_becomes_a_publication() -> None:
+    """Routes, shares, ranks and limits arrive in the product's terms."""
+    command = _parse(_make())
+    assert command.document is not None
+    assert (command.document.serial, command.document.base_serial) == (7, 5)
+    assert command.limits == services.CallerLimits(
+        max_header_bytes=16384,
+        max_body_bytes=67108864,
+        header_timeout_s=3.0,
+        idle_timeout_s=15.0,
+    )
+    art, desk = command.services
+    assert (art.name, art.routes, desk.health_path) == ("art", (), "/health")
+    confirm, proofs = desk.routes
+    assert (confirm.idempotent, confirm.retries, confirm.priority) == (
+        False,
+        1,
+        1,
+    )
+    assert (confirm.timeout_s, confirm.target_latency_s) == (0.6, 0.25)
+    assert (proofs.idempotent, proofs.retries, proofs.methods) == (True, 2, ())
+    assert [(p.service, p.weight) for p in proofs.split] == [
+        ("desk", 90),
+        ("art", 10),
+    ]
+    assert proofs.is_open
+
+
+def test_upload_may_run_once_only() -> None:
+    """Routes of uploads are not idempotent."""
+    document = _make()
+    rule = document["Listeners"][0]["RouteRules"][1]
+    rule["RouteKind"] = "upload"
+    assert not any(
+        route.idempotent for route in _parse(document).services[1].routes
+    )
+
+
+def test_every_invalid_document_is_refused() -> None:
+    """Each way to be invalid gets an error that says what is wrong."""
+    rule = ("Listeners", 0, "RouteRules", 1)
+    cases: list[tuple[tuple[str | int, ...], Any, str]] = [
+        ((*rule, "Action"), {"Service": "gone", "TimeoutMs": 5}, "gone"),
+        ((*rule, "Action", "WeightedSplit", 1, "Service"), "gone", "gone"),
+        ((*rule, "Action", "WeightedSplit", 0, "Weight"), -1, ">= 0"),
+        ((*rule, "Action", "TimeoutMs"), 0, "> 0"),
+        ((*rule, "Action", "Service"), "desk", "one of"),
+        ((*rule, "Match", "PathPrefix"), "proofs/", "regex"),
+        ((*rule, "RouteKind"), "sometimes", "sometimes"),
+        (("Version",), "later", "hexadecimal"),
+        (("Version",), "1" * 9, "digits"),
+        (("Clusters",), None, "array"),
+        (("Limits",), {}, "missing"),
+    ]
+    for path, value, expected in cases:
+        document = _make()
+        _set(document, path, value)
+        assert expected in _find_cause(json.dumps(document).encode()), path
+    weightless = _make()
+    for part in (0, 1):
+        _set(weightless, (*rule, "Action", "WeightedSplit", part, "Weight"), 0)
+    assert "add up to 0" in _find_cause(json.dumps(weightless).encode())
+
+
+def test_document_that_is_cut_short_is_refused() -> None:
+    """A document that can't be read in full changes nothing."""
+    whole = json.dumps(_make()).encode()
+    for size in (0, 1, len(whole) // 2, len(whole) - 1):
+        assert _find_cause(whole[:size])
+
+
+def test_malformed_base_is_refused() -> None:
+    """A base that is no number gets an error."""
+    try:
+        _parse(_make(), "latest")
+    except documents.DocumentError as error:
+        assert "latest" in error.cause
+    else:
+        raise AssertionError("the base was taken")
+
+
+def test_order_that_is_sent_again_is_accepted_again() -> None:
+    """A resend is recognised by document and base, after later ones too."""
+    first = _parse(_make(), "")
+    later = copy.deepcopy(_make())
+    later["Version"] = "00000009"
+    state = state_lib.found_state()
+    outcomes = []
+    for version, command in enumerate(
+        (first, _parse(later, "00000007"), first), start=1
+    ):
+        applied = state_lib.apply_command(state, version, command)
+        state = applied.state
+        assert applied.result is not None
+        outcomes.append((applied.result.outcome, applied.result.version))
+    accepted = commands.PublishOutcome.ACCEPTED
+    assert outcomes == [(accepted, 1), (accepted, 2), (accepted, 1)]
+    assert state.serial == 9
+
+
+def _set(document: Any, path: tuple[str | int, ...], value: Any) -> None:
+    for key in path[:-1]:
+        document = document[key]
+    document[path[-1]] = value
+
+
+def _find_cause(content: bytes) -> str:
+    try:
+        documents.parse_publication(content, BASE)
+    except documents.DocumentError as error:
+        return error.cause
+    return ""
+
+
+load_tests = fixtures.collect(__name__)
--- a/tests/test_loader.py
+++ b/tests/test_loader.py
@@ -9,6 +9,7 @@
 
 from lovagesaddle.settings import loader
 from lovagesaddle.settings import schema
+from lovagesaddle.settings import seeds
 from tests import fixtures
 
 T = TypeVar("T")
@@ -118,4 +119,16 @@
         return load(path)
 
 
+def test_seeds_stand_for_replicas() -> None:
+    """A seed's VM runs a replica at the port of this process's own links."""
+    made = seeds.list_replicas(
+        ("10.1.0.4:8641", "10.2.0.5:8641", "10.1.0.4:9000"),
+        "tcp://10.1.0.9:7380",
+    )
+    assert [(replica.replica_id, replica.address) for replica in made] == [
+        ("10.1.0.4", "tcp://10.1.0.4:7380"),
+        ("10.2.0.5", "tcp://10.2.0.5:7380"),
+    ]
+
+
 load_tests = fixtures.collect(__name__)
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -120,4 +120,38 @@
     assert found == ["n0/desk"], found
 
 
+def test_open_route_takes_any_method_without_a_credential() -> None:
+    """A route for any method and anybody asks for no credential."""
+    route = dataclasses.replace(
+        routing_mesh.make_route(methods=(), callers=()), is_open=True
+    )
+    compiled = table.Table(routing_mesh.make_snapshot(route))
+    for method in ("GET", "PATCH", "PURGE"):
+        match = compiled.match(
+            host=routing_mesh.HOST, path="/orders/7", method=method
+        )
+        assert isinstance(match, table.Match)
+        access = compiled.authorise(match, table.Credential())
+        assert access.allowed, access
+
+
+def test_prefix_with_a_slash_takes_only_what_is_below() -> None:
+    """`/orders/` takes `/orders/` and `/orders/7`, but not `/orders`."""
+    route = routing_mesh.make_route(path="/orders/")
+    compiled = table.Table(routing_mesh.make_snapshot(route))
+    found = {
+        path: isinstance(
+            compiled.match(host=routing_mesh.HOST, path=path, method="POST"),
+            table.Match,
+        )
+        for path in ("/orders", "/orders/", "/orders/7", "/ordersx/7")
+    }
+    assert found == {
+        "/orders": False,
+        "/orders/": True,
+        "/orders/7": True,
+        "/ordersx/7": False,
+    }
+
+
 load_tests = fixtures.collect(__name__)
