Repair the replicas without an operator

Cause: a replica whose disk was wiped, or one on a VM that takes another's place, waited until an operator added it; with three replicas the next loss then stopped the cluster. A replica that had been dropped while it was away never learnt of it.

Change: with tolerated-losses set, the leader puts a new identity in the place of the one that lost its disk, adds newcomers up to one voter more than needed, and drops a silent voter only while more than enough are there and a majority answers. Introductions name the members, so a newcomer finds the leader from any of them. A replica without a leader asks whether it still belongs; told no by a leader of its term whose members are synced, it retires its data folder and returns as a new one.

--- a/src/lovagesaddle/control/consensus.py
+++ b/src/lovagesaddle/control/consensus.py
@@ -19,6 +19,15 @@
 IMAGE_ENTRIES = 2_000
 IMAGE_BYTES = 32 * 1024 * 1024
 INTRODUCTION_LIFE_S = 5.0
+# Without a leader for this long, a replica asks whether it was removed.
+ALONE_S = 1.0
+
+
+class RemovedError(errors.ConsensusError):
+    """Raised in a replica that is no member any more.
+
+    Its log counts for nothing; it may return with an empty data folder.
+    """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +82,8 @@
         self._now = 0.0
         self._connected = entries_lib.Members()
         self._is_founding_proposed = False
+        self._is_removed = False
+        self._alone_since = 0.0
 
     @property
     def replica(self) -> replica_lib.Replica:
@@ -153,15 +164,38 @@
                     events.MessageReceived(sender=sender, message=message)
                 )
 
+    def list_newcomers(self) -> tuple[entries_lib.Member, ...]:
+        """Returns the replicas that lately introduced themselves, by name."""
+        return tuple(
+            seen.member
+            for _, seen in sorted(self._seen.items())
+            if self._now - seen.at <= INTRODUCTION_LIFE_S
+        )
+
     def tick(self, now: float) -> None:
-        """Lets time pass."""
+        """Lets time pass.
+
+        Raises:
+          RemovedError: The other replicas went on without this one.
+        """
+        if self._is_removed:
+            raise RemovedError(
+                step="follow the log",
+                peer="leader",
+                cause="this replica is no member any more",
+            )
         self._now = now
         if not self._stamp_at:
             # Without any stamp yet, its age counts from the start.
             self._stamp_at = now
+            self._alone_since = now
         self._step(events.Tick())
         if self._replica.last_index == 0:
             self._step_founding(founding_lib.Tick())
+        elif not self._replica.leader:
+            self._ask_around()
+        else:
+            self._alone_since = now
         self._propose_founding()
         self._take_image_if_due()
 
@@ -249,6 +283,8 @@
         self, introduction: founding_lib.Introduction, route: bytes
     ) -> None:
         member = introduction.member
+        if introduction.has_log:
+            self._learn(introduction)
         if not introduction.has_log and not introduction.is_founding:
             self._seen[member.replica_id] = _Seen(member, self._now)
         if self._replica.last_index == 0:
@@ -258,25 +294,54 @@
         elif route:
             self._links.answer(route, self._introduce_to(member))
 
+    def _ask_around(self) -> None:
+        """Asks the other replicas whether this one still belongs to them."""
+        if self._now - self._alone_since < ALONE_S:
+            return
+        self._alone_since = self._now
+        self._links.introduce_to_all(
+            founding_lib.Introduction(
+                cluster_id=self._cluster_id,
+                member=self._own,
+                is_founding=False,
+                has_log=True,
+                is_question=True,
+                term=self._replica.term,
+            )
+        )
+
+    def _learn(self, introduction: founding_lib.Introduction) -> None:
+        """Takes what a replica with a log says of the members."""
+        self._links.add_contacts(introduction.members)
+        # A leader that was deposed unawares may lack a member that joined
+        # since, but its term is then lower than that member's.
+        self._is_removed |= (
+            introduction.is_settled
+            and not introduction.knows_receiver
+            and introduction.term >= self._replica.term
+            and self._replica.last_index > 0
+        )
+
     def _introduce_to(
         self, member: entries_lib.Member
     ) -> founding_lib.Introduction:
-        known = self._replica.members.find(member.member_id)
+        members = self._replica.members
         return founding_lib.Introduction(
             cluster_id=self._cluster_id,
             member=self._own,
             is_founding=False,
             has_log=True,
-            knows_receiver=known is not None,
+            knows_receiver=members.find(member.member_id) is not None,
+            term=self._replica.term,
+            is_settled=self._replica.has_settled_members,
+            members=members.members,
         )
 
     def _step_founding(self, event: founding_lib.Event) -> None:
         for action in self._founding.step(event, self._now):
             match action:
                 case founding_lib.Introduce():
-                    self._links.introduce(
-                        action.replica_id, action.introduction
-                    )
+                    self._links.introduce_to_all(action.introduction)
                 case founding_lib.Found():
                     self._step(events.FoundLog(entry=action.entry))
                 case founding_lib.Stop():
--- a/src/lovagesaddle/control/links.py
+++ b/src/lovagesaddle/control/links.py
@@ -38,9 +38,23 @@
             )
             for replica in replicas
         }
+        self._contacts: dict[str, endpoint_lib.Peer] = {}
         self._peers: dict[str, endpoint_lib.Peer] = {}
         self._routes: dict[str, bytes] = {}
 
+    def add_contacts(self, members: tuple[entries_lib.Member, ...]) -> None:
+        """Takes replicas that an introduction may be sent to."""
+        for member in members:
+            if member.member_id != self._own_id:
+                self._contacts[member.replica_id] = make_peer(member)
+
+    def introduce_to_all(self, introduction: founding.Introduction) -> None:
+        """Sends an introduction to every replica that is known."""
+        data = founding.LINK_MESSAGES.encode(introduction)
+        for peer in {**self._founders, **self._contacts}.values():
+            if peer.peer_id != introduction.member.replica_id:
+                self._endpoint.send(peer, _CHANNEL, data)
+
     def connect(self, members: entries_lib.Members) -> None:
         """Takes the addresses of the present members."""
         peers = {
@@ -66,13 +80,6 @@
         route = self._routes.get(receiver, b"")
         return bool(route) and self._endpoint.answer(route, _CHANNEL, data)
 
-    def introduce(
-        self, replica_id: str, introduction: founding.Introduction
-    ) -> bool:
-        """Sends an introduction to a replica of the settings."""
-        data = founding.LINK_MESSAGES.encode(introduction)
-        return self._endpoint.send(self._founders[replica_id], _CHANNEL, data)
-
     def answer(self, route: bytes, introduction: founding.Introduction) -> bool:
         """Answers an introduction on the connection it came over."""
         data = founding.LINK_MESSAGES.encode(introduction)
--- a/src/lovagesaddle/control/main.py
+++ b/src/lovagesaddle/control/main.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import enum
 import pathlib
 import signal
 from typing import Annotated, Any
@@ -10,12 +11,15 @@
 import typer
 import zmq
 
+from lovagesaddle.control import consensus
 from lovagesaddle.control import program as program_lib
 from lovagesaddle.control import verification
 from lovagesaddle.core import errors
 from lovagesaddle.observability import logs
 from lovagesaddle.settings import loader
 from lovagesaddle.settings import schema
+from lovagesaddle.storage import disk
+from lovagesaddle.storage import retirement
 
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
@@ -24,6 +28,14 @@
     [program_lib.ControlProgram], contextlib.AbstractContextManager[Any]
 ]
 
+
+class Ending(enum.Enum):
+    """Why a replica's thread has ended."""
+
+    STOPPED = "stopped"
+    REMOVED = "removed"
+
+
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 
 
@@ -55,6 +67,17 @@
     Raises:
       errors.LovagesaddleError: The replica can't start or must stop.
     """
+    while _run(settings, is_founding, attach) is Ending.REMOVED:
+        # The others went on without this replica: it comes back as a new one.
+        retirement.retire_folder(
+            pathlib.Path(settings.data_folder), disk.LocalDisk()
+        )
+        is_founding = False
+
+
+def _run(
+    settings: schema.ControlSettings, is_founding: bool, attach: Attach
+) -> Ending:
     with (
         zmq.Context() as context,
         program_lib.ControlProgram(
@@ -64,7 +87,17 @@
     ):
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: program.stop())
-        program.run()
+        try:
+            program.run()
+        except consensus.RemovedError as error:
+            logs.get_logger("control").warning(
+                "replica_removed",
+                replica=settings.replica_id,
+                peer=error.peer,
+                cause=error.cause,
+            )
+            return Ending.REMOVED
+        return Ending.STOPPED
 
 
 @app.command()
--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -268,6 +268,7 @@
             replicas=replicas_lib.Replicas(
                 consensus=self._consensus,
                 own_id=self._store.identity.member_id,
+                tolerated=self._settings.tolerated_losses,
             ),
             fleet=fleet,
         )
--- a/src/lovagesaddle/control/replicas.py
+++ b/src/lovagesaddle/control/replicas.py
@@ -34,11 +34,18 @@
     Args:
       consensus: The replica of this process.
       own_id: Member ID of this replica.
+      tolerated: Replicas that may be lost at a time, for repairs that the
+        leader makes by itself; 0 leaves all changes to operators.
     """
 
     def __init__(
-        self, *, consensus: consensus_lib.Consensus, own_id: str
+        self,
+        *,
+        consensus: consensus_lib.Consensus,
+        own_id: str,
+        tolerated: int = 0,
     ) -> None:
+        self._tolerated = tolerated
         self._log = logs.get_logger("replicas")
         self._consensus = consensus
         self._own_id = own_id
@@ -78,7 +85,9 @@
     def tick(self) -> None:
         """Takes the next step of a change that is under way."""
         replica = self._consensus.replica
-        planned = None if self._is_changing else replica.plan_members()
+        if self._is_changing:
+            return
+        planned = replica.plan_members() or self._plan_repair()
         if planned is None:
             return
         if planned.find(self._own_id) is None:
@@ -89,6 +98,20 @@
             planned, self._note_applied, self._note_refused
         )
 
+    def _plan_repair(self) -> entries_lib.Members | None:
+        if not self._tolerated:
+            return None
+        planned = self._consensus.replica.plan_repair(
+            self._consensus.list_newcomers(), tolerated=self._tolerated
+        )
+        if planned is not None:
+            self._log.info(
+                "replicas_repaired",
+                before=_name_all(self._consensus.replica.members),
+                after=_name_all(planned),
+            )
+        return planned
+
     def _note_applied(self, version: int) -> None:
         self._is_changing = False
         self._log.info("replicas_changed", version=version)
@@ -165,6 +188,13 @@
         )
 
 
+def _name_all(members: entries_lib.Members) -> tuple[str, ...]:
+    return tuple(
+        member.member_id if member.is_voter else f"{member.member_id}(learner)"
+        for member in members.members
+    )
+
+
 def _drop_learners(
     members: entries_lib.Members, replica_id: str
 ) -> entries_lib.Members:
--- a/src/lovagesaddle/core/consensus/founding.py
+++ b/src/lovagesaddle/core/consensus/founding.py
@@ -30,6 +30,12 @@
       is_founding: Whether it was told to found the cluster.
       has_log: Whether its log holds any entry.
       knows_receiver: Whether the receiver is a member in that log.
+      is_question: Whether it asks if it still belongs to the cluster; then
+        it says nothing of the receiver.
+      term: Newest term that it has seen.
+      is_settled: Whether it leads and a majority has synced its members, so
+        that a receiver it does not know is none in this term.
+      members: The members in its log, whom the receiver may turn to.
     """
 
     cluster_id: str
@@ -37,6 +43,10 @@
     is_founding: bool
     has_log: bool
     knows_receiver: bool = False
+    is_question: bool = False
+    term: int = 0
+    is_settled: bool = False
+    members: tuple[entries_lib.Member, ...] = ()
 
 
 LinkMessage = messages.Envelope | Introduction
@@ -60,9 +70,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Introduce:
-    """Send an introduction to a replica of the settings."""
+    """Send an introduction to every replica that is known."""
 
-    replica_id: str
     introduction: Introduction
 
 
@@ -119,24 +128,22 @@
         if now < self._next_at:
             return self._found_if_complete()
         self._next_at = now + INTRODUCTION_S
-        return (*self._introduce(), *self._found_if_complete())
+        return (self._introduce(), *self._found_if_complete())
 
-    def _introduce(self) -> tuple[Introduce, ...]:
+    def _introduce(self) -> Introduce:
         introduction = Introduction(
             cluster_id=self._cluster_id,
             member=self._own,
             is_founding=self._is_founding,
             has_log=False,
         )
-        return tuple(
-            Introduce(replica_id=name, introduction=introduction)
-            for name in self._founders
-            if name != self._own.replica_id
-        )
+        return Introduce(introduction=introduction)
 
     def _take(self, introduction: Introduction) -> tuple[Action, ...]:
         if introduction.cluster_id != self._cluster_id or not self._is_founding:
             return ()
+        if introduction.is_question:
+            return ()
         member = introduction.member
         if introduction.has_log and not introduction.knows_receiver:
             self._is_done = True
--- a/src/lovagesaddle/core/consensus/leadership.py
+++ b/src/lovagesaddle/core/consensus/leadership.py
@@ -69,6 +69,14 @@
         others = (key for key in self._progress if self._is_heard(key, now))
         return frozenset((self._own_id, *others))
 
+    def list_silent(self, now: float, limit_s: float) -> frozenset[str]:
+        """Returns the members that have not answered for `limit_s`."""
+        return frozenset(
+            member_id
+            for member_id, held in self._progress.items()
+            if now - held.heard_at >= limit_s
+        )
+
     def append(self, kind: entries_lib.EntryKind, payload: bytes) -> int:
         """Appends an entry of this term and returns its index."""
         entry = entries_lib.Entry(
--- /dev/null
+++ b/src/lovagesaddle/core/consensus/repair.py
@@ -0,0 +1,96 @@
+"""Changes of the members that a leader makes by itself after losses.
+
+A replica that lost its disk returns under another identity, and a replaced VM
+brings a replica that nobody knows. Both introduce themselves; the leader adds
+them as learners, and `membership.plan_change` makes them vote.
+"""
+
+import dataclasses
+
+from lovagesaddle.core.consensus import entries as entries_lib
+
+# Longer than an election and a restart, shorter than the time in which a
+# replaced VM has to be a full replacement.
+SILENCE_S = 2.5
+VOTERS_PER_LOSS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Sight:
+    """What a leader sees of the replicas.
+
+    Attributes:
+      newcomers: Replicas without a log that introduced themselves lately.
+      silent: Members that have not answered for `SILENCE_S`.
+      heard: Members that answered lately.
+    """
+
+    newcomers: tuple[entries_lib.Member, ...]
+    silent: frozenset[str]
+    heard: frozenset[str]
+
+
+def plan_repair(
+    members: entries_lib.Members, sight: Sight, *, tolerated: int
+) -> entries_lib.Members | None:
+    """Returns the members after the next step, or None if none is due.
+
+    Args:
+      members: The present members.
+      sight: What the leader sees.
+      tolerated: Replicas that may be lost at a time.
+    """
+    newcomers = [n for n in sight.newcomers if not members.find(n.member_id)]
+    for newcomer in newcomers:
+        held = members.find_replica(newcomer.replica_id)
+        if held is not None:
+            return _replace(members, newcomer, held)
+    if any(not m.is_voter or m.replaces for m in members.members):
+        return _drop_silent_learner(members, sight)
+    wanted = 1 + VOTERS_PER_LOSS * tolerated
+    silent = [m for m in members.members if m.member_id in sight.silent]
+    if silent and len(members.members) > wanted:
+        return _drop_voter(members, silent[0], sight)
+    if newcomers and len(members.members) <= wanted:
+        # One voter more than is needed, so that a replacement counts before
+        # the VM that it stands in for has gone.
+        return members.put(_make_learner(newcomers[0], ""))
+    if newcomers and silent:
+        return members.put(_make_learner(newcomers[0], silent[0].member_id))
+    return None
+
+
+def _replace(
+    members: entries_lib.Members,
+    newcomer: entries_lib.Member,
+    held: entries_lib.Member,
+) -> entries_lib.Members:
+    """Puts a replica's new identity in the place of the one it lost."""
+    if held.is_voter:
+        return members.put(_make_learner(newcomer, held.member_id))
+    learner = _make_learner(newcomer, held.replaces)
+    return members.drop(held.member_id).put(learner)
+
+
+def _drop_silent_learner(
+    members: entries_lib.Members, sight: Sight
+) -> entries_lib.Members | None:
+    for member in members.members:
+        if not member.is_voter and member.member_id in sight.silent:
+            return members.drop(member.member_id)
+    return None
+
+
+def _drop_voter(
+    members: entries_lib.Members, lost: entries_lib.Member, sight: Sight
+) -> entries_lib.Members | None:
+    voters = members.list_voters()
+    if 2 * len(sight.heard.intersection(voters)) <= len(voters):
+        return None
+    return members.drop(lost.member_id)
+
+
+def _make_learner(
+    newcomer: entries_lib.Member, replaces: str
+) -> entries_lib.Member:
+    return dataclasses.replace(newcomer, is_voter=False, replaces=replaces)
--- a/src/lovagesaddle/core/consensus/replica.py
+++ b/src/lovagesaddle/core/consensus/replica.py
@@ -16,6 +16,7 @@
 from lovagesaddle.core.consensus import membership
 from lovagesaddle.core.consensus import messages
 from lovagesaddle.core.consensus import reads as reads_lib
+from lovagesaddle.core.consensus import repair
 from lovagesaddle.core.consensus import timing
 
 
@@ -113,6 +114,31 @@
             return frozenset()
         return self._leadership.list_heard(self._clock.now)
 
+    def plan_repair(
+        self, newcomers: tuple[entries_lib.Member, ...], *, tolerated: int
+    ) -> entries_lib.Members | None:
+        """Returns the members after the next step of a repair, if leading.
+
+        Args:
+          newcomers: Replicas without a log that introduced themselves lately.
+          tolerated: Replicas that may be lost at a time.
+        """
+        if self._leadership is None or not self.is_confirmed_leader:
+            return None
+        now = self._clock.now
+        sight = repair.Sight(
+            newcomers=newcomers,
+            silent=self._leadership.list_silent(now, repair.SILENCE_S),
+            heard=self._leadership.list_heard(now),
+        )
+        return repair.plan_repair(self.members, sight, tolerated=tolerated)
+
+    @property
+    def has_settled_members(self) -> bool:
+        """Whether it leads and a majority has synced the newest members."""
+        members_index = self._durable.log.members_index
+        return self.is_confirmed_leader and members_index <= self.commit_index
+
     def plan_members(self) -> entries_lib.Members | None:
         """Returns the members after the next step of a change under way."""
         if not self.is_confirmed_leader:
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -97,6 +97,8 @@
       heartbeat_s: Time between heartbeats to the nodes.
       lease_s: Lifetime of a node's lease without a heartbeat.
       expiry_share: Largest share of a failure domain to expire at once.
+      tolerated_losses: Replicas that may be lost at a time. The leader keeps
+        enough of them by itself; 0 leaves all changes to operators.
       seeds: `ip:port` of processes on VMs that run founding replicas. Only
         the IPs count: a seed's replica bears its IP as a name and listens at
         the port of `address`.
@@ -114,6 +116,7 @@
     heartbeat_s: PositiveSeconds = 1.0
     lease_s: PositiveSeconds = 6.0
     expiry_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.34
+    tolerated_losses: Annotated[int, msgspec.Meta(ge=0, le=3)] = 0
     seeds: HttpAddresses = ()
 
 
--- /dev/null
+++ b/src/lovagesaddle/storage/retirement.py
@@ -0,0 +1,48 @@
+"""Empties the data folder of a replica that is no member any more."""
+
+import pathlib
+
+from lovagesaddle.storage import disk as disk_lib
+from lovagesaddle.storage import identity
+from lovagesaddle.storage import images
+from lovagesaddle.storage import segments
+
+MARKER_NAME = "retired"
+
+
+def retire_folder(folder: pathlib.Path, disk: disk_lib.Disk) -> None:
+    """Marks a folder whose log counts for nothing; no replica may use it.
+
+    Once the mark is on the disk, the next start empties the folder and draws
+    a new identity, whatever was removed before a crash.
+
+    Raises:
+      errors.StorageError: The operating system refused.
+    """
+    disk_lib.write_whole_file(disk, folder / MARKER_NAME, b"")
+
+
+def finish_retirement(folder: pathlib.Path, disk: disk_lib.Disk) -> bool:
+    """Empties a folder that was marked; returns whether it was.
+
+    Raises:
+      errors.StorageError: The operating system refused.
+    """
+    marker = folder / MARKER_NAME
+    if not marker.exists():
+        return False
+    try:
+        for path in (
+            *segments.list_segments(folder),
+            *images.list_images(folder),
+            folder / identity.IDENTITY_NAME,
+        ):
+            path.unlink(missing_ok=True)
+        disk.sync_folder(folder)
+        marker.unlink()
+        disk.sync_folder(folder)
+    except OSError as error:
+        raise disk_lib.describe_failure(
+            "empty folder", folder, error
+        ) from error
+    return True
--- a/src/lovagesaddle/storage/store.py
+++ b/src/lovagesaddle/storage/store.py
@@ -13,6 +13,7 @@
 from lovagesaddle.storage import images
 from lovagesaddle.storage import loader
 from lovagesaddle.storage import records
+from lovagesaddle.storage import retirement
 from lovagesaddle.storage import segments
 
 SEGMENT_BYTES = 16 * 1024 * 1024
@@ -50,6 +51,7 @@
         self._lock = identity_lib.FolderLock(folder)
         self._closed: list[_Closed] = []
         try:
+            retirement.finish_retirement(folder, self._disk)
             found = identity_lib.read_identity(folder)
             if found is None:
                 self._create(identity)
--- a/tests/fixtures.py
+++ b/tests/fixtures.py
@@ -6,8 +6,11 @@
 """
 
 from collections.abc import Callable
+import contextlib
 import inspect
+import pathlib
 import sys
+import tempfile
 import unittest
 
 LoadTests = Callable[
@@ -15,6 +18,11 @@
 ]
 
 
+def make_folder(stack: contextlib.ExitStack) -> pathlib.Path:
+    """Returns a folder that lasts until the stack is closed."""
+    return pathlib.Path(stack.enter_context(tempfile.TemporaryDirectory()))
+
+
 class _NamedFunctionTest(unittest.FunctionTestCase):
     """A function test whose ID is `module.function`."""
 
--- /dev/null
+++ b/tests/test_repair.py
@@ -0,0 +1,168 @@
+"""Tests of the changes that a leader makes by itself after losses."""
+
+import contextlib
+import pathlib
+import shutil
+
+from lovagesaddle.core.consensus import entries as entries_lib
+from lovagesaddle.core.consensus import repair
+from lovagesaddle.storage import disk as disk_lib
+from lovagesaddle.storage import identity as identity_lib
+from lovagesaddle.storage import retirement
+from lovagesaddle.storage import store as store_lib
+from tests import control_cluster
+from tests import fixtures
+
+TOLERATED = 1
+
+
+def _member(
+    member_id: str, replica_id: str = "", *, is_voter: bool = True
+) -> entries_lib.Member:
+    return entries_lib.Member(
+        member_id=member_id,
+        replica_id=replica_id or member_id,
+        address="tcp://127.0.0.1:1",
+        is_voter=is_voter,
+    )
+
+
+def _plan(
+    *members: entries_lib.Member,
+    newcomers: tuple[entries_lib.Member, ...] = (),
+    silent: frozenset[str] = frozenset(),
+) -> entries_lib.Members | None:
+    held = entries_lib.sort_members(members)
+    heard = frozenset(m.member_id for m in members) - silent
+    return repair.plan_repair(
+        held,
+        repair.Sight(newcomers=newcomers, silent=silent, heard=heard),
+        tolerated=TOLERATED,
+    )
+
+
+def test_replica_without_its_disk_takes_its_own_place() -> None:
+    """A new identity at a member's name becomes a learner that replaces it."""
+    planned = _plan(
+        _member("a1", "a"),
+        _member("b1", "b"),
+        _member("c1", "c"),
+        newcomers=(_member("c2", "c"),),
+        silent=frozenset({"c1"}),
+    )
+    assert planned is not None
+    learner = planned.find("c2")
+    assert learner is not None
+    assert (learner.is_voter, learner.replaces) == (False, "c1")
+    assert planned.list_voters() == ("a1", "b1", "c1")
+
+
+def test_replacement_votes_before_the_lost_one_leaves() -> None:
+    """A newcomer is added while all are there; then the silent one goes."""
+    three = (_member("a"), _member("b"), _member("c"))
+    added = _plan(*three, newcomers=(_member("d"),))
+    assert added is not None
+    assert added.find("d") is not None
+    four = (*three, _member("d"))
+    assert _plan(*four) is None
+    dropped = _plan(*four, silent=frozenset({"b"}))
+    assert dropped is not None
+    assert dropped.list_voters() == ("a", "c", "d")
+
+
+def test_silence_alone_drops_nobody() -> None:
+    """Three replicas stay three, however long one of them is cut off."""
+    three = (_member("a"), _member("b"), _member("c"))
+    assert _plan(*three, silent=frozenset({"b"})) is None
+    assert _plan(*three, silent=frozenset({"b", "c"})) is None
+
+
+def test_minority_drops_nobody() -> None:
+    """A voter leaves only while a majority of the others answers."""
+    four = (_member("a"), _member("b"), _member("c"), _member("d"))
+    assert _plan(*four, silent=frozenset({"b", "c"})) is None
+
+
+def test_one_change_at_a_time() -> None:
+    """While a learner catches up, nothing else changes; a dead one leaves."""
+    members = (
+        _member("a"),
+        _member("b"),
+        _member("c"),
+        _member("d", is_voter=False),
+    )
+    assert _plan(*members, newcomers=(_member("e"),)) is None
+    planned = _plan(*members, silent=frozenset({"d"}))
+    assert planned is not None
+    assert planned.find("d") is None
+
+
+def test_wiped_replica_is_repaired_without_an_operator() -> None:
+    """With an empty folder at the old address, a replica votes again."""
+    with control_cluster.ControlCluster(tolerated_losses=TOLERATED) as cluster:
+        cluster.publish("p1", 0)
+        lost = cluster.find_leader()
+        cluster.stop(lost)
+        shutil.rmtree(cluster.make_settings(lost).data_folder)
+        cluster.start(lost)
+        cluster.wait_until(lambda: _count_voters(cluster, lost) == 3)
+
+
+def test_replica_at_another_address_stands_in_for_a_lost_one() -> None:
+    """A newcomer votes, the lost one goes, and returns as a new one."""
+    with control_cluster.ControlCluster(tolerated_losses=TOLERATED) as cluster:
+        cluster.publish("p1", 0)
+        lost = next(
+            name for name in cluster.programs if name != cluster.find_leader()
+        )
+        cluster.stop(lost)
+        cluster.add("r9")
+        cluster.wait_until(lambda: _list_voters(cluster, "r9") == 3)
+        cluster.wait_until(lambda: lost not in _name_voters(cluster, "r9"))
+        cluster.start(lost)
+        error = cluster.wait(lost)
+        assert "no member any more" in str(error)
+        folder = pathlib.Path(cluster.make_settings(lost).data_folder)
+        retirement.retire_folder(folder, disk_lib.LocalDisk())
+        cluster.start(lost)
+        cluster.wait_until(lambda: lost in _name_voters(cluster, "r9"))
+
+
+def test_retired_folder_starts_anew_after_a_crash_at_any_point() -> None:
+    """Once it is marked, no part of the old log or identity is used again."""
+    with contextlib.ExitStack() as stack:
+        folder = fixtures.make_folder(stack)
+        old = _open(folder, "old")
+        retirement.retire_folder(folder, disk_lib.LocalDisk())
+        (folder / identity_lib.IDENTITY_NAME).unlink()
+        assert _open(folder, "new") != old
+        assert _open(folder, "newer") == "new"
+
+
+def _open(folder: pathlib.Path, member_id: str) -> str:
+    identity = identity_lib.Identity(
+        cluster_id="c", replica_id="r", member_id=member_id
+    )
+    with store_lib.Store(folder=folder, identity=identity) as store:
+        return store.identity.member_id
+
+
+def _name_voters(
+    cluster: control_cluster.ControlCluster, name: str
+) -> list[str]:
+    members = cluster.programs[name]._consensus.replica.members.members
+    return [m.replica_id for m in members if m.is_voter]
+
+
+def _list_voters(cluster: control_cluster.ControlCluster, name: str) -> int:
+    return len(_name_voters(cluster, name))
+
+
+def _count_voters(cluster: control_cluster.ControlCluster, name: str) -> int:
+    replica = cluster.programs[name]._consensus.replica
+    own = cluster.programs[name]._store.identity.member_id
+    voters = replica.members.list_voters()
+    return len(voters) if own in voters else 0
+
+
+load_tests = fixtures.collect(__name__)
