Pass over a late second answer, and check that answers name their request

Cause: a server may answer a request twice; the second answer then arrives in front of the next request's, which failed as a whole although its own answer was right behind. Bytes that http.client had read ahead were dropped unseen.

Change: an answer keeps what arrived after it; on a reused connection a crossed answer is passed over and the next one read; a connection with bytes left over is closed. Where servers echo IDs, a success without one is no answer.

--- a/src/lovagesaddle/core/routing/header_names.py
+++ b/src/lovagesaddle/core/routing/header_names.py
@@ -19,6 +19,8 @@
         run.
       passes_credentials: Whether backend servers get the Authorization
         header of a caller.
+      echoes_request_id: Whether backend servers name the request's ID in
+        every success.
       has_fractional_retry: Whether callers read fractions of a second in
         Retry-After.
     """
@@ -31,6 +33,7 @@
     expected_instance: str = "Request-Expected-Instance"
     not_run: str = "Request-Not-Run"
     passes_credentials: bool = False
+    echoes_request_id: bool = False
     has_fractional_retry: bool = False
 
     def list_reserved(self) -> frozenset[str]:
--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -25,6 +25,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_S = 20.0
+# One earlier request is answered twice at most, and one may be late.
+MAX_LATE_ANSWERS = 2
 # A peer states whole seconds, counted from when it wrote its answer.
 IDLE_MARGIN_S = 1.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
@@ -101,6 +103,7 @@
       request_id_header: Name of the header with that ID.
       takes_unframed: Whether an answer may end with its connection. Such an
         answer can't be told from one that its sender cut off cleanly.
+      echoes_id: Whether every success has to name its request's ID.
     """
 
     def __init__(
@@ -108,7 +111,9 @@
         *,
         request_id_header: str = header_names.DEFAULT.request_id,
         takes_unframed: bool = False,
+        echoes_id: bool = False,
     ) -> None:
+        self._echoes_id = echoes_id
         self._request_id_header = request_id_header
         self._takes_unframed = takes_unframed
         self._idle: dict[str, collections.deque[_Idle]] = {}
@@ -142,25 +147,16 @@
           guard: Bounds the exchange; ending it closes the connection.
         """
         try:
-            connection = self._take(address, guard)
+            connection, is_reused = self._take(address, guard)
         except OSError as error:
             return result.Failure(
                 _fail("connect", address, str(error), FailureKind.NOT_SENT)
             )
-        outcome = self._exchange(connection, address, request, guard)
+        # An answer that crosses a request on a new connection is no late one.
+        late = MAX_LATE_ANSWERS if is_reused else 0
+        outcome = self._exchange(connection, address, request, guard, late)
         match outcome:
             case result.Success((reply, idle_s)):
-                wrong = self._find_crossing(request, reply)
-                if wrong:
-                    connection.close()
-                    return result.Failure(
-                        _fail(
-                            "check answer",
-                            address,
-                            wrong,
-                            FailureKind.MALFORMED,
-                        )
-                    )
                 self._keep(address, connection, idle_s)
                 return result.Success(reply)
             case result.Failure(error):
@@ -170,7 +166,8 @@
 
     def _take(
         self, address: str, guard: watchdog.Guard
-    ) -> http.client.HTTPConnection:
+    ) -> tuple[http.client.HTTPConnection, bool]:
+        """Returns a connection and whether it served a request before."""
         now = time.monotonic()
         stack = self._idle.get(address)
         while stack:
@@ -179,7 +176,7 @@
             except IndexError:
                 break
             if now < idle.until and sockets.is_quiet(idle.connection.sock):
-                return idle.connection
+                return idle.connection, True
             idle.connection.close()
         host, port = sockets.parse_address(address)
         timeout_s = min(CONNECT_TIMEOUT_S, guard.remaining_s)
@@ -188,7 +185,7 @@
         connection = http.client.HTTPConnection(host, port, timeout=timeout_s)
         connection.response_class = responses.StrictResponse
         connection.connect()
-        return connection
+        return connection, False
 
     def _keep(
         self,
@@ -214,6 +211,11 @@
         for name, value in reply.headers:
             if name.lower() == lowered and own is not None and value != own:
                 return f"answer is to request {value}, not to {own}"
+            if name.lower() == lowered:
+                return ""
+        is_success = reply.status < http.HTTPStatus.MULTIPLE_CHOICES
+        if own is not None and self._echoes_id and is_success:
+            return f"answer does not name request {own}"
         return ""
 
     def _exchange(
@@ -222,8 +224,17 @@
         address: str,
         request: Request,
         guard: watchdog.Guard,
+        late: int,
     ) -> result.Result[tuple[Reply, float], ExchangeError]:
-        """Returns the answer and how long its connection may stay idle."""
+        """Returns the answer and how long its connection may stay idle.
+
+        Args:
+          connection: To the peer.
+          address: Of the peer.
+          request: What to send.
+          guard: Bounds the exchange.
+          late: Answers to earlier requests that may be passed over.
+        """
         sock = connection.sock
         sock.settimeout(max(watchdog.SCAN_S, guard.remaining_s))
         step = "send request"
@@ -232,8 +243,9 @@
                 _send(connection, request)
                 step = "read answer"
                 response = connection.getresponse()
-                reply = self._read(response, address)
-                idle_s = 0.0 if response.will_close else _find_idle_s(response)
+                reply, idle_s = self._read_own(
+                    connection, response, address, request, late
+                )
         except ExchangeError as error:
             return result.Failure(error)
         except (OSError, http.client.HTTPException, ValueError) as error:
@@ -241,6 +253,37 @@
             return result.Failure(_fail(step, address, repr(error), kind))
         return result.Success((reply, idle_s))
 
+    def _read_own(
+        self,
+        connection: http.client.HTTPConnection,
+        response: http.client.HTTPResponse,
+        address: str,
+        request: Request,
+        late: int,
+    ) -> tuple[Reply, float]:
+        """Reads answers until one is the request's own.
+
+        A server may send a second answer to an earlier request, which arrives
+        in front of this one's.
+        """
+        reply = self._read(response, address)
+        wrong = self._find_crossing(request, reply)
+        if not wrong:
+            is_last = response.will_close or _get_left_over(response)
+            return reply, 0.0 if is_last else _find_idle_s(response)
+        if not late or response.will_close:
+            raise _fail("check answer", address, wrong, FailureKind.MALFORMED)
+        following = responses.StrictResponse(
+            connection.sock,
+            method=request.method,
+            first=_get_left_over(response),
+        )
+        following.begin()
+        reply, _ = self._read_own(
+            connection, following, address, request, late - 1
+        )
+        return reply, 0.0
+
     def _read(self, response: http.client.HTTPResponse, address: str) -> Reply:
         unframed = response.length is None and not response.chunked
         if unframed and not self._takes_unframed:
@@ -267,6 +310,12 @@
         )
 
 
+def _get_left_over(response: http.client.HTTPResponse) -> bytes:
+    if isinstance(response, responses.StrictResponse):
+        return response.left_over
+    return b""
+
+
 def _find_idle_s(response: http.client.HTTPResponse) -> float:
     """Returns how long a peer keeps the connection, less a margin."""
     for option in response.headers.get("keep-alive", "").split(","):
--- a/src/lovagesaddle/http/responses.py
+++ b/src/lovagesaddle/http/responses.py
@@ -7,7 +7,9 @@
 
 import http
 import http.client
+import io
 import socket
+from typing import Any
 
 LINE_BYTES = 65_536
 MAX_HEADERS = 100
@@ -17,6 +19,37 @@
 HTTP_11 = 11
 
 
+class _Source(io.RawIOBase):
+    """The bytes of a connection, until they are held back.
+
+    Args:
+      sock: The connection.
+      first: Bytes that were read from it before.
+    """
+
+    def __init__(self, sock: socket.socket, first: bytes) -> None:
+        super().__init__()
+        self._sock = sock
+        self._first = first
+        self.is_held_back = False
+
+    def readable(self) -> bool:
+        """Returns True."""
+        return True
+
+    def readinto(self, buffer: Any, /) -> int | None:
+        """Fills `buffer`; returns None for no bytes while held back."""
+        if self.is_held_back:
+            return None
+        view = memoryview(buffer)
+        if self._first:
+            taken = self._first[: len(view)]
+            self._first = self._first[len(taken) :]
+            view[: len(taken)] = taken
+            return len(taken)
+        return self._sock.recv_into(view)
+
+
 class StrictResponse(http.client.HTTPResponse):
     """An answer whose framing is stated once and in one way.
 
@@ -25,6 +58,10 @@
       debuglevel: Of http.client.
       method: Of the request.
       url: Of the request.
+      first: Bytes that an earlier answer on the connection left over.
+
+    Attributes:
+      left_over: Bytes that arrived after the answer; they are no part of it.
     """
 
     def __init__(
@@ -33,9 +70,14 @@
         debuglevel: int = 0,
         method: str | None = None,
         url: str | None = None,
+        first: bytes = b"",
     ) -> None:
         super().__init__(sock, debuglevel, method, url)
+        self.fp.close()
+        self._source = _Source(sock, first)
+        self.fp = io.BufferedReader(self._source)
         self._is_head = method == "HEAD"
+        self.left_over = b""
 
     def begin(self) -> None:
         """Reads the status line and the headers.
@@ -54,6 +96,13 @@
         self.headers = self.msg = headers
         self._frame(headers)
 
+    def _close_conn(self) -> None:
+        """Ends the reading; http.client calls it after the last byte."""
+        self._source.is_held_back = True
+        if self.fp is not None:
+            self.left_over = self.fp.peek()
+        super()._close_conn()  # type: ignore[misc]
+
     def _read_first_line(self) -> tuple[int, int, str]:
         line = self._read_line()
         if not line:
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -102,6 +102,7 @@
         self._pool = client.Pool(
             request_id_header=names.request_id,
             takes_unframed=settings.unframed_answers,
+            echoes_id=names.echoes_request_id,
         )
         self._suspects = suspects_lib.Suspects()
         self._owner = owner_lib.Owner(
--- a/src/lovagesaddle/platform/names.py
+++ b/src/lovagesaddle/platform/names.py
@@ -15,5 +15,6 @@
     expected_instance="Lovagesaddle-Expect-Instance",
     not_run="Lovagesaddle-Not-Run",
     passes_credentials=True,
+    echoes_request_id=True,
     has_fractional_retry=True,
 )
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -153,6 +153,43 @@
         return _get_kind(outcome)
 
 
+def test_late_second_answer_is_passed_over() -> None:
+    """An extra answer in front of the own one does not fail the request."""
+    head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nRequest-Id: {}\r\n\r\n{}"
+    first = head.format("one", "1.").encode()
+    second = head.format("two", "2.").encode()
+
+    def serve(listener: socket.socket) -> None:
+        accepted, _ = listener.accept()
+        with accepted:
+            accepted.recv(65536)
+            accepted.sendall(first)
+            accepted.recv(65536)
+            accepted.sendall(first)
+            accepted.sendall(second)
+
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        futures.ThreadPoolExecutor(1) as pool,
+        client.Pool() as connections,
+    ):
+        served = pool.submit(serve, listener)
+        host, port = listener.getsockname()
+        bodies = []
+        for request_id in ("one", "two"):
+            request = client.Request(
+                method="GET",
+                target="/",
+                headers={chain.REQUEST_ID_HEADER: request_id},
+                body=b"",
+            )
+            guard = watchdog.Guard(time.monotonic() + LONG_S, lambda: False)
+            found = connections.exchange(f"{host}:{port}", request, guard)
+            bodies.append(found.unwrap().body)
+        served.result()
+    assert bodies == [b"1.", b"2."]
+
+
 def _serve_raw(listener: socket.socket, answer: bytes) -> None:
     accepted, _ = listener.accept()
     with accepted:
