--- a/src/lovagesaddle/core/routing/balancer.py
+++ b/src/lovagesaddle/core/routing/balancer.py
@@ -264,7 +264,10 @@
                 load.count_success()
             case AttemptResult.DRAINING:
                 load.draining_until = now + loads.DRAIN_MEMORY_S
-            case AttemptResult.UNREACHABLE | AttemptResult.FAILED:
+            case AttemptResult.UNREACHABLE:
+                # Each further try would cost its caller a whole timeout.
+                load.eject(now)
+            case AttemptResult.FAILED:
                 load.count_failure(now)
             case AttemptResult.REFUSED | AttemptResult.ABANDONED:
                 pass
--- a/src/lovagesaddle/core/routing/drain.py
+++ b/src/lovagesaddle/core/routing/drain.py
@@ -10,7 +10,8 @@
 
 from lovagesaddle.core import part
 
-LINGER_S = 2.0
+# Callers that ask every second turn away after two misses.
+LINGER_S = 2.5
 
 
 class Stage(enum.Enum):
--- a/src/lovagesaddle/core/routing/loads.py
+++ b/src/lovagesaddle/core/routing/loads.py
@@ -66,8 +66,11 @@
     def count_failure(self, now: float) -> None:
         """Counts a failure; enough of them in a row eject the server."""
         self.failures += 1
-        if self.failures < FAILURES_TO_EJECT and not self.ejections:
-            return
+        if self.failures >= FAILURES_TO_EJECT or self.ejections:
+            self.eject(now)
+
+    def eject(self, now: float) -> None:
+        """Passes the server over for a time, longer with each time in a row."""
         length_s = min(EJECTION_S * 2**self.ejections, MAX_EJECTION_S)
         self.ejected_at = now
         self.ejected_until = now + length_s
--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -9,6 +9,7 @@
 import dataclasses
 import enum
 import http.client
+import socket
 import threading
 import time
 import types
@@ -23,7 +24,10 @@
 from lovagesaddle.http import sockets
 from lovagesaddle.http import watchdog
 
-CONNECT_TIMEOUT_S = 1.0
+# Long beside a handshake between regions, short beside a caller's patience:
+# a VM that does not answer it is given up for another one.
+CONNECT_TIMEOUT_S = 0.3
+MS_PER_S = 1000
 MAX_IDLE_S = 20.0
 # One earlier request is answered twice at most, and one may be late.
 MAX_LATE_ANSWERS = 2
@@ -104,6 +108,8 @@
       takes_unframed: Whether an answer may end with its connection. Such an
         answer can't be told from one that its sender cut off cleanly.
       echoes_id: Whether every success has to name its request's ID.
+      silence_s: Time after which a peer that acknowledges nothing of what it
+        was sent is given up; 0 leaves that to the deadline.
     """
 
     def __init__(
@@ -112,7 +118,9 @@
         request_id_header: str = header_names.DEFAULT.request_id,
         takes_unframed: bool = False,
         echoes_id: bool = False,
+        silence_s: float = 0.0,
     ) -> None:
+        self._silence_ms = int(silence_s * MS_PER_S)
         self._echoes_id = echoes_id
         self._request_id_header = request_id_header
         self._takes_unframed = takes_unframed
@@ -185,6 +193,10 @@
         connection = http.client.HTTPConnection(host, port, timeout=timeout_s)
         connection.response_class = responses.StrictResponse
         connection.connect()
+        if self._silence_ms:
+            connection.sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self._silence_ms
+            )
         return connection, False
 
     def _keep(
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -42,6 +42,8 @@
 # An envelope holds the headers beside the body.
 ENVELOPE_MARGIN_BYTES = 64 * 1024
 LEAVE_S = 2.0
+# Two retransmissions go unacknowledged only where the link or the VM is gone.
+HOP_SILENCE_S = 0.6
 _log = logs.get_logger("node")
 
 Context = zmq.Context[zmq.Socket[bytes]]
@@ -104,6 +106,7 @@
             takes_unframed=settings.unframed_answers,
             echoes_id=names.echoes_request_id,
         )
+        self._hop_pool = client.Pool(silence_s=HOP_SILENCE_S)
         self._suspects = suspects_lib.Suspects()
         self._owner = owner_lib.Owner(
             pool=self._pool,
@@ -136,6 +139,7 @@
     def __enter__(self) -> Self:
         with contextlib.ExitStack() as stack:
             stack.enter_context(self._pool)
+            stack.enter_context(self._hop_pool)
             stack.enter_context(self._guards)
             stack.enter_context(self._claims)
             stack.enter_context(self._http)
@@ -248,7 +252,7 @@
         carrier = hops.HttpCarrier(
             node_id=self._settings.node_id,
             owner=self._owner,
-            pool=self._pool,
+            pool=self._hop_pool,
             seal=seal,
         )
         return entry_lib.Entry(
--- /dev/null
+++ b/tests/platform_stand_in.py
@@ -0,0 +1,349 @@
+"""A small stand-in of the users' platform, for whole days without the bench.
+
+It fills in the settings of the deploy folder, starts the programs as processes
+on addresses of loopback, and plays backend servers, callers and the operator.
+"""
+
+import contextlib
+import http.client
+import http.server
+import json
+import pathlib
+import re
+import threading
+import time
+import types
+from typing import Any, Self
+
+from bench import processes
+
+from lovagesaddle.http import sockets
+from tests import nodes
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PROGRAM = "lovagesaddle.platform.main"
+HOST = "desk.example"
+SERVICE = "desk"
+REQUEST_ID = "Lovagesaddle-Request-Id"
+DEADLINE = "Lovagesaddle-Deadline-Ms"
+STAMP = "Lovagesaddle-Server-Stamp"
+CALLER = "Lovagesaddle-Caller-Service"
+EXPECTED = "Lovagesaddle-Expect-Instance"
+CONTROLS = 3
+SLOTS = 4
+METRICS_PORT = "9464"
+BEAT_S = 0.2
+_PLACE = re.compile(r"\{\{([A-Za-z.0-9]+)\}\}")
+_SECTION = re.compile(r"\{\{([#^])(\w+)\}\}(.*?)\{\{/\2\}\}")
+
+
+def fill_in(template: str, fields: dict[str, Any]) -> str:
+    """Returns a settings file with the platform's fields in their places."""
+
+    def choose(match: re.Match[str]) -> str:
+        is_shown = bool(fields[match[2]]) == (match[1] == "#")
+        return match[3] if is_shown else ""
+
+    def find(match: re.Match[str]) -> str:
+        value: Any = fields
+        for key in match[1].split("."):
+            value = value[int(key)] if isinstance(value, list) else value[key]
+        if isinstance(value, list):
+            return ",".join(value)
+        return str(value)
+
+    return _PLACE.sub(find, _SECTION.sub(choose, template))
+
+
+class BackendServer:
+    """A backend server that beats to its node and notes what it runs."""
+
+    def __init__(self, address: str, instance: str, beat_address: str) -> None:
+        self.address = address
+        self.instance = instance
+        self.seen: list[dict[str, str]] = []
+        self.run_s = 0.0
+        self._beat_address = beat_address
+        self._sequence = 0
+        self._born = int(time.time() * 1000)
+        host, port = sockets.parse_address(address)
+        handler = type("Handler", (_Handler,), {"owner": self})
+        self._server = http.server.ThreadingHTTPServer((host, port), handler)
+        self._server.daemon_threads = True
+        self._stopped = threading.Event()
+
+    def __enter__(self) -> Self:
+        for work in (self._server.serve_forever, self._beat_on):
+            threading.Thread(target=work, daemon=True).start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._stopped.set()
+        self._server.shutdown()
+        self._server.server_close()
+
+    def beat(self, state: str = "ready") -> int:
+        """Says what the server is; returns the status of the answer."""
+        self._sequence += 1
+        body = {
+            "Service": SERVICE,
+            "Address": self.address,
+            "Zone": "a",
+            "Version": "v1",
+            "Slots": SLOTS,
+            "State": state,
+            "ColdRemainingMs": 0,
+            "Sequence": self._sequence,
+            "born": self._born,
+        }
+        path = f"/api/Instances.Heartbeat/{self.instance}"
+        return call(self._beat_address, "POST", path, json.dumps(body)).status
+
+    def stop_beating(self) -> None:
+        """Says nothing by itself any more."""
+        self._stopped.set()
+
+    def _beat_on(self) -> None:
+        while not self._stopped.wait(BEAT_S):
+            with contextlib.suppress(OSError):
+                self.beat()
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    """Answers one connection of a backend server."""
+
+    protocol_version = "HTTP/1.1"
+    owner: BackendServer
+
+    def do_GET(self) -> None:
+        """Runs a request."""
+        length = int(self.headers.get("Content-Length") or 0)
+        body = self.rfile.read(length)
+        if self.headers.get(EXPECTED) != self.owner.instance:
+            self._answer(421, b"", {"Lovagesaddle-Not-Run": "1"})
+            return
+        self.owner.seen.append(
+            {"path": self.path, "method": self.command, **dict(self.headers)}
+        )
+        time.sleep(self.owner.run_s)
+        stamp = {STAMP: f"{self.owner.instance}.{len(self.owner.seen)}"}
+        self._answer(200, b"ran " + body, stamp)
+
+    do_POST = do_GET  # noqa: N815
+
+    def _answer(
+        self, status: int, body: bytes, headers: dict[str, str]
+    ) -> None:
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.send_header(REQUEST_ID, self.headers.get(REQUEST_ID, ""))
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, format: str, *args: Any) -> None:  # noqa: A002
+        """Logs nothing."""
+
+
+class Platform:
+    """Three core VMs and some sidecars on loopback, as a context manager.
+
+    Args:
+      folder: For settings, logs and data.
+      sidecars: How many nodes run.
+    """
+
+    def __init__(self, folder: pathlib.Path, sidecars: int = 2) -> None:
+        self._folder = folder
+        self._stack = contextlib.ExitStack()
+        self._inner, self._control, self._outbound, ready, app = (
+            sockets.choose_ports(5)
+        )
+        self._ready, self._app = ready, app
+        self.controls = [f"127.0.1.{n + 1}" for n in range(CONTROLS)]
+        self.nodes = [f"127.0.2.{n + 1}" for n in range(sidecars)]
+        self.programs: dict[str, processes.Process] = {}
+
+    def __enter__(self) -> Self:
+        for ip in self.controls:
+            self.start("control", ip)
+        for ip in self.nodes:
+            self.start("node", ip)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._stack.close()
+
+    def start(self, role: str, ip: str, *, is_first: bool = True) -> None:
+        """Starts a program on a VM."""
+        template = (ROOT / "deploy" / f"{role}.ini").read_text("utf-8")
+        text = fill_in(template, self._describe(ip, is_first))
+        log = self._folder / f"{ip}.log"
+        settings = self._folder / f"{ip}.ini"
+        settings.write_text(
+            text.replace("file = -", f"file = {log}"), encoding="utf-8"
+        )
+        self.programs[ip] = self._stack.enter_context(
+            processes.Process(PROGRAM, role, str(settings), log=log)
+        )
+
+    def open_server(self, ip: str, instance: str) -> BackendServer:
+        """Starts the backend server of a sidecar."""
+        return self._stack.enter_context(
+            BackendServer(
+                f"{ip}:{self._app}", instance, f"{ip}:{self._control}"
+            )
+        )
+
+    def get_outbound(self, ip: str) -> str:
+        """Returns where the callers of a sidecar send their requests."""
+        return f"{ip}:{self._outbound}"
+
+    def get_control(self, ip: str) -> str:
+        """Returns where a VM takes the platform's calls."""
+        return f"{ip}:{self._control}"
+
+    def is_ready(self, ip: str) -> bool:
+        """Asks whether callers should come to a node."""
+        try:
+            answer = call(f"{ip}:{self._ready}", "GET", "/api/ready")
+        except OSError:
+            return False
+        return answer.status == 200
+
+    def publish(self, document: bytes, base: str) -> int:
+        """Sends a document to one VM after another until one answers it."""
+        deadline = time.monotonic() + nodes.WAIT_S
+        headers = {"Lovagesaddle-Base-Version": base}
+        while time.monotonic() < deadline:
+            for ip in self.controls:
+                with contextlib.suppress(OSError):
+                    status = call(
+                        self.get_control(ip),
+                        "POST",
+                        "/api/Config.Put",
+                        document,
+                        headers,
+                    ).status
+                    if status < 500:
+                        return status
+            time.sleep(nodes.POLL_S)
+        raise AssertionError("no replica answered the document")
+
+    def read(self, ip: str) -> nodes.Reply:
+        """Reads the newest document at one VM."""
+        return call(self.get_control(ip), "GET", "/api/Config.Get")
+
+    def _describe(self, ip: str, is_first: bool) -> dict[str, Any]:
+        return {
+            "Node": f"vm-{ip}",
+            "Ip": ip,
+            "Zone": "a",
+            "Region": "r",
+            "Service": SERVICE,
+            "AppAddr": f"{ip}:{self._app}",
+            "ListenAddrs": {
+                "Outbound": self.get_outbound(ip),
+                "Control": self.get_control(ip),
+                "Ready": f"{ip}:{self._ready}",
+            },
+            "InnerPortRange": [str(self._inner), str(self._inner + 15)],
+            "SeedAddrs": [self.get_control(seed) for seed in self.controls],
+            "DataDir": str(self._folder / f"data-{ip}"),
+            "Bootstrap": is_first,
+            "FaultTolerance": {"Machines": 1, "Zones": 0, "Regions": 0},
+            "Bounds": {"RetryBudgetExtra": 58},
+        }
+
+
+def make_document(
+    serial: str, *, timeout_ms: int = 3000, prefix: str = "/orders/"
+) -> bytes:
+    """Returns a document with one service and two routes."""
+
+    def make_rule(name: str, kind: str, path: str) -> dict[str, Any]:
+        return {
+            "Name": name,
+            "RouteKind": kind,
+            "TargetLatencyMs": 250,
+            "Priority": 1,
+            "Match": {"PathPrefix": path},
+            "Action": {
+                "Service": SERVICE,
+                "TimeoutMs": timeout_ms,
+                "Attempts": 2,
+            },
+        }
+
+    return json.dumps(
+        {
+            "Version": serial,
+            "Limits": {
+                "MaxHeaderBytes": 16384,
+                "MaxBodyBytes": 67108864,
+                "HeaderTimeoutMs": 3000,
+                "IdleTimeoutMs": 15000,
+            },
+            "Listeners": [
+                {
+                    "Host": HOST,
+                    "RouteRules": [
+                        make_rule("confirm", "non_idempotent", prefix),
+                        make_rule("proofs", "idempotent", "/proofs/"),
+                    ],
+                }
+            ],
+            "Clusters": [{"Name": SERVICE, "HealthPath": "/health"}],
+        }
+    ).encode()
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes | str | None = None,
+    headers: dict[str, str] | None = None,
+) -> nodes.Reply:
+    """Sends one request over a connection of its own."""
+    connection = http.client.HTTPConnection(address, timeout=nodes.WAIT_S)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return nodes.Reply(
+            status=response.status,
+            headers=dict(response.getheaders()),
+            body=response.read(),
+        )
+    finally:
+        connection.close()
+
+
+def ask(
+    address: str,
+    request_id: str,
+    *,
+    method: str = "POST",
+    path: str = "/orders/7",
+    body: bytes | None = b"body",
+) -> nodes.Reply:
+    """Sends a caller's request."""
+    headers = {
+        "Host": HOST,
+        REQUEST_ID: request_id,
+        DEADLINE: "3000",
+        CALLER: "forged",
+        EXPECTED: "forged",
+    }
+    return call(address, method, path, body, headers)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -236,4 +236,14 @@
         assert feedback.parse_feedback(bad) is None, bad
 
 
+def test_server_that_cannot_be_reached_is_passed_over_at_once() -> None:
+    """One lost connection suffices, since each costs a caller a timeout."""
+    load = loads.ServerLoad(incarnation=1, slots=4, seen_at=0.0, warm=True)
+    load.count_failure(1.0)
+    assert not load.is_ejected(1.0)
+    load.eject(1.0)
+    assert load.is_ejected(1.0 + loads.EJECTION_S / 2)
+    assert not load.is_ejected(1.0 + loads.EJECTION_S)
+
+
 load_tests = fixtures.collect(__name__)
--- a/tools/decisions.py
+++ b/tools/decisions.py
@@ -17,6 +17,7 @@
     ("03", "Calls"),
     ("04", "Node"),
     ("05", "Operators"),
+    ("06", "Platform"),
 )
 
 
