Don't let the HTTP loop spin while a task writes its answer

Cause: while a task's thread sends an answer, its channel looks writable, the socket has room, and the lock is taken: the loop polled 37,698 times for 6,000 requests (two hops, one caller).

Change: a channel is writable for the loop only when no task writes to it; what a task leaves over wakes the loop.

--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -44,6 +44,8 @@
 
     # Whether the loop has passed over this connection when it last polled.
     unwatched = False
+    # Whether a task's thread is writing to the socket.
+    is_writing = False
 
     @property
     def needs_loop(self) -> bool:
@@ -68,6 +70,29 @@
         )
         return not self.unwatched
 
+    def writable(self) -> bool:
+        """Whether the loop has to write.
+
+        While a task writes its own answer, the loop could only find the lock
+        taken, again and again, since the socket has room all the time.
+        """
+        if self.will_close or self.close_when_flushed:
+            return True
+        waits = self.total_outbufs_len > self.adj.outbuf_high_watermark
+        return bool(self.total_outbufs_len) and (waits or not self.is_writing)
+
+    def write_soon(self, data: Any) -> int:
+        """Writes a part of an answer on its task's thread."""
+        self.is_writing = True
+        try:
+            written: int = super().write_soon(data)
+        finally:
+            self.is_writing = False
+        if self.total_outbufs_len:
+            # The socket was full, so the rest is the loop's.
+            self.server.pull_trigger()
+        return written
+
     def service(self) -> None:
         """Runs one request on the current thread."""
         _serving.channel = self
