Serve a VM's slots through its node's restart; confirm lives that were missed

Change: a node that stops drains its server only when callers had time to turn away; at its start it asks the server's health endpoint who it is; a server says whether it is warm; the first word of a life that was missed has to be confirmed by health or by another word.

--- a/src/lovagesaddle/core/model/snapshots.py
+++ b/src/lovagesaddle/core/model/snapshots.py
@@ -49,6 +49,8 @@
       slots: Requests that it runs at a time.
       connections: Connections that it accepts.
       state: Whether it takes new work.
+      is_warm: Whether it is known to have run for a while, so that it gets
+        its full share at once.
     """
 
     server_id: str
@@ -58,6 +60,7 @@
     slots: int
     connections: int
     state: ServerState
+    is_warm: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/core/routing/balancer.py
+++ b/src/lovagesaddle/core/routing/balancer.py
@@ -248,7 +248,8 @@
     ) -> loads.ServerLoad:
         load = self._loads.get(candidate.server_id)
         if load is None or load.incarnation < candidate.incarnation:
-            load = loads.create_load(candidate, now, warm=not self._installed)
+            warm = candidate.is_warm or not self._installed
+            load = loads.create_load(candidate, now, warm=warm)
             self._loads[candidate.server_id] = load
         return load
 
--- a/src/lovagesaddle/core/routing/drain.py
+++ b/src/lovagesaddle/core/routing/drain.py
@@ -1,8 +1,8 @@
 """Order and bounds of a node's graceful shutdown.
 
-The owner refuses new work at once, so other entries go elsewhere. The node
-still listens until its servers are idle, since their running requests may
-call other services through it, and until callers had time to turn away.
+The backend servers of the VM go on without the node, so their slots are served
+while callers turn away, and drained only then. The node still listens until
+they are idle, since their running requests may call other services through it.
 """
 
 import dataclasses
@@ -18,12 +18,14 @@
     """How far a shutdown is.
 
     SERVING: no shutdown was asked for.
-    DRAINING: running requests end; callers are asked to go elsewhere.
+    LEAVING: everything is served; callers are asked to go elsewhere.
+    DRAINING: the owner refuses new work; running requests end.
     CLOSING: nothing new can arrive; what is held is answered.
     STOPPED: the process may exit.
     """
 
     SERVING = "serving"
+    LEAVING = "leaving"
     DRAINING = "draining"
     CLOSING = "closing"
     STOPPED = "stopped"
@@ -111,6 +113,7 @@
         self._stage = Stage.SERVING
         self._began_at = 0.0
         self._ends_at = 0.0
+        self._servers: tuple[str, ...] = ()
         self._busy: set[str] = set()
         self._in_progress = 0
         self._settling = 0
@@ -139,22 +142,26 @@
     def _begin(self, event: Begin, now: float, actions: list[Action]) -> None:
         if self._stage is not Stage.SERVING:
             return
-        self._stage = Stage.DRAINING
+        self._stage = Stage.LEAVING
         self._began_at = now
         self._ends_at = now + event.bound_s
-        self._busy = set(event.servers)
-        actions.extend(
-            DrainServer(server_id=server_id) for server_id in event.servers
-        )
+        self._servers = event.servers
         actions.append(AnswerWithClose())
 
     def _move(self, now: float, actions: list[Action]) -> None:
         if self._stage in (Stage.SERVING, Stage.STOPPED):
             return
         late = now >= self._ends_at
-        lingered = now - self._began_at >= LINGER_S
+        if self._stage is Stage.LEAVING:
+            if not late and now - self._began_at < LINGER_S:
+                return
+            self._stage = Stage.DRAINING
+            self._busy = set(self._servers)
+            actions.extend(
+                DrainServer(server_id=server_id) for server_id in self._servers
+            )
         if self._stage is Stage.DRAINING:
-            if not late and (self._busy or not lingered):
+            if not late and self._busy:
                 return
             self._stage = Stage.CLOSING
             actions.append(CloseListeners())
--- a/src/lovagesaddle/core/routing/header_names.py
+++ b/src/lovagesaddle/core/routing/header_names.py
@@ -17,6 +17,9 @@
       expected_instance: Instance of the backend server that may run it.
       not_run: Marks a backend server's answer to a request that it did not
         run.
+      instance: Name of a backend server's life, in answers to health checks.
+      server_load: Requests that a backend server runs, requests that wait,
+        and its slots.
       passes_credentials: Whether backend servers get the Authorization
         header of a caller.
       echoes_request_id: Whether backend servers name the request's ID in
@@ -32,6 +35,8 @@
     caller_service: str = "Request-Caller-Service"
     expected_instance: str = "Request-Expected-Instance"
     not_run: str = "Request-Not-Run"
+    instance: str = "Server-Instance"
+    server_load: str = "Server-Load"
     passes_credentials: bool = False
     echoes_request_id: bool = False
     has_fractional_retry: bool = False
--- a/src/lovagesaddle/core/routing/loads.py
+++ b/src/lovagesaddle/core/routing/loads.py
@@ -27,7 +27,8 @@
       incarnation: Life of the server that the record is about.
       slots: Its slots by the table.
       seen_at: When this entry first saw it, in seconds.
-      warm: Whether it was there when the entry started.
+      warm: Whether it was there when the entry started, or is known to have
+        run for a while.
       outstanding: Requests this entry has there now.
       report: Newest report of its owner.
       reported_at: When that report arrived.
--- a/src/lovagesaddle/core/routing/table.py
+++ b/src/lovagesaddle/core/routing/table.py
@@ -107,6 +107,7 @@
       failure_domain: Of the owner.
       http_address: `ip:port` of the owner.
       slots: Requests that it runs at a time.
+      is_warm: Whether it gets its full share at once.
     """
 
     server_id: str
@@ -115,6 +116,7 @@
     failure_domain: str
     http_address: str
     slots: int
+    is_warm: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -254,6 +256,7 @@
                 failure_domain=node.failure_domain,
                 http_address=node.http_address,
                 slots=server.slots,
+                is_warm=server.is_warm,
             )
         )
     return {service: tuple(servers) for service, servers in found.items()}
--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -16,6 +16,7 @@
 TOKEN_PREFIX = "local-"
 TOKEN_BYTES = 24
 MS_PER_S = 1000
+FIRST_SEQUENCE = 1
 _log = logs.get_logger("local_servers")
 
 
@@ -30,6 +31,7 @@
       connections: Connections that it accepts.
       instance: Name that it gives itself; empty for none.
       born_ms: Start of its life, in milliseconds since 1970; 0 when unknown.
+      is_warm: Whether it has run for a while.
     """
 
     service: str
@@ -38,6 +40,7 @@
     connections: int
     instance: str = ""
     born_ms: int = 0
+    is_warm: bool = False
 
 
 class AnnouncementError(errors.LovagesaddleError):
@@ -67,6 +70,8 @@
         self._entries: dict[str, _Entry] = {}
         self._services_by_token: dict[str, str] = {}
         self._orders: dict[str, sightings.SightingOrder] = {}
+        self._unconfirmed: dict[str, str] = {}
+        self._left: dict[str, str] = {}
         self._lock = threading.RLock()
 
     def connect(self, control: ports.ControlPort) -> None:
@@ -117,12 +122,29 @@
                     sequence=sequence,
                 )
                 return
-            held = self._entries.get(announcement.service)
-            same = held is not None and held.announcement == announcement
             if is_leaving:
-                self._take_leaving(announcement, same)
-            elif not (same and held is not None and _is_draining(held)):
+                self._take_leaving(announcement)
+            else:
+                self._take_serving(announcement, sequence)
+
+    def discover(self, announcement: Announcement) -> bool:
+        """Takes what a server's health endpoint said of it.
+
+        Returns:
+          Whether a server of the service is known now, so that there is
+          nothing left to discover.
+        """
+        with self._lock:
+            service = announcement.service
+            if service not in self._entries:
+                if self._left.get(service) == announcement.instance:
+                    return False
                 self.announce(announcement)
+            return True
+
+    def lacks(self, service: str) -> bool:
+        """Returns whether no server of a service is known."""
+        return service not in self._entries
 
     def take_farewell(self, service: str, instance: str, born_ms: int) -> None:
         """Takes a server's last word; it is handed no new work any more.
@@ -133,8 +155,12 @@
           born_ms: Start of its life; 0 when it did not say.
         """
         with self._lock:
+            self._left[service] = instance
             is_latest = self._find_order(service).end(instance, born_ms)
-            if is_latest and service in self._entries:
+            held = self._entries.get(service)
+            if held is not None and (
+                is_latest or _is_discovered(held, instance)
+            ):
                 self.withdraw(service, "it said farewell")
 
     def drain(self, service: str) -> None:
@@ -224,14 +250,40 @@
     def _find_order(self, service: str) -> sightings.SightingOrder:
         return self._orders.setdefault(service, sightings.SightingOrder())
 
-    def _take_leaving(self, announcement: Announcement, same: bool) -> None:
+    def _take_leaving(self, announcement: Announcement) -> None:
         service = announcement.service
-        if same:
+        self._left[service] = announcement.instance
+        held = self._entries.get(service)
+        if held is None:
+            return
+        if _is_same_life(held, announcement):
             self.drain(service)
-        elif service in self._entries:
+        else:
             # The server that was here before has ended.
             self.withdraw(service, f"{announcement.instance} took its place")
 
+    def _take_serving(self, announcement: Announcement, sequence: int) -> None:
+        service = announcement.service
+        held = self._entries.get(service)
+        if held is not None and _is_same_life(held, announcement):
+            held.announcement = announcement
+            if not _is_draining(held):
+                self.announce(announcement)
+            return
+        life = f"{announcement.instance}/{announcement.born_ms}"
+        if sequence > FIRST_SEQUENCE and self._unconfirmed.get(service) != life:
+            # An earlier process of this node may have acknowledged that this
+            # server leaves, and this word may be older than that one.
+            self._unconfirmed[service] = life
+            _log.info(
+                "server_unconfirmed",
+                service=service,
+                instance=announcement.instance,
+                sequence=sequence,
+            )
+            return
+        self.announce(announcement)
+
     def _holds(self, held: _Entry, announcement: Announcement) -> bool:
         serving = held.server.state is snapshots.ServerState.SERVING
         alive = not self._owner.is_dead(held.server.server_id)
@@ -279,9 +331,24 @@
             slots=announcement.slots,
             connections=announcement.connections,
             state=snapshots.ServerState.SERVING,
+            is_warm=announcement.is_warm,
         )
 
 
+def _is_same_life(held: _Entry, announcement: Announcement) -> bool:
+    """Returns whether a word is of the life that is held."""
+    known = held.announcement
+    if known.instance != announcement.instance:
+        return False
+    return known.born_ms in (0, announcement.born_ms)
+
+
+def _is_discovered(held: _Entry, instance: str) -> bool:
+    """Returns whether a server is known by its health endpoint only."""
+    known = held.announcement
+    return known.instance == instance and not known.born_ms
+
+
 def _is_draining(entry: _Entry) -> bool:
     return entry.server.state is snapshots.ServerState.DRAINING
 
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -23,6 +23,7 @@
 from lovagesaddle.node import application
 from lovagesaddle.node import claims as claims_lib
 from lovagesaddle.node import control_half
+from lovagesaddle.node import discovery
 from lovagesaddle.node import entry as entry_lib
 from lovagesaddle.node import hops
 from lovagesaddle.node import local_servers
@@ -159,6 +160,8 @@
                 lambda: control.control_bytes,
                 kind="counter",
             )
+            if self._settings.service and self._settings.server_address:
+                stack.enter_context(self._make_discovery())
             if self._settings.probe:
                 stack.enter_context(probes.Prober(self._servers))
             self._stack = stack.pop_all()
@@ -248,6 +251,15 @@
             stopping=self._stopping,
         )
 
+    def _make_discovery(self) -> discovery.Discovery:
+        return discovery.Discovery(
+            servers=self._servers,
+            service=self._settings.service,
+            address=self._settings.server_address,
+            names=self._names,
+            find_health_path=self._routing.find_health_path,
+        )
+
     def _make_entry(self, seal: hop.Seal) -> entry_lib.Entry:
         carrier = hops.HttpCarrier(
             node_id=self._settings.node_id,
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -73,6 +73,7 @@
         self._retry_policies: dict[str, retries.RetryPolicy] = {}
         self._splits = splits.Splits()
         self._node_count = 1
+        self._health_paths: dict[str, str] = {}
 
     @property
     def table(self) -> table_lib.Table | None:
@@ -105,6 +106,10 @@
             for policy in self._retry_policies.values():
                 policy.set_nodes(self._node_count)
             self._table = made
+            self._health_paths = {
+                service.name: service.health_path
+                for service in stamped.snapshot.services
+            }
         _log.info(
             "table_installed",
             version=made.version,
@@ -143,6 +148,10 @@
             made.set_nodes(self._node_count)
             return self._retry_policies.setdefault(service, made)
 
+    def find_health_path(self, service: str) -> str:
+        """Returns the path of a service's health endpoint, or nothing."""
+        return self._health_paths.get(service, "")
+
     def choose_service(self, match: table_lib.Match) -> table_lib.Match:
         """Returns the match with the service that takes this request."""
         if not match.route.split:
--- a/src/lovagesaddle/platform/beats.py
+++ b/src/lovagesaddle/platform/beats.py
@@ -25,6 +25,8 @@
     slots: Count
     state: Literal["ready", "draining"]
     sequence: Annotated[int, msgspec.Meta(ge=0)]
+    # Time left in which the server is slow after its start.
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
     # Start of the server's life, in milliseconds since 1970.
     born: Annotated[int, msgspec.Meta(ge=0)] = msgspec.field(
         default=BORN_UNKNOWN, name="born"
@@ -77,6 +79,7 @@
             connections=beat.slots,
             instance=instance,
             born_ms=beat.born,
+            is_warm=not beat.cold_remaining_ms,
         ),
         sequence=beat.sequence,
         is_leaving=beat.state == "draining",
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -147,6 +147,8 @@
         of `control_address`.
       service: Service of the backend server on this VM, told to other
         servers with each request that begins here; empty when unknown.
+      server_address: `ip:port` where that server answers HTTP; it is asked
+        who it is when the node starts. Empty to wait for its announcement.
       hop_address: `ip:port` for other nodes; empty to take them at
         `http_address`.
       probe: Whether local servers are probed; no where they send beats.
@@ -173,6 +175,7 @@
     drain_s: PositiveSeconds = 30.0
     seeds: HttpAddresses = ()
     service: OptionalIdentifier = ""
+    server_address: OptionalAddress = ""
     hop_address: OptionalAddress = ""
     probe: Switch = True
     unframed_answers: Switch = False
