Read an answer that says close to its end

Cause: http.client closes the connection's socket as soon as an answer says close, and the body is read afterwards.

Change: it reads through a file of the socket, which keeps the descriptor.

--- a/src/lovagesaddle/http/responses.py
+++ b/src/lovagesaddle/http/responses.py
@@ -29,7 +29,9 @@
 
     def __init__(self, sock: socket.socket, first: bytes) -> None:
         super().__init__()
-        self._sock = sock
+        # The connection may close its socket before the answer is read; the
+        # file keeps the descriptor open.
+        self._raw = sock.makefile("rb", buffering=0)
         self._first = first
         self.is_held_back = False
 
@@ -47,7 +49,12 @@
             self._first = self._first[len(taken) :]
             view[: len(taken)] = taken
             return len(taken)
-        return self._sock.recv_into(view)
+        return self._raw.readinto(view)
+
+    def close(self) -> None:
+        """Gives the descriptor back."""
+        self._raw.close()
+        super().close()
 
 
 class StrictResponse(http.client.HTTPResponse):
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -153,6 +153,25 @@
         return _get_kind(outcome)
 
 
+def test_answer_that_closes_is_read_to_its_end() -> None:
+    """An answer longer than a read arrives whole although it says close."""
+    head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {}\r\n\r\n"
+    body = b"x" * 2_000_000
+    answer = head.replace(b"{}", str(len(body)).encode()) + body
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        futures.ThreadPoolExecutor(1) as pool,
+        client.Pool() as connections,
+    ):
+        served = pool.submit(_serve_raw, listener, answer)
+        host, port = listener.getsockname()
+        request = client.Request(method="GET", target="/", headers={}, body=b"")
+        guard = watchdog.Guard(time.monotonic() + LONG_S, lambda: False)
+        found = connections.exchange(f"{host}:{port}", request, guard)
+        served.result()
+    assert found.unwrap().body == body
+
+
 def test_late_second_answer_is_passed_over() -> None:
     """An extra answer in front of the own one does not fail the request."""
     head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nRequest-Id: {}\r\n\r\n{}"
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -138,7 +138,8 @@
         answer = _read_answer(upload)
         assert answer.startswith(b"HTTP/1.1 200"), answer[:300]
         replies = [call.result() for call in calls]
-        assert {reply.status for reply in replies} == {200}
+        statuses = [(reply.status, reply.body[:200]) for reply in replies]
+        assert {status for status, _ in statuses} == {200}, statuses
         assert {len(reply.body) > 2_000_000 for reply in replies} == {True}
         assert stopping.node.wait() == 0
         assert _send(other.addresses.http, "POST").status == 200
