Serve first who can still be served in time

A request behind a full queue was held until its deadline was near.

Change: TargetOrder: in-time requests first, by rank, then by nearest target; what is late gives way and runs while a slot is left. Waiting counts the runs in front, so a request that waits in vain is refused at once. A large body may wait in its own failure domain where a small one goes elsewhere.

--- a/src/lovagesaddle/core/routing/admission.py
+++ b/src/lovagesaddle/core/routing/admission.py
@@ -41,12 +41,15 @@
       request_id: Unique among the attempts that this owner holds.
       priority: Of its route.
       deadline: Monotonic time by which its answer must be there, in seconds.
+      target: Monotonic time by which its answer is worth most, in seconds;
+        None where the route states no target.
       suspect: Whether it may crash the server; one suspect runs at a time.
     """
 
     request_id: str
     priority: int
     deadline: float
+    target: float | None = None
     suspect: bool = False
 
 
@@ -225,6 +228,7 @@
             request_id=event.request_id,
             priority=event.priority,
             deadline=event.deadline,
+            target=event.deadline if event.target is None else event.target,
             arrived_at=now,
             number=self._arrivals,
             suspect=event.suspect,
@@ -234,7 +238,7 @@
         free = self._limit.limit - len(self._running)
         room = max(0, free) + int(self._limit.limit * self._queue_share)
         if len(self._queue) > room:
-            last = self._queue.take_last()
+            last = self._queue.take_last(self._times, now)
             actions.append(self._refuse(last, RefusalReason.QUEUE_FULL))
 
     def _judge(self, event: Arrived) -> RefusalReason | None:
@@ -264,7 +268,7 @@
         self._drop_hopeless(now, actions)
         while len(self._running) < self._limit.limit:
             suspects = not self._running.has_suspect
-            first = self._queue.take_first(suspects=suspects)
+            first = self._queue.take_first(self._times, now, suspects=suspects)
             if first is None:
                 break
             self._running.start(first, now)
@@ -285,7 +289,8 @@
         full = len(self._running) >= self._limit.limit
         contended = full or len(self._queue) > 1
         times = self._times if contended else run_times.RunTimes()
-        hopeless = self._queue.take_hopeless(times, now)
+        turns = self._running.list_turns(times, now) if full else ()
+        hopeless = self._queue.take_hopeless(times, now, turns)
         actions += self._refuse_all(hopeless, RefusalReason.DEADLINE)
 
     def _refuse_all(
--- a/src/lovagesaddle/core/routing/balancer.py
+++ b/src/lovagesaddle/core/routing/balancer.py
@@ -12,6 +12,9 @@
 from lovagesaddle.core.routing import table
 
 MIN_AVAILABLE_SHARE = 0.5
+# Above this, a body weighs more on the links between failure domains than
+# some dozen other requests, so those go elsewhere first.
+LARGE_BODY_BYTES = 64 * 1024
 
 
 class PickReason(enum.Enum):
@@ -54,12 +57,14 @@
       version: Version of the table that the candidates come from.
       candidates: The serving servers of the service.
       tried: Server IDs that earlier attempts of the call used.
+      body_bytes: Size of the request's body.
     """
 
     service: str
     version: int
     candidates: tuple[table.Candidate, ...]
     tried: frozenset[str] = frozenset()
+    body_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -183,12 +188,17 @@
             tried = bool(event.tried)
             reason = PickReason.ALL_TRIED if tried else PickReason.NO_SERVER
             return _decide(event, None, reason, 0)
-        server, reason = self._choose(eligible, now)
+        is_large = event.body_bytes >= LARGE_BODY_BYTES
+        room_share = loads.LARGE_ROOM_SHARE if is_large else loads.ROOM_SHARE
+        server, reason = self._choose(eligible, now, room_share)
         self._loads[server.server_id].outstanding += 1
         return _decide(event, server, reason, len(eligible))
 
     def _choose(
-        self, eligible: Sequence[table.Candidate], now: float
+        self,
+        eligible: Sequence[table.Candidate],
+        now: float,
+        room_share: float,
     ) -> tuple[table.Candidate, PickReason]:
         def cost(candidate: table.Candidate) -> float:
             return self._loads[candidate.server_id].estimate_cost(now)
@@ -197,7 +207,10 @@
             if not pool:
                 continue
             server = self._policy.choose(pool, cost, self._source)
-            if self._loads[server.server_id].has_room(now):
+            if self._loads[server.server_id].has_room(
+                now,
+                room_share if reason is PickReason.OWN_DOMAIN else None,
+            ):
                 return server, reason
         # Comparing the servers found so far would make this a choice of four
         # by stale reports, on which all entries run to the same server.
--- a/src/lovagesaddle/core/routing/loads.py
+++ b/src/lovagesaddle/core/routing/loads.py
@@ -11,6 +11,8 @@
 SLOW_START_SHARE = 0.1
 MIN_LATENCY_S = 0.001
 ROOM_SHARE = 0.8
+# A quarter of the slots as a queue is a short wait beside the run itself.
+LARGE_ROOM_SHARE = 1.25
 
 FAILURES_TO_EJECT = 3
 EJECTION_S = 2.0
@@ -116,10 +118,17 @@
         queue = (self.estimate_load(now) + 1) / self.estimate_limit(now)
         return queue * max(latency_s, MIN_LATENCY_S)
 
-    def has_room(self, now: float) -> bool:
-        """Returns whether one more request would find a slot."""
+    def has_room(self, now: float, share: float | None = None) -> bool:
+        """Returns whether one more request would find room.
+
+        Args:
+          now: Monotonic time in seconds.
+          share: Of the server's slots that may be in use; above 1 for
+            requests that had better wait there than go far.
+        """
         limit = self.estimate_limit(now)
-        return self.estimate_load(now) + 1 <= max(1.0, limit * ROOM_SHARE)
+        room = limit * (ROOM_SHARE if share is None else share)
+        return self.estimate_load(now) + 1 <= max(1.0, room)
 
     def _warm_share(self, now: float) -> float:
         if self.warm:
--- a/src/lovagesaddle/core/routing/queues.py
+++ b/src/lovagesaddle/core/routing/queues.py
@@ -1,6 +1,7 @@
 """Orders in which an owner serves the requests that wait for a slot."""
 
 import abc
+from collections.abc import Callable, Sequence
 import dataclasses
 
 from lovagesaddle.core.routing import run_times
@@ -16,12 +17,15 @@
       deadline: Monotonic time by which its answer must be there, in seconds.
       arrived_at: Monotonic time of its arrival, in seconds.
       number: Position in the order of arrival.
+      target: Monotonic time by which its answer is worth most, in seconds;
+        the deadline where the route states no target.
       suspect: Whether it may crash the server.
     """
 
     request_id: str
     priority: int
     deadline: float
+    target: float
     arrived_at: float
     number: int
     suspect: bool = False
@@ -34,8 +38,14 @@
     """Decides who is served next and who gives way in a full queue."""
 
     @abc.abstractmethod
-    def rank(self, waiting: Waiting) -> SortKey:
-        """Returns the sort key; the least is served first."""
+    def rank(self, waiting: Waiting, run_s: float, now: float) -> SortKey:
+        """Returns the sort key; the least is served first.
+
+        Args:
+          waiting: The request.
+          run_s: Expected time of its run, in seconds.
+          now: Monotonic time in seconds.
+        """
 
     @abc.abstractmethod
     def is_hopeless(self, waiting: Waiting, run_s: float, now: float) -> bool:
@@ -51,8 +61,9 @@
 class ArrivalOrder(QueueOrder):
     """First in, first out; nothing is given up before its turn."""
 
-    def rank(self, waiting: Waiting) -> SortKey:
+    def rank(self, waiting: Waiting, run_s: float, now: float) -> SortKey:
         """Returns the order of arrival."""
+        del run_s, now
         return (waiting.number,)
 
     def is_hopeless(self, waiting: Waiting, run_s: float, now: float) -> bool:
@@ -64,8 +75,9 @@
 class DeadlineOrder(QueueOrder):
     """Urgent first, then the nearest deadline that can still be met."""
 
-    def rank(self, waiting: Waiting) -> SortKey:
+    def rank(self, waiting: Waiting, run_s: float, now: float) -> SortKey:
         """Returns priority, deadline, arrival."""
+        del run_s, now
         return waiting.priority, waiting.deadline, waiting.number
 
     def is_hopeless(self, waiting: Waiting, run_s: float, now: float) -> bool:
@@ -73,6 +85,21 @@
         return now + run_s > waiting.deadline
 
 
+class TargetOrder(DeadlineOrder):
+    """In-time requests first, by rank, then by the nearest target.
+
+    It answers sustained overload. There, the nearest deadline is that of the
+    request that waited longest, so in deadline order each answer comes just
+    after its target. What can't meet its target any more gives way to all that
+    still can, and is served while a slot is left over.
+    """
+
+    def rank(self, waiting: Waiting, run_s: float, now: float) -> SortKey:
+        """Returns lateness, priority, target, arrival."""
+        is_late = now + run_s > waiting.target
+        return is_late, waiting.priority, waiting.target, waiting.number
+
+
 class Queue:
     """Requests that wait, each at most once.
 
@@ -100,10 +127,14 @@
         """Removes a request, if it waits."""
         self._waiting.pop(request_id, None)
 
-    def take_first(self, *, suspects: bool) -> Waiting | None:
+    def take_first(
+        self, times: run_times.RunTimes, now: float, *, suspects: bool
+    ) -> Waiting | None:
         """Removes and returns the request to serve next, if there is one.
 
         Args:
+          times: Expected times of runs.
+          now: Monotonic time in seconds.
           suspects: Whether a suspect may be served.
         """
         servable = [
@@ -113,28 +144,49 @@
         ]
         if not servable:
             return None
-        first = min(servable, key=self._order.rank)
+        first = min(servable, key=self._make_key(times, now))
         return self._waiting.pop(first.request_id)
 
-    def take_last(self) -> Waiting:
+    def take_last(self, times: run_times.RunTimes, now: float) -> Waiting:
         """Removes and returns the request that gives way."""
-        last = max(self._waiting.values(), key=self._order.rank)
+        last = max(self._waiting.values(), key=self._make_key(times, now))
         return self._waiting.pop(last.request_id)
 
     def take_hopeless(
-        self, times: run_times.RunTimes, now: float
+        self,
+        times: run_times.RunTimes,
+        now: float,
+        turns: Sequence[float] = (),
     ) -> tuple[Waiting, ...]:
-        """Removes and returns what can't meet its deadline any more."""
-        hopeless = tuple(
-            waiting
-            for waiting in self._waiting.values()
-            if self._order.is_hopeless(
-                waiting, times.expect(waiting.priority), now
-            )
-        )
+        """Removes and returns what can't meet its deadline any more.
+
+        Args:
+          times: Expected times of runs.
+          now: Monotonic time in seconds.
+          turns: Expected times until the slots are free, soonest first, in
+            seconds; empty while one is.
+        """
+        hopeless: list[Waiting] = []
+        kept = 0
+        for waiting in sorted(
+            self._waiting.values(), key=self._make_key(times, now)
+        ):
+            run_s = times.expect(waiting.priority)
+            turn_s = turns[min(kept, len(turns) - 1)] if turns else 0.0
+            if self._order.is_hopeless(waiting, run_s, now + turn_s):
+                hopeless.append(waiting)
+            else:
+                kept += 1
         for waiting in hopeless:
             del self._waiting[waiting.request_id]
-        return hopeless
+        return tuple(hopeless)
+
+    def _make_key(
+        self, times: run_times.RunTimes, now: float
+    ) -> Callable[[Waiting], SortKey]:
+        return lambda waiting: self._order.rank(
+            waiting, times.expect(waiting.priority), now
+        )
 
     def take_all(self) -> tuple[Waiting, ...]:
         """Removes and returns every request, in the order of arrival."""
--- a/src/lovagesaddle/core/routing/running.py
+++ b/src/lovagesaddle/core/routing/running.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from lovagesaddle.core.routing import queues
+from lovagesaddle.core.routing import run_times
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,6 +44,21 @@
         run = Run(waiting=waiting, started_at=now)
         self._runs[waiting.request_id] = run
 
+    def list_turns(
+        self, times: run_times.RunTimes, now: float
+    ) -> tuple[float, ...]:
+        """Returns when each run is expected to end, soonest first.
+
+        Args:
+          times: Expected times of runs.
+          now: Monotonic time in seconds; the result counts from it.
+        """
+        ends = (
+            run.started_at + times.expect(run.waiting.priority) - now
+            for run in self._runs.values()
+        )
+        return tuple(sorted(max(0.0, end) for end in ends))
+
     def end(self, request_id: str) -> Run | None:
         """Frees the slot of a request; None if it holds none."""
         return self._runs.pop(request_id, None)
--- a/src/lovagesaddle/http/hop.py
+++ b/src/lovagesaddle/http/hop.py
@@ -36,6 +36,8 @@
       remaining_ms: Time to the deadline, in milliseconds.
       priority: Of the route.
       fingerprint: Digest of method, route, target and body.
+      target_ms: Time to the moment until which an answer is worth most, in
+        milliseconds, negative when it has passed; None for no such moment.
       suspect: Whether the entry knows that it may crash a server.
     """
 
@@ -49,6 +51,7 @@
     remaining_ms: int
     priority: int
     fingerprint: bytes
+    target_ms: int | None = None
     suspect: bool = False
 
 
--- a/src/lovagesaddle/node/attempts.py
+++ b/src/lovagesaddle/node/attempts.py
@@ -86,6 +86,7 @@
         self._names = names
         self._passed = passed
         self._match = match
+        self._arrived_at = arrived_at
         self._table = table
         self._routing = routing
         self._carrier = carrier
@@ -175,7 +176,12 @@
         table = self._table
         if action.newest and self._routing.table is not None:
             table = self._routing.table
-        decision = self._routing.pick(table, action.service, action.tried)
+        decision = self._routing.pick(
+            table,
+            action.service,
+            action.tried,
+            body_bytes=len(self._passed.body),
+        )
         server = decision.server
         _log.info(
             "server_picked",
@@ -253,9 +259,17 @@
             remaining_ms=int(remaining_s * MS_PER_S),
             priority=self._match.route.priority,
             fingerprint=passed.fingerprint,
+            target_ms=self._find_target_ms(),
             suspect=verdict is quarantine.Verdict.SUSPECT,
         )
 
+    def _find_target_ms(self) -> int | None:
+        target_s = self._match.route.target_latency_s
+        if not target_s:
+            return None
+        left_s = self._arrived_at + target_s - time.monotonic()
+        return int(left_s * MS_PER_S)
+
     def _make_answer(self, action: events.AnswerCaller) -> endings.Answered:
         answer = self._answers[action.number]
         return endings.Answered(
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -2,6 +2,7 @@
 
 import collections
 import threading
+import time
 
 from returns import result
 
@@ -21,6 +22,7 @@
 
 SEEN_ATTEMPTS = 65_536
 DEATH_CHECK_S = 0.2
+MS_PER_S = 1000
 REFUSED_UNKNOWN = "server-unknown"
 _log = logs.get_logger("owner")
 
@@ -156,6 +158,7 @@
             request_id=request.attempt_id,
             priority=request.priority,
             deadline=guard.deadline,
+            target=_find_target(request, time.monotonic()),
             suspect=suspect,
         )
         verdict = slots.admit(arrived, guard)
@@ -296,3 +299,9 @@
             if len(self._seen) > SEEN_ATTEMPTS:
                 self._seen.popitem(last=False)
             return True
+
+
+def _find_target(request: hop.RunRequest, now: float) -> float | None:
+    if request.target_ms is None:
+        return None
+    return now + request.target_ms / MS_PER_S
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -122,6 +122,7 @@
         table: table_lib.Table,
         service: str,
         tried: frozenset[str],
+        body_bytes: int = 0,
     ) -> balancer.Decision:
         """Picks a server of a table."""
         event = balancer.Pick(
@@ -129,6 +130,7 @@
             version=table.version,
             candidates=table.list_candidates(service),
             tried=tried,
+            body_bytes=body_bytes,
         )
         with self._lock:
             return self._balancer.pick(event, time.monotonic())
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -246,4 +246,14 @@
     assert not load.is_ejected(1.0 + loads.EJECTION_S)
 
 
+def test_large_body_waits_in_its_own_domain() -> None:
+    """A server that is full for small requests still takes a large one."""
+    load = loads.ServerLoad(incarnation=1, slots=4, seen_at=0.0, warm=True)
+    load.outstanding = 4
+    assert not load.has_room(1.0)
+    assert load.has_room(1.0, loads.LARGE_ROOM_SHARE)
+    load.outstanding = 5
+    assert not load.has_room(1.0, loads.LARGE_ROOM_SHARE)
+
+
 load_tests = fixtures.collect(__name__)
