Keep compiled routes while only members change; make claims a setting

Cause: each change of a node or server compiled every route anew at every node, and each changed the holders of claims, which made up to three more versions. On the platform no request bears an Idempotency-Key.

Change: a table takes over the routes of the one before where the services are the very same; claims = no assigns no holders and passes the header on.

--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -279,8 +279,10 @@
             operators=operators,
             wake=self._wake,
         )
-        shards = shards_lib.Shards(self._consensus)
-        return (operators, self._forwarder, fleet, shards)
+        made = (operators, self._forwarder, fleet)
+        if not self._settings.claims:
+            return made
+        return (*made, shards_lib.Shards(self._consensus))
 
     def _list_replicas(self) -> tuple[peers.Peer, ...]:
         members = self._consensus.replica.members.members
--- a/src/lovagesaddle/core/routing/table.py
+++ b/src/lovagesaddle/core/routing/table.py
@@ -30,7 +30,7 @@
     Attributes:
       service: Name of the service.
       route: The route.
-      version: Version of the snapshot that decided.
+      version: Version of the snapshot that brought the services.
     """
 
     service: str
@@ -129,19 +129,64 @@
 _Methods = dict[str, _Target]
 
 
+class _RouteIndex:
+    """The routes of some services, by host, path prefix and method."""
+
+    def __init__(
+        self, published: tuple[services_lib.Service, ...], version: int
+    ) -> None:
+        self.services = published
+        self._version = version
+        self.hosts: dict[str, dict[str, _Methods]] = {}
+        self.targets: dict[tuple[str, str], _Target] = {}
+        for service in published:
+            self._add_service(service)
+
+    def _add_service(self, service: services_lib.Service) -> None:
+        known = {
+            digest: caller.name
+            for caller in service.callers
+            for digest in caller.digests
+        }
+        for route in service.routes:
+            target = _Target(
+                match=Match(
+                    service=service.name, route=route, version=self._version
+                ),
+                callers={
+                    digest: name
+                    for digest, name in known.items()
+                    if name in route.callers
+                },
+                service_callers=known,
+            )
+            self.targets[service.name, route.name] = target
+            prefixes = self.hosts.setdefault(route.host, {})
+            methods = prefixes.setdefault(
+                paths.normalise_prefix(route.path_prefix), {}
+            )
+            for method in route.methods or (ANY_METHOD,):
+                methods.setdefault(method, target)
+
+
 class Table:
     """What one snapshot says about every request.
 
     Args:
       snapshot: The state to compile.
+      previous: An earlier table, whose routes are taken over where the
+        services are the very same: members change far more often.
     """
 
-    def __init__(self, snapshot: snapshots.Snapshot) -> None:
+    def __init__(
+        self, snapshot: snapshots.Snapshot, previous: "Table | None" = None
+    ) -> None:
         self._version = snapshot.version
-        self._hosts: dict[str, dict[str, _Methods]] = {}
-        self._targets: dict[tuple[str, str], _Target] = {}
-        for service in snapshot.services:
-            self._add_service(service)
+        self._index: _RouteIndex
+        if previous is not None and previous.holds(snapshot.services):
+            self._index = previous._index
+        else:
+            self._index = _RouteIndex(snapshot.services, snapshot.version)
         self._candidates = _compile_candidates(snapshot)
 
     @property
@@ -149,6 +194,10 @@
         """Version of the compiled snapshot."""
         return self._version
 
+    def holds(self, published: tuple[services_lib.Service, ...]) -> bool:
+        """Returns whether its routes are those of the very same services."""
+        return self._index.services is published
+
     def match(self, *, host: str, path: str, method: str) -> Match | Miss:
         """Finds the route of a request; the longest path prefix wins.
 
@@ -160,7 +209,7 @@
           path: Path without the query, as sent.
           method: HTTP method in upper case.
         """
-        prefixes = self._hosts.get(paths.normalise_host(host))
+        prefixes = self._index.hosts.get(paths.normalise_host(host))
         if prefixes is None:
             return self._miss(MissReason.UNKNOWN_HOST, 404)
         decoded = paths.decode_path(path)
@@ -185,7 +234,7 @@
                 client=credential.service,
                 reason=AccessReason.OPEN,
             )
-        target = self._targets[match.service, match.route.name]
+        target = self._index.targets[match.service, match.route.name]
         if credential.service:
             return _judge_service(match.route, credential.service)
         digest = credential.token_digest
@@ -212,32 +261,6 @@
             reason=reason, status=status, allow=allow, version=self._version
         )
 
-    def _add_service(self, service: services_lib.Service) -> None:
-        known = {
-            digest: caller.name
-            for caller in service.callers
-            for digest in caller.digests
-        }
-        for route in service.routes:
-            target = _Target(
-                match=Match(
-                    service=service.name, route=route, version=self._version
-                ),
-                callers={
-                    digest: name
-                    for digest, name in known.items()
-                    if name in route.callers
-                },
-                service_callers=known,
-            )
-            self._targets[service.name, route.name] = target
-            prefixes = self._hosts.setdefault(route.host, {})
-            methods = prefixes.setdefault(
-                paths.normalise_prefix(route.path_prefix), {}
-            )
-            for method in route.methods or (ANY_METHOD,):
-                methods.setdefault(method, target)
-
 
 def _compile_candidates(
     snapshot: snapshots.Snapshot,
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -55,6 +55,7 @@
       names: Names of the headers towards callers and backend servers.
       caller_service: Service of this VM, named to backend servers; empty for
         none.
+      claims_keys: Whether Idempotency-Keys are claimed.
     """
 
     def __init__(
@@ -69,7 +70,9 @@
         metrics: metrics_lib.Metrics,
         names: header_names.HeaderNames = header_names.DEFAULT,
         caller_service: str = "",
+        claims_keys: bool = True,
     ) -> None:
+        self._claims_keys = claims_keys
         self._names = names
         self._origin: headers_lib.Headers = ()
         if caller_service and names.caller_service:
@@ -176,7 +179,7 @@
             verdict=self._suspects.judge(fingerprint),
         )
         runner = self._make_runner(accepted, passed)
-        key = request.headers.get(KEY_HEADER)
+        key = request.headers.get(KEY_HEADER) if self._claims_keys else None
         if key is None or request.method in SAFE_METHODS:
             ended = self._run(runner, request.is_gone)
         elif claim_keys.is_valid_key(key):
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -277,6 +277,7 @@
             metrics=self.metrics,
             names=self._names,
             caller_service=self._settings.service,
+            claims_keys=self._settings.claims,
         )
 
     def _make_application(
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -89,7 +89,7 @@
         """Compiles a snapshot and swaps the table once the node joined."""
         if not joined:
             return
-        made = table_lib.Table(stamped.snapshot)
+        made = table_lib.Table(stamped.snapshot, self._table)
         candidates = tuple(
             candidate
             for service in stamped.snapshot.services
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -99,6 +99,8 @@
       expiry_share: Largest share of a failure domain to expire at once.
       tolerated_losses: Replicas that may be lost at a time. The leader keeps
         enough of them by itself; 0 leaves all changes to operators.
+      claims: Whether nodes are assigned to hold claims on Idempotency-Keys;
+        the same at every replica and node.
       seeds: `ip:port` of processes on VMs that run founding replicas. Only
         the IPs count: a seed's replica bears its IP as a name and listens at
         the port of `address`.
@@ -116,6 +118,7 @@
     heartbeat_s: PositiveSeconds = 1.0
     lease_s: PositiveSeconds = 6.0
     expiry_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.34
+    claims: Switch = True
     tolerated_losses: Annotated[int, msgspec.Meta(ge=0, le=3)] = 0
     seeds: HttpAddresses = ()
 
@@ -151,6 +154,8 @@
         who it is when the node starts. Empty to wait for its announcement.
       hop_address: `ip:port` for other nodes; empty to take them at
         `http_address`.
+      claims: Whether an Idempotency-Key is claimed; else the header is passed
+        on to the backend server as any other.
       probe: Whether local servers are probed; no where they send beats.
       unframed_answers: Whether a server's answer may end with its connection.
       retry_share: Retries allowed to a service, as a share of its calls.
@@ -177,6 +182,7 @@
     service: OptionalIdentifier = ""
     server_address: OptionalAddress = ""
     hop_address: OptionalAddress = ""
+    claims: Switch = True
     probe: Switch = True
     unframed_answers: Switch = False
     retry_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.2
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -154,4 +154,31 @@
     }
 
 
+def test_change_of_members_keeps_the_compiled_routes() -> None:
+    """Routes are compiled anew only when services changed."""
+    first = routing_mesh.make_snapshot(routing_mesh.make_route())
+    later = dataclasses.replace(first, version=first.version + 1, servers=())
+    other = dataclasses.replace(
+        later,
+        version=later.version + 1,
+        services=routing_mesh.make_snapshot(
+            routing_mesh.make_route(path="/jobs")
+        ).services,
+    )
+    compiled = table.Table(first)
+    kept = table.Table(later, compiled)
+    changed = table.Table(other, kept)
+    found = [
+        isinstance(
+            each.match(host=routing_mesh.HOST, path=path, method="POST"),
+            table.Match,
+        )
+        for each in (compiled, kept, changed)
+        for path in ("/orders", "/jobs")
+    ]
+    assert found == [True, False, True, False, False, True]
+    assert kept.version == later.version
+    assert kept.list_candidates(routing_mesh.SERVICE) == ()
+
+
 load_tests = fixtures.collect(__name__)
