Let an address serve another service after the first has ended

Cause: a server that fell silent keeps its place at its node, and the address may be used again by a server of another service, whose beats were refused because the settings named the first one.

Change: a node takes beats of every published service, orders them as words of the one server on its VM, ends the server of the other service, and names the newest one as the origin of requests.

Seen: the new test fails before.

--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -53,8 +53,8 @@
       guards: Watches deadlines and callers that hang up.
       metrics: Of this process.
       names: Names of the headers towards callers and backend servers.
-      caller_service: Service of this VM, named to backend servers; empty for
-        none.
+      caller_service: Service of this VM while no beat has named it; told to
+        backend servers. Empty for none.
       claims_keys: Whether Idempotency-Keys are claimed.
     """
 
@@ -74,9 +74,7 @@
     ) -> None:
         self._claims_keys = claims_keys
         self._names = names
-        self._origin: headers_lib.Headers = ()
-        if caller_service and names.caller_service:
-            self._origin = ((names.caller_service, caller_service),)
+        self._caller_service = caller_service
         self._routing = routing
         self._carrier = carrier
         self._servers = servers
@@ -172,7 +170,7 @@
             request_id=request_id,
             method=request.method,
             target=request.target,
-            headers=self._origin
+            headers=self._describe_origin()
             + headers_lib.filter_request(request.headers, self._names),
             body=body,
             fingerprint=fingerprint,
@@ -195,6 +193,13 @@
         self._attempts.add(runner.attempts)
         return self._format(ended, request_id)
 
+    def _describe_origin(self) -> headers_lib.Headers:
+        """Returns the header that names the service of this VM."""
+        service = self._servers.vm_service or self._caller_service
+        if not (service and self._names.caller_service):
+            return ()
+        return ((self._names.caller_service, service),)
+
     def _make_runner(
         self, accepted: "_Accepted", passed: attempts.Passed
     ) -> attempts.Runner:
--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -69,9 +69,11 @@
         self._control: ports.ControlPort | None = None
         self._entries: dict[str, _Entry] = {}
         self._services_by_token: dict[str, str] = {}
-        self._orders: dict[str, sightings.SightingOrder] = {}
-        self._unconfirmed: dict[str, str] = {}
-        self._left: dict[str, str] = {}
+        # Beats are all of the one server that runs on this VM at a time.
+        self._order = sightings.SightingOrder()
+        self._unconfirmed = ""
+        self._left = ""
+        self._vm_service = ""
         self._lock = threading.RLock()
 
     def connect(self, control: ports.ControlPort) -> None:
@@ -113,7 +115,7 @@
             sequence=sequence,
         )
         with self._lock:
-            if not self._find_order(announcement.service).admit(sighting):
+            if not self._order.admit(sighting):
                 _log.info(
                     "beat_passed_over",
                     service=announcement.service,
@@ -122,11 +124,18 @@
                     sequence=sequence,
                 )
                 return
+            self._vm_service = announcement.service
+            self._withdraw_others(announcement.service)
             if is_leaving:
                 self._take_leaving(announcement)
             else:
                 self._take_serving(announcement, sequence)
 
+    @property
+    def vm_service(self) -> str:
+        """Service that runs on this VM by its newest beat, or nothing."""
+        return self._vm_service
+
     def discover(self, announcement: Announcement) -> bool:
         """Takes what a server's health endpoint said of it.
 
@@ -137,7 +146,7 @@
         with self._lock:
             service = announcement.service
             if service not in self._entries:
-                if self._left.get(service) == announcement.instance:
+                if self._left == announcement.instance:
                     return False
                 self.announce(announcement)
             return True
@@ -146,22 +155,20 @@
         """Returns whether no server of a service is known."""
         return service not in self._entries
 
-    def take_farewell(self, service: str, instance: str, born_ms: int) -> None:
+    def take_farewell(self, instance: str, born_ms: int) -> None:
         """Takes a server's last word; it is handed no new work any more.
 
         Args:
-          service: Service that it runs.
           instance: Name that it gives itself.
           born_ms: Start of its life; 0 when it did not say.
         """
         with self._lock:
-            self._left[service] = instance
-            is_latest = self._find_order(service).end(instance, born_ms)
-            held = self._entries.get(service)
-            if held is not None and (
-                is_latest or _is_discovered(held, instance)
-            ):
-                self.withdraw(service, "it said farewell")
+            self._left = instance
+            is_latest = self._order.end(instance, born_ms)
+            for service, held in tuple(self._entries.items()):
+                is_own = held.announcement.instance == instance
+                if is_own and (is_latest or _is_discovered(held, instance)):
+                    self.withdraw(service, "it said farewell")
 
     def drain(self, service: str) -> None:
         """Stops new work to a server; what runs is finished.
@@ -247,12 +254,15 @@
             else:
                 self._owner.revive(entry.server.server_id)
 
-    def _find_order(self, service: str) -> sightings.SightingOrder:
-        return self._orders.setdefault(service, sightings.SightingOrder())
+    def _withdraw_others(self, service: str) -> None:
+        """Ends servers of other services, whose address is used again."""
+        for other in tuple(self._entries):
+            if other != service:
+                self.withdraw(other, f"service {service} runs here now")
 
     def _take_leaving(self, announcement: Announcement) -> None:
         service = announcement.service
-        self._left[service] = announcement.instance
+        self._left = announcement.instance
         held = self._entries.get(service)
         if held is None:
             return
@@ -271,10 +281,10 @@
                 self.announce(announcement)
             return
         life = f"{announcement.instance}/{announcement.born_ms}"
-        if sequence > FIRST_SEQUENCE and self._unconfirmed.get(service) != life:
+        if sequence > FIRST_SEQUENCE and self._unconfirmed != life:
             # An earlier process of this node may have acknowledged that this
             # server leaves, and this word may be older than that one.
-            self._unconfirmed[service] = life
+            self._unconfirmed = life
             _log.info(
                 "server_unconfirmed",
                 service=service,
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -188,6 +188,11 @@
         """The backend servers on this VM."""
         return self._servers
 
+    def knows_service(self, service: str) -> bool:
+        """Returns whether a service is published, or is that of this VM."""
+        own = self._settings.service
+        return service == own or self._routing.has_service(service)
+
     @property
     def is_ready(self) -> bool:
         """Whether callers should come to this node."""
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -154,6 +154,10 @@
         """Returns the path of a service's health endpoint, or nothing."""
         return self._health_paths.get(service, "")
 
+    def has_service(self, service: str) -> bool:
+        """Returns whether a service is published."""
+        return service in self._health_paths
+
     def choose_service(self, match: table_lib.Match) -> table_lib.Match:
         """Returns the match with the service that takes this request."""
         if not match.route.split:
--- a/src/lovagesaddle/platform/endpoints.py
+++ b/src/lovagesaddle/platform/endpoints.py
@@ -85,12 +85,10 @@
 
     Args:
       node: Owner of the server.
-      service: The service that runs on this VM.
     """
 
-    def __init__(self, node: node_lib.NodeProgram, service: str) -> None:
+    def __init__(self, node: node_lib.NodeProgram) -> None:
         self._node = node
-        self._service = service
 
     def answer(self, request: gateway.Incoming) -> gateway.Answer:
         """Acknowledges a word once it is in force at this node."""
@@ -108,11 +106,11 @@
         instance = request.path.removeprefix(BEAT_PATH)
         beat = beats.parse_beat(instance, request.read_body())
         service = beat.announcement.service
-        if service != self._service:
+        if not self._node.knows_service(service):
             raise beats.BeatError(
                 step="take beat",
                 peer=instance,
-                cause=f"service {service} does not run on this VM",
+                cause=f"service {service} is unknown",
             )
         self._node.servers.take_beat(
             beat.announcement, beat.sequence, is_leaving=beat.is_leaving
@@ -122,7 +120,7 @@
     def _take_farewell(self, request: gateway.Incoming) -> gateway.Answer:
         instance = request.path.removeprefix(FAREWELL_PATH)
         born_ms = beats.parse_farewell(instance, request.read_body())
-        self._node.servers.take_farewell(self._service, instance, born_ms)
+        self._node.servers.take_farewell(instance, born_ms)
         return gateway.Answer(status=200, headers=JSON_TYPE, body=b"{}")
 
 
--- a/src/lovagesaddle/platform/main.py
+++ b/src/lovagesaddle/platform/main.py
@@ -41,7 +41,7 @@
     @contextlib.contextmanager
     def attach(running: node_lib.NodeProgram) -> Iterator[None]:
         readiness = endpoints.Readiness(lambda: running.is_ready)
-        beats = endpoints.Announcements(running, settings.service)
+        beats = endpoints.Announcements(running)
         with (
             endpoints.open_endpoint(readiness, addresses.ready_address),
             endpoints.open_endpoint(beats, addresses.beat_address),
--- a/tests/test_local_servers.py
+++ b/tests/test_local_servers.py
@@ -84,7 +84,7 @@
         node.servers.take_beat(BEAT, 40, is_leaving=True)
         assert not node.servers.discover(FOUND)
         assert not _list_serving(mesh)
-        node.servers.take_farewell(SERVICE, "i-1", 0)
+        node.servers.take_farewell("i-1", 0)
         assert not node.servers.discover(FOUND)
 
 
@@ -92,8 +92,23 @@
     """A server that never beat to this process may still say farewell."""
     with _run_node() as (mesh, node):
         assert node.servers.discover(FOUND)
-        node.servers.take_farewell(SERVICE, "i-1", BORN_MS)
+        node.servers.take_farewell("i-1", BORN_MS)
         assert not mesh.control.snapshot.servers
 
 
+def test_address_that_serves_another_service_ends_the_first() -> None:
+    """A server that fell silent is gone once another one beats in its place."""
+    other = dataclasses.replace(
+        BEAT, service="artwork", instance="i-2", born_ms=BORN_MS + 5000
+    )
+    with _run_node() as (mesh, node):
+        node.servers.take_beat(BEAT, 1, is_leaving=False)
+        node.servers.take_beat(other, 1, is_leaving=False)
+        assert _list_serving(mesh) == ["n0/artwork"]
+        assert node.servers.vm_service == "artwork"
+        node.servers.take_beat(BEAT, 2, is_leaving=False)
+        node.servers.take_farewell("i-1", BORN_MS)
+        assert _list_serving(mesh) == ["n0/artwork"]
+
+
 load_tests = fixtures.collect(__name__)
