Gather one request's log lines from several processes

Cause: the lines of a request lie in the logs of its entry and its owners. Change: lovagesaddle trace ID FILE... shows them in order and says what decided its end. Seen: tests with lines as the programs write them.

--- a/src/lovagesaddle/cli/main.py
+++ b/src/lovagesaddle/cli/main.py
@@ -12,6 +12,7 @@
 from lovagesaddle.cli import explaining
 from lovagesaddle.cli import keys
 from lovagesaddle.cli import reading
+from lovagesaddle.cli import tracing
 from lovagesaddle.core import errors
 
 _HELP = """Checks, publishes and inspects the configuration of a mesh.
@@ -39,6 +40,7 @@
         reading.history,
         reading.diff,
         explaining.explain,
+        tracing.trace,
         demo,
     ):
         app.command()(command)
--- /dev/null
+++ b/src/lovagesaddle/cli/tracing.py
@@ -0,0 +1,81 @@
+"""The command that gathers one request's lines from several logs."""
+
+import pathlib
+import re
+from typing import Annotated
+
+import typer
+
+from lovagesaddle.cli import context as context_lib
+from lovagesaddle.cli import exits
+from lovagesaddle.cli import views
+
+_TIME = re.compile(r"\bts=(\S+)")
+_EVENT = re.compile(r"\bevent=(\S+)")
+_REASON = re.compile(r"\breason=(\S+)")
+_CAUSES = {
+    "deadline": "its time was over before an answer came",
+    "depth": "its chain of calls was too deep",
+    "no-server": "no backend server of its service was known to the node",
+    "refused": "every server that was asked refused it: there was no room",
+    "quarantined": "it is known to crash backend servers",
+    "lost": "it was handed over and no whole answer came back",
+}
+
+
+def trace(
+    request: Annotated[str, typer.Argument(help="ID of the request.")],
+    logs: Annotated[
+        list[pathlib.Path],
+        typer.Argument(metavar="FILE...", help="Logs of the processes."),
+    ],
+) -> None:
+    """Show a request's lines from the logs of several processes, in order."""
+    found: list[tuple[str, str]] = []
+    for path in logs:
+        try:
+            text = path.read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            views.print_note(f"{path}: can't be read: {error.strerror}")
+            context_lib.leave(exits.Exit.BAD_INPUT)
+        found.extend(
+            (f"{path.name}:{number}", line)
+            for number, line in enumerate(text.splitlines(), start=1)
+            if is_about(line, request)
+        )
+    if not found:
+        views.print_note(
+            f"no line is about request {request}; lines of requests that were"
+            " served are sampled, see lines_left_out"
+        )
+        context_lib.leave(exits.Exit.REFUSED)
+    found.sort(key=lambda each: _read_time(each[1]))
+    for place, line in found:
+        print(f"{place} {line}")
+    print(describe_end([line for _, line in found]))
+
+
+def is_about(line: str, request: str) -> bool:
+    """Returns whether a log line is about a request or an attempt of it."""
+    ids = re.escape(request)
+    return bool(re.search(rf"\b(request={ids}|attempt={ids}-\w+\.\d+)\b", line))
+
+
+def describe_end(lines: list[str]) -> str:
+    """Returns one sentence on what decided the end of a request.
+
+    Args:
+      lines: Its log lines, in order.
+    """
+    for line in reversed(lines):
+        event, reason = _EVENT.search(line), _REASON.search(line)
+        if event is None or event[1] != "call_failed" or reason is None:
+            continue
+        cause = _CAUSES.get(reason[1], reason[1])
+        return f"the request failed: {cause}"
+    return "no line says that the request failed"
+
+
+def _read_time(line: str) -> str:
+    found = _TIME.search(line)
+    return found[1] if found else ""
