Expect the time of a run by its route

Cause: expected times were kept by rank.

Change: a run's kind is its route. Seen: the new test fails with ranks.

--- a/src/lovagesaddle/core/routing/admission.py
+++ b/src/lovagesaddle/core/routing/admission.py
@@ -43,6 +43,7 @@
       deadline: Monotonic time by which its answer must be there, in seconds.
       target: Monotonic time by which its answer is worth most, in seconds;
         None where the route states no target.
+      kind: Name of its route; runs of one kind take similar times.
       suspect: Whether it may crash the server; one suspect runs at a time.
     """
 
@@ -50,6 +51,7 @@
     priority: int
     deadline: float
     target: float | None = None
+    kind: str = ""
     suspect: bool = False
 
 
@@ -231,6 +233,7 @@
             target=event.deadline if event.target is None else event.target,
             arrived_at=now,
             number=self._arrivals,
+            kind=event.kind,
             suspect=event.suspect,
         )
         self._queue.add(waiting)
@@ -256,7 +259,7 @@
             return
         run_s = now - ended.started_at
         if not event.failed:
-            self._times.note(ended.waiting.priority, run_s)
+            self._times.note(ended.waiting.kind, run_s)
         self._limit.observe(
             latency_s=run_s,
             running=len(self._running) + 1,
--- a/src/lovagesaddle/core/routing/queues.py
+++ b/src/lovagesaddle/core/routing/queues.py
@@ -19,6 +19,7 @@
       number: Position in the order of arrival.
       target: Monotonic time by which its answer is worth most, in seconds;
         the deadline where the route states no target.
+      kind: Name of its route; runs of one kind take similar times.
       suspect: Whether it may crash the server.
     """
 
@@ -28,6 +29,7 @@
     target: float
     arrived_at: float
     number: int
+    kind: str = ""
     suspect: bool = False
 
 
@@ -171,7 +173,7 @@
         for waiting in sorted(
             self._waiting.values(), key=self._make_key(times, now)
         ):
-            run_s = times.expect(waiting.priority)
+            run_s = times.expect(waiting.kind)
             turn_s = turns[min(kept, len(turns) - 1)] if turns else 0.0
             if self._order.is_hopeless(waiting, run_s, now + turn_s):
                 hopeless.append(waiting)
@@ -185,7 +187,7 @@
         self, times: run_times.RunTimes, now: float
     ) -> Callable[[Waiting], SortKey]:
         return lambda waiting: self._order.rank(
-            waiting, times.expect(waiting.priority), now
+            waiting, times.expect(waiting.kind), now
         )
 
     def take_all(self) -> tuple[Waiting, ...]:
--- a/src/lovagesaddle/core/routing/run_times.py
+++ b/src/lovagesaddle/core/routing/run_times.py
@@ -1,7 +1,7 @@
-"""Expected time of runs, kept apart by priority.
+"""Expected time of runs, kept apart by kind of request.
 
-Urgent lookups and bulk uploads on one server differ by orders of magnitude,
-so one mean for all would call every lookup hopeless beside a few uploads.
+Lookups and uploads on one server differ by orders of magnitude, so one mean for
+both would call every lookup hopeless beside a few uploads.
 """
 
 RUN_WEIGHT = 0.1
@@ -12,22 +12,22 @@
 
     def __init__(self) -> None:
         self._mean_s = 0.0
-        self._mean_of: dict[int, float] = {}
+        self._mean_of: dict[str, float] = {}
 
     @property
     def mean_s(self) -> float:
-        """Mean over all priorities, in seconds; 0 before the first run."""
+        """Mean over all kinds, in seconds; 0 before the first run."""
         return self._mean_s
 
-    def note(self, priority: int, run_s: float) -> None:
+    def note(self, kind: str, run_s: float) -> None:
         """Takes the time of one run."""
         self._mean_s = _move(self._mean_s, run_s)
-        held_s = self._mean_of.get(priority, 0.0)
-        self._mean_of[priority] = _move(held_s, run_s)
+        held_s = self._mean_of.get(kind, 0.0)
+        self._mean_of[kind] = _move(held_s, run_s)
 
-    def expect(self, priority: int) -> float:
+    def expect(self, kind: str) -> float:
         """Returns the expected time of a run; 0 before the first one."""
-        return self._mean_of.get(priority, 0.0)
+        return self._mean_of.get(kind, 0.0)
 
 
 def _move(mean_s: float, run_s: float) -> float:
--- a/src/lovagesaddle/core/routing/running.py
+++ b/src/lovagesaddle/core/routing/running.py
@@ -54,7 +54,7 @@
           now: Monotonic time in seconds; the result counts from it.
         """
         ends = (
-            run.started_at + times.expect(run.waiting.priority) - now
+            run.started_at + times.expect(run.waiting.kind) - now
             for run in self._runs.values()
         )
         return tuple(sorted(max(0.0, end) for end in ends))
--- a/src/lovagesaddle/http/hop.py
+++ b/src/lovagesaddle/http/hop.py
@@ -34,6 +34,7 @@
       headers: For the backend server.
       body: The whole body.
       remaining_ms: Time to the deadline, in milliseconds.
+      route: Name of the route.
       priority: Of the route.
       fingerprint: Digest of method, route, target and body.
       target_ms: Time to the moment until which an answer is worth most, in
@@ -51,6 +52,7 @@
     remaining_ms: int
     priority: int
     fingerprint: bytes
+    route: str = ""
     target_ms: int | None = None
     suspect: bool = False
 
--- a/src/lovagesaddle/node/attempts.py
+++ b/src/lovagesaddle/node/attempts.py
@@ -282,6 +282,7 @@
             remaining_ms=int(remaining_s * MS_PER_S),
             priority=self._match.route.priority,
             fingerprint=passed.fingerprint,
+            route=self._match.route.name,
             target_ms=self._find_target_ms(),
             suspect=verdict is quarantine.Verdict.SUSPECT,
         )
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -158,6 +158,7 @@
             request_id=request.attempt_id,
             priority=request.priority,
             deadline=guard.deadline,
+            kind=request.route,
             target=_find_target(request, time.monotonic()),
             suspect=suspect,
         )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -27,7 +27,10 @@
     priority: int = Priority.NORMAL,
 ) -> list[str]:
     event = admission_lib.Arrived(
-        request_id=name, priority=priority, deadline=deadline
+        request_id=name,
+        priority=priority,
+        deadline=deadline,
+        kind=f"rank-{priority}",
     )
     return _describe(owner.step(event, now))
 
@@ -267,4 +270,30 @@
     assert _arrive(owner, "d", now=1.05, deadline=1.21) == []
 
 
+def test_kinds_of_one_rank_are_judged_apart() -> None:
+    """A short lookup is in time although uploads of its rank are long."""
+    owner = admission_lib.Admission(
+        limit=limits.FixedLimit(1), order=queues.TargetOrder(), queue_share=2.0
+    )
+
+    def arrive(name: str, kind: str, now: float, target: float) -> list[str]:
+        event = admission_lib.Arrived(
+            request_id=name,
+            priority=Priority.NORMAL,
+            deadline=now + 10.0,
+            target=target,
+            kind=kind,
+        )
+        return _describe(owner.step(event, now))
+
+    for number, (kind, run_s) in enumerate((("upload", 1.0), ("lookup", 0.1))):
+        now = 2.0 * number
+        arrive(kind, kind, now, now + 1.0)
+        _end(owner, kind, now + run_s)
+    arrive("u1", "upload", 10.0, 11.0)
+    assert arrive("u2", "upload", 10.0, 12.5) == []
+    assert arrive("l1", "lookup", 10.0, 11.2) == []
+    assert _end(owner, "u1", 11.0) == ["run l1"]
+
+
 load_tests = fixtures.collect(__name__)
