Ask only those connections that something happened to

Cause: at each turn of its loop waitress asks every connection what it waits for and registers all of them anew. Each send and receive under a time limit polls first, which the watchdog's deadlines make needless.

Change: a loop on epoll that asks a connection again only after an event, when a task marks it, and once a second; no limit on sockets that a watchdog guards.

--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -247,7 +247,7 @@
           late: Answers to earlier requests that may be passed over.
         """
         sock = connection.sock
-        sock.settimeout(max(watchdog.SCAN_S, guard.remaining_s))
+        _limit_waits(sock, guard)
         step = "send request"
         try:
             with guard.ending(lambda: sockets.shut_down(sock)):
@@ -333,6 +333,18 @@
     return MAX_IDLE_S
 
 
+def _limit_waits(sock: socket.socket, guard: watchdog.Guard) -> None:
+    """Bounds the waits on a socket where no watchdog ends them.
+
+    With a limit, each send and receive costs one more system call.
+    """
+    limit_s = None
+    if not guard.is_watched:
+        limit_s = max(watchdog.SCAN_S, guard.remaining_s)
+    if sock.gettimeout() != limit_s:
+        sock.settimeout(limit_s)
+
+
 def _send(connection: http.client.HTTPConnection, request: Request) -> None:
     lines = [f"{request.method} {request.target} HTTP/1.1"]
     if "host" not in request.headers:
--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -17,6 +17,7 @@
 from lovagesaddle.core import errors
 from lovagesaddle.core.model import services
 from lovagesaddle.http import lanes
+from lovagesaddle.http import loop
 from lovagesaddle.http import parser
 from lovagesaddle.http import sockets
 
@@ -27,7 +28,6 @@
 SPOOL_BYTES = 512 * 1024
 RECV_BYTES = 64 * 1024
 LOOKAHEAD_REQUESTS = 1
-LOOP_TIMEOUT_S = 1
 STOP_POLL_S = 0.02
 IDLE_LINGER_S = 0.3
 JOIN_S = 5.0
@@ -47,6 +47,11 @@
     # Whether a task's thread is writing to the socket.
     is_writing = False
 
+    def add_channel(self, map: Any = None) -> None:  # noqa: A002
+        """Joins the server's connections, on the loop's thread."""
+        super().add_channel(map)
+        self.server.loop.mark(self._fileno)
+
     @property
     def needs_loop(self) -> bool:
         """Whether the loop has to look at this connection at once."""
@@ -111,10 +116,22 @@
     channel_class = _Channel
     stopping = False
 
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.loop = loop.Loop(self._map)
+
+    def run(self) -> None:
+        """Serves until every socket is closed."""
+        self.loop.run()
+
     def pull_trigger(self) -> None:
         """Wakes the loop, unless an answer has left nothing for it to do."""
         served = getattr(_serving, "channel", None)
-        if served is None or served.needs_loop:
+        if served is None:
+            self.loop.mark_all()
+            super().pull_trigger()
+        elif served.needs_loop:
+            self.loop.mark(served._fileno)
             super().pull_trigger()
 
     def stop_listening(self) -> None:
@@ -125,6 +142,7 @@
             before = len(self.active_channels)
             self.handle_accept()
         self.accepting = False
+        self.loop.mark_all()
         wasyncore.dispatcher.close(self)
 
     def close_idle(self, quiet_since: float) -> None:
@@ -132,11 +150,13 @@
         for held in tuple(self.active_channels.values()):
             if held.idle and held.last_activity < quiet_since:
                 held.will_close = True
+        self.loop.mark_all()
 
     def close_all(self) -> None:
         """Closes every connection, whatever it holds."""
         for held in tuple(self.active_channels.values()):
             held.will_close = True
+        self.loop.mark_all()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -294,8 +314,6 @@
             "max_request_body_size": self._options.max_body_bytes + 1,
             "inbuf_overflow": SPOOL_BYTES,
             "recv_bytes": RECV_BYTES,
-            "asyncore_use_poll": True,
-            "asyncore_loop_timeout": LOOP_TIMEOUT_S,
             "log_socket_errors": False,
             "clear_untrusted_proxy_headers": False,
         }
--- a/src/lovagesaddle/http/watchdog.py
+++ b/src/lovagesaddle/http/watchdog.py
@@ -25,9 +25,18 @@
     Args:
       deadline: Monotonic time, in seconds.
       is_gone: Whether the requester hung up.
+      is_watched: Whether a watchdog checks it, so that what waits under it
+        needs no time limit of its own.
     """
 
-    def __init__(self, deadline: float, is_gone: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        deadline: float,
+        is_gone: Callable[[], bool],
+        *,
+        is_watched: bool = False,
+    ) -> None:
+        self.is_watched = is_watched
         self.deadline = deadline
         self._is_gone = is_gone
         self._on_end: Callable[[], None] | None = None
@@ -114,7 +123,7 @@
           deadline: Monotonic time, in seconds.
           is_gone: Called on the watchdog's thread; must not block.
         """
-        guard = Guard(deadline, is_gone)
+        guard = Guard(deadline, is_gone, is_watched=True)
         self._guards[id(guard)] = guard
         if self._asleep:
             self._roused.set()
