--- a/src/lovagesaddle/core/consensus/timing.py
+++ b/src/lovagesaddle/core/consensus/timing.py
@@ -5,6 +5,7 @@
 
 HEARTBEATS_PER_TIMEOUT = 5
 SILENT_HEARTBEATS = 3
+FIRST_TIMEOUT_SHARE = 0.5
 
 
 class RandomSource(abc.ABC):
@@ -64,7 +65,9 @@
             self._now += max(0.0, now - self._reading)
         self._reading = now
         if self._deadline is None:
-            self.reset()
+            # Nobody can have been heard yet, so there is less to wait for.
+            share = FIRST_TIMEOUT_SHARE * (1 + self._random.random())
+            self._deadline = self._now + self.timing.election_timeout_s * share
 
     def reset(self) -> None:
         """Starts the election timeout again."""
--- a/src/lovagesaddle/core/distribution/joining.py
+++ b/src/lovagesaddle/core/distribution/joining.py
@@ -10,8 +10,11 @@
 from lovagesaddle.core.model import peers
 from lovagesaddle.core.model import snapshots
 
-FIRST_RETRY_S = 1.0
-RETRY_CAP_S = 5.0
+# Shorter than an election, so that after a loss of power everywhere a node
+# joins soon after there is a leader; capped well below the time that a restart
+# may take.
+FIRST_RETRY_S = 0.25
+RETRY_CAP_S = 2.0
 
 
 class Joining:
