Split what the node's modules do

Change: trails.py keeps and logs a call's decisions, beats.py takes the words of the server on the VM, requests.py encodes a request. No behaviour changes. Seen: the tests of the moved parts pass.

--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-from collections.abc import Mapping
 import dataclasses
 import enum
 import http.client
@@ -20,6 +19,7 @@
 from lovagesaddle.core import errors
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.http import headers as headers_lib
+from lovagesaddle.http import requests
 from lovagesaddle.http import responses
 from lovagesaddle.http import sockets
 from lovagesaddle.http import watchdog
@@ -34,7 +34,7 @@
 # A peer states whole seconds, counted from when it wrote its answer.
 IDLE_MARGIN_S = 1.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
-BODYLESS_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
+Request = requests.Request
 
 
 class FailureKind(enum.Enum):
@@ -63,23 +63,6 @@
         self.kind = kind
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Request:
-    """A request as it is sent.
-
-    Attributes:
-      method: Upper-case method.
-      target: Path and query, as received.
-      headers: Without Content-Length; "host" in lower case.
-      body: The whole body.
-    """
-
-    method: str
-    target: str
-    headers: Mapping[str, str]
-    body: bytes
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Reply:
     """A whole answer."""
@@ -251,7 +234,7 @@
         step = "send request"
         try:
             with guard.ending(lambda: sockets.shut_down(sock)):
-                _send(connection, request)
+                sock.sendall(requests.encode_request(request, address))
                 step = "read answer"
                 response = responses.StrictResponse(
                     connection.sock, method=request.method
@@ -284,7 +267,7 @@
         wrong = self._find_crossing(request, reply)
         if not wrong:
             is_last = response.will_close or response.left_over
-            return reply, 0.0 if is_last else _find_idle_s(response)
+            return reply, 0.0 if is_last else requests.find_idle_s(response)
         if not late or response.will_close:
             raise _fail("check answer", address, wrong, FailureKind.MALFORMED)
         following = responses.StrictResponse(
@@ -324,15 +307,6 @@
         )
 
 
-def _find_idle_s(response: http.client.HTTPResponse) -> float:
-    """Returns how long a peer keeps the connection, less a margin."""
-    for option in response.headers.get("keep-alive", "").split(","):
-        name, _, value = option.strip().partition("=")
-        if name.lower() == "timeout" and value.isascii() and value.isdigit():
-            return min(MAX_IDLE_S, int(value) - IDLE_MARGIN_S)
-    return MAX_IDLE_S
-
-
 def _limit_waits(sock: socket.socket, guard: watchdog.Guard) -> None:
     """Bounds the waits on a socket where no watchdog ends them.
 
@@ -345,24 +319,6 @@
         sock.settimeout(limit_s)
 
 
-def _send(connection: http.client.HTTPConnection, request: Request) -> None:
-    lines = [f"{request.method} {request.target} HTTP/1.1"]
-    if "host" not in request.headers:
-        lines.append(f"Host: {connection.host}:{connection.port}")
-    lines.extend(f"{name}: {value}" for name, value in request.headers.items())
-    if request.body or request.method not in BODYLESS_METHODS:
-        lines.append(f"Content-Length: {len(request.body)}")
-    head = "\r\n".join(lines)
-    breaks = len(lines) - 1
-    if " " in request.target or not (
-        head.count("\r") == head.count("\n") == breaks
-    ):
-        raise ValueError("the target or a header would break the request")
-    # http.client would check, encode and queue each header by itself, which
-    # costs as much as the rest of an exchange.
-    connection.sock.sendall(head.encode("latin-1") + b"\r\n\r\n" + request.body)
-
-
 def _classify(error: Exception, guard: watchdog.Guard) -> FailureKind:
     if guard.reason is watchdog.EndReason.CANCELLED:
         return FailureKind.CANCELLED
--- /dev/null
+++ b/src/lovagesaddle/http/requests.py
@@ -0,0 +1,60 @@
+"""Requests as they are sent, and what a peer says of its connections."""
+
+from collections.abc import Mapping
+import dataclasses
+import http.client
+
+BODYLESS_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
+MAX_IDLE_S = 20.0
+# A peer states whole seconds, counted from when it wrote its answer.
+IDLE_MARGIN_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Request:
+    """A request as it is sent.
+
+    Attributes:
+      method: Upper-case method.
+      target: Path and query, as received.
+      headers: Without Content-Length; "host" in lower case.
+      body: The whole body.
+    """
+
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+def encode_request(request: Request, address: str) -> bytes:
+    """Returns the bytes of a request to a peer at `ip:port`.
+
+    http.client would check, encode and queue each header by itself, which
+    costs as much as the rest of an exchange.
+
+    Raises:
+      ValueError: The target or a header would break the request apart.
+    """
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    if "host" not in request.headers:
+        lines.append(f"Host: {address}")
+    lines.extend(f"{name}: {value}" for name, value in request.headers.items())
+    if request.body or request.method not in BODYLESS_METHODS:
+        lines.append(f"Content-Length: {len(request.body)}")
+    head = "\r\n".join(lines)
+    breaks = len(lines) - 1
+    if " " in request.target or not (
+        head.count("\r") == head.count("\n") == breaks
+    ):
+        raise ValueError("the target or a header would break the request")
+    return head.encode("latin-1") + b"\r\n\r\n" + request.body
+
+
+def find_idle_s(response: http.client.HTTPResponse) -> float:
+    """Returns how long a peer keeps an idle connection, less a margin."""
+    for option in response.headers.get("keep-alive", "").split(","):
+        name, _, value = option.strip().partition("=")
+        if name.lower() == "timeout" and value.isascii() and value.isdigit():
+            return min(MAX_IDLE_S, int(value) - IDLE_MARGIN_S)
+    return MAX_IDLE_S
--- a/src/lovagesaddle/node/attempts.py
+++ b/src/lovagesaddle/node/attempts.py
@@ -3,7 +3,6 @@
 import dataclasses
 import os
 import time
-from typing import Any
 
 from returns import result
 
@@ -21,11 +20,11 @@
 from lovagesaddle.node import hops
 from lovagesaddle.node import routing as routing_lib
 from lovagesaddle.node import suspects as suspects_lib
+from lovagesaddle.node import trails
 from lovagesaddle.observability import logs
 
 MS_PER_S = 1000
 MARK_BYTES = 4
-FIRST_FAILURE_STATUS = 500
 _log = logs.get_logger("call")
 
 
@@ -93,7 +92,7 @@
         self._routing = routing
         self._carrier = carrier
         self._suspects = suspects
-        self._trail: list[tuple[str, dict[str, Any]]] = []
+        self._trail = trails.Trail(passed.request_id, arrived_at)
         self._answers: dict[int, hop.RunAnswer] = {}
         self._ended: endings.Ended | None = None
         self._call = call_lib.Call(
@@ -132,29 +131,9 @@
                     pending.append(following)
         if self._ended is None:
             raise AssertionError("call ended without an answer")
-        self._log_trail(self._ended)
+        self._trail.write(self._ended, self._call.attempts)
         return self._ended
 
-    def _note(self, event: str, **keys: Any) -> None:
-        """Keeps a decision for the log until the end shows its weight."""
-        after_ms = int((time.monotonic() - self._arrived_at) * MS_PER_S)
-        self._trail.append((event, {**keys, "after_ms": after_ms}))
-
-    def _log_trail(self, ended: endings.Ended) -> None:
-        """Logs the decisions of the call, or leaves all of them out.
-
-        Of a call that failed or was sent again, each decision matters; of
-        others a sample does.
-        """
-        is_served = isinstance(ended, result.Success) and (
-            ended.unwrap().status < FIRST_FAILURE_STATUS
-        )
-        failed = not is_served or self._call.attempts > 1
-        if not logs.allows_request(failed=failed):
-            return
-        for event, keys in self._trail:
-            _log.info(event, request=self._passed.request_id, **keys)
-
     def _refuse_quarantined(self) -> endings.Ended:
         _log.info(
             "quarantined",
@@ -208,7 +187,7 @@
             needs_room=action.needs_room,
         )
         server = decision.server
-        self._note(
+        self._trail.note(
             "server_picked",
             service=decision.service,
             route=self._match.route.name,
@@ -245,7 +224,7 @@
                     retry_after_s=answer.retry_after_s,
                 )
             case result.Failure(error):
-                self._note(
+                self._trail.note(
                     "hop_failed",
                     step=error.step,
                     peer=error.peer,
@@ -304,7 +283,7 @@
         )
 
     def _fail(self, action: events.FailCaller) -> None:
-        self._note(
+        self._trail.note(
             "call_failed",
             status=action.status,
             reason=action.reason.value,
--- a/src/lovagesaddle/node/discovery.py
+++ b/src/lovagesaddle/node/discovery.py
@@ -6,6 +6,7 @@
 from lovagesaddle import ticker
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.http import sockets
+from lovagesaddle.node import beats as beats_lib
 from lovagesaddle.node import local_servers
 from lovagesaddle.observability import logs
 
@@ -23,7 +24,7 @@
     running. Only a healthy server that is not leaving answers with success.
 
     Args:
-      servers: Takes what is found.
+      beats: Takes what is found.
       service: Service of the server.
       address: `ip:port` where it answers HTTP.
       names: Names of the headers that it describes itself by.
@@ -34,14 +35,14 @@
     def __init__(
         self,
         *,
-        servers: local_servers.LocalServers,
+        beats: beats_lib.Beats,
         service: str,
         address: str,
         names: header_names.HeaderNames,
         find_health_path: Callable[[str], str],
     ) -> None:
         super().__init__(name="discovery", interval_s=ASK_S, work=self._look)
-        self._servers = servers
+        self._beats = beats
         self._service = service
         self._address = address
         self._names = names
@@ -49,13 +50,13 @@
         self._is_over = False
 
     def _look(self) -> None:
-        if self._is_over or not self._servers.lacks(self._service):
+        if self._is_over or not self._beats.lacks(self._service):
             self._is_over = True
             return
         path = self._find_health_path(self._service)
         found = self._ask(path) if path else None
         if found is not None:
-            self._is_over = self._servers.discover(found)
+            self._is_over = self._beats.discover(found)
 
     def _ask(self, path: str) -> local_servers.Announcement | None:
         host, port = sockets.parse_address(self._address)
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -20,6 +20,7 @@
 from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import attempts
+from lovagesaddle.node import beats as beats_lib
 from lovagesaddle.node import claimed_calls
 from lovagesaddle.node import claims as claims_lib
 from lovagesaddle.node import endings
@@ -48,6 +49,7 @@
       routing: Tables, balancer and retry policies.
       carrier: Takes attempts to owners.
       servers: Knows the tokens of local services.
+      beats: Knows which service runs on this VM.
       suspects: Knows requests that crash servers.
       claims: Claims Idempotency-Keys.
       guards: Watches deadlines and callers that hang up.
@@ -64,6 +66,7 @@
         routing: routing_lib.Routing,
         carrier: hops.Carrier,
         servers: local_servers.LocalServers,
+        beats: beats_lib.Beats,
         suspects: suspects_lib.Suspects,
         claims: claims_lib.Claims,
         guards: watchdog.Watchdog,
@@ -78,6 +81,7 @@
         self._routing = routing
         self._carrier = carrier
         self._servers = servers
+        self._beats = beats
         self._suspects = suspects
         self._claims = claims
         self._guards = guards
@@ -195,7 +199,7 @@
 
     def _describe_origin(self) -> headers_lib.Headers:
         """Returns the header that names the service of this VM."""
-        service = self._servers.vm_service or self._caller_service
+        service = self._beats.service or self._caller_service
         if not (service and self._names.caller_service):
             return ()
         return ((self._names.caller_service, service),)
--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -1,23 +1,21 @@
 """The backend servers that announced themselves to this node."""
 
+import contextlib
 import dataclasses
 import hmac
 import secrets
 import threading
 import time
+from typing import Any
 
 from lovagesaddle.core import errors
-from lovagesaddle.core.membership import sightings
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import ports
-from lovagesaddle.observability import logs
 
 TOKEN_PREFIX = "local-"
 TOKEN_BYTES = 24
 MS_PER_S = 1000
-FIRST_SEQUENCE = 1
-_log = logs.get_logger("local_servers")
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -69,11 +67,6 @@
         self._control: ports.ControlPort | None = None
         self._entries: dict[str, _Entry] = {}
         self._services_by_token: dict[str, str] = {}
-        # Beats are all of the one server that runs on this VM at a time.
-        self._order = sightings.SightingOrder()
-        self._unconfirmed = ""
-        self._left = ""
-        self._vm_service = ""
         self._lock = threading.RLock()
 
     def connect(self, control: ports.ControlPort) -> None:
@@ -96,79 +89,25 @@
             self._owner.revive(held.server.server_id)
             return held.token
 
-    def take_beat(
-        self, announcement: Announcement, sequence: int, *, is_leaving: bool
-    ) -> None:
-        """Takes a server's periodic word about itself.
+    def changing(self) -> contextlib.AbstractContextManager[Any]:
+        """Keeps other threads from changes while a context is open."""
+        return self._lock
 
-        A late word changes nothing. Once this returns, a server that is
-        leaving is handed no new work.
-
-        Args:
-          announcement: What the server says of itself.
-          sequence: Rises with every word of one life.
-          is_leaving: Whether it asks for no new work.
-        """
-        sighting = sightings.Sighting(
-            instance=announcement.instance,
-            born_ms=announcement.born_ms,
-            sequence=sequence,
-        )
-        with self._lock:
-            if not self._order.admit(sighting):
-                _log.info(
-                    "beat_passed_over",
-                    service=announcement.service,
-                    instance=announcement.instance,
-                    born_ms=announcement.born_ms,
-                    sequence=sequence,
-                )
-                return
-            self._vm_service = announcement.service
-            self._withdraw_others(announcement.service)
-            if is_leaving:
-                self._take_leaving(announcement)
-            else:
-                self._take_serving(announcement, sequence)
-
-    @property
-    def vm_service(self) -> str:
-        """Service that runs on this VM by its newest beat, or nothing."""
-        return self._vm_service
+    def find(self, service: str) -> Announcement | None:
+        """Returns the announcement of a service that holds, or None."""
+        entry = self._entries.get(service)
+        return None if entry is None else entry.announcement
 
-    def discover(self, announcement: Announcement) -> bool:
-        """Takes what a server's health endpoint said of it.
+    def confirm(self, announcement: Announcement) -> None:
+        """Takes a newer word of the life that is held.
 
-        Returns:
-          Whether a server of the service is known now, so that there is
-          nothing left to discover.
+        A server that drains goes on draining.
         """
         with self._lock:
-            service = announcement.service
-            if service not in self._entries:
-                if self._left == announcement.instance:
-                    return False
+            entry = self._find(announcement.service, "confirm")
+            entry.announcement = announcement
+            if entry.server.state is not snapshots.ServerState.DRAINING:
                 self.announce(announcement)
-            return True
-
-    def lacks(self, service: str) -> bool:
-        """Returns whether no server of a service is known."""
-        return service not in self._entries
-
-    def take_farewell(self, instance: str, born_ms: int) -> None:
-        """Takes a server's last word; it is handed no new work any more.
-
-        Args:
-          instance: Name that it gives itself.
-          born_ms: Start of its life; 0 when it did not say.
-        """
-        with self._lock:
-            self._left = instance
-            is_latest = self._order.end(instance, born_ms)
-            for service, held in tuple(self._entries.items()):
-                is_own = held.announcement.instance == instance
-                if is_own and (is_latest or _is_discovered(held, instance)):
-                    self.withdraw(service, "it said farewell")
 
     def drain(self, service: str) -> None:
         """Stops new work to a server; what runs is finished.
@@ -254,46 +193,6 @@
             else:
                 self._owner.revive(entry.server.server_id)
 
-    def _withdraw_others(self, service: str) -> None:
-        """Ends servers of other services, whose address is used again."""
-        for other in tuple(self._entries):
-            if other != service:
-                self.withdraw(other, f"service {service} runs here now")
-
-    def _take_leaving(self, announcement: Announcement) -> None:
-        service = announcement.service
-        self._left = announcement.instance
-        held = self._entries.get(service)
-        if held is None:
-            return
-        if _is_same_life(held, announcement):
-            self.drain(service)
-        else:
-            # The server that was here before has ended.
-            self.withdraw(service, f"{announcement.instance} took its place")
-
-    def _take_serving(self, announcement: Announcement, sequence: int) -> None:
-        service = announcement.service
-        held = self._entries.get(service)
-        if held is not None and _is_same_life(held, announcement):
-            held.announcement = announcement
-            if not _is_draining(held):
-                self.announce(announcement)
-            return
-        life = f"{announcement.instance}/{announcement.born_ms}"
-        if sequence > FIRST_SEQUENCE and self._unconfirmed != life:
-            # An earlier process of this node may have acknowledged that this
-            # server leaves, and this word may be older than that one.
-            self._unconfirmed = life
-            _log.info(
-                "server_unconfirmed",
-                service=service,
-                instance=announcement.instance,
-                sequence=sequence,
-            )
-            return
-        self.announce(announcement)
-
     def _holds(self, held: _Entry, announcement: Announcement) -> bool:
         serving = held.server.state is snapshots.ServerState.SERVING
         alive = not self._owner.is_dead(held.server.server_id)
@@ -345,23 +244,5 @@
         )
 
 
-def _is_same_life(held: _Entry, announcement: Announcement) -> bool:
-    """Returns whether a word is of the life that is held."""
-    known = held.announcement
-    if known.instance != announcement.instance:
-        return False
-    return known.born_ms in (0, announcement.born_ms)
-
-
-def _is_discovered(held: _Entry, instance: str) -> bool:
-    """Returns whether a server is known by its health endpoint only."""
-    known = held.announcement
-    return known.instance == instance and not known.born_ms
-
-
-def _is_draining(entry: _Entry) -> bool:
-    return entry.server.state is snapshots.ServerState.DRAINING
-
-
 def _create_token() -> str:
     return TOKEN_PREFIX + secrets.token_urlsafe(TOKEN_BYTES)
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -22,6 +22,7 @@
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import admin
 from lovagesaddle.node import application
+from lovagesaddle.node import beats as beats_lib
 from lovagesaddle.node import claims as claims_lib
 from lovagesaddle.node import control_half
 from lovagesaddle.node import discovery
@@ -80,6 +81,10 @@
       routing_options: Policies of the entry.
       owner_options: Policies of the owner.
       names: Names of the headers towards callers and backend servers.
+
+    Attributes:
+      beats: Takes the words of the backend server on this VM.
+      metrics: Of this process.
     """
 
     def __init__(
@@ -119,6 +124,7 @@
         self._servers = local_servers.LocalServers(
             node_id=settings.node_id, owner=self._owner
         )
+        self.beats = beats_lib.Beats(self._servers)
         self._control: ports.ControlPort | None = None
         self._claims = claims_lib.Claims(node_id=settings.node_id)
         self._guards = watchdog.Watchdog()
@@ -184,11 +190,6 @@
         self._stack.close()
         _log.info("node_stopped", node=self._settings.node_id)
 
-    @property
-    def servers(self) -> local_servers.LocalServers:
-        """The backend servers on this VM."""
-        return self._servers
-
     def knows_service(self, service: str) -> bool:
         """Returns whether a service is published, or is that of this VM."""
         own = self._settings.service
@@ -259,7 +260,7 @@
 
     def _make_discovery(self) -> discovery.Discovery:
         return discovery.Discovery(
-            servers=self._servers,
+            beats=self.beats,
             service=self._settings.service,
             address=self._settings.server_address,
             names=self._names,
@@ -277,6 +278,7 @@
             routing=self._routing,
             carrier=carrier,
             servers=self._servers,
+            beats=self.beats,
             suspects=self._suspects,
             claims=self._claims,
             guards=self._guards,
--- a/src/lovagesaddle/platform/endpoints.py
+++ b/src/lovagesaddle/platform/endpoints.py
@@ -112,7 +112,7 @@
                 peer=instance,
                 cause=f"service {service} is unknown",
             )
-        self._node.servers.take_beat(
+        self._node.beats.take_beat(
             beat.announcement, beat.sequence, is_leaving=beat.is_leaving
         )
         return gateway.Answer(status=200, headers=JSON_TYPE, body=b"{}")
@@ -120,7 +120,7 @@
     def _take_farewell(self, request: gateway.Incoming) -> gateway.Answer:
         instance = request.path.removeprefix(FAREWELL_PATH)
         born_ms = beats.parse_farewell(instance, request.read_body())
-        self._node.servers.take_farewell(instance, born_ms)
+        self._node.beats.take_farewell(instance, born_ms)
         return gateway.Answer(status=200, headers=JSON_TYPE, body=b"{}")
 
 
--- a/tests/test_local_servers.py
+++ b/tests/test_beats.py
@@ -44,55 +44,55 @@
     older word arrives now.
     """
     with _run_node() as (mesh, node):
-        node.servers.take_beat(BEAT, 40, is_leaving=False)
+        node.beats.take_beat(BEAT, 40, is_leaving=False)
         assert not _list_serving(mesh)
-        node.servers.take_beat(BEAT, 42, is_leaving=True)
-        node.servers.take_beat(BEAT, 41, is_leaving=False)
+        node.beats.take_beat(BEAT, 42, is_leaving=True)
+        node.beats.take_beat(BEAT, 41, is_leaving=False)
         assert not _list_serving(mesh)
 
 
 def test_second_rising_word_confirms_a_life() -> None:
     """A server that goes on saying that it serves is served."""
     with _run_node() as (mesh, node):
-        node.servers.take_beat(BEAT, 40, is_leaving=False)
-        node.servers.take_beat(BEAT, 41, is_leaving=False)
+        node.beats.take_beat(BEAT, 40, is_leaving=False)
+        node.beats.take_beat(BEAT, 41, is_leaving=False)
         assert _list_serving(mesh) == ["n0/orderdesk"]
 
 
 def test_first_word_of_a_life_is_taken_at_once() -> None:
     """Nothing can have come before it."""
     with _run_node() as (mesh, node):
-        node.servers.take_beat(BEAT, 1, is_leaving=False)
+        node.beats.take_beat(BEAT, 1, is_leaving=False)
         assert _list_serving(mesh) == ["n0/orderdesk"]
 
 
 def test_discovered_server_is_the_one_that_beats() -> None:
     """Its first word changes nothing, and its leaving is understood."""
     with _run_node() as (mesh, node):
-        assert node.servers.discover(FOUND)
+        assert node.beats.discover(FOUND)
         before = mesh.control.snapshot.servers
         assert before[0].is_warm
-        node.servers.take_beat(BEAT, 40, is_leaving=False)
+        node.beats.take_beat(BEAT, 40, is_leaving=False)
         assert mesh.control.snapshot.servers == before
-        node.servers.take_beat(BEAT, 41, is_leaving=True)
+        node.beats.take_beat(BEAT, 41, is_leaving=True)
         assert not _list_serving(mesh)
 
 
 def test_server_that_left_meanwhile_is_not_discovered() -> None:
     """An answer of the health endpoint may be older than the last word."""
     with _run_node() as (mesh, node):
-        node.servers.take_beat(BEAT, 40, is_leaving=True)
-        assert not node.servers.discover(FOUND)
+        node.beats.take_beat(BEAT, 40, is_leaving=True)
+        assert not node.beats.discover(FOUND)
         assert not _list_serving(mesh)
-        node.servers.take_farewell("i-1", 0)
-        assert not node.servers.discover(FOUND)
+        node.beats.take_farewell("i-1", 0)
+        assert not node.beats.discover(FOUND)
 
 
 def test_farewell_ends_a_discovered_server() -> None:
     """A server that never beat to this process may still say farewell."""
     with _run_node() as (mesh, node):
-        assert node.servers.discover(FOUND)
-        node.servers.take_farewell("i-1", BORN_MS)
+        assert node.beats.discover(FOUND)
+        node.beats.take_farewell("i-1", BORN_MS)
         assert not mesh.control.snapshot.servers
 
 
@@ -102,12 +102,12 @@
         BEAT, service="artwork", instance="i-2", born_ms=BORN_MS + 5000
     )
     with _run_node() as (mesh, node):
-        node.servers.take_beat(BEAT, 1, is_leaving=False)
-        node.servers.take_beat(other, 1, is_leaving=False)
+        node.beats.take_beat(BEAT, 1, is_leaving=False)
+        node.beats.take_beat(other, 1, is_leaving=False)
         assert _list_serving(mesh) == ["n0/artwork"]
-        assert node.servers.vm_service == "artwork"
-        node.servers.take_beat(BEAT, 2, is_leaving=False)
-        node.servers.take_farewell("i-1", BORN_MS)
+        assert node.beats.service == "artwork"
+        node.beats.take_beat(BEAT, 2, is_leaving=False)
+        node.beats.take_farewell("i-1", BORN_MS)
         assert _list_serving(mesh) == ["n0/artwork"]
 
 
