Keep introductions of replicas in a module of their own

Change: introductions.py remembers newcomers, answers them and notices an own removal. No behaviour changes. Seen: tests of founding, repair and the program pass.

--- a/src/lovagesaddle/control/consensus.py
+++ b/src/lovagesaddle/control/consensus.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from lovagesaddle.control import introductions as introductions_lib
 from lovagesaddle.control import links as links_lib
 from lovagesaddle.control import machine as machine_lib
 from lovagesaddle.control import ports
@@ -18,16 +19,6 @@
 
 IMAGE_ENTRIES = 2_000
 IMAGE_BYTES = 32 * 1024 * 1024
-INTRODUCTION_LIFE_S = 5.0
-# Without a leader for this long, a replica asks whether it was removed.
-ALONE_S = 1.0
-
-
-class RemovedError(errors.ConsensusError):
-    """Raised in a replica that is no member any more.
-
-    Its log counts for nothing; it may return with an empty data folder.
-    """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,12 +27,6 @@
     on_refused: Callable[[str], None]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Seen:
-    member: entries_lib.Member
-    at: float
-
-
 class Consensus(ports.ReplicaPort):
     """Carries out the replica's actions; belongs to the replica's thread.
 
@@ -76,14 +61,14 @@
         self._waiting: dict[int, _Waiting] = {}
         self._batch: list[events.Proposal] = []
         self._last_proposal = 0
-        self._seen: dict[str, _Seen] = {}
+        self._introductions = introductions_lib.Introductions(
+            cluster_id=cluster_id, own=own, replica=replica, links=links
+        )
         self._stamp = ports.LeaderStamp(term=0, counter=0)
         self._stamp_at = 0.0
         self._now = 0.0
         self._connected = entries_lib.Members()
         self._is_founding_proposed = False
-        self._is_removed = False
-        self._alone_since = 0.0
 
     @property
     def replica(self) -> replica_lib.Replica:
@@ -147,10 +132,7 @@
 
     def find_newcomer(self, replica_id: str) -> entries_lib.Member | None:
         """Returns a replica that lately introduced itself with no log."""
-        seen = self._seen.get(replica_id)
-        if seen is None or self._now - seen.at > INTRODUCTION_LIFE_S:
-            return None
-        return seen.member
+        return self._introductions.find_newcomer(replica_id, self._now)
 
     def receive(self, received: endpoint_lib.Received, now: float) -> None:
         """Handles one message of the consensus channel."""
@@ -166,11 +148,7 @@
 
     def list_newcomers(self) -> tuple[entries_lib.Member, ...]:
         """Returns the replicas that lately introduced themselves, by name."""
-        return tuple(
-            seen.member
-            for _, seen in sorted(self._seen.items())
-            if self._now - seen.at <= INTRODUCTION_LIFE_S
-        )
+        return self._introductions.list_newcomers(self._now)
 
     def tick(self, now: float) -> None:
         """Lets time pass.
@@ -178,24 +156,14 @@
         Raises:
           RemovedError: The other replicas went on without this one.
         """
-        if self._is_removed:
-            raise RemovedError(
-                step="follow the log",
-                peer="leader",
-                cause="this replica is no member any more",
-            )
         self._now = now
+        self._introductions.tick(now)
         if not self._stamp_at:
             # Without any stamp yet, its age counts from the start.
             self._stamp_at = now
-            self._alone_since = now
         self._step(events.Tick())
         if self._replica.last_index == 0:
             self._step_founding(founding_lib.Tick())
-        elif not self._replica.leader:
-            self._ask_around()
-        else:
-            self._alone_since = now
         self._propose_founding()
         self._take_image_if_due()
 
@@ -282,60 +250,11 @@
     def _take_introduction(
         self, introduction: founding_lib.Introduction, route: bytes
     ) -> None:
-        member = introduction.member
-        if introduction.has_log:
-            self._learn(introduction)
-        if not introduction.has_log and not introduction.is_founding:
-            self._seen[member.replica_id] = _Seen(member, self._now)
+        self._introductions.take(introduction, route, self._now)
         if self._replica.last_index == 0:
             self._step_founding(
                 founding_lib.Introduced(introduction=introduction)
             )
-        elif route:
-            self._links.answer(route, self._introduce_to(member))
-
-    def _ask_around(self) -> None:
-        """Asks the other replicas whether this one still belongs to them."""
-        if self._now - self._alone_since < ALONE_S:
-            return
-        self._alone_since = self._now
-        self._links.introduce_to_all(
-            founding_lib.Introduction(
-                cluster_id=self._cluster_id,
-                member=self._own,
-                is_founding=False,
-                has_log=True,
-                is_question=True,
-                term=self._replica.term,
-            )
-        )
-
-    def _learn(self, introduction: founding_lib.Introduction) -> None:
-        """Takes what a replica with a log says of the members."""
-        self._links.add_contacts(introduction.members)
-        # A leader that was deposed unawares may lack a member that joined
-        # since, but its term is then lower than that member's.
-        self._is_removed |= (
-            introduction.is_settled
-            and not introduction.knows_receiver
-            and introduction.term >= self._replica.term
-            and self._replica.last_index > 0
-        )
-
-    def _introduce_to(
-        self, member: entries_lib.Member
-    ) -> founding_lib.Introduction:
-        members = self._replica.members
-        return founding_lib.Introduction(
-            cluster_id=self._cluster_id,
-            member=self._own,
-            is_founding=False,
-            has_log=True,
-            knows_receiver=members.find(member.member_id) is not None,
-            term=self._replica.term,
-            is_settled=self._replica.has_settled_members,
-            members=members.members,
-        )
 
     def _step_founding(self, event: founding_lib.Event) -> None:
         for action in self._founding.step(event, self._now):
--- a/src/lovagesaddle/control/main.py
+++ b/src/lovagesaddle/control/main.py
@@ -11,7 +11,7 @@
 import typer
 import zmq
 
-from lovagesaddle.control import consensus
+from lovagesaddle.control import introductions
 from lovagesaddle.control import program as program_lib
 from lovagesaddle.control import verification
 from lovagesaddle.core import errors
@@ -89,7 +89,7 @@
             signal.signal(number, lambda *_: program.stop())
         try:
             program.run()
-        except consensus.RemovedError as error:
+        except introductions.RemovedError as error:
             logs.get_logger("control").warning(
                 "replica_removed",
                 replica=settings.replica_id,
