Keep one WSGI application class

Cause: three applications read a request, answered it and caught errors in the same lines. Change: http/applications.py, which they extend.

--- /dev/null
+++ b/src/lovagesaddle/http/applications.py
@@ -0,0 +1,33 @@
+"""What a WSGI application is here: one answer to each whole request."""
+
+import abc
+
+from lovagesaddle.core.model import outcomes
+from lovagesaddle.http import gateway
+from lovagesaddle.observability import logs
+
+_log = logs.get_logger("http")
+
+
+class Application(abc.ABC):
+    """Answers whole requests; waitress calls it on a lane's thread."""
+
+    def __call__(
+        self,
+        environ: gateway.Environ,
+        start_response: gateway.StartResponse,
+    ) -> list[bytes]:
+        """Answers one request, with 500 where the answer could not be made."""
+        request = gateway.read_request(environ)
+        try:
+            answer = self.answer(request)
+        except Exception as error:
+            _log.error("answer_failed", path=request.path, cause=repr(error))
+            answer = gateway.make_failure(
+                500, "internal-error", outcomes.RequestOutcome.UNKNOWN
+            )
+        return gateway.write_answer(answer, request.method, start_response)
+
+    @abc.abstractmethod
+    def answer(self, request: gateway.Incoming) -> gateway.Answer:
+        """Returns the answer to a request."""
--- a/src/lovagesaddle/node/admin.py
+++ b/src/lovagesaddle/node/admin.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from lovagesaddle.http import applications
 from lovagesaddle.http import gateway
 from lovagesaddle.http import lanes
 from lovagesaddle.node import local_servers
@@ -55,7 +56,7 @@
 Handler = Callable[[gateway.Incoming], gateway.Answer]
 
 
-class AdminApplication:
+class AdminApplication(applications.Application):
     """Answers the local backend server and the platform.
 
     Args:
@@ -81,17 +82,8 @@
             "/metrics": {"GET": self._show_metrics},
         }
 
-    def __call__(
-        self,
-        environ: gateway.Environ,
-        start_response: gateway.StartResponse,
-    ) -> list[bytes]:
-        """Answers one request."""
-        request = gateway.read_request(environ)
-        answer = self._answer(request)
-        return gateway.write_answer(answer, request.method, start_response)
-
-    def _answer(self, request: gateway.Incoming) -> gateway.Answer:
+    def answer(self, request: gateway.Incoming) -> gateway.Answer:
+        """Returns the answer to the local VM."""
         methods = self._handlers.get(request.path)
         if methods is None:
             known = ", ".join(self._handlers)
--- a/src/lovagesaddle/node/application.py
+++ b/src/lovagesaddle/node/application.py
@@ -5,6 +5,7 @@
 
 from lovagesaddle.core import errors
 from lovagesaddle.core.model import outcomes
+from lovagesaddle.http import applications
 from lovagesaddle.http import gateway
 from lovagesaddle.http import hop
 from lovagesaddle.http import lanes
@@ -28,7 +29,7 @@
     NODES = "nodes"
 
 
-class Application:
+class Application(applications.Application):
     """Tells hops of other nodes from callers and answers both.
 
     Args:
@@ -54,23 +55,8 @@
         self._seal = seal
         self._guards = guards
 
-    def __call__(
-        self,
-        environ: gateway.Environ,
-        start_response: gateway.StartResponse,
-    ) -> list[bytes]:
-        """Answers one request; waitress calls it on a lane's thread."""
-        request = gateway.read_request(environ)
-        try:
-            answer = self._answer(request)
-        except Exception as error:
-            _log.error("answer_failed", path=request.path, cause=repr(error))
-            answer = gateway.make_failure(
-                500, "internal-error", outcomes.RequestOutcome.UNKNOWN
-            )
-        return gateway.write_answer(answer, request.method, start_response)
-
-    def _answer(self, request: gateway.Incoming) -> gateway.Answer:
+    def answer(self, request: gateway.Incoming) -> gateway.Answer:
+        """Returns the answer to a caller or to another node."""
         is_hop = request.path == hop.RUN_PATH
         if is_hop and self._side is not Side.CALLERS:
             return self._run(request)
--- a/src/lovagesaddle/platform/endpoints.py
+++ b/src/lovagesaddle/platform/endpoints.py
@@ -1,6 +1,5 @@
 """WSGI applications for the calls that the platform makes."""
 
-import abc
 from collections.abc import Callable
 import contextlib
 from typing import Any
@@ -10,6 +9,7 @@
 from lovagesaddle.control import forwarder as forwarder_lib
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import operator_messages
+from lovagesaddle.http import applications
 from lovagesaddle.http import gateway
 from lovagesaddle.http import lanes
 from lovagesaddle.http import server as server_lib
@@ -39,29 +39,7 @@
 _log = logs.get_logger("platform")
 
 
-class Endpoint(abc.ABC):
-    """A WSGI application of a few calls."""
-
-    def __call__(
-        self,
-        environ: gateway.Environ,
-        start_response: gateway.StartResponse,
-    ) -> list[bytes]:
-        """Answers one request."""
-        request = gateway.read_request(environ)
-        try:
-            answer = self.answer(request)
-        except Exception as error:
-            _log.error("call_failed", path=request.path, cause=repr(error))
-            answer = _explain(500, "internal error")
-        return gateway.write_answer(answer, request.method, start_response)
-
-    @abc.abstractmethod
-    def answer(self, request: gateway.Incoming) -> gateway.Answer:
-        """Returns the answer to a request."""
-
-
-class Readiness(Endpoint):
+class Readiness(applications.Application):
     """Says whether callers should come to this node.
 
     Args:
@@ -80,7 +58,7 @@
         return gateway.Answer(status=200)
 
 
-class Announcements(Endpoint):
+class Announcements(applications.Application):
     """Takes the words of the backend server on this VM.
 
     Args:
@@ -124,7 +102,7 @@
         return gateway.Answer(status=200, headers=JSON_TYPE, body=b"{}")
 
 
-class Configuration(Endpoint):
+class Configuration(applications.Application):
     """Publishes documents and reads the newest one back.
 
     Args:
@@ -172,7 +150,7 @@
         raise AssertionError("unreachable")
 
 
-class Metrics(Endpoint):
+class Metrics(applications.Application):
     """Shows the counters of a process.
 
     Args:
@@ -193,7 +171,10 @@
 
 
 def open_endpoint(
-    endpoint: Endpoint, address: str, *, max_body_bytes: int = MAX_BEAT_BYTES
+    endpoint: applications.Application,
+    address: str,
+    *,
+    max_body_bytes: int = MAX_BEAT_BYTES,
 ) -> contextlib.AbstractContextManager[server_lib.HttpServer]:
     """Returns the server of an endpoint; it listens while it is open."""
     return server_lib.HttpServer(
