--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -129,19 +129,7 @@
         self._claims = claims_lib.Claims(node_id=settings.node_id)
         self._guards = watchdog.Watchdog()
         self._limits: services.CallerLimits | None = None
-        seal = hop.Seal(_read_secret(settings))
-        entry = self._make_entry(seal)
-        apart = bool(settings.hop_address)
-        side = application.Side.CALLERS if apart else application.Side.ALL
-        self._http = self._listen(
-            settings.http_address, self._make_application(entry, seal, side)
-        )
-        self._hops = self._http
-        if apart:
-            side = application.Side.NODES
-            self._hops = self._listen(
-                settings.hop_address, self._make_application(entry, seal, side)
-            )
+        self._http, self._hops = self._open_listeners()
         self._admin = self._listen_admin()
 
     def __enter__(self) -> Self:
@@ -288,6 +276,26 @@
             claims_keys=self._settings.claims,
         )
 
+    def _open_listeners(
+        self,
+    ) -> tuple[server_lib.HttpServer, server_lib.HttpServer]:
+        """Returns the servers for callers and for nodes, which may be one."""
+        settings = self._settings
+        seal = hop.Seal(_read_secret(settings))
+        entry = self._make_entry(seal)
+        if not settings.hop_address:
+            everybody = self._make_application(
+                entry, seal, application.Side.ALL
+            )
+            listener = self._listen(settings.http_address, everybody)
+            return listener, listener
+        callers = self._make_application(entry, seal, application.Side.CALLERS)
+        nodes = self._make_application(entry, seal, application.Side.NODES)
+        return (
+            self._listen(settings.http_address, callers),
+            self._listen(settings.hop_address, nodes),
+        )
+
     def _make_application(
         self, entry: entry_lib.Entry, seal: hop.Seal, side: application.Side
     ) -> application.Application:
