--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -31,8 +31,6 @@
 MAX_IDLE_S = 20.0
 # One earlier request is answered twice at most, and one may be late.
 MAX_LATE_ANSWERS = 2
-# A peer states whole seconds, counted from when it wrote its answer.
-IDLE_MARGIN_S = 1.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 Request = requests.Request
 
