--- /dev/null
+++ b/src/lovagesaddle/platform/node_main.py
@@ -0,0 +1,52 @@
+"""lovagesaddle-node as the platform starts it.
+
+Each program has a module of its own, so that neither imports the other: a
+restart is as short as its imports.
+"""
+
+from collections.abc import Iterator
+import contextlib
+
+import typer
+
+from lovagesaddle.node import main as node_main
+from lovagesaddle.node import program as node_lib
+from lovagesaddle.platform import endpoints
+from lovagesaddle.platform import names
+from lovagesaddle.platform import node_endpoints
+from lovagesaddle.platform import settings as settings_lib
+from lovagesaddle.platform import startup
+from lovagesaddle.settings import loader
+
+
+def node(settings_file: startup.SettingsFile) -> None:
+    """Runs a node beside a backend server, with the settings in FILE."""
+    settings = startup.take_settings(
+        loader.load_node(settings_file, foreign=startup.FOREIGN)
+    )
+    addresses = startup.take_settings(
+        settings_lib.load_section(settings_file, settings_lib.NodeAddresses)
+    )
+
+    @contextlib.contextmanager
+    def attach(running: node_lib.NodeProgram) -> Iterator[None]:
+        readiness = node_endpoints.Readiness(lambda: running.is_ready)
+        beats = node_endpoints.Announcements(running)
+        with (
+            endpoints.open_endpoint(readiness, addresses.ready_address),
+            endpoints.open_endpoint(beats, addresses.beat_address),
+        ):
+            yield
+
+    raise typer.Exit(
+        node_main.serve(settings, names=names.HEADERS, attach=attach)
+    )
+
+
+def main() -> None:
+    """Entry point of the program."""
+    startup.run_program(node)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/lovagesaddle/platform/startup.py
@@ -0,0 +1,39 @@
+"""How both programs start on the platform."""
+
+from collections.abc import Callable
+import pathlib
+import signal
+from typing import Annotated, TypeVar
+
+from returns import result
+import typer
+
+from lovagesaddle.observability import logs
+from lovagesaddle.platform import settings as settings_lib
+from lovagesaddle.settings import loader
+
+EXIT_SETTINGS = 2
+FOREIGN = (settings_lib.SECTION,)
+T = TypeVar("T")
+SettingsFile = Annotated[pathlib.Path, typer.Argument(metavar="FILE")]
+_log = logs.get_logger("platform")
+
+
+def take_settings(loaded: result.Result[T, loader.Problems]) -> T:
+    """Returns loaded settings; prints every mistake in them and exits.
+
+    Raises:
+      typer.Exit: The settings are wrong.
+    """
+    if isinstance(loaded, result.Success):
+        value: T = loaded.unwrap()
+        return value
+    typer.echo(loader.list_lines(loaded.failure()), err=True)
+    raise typer.Exit(EXIT_SETTINGS)
+
+
+def run_program(command: Callable[[pathlib.Path], None]) -> None:
+    """Runs a program with the settings file that its command line names."""
+    # The default action would end the process when its settings change.
+    signal.signal(signal.SIGHUP, lambda *_: _log.info("settings_changed"))
+    typer.run(command)
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -21,7 +21,7 @@
 from tests import nodes
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-PROGRAM = "lovagesaddle.platform.main"
+PROGRAMS = "lovagesaddle.platform"
 HOST = "desk.example"
 SERVICE = "desk"
 REQUEST_ID = "Lovagesaddle-Request-Id"
@@ -195,7 +195,7 @@
             text.replace("file = -", f"file = {log}"), encoding="utf-8"
         )
         self.programs[ip] = self._stack.enter_context(
-            processes.Process(PROGRAM, role, str(settings), log=log)
+            processes.Process(f"{PROGRAMS}.{role}_main", str(settings), log=log)
         )
 
     def open_server(self, ip: str, instance: str) -> BackendServer:
