--- a/src/lovagesaddle/core/membership/registry.py
+++ b/src/lovagesaddle/core/membership/registry.py
@@ -7,8 +7,13 @@
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import snapshots
 
+# Lets requests that arrive together share an entry.
 FIRST_BATCH_S = 0.05
+# Each entry costs every node a delta, so they are few in the long run.
 BATCH_S = 0.3
+# A restarted node needs an entry for its join and one for its server, and
+# nodes that come back together do not all ask at the same moment.
+BURST_BATCHES = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -51,7 +56,8 @@
     def __init__(self) -> None:
         self._snapshot: snapshots.Snapshot | None = None
         self._ticket = 0
-        self._flushed_at = float("-inf")
+        self._credit = float(BURST_BATCHES)
+        self._credited_at = 0.0
         self.reset()
 
     def reset(self) -> None:
@@ -112,7 +118,8 @@
         if self._flush_at is None or now < self._flush_at:
             return None
         self._flush_at = None
-        self._flushed_at = now
+        self._add_credit(now)
+        self._credit -= 1
         self._prune(self._snapshot)
         self._in_flight = self._make_batch(self._snapshot)
         return self._in_flight
@@ -155,9 +162,15 @@
 
     def _schedule(self, now: float) -> None:
         if self._flush_at is None:
-            self._flush_at = max(
-                now + FIRST_BATCH_S, self._flushed_at + BATCH_S
-            )
+            self._add_credit(now)
+            wait_s = max(0.0, 1 - self._credit) * BATCH_S
+            self._flush_at = now + max(FIRST_BATCH_S, wait_s)
+
+    def _add_credit(self, now: float) -> None:
+        """Adds what was earned since the last time: one entry each BATCH_S."""
+        earned = max(0.0, now - self._credited_at) / BATCH_S
+        self._credit = min(float(BURST_BATCHES), self._credit + earned)
+        self._credited_at = now
 
     def _assign_incarnation(self, node_id: str) -> int:
         assert self._snapshot is not None
--- a/src/lovagesaddle/node/discovery.py
+++ b/src/lovagesaddle/node/discovery.py
@@ -30,6 +30,7 @@
       names: Names of the headers that it describes itself by.
       find_health_path: Returns the path of its health endpoint; empty while
         it is unknown.
+      ask_s: Time between two questions, in seconds.
     """
 
     def __init__(
@@ -40,23 +41,23 @@
         address: str,
         names: header_names.HeaderNames,
         find_health_path: Callable[[str], str],
+        ask_s: float = ASK_S,
     ) -> None:
-        super().__init__(name="discovery", interval_s=ASK_S, work=self._look)
+        super().__init__(name="discovery", interval_s=ask_s, work=self._look)
         self._beats = beats
         self._service = service
         self._address = address
         self._names = names
         self._find_health_path = find_health_path
-        self._is_over = False
 
     def _look(self) -> None:
-        if self._is_over or not self._beats.lacks(self._service):
-            self._is_over = True
+        if not self._beats.lacks(self._service):
+            self.finish()
             return
         path = self._find_health_path(self._service)
         found = self._ask(path) if path else None
-        if found is not None:
-            self._is_over = self._beats.discover(found)
+        if found is not None and self._beats.discover(found):
+            self.finish()
 
     def _ask(self, path: str) -> local_servers.Announcement | None:
         host, port = sockets.parse_address(self._address)
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -126,6 +126,7 @@
         )
         self.beats = beats_lib.Beats(self._servers)
         self._control: ports.ControlPort | None = None
+        self._discovery: discovery.Discovery | None = None
         self._claims = claims_lib.Claims(node_id=settings.node_id)
         self._guards = watchdog.Watchdog()
         self._limits: services.CallerLimits | None = None
@@ -156,7 +157,7 @@
                 kind="counter",
             )
             if self._settings.service and self._settings.server_address:
-                stack.enter_context(self._make_discovery())
+                self._discovery = stack.enter_context(self._make_discovery())
             if self._settings.probe:
                 stack.enter_context(probes.Prober(self._servers))
             self._stack = stack.pop_all()
@@ -207,6 +208,9 @@
             self._http.set_limits(limits)
         self._claims.install(stamped.snapshot, joined=joined)
         self._routing.install(stamped, joined=joined)
+        if self._discovery is not None:
+            # The health path may be known only now.
+            self._discovery.wake()
 
     def take_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
         """Takes crash marks of other nodes."""
--- a/src/lovagesaddle/ticker.py
+++ b/src/lovagesaddle/ticker.py
@@ -22,7 +22,8 @@
     ) -> None:
         self._interval_s = interval_s
         self._work = work
-        self._stopped = threading.Event()
+        self._is_stopped = False
+        self._roused = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name=name, daemon=True
         )
@@ -37,9 +38,22 @@
         error: BaseException | None,
         trace: types.TracebackType | None,
     ) -> None:
-        self._stopped.set()
+        self.finish()
         self._thread.join()
 
+    def wake(self) -> None:
+        """Has the next call made at once."""
+        self._roused.set()
+
+    def finish(self) -> None:
+        """Makes no further call; may be used by the work itself."""
+        self._is_stopped = True
+        self._roused.set()
+
     def _run(self) -> None:
-        while not self._stopped.wait(self._interval_s):
+        while True:
+            self._roused.wait(self._interval_s)
+            self._roused.clear()
+            if self._is_stopped:
+                return
             self._work()
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -27,6 +27,16 @@
     def flush(self) -> tuple[messages.JoinAccepted, ...]:
         """Lets a second pass and returns the joins that were answered."""
         self.now += 1
+        return self.flush_now()
+
+    def apply_due(self) -> bool:
+        """Returns whether an entry was due; it is applied."""
+        before = self.snapshot.version
+        self.flush_now()
+        return self.snapshot.version > before
+
+    def flush_now(self) -> tuple[messages.JoinAccepted, ...]:
+        """Applies the entry that is due; returns the joins it answers."""
         batch = self.registry.flush(self.now)
         if batch is None:
             return ()
@@ -141,4 +151,39 @@
     assert len(log.join(b"1")) == 1
 
 
+def test_herd_that_returns_is_taken_in_a_few_quick_entries() -> None:
+    """After a pause, entries follow one another without the usual wait."""
+    log = Log()
+    joined_at: list[float] = []
+    for number in range(registry_lib.BURST_BATCHES):
+        node = mesh.make_node(f"n{number}")
+        log.registry.hear_join(messages.Join(node=node, life=b"1"), log.now)
+        log.now += registry_lib.FIRST_BATCH_S
+        assert log.flush_now(), f"entry {number} is late"
+        joined_at.append(log.now)
+    assert joined_at[-1] < registry_lib.BATCH_S
+
+
+def test_steady_changes_cost_few_entries() -> None:
+    """A node that changes all the time causes one entry each `BATCH_S`."""
+    log = Log()
+    log.join(b"1")
+    entries = 0
+    ticks = 200
+    for sequence in range(ticks):
+        server = mesh.make_server("n1", incarnation=sequence + 1)
+        report = messages.ServerReport(
+            node_id="n1",
+            incarnation=1,
+            sequence=sequence + 1,
+            servers=(server,),
+        )
+        log.registry.hear_report(report, log.now)
+        log.now += registry_lib.FIRST_BATCH_S
+        entries += log.apply_due()
+    spent_s = ticks * registry_lib.FIRST_BATCH_S
+    allowed = registry_lib.BURST_BATCHES + spent_s / registry_lib.BATCH_S
+    assert 0 < entries <= allowed + 1
+
+
 load_tests = fixtures.collect(__name__)
--- a/tests/test_ticker.py
+++ b/tests/test_ticker.py
@@ -19,4 +19,31 @@
     assert "t" not in {thread.name for thread in threading.enumerate()}
 
 
+def test_woken_work_runs_before_its_interval_is_over() -> None:
+    """Who learned something new need not wait for the next turn."""
+    done = threading.Semaphore(0)
+    work = ticker.Ticker(name="t", interval_s=3600, work=done.release)
+    with work:
+        for _ in range(2):
+            work.wake()
+            assert done.acquire(timeout=WAIT_S)
+
+
+def test_work_may_end_itself() -> None:
+    """Work that has nothing left to do is called no more."""
+    calls: list[int] = []
+    ended = threading.Event()
+
+    def work() -> None:
+        calls.append(len(calls))
+        repeated.finish()
+        ended.set()
+
+    repeated = ticker.Ticker(name="t", interval_s=0.001, work=work)
+    with repeated:
+        assert ended.wait(WAIT_S)
+        repeated.wake()
+    assert calls == [0]
+
+
 load_tests = fixtures.collect(__name__)
