Try a lost link again within 0.3 s

Change: the pause between attempts is capped at 200 ms, below the time in which a node asks its next replica.

--- a/src/lovagesaddle/transport/options.py
+++ b/src/lovagesaddle/transport/options.py
@@ -4,7 +4,9 @@
 
 LINGER_MS = 0
 RECONNECT_FIRST_MS = 100
-RECONNECT_CAP_MS = 1000
+# Below the time in which a node asks its next replica: what was sent to one
+# that restarts arrives when it is back, and not at a much later attempt.
+RECONNECT_CAP_MS = 200
 # A connection may fall silent for good while new ones work. It is given up
 # within three seconds, in which a VM counts as out of touch.
 HEARTBEAT_MS = 1000
--- a/tests/test_endpoint.py
+++ b/tests/test_endpoint.py
@@ -4,7 +4,9 @@
 
 import zmq
 
+from lovagesaddle.core.distribution import joining
 from lovagesaddle.transport import endpoint
+from lovagesaddle.transport import options
 from tests import fixtures
 
 ANY_PORT = "tcp://127.0.0.1:*"
@@ -35,6 +37,14 @@
         assert server.traffic_bytes == client.traffic_bytes
 
 
+def test_lost_link_is_tried_again_before_the_next_replica_is_asked() -> None:
+    """A replica that restarts gets what was sent to it as soon as it is up."""
+    with zmq.Context() as context, context.socket(zmq.DEALER) as link:
+        options.limit(link)
+        cap_s = int(link.getsockopt(zmq.RECONNECT_IVL_MAX)) / 1000
+    assert 0 < cap_s < joining.FIRST_RETRY_S
+
+
 def test_wake_ends_a_wait() -> None:
     """A wake from another thread makes receive return with nothing."""
     with (
