Serve kinds of an overloaded service in shares

Change: queues.ShareOrder. A kind whose served share falls too far behind that of the ranks before it goes first, kinds of one rank are served alike; without refusals the order is that of ranks and targets, as before. The test replays calls, lookups, uploads and bulk work at one and a half times the slots.

Ruled out: strict ranks below a call's parent. A node doesn't learn which request a call belongs to.

--- a/src/lovagesaddle/core/routing/admission.py
+++ b/src/lovagesaddle/core/routing/admission.py
@@ -13,6 +13,7 @@
 from lovagesaddle.core.routing import queues
 from lovagesaddle.core.routing import run_times
 from lovagesaddle.core.routing import running as running_lib
+from lovagesaddle.core.routing import served_shares
 
 QUEUE_SHARE = 1.0
 MIN_RETRY_AFTER_S = 0.05
@@ -161,7 +162,8 @@
         queue_share: float = QUEUE_SHARE,
     ) -> None:
         self._limit = limit
-        self._queue = queues.Queue(order)
+        self._shares = served_shares.ServedShares()
+        self._queue = queues.Queue(order, self._shares)
         self._queue_share = queue_share
         self._running = running_lib.Running()
         self._arrivals = 0
@@ -242,6 +244,7 @@
         room = max(0, free) + int(self._limit.limit * self._queue_share)
         if len(self._queue) > room:
             last = self._queue.take_last(self._times, now)
+            self._shares.note_refused(last.kind, now)
             actions.append(self._refuse(last, RefusalReason.QUEUE_FULL))
 
     def _judge(self, event: Arrived) -> RefusalReason | None:
@@ -275,6 +278,7 @@
             if first is None:
                 break
             self._running.start(first, now)
+            self._shares.note_served(first.kind, now)
             actions.append(
                 Admitted(
                     request_id=first.request_id,
@@ -294,6 +298,8 @@
         times = self._times if contended else run_times.RunTimes()
         turns = self._running.list_turns(times, now) if full else ()
         hopeless = self._queue.take_hopeless(times, now, turns)
+        for waiting in hopeless:
+            self._shares.note_refused(waiting.kind, now)
         actions += self._refuse_all(hopeless, RefusalReason.DEADLINE)
 
     def _refuse_all(
--- a/src/lovagesaddle/core/routing/queues.py
+++ b/src/lovagesaddle/core/routing/queues.py
@@ -5,6 +5,14 @@
 import dataclasses
 
 from lovagesaddle.core.routing import run_times
+from lovagesaddle.core.routing import served_shares
+
+# Served share of a rank beside that of the rank in front of it, below which it
+# goes first. What is refused of an urgent rank costs callers more, but a rank
+# that gets nothing has callers too.
+RANK_SHARE = 0.7
+# Shares nearer to one another than this count as equal.
+SHARE_STEP = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -36,16 +44,31 @@
 SortKey = tuple[float, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KindOutlook:
+    """What the owner has learned of a kind of request.
+
+    Attributes:
+      run_s: Expected time of a run, in seconds.
+      served_share: Share of its requests that got a slot of late.
+    """
+
+    run_s: float
+    served_share: float = 1.0
+
+
 class QueueOrder(abc.ABC):
     """Decides who is served next and who gives way in a full queue."""
 
     @abc.abstractmethod
-    def rank(self, waiting: Waiting, run_s: float, now: float) -> SortKey:
+    def rank(
+        self, waiting: Waiting, outlook: KindOutlook, now: float
+    ) -> SortKey:
         """Returns the sort key; the least is served first.
 
         Args:
           waiting: The request.
-          run_s: Expected time of its run, in seconds.
+          outlook: Of its kind.
           now: Monotonic time in seconds.
         """
 
@@ -63,9 +86,11 @@
 class ArrivalOrder(QueueOrder):
     """First in, first out; nothing is given up before its turn."""
 
-    def rank(self, waiting: Waiting, run_s: float, now: float) -> SortKey:
+    def rank(
+        self, waiting: Waiting, outlook: KindOutlook, now: float
+    ) -> SortKey:
         """Returns the order of arrival."""
-        del run_s, now
+        del outlook, now
         return (waiting.number,)
 
     def is_hopeless(self, waiting: Waiting, run_s: float, now: float) -> bool:
@@ -77,9 +102,11 @@
 class DeadlineOrder(QueueOrder):
     """Urgent first, then the nearest deadline that can still be met."""
 
-    def rank(self, waiting: Waiting, run_s: float, now: float) -> SortKey:
+    def rank(
+        self, waiting: Waiting, outlook: KindOutlook, now: float
+    ) -> SortKey:
         """Returns priority, deadline, arrival."""
-        del run_s, now
+        del outlook, now
         return waiting.priority, waiting.deadline, waiting.number
 
     def is_hopeless(self, waiting: Waiting, run_s: float, now: float) -> bool:
@@ -96,12 +123,35 @@
     still can, and is served while a slot is left over.
     """
 
-    def rank(self, waiting: Waiting, run_s: float, now: float) -> SortKey:
+    def rank(
+        self, waiting: Waiting, outlook: KindOutlook, now: float
+    ) -> SortKey:
         """Returns lateness, priority, target, arrival."""
-        is_late = now + run_s > waiting.target
+        is_late = now + outlook.run_s > waiting.target
         return is_late, waiting.priority, waiting.target, waiting.number
 
 
+class ShareOrder(TargetOrder):
+    """In-time requests first, by rank as long as no kind is starved.
+
+    It answers the overload of a service that several kinds of callers share:
+    many calls of an urgent rank, as those that servers make for requests in
+    progress, beside clients' requests of the next rank. By rank alone the
+    latter get what is left over, which may be nothing. Here a kind whose
+    served share falls too far behind that of the ranks before it goes first,
+    and kinds of one rank are served in like shares.
+    """
+
+    def rank(
+        self, waiting: Waiting, outlook: KindOutlook, now: float
+    ) -> SortKey:
+        """Returns lateness, level of the share, priority, target, arrival."""
+        is_late, *rest = super().rank(waiting, outlook, now)
+        due_share = RANK_SHARE**waiting.priority
+        level = int(outlook.served_share / due_share / SHARE_STEP)
+        return is_late, level, *rest
+
+
 class Queue:
     """Requests that wait, each at most once.
 
@@ -109,10 +159,16 @@
 
     Args:
       order: Who is served next and who gives way.
+      shares: Of each kind that the owner served; kept up by the owner.
     """
 
-    def __init__(self, order: QueueOrder) -> None:
+    def __init__(
+        self,
+        order: QueueOrder,
+        shares: served_shares.ServedShares | None = None,
+    ) -> None:
         self._order = order
+        self._shares = shares or served_shares.ServedShares()
         self._waiting: dict[str, Waiting] = {}
 
     def __len__(self) -> int:
@@ -186,9 +242,19 @@
     def _make_key(
         self, times: run_times.RunTimes, now: float
     ) -> Callable[[Waiting], SortKey]:
-        return lambda waiting: self._order.rank(
-            waiting, times.expect(waiting.kind), now
-        )
+        # One outlook for each kind, since many requests wait of few kinds.
+        outlooks: dict[str, KindOutlook] = {}
+
+        def rank(waiting: Waiting) -> SortKey:
+            outlook = outlooks.get(waiting.kind)
+            if outlook is None:
+                outlook = outlooks[waiting.kind] = KindOutlook(
+                    run_s=times.expect(waiting.kind),
+                    served_share=self._shares.find(waiting.kind),
+                )
+            return self._order.rank(waiting, outlook, now)
+
+        return rank
 
     def take_all(self) -> tuple[Waiting, ...]:
         """Removes and returns every request, in the order of arrival."""
--- /dev/null
+++ b/src/lovagesaddle/core/routing/served_shares.py
@@ -0,0 +1,57 @@
+"""Share of each kind of request that an owner has served of late."""
+
+import dataclasses
+import math
+
+# Long beside a run, so that a share is a mean over many; short beside an
+# overload, so that what went before it doesn't count.
+MEMORY_S = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Counts:
+    """Decayed numbers of one kind.
+
+    Attributes:
+      served: Requests that got a slot.
+      refused: Requests that were refused for want of one.
+      at: Time until which both have decayed, in seconds.
+    """
+
+    served: float = 0.0
+    refused: float = 0.0
+    at: float = 0.0
+
+    def decay(self, now: float) -> None:
+        """Lets time pass."""
+        factor = math.exp(min(0.0, self.at - now) / MEMORY_S)
+        self.served *= factor
+        self.refused *= factor
+        self.at = now
+
+
+class ServedShares:
+    """Counts what was served and refused, by kind."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, _Counts] = {}
+
+    def note_served(self, kind: str, now: float) -> None:
+        """Takes a request that got a slot."""
+        self._find(kind, now).served += 1
+
+    def note_refused(self, kind: str, now: float) -> None:
+        """Takes a request that was refused for want of a slot."""
+        self._find(kind, now).refused += 1
+
+    def find(self, kind: str) -> float:
+        """Returns the share that was served, in (0, 1]; 1 when unknown."""
+        counts = self._counts.get(kind)
+        if counts is None or not counts.refused:
+            return 1.0
+        return counts.served / (counts.served + counts.refused)
+
+    def _find(self, kind: str, now: float) -> _Counts:
+        counts = self._counts.setdefault(kind, _Counts(at=now))
+        counts.decay(now)
+        return counts
--- a/src/lovagesaddle/node/slots.py
+++ b/src/lovagesaddle/node/slots.py
@@ -27,7 +27,7 @@
 
     make_limit: LimitFactory = limits.FixedLimit
     order: queues.QueueOrder = dataclasses.field(
-        default_factory=queues.TargetOrder
+        default_factory=queues.ShareOrder
     )
     queue_share: float = admission.QUEUE_SHARE
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,5 +1,8 @@
 """Tests of the owner's slots and queue."""
 
+import dataclasses
+import heapq
+
 from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import admission as admission_lib
 from lovagesaddle.core.routing import limits
@@ -296,4 +299,86 @@
     assert _end(owner, "u1", 11.0) == ["run l1"]
 
 
+def test_urgent_calls_leave_room_for_the_ranks_behind_them() -> None:
+    """Calls of rank 0 that fill a server do not starve uploads and lookups.
+
+    The calls alone take seven tenths of the slots, all kinds together half
+    as much again as there is.
+    """
+    by_target = _replay_kinds(queues.TargetOrder())
+    by_share = _replay_kinds(queues.ShareOrder())
+    assert by_target["upload"] < 0.5 * by_target["call"], by_target
+    for kind in ("upload", "lookup"):
+        due = queues.RANK_SHARE * by_share["call"] - queues.SHARE_STEP
+        assert by_share[kind] >= due, by_share
+    assert by_share["call"] >= by_share["upload"], by_share
+
+
+def test_urgent_rank_is_served_first_while_the_next_gets_its_share() -> None:
+    """Shares don't turn ranks round: the less urgent is refused more."""
+    by_share = _replay_kinds(queues.ShareOrder())
+    assert by_share["bulk"] <= by_share["lookup"], by_share
+    assert by_share["bulk"] >= queues.RANK_SHARE**2 * 0.8 * by_share["call"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Kind:
+    """A kind of request in a replayed overload."""
+
+    priority: int
+    gap_s: float
+    run_s: float
+    target_s: float
+
+
+_KINDS = {
+    "call": _Kind(priority=0, gap_s=0.0196, run_s=0.055, target_s=0.2),
+    "lookup": _Kind(priority=1, gap_s=0.11, run_s=0.088, target_s=0.3),
+    "upload": _Kind(priority=1, gap_s=0.2, run_s=0.26, target_s=0.8),
+    "bulk": _Kind(priority=2, gap_s=0.2, run_s=0.22, target_s=0.6),
+}
+
+
+def _replay_kinds(order: queues.QueueOrder) -> dict[str, float]:
+    """Returns the served share of each kind, on four slots."""
+    owner = admission_lib.Admission(
+        limit=limits.FixedLimit(4), order=order, queue_share=1.0
+    )
+    arrivals = sorted(
+        (number * kind.gap_s, name)
+        for name, kind in _KINDS.items()
+        for number in range(int(60 / kind.gap_s))
+    )
+    served = dict.fromkeys(_KINDS, 0)
+    ends: list[tuple[float, str]] = []
+
+    def take(actions: tuple[admission_lib.Action, ...], now: float) -> None:
+        for action in actions:
+            if isinstance(action, admission_lib.Admitted):
+                name = action.request_id.partition("/")[0]
+                served[name] += 1
+                heapq.heappush(
+                    ends, (now + _KINDS[name].run_s, action.request_id)
+                )
+
+    for number, (at, name) in enumerate(arrivals):
+        while ends and ends[0][0] <= at:
+            ended_at, ended = heapq.heappop(ends)
+            ending = admission_lib.Ended(request_id=ended)
+            take(owner.step(ending, ended_at), ended_at)
+        kind = _KINDS[name]
+        event = admission_lib.Arrived(
+            request_id=f"{name}/{number}",
+            priority=kind.priority,
+            deadline=at + 2.5 * kind.target_s,
+            target=at + kind.target_s,
+            kind=name,
+        )
+        take(owner.step(event, at), at)
+    return {
+        name: served[name] / int(60 / kind.gap_s)
+        for name, kind in _KINDS.items()
+    }
+
+
 load_tests = fixtures.collect(__name__)
