--- a/bench/hop_transports.py
+++ b/bench/hop_transports.py
@@ -26,7 +26,7 @@
 from lovagesaddle.http import lanes
 from lovagesaddle.http import server as server_lib
 from lovagesaddle.http import watchdog
-from lovagesaddle.settings import schema
+from lovagesaddle.node import main as node_main
 
 ENVELOPE = b"x" * 600
 MS_PER_S = 1000
@@ -166,7 +166,7 @@
     parser.add_argument("--calls", type=int, default=3000)
     parser.add_argument("--serve", choices=("http", "zmq"))
     parsed = parser.parse_args(arguments)
-    sys.setswitchinterval(schema.SWITCH_INTERVAL_S)
+    sys.setswitchinterval(node_main.SWITCH_INTERVAL_S)
     if parsed.serve == "http":
         serve_http()
     elif parsed.serve == "zmq":
--- a/src/lovagesaddle/node/main.py
+++ b/src/lovagesaddle/node/main.py
@@ -23,6 +23,7 @@
 
 EXIT_CUT = 1
 EXIT_SETTINGS = 2
+SWITCH_INTERVAL_S = 0.0005
 Attach = Callable[[program.NodeProgram], contextlib.AbstractContextManager[Any]]
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 
@@ -77,7 +78,7 @@
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
-    sys.setswitchinterval(settings.switch_interval_s)
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
     try:
         with (
             logs.open_log(settings.log),
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -11,8 +11,6 @@
 Identifier = Annotated[
     str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")
 ]
-# A tenth of the interpreter's own, which adds up to 16 ms to a call at p99.
-SWITCH_INTERVAL_S = 0.0005
 PositiveSeconds = Annotated[
     float, msgspec.Meta(gt=0, le=3600, extra={"unit": units.Unit.DURATION})
 ]
@@ -167,9 +165,6 @@
       retry_share: Retries allowed to a service, as a share of its calls.
       retry_reserve: Retries beyond the share that all nodes together may
         make; 0 for a bound of each node's own.
-      switch_interval_s: Longest time that a thread computes while others
-        wait for the interpreter. Short where a processor is free for other
-        work; long where each switch of threads is dear.
     """
 
     node_id: Identifier
@@ -196,7 +191,6 @@
     unframed_answers: Switch = False
     retry_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.2
     retry_reserve: Annotated[int, msgspec.Meta(ge=0)] = 0
-    switch_interval_s: PositiveSeconds = SWITCH_INTERVAL_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
