--- a/src/lovagesaddle/core/routing/balancer.py
+++ b/src/lovagesaddle/core/routing/balancer.py
@@ -15,16 +15,11 @@
 # Above this, a body weighs more on the links between failure domains than
 # some dozen other requests, so those go elsewhere first.
 LARGE_BODY_BYTES = 64 * 1024
-# Cost of the server beside this entry, in shares of another's, up to which it
-# is picked: a hop costs both nodes a second parse and may be lost on the way.
-# Above it the other server would answer noticeably sooner.
-OWN_NODE_COST = 1.5
 
 
 class PickReason(enum.Enum):
     """Why a backend server was picked, or none."""
 
-    OWN_NODE = "own-node"
     OWN_DOMAIN = "own-domain"
     OTHER_DOMAIN = "other-domain"
     ANY_DOMAIN = "any-domain"
@@ -140,7 +135,6 @@
 
     Attributes:
       failure_domain: The entry's own.
-      node_id: The entry's own; empty for an entry without a server beside it.
       prefer_own_domain: Whether servers of the own failure domain go first
         while they have room.
       min_available_share: Share of a service's servers that stays available
@@ -148,7 +142,6 @@
     """
 
     failure_domain: str
-    node_id: str = ""
     prefer_own_domain: bool = True
     min_available_share: float = MIN_AVAILABLE_SHARE
 
@@ -217,32 +210,17 @@
         for pool, reason in self._list_tiers(eligible):
             if not pool:
                 continue
-            is_own = reason is PickReason.OWN_DOMAIN
-            share = room_share if is_own else None
             server = self._policy.choose(pool, cost, self._source)
-            beside = self._find_beside(pool)
-            if (
-                beside is not None
-                and cost(beside) <= OWN_NODE_COST * cost(server)
-                and self._loads[beside.server_id].has_room(now, share)
+            if self._loads[server.server_id].has_room(
+                now,
+                room_share if reason is PickReason.OWN_DOMAIN else None,
             ):
-                return beside, PickReason.OWN_NODE
-            if self._loads[server.server_id].has_room(now, share):
                 return server, reason
         # Comparing the servers found so far would make this a choice of four
         # by stale reports, on which all entries run to the same server.
         server = self._policy.choose(eligible, cost, self._source)
         return server, PickReason.NO_ROOM
 
-    def _find_beside(
-        self, pool: Sequence[table.Candidate]
-    ) -> table.Candidate | None:
-        """Returns the server beside this entry, if it is in the pool."""
-        for server in pool:
-            if server.node_id == self._options.node_id:
-                return server
-        return None
-
     def _list_tiers(
         self, eligible: Sequence[table.Candidate]
     ) -> tuple[tuple[list[table.Candidate], PickReason], ...]:
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -106,7 +106,6 @@
         self.metrics = metrics_lib.Metrics()
         self._routing = routing_lib.Routing(
             failure_domain=settings.failure_domain,
-            node_id=settings.node_id,
             options=routing_options or _make_routing_options(settings),
         )
         self._pool = client.Pool(
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -47,7 +47,6 @@
 
     Args:
       failure_domain: Of this node.
-      node_id: Of this node; empty where no server is beside it.
       options: Policies.
 
     Raises:
@@ -55,11 +54,7 @@
     """
 
     def __init__(
-        self,
-        *,
-        failure_domain: str,
-        node_id: str = "",
-        options: RoutingOptions | None = None,
+        self, *, failure_domain: str, options: RoutingOptions | None = None
     ) -> None:
         self.options = options or RoutingOptions()
         if self.options.call.hedge:
@@ -68,7 +63,6 @@
         self._balancer = balancer.Balancer(
             options=balancer.BalancerOptions(
                 failure_domain=failure_domain,
-                node_id=node_id,
                 prefer_own_domain=self.options.prefer_own_domain,
             ),
             policy=self.options.policy,
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -17,14 +17,10 @@
 class Entry:
     """A balancer with its table, in domain d0."""
 
-    def __init__(
-        self, candidates: tuple[table.Candidate, ...], node_id: str = ""
-    ) -> None:
+    def __init__(self, candidates: tuple[table.Candidate, ...]) -> None:
         self.candidates = candidates
         self.balancer = balancer_lib.Balancer(
-            options=balancer_lib.BalancerOptions(
-                failure_domain="d0", node_id=node_id
-            ),
+            options=balancer_lib.BalancerOptions(failure_domain="d0"),
             policy=pick_policies.TwoChoicesPick(),
             source=random.Random(1),
         )
@@ -99,34 +95,6 @@
     assert reasons[8] is Reason.OTHER_DOMAIN
 
 
-def test_server_beside_the_entry_saves_a_hop() -> None:
-    """Under even load most requests stay on the node that they came to."""
-    servers = routing_mesh.make_candidates(4, domains=1)
-    for node_id, least, most in (("n1", 190, 200), ("", 0, 100)):
-        entry = Entry(servers, node_id)
-        for number in range(4):
-            entry.finish(f"s{number}", Result.ANSWERED, 0.0, _report(5))
-        assert least <= entry.sample(0.01).get("s1", 0) <= most
-
-
-def test_busy_or_slow_server_beside_the_entry_is_passed_over() -> None:
-    """A hop is not saved at the price of a much later answer."""
-    servers = routing_mesh.make_candidates(2, domains=1)
-    for report in (_report(12), _report(5, latency_s=0.02)):
-        entry = Entry(servers, "n1")
-        entry.finish("s0", Result.ANSWERED, 0.0, _report(5))
-        entry.finish("s1", Result.ANSWERED, 0.0, report)
-        assert set(entry.sample(0.01)) == {"s0"}
-
-
-def test_full_server_beside_the_entry_gives_way_to_one_with_room() -> None:
-    """Like costs do not hide that only one of two servers has room."""
-    entry = Entry(routing_mesh.make_candidates(2, domains=1), "n1")
-    entry.finish("s0", Result.ANSWERED, 0.0, _report(14))
-    entry.finish("s1", Result.ANSWERED, 0.0, _report(17))
-    assert set(entry.sample(0.01)) == {"s0"}
-
-
 def test_full_mesh_still_gets_a_pick() -> None:
     """With no room anywhere the cheapest server is picked and owns the no."""
     entry = Entry(routing_mesh.make_candidates(3, slots=1))
