Leave the last tokens of the retry budget to urgent requests

Change: each rank leaves a quarter of the bucket, up to three quarters, to the ranks before it. The sum of retries is as before. The test replays shedding of half of all requests and failed without the change.

--- a/src/lovagesaddle/core/routing/attempt_rules.py
+++ b/src/lovagesaddle/core/routing/attempt_rules.py
@@ -95,4 +95,6 @@
         return True
 
     def _spend(self) -> bool:
-        return self._policy.allow(self._moves + self._reruns)
+        return self._policy.allow(
+            self._moves + self._reruns, self._route.priority
+        )
--- a/src/lovagesaddle/core/routing/retries.py
+++ b/src/lovagesaddle/core/routing/retries.py
@@ -5,6 +5,10 @@
 BUDGET_SHARE = 0.2
 BUDGET_CAP = 20.0
 UNLIMITED_ATTEMPTS = 1_000_000
+# Share of the bucket that each rank leaves to the ranks before it, and the
+# most that any rank leaves.
+RANK_RESERVE = 0.25
+MAX_RESERVE = 0.75
 
 
 class RetryPolicy(abc.ABC):
@@ -22,11 +26,12 @@
         """Takes the first attempt of a call."""
 
     @abc.abstractmethod
-    def allow(self, retries: int) -> bool:
+    def allow(self, retries: int, priority: int = 0) -> bool:
         """Asks for one more attempt, and counts it when it is allowed.
 
         Args:
           retries: Attempts that the call made after its first one.
+          priority: Rank of its route; 0 is the most urgent.
         """
 
 
@@ -36,9 +41,9 @@
     def count_call(self) -> None:
         """Counts nothing."""
 
-    def allow(self, retries: int) -> bool:
+    def allow(self, retries: int, priority: int = 0) -> bool:
         """Returns True."""
-        del retries
+        del retries, priority
         return True
 
 
@@ -55,8 +60,9 @@
     def count_call(self) -> None:
         """Counts nothing."""
 
-    def allow(self, retries: int) -> bool:
+    def allow(self, retries: int, priority: int = 0) -> bool:
         """Returns whether the call is below the cap."""
+        del priority
         return retries < self._cap
 
 
@@ -64,7 +70,10 @@
     """A token bucket that calls fill and retries empty.
 
     Retries are at most a share of the calls, whatever fails; a full bucket
-    lets a short burst of failures be repeated.
+    lets a short burst of failures be repeated. Each rank leaves a part of the
+    bucket to the ranks before it. This answers servers that shed a share of
+    everything: there are far fewer tokens than requests to repeat, and those
+    that matter most get them.
 
     Args:
       cap: Attempts allowed after the first, for each call.
@@ -98,9 +107,11 @@
         """Adds the share of one call."""
         self._tokens = min(self._bucket, self._tokens + self._share)
 
-    def allow(self, retries: int) -> bool:
-        """Takes one token, when there is one and the cap is not reached."""
-        if retries >= self._cap or self._tokens < 1:
+    def allow(self, retries: int, priority: int = 0) -> bool:
+        """Takes one token, when one is left and the cap is not reached."""
+        reserve = min(RANK_RESERVE * max(0, priority), MAX_RESERVE)
+        left = max(1.0, 1 + reserve * (self._bucket - 1))
+        if retries >= self._cap or self._tokens < left:
             return False
         self._tokens -= 1
         return True
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,47 @@
+"""Tests of the budget of retries."""
+
+from lovagesaddle.core.routing import retries
+from tests import fixtures
+
+SHARE = 0.15
+BUCKET = 5.0
+
+
+def test_tokens_go_to_the_urgent_when_all_servers_shed() -> None:
+    """Of requests that are shed alike, urgent ones are repeated first.
+
+    A quarter is of rank 1, the rest of rank 2, and half of all is shed; the
+    urgent alone ask for most of what the budget allows.
+    """
+    policy = retries.RetryBudget(cap=1, share=SHARE, bucket=BUCKET)
+    asked = {1: 0, 2: 0}
+    allowed = {1: 0, 2: 0}
+    for number in range(4000):
+        priority = 1 if number % 4 == 0 else 2
+        policy.count_call()
+        if number % 8 < 4:
+            asked[priority] += 1
+            allowed[priority] += policy.allow(0, priority)
+    assert allowed[1] >= 0.95 * asked[1], (asked, allowed)
+    spent = allowed[1] + allowed[2]
+    assert spent <= SHARE * 4000 + BUCKET
+    # What the urgent leave is not lost.
+    assert spent >= 0.95 * SHARE * 4000
+
+
+def test_bucket_of_one_token_serves_every_rank() -> None:
+    """A node with a small part of the reserve does not shut out a rank."""
+    policy = retries.RetryBudget(cap=1, share=0.0, bucket=1.0)
+    assert policy.allow(0, 2)
+    assert not policy.allow(0, 2)
+
+
+def test_late_rank_is_repeated_while_the_bucket_is_full() -> None:
+    """Without a shortage the rank makes no difference."""
+    policy = retries.RetryBudget(cap=1, share=1.0, bucket=BUCKET)
+    for _ in range(100):
+        policy.count_call()
+        assert policy.allow(0, 7)
+
+
+load_tests = fixtures.collect(__name__)
