Keep later ranks strictly behind, and forget kinds of old routes

Only the calls of rank 0 have a rank that is not their own. Counts of routes that are gone were kept for good.

Change: 0.7 of rank 0 for rank 1, half of the rank before for the others; 1,024 kinds are kept.

--- a/src/lovagesaddle/core/routing/queues.py
+++ b/src/lovagesaddle/core/routing/queues.py
@@ -7,10 +7,11 @@
 from lovagesaddle.core.routing import run_times
 from lovagesaddle.core.routing import served_shares
 
-# Served share of a rank beside that of the rank in front of it, below which it
-# goes first. What is refused of an urgent rank costs callers more, but a rank
-# that gets nothing has callers too.
-RANK_SHARE = 0.7
+# Served share of each rank beside that of rank 0, below which it goes first.
+# The calls that servers make for requests in progress have rank 0, whatever
+# the rank of those requests, so rank 1 stays near; later ranks give way.
+FIRST_RANK_SHARE = 0.7
+NEXT_RANK_SHARE = 0.5
 # Shares nearer to one another than this count as equal.
 SHARE_STEP = 0.05
 
@@ -147,11 +148,18 @@
     ) -> SortKey:
         """Returns lateness, level of the share, priority, target, arrival."""
         is_late, *rest = super().rank(waiting, outlook, now)
-        due_share = RANK_SHARE**waiting.priority
+        due_share = find_due_share(waiting.priority)
         level = int(outlook.served_share / due_share / SHARE_STEP)
         return is_late, level, *rest
 
 
+def find_due_share(priority: int) -> float:
+    """Returns the served share of a rank beside that of rank 0."""
+    if priority <= 0:
+        return 1.0
+    return FIRST_RANK_SHARE * NEXT_RANK_SHARE ** (priority - 1)
+
+
 class Queue:
     """Requests that wait, each at most once.
 
--- a/src/lovagesaddle/core/routing/served_shares.py
+++ b/src/lovagesaddle/core/routing/served_shares.py
@@ -6,6 +6,8 @@
 # Long beside a run, so that a share is a mean over many; short beside an
 # overload, so that what went before it doesn't count.
 MEMORY_S = 5.0
+# Kinds that are kept; routes come and go, and old ones are forgotten.
+MAX_KINDS = 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,6 +54,11 @@
         return counts.served / (counts.served + counts.refused)
 
     def _find(self, kind: str, now: float) -> _Counts:
-        counts = self._counts.setdefault(kind, _Counts(at=now))
+        counts = self._counts.get(kind)
+        if counts is None:
+            if len(self._counts) >= MAX_KINDS:
+                oldest = min(self._counts, key=lambda k: self._counts[k].at)
+                del self._counts[oldest]
+            counts = self._counts[kind] = _Counts(at=now)
         counts.decay(now)
         return counts
