Keep large bodies near while every server is full

An upload to a server that seemed full went to any failure domain, was sent whole, and was refused there more often than not.

Change: a large body that finds no room anywhere goes to a server of its own failure domain. Small requests are placed as before.

--- a/src/lovagesaddle/core/routing/balancer.py
+++ b/src/lovagesaddle/core/routing/balancer.py
@@ -191,8 +191,7 @@
             reason = PickReason.ALL_TRIED if tried else PickReason.NO_SERVER
             return _decide(event, None, reason, 0)
         is_large = event.body_bytes >= LARGE_BODY_BYTES
-        room_share = loads.LARGE_ROOM_SHARE if is_large else loads.ROOM_SHARE
-        server, reason = self._choose(eligible, now, room_share)
+        server, reason = self._choose(eligible, now, is_large=is_large)
         if event.needs_room and reason is PickReason.NO_ROOM:
             return _decide(event, None, reason, len(eligible))
         self._loads[server.server_id].outstanding += 1
@@ -202,8 +201,11 @@
         self,
         eligible: Sequence[table.Candidate],
         now: float,
-        room_share: float,
+        *,
+        is_large: bool,
     ) -> tuple[table.Candidate, PickReason]:
+        room_share = loads.LARGE_ROOM_SHARE if is_large else loads.ROOM_SHARE
+
         def cost(candidate: table.Candidate) -> float:
             return self._loads[candidate.server_id].estimate_cost(now)
 
@@ -218,9 +220,22 @@
                 return server, reason
         # Comparing the servers found so far would make this a choice of four
         # by stale reports, on which all entries run to the same server.
-        server = self._policy.choose(eligible, cost, self._source)
+        full = self._list_near(eligible) if is_large else eligible
+        server = self._policy.choose(full, cost, self._source)
         return server, PickReason.NO_ROOM
 
+    def _list_near(
+        self, eligible: Sequence[table.Candidate]
+    ) -> Sequence[table.Candidate]:
+        """Returns the servers of the own failure domain, or all without any.
+
+        A large body that is sent far to a full server is most likely sent in
+        vain.
+        """
+        domain = self._options.failure_domain
+        own = [each for each in eligible if each.failure_domain == domain]
+        return own or eligible
+
     def _list_tiers(
         self, eligible: Sequence[table.Candidate]
     ) -> tuple[tuple[list[table.Candidate], PickReason], ...]:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -35,7 +35,10 @@
         self.balancer.step(event, now)
 
     def pick(
-        self, now: float = 0.0, tried: frozenset[str] = frozenset()
+        self,
+        now: float = 0.0,
+        tried: frozenset[str] = frozenset(),
+        body_bytes: int = 0,
     ) -> balancer_lib.Decision:
         """Picks once."""
         event = balancer_lib.Pick(
@@ -43,6 +46,7 @@
             version=1,
             candidates=self.candidates,
             tried=tried,
+            body_bytes=body_bytes,
         )
         return self.balancer.step(event, now)[0]
 
@@ -256,4 +260,21 @@
     assert not load.has_room(1.0, loads.LARGE_ROOM_SHARE)
 
 
+def test_large_body_is_not_sent_far_to_a_full_server() -> None:
+    """While every server is full, uploads stay in their failure domain."""
+    entry = Entry(routing_mesh.make_candidates(6))
+    for number in range(6):
+        entry.finish(f"s{number}", Result.ANSWERED, 0.0, _report(40))
+    size = balancer_lib.LARGE_BODY_BYTES
+    for body_bytes, domains in ((size, {"d0"}), (0, {"d0", "d1", "d2"})):
+        picked: set[str] = set()
+        for _ in range(100):
+            decision = entry.pick(0.01, body_bytes=body_bytes)
+            assert decision.reason is Reason.NO_ROOM
+            assert decision.server is not None
+            picked.add(decision.server.failure_domain)
+            entry.finish(decision.server.server_id, Result.ABANDONED, 0.01)
+        assert picked == domains
+
+
 load_tests = fixtures.collect(__name__)
