Ask the server who it is at once only when the node joins

Cause: every table that was installed woke the question, so a storm of configurations would have asked a server that is down again and again. Change: only the first table does; after it the question has its own pace.

--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -207,9 +207,10 @@
             self._limits = limits
             self._http.set_limits(limits)
         self._claims.install(stamped.snapshot, joined=joined)
+        is_first = self._routing.table is None
         self._routing.install(stamped, joined=joined)
-        if self._discovery is not None:
-            # The health path may be known only now.
+        if is_first and joined and self._discovery is not None:
+            # The health path is known only now.
             self._discovery.wake()
 
     def take_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
