--- a/src/lovagesaddle/core/routing/served_shares.py
+++ b/src/lovagesaddle/core/routing/served_shares.py
@@ -47,7 +47,7 @@
         self._find(kind, now).refused += 1
 
     def find(self, kind: str) -> float:
-        """Returns the share that was served, in (0, 1]; 1 when unknown."""
+        """Returns the share that was served; 1 while none was refused."""
         counts = self._counts.get(kind)
         if counts is None or not counts.refused:
             return 1.0
