Say twice-said things once, and use the field's names

Change: the registry asks the limiter when an entry is due; pending joins are kept with their message; the discovery exists before the control half opens; PendingJoins, KindStats, Ticker.stop; `*_: object` in 28 __exit__ methods. A new test, which failed with every table hurrying the question, shows that only the join does.

No check was changed but for names.

--- a/bench/backend.py
+++ b/bench/backend.py
@@ -11,7 +11,6 @@
 import select
 import socket
 import threading
-import types
 from typing import Any, Self
 
 from bench import stand_in
@@ -47,12 +46,7 @@
         self._thread.start()
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self.close()
 
     @property
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -4,7 +4,6 @@
 import dataclasses
 import pathlib
 import time
-import types
 from typing import Self
 import uuid
 
@@ -138,12 +137,7 @@
             self._stack = stack.pop_all()
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self._stack.close()
 
     @property
--- a/bench/distribution_source.py
+++ b/bench/distribution_source.py
@@ -8,7 +8,6 @@
 import dataclasses
 import threading
 import time
-import types
 from typing import Self
 
 import zmq
@@ -175,12 +174,7 @@
             replica.start()
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         for replica in self.members:
             replica.stop()
         self._context.term()
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -7,7 +7,6 @@
 import signal
 import subprocess
 import sys
-import types
 from typing import Self
 
 START_S = 30.0
@@ -36,12 +35,7 @@
     def __enter__(self) -> Self:
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         if self._process.poll() is None:
             self._process.kill()
         self._process.wait()
--- a/bench/replica_processes.py
+++ b/bench/replica_processes.py
@@ -9,7 +9,6 @@
 import sys
 import tempfile
 import time
-import types
 from typing import Self
 import uuid
 
@@ -68,12 +67,7 @@
             self.start(name, "--found")
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         for name in tuple(self._processes):
             self.stop(name, signal.SIGKILL)
         self._stack.close()
@@ -175,12 +169,7 @@
     def __enter__(self) -> Self:
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self._endpoint.close()
         self._context.term()
 
--- a/src/lovagesaddle/cli/client.py
+++ b/src/lovagesaddle/cli/client.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import time
-import types
 from typing import Any, Generic, Self, TypeVar
 import uuid
 
@@ -87,12 +86,7 @@
     def __enter__(self) -> Self:
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self._endpoint.close()
         self._context.term()
 
--- a/src/lovagesaddle/cli/demo_server.py
+++ b/src/lovagesaddle/cli/demo_server.py
@@ -14,7 +14,6 @@
 import signal
 import threading
 import time
-import types
 from typing import Annotated, Any, Self
 
 import msgspec
@@ -121,12 +120,7 @@
         self._server.__enter__()
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self.finish()
 
     @property
--- a/src/lovagesaddle/cli/demo_traffic.py
+++ b/src/lovagesaddle/cli/demo_traffic.py
@@ -9,7 +9,6 @@
 import itertools
 import threading
 import time
-import types
 from typing import Self
 
 import msgspec
@@ -113,12 +112,7 @@
         ]
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self._stopping.set()
         self._pool.shutdown()
 
--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -6,7 +6,6 @@
 import random
 import threading
 import time
-import types
 from typing import Self
 import uuid
 
@@ -119,12 +118,7 @@
     def __enter__(self) -> Self:
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         with self._wake_lock:
             self._is_closed = True
         self._stack.close()
--- a/src/lovagesaddle/core/membership/early_joins.py
+++ b/src/lovagesaddle/core/membership/pending_joins.py
@@ -1,14 +1,17 @@
 """Joins that reach a replica before a leader is known."""
 
 from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import messages
 
 # Shorter than the restart of a process, so that a join is never kept beyond
 # the life that sent it; about as long as an election.
 KEEP_S = 0.4
 MAX_JOINS = 4096
 
+Pending = tuple[events.Arrival, messages.Join]
 
-class EarlyJoins:
+
+class PendingJoins:
     """Keeps the newest join of each node until a leader is known.
 
     It answers the loss of every process at once: the nodes are back before a
@@ -16,19 +19,21 @@
     """
 
     def __init__(self) -> None:
-        self._kept: dict[str, tuple[float, events.Arrival]] = {}
+        self._kept: dict[str, tuple[float, Pending]] = {}
 
-    def keep(self, arrival: events.Arrival, now: float) -> bool:
+    def keep(
+        self, arrival: events.Arrival, join: messages.Join, now: float
+    ) -> bool:
         """Keeps a join; returns False where there is no room for it."""
         sender_id = arrival.sender_id
         if len(self._kept) >= MAX_JOINS and sender_id not in self._kept:
             return False
-        self._kept[sender_id] = (now, arrival)
+        self._kept[sender_id] = (now, (arrival, join))
         return True
 
-    def take(self, now: float) -> tuple[events.Arrival, ...]:
+    def take(self, now: float) -> tuple[Pending, ...]:
         """Removes all joins; returns those that are recent enough."""
         kept, self._kept = self._kept, {}
         return tuple(
-            arrival for at, arrival in kept.values() if now - at <= KEEP_S
+            pending for at, pending in kept.values() if now - at <= KEEP_S
         )
--- a/src/lovagesaddle/core/membership/registrar.py
+++ b/src/lovagesaddle/core/membership/registrar.py
@@ -8,8 +8,8 @@
 from lovagesaddle.core.distribution import source_events
 from lovagesaddle.core.distribution import tree
 from lovagesaddle.core.distribution import wire
-from lovagesaddle.core.membership import early_joins as early_joins_lib
 from lovagesaddle.core.membership import leases as leases_lib
+from lovagesaddle.core.membership import pending_joins as pending_joins_lib
 from lovagesaddle.core.membership import registry as registry_lib
 from lovagesaddle.core.model import peers
 
@@ -30,7 +30,7 @@
     def __init__(self, leases: leases_lib.Leases) -> None:
         self._leases = leases
         self._registry = registry_lib.Registry()
-        self._early_joins = early_joins_lib.EarlyJoins()
+        self._pending_joins = pending_joins_lib.PendingJoins()
         self._routes: dict[str, bytes] = {}
         self._origins: dict[str, tuple[str, bytes]] = {}
         self._is_leader = False
@@ -74,7 +74,7 @@
 
     def tick(self, now: float) -> Actions:
         """Expires lapsed nodes and proposes the next entry, as the leader."""
-        actions = self._take_early_joins(now)
+        actions = self._take_pending_joins(now)
         if not self._is_leader:
             return tuple(actions)
         if now >= self._sweep_at:
@@ -115,14 +115,14 @@
             case _:
                 return (events.refuse(arrival, type(message).__name__),)
 
-    def _take_early_joins(self, now: float) -> list[source_events.SourceAction]:
+    def _take_pending_joins(
+        self, now: float
+    ) -> list[source_events.SourceAction]:
         if not (self._is_leader or self._leader):
             return []
         actions: list[source_events.SourceAction] = []
-        for arrival in self._early_joins.take(now):
-            message = wire.decode(arrival.frame, peer=arrival.sender_id)
-            if isinstance(message, messages.Join):
-                actions.extend(self._take_or_forward(arrival, message, now))
+        for arrival, join in self._pending_joins.take(now):
+            actions.extend(self._take_or_forward(arrival, join, now))
         return actions
 
     def _take_or_forward(
@@ -136,8 +136,9 @@
             self._origins[origin] = ("", arrival.route)
             return self._take(origin, message, now)
         if self._leader is None:
-            is_join = isinstance(message, messages.Join)
-            if is_join and self._early_joins.keep(arrival, now):
+            if isinstance(message, messages.Join) and self._pending_joins.keep(
+                arrival, message, now
+            ):
                 return ()
             return (events.refuse(arrival, "no leader is known"),)
         if isinstance(message, messages.Join):
--- a/src/lovagesaddle/core/membership/registry.py
+++ b/src/lovagesaddle/core/membership/registry.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.distribution import limiter as limiter_lib
 from lovagesaddle.core.distribution import messages
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import snapshots
@@ -56,8 +57,9 @@
     def __init__(self) -> None:
         self._snapshot: snapshots.Snapshot | None = None
         self._ticket = 0
-        self._credit = float(BURST_BATCHES)
-        self._credited_at = 0.0
+        self._limiter = limiter_lib.Limiter(
+            rate=1 / BATCH_S, burst=BURST_BATCHES
+        )
         self.reset()
 
     def reset(self) -> None:
@@ -117,9 +119,11 @@
             return None
         if self._flush_at is None or now < self._flush_at:
             return None
+        wait_s = self._limiter.take(now)
+        if wait_s:
+            self._flush_at = now + wait_s
+            return None
         self._flush_at = None
-        self._add_credit(now)
-        self._credit -= 1
         self._prune(self._snapshot)
         self._in_flight = self._make_batch(self._snapshot)
         return self._in_flight
@@ -162,15 +166,7 @@
 
     def _schedule(self, now: float) -> None:
         if self._flush_at is None:
-            self._add_credit(now)
-            wait_s = max(0.0, 1 - self._credit) * BATCH_S
-            self._flush_at = now + max(FIRST_BATCH_S, wait_s)
-
-    def _add_credit(self, now: float) -> None:
-        """Adds what was earned since the last time: one entry each BATCH_S."""
-        earned = max(0.0, now - self._credited_at) / BATCH_S
-        self._credit = min(float(BURST_BATCHES), self._credit + earned)
-        self._credited_at = now
+            self._flush_at = now + FIRST_BATCH_S
 
     def _assign_incarnation(self, node_id: str) -> int:
         assert self._snapshot is not None
--- a/src/lovagesaddle/core/routing/balancer.py
+++ b/src/lovagesaddle/core/routing/balancer.py
@@ -220,8 +220,8 @@
                 return server, reason
         # Comparing the servers found so far would make this a choice of four
         # by stale reports, on which all entries run to the same server.
-        full = self._list_near(eligible) if is_large else eligible
-        server = self._policy.choose(full, cost, self._source)
+        candidates = self._list_near(eligible) if is_large else eligible
+        server = self._policy.choose(candidates, cost, self._source)
         return server, PickReason.NO_ROOM
 
     def _list_near(
--- a/src/lovagesaddle/core/routing/queues.py
+++ b/src/lovagesaddle/core/routing/queues.py
@@ -46,7 +46,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class KindOutlook:
+class KindStats:
     """What the owner has learned of a kind of request.
 
     Attributes:
@@ -62,14 +62,12 @@
     """Decides who is served next and who gives way in a full queue."""
 
     @abc.abstractmethod
-    def rank(
-        self, waiting: Waiting, outlook: KindOutlook, now: float
-    ) -> SortKey:
+    def rank(self, waiting: Waiting, stats: KindStats, now: float) -> SortKey:
         """Returns the sort key; the least is served first.
 
         Args:
           waiting: The request.
-          outlook: Of its kind.
+          stats: Of its kind.
           now: Monotonic time in seconds.
         """
 
@@ -87,11 +85,9 @@
 class ArrivalOrder(QueueOrder):
     """First in, first out; nothing is given up before its turn."""
 
-    def rank(
-        self, waiting: Waiting, outlook: KindOutlook, now: float
-    ) -> SortKey:
+    def rank(self, waiting: Waiting, stats: KindStats, now: float) -> SortKey:
         """Returns the order of arrival."""
-        del outlook, now
+        del stats, now
         return (waiting.number,)
 
     def is_hopeless(self, waiting: Waiting, run_s: float, now: float) -> bool:
@@ -103,11 +99,9 @@
 class DeadlineOrder(QueueOrder):
     """Urgent first, then the nearest deadline that can still be met."""
 
-    def rank(
-        self, waiting: Waiting, outlook: KindOutlook, now: float
-    ) -> SortKey:
+    def rank(self, waiting: Waiting, stats: KindStats, now: float) -> SortKey:
         """Returns priority, deadline, arrival."""
-        del outlook, now
+        del stats, now
         return waiting.priority, waiting.deadline, waiting.number
 
     def is_hopeless(self, waiting: Waiting, run_s: float, now: float) -> bool:
@@ -124,11 +118,9 @@
     still can, and is served while a slot is left over.
     """
 
-    def rank(
-        self, waiting: Waiting, outlook: KindOutlook, now: float
-    ) -> SortKey:
+    def rank(self, waiting: Waiting, stats: KindStats, now: float) -> SortKey:
         """Returns lateness, priority, target, arrival."""
-        is_late = now + outlook.run_s > waiting.target
+        is_late = now + stats.run_s > waiting.target
         return is_late, waiting.priority, waiting.target, waiting.number
 
 
@@ -143,13 +135,11 @@
     and kinds of one rank are served in like shares.
     """
 
-    def rank(
-        self, waiting: Waiting, outlook: KindOutlook, now: float
-    ) -> SortKey:
+    def rank(self, waiting: Waiting, stats: KindStats, now: float) -> SortKey:
         """Returns lateness, level of the share, priority, target, arrival."""
-        is_late, *rest = super().rank(waiting, outlook, now)
+        is_late, *rest = super().rank(waiting, stats, now)
         due_share = find_due_share(waiting.priority)
-        level = int(outlook.served_share / due_share / SHARE_STEP)
+        level = int(stats.served_share / due_share / SHARE_STEP)
         return is_late, level, *rest
 
 
@@ -250,17 +240,17 @@
     def _make_key(
         self, times: run_times.RunTimes, now: float
     ) -> Callable[[Waiting], SortKey]:
-        # One outlook for each kind, since many requests wait of few kinds.
-        outlooks: dict[str, KindOutlook] = {}
+        # Looked up once for each kind: many requests wait of few kinds.
+        stats_of: dict[str, KindStats] = {}
 
         def rank(waiting: Waiting) -> SortKey:
-            outlook = outlooks.get(waiting.kind)
-            if outlook is None:
-                outlook = outlooks[waiting.kind] = KindOutlook(
+            stats = stats_of.get(waiting.kind)
+            if stats is None:
+                stats = stats_of[waiting.kind] = KindStats(
                     run_s=times.expect(waiting.kind),
                     served_share=self._shares.find(waiting.kind),
                 )
-            return self._order.rank(waiting, outlook, now)
+            return self._order.rank(waiting, stats, now)
 
         return rank
 
--- a/src/lovagesaddle/core/routing/retries.py
+++ b/src/lovagesaddle/core/routing/retries.py
@@ -109,9 +109,9 @@
 
     def allow(self, retries: int, priority: int = 0) -> bool:
         """Takes one token, when one is left and the cap is not reached."""
-        reserve = min(RANK_RESERVE * max(0, priority), MAX_RESERVE)
-        left = max(1.0, 1 + reserve * (self._bucket - 1))
-        if retries >= self._cap or self._tokens < left:
+        reserved_share = min(RANK_RESERVE * max(0, priority), MAX_RESERVE)
+        needed = 1 + reserved_share * (self._bucket - 1)
+        if retries >= self._cap or self._tokens < needed:
             return False
         self._tokens -= 1
         return True
--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -11,7 +11,6 @@
 import socket
 import threading
 import time
-import types
 from typing import Self
 
 from returns import result
@@ -112,12 +111,7 @@
     def __enter__(self) -> Self:
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         with self._lock:
             self._closed = True
             kept, self._idle = self._idle, {}
--- a/src/lovagesaddle/http/lanes.py
+++ b/src/lovagesaddle/http/lanes.py
@@ -10,7 +10,6 @@
 import enum
 import threading
 import time
-import types
 from typing import Any, Protocol, Self
 
 QUEUE_SHARE = 2
@@ -76,12 +75,7 @@
     def __enter__(self) -> Self:
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self.shutdown()
 
     def add_task(self, task: Task) -> None:
--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -7,7 +7,6 @@
 import socket
 import threading
 import time
-import types
 from typing import Any, Self
 
 from waitress import channel
@@ -200,12 +199,7 @@
         self._thread.start()
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self.stop(grace_s=0.0)
 
     @property
--- a/src/lovagesaddle/http/watchdog.py
+++ b/src/lovagesaddle/http/watchdog.py
@@ -5,7 +5,6 @@
 import enum
 import threading
 import time
-import types
 from typing import Self
 
 SCAN_S = 0.02
@@ -103,12 +102,7 @@
         self._thread.start()
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self._stopped = True
         self._roused.set()
         self._thread.join()
--- a/src/lovagesaddle/node/claims.py
+++ b/src/lovagesaddle/node/claims.py
@@ -7,7 +7,6 @@
 import secrets
 import threading
 import time
-import types
 from typing import Self
 
 from lovagesaddle import ticker
@@ -181,12 +180,7 @@
         )
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self._stack.close()
         self._settling.shutdown(wait=False, cancel_futures=True)
 
--- a/src/lovagesaddle/node/control_half.py
+++ b/src/lovagesaddle/node/control_half.py
@@ -6,7 +6,6 @@
 import secrets
 import threading
 import time
-import types
 from typing import Self
 
 import zmq
@@ -82,12 +81,7 @@
         self.start()
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self.stop()
 
     @property
--- a/src/lovagesaddle/node/discovery.py
+++ b/src/lovagesaddle/node/discovery.py
@@ -52,12 +52,12 @@
 
     def _look(self) -> None:
         if not self._beats.lacks(self._service):
-            self.finish()
+            self.stop()
             return
         path = self._find_health_path(self._service)
         found = self._ask(path) if path else None
         if found is not None and self._beats.discover(found):
-            self.finish()
+            self.stop()
 
     def _ask(self, path: str) -> local_servers.Announcement | None:
         host, port = sockets.parse_address(self._address)
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -4,7 +4,6 @@
 import contextlib
 import dataclasses
 import pathlib
-import types
 from typing import Self
 
 import zmq
@@ -126,7 +125,7 @@
         )
         self.beats = beats_lib.Beats(self._servers)
         self._control: ports.ControlPort | None = None
-        self._discovery: discovery.Discovery | None = None
+        self._discovery = self._make_discovery()
         self._claims = claims_lib.Claims(node_id=settings.node_id)
         self._guards = watchdog.Watchdog()
         self._limits: services.CallerLimits | None = None
@@ -143,6 +142,9 @@
             if self._hops is not self._http:
                 stack.enter_context(self._hops)
             stack.enter_context(self._admin)
+            # A table may be installed as soon as the control half is open.
+            if self._discovery is not None:
+                stack.enter_context(self._discovery)
             control = stack.enter_context(
                 self._make_control(self._bound_settings, self._context, self)
             )
@@ -156,8 +158,6 @@
                 lambda: control.control_bytes,
                 kind="counter",
             )
-            if self._settings.service and self._settings.server_address:
-                self._discovery = stack.enter_context(self._make_discovery())
             if self._settings.probe:
                 stack.enter_context(probes.Prober(self._servers))
             self._stack = stack.pop_all()
@@ -169,12 +169,7 @@
         )
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self._stopping = True
         self._stack.close()
         _log.info("node_stopped", node=self._settings.node_id)
@@ -251,7 +246,9 @@
             stopping=self._stopping,
         )
 
-    def _make_discovery(self) -> discovery.Discovery:
+    def _make_discovery(self) -> discovery.Discovery | None:
+        if not (self._settings.service and self._settings.server_address):
+            return None
         return discovery.Discovery(
             beats=self.beats,
             service=self._settings.service,
--- a/src/lovagesaddle/observability/logs.py
+++ b/src/lovagesaddle/observability/logs.py
@@ -13,7 +13,6 @@
 import sys
 import threading
 import time
-import types
 from typing import Any, Self, TextIO
 
 import structlog
@@ -144,12 +143,7 @@
         self._thread.start()
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self.close()
 
     def put(self, event: dict[str, Any]) -> None:
--- a/src/lovagesaddle/storage/identity.py
+++ b/src/lovagesaddle/storage/identity.py
@@ -4,7 +4,6 @@
 import fcntl
 import os
 import pathlib
-import types
 from typing import Self
 
 import msgspec
@@ -97,12 +96,7 @@
     def __enter__(self) -> Self:
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self.close()
 
     def close(self) -> None:
--- a/src/lovagesaddle/storage/store.py
+++ b/src/lovagesaddle/storage/store.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import pathlib
-import types
 from typing import Self
 
 from lovagesaddle.core import errors
@@ -68,12 +67,7 @@
     def __enter__(self) -> Self:
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self.close()
 
     @property
--- a/src/lovagesaddle/storage/syncer.py
+++ b/src/lovagesaddle/storage/syncer.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from concurrent import futures
-import types
 from typing import Self
 
 from lovagesaddle.core.consensus import events
@@ -33,12 +32,7 @@
     def __enter__(self) -> Self:
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self._executor.shutdown()
 
     def put(self, persist: events.Persist) -> None:
--- a/src/lovagesaddle/ticker.py
+++ b/src/lovagesaddle/ticker.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import threading
-import types
 from typing import Self
 
 
@@ -32,20 +31,15 @@
         self._thread.start()
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
-        self.finish()
+    def __exit__(self, *_: object) -> None:
+        self.stop()
         self._thread.join()
 
     def wake(self) -> None:
         """Has the next call made at once."""
         self._roused.set()
 
-    def finish(self) -> None:
+    def stop(self) -> None:
         """Makes no further call; may be used by the work itself."""
         self._is_stopped = True
         self._roused.set()
--- a/src/lovagesaddle/transport/endpoint.py
+++ b/src/lovagesaddle/transport/endpoint.py
@@ -6,7 +6,6 @@
 """
 
 import math
-import types
 from typing import Self
 
 import zmq
@@ -80,12 +79,7 @@
     def __enter__(self) -> Self:
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self.close()
 
     @property
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -6,7 +6,6 @@
 import tempfile
 import threading
 import time
-import types
 from typing import Self, TypeVar
 
 import zmq
@@ -70,12 +69,7 @@
             self.start(replica.replica_id, is_founding=True)
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         for name in tuple(self._threads):
             self.stop(name)
         self._stack.close()
--- a/tests/fake_replica.py
+++ b/tests/fake_replica.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import threading
-import types
 from typing import Self
 
 import zmq
@@ -54,12 +53,7 @@
         self._thread.start()
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self._stopping.set()
         self._thread.join()
         self._endpoint.close()
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -9,7 +9,6 @@
 import socket
 import threading
 import time
-import types
 from typing import Any, Self
 
 import zmq
@@ -222,12 +221,7 @@
         self._stack.callback(self.control.close)
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self._stack.close()
 
     def start(
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -12,7 +12,6 @@
 import re
 import threading
 import time
-import types
 from typing import Any, Self
 
 from bench import processes
@@ -77,12 +76,7 @@
             threading.Thread(target=work, daemon=True).start()
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self._stopped.set()
         self._server.shutdown()
         self._server.server_close()
@@ -177,12 +171,7 @@
             self.start("node", ip)
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: types.TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self._stack.close()
 
     def start(self, role: str, ip: str, *, is_first: bool = True) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,6 +4,7 @@
 import contextlib
 import http.server
 import threading
+from unittest import mock
 
 from lovagesaddle.node import discovery
 from lovagesaddle.platform import names
@@ -71,4 +72,21 @@
             )
 
 
+def test_only_the_join_hurries_the_question() -> None:
+    """A storm of configurations does not ask a server that is down."""
+    with (
+        nodes.Mesh(nodes.make_service()) as mesh,
+        mock.patch.object(
+            discovery.Discovery, "wake", autospec=True
+        ) as hurried,
+    ):
+        first = mesh.start(
+            "n0", probe=False, service=SERVICE, server_address="127.0.0.1:1"
+        )
+        nodes.wait_for(lambda: first.is_ready, "the node to join")
+        for number in range(1, 4):
+            mesh.start(f"n{number}", probe=False)
+        assert hurried.call_count == 1
+
+
 load_tests = fixtures.collect(__name__)
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -6,8 +6,8 @@
 from lovagesaddle.core.distribution import messages
 from lovagesaddle.core.distribution import source_events
 from lovagesaddle.core.distribution import wire
-from lovagesaddle.core.membership import early_joins
 from lovagesaddle.core.membership import leases as leases_lib
+from lovagesaddle.core.membership import pending_joins
 from lovagesaddle.core.membership import registrar as registrar_lib
 from lovagesaddle.core.membership import registry as registry_lib
 from lovagesaddle.core.model import peers
@@ -77,7 +77,7 @@
     registrar = _make_registrar()
     _observe(registrar, now=0.0)
     _join(registrar, "n1", b"1", now=0.0)
-    late = early_joins.KEEP_S + 0.1
+    late = pending_joins.KEEP_S + 0.1
     _observe(registrar, is_leader=True, now=late)
     registrar.tick(late)
     assert not _find_proposals(registrar.tick(late + 1))
--- a/tests/test_ticker.py
+++ b/tests/test_ticker.py
@@ -36,7 +36,7 @@
 
     def work() -> None:
         calls.append(len(calls))
-        repeated.finish()
+        repeated.stop()
         ended.set()
 
     repeated = ticker.Ticker(name="t", interval_s=0.001, work=work)
