--- a/src/lovagesaddle/control/machine.py
+++ b/src/lovagesaddle/control/machine.py
@@ -67,7 +67,7 @@
         if image.index == 0:
             return
         self._log_bytes = 0
-        self._state = _DECODER.decode(image.data)
+        self._state = state_lib.name_publication(_DECODER.decode(image.data))
         self._stamped = delta.stamp(self._state.snapshot)
 
     def encode(self) -> bytes:
--- a/src/lovagesaddle/core/configuration/delta.py
+++ b/src/lovagesaddle/core/configuration/delta.py
@@ -76,6 +76,7 @@
         removed_servers=_list_removed(old.servers, new.servers),
         shards=_list_changed(old.shards, new.shards),
         limits=new.limits,
+        publication=new.publication,
     )
 
 
@@ -96,6 +97,7 @@
         servers=merge(old.servers, delta.servers, delta.removed_servers),
         shards=merge(old.shards, delta.shards, ()),
         limits=delta.limits,
+        publication=delta.publication,
     )
     result = restamp(base, merged)
     if result.digest != delta.digest:
--- a/src/lovagesaddle/core/configuration/state.py
+++ b/src/lovagesaddle/core/configuration/state.py
@@ -163,6 +163,7 @@
             version=version,
             services=_reuse(state.snapshot.services, command.services),
             limits=command.limits,
+            publication=version,
         ),
         publications=(
             *state.publications,
@@ -268,6 +269,19 @@
     return tuple(sorted(reused, key=lambda service: service.name))
 
 
+def name_publication(state: State) -> State:
+    """Returns the state with its publication named in the snapshot.
+
+    States that were kept by an earlier release don't name it there.
+    """
+    if state.snapshot.publication == state.publication_version:
+        return state
+    named = dataclasses.replace(
+        state.snapshot, publication=state.publication_version
+    )
+    return dataclasses.replace(state, snapshot=named)
+
+
 def restamp_state(base: delta.Stamped, state: State) -> delta.Stamped:
     """Returns the state's snapshot with its digest, reusing the base's."""
     return delta.restamp(base, state.snapshot)
--- a/src/lovagesaddle/core/model/snapshots.py
+++ b/src/lovagesaddle/core/model/snapshots.py
@@ -109,6 +109,8 @@
       servers: Sorted by server ID; every server's node is in `nodes`.
       shards: Sorted by number.
       limits: Limits on callers; None leaves those of each node's settings.
+      publication: Version of the publication that brought the services; 0
+        before the first one.
     """
 
     cluster_id: str
@@ -118,6 +120,7 @@
     servers: tuple[BackendServer, ...] = ()
     shards: tuple[Shard, ...] = ()
     limits: services_lib.CallerLimits | None = None
+    publication: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -138,6 +141,7 @@
       removed_servers: Server IDs.
       shards: Added or changed shards.
       limits: Limits of the result, whether they changed or not.
+      publication: Version of the result's publication.
     """
 
     cluster_id: str
@@ -153,3 +157,4 @@
     removed_servers: tuple[str, ...] = ()
     shards: tuple[Shard, ...] = ()
     limits: services_lib.CallerLimits | None = None
+    publication: int = 0
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -195,4 +195,24 @@
     return delta.stamp(before), delta.stamp(after)
 
 
+def test_snapshot_names_its_publication() -> None:
+    """Nodes can tell an empty configuration from none at all."""
+    state = state_lib.found_state()
+    assert state.snapshot.publication == 0
+    state = state_lib.apply_command(state, 1, _publish("p1", 0)).state
+    joined = commands.ChangeMembership(nodes=(_node("n1"),))
+    state = state_lib.apply_command(state, 2, joined).state
+    assert state.snapshot.publication == 1
+
+
+def test_state_of_an_earlier_release_names_its_publication() -> None:
+    """A kept state whose snapshot doesn't name the publication gets it."""
+    state = state_lib.found_state()
+    state = state_lib.apply_command(state, 1, _publish("p1", 0)).state
+    earlier = dataclasses.replace(
+        state, snapshot=dataclasses.replace(state.snapshot, publication=0)
+    )
+    assert state_lib.name_publication(earlier) == state
+
+
 load_tests = fixtures.collect(__name__)
