Log requests without a route, and the size and delay of an update

Adds route_missed (bounded as other failures), bytes and overdue_ms to installed, and the metrics route_misses_total and table_version. Tests: test_route_misses, test_follower.

--- a/src/lovagesaddle/core/distribution/events.py
+++ b/src/lovagesaddle/core/distribution/events.py
@@ -102,6 +102,9 @@
       version: Version it concerns; 0 for none.
       reason: Why, in a few words.
       candidates: Processes that were weighed, best first.
+      size: Bytes of the frame that it is about; 0 for none.
+      overdue_ms: Time for which a newer version was known and not there, in
+        milliseconds; None where that says nothing.
     """
 
     event: str
@@ -109,6 +112,8 @@
     version: int = 0
     reason: str = ""
     candidates: tuple[str, ...] = ()
+    size: int = 0
+    overdue_ms: int | None = None
 
 
 NodeEvent = (
--- a/src/lovagesaddle/core/distribution/fetching.py
+++ b/src/lovagesaddle/core/distribution/fetching.py
@@ -71,6 +71,10 @@
             if seen > version
         }
 
+    def measure_delay(self, now: float) -> float:
+        """Returns for how long a newer version was known, in seconds."""
+        return now - self._seen_at if self._seen else 0.0
+
     def set_helpers(self, helpers: tuple[peers.Peer, ...]) -> None:
         """Takes nodes that may serve the first snapshot."""
         self._helpers = helpers
--- a/src/lovagesaddle/core/distribution/follower.py
+++ b/src/lovagesaddle/core/distribution/follower.py
@@ -24,6 +24,7 @@
 
 SNAPSHOTS_PER_S = 4.0
 SNAPSHOT_BURST = 4
+MS_PER_S = 1000
 
 
 class Follower(part.Part[events.NodeEvent, events.Action]):
@@ -236,6 +237,7 @@
         held = self._holding.held
         assert held is not None
         frame = arrival.frame if base_version else b""
+        overdue_s = self._fetching.measure_delay(now)
         self._history.add(held, base_version=base_version, frame=frame)
         self._fetching.note_installed()
         self._joining.notice_version()
@@ -244,7 +246,13 @@
         return (
             events.Install(stamped=held),
             *self._children.push_newest(self._parents.stamp),
-            events.describe("installed", arrival, version=held.version),
+            events.LogLine(
+                event="installed",
+                peer=arrival.sender_id,
+                version=held.version,
+                size=len(arrival.frame),
+                overdue_ms=int(overdue_s * MS_PER_S),
+            ),
             *self._tick(now),
         )
 
--- a/src/lovagesaddle/core/routing/table.py
+++ b/src/lovagesaddle/core/routing/table.py
@@ -182,6 +182,7 @@
         self, snapshot: snapshots.Snapshot, previous: "Table | None" = None
     ) -> None:
         self._version = snapshot.version
+        self._publication = snapshot.publication
         self._index: _RouteIndex
         if previous is not None and previous.holds(snapshot.services):
             self._index = previous._index
@@ -194,6 +195,11 @@
         """Version of the compiled snapshot."""
         return self._version
 
+    @property
+    def publication(self) -> int:
+        """Version of the publication that brought the routes; 0 for none."""
+        return self._publication
+
     def holds(self, published: tuple[services_lib.Service, ...]) -> bool:
         """Returns whether its routes are those of the very same services."""
         return self._index.services is published
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -123,6 +123,7 @@
             method=request.method,
         )
         if isinstance(match, table_lib.Miss):
+            self._log_miss(match, table, request)
             return _answer_miss(match)
         access = table.authorise(match, self._find_credential(request))
         refused = _refuse_request(match, access, request)
@@ -143,6 +144,30 @@
             request,
         )
 
+    def _log_miss(
+        self,
+        miss: table_lib.Miss,
+        table: table_lib.Table,
+        request: gateway.Incoming,
+    ) -> None:
+        self._metrics.get_counter(
+            "route_misses_total",
+            "Requests that no route took, by reason",
+            labels={"reason": miss.reason.value},
+        ).add()
+        if not logs.allows_request(failed=True):
+            return
+        _log.info(
+            "route_missed",
+            request=request.headers.get(self._names.request_id.lower(), ""),
+            host=request.headers.get("host", ""),
+            path=request.path,
+            status=miss.status,
+            reason=miss.reason.value,
+            version=miss.version,
+            publication=table.publication,
+        )
+
     def _find_credential(
         self, request: gateway.Incoming
     ) -> table_lib.Credential:
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -152,6 +152,11 @@
             self._servers.connect(control)
             self._suspects.connect(control)
             self._claims.connect(control)
+            self.metrics.set_gauge(
+                "table_version",
+                "Version of the routing table; 0 for none.",
+                lambda: self._read_health().version,
+            )
             self.metrics.set_gauge(
                 "control_bytes_total",
                 "Bytes of configuration traffic, both ways.",
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -113,6 +113,7 @@
         _log.info(
             "table_installed",
             version=made.version,
+            publication=made.publication,
             services=len(stamped.snapshot.services),
             servers=len(stamped.snapshot.servers),
         )
--- a/src/lovagesaddle/transport/lines.py
+++ b/src/lovagesaddle/transport/lines.py
@@ -15,7 +15,12 @@
         "reason": line.reason,
         "candidates": ",".join(line.candidates),
     }
-    _LOG.info(line.event, **{k: v for k, v in fields.items() if v})
+    written = {key: value for key, value in fields.items() if value}
+    if line.size:
+        written["bytes"] = line.size
+    if line.overdue_ms is not None:
+        written["overdue_ms"] = line.overdue_ms
+    _LOG.info(line.event, **written)
 
 
 def write_error(error: errors.LovagesaddleError) -> None:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -191,4 +191,27 @@
         assert stayed is (sender == "n1"), sender
 
 
+def test_installed_version_tells_its_size_and_its_delay() -> None:
+    """A late version is told apart from one that was sent late."""
+    mesh = mesh_lib.Mesh()
+    mesh.add_node("n1")
+    mesh.run(3)
+    pushes: list[bytes] = []
+
+    def _hold(_: str, __: str, frame: bytes) -> bool:
+        if wire.name_kind(frame) != messages.DeltaPush.__name__:
+            return False
+        pushes.append(frame)
+        return len(pushes) == 1
+
+    mesh.hold = _hold
+    mesh.publish("orderdesk")
+    mesh.run_until_converged()
+    line = [
+        line for line in mesh.nodes["n1"].lines if line.event == "installed"
+    ][-1]
+    assert line.size == len(pushes[-1])
+    assert line.overdue_ms is not None and line.overdue_ms >= 250
+
+
 load_tests = fixtures.collect(__name__)
--- /dev/null
+++ b/tests/test_route_misses.py
@@ -0,0 +1,37 @@
+"""Tests of what a node tells about requests that no route takes."""
+
+import io
+
+from lovagesaddle.observability import logs
+from lovagesaddle.settings import schema
+from tests import fixtures
+from tests import nodes
+
+
+def test_missed_route_names_the_version_that_lacks_it() -> None:
+    """A 404 is logged with what the node held, and it is counted."""
+    stream = io.StringIO()
+    with (
+        logs.LogWriter(stream, schema.LogSettings(), owned=False),
+        nodes.Mesh(nodes.make_service()) as mesh,
+    ):
+        node = mesh.start("n0")
+        mesh.control.change(publication=7)
+        version = mesh.control.snapshot.version
+        reply = nodes.send(node.http_address, path="/x", Host="no.example")
+        rendered = node.metrics.render()
+    assert reply.status == 404
+    (line,) = [
+        each
+        for each in stream.getvalue().splitlines()
+        if "event=route_missed" in each
+    ]
+    expected = (
+        "host=no.example path=/x status=404 reason=unknown-host "
+        f"version={version} publication=7"
+    )
+    assert expected in line, line
+    assert 'route_misses_total{reason="unknown-host"} 1' in rendered, rendered
+
+
+load_tests = fixtures.collect(__name__)
