--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -1,12 +1,15 @@
 """In-memory links and a log without consensus, for distribution tests.
 
 Time is virtual: `Mesh.run` delivers frames after `LATENCY_S` and ticks every
-part. A pair of processes that is cut delivers nothing either way.
+part. A pair of processes that is cut delivers nothing either way. Where links
+have a rate, frames of one node follow one another, both ways.
 """
 
+import collections
 from collections.abc import Callable
 import heapq
 import itertools
+import math
 import random
 
 from lovagesaddle.core.configuration import delta
@@ -52,13 +55,42 @@
         self.lines: list[events.LogLine] = []
 
 
+class Link:
+    """The way of one node to the others, or back, one frame at a time.
+
+    Args:
+      rate: Bytes a second.
+    """
+
+    def __init__(self, rate: float) -> None:
+        self._rate = rate
+        self._free_at = 0.0
+
+    def carry(self, size: int, now: float) -> float:
+        """Returns when the last byte of a frame is over."""
+        self._free_at = max(now, self._free_at) + size / self._rate
+        return self._free_at
+
+
 class Mesh:
-    """Replicas and nodes on in-memory links."""
+    """Replicas and nodes on in-memory links.
+
+    Args:
+      replica_count: Replicas; their links have no rate.
+      heartbeat_s: Time between beats, in seconds.
+      link_rate: Bytes a second of each node's link, each way.
+    """
 
     def __init__(
-        self, replica_count: int = 3, heartbeat_s: float = HEARTBEAT_S
+        self,
+        replica_count: int = 3,
+        heartbeat_s: float = HEARTBEAT_S,
+        link_rate: float = math.inf,
     ) -> None:
         self.heartbeat_s = heartbeat_s
+        self._links: dict[tuple[str, bool], Link] = collections.defaultdict(
+            lambda: Link(link_rate)
+        )
         self.now = 100.0
         self.replicas = {
             f"r{n}": Replica(f"r{n}", heartbeat_s) for n in range(replica_count)
@@ -132,12 +164,16 @@
 
     def publish(self, *names: str) -> int:
         """Publishes services with those names."""
+        return self.publish_services(*(make_service(name) for name in names))
+
+    def publish_services(self, *published: services.Service) -> int:
+        """Publishes services."""
         return self.commit(
             commands.PublishServices(
                 publish_id=f"p{self.entries}",
                 operator="ana",
                 base_version=self.state.publication_version,
-                services=tuple(make_service(name) for name in names),
+                services=published,
             )
         )
 
@@ -259,9 +295,18 @@
             if pair not in self.blocked:
                 self.step(target_id, arrival)
 
-        heapq.heappush(
-            self._queue, (self.now + LATENCY_S, next(self._order), _deliver)
-        )
+        arrives_at = self._transmit(sender_id, target_id, len(frame))
+        heapq.heappush(self._queue, (arrives_at, next(self._order), _deliver))
+
+    def _transmit(self, sender_id: str, target_id: str, size: int) -> float:
+        """Returns when a frame is whole at its target."""
+        moment = self.now
+        if sender_id not in self.replicas:
+            moment = self._links[sender_id, True].carry(size, moment)
+        moment += LATENCY_S
+        if target_id not in self.replicas:
+            moment = self._links[target_id, False].carry(size, moment)
+        return moment
 
 
 def make_node(
--- /dev/null
+++ b/tests/test_large_configurations.py
@@ -0,0 +1,201 @@
+"""Tests of configurations with many routes on nodes behind thin links."""
+
+import dataclasses
+import random
+import string
+
+from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.configuration import state as state_lib
+from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import wire
+from lovagesaddle.core.model import commands
+from lovagesaddle.core.model import services
+from lovagesaddle.core.routing import table as table_lib
+from tests import fixtures
+from tests import mesh as mesh_lib
+
+ROUTES = 1600
+ADDED_ROUTES = 1440
+DOMAINS = ("a", "b", "c")
+NODES_PER_DOMAIN = 28
+REPLICAS = 6
+# 2.23 Mbit/s, the link of a VM beside a backend server.
+LINK_BYTES_PER_S = 278_750
+# An accepted version is in force everywhere within this time.
+IN_FORCE_S = 2.0
+# Operators who publish as fast as they are answered.
+STORM_CHANGES = 25
+STORM_GAP_S = 0.4
+
+
+def _draw_name(source: random.Random) -> str:
+    return "".join(source.choices(string.ascii_lowercase, k=5))
+
+
+def _make_route(number: int, source: random.Random) -> services.Route:
+    host = f"host{number % 8}.example"
+    path = f"/{_draw_name(source)}/{_draw_name(source)}/"
+    return services.Route(
+        name=f"r-{number:05d}@{host}{path}",
+        host=host,
+        path_prefix=path,
+        methods=(),
+        timeout_s=1.5,
+        retries=1,
+        priority=1,
+        idempotent=True,
+        callers=(),
+        services=(),
+        max_body_bytes=67_108_864,
+        is_open=True,
+        target_latency_s=0.6,
+    )
+
+
+def _make_services(
+    count: int, *, seed: int = 1
+) -> tuple[services.Service, ...]:
+    """Returns two services that share `count` routes."""
+    source = random.Random(seed)
+    routes = [_make_route(number, source) for number in range(count)]
+    return tuple(
+        dataclasses.replace(
+            mesh_lib.make_service(name), routes=tuple(routes[turn::2])
+        )
+        for turn, name in enumerate(("artwork", "orderdesk"))
+    )
+
+
+def _change_route(
+    published: tuple[services.Service, ...], number: int, timeout_s: float
+) -> tuple[services.Service, ...]:
+    """Returns fresh copies of all services with one route changed.
+
+    A publication is decoded anew, so nothing is shared with the one before.
+    """
+    copies = []
+    for service in published:
+        routes = [dataclasses.replace(route) for route in service.routes]
+        if service.name == "orderdesk":
+            routes[number] = dataclasses.replace(
+                routes[number], timeout_s=timeout_s
+            )
+        copies.append(dataclasses.replace(service, routes=tuple(routes)))
+    return tuple(copies)
+
+
+def _start_mesh(published: tuple[services.Service, ...]) -> mesh_lib.Mesh:
+    mesh = mesh_lib.Mesh(replica_count=REPLICAS, link_rate=LINK_BYTES_PER_S)
+    for domain in DOMAINS:
+        mesh.add_nodes(NODES_PER_DOMAIN, domain)
+    mesh.run(3)
+    mesh.publish_services(*published)
+    mesh.run(10)
+    mesh.run_until_converged()
+    return mesh
+
+
+def _measure_lags(
+    mesh: mesh_lib.Mesh, accepted: dict[int, float], limit_s: float
+) -> dict[int, float]:
+    """Returns how long each version took to be in force at every node.
+
+    Args:
+      mesh: Runs until all are in force.
+      accepted: When each version was accepted.
+      limit_s: Gives up after this time.
+    """
+    lags: dict[int, float] = {}
+    end = mesh.now + limit_s
+    while len(lags) < len(accepted) and mesh.now < end:
+        mesh.run(mesh_lib.TICK_S)
+        lowest = min(mesh.versions().values())
+        for version, moment in accepted.items():
+            if lowest >= version and version not in lags:
+                lags[version] = mesh.now - moment
+    return lags
+
+
+def _apply_publish(
+    state: state_lib.State,
+    version: int,
+    published: tuple[services.Service, ...],
+) -> state_lib.State:
+    command = commands.PublishServices(
+        publish_id=f"p{version}",
+        operator="ana",
+        base_version=state.publication_version,
+        services=published,
+    )
+    return state_lib.apply_command(state, version, command).state
+
+
+def _publish_twice(
+    count: int,
+) -> tuple[delta.Stamped, delta.Stamped]:
+    """Returns a snapshot of `count` routes and its successor, one changed."""
+    published = _make_services(count)
+    before = _apply_publish(state_lib.found_state(), 1, published)
+    after = _apply_publish(before, 2, _change_route(published, 3, 2.5))
+    base = delta.stamp(before.snapshot)
+    return base, state_lib.restamp_state(base, after)
+
+
+def test_update_of_one_route_does_not_carry_the_others() -> None:
+    """Ten times the routes make the update of one route no larger."""
+    sizes = []
+    for count in (ROUTES // 10, ROUTES):
+        change = delta.compute_delta(*_publish_twice(count))
+        sizes.append(len(wire.encode(messages.DeltaPush(delta=change))))
+    small, large = sizes
+    # The digests are as incompressible in one as in the other.
+    assert large <= small * 1.1, sizes
+
+
+def test_changes_in_quick_succession_are_in_force_in_time() -> None:
+    """Versions don't pile up on links that are thinner than their pace."""
+    published = _make_services(ROUTES)
+    mesh = _start_mesh(published)
+    accepted: dict[int, float] = {}
+    lags: dict[int, float] = {}
+    for turn in range(STORM_CHANGES):
+        published = _change_route(published, turn, 2.0 + turn)
+        accepted[mesh.publish_services(*published)] = mesh.now
+        lags |= _measure_lags(mesh, accepted, STORM_GAP_S)
+    pending = {k: v for k, v in accepted.items() if k not in lags}
+    lags |= _measure_lags(mesh, pending, 60.0)
+    assert len(lags) == STORM_CHANGES
+    assert max(lags.values()) <= IN_FORCE_S, lags
+
+
+def test_many_added_routes_are_in_force_in_time() -> None:
+    """A configuration that nearly doubles crosses the thin links in time."""
+    published = _make_services(ROUTES)
+    mesh = _start_mesh(published)
+    grown = _make_services(ROUTES + ADDED_ROUTES)
+    version = mesh.publish_services(*grown)
+    lags = _measure_lags(mesh, {version: mesh.now}, 60.0)
+    assert lags[version] <= IN_FORCE_S, lags
+
+
+def test_unchanged_routes_are_not_compiled_again() -> None:
+    """A table takes over the entries of routes that did not change."""
+    base, target = _publish_twice(ROUTES)
+    received = delta.apply_delta(base, delta.compute_delta(base, target))
+    first = table_lib.Table(base.snapshot)
+    second = table_lib.Table(received.snapshot, first)
+    taken_over = sum(
+        _find(first, route) is _find(second, route)
+        for service in base.snapshot.services
+        for route in service.routes
+    )
+    assert taken_over == ROUTES - 1
+
+
+def _find(
+    table: table_lib.Table, route: services.Route
+) -> table_lib.Match | table_lib.Miss:
+    return table.match(host=route.host, path=route.path_prefix, method="GET")
+
+
+load_tests = fixtures.collect(__name__)
