Carry changes of a configuration route by route

Cause: the unit of a delta and of the digest was a service. Change: a delta brings the routes that were added or changed and names those removed; the digest sums one hash for each route; routes that did not change are shared by identity from the publication on, kept publications included.

--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -271,8 +271,13 @@
     if not isinstance(message, messages.DeltaPush):
         return frame[:-1]
     wrong = tuple(
-        dataclasses.replace(service, revision=service.revision + 1)
-        for service in message.delta.services
+        dataclasses.replace(
+            change,
+            service=dataclasses.replace(
+                change.service, revision=change.service.revision + 1
+            ),
+        )
+        for change in message.delta.services
     )
     changed = dataclasses.replace(message.delta, services=wrong)
     return wire.encode(dataclasses.replace(message, delta=changed))
--- a/src/lovagesaddle/core/configuration/delta.py
+++ b/src/lovagesaddle/core/configuration/delta.py
@@ -6,6 +6,7 @@
 
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import digest
+from lovagesaddle.core.configuration import service_changes
 from lovagesaddle.core.model import services
 from lovagesaddle.core.model import snapshots
 
@@ -68,7 +69,7 @@
         base_digest=base.digest,
         version=new.version,
         digest=target.digest,
-        services=_list_changed(old.services, new.services),
+        services=_list_changed_services(old.services, new.services),
         removed_services=_list_removed(old.services, new.services),
         nodes=_list_changed(old.nodes, new.nodes),
         removed_nodes=_list_removed(old.nodes, new.nodes),
@@ -92,7 +93,7 @@
     merged = snapshots.Snapshot(
         cluster_id=old.cluster_id,
         version=delta.version,
-        services=merge(old.services, delta.services, delta.removed_services),
+        services=_merge_services(old.services, delta),
         nodes=merge(old.nodes, delta.nodes, delta.removed_nodes),
         servers=merge(old.servers, delta.servers, delta.removed_servers),
         shards=merge(old.shards, delta.shards, ()),
@@ -158,6 +159,11 @@
         previous = old.pop(key_item(item), None)
         if previous is item:
             continue
+        if isinstance(previous, services.Service) and isinstance(
+            item, services.Service
+        ):
+            total = total.replace_service(previous, item)
+            continue
         if previous is not None:
             total = total.remove(previous)
         total = total.add(item)
@@ -166,6 +172,30 @@
     return total
 
 
+def _merge_services(
+    held: tuple[services.Service, ...], change: snapshots.Delta
+) -> tuple[services.Service, ...]:
+    by_name = {service.name: service for service in held}
+    changed = tuple(
+        service_changes.apply_change(by_name.get(each.service.name), each)
+        for each in change.services
+    )
+    return merge(held, changed, change.removed_services)
+
+
+def _list_changed_services(
+    old: tuple[services.Service, ...], new: tuple[services.Service, ...]
+) -> tuple[snapshots.ServiceChange, ...]:
+    if old is new:
+        return ()
+    before = {service.name: service for service in old}
+    changes = (
+        service_changes.find_change(before.get(service.name), service)
+        for service in new
+    )
+    return tuple(change for change in changes if change is not None)
+
+
 def _list_changed(
     old: tuple[ItemT, ...], new: tuple[ItemT, ...]
 ) -> tuple[ItemT, ...]:
--- a/src/lovagesaddle/core/configuration/digest.py
+++ b/src/lovagesaddle/core/configuration/digest.py
@@ -1,8 +1,9 @@
 """Digest of a snapshot that a delta updates at the cost of its own size.
 
-The digest is the sum, modulo 2**128, of one BLAKE2b hash for each item. An
-item that changes is subtracted and added again, so checking a delta costs the
-delta and not the fleet. It guards against lost, crossed and damaged updates;
+The digest is the sum, modulo 2**128, of one BLAKE2b hash for each item, where
+each route of a service is an item of its own. An item that changes is
+subtracted and added again, so checking a delta costs the delta and neither the
+fleet nor the other routes. It guards against lost, crossed and damaged updates;
 forged updates are kept out by the encrypted links.
 """
 
@@ -11,6 +12,7 @@
 
 import msgspec
 
+from lovagesaddle.core.configuration import service_changes
 from lovagesaddle.core.model import services
 from lovagesaddle.core.model import snapshots
 
@@ -44,6 +46,18 @@
         """Returns the sum without an item that was added before."""
         return Accumulator((self.total - hash_item(item)) % _MODULUS)
 
+    def replace_service(
+        self, old: services.Service, new: services.Service
+    ) -> "Accumulator":
+        """Returns the sum with another state of a service."""
+        change = _hash_head(new) - _hash_head(old)
+        for each in service_changes.list_route_changes(old, new):
+            if each.old is not None:
+                change -= _hash_route(old.name, each.old)
+            if each.new is not None:
+                change += _hash_route(new.name, each.new)
+        return Accumulator((self.total + change) % _MODULUS)
+
     def replace_limits(
         self,
         old: services.CallerLimits | None,
@@ -65,11 +79,25 @@
 
 def hash_item(item: Item) -> int:
     """Returns the hash of one item, which covers its class and content."""
+    if isinstance(item, services.Service):
+        return _hash_head(item) + sum(
+            _hash_route(item.name, route) for route in item.routes
+        )
     return _hash(item)
 
 
-def _hash(item: Item | services.CallerLimits) -> int:
-    data = type(item).__name__.encode() + _ENCODER.encode(item)
+def _hash_head(service: services.Service) -> int:
+    return _hash(service_changes.strip_routes(service))
+
+
+def _hash_route(service: str, route: services.Route) -> int:
+    return _hash(route, service.encode())
+
+
+def _hash(
+    item: Item | services.Route | services.CallerLimits, owner: bytes = b""
+) -> int:
+    data = type(item).__name__.encode() + owner + _ENCODER.encode(item)
     return int.from_bytes(
         hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest(), "big"
     )
--- a/src/lovagesaddle/core/configuration/state.py
+++ b/src/lovagesaddle/core/configuration/state.py
@@ -10,6 +10,7 @@
 from lovagesaddle.core.configuration import digest
 from lovagesaddle.core.configuration import membership
 from lovagesaddle.core.configuration import references
+from lovagesaddle.core.configuration import service_changes
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import documents
 from lovagesaddle.core.model import operator_messages
@@ -157,17 +158,18 @@
             state, snapshot=_advance(state, version), results=results
         )
         return Applied(state=refused, result=result)
+    shared = _reuse(state.snapshot.services, command.services)
     accepted = State(
         snapshot=dataclasses.replace(
             state.snapshot,
             version=version,
-            services=_reuse(state.snapshot.services, command.services),
+            services=shared,
             limits=command.limits,
             publication=version,
         ),
         publications=(
             *state.publications,
-            _record_publication(version, command),
+            _record_publication(version, command, shared),
         )[-KEPT_PUBLICATIONS:],
         results=results,
         document=_keep_document(state, command),
@@ -239,7 +241,9 @@
 
 
 def _record_publication(
-    version: int, command: commands.PublishServices
+    version: int,
+    command: commands.PublishServices,
+    published: tuple[services.Service, ...],
 ) -> KeptPublication:
     return KeptPublication(
         publication=operator_messages.Publication(
@@ -252,7 +256,7 @@
                 for service in command.services
             ),
         ),
-        services=command.services,
+        services=published,
     )
 
 
@@ -261,9 +265,7 @@
 ) -> tuple[services.Service, ...]:
     by_name = {service.name: service for service in held}
     reused = (
-        by_name[service.name]
-        if by_name.get(service.name) == service
-        else service
+        service_changes.share_routes(by_name.get(service.name), service)
         for service in new
     )
     return tuple(sorted(reused, key=lambda service: service.name))
