--- a/src/lovagesaddle/core/routing/table.py
+++ b/src/lovagesaddle/core/routing/table.py
@@ -10,8 +10,9 @@
 from lovagesaddle.core.model import services as services_lib
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import paths
+from lovagesaddle.core.routing import route_index
 
-ANY_METHOD = ""
+Match = route_index.Match
 
 
 class MissReason(enum.Enum):
@@ -23,21 +24,6 @@
     METHOD_NOT_ALLOWED = "method-not-allowed"
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Match:
-    """The route that takes a request.
-
-    Attributes:
-      service: Name of the service.
-      route: The route.
-      version: Version of the snapshot that brought the services.
-    """
-
-    service: str
-    route: services_lib.Route
-    version: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Miss:
     """No route takes a request; it did not run.
@@ -119,63 +105,13 @@
     is_warm: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Target:
-    match: Match
-    callers: dict[str, str]
-    service_callers: dict[str, str]
-
-
-_Methods = dict[str, _Target]
-
-
-class _RouteIndex:
-    """The routes of some services, by host, path prefix and method."""
-
-    def __init__(
-        self, published: tuple[services_lib.Service, ...], version: int
-    ) -> None:
-        self.services = published
-        self._version = version
-        self.hosts: dict[str, dict[str, _Methods]] = {}
-        self.targets: dict[tuple[str, str], _Target] = {}
-        for service in published:
-            self._add_service(service)
-
-    def _add_service(self, service: services_lib.Service) -> None:
-        known = {
-            digest: caller.name
-            for caller in service.callers
-            for digest in caller.digests
-        }
-        for route in service.routes:
-            target = _Target(
-                match=Match(
-                    service=service.name, route=route, version=self._version
-                ),
-                callers={
-                    digest: name
-                    for digest, name in known.items()
-                    if name in route.callers
-                },
-                service_callers=known,
-            )
-            self.targets[service.name, route.name] = target
-            prefixes = self.hosts.setdefault(route.host, {})
-            methods = prefixes.setdefault(
-                paths.normalise_prefix(route.path_prefix), {}
-            )
-            for method in route.methods or (ANY_METHOD,):
-                methods.setdefault(method, target)
-
-
 class Table:
     """What one snapshot says about every request.
 
     Args:
       snapshot: The state to compile.
-      previous: An earlier table, whose routes are taken over where the
-        services are the very same: members change far more often.
+      previous: An earlier table, whose entries are taken over for routes
+        that did not change.
     """
 
     def __init__(
@@ -183,11 +119,11 @@
     ) -> None:
         self._version = snapshot.version
         self._publication = snapshot.publication
-        self._index: _RouteIndex
-        if previous is not None and previous.holds(snapshot.services):
-            self._index = previous._index
-        else:
-            self._index = _RouteIndex(snapshot.services, snapshot.version)
+        self._index: route_index.RouteIndex = (
+            route_index.RouteIndex(snapshot.services, snapshot.version)
+            if previous is None
+            else previous._index.succeed(snapshot.services, snapshot.version)
+        )
         self._candidates = _compile_candidates(snapshot)
 
     @property
@@ -200,10 +136,6 @@
         """Version of the publication that brought the routes; 0 for none."""
         return self._publication
 
-    def holds(self, published: tuple[services_lib.Service, ...]) -> bool:
-        """Returns whether its routes are those of the very same services."""
-        return self._index.services is published
-
     def match(self, *, host: str, path: str, method: str) -> Match | Miss:
         """Finds the route of a request; the longest path prefix wins.
 
@@ -215,16 +147,17 @@
           path: Path without the query, as sent.
           method: HTTP method in upper case.
         """
-        prefixes = self._index.hosts.get(paths.normalise_host(host))
+        prefixes = self._index.find_prefixes(paths.normalise_host(host))
         if prefixes is None:
             return self._miss(MissReason.UNKNOWN_HOST, 404)
         decoded = paths.decode_path(path)
         if decoded is None:
             return self._miss(MissReason.MALFORMED_PATH, 400)
-        methods = _find_longest(prefixes, decoded)
-        if methods is None:
+        found = _find_longest(prefixes, decoded)
+        if found is None:
             return self._miss(MissReason.UNKNOWN_PATH, 404)
-        target = methods.get(method) or methods.get(ANY_METHOD)
+        methods = found.methods
+        target = methods.get(method) or methods.get(route_index.ANY_METHOD)
         if target is None:
             return self._miss(
                 MissReason.METHOD_NOT_ALLOWED, 405, tuple(sorted(methods))
@@ -240,7 +173,7 @@
                 client=credential.service,
                 reason=AccessReason.OPEN,
             )
-        target = self._index.targets[match.service, match.route.name]
+        target = self._index.get_target(match)
         if credential.service:
             return _judge_service(match.route, credential.service)
         digest = credential.token_digest
@@ -303,14 +236,16 @@
     return Access(allowed=False, status=status, client=client, reason=reason)
 
 
-def _find_longest(prefixes: dict[str, _Methods], path: str) -> _Methods | None:
+def _find_longest(
+    prefixes: route_index.Prefixes, path: str
+) -> route_index.Prefix | None:
     prefix = path.rstrip("/")
     is_below = path.endswith("/")
     while prefix:
-        methods = prefixes.get(f"{prefix}/") if is_below else None
-        methods = methods or prefixes.get(prefix)
-        if methods is not None:
-            return methods
+        found = prefixes.get(f"{prefix}/") if is_below else None
+        found = found or prefixes.get(prefix)
+        if found is not None:
+            return found
         prefix = prefix.rpartition("/")[0]
         is_below = True
     return prefixes.get(paths.ROOT)
