Hang eight roots of each failure domain on the replicas

Cause: a relay sends an update once for each child over its own thin link; two roots of 28 nodes had eight children each and served the whole domain, while the replicas, on links 76 times as wide, served six nodes. Change: eight roots, levels that grow by four; as many levels as before.

--- a/src/lovagesaddle/core/distribution/tree.py
+++ b/src/lovagesaddle/core/distribution/tree.py
@@ -13,8 +13,8 @@
 from lovagesaddle.core.model import peers
 from lovagesaddle.core.model import snapshots
 
-ROOTS = 2
-FAN_OUT = 8
+ROOTS = 8
+FAN_OUT = 4
 SPARE_PARENTS = 3
 SPARE_REMOTES = 2
 HASH_BYTES = 8
