Wait for a stop signal on a pipe

Callers saw: a node that was asked to stop could go on as if nothing had been said and be killed at the end of its grace, with the requests it held cut. Cause: the main thread waited for a lock, and the system may deliver a signal to any thread, which does not wake it; the handler of Python runs on the main thread only. Ruled out: a handler that ran in between (no flag was set), a blocked signal, a stop that hung later. Change: signals write their number into a pipe that the main thread reads. The demo's and the bench's servers wait in the same way.

--- a/bench/backend_program.py
+++ b/bench/backend_program.py
@@ -1,13 +1,12 @@
 """Runs a stand-in backend server as a process: `--help` lists its faults."""
 
 import argparse
-import signal
 import sys
-import threading
 
 from bench import admin
 from bench import backend as backend_lib
 from bench import stand_in
+from lovagesaddle import stopping
 
 CONNECTIONS = 100
 
@@ -32,8 +31,6 @@
 def main(arguments: list[str]) -> int:
     """Runs a stand-in until SIGTERM; prints its address first."""
     parsed = _parse(arguments)
-    stopped = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stopped.set())
     options = stand_in.BackendOptions(
         slots=parsed.slots,
         run_s=parsed.run_ms / stand_in.MS_PER_S,
@@ -45,7 +42,10 @@
         seed=parsed.seed,
         exits=True,
     )
-    with backend_lib.Backend(options, parsed.port) as backend:
+    with (
+        stopping.StopSignals() as signals,
+        backend_lib.Backend(options, parsed.port) as backend,
+    ):
         print(backend.address, flush=True)
         if parsed.admin:
             admin.announce(
@@ -55,7 +55,7 @@
                 parsed.slots,
                 parsed.connections,
             )
-        stopped.wait()
+        signals.wait()
     return 0
 
 
--- a/src/lovagesaddle/cli/demo_server.py
+++ b/src/lovagesaddle/cli/demo_server.py
@@ -11,7 +11,6 @@
 import dataclasses
 import hashlib
 import http.client
-import signal
 import threading
 import time
 from typing import Annotated, Any, Self
@@ -19,6 +18,7 @@
 import msgspec
 import typer
 
+from lovagesaddle import stopping
 from lovagesaddle.http import lanes
 from lovagesaddle.http import server as server_lib
 
@@ -213,13 +213,13 @@
     listen: Annotated[str, typer.Option(help="Own ip:port.")] = "127.0.0.1:0",
 ) -> None:
     """Run a backend server until it is told to stop; then drain it."""
-    stopped = threading.Event()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        signal.signal(number, lambda *_: stopped.set())
-    with DemoServer(name=admin, service=service, address=listen) as server:
+    with (
+        stopping.StopSignals() as signals,
+        DemoServer(name=admin, service=service, address=listen) as server,
+    ):
         server.announce(admin)
         typer.echo(f"{service} answers on {server.address}")
-        stopped.wait()
+        signals.wait()
         server.drain(admin)
         server.finish()
         server.withdraw(admin)
--- a/src/lovagesaddle/node/main.py
+++ b/src/lovagesaddle/node/main.py
@@ -3,15 +3,14 @@
 from collections.abc import Callable
 import contextlib
 import pathlib
-import signal
 import sys
-import threading
 from typing import Annotated, Any
 
 from returns import result
 import typer
 import zmq
 
+from lovagesaddle import stopping
 from lovagesaddle.core import errors
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.node import program
@@ -75,12 +74,10 @@
       names: Names of the headers towards callers and backend servers.
       attach: Opens what else serves while the node runs.
     """
-    stopped = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopped.set())
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     try:
         with (
+            stopping.StopSignals() as signals,
             logs.open_log(settings.log),
             zmq.Context() as context,
             program.NodeProgram(
@@ -93,7 +90,7 @@
             attach(node),
         ):
             print(node.http_address, node.admin_address, flush=True)
-            stopped.wait()
+            signals.wait()
             return 0 if node.shut_down() else EXIT_CUT
     except errors.LovagesaddleError as error:
         typer.echo(str(error), err=True)
