Let a signal handler log while its thread logs

Callers could see: a process that freezes when its settings change. The handler of SIGHUP logs, and the queue of the log has a lock that is not re-entrant; a handler that interrupts its own thread inside the queue waits for itself for ever. Change: a queue whose put is re-entrant; the bound on lines is as before.

--- a/src/lovagesaddle/observability/logs.py
+++ b/src/lovagesaddle/observability/logs.py
@@ -129,7 +129,9 @@
         self.failed = sampling.Sampler(settings.failed_lines)
         self._counted_at = 0.0
         self._owned = owned
-        self._queue: queue.Queue[dict[str, Any]] = queue.Queue(QUEUE_LINES)
+        # A signal's handler may log while its own thread is in `put`, which
+        # only this queue allows.
+        self._queue: queue.SimpleQueue[dict[str, Any]] = queue.SimpleQueue()
         self._dropped = 0
         self._render = structlog.processors.LogfmtRenderer(
             key_order=LINE_KEYS, drop_missing=True
@@ -148,9 +150,9 @@
 
     def put(self, event: dict[str, Any]) -> None:
         """Takes one event; never blocks."""
-        try:
-            self._queue.put_nowait(event)
-        except queue.Full:
+        if self._queue.qsize() < QUEUE_LINES:
+            self._queue.put(event)
+        else:
             self._dropped += 1
 
     def close(self) -> None:
--- /dev/null
+++ b/tests/log_program.py
@@ -0,0 +1,37 @@
+"""A program that logs, and whose signal handler logs in between."""
+
+import io
+import signal
+from types import FrameType
+
+from lovagesaddle.observability import logs
+from lovagesaddle.settings import schema
+
+INTERRUPTIONS = 3000
+INTERVAL_S = 0.0002
+
+
+def main() -> None:
+    """Logs until it was interrupted often enough."""
+    log = logs.get_logger("x")
+    handled = 0
+
+    def handle(number: int, frame: FrameType | None) -> None:
+        nonlocal handled
+        del number, frame
+        handled += 1
+        log.info("interrupted")
+
+    signal.signal(signal.SIGALRM, handle)
+    settings = schema.LogSettings(level="info")
+    with logs.LogWriter(io.StringIO(), settings, owned=False):
+        for turn in range(INTERRUPTIONS):
+            # Once only, since a handler may take longer than the interval.
+            signal.setitimer(signal.ITIMER_REAL, INTERVAL_S)
+            while handled <= turn:
+                log.info("working")
+    print("done", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -1,6 +1,10 @@
 """Tests of logs, counters and latencies."""
 
 import io
+import pathlib
+import tempfile
+
+from bench import processes
 
 from lovagesaddle.observability import latencies
 from lovagesaddle.observability import logs
@@ -68,6 +72,17 @@
     assert stream.getvalue() == ""
 
 
+def test_signal_handler_that_logs_does_not_stop_its_thread() -> None:
+    """A handler may log while the thread that it interrupts logs."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        processes.Process(
+            "tests.log_program", log=pathlib.Path(folder) / "log"
+        ) as process,
+    ):
+        assert process.read_line() == ["done"]
+
+
 def test_metrics_are_rendered_in_order() -> None:
     """Counters, gauges and latencies come out as exposition text."""
     registry = metrics.Metrics()
