Log how large a body is and how long it took to arrive

The lines told neither how many bytes an entry sent to the server it picked nor how long a body was under way, so a full link could not be told from a slow server.

Change: server_picked has body_bytes and body_ms (from the end of the header to the end of the body, at the entry); an owner logs body_arrived with the same for bodies from 16 kB, within the sample of served calls.

--- a/src/lovagesaddle/http/gateway.py
+++ b/src/lovagesaddle/http/gateway.py
@@ -33,6 +33,7 @@
       read_body: Returns the body.
       is_gone: Whether the requester hung up.
       arrived_at: Monotonic time when it was whole, in seconds.
+      body_s: How long its body took to arrive after its header, in seconds.
     """
 
     method: str
@@ -43,6 +44,7 @@
     read_body: Callable[[], bytes]
     is_gone: Callable[[], bool]
     arrived_at: float
+    body_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -63,6 +65,7 @@
 def read_request(environ: Environ) -> Incoming:
     """Returns the request of a WSGI environment."""
     target = environ["REQUEST_URI"]
+    arrived_at = environ[parser.ARRIVED_AT]
     received = {
         key[len(HEADER_PREFIX) :].replace("_", "-").lower(): value
         for key, value in environ.items()
@@ -79,7 +82,8 @@
         content_length=int(received.get("content-length") or 0),
         read_body=environ["wsgi.input"].read,
         is_gone=environ["waitress.client_disconnected"],
-        arrived_at=environ[parser.ARRIVED_AT],
+        arrived_at=arrived_at,
+        body_s=arrived_at - environ[parser.HEADED_AT],
     )
 
 
--- a/src/lovagesaddle/http/parser.py
+++ b/src/lovagesaddle/http/parser.py
@@ -6,6 +6,7 @@
 """
 
 import http
+import time
 from typing import Any
 
 from waitress import parser
@@ -17,12 +18,19 @@
 FRAMING_HEADERS = (b"transfer-encoding", b"content-length", b"host")
 MAX_HEADER_BYTES = 16 * 1024
 ARRIVED_AT = "lovagesaddle.arrived_at"
+HEADED_AT = "lovagesaddle.headed_at"
 HTTP_10 = "1.0"
 UNPROVEN = http.HTTPStatus.INTERNAL_SERVER_ERROR
 
 
 class StrictParser(parser.HTTPRequestParser):  # type: ignore[misc]
-    """Refuses requests whose length or host two readers could read apart."""
+    """Refuses requests whose length or host two readers could read apart.
+
+    Attributes:
+      headed_at: Monotonic time when its header was whole, in seconds.
+    """
+
+    headed_at: float = 0.0
 
     def parse_header(self, header_plus: bytes) -> None:
         """Parses the request line and the headers.
@@ -30,6 +38,7 @@
         Raises:
           parser.ParsingError: The request is answered 400.
         """
+        self.headed_at = time.monotonic()
         counts = _count_framing(header_plus)
         if any(count > 1 for count in counts.values()):
             raise parser.ParsingError("A framing header stands twice")
@@ -68,8 +77,9 @@
     content_bytes_written: int = 0
 
     def get_environment(self) -> dict[str, Any]:
-        """Returns the WSGI environment, with the time of arrival."""
+        """Returns the WSGI environment, with the times of arrival."""
         environ: dict[str, Any] = super().get_environment()
+        environ[HEADED_AT] = self.request.headed_at
         environ[ARRIVED_AT] = self.request.arrived_at
         return environ
 
--- a/src/lovagesaddle/node/application.py
+++ b/src/lovagesaddle/node/application.py
@@ -17,6 +17,8 @@
 
 MS_PER_S = 1000
 OVERLOADED = "node-overloaded"
+# A smaller body takes no longer than the rest of its request.
+NOTED_BODY_BYTES = 16 * 1024
 ENVELOPE_TYPE = (("Content-Type", "application/octet-stream"),)
 _log = logs.get_logger("application")
 
@@ -95,6 +97,7 @@
                 outcome=hop.RunOutcome.REFUSED,
                 cause=OVERLOADED,
             )
+        _note_body(message, request)
         deadline = arrived_at + message.remaining_ms / MS_PER_S
         with self._guards.watch(
             deadline=deadline, is_gone=request.is_gone
@@ -116,5 +119,19 @@
     return lanes.Lane.CALLER
 
 
+def _note_body(message: hop.RunRequest, request: gateway.Incoming) -> None:
+    """Logs how long a large body travelled, by the sample of calls."""
+    if len(message.body) < NOTED_BODY_BYTES:
+        return
+    if logs.allows_request(failed=False):
+        _log.info(
+            "body_arrived",
+            attempt=message.attempt_id,
+            route=message.route,
+            body_bytes=len(message.body),
+            body_ms=int(request.body_s * MS_PER_S),
+        )
+
+
 def _refuse_hop(status: int, cause: str) -> gateway.Answer:
     return gateway.make_failure(status, cause, outcomes.RequestOutcome.NOT_RUN)
--- a/src/lovagesaddle/node/attempts.py
+++ b/src/lovagesaddle/node/attempts.py
@@ -40,6 +40,7 @@
       body: The whole body.
       fingerprint: Digest of method, route, target and body.
       verdict: What the quarantine says of it.
+      body_s: How long the body took to arrive here, in seconds.
     """
 
     request_id: str
@@ -49,6 +50,7 @@
     body: bytes
     fingerprint: bytes
     verdict: quarantine.Verdict
+    body_s: float = 0.0
 
 
 def _draw_mark() -> str:
@@ -196,6 +198,8 @@
             reason=decision.reason.value,
             candidates=decision.candidates,
             eligible=decision.eligible,
+            body_bytes=len(self._passed.body),
+            body_ms=int(self._passed.body_s * MS_PER_S),
         )
         return events.Picked(decision=decision)
 
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -179,6 +179,7 @@
             body=body,
             fingerprint=fingerprint,
             verdict=self._suspects.judge(fingerprint),
+            body_s=request.body_s,
         )
         runner = self._make_runner(accepted, passed)
         key = request.headers.get(KEY_HEADER) if self._claims_keys else None
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from concurrent import futures
 import contextlib
+import io
 import socket
 import threading
 import types
@@ -11,6 +12,7 @@
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.http import gateway
 from lovagesaddle.http import lanes
+from lovagesaddle.http import parser
 from lovagesaddle.http import server as server_lib
 from tests import fixtures
 from tests import nodes
@@ -204,6 +206,22 @@
     assert seen.count(True) == 1
 
 
+def test_slow_body_is_told_from_a_slow_wait() -> None:
+    """The way of a body over a full link is seen apart from what follows."""
+    request = gateway.read_request(
+        {
+            "REQUEST_URI": "/",
+            "REQUEST_METHOD": "POST",
+            "CONTENT_LENGTH": "2",
+            "wsgi.input": io.BytesIO(b"ab"),
+            "waitress.client_disconnected": lambda: False,
+            parser.HEADED_AT: 3.5,
+            parser.ARRIVED_AT: 5.0,
+        }
+    )
+    assert request.body_s == 1.5
+
+
 def _is_refused(server: server_lib.HttpServer) -> bool:
     try:
         _connect(server).close()
