--- a/src/lovagesaddle/core/routing/admission.py
+++ b/src/lovagesaddle/core/routing/admission.py
@@ -46,6 +46,8 @@
         None where the route states no target.
       kind: Name of its route; runs of one kind take similar times.
       suspect: Whether it may crash the server; one suspect runs at a time.
+      has_place: Whether it was told that there is room, and its body came
+        from far for that; it waits beside a full queue.
     """
 
     request_id: str
@@ -54,6 +56,7 @@
     target: float | None = None
     kind: str = ""
     suspect: bool = False
+    has_place: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -182,6 +185,20 @@
         """Requests in the queue."""
         return len(self._queue)
 
+    def judge_offer(self) -> RefusalReason | None:
+        """Returns why a request would be refused now; None with room for it."""
+        if self._draining:
+            return RefusalReason.DRAINING
+        if self._down:
+            return RefusalReason.SERVER_DOWN
+        if len(self._queue) >= self._find_room():
+            return RefusalReason.QUEUE_FULL
+        return None
+
+    def expect_run(self, kind: str) -> float:
+        """Returns the expected time of a run of a kind, in seconds."""
+        return self._times.expect(kind)
+
     def report(self) -> feedback.Feedback:
         """Returns what goes with each answer to the entry."""
         return feedback.Feedback(
@@ -237,16 +254,20 @@
             number=self._arrivals,
             kind=event.kind,
             suspect=event.suspect,
+            has_place=event.has_place,
         )
         self._queue.add(waiting)
         self._drop_hopeless(now, actions)
-        free = self._limit.limit - len(self._running)
-        room = max(0, free) + int(self._limit.limit * self._queue_share)
-        if len(self._queue) > room:
+        if len(self._queue) > self._find_room() + self._queue.promised:
             last = self._queue.take_last(self._times, now)
             self._shares.note_refused(last.kind, now)
             actions.append(self._refuse(last, RefusalReason.QUEUE_FULL))
 
+    def _find_room(self) -> int:
+        """Returns how many may wait, for a slot that is free or will be."""
+        free = self._limit.limit - len(self._running)
+        return max(0, free) + int(self._limit.limit * self._queue_share)
+
     def _judge(self, event: Arrived) -> RefusalReason | None:
         if self._draining:
             return RefusalReason.DRAINING
--- a/src/lovagesaddle/core/routing/balancer.py
+++ b/src/lovagesaddle/core/routing/balancer.py
@@ -20,6 +20,7 @@
 class PickReason(enum.Enum):
     """Why a backend server was picked, or none."""
 
+    OWN_NODE = "own-node"
     OWN_DOMAIN = "own-domain"
     OTHER_DOMAIN = "other-domain"
     ANY_DOMAIN = "any-domain"
@@ -139,11 +140,15 @@
         while they have room.
       min_available_share: Share of a service's servers that stays available
         however many fail.
+      node_id: The entry's own; empty for an entry beside no server.
+      large_body_bytes: Size from which a body weighs on the links.
     """
 
     failure_domain: str
     prefer_own_domain: bool = True
     min_available_share: float = MIN_AVAILABLE_SHARE
+    node_id: str = ""
+    large_body_bytes: int = LARGE_BODY_BYTES
 
 
 class Balancer(part.Part[Event, Decision]):
@@ -190,7 +195,7 @@
             tried = bool(event.tried)
             reason = PickReason.ALL_TRIED if tried else PickReason.NO_SERVER
             return _decide(event, None, reason, 0)
-        is_large = event.body_bytes >= LARGE_BODY_BYTES
+        is_large = event.body_bytes >= self._options.large_body_bytes
         server, reason = self._choose(eligible, now, is_large=is_large)
         if event.needs_room and reason is PickReason.NO_ROOM:
             return _decide(event, None, reason, len(eligible))
@@ -207,13 +212,23 @@
         room_share = loads.LARGE_ROOM_SHARE if is_large else loads.ROOM_SHARE
 
         def cost(candidate: table.Candidate) -> float:
-            return self._loads[candidate.server_id].estimate_cost(now)
-
-        for pool, reason in self._list_tiers(eligible):
+            load = self._loads[candidate.server_id]
+            link_s = load.estimate_link_wait(now) if is_large else 0.0
+            return load.estimate_cost(now) + link_s
+
+        tiers = self._list_tiers(eligible)
+        if is_large:
+            tiers = (self._list_beside(eligible), *tiers)
+        for pool, reason in tiers:
             if not pool:
                 continue
             server = self._policy.choose(pool, cost, self._source)
-            if self._loads[server.server_id].has_room(
+            load = self._loads[server.server_id]
+            # What stays on its node crosses no link.
+            crosses = is_large and reason is not PickReason.OWN_NODE
+            if crosses and not load.has_link_room(now):
+                continue
+            if load.has_room(
                 now,
                 room_share if reason is PickReason.OWN_DOMAIN else None,
             ):
@@ -224,6 +239,18 @@
         server = self._policy.choose(candidates, cost, self._source)
         return server, PickReason.NO_ROOM
 
+    def _list_beside(
+        self, eligible: Sequence[table.Candidate]
+    ) -> tuple[list[table.Candidate], PickReason]:
+        """Returns the server on the entry's own node, where it is sound."""
+        beside = [
+            each
+            for each in eligible
+            if each.node_id == self._options.node_id
+            and not self._loads[each.server_id].hinted_unhealthy
+        ]
+        return beside, PickReason.OWN_NODE
+
     def _list_near(
         self, eligible: Sequence[table.Candidate]
     ) -> Sequence[table.Candidate]:
--- /dev/null
+++ b/src/lovagesaddle/core/routing/body_turns.py
@@ -0,0 +1,237 @@
+"""Owner side: large bodies take turns on the inbound link of the owner's VM.
+
+It answers a link that is thin beside the bodies that travel over it: sent as
+they come, they queue in the link, and every small call on it waits behind them.
+Here they wait at their entries. An entry offers a body and sends it, part by
+part, when its turn comes; each part is sent when the one before it is there, so
+that no more than a part is ever in the link, however fast that is at the time.
+"""
+
+import dataclasses
+
+from lovagesaddle.core import part
+
+# A part is as long as the link carries in this time, in seconds. A call waits
+# no longer behind it; a round trip after each part is short beside it.
+PART_S = 0.05
+# A smaller part costs more in its own request than it frees of the link.
+MIN_PART_BYTES = 16 * 1024
+# A turn without a part for so long is passed on, in seconds. Its entry may be
+# gone, or a body that a caller sends over the same link at once holds it up.
+MAX_SILENCE_S = 1.0
+# Time over which the rate of a link in use is measured, in seconds.
+MEASURED_S = 1.0
+RATE_WEIGHT = 0.2
+# A measured rate stays above this share of the stated one: a body that was held
+# up by its entry must not make an owner decline the next ones.
+MIN_RATE_SHARE = 0.1
+MIN_RETRY_AFTER_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Offered:
+    """An entry has a body for this owner.
+
+    Attributes:
+      attempt_id: Unique among the attempts that this owner holds.
+      body_bytes: Size of the body.
+      priority: Of its route.
+      latest_at: Monotonic time by which it has to be here for its request to
+        be answered in time, in seconds.
+    """
+
+    attempt_id: str
+    body_bytes: int
+    priority: int
+    latest_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PartArrived:
+    """A part of a body is here.
+
+    Attributes:
+      attempt_id: Of its attempt.
+      part_bytes: Size of the part.
+    """
+
+    attempt_id: str
+    part_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Withdrawn:
+    """An offer or a turn is over: the body is whole, or the entry gave up."""
+
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Tick:
+    """Time passed."""
+
+
+Event = Offered | PartArrived | Withdrawn | Tick
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Granted:
+    """The body may be sent now."""
+
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Declined:
+    """The body would come too late; its request was not run.
+
+    Attributes:
+      attempt_id: Of the attempt.
+      retry_after_s: When its turn would have come, in seconds.
+    """
+
+    attempt_id: str
+    retry_after_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Expired:
+    """A turn was not used and is passed on; a late part is still welcome."""
+
+    attempt_id: str
+
+
+Action = Granted | Declined | Expired
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Turn:
+    attempt_id: str
+    left_bytes: int
+    heard_at: float
+
+
+class BodyTurns(part.Part[Event, Action]):
+    """Turns on one link.
+
+    Args:
+      link_bytes_s: Stated rate of the link, in bytes a second.
+    """
+
+    def __init__(self, link_bytes_s: float) -> None:
+        self._stated_bytes_s = link_bytes_s
+        self._bytes_s = link_bytes_s
+        self._turn: _Turn | None = None
+        self._waiting: list[tuple[int, int, Offered]] = []
+        self._offers = 0
+        self._carried_bytes = 0
+        self._carried_since = 0.0
+        self._heard_at = 0.0
+
+    @property
+    def wait_s(self) -> float:
+        """Expected time until a new offer has its turn, in seconds."""
+        if self._turn is None:
+            return 0.0
+        ahead = sum(offer.body_bytes for _, _, offer in self._waiting)
+        return (ahead + self._turn.left_bytes) / self._bytes_s
+
+    @property
+    def expires_at(self) -> float | None:
+        """Monotonic time of the next Tick that matters, in seconds."""
+        if self._turn is None:
+            return None
+        return self._turn.heard_at + MAX_SILENCE_S
+
+    def step(self, event: Event, now: float) -> tuple[Action, ...]:
+        """Handles one event."""
+        actions: list[Action] = []
+        match event:
+            case Offered():
+                self._offers += 1
+                waiting = (event.priority, self._offers, event)
+                self._waiting.append(waiting)
+                self._waiting.sort(key=lambda each: each[:2])
+            case PartArrived():
+                self._take_part(event, now)
+            case Withdrawn():
+                self._end_turn(event.attempt_id)
+                self._waiting = [
+                    each
+                    for each in self._waiting
+                    if each[2].attempt_id != event.attempt_id
+                ]
+            case Tick():
+                pass
+        self._expire(now, actions)
+        self._decline_hopeless(now, actions)
+        self._grant(now, actions)
+        return tuple(actions)
+
+    def _take_part(self, event: PartArrived, now: float) -> None:
+        turn = self._turn
+        if turn is None or turn.attempt_id != event.attempt_id:
+            return
+        turn.left_bytes = max(0, turn.left_bytes - event.part_bytes)
+        turn.heard_at = self._heard_at = now
+        self._carried_bytes += event.part_bytes
+        spent_s = now - self._carried_since
+        if spent_s >= MEASURED_S:
+            measured = self._carried_bytes / spent_s
+            moved = self._bytes_s + RATE_WEIGHT * (measured - self._bytes_s)
+            least = MIN_RATE_SHARE * self._stated_bytes_s
+            self._bytes_s = max(least, moved)
+            self._carried_bytes, self._carried_since = 0, now
+
+    def _expire(self, now: float, actions: list[Action]) -> None:
+        turn = self._turn
+        if turn is not None and now - turn.heard_at >= MAX_SILENCE_S:
+            self._turn = None
+            actions.append(Expired(attempt_id=turn.attempt_id))
+
+    def _end_turn(self, attempt_id: str) -> None:
+        if self._turn is not None and self._turn.attempt_id == attempt_id:
+            self._turn = None
+
+    def _decline_hopeless(self, now: float, actions: list[Action]) -> None:
+        """Declines at once what would wait for a turn in vain."""
+        ahead = self._turn.left_bytes if self._turn is not None else 0
+        kept: list[tuple[int, int, Offered]] = []
+        for each in self._waiting:
+            offer = each[2]
+            here_at = now + (ahead + offer.body_bytes) / self._bytes_s
+            if here_at <= offer.latest_at:
+                ahead += offer.body_bytes
+                kept.append(each)
+                continue
+            after_s = max(MIN_RETRY_AFTER_S, ahead / self._bytes_s)
+            actions.append(
+                Declined(attempt_id=offer.attempt_id, retry_after_s=after_s)
+            )
+        self._waiting = kept
+
+    def _grant(self, now: float, actions: list[Action]) -> None:
+        if not self._waiting or self._turn is not None:
+            return
+        offer = self._waiting.pop(0)[2]
+        # An idle link says nothing of its rate.
+        if now - self._heard_at > PART_S:
+            self._carried_bytes, self._carried_since = 0, now
+        self._heard_at = now
+        self._turn = _Turn(
+            attempt_id=offer.attempt_id,
+            left_bytes=offer.body_bytes,
+            heard_at=now,
+        )
+        actions.append(Granted(attempt_id=offer.attempt_id))
+
+
+def find_part_bytes(link_bytes_s: float) -> int:
+    """Returns how much of a body is sent at a time; 0 for all of it.
+
+    Args:
+      link_bytes_s: Stated rate of the link, in bytes a second; 0 if unknown.
+    """
+    if not link_bytes_s:
+        return 0
+    return max(MIN_PART_BYTES, int(link_bytes_s * PART_S))
--- a/src/lovagesaddle/core/routing/feedback.py
+++ b/src/lovagesaddle/core/routing/feedback.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 LOAD_HEADER = "Owner-Load"
-FIELD_COUNT = 5
+FIELD_COUNT = 6
 MAX_FIELD_DIGITS = 12
 US_PER_S = 1_000_000
 
@@ -18,6 +18,8 @@
       limit: Requests that the owner admits at a time now.
       latency_s: Recent mean time of a run, in seconds; 0 when unknown.
       draining: Whether the owner refuses all new work.
+      link_wait_s: Time that a large body waits for its turn on the link to
+        the owner, in seconds.
     """
 
     running: int
@@ -25,6 +27,7 @@
     limit: int
     latency_s: float
     draining: bool = False
+    link_wait_s: float = 0.0
 
 
 def format_feedback(feedback: Feedback) -> str:
@@ -32,7 +35,8 @@
     latency_us = int(feedback.latency_s * US_PER_S)
     return (
         f"{feedback.running},{feedback.queued},{feedback.limit},"
-        f"{latency_us},{int(feedback.draining)}"
+        f"{latency_us},{int(feedback.draining)},"
+        f"{int(feedback.link_wait_s * US_PER_S)}"
     )
 
 
@@ -49,11 +53,12 @@
         for field in fields
     ):
         return None
-    running, queued, limit, latency_us, draining = map(int, fields)
+    running, queued, limit, latency_us, draining, link_us = map(int, fields)
     return Feedback(
         running=running,
         queued=queued,
         limit=limit,
         latency_s=latency_us / US_PER_S,
         draining=draining == 1,
+        link_wait_s=link_us / US_PER_S,
     )
--- a/src/lovagesaddle/core/routing/loads.py
+++ b/src/lovagesaddle/core/routing/loads.py
@@ -13,6 +13,12 @@
 ROOM_SHARE = 0.8
 # A quarter of the slots as a queue is a short wait beside the run itself.
 LARGE_ROOM_SHARE = 1.25
+# Bodies that wait at a link are gone from there about as long after.
+LINK_MEMORY_S = 2.0
+# A body that would wait longer for its turn goes to another failure domain.
+# Its bytes are dear there, so it goes only if it would else come late: targets
+# of uploads (2.0 to 2.2 s) leave about so much beside the way and the run.
+LINK_ROOM_S = 1.0
 
 FAILURES_TO_EJECT = 3
 EJECTION_S = 2.0
@@ -118,6 +124,17 @@
         queue = (self.estimate_load(now) + 1) / self.estimate_limit(now)
         return queue * max(latency_s, MIN_LATENCY_S)
 
+    def estimate_link_wait(self, now: float) -> float:
+        """Returns how long a large body would wait for its turn, in seconds."""
+        if self.report is None:
+            return 0.0
+        age_s = now - self.reported_at
+        return self.report.link_wait_s * max(0.0, 1 - age_s / LINK_MEMORY_S)
+
+    def has_link_room(self, now: float) -> bool:
+        """Returns whether a large body would have its turn soon."""
+        return self.estimate_link_wait(now) < LINK_ROOM_S
+
     def has_room(self, now: float, share: float | None = None) -> bool:
         """Returns whether one more request would find room.
 
--- a/src/lovagesaddle/core/routing/queues.py
+++ b/src/lovagesaddle/core/routing/queues.py
@@ -30,6 +30,7 @@
         the deadline where the route states no target.
       kind: Name of its route; runs of one kind take similar times.
       suspect: Whether it may crash the server.
+      has_place: Whether a place was promised before its body travelled.
     """
 
     request_id: str
@@ -40,6 +41,7 @@
     number: int
     kind: str = ""
     suspect: bool = False
+    has_place: bool = False
 
 
 SortKey = tuple[float, ...]
@@ -179,6 +181,11 @@
         """Adds a request."""
         self._waiting[waiting.request_id] = waiting
 
+    @property
+    def promised(self) -> int:
+        """Requests whose place was promised."""
+        return sum(each.has_place for each in self._waiting.values())
+
     def remove(self, request_id: str) -> None:
         """Removes a request, if it waits."""
         self._waiting.pop(request_id, None)
@@ -204,8 +211,15 @@
         return self._waiting.pop(first.request_id)
 
     def take_last(self, times: run_times.RunTimes, now: float) -> Waiting:
-        """Removes and returns the request that gives way."""
-        last = max(self._waiting.values(), key=self._make_key(times, now))
+        """Removes and returns the request that gives way.
+
+        One whose place was promised does so only among its like.
+        """
+        rank = self._make_key(times, now)
+        last = max(
+            self._waiting.values(),
+            key=lambda waiting: (not waiting.has_place, rank(waiting)),
+        )
         return self._waiting.pop(last.request_id)
 
     def take_hopeless(
--- a/src/lovagesaddle/http/hop.py
+++ b/src/lovagesaddle/http/hop.py
@@ -32,7 +32,7 @@
       method: Upper-case method.
       target: Path and query.
       headers: For the backend server.
-      body: The whole body.
+      body: The whole body, or its last part.
       remaining_ms: Time to the deadline, in milliseconds.
       route: Name of the route.
       priority: Of the route.
@@ -40,6 +40,7 @@
       target_ms: Time to the moment until which an answer is worth most, in
         milliseconds, negative when it has passed; None for no such moment.
       suspect: Whether the entry knows that it may crash a server.
+      offset: Bytes of the body that were sent before, in parts.
     """
 
     attempt_id: str
@@ -55,6 +56,56 @@
     route: str = ""
     target_ms: int | None = None
     suspect: bool = False
+    offset: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BodyOffer:
+    """Asks an owner whether, and waits until, a large body may be sent.
+
+    Attributes:
+      attempt_id: Of the attempt that it belongs to.
+      server_id: Backend server that was picked.
+      body_bytes: Size of the body.
+      remaining_ms: Time to the deadline, in milliseconds.
+      priority: Of the route.
+      route: Name of the route.
+    """
+
+    attempt_id: str
+    server_id: str
+    body_bytes: int
+    remaining_ms: int
+    priority: int
+    route: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BodyPart:
+    """A part of a body whose turn it is.
+
+    Attributes:
+      attempt_id: Of the attempt.
+      server_id: Backend server that was picked.
+      offset: Bytes of the body before it.
+      data: The part.
+    """
+
+    attempt_id: str
+    server_id: str
+    offset: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BodyTaken:
+    """The next part of a body may be sent; nothing of it has run.
+
+    Attributes:
+      attempt_id: Of the attempt.
+    """
+
+    attempt_id: str
 
 
 class RunOutcome(enum.Enum):
@@ -105,10 +156,17 @@
     marks: tuple[quarantine.CrashMark, ...] = ()
 
 
-HopMessage = RunRequest | RunAnswer
+HopMessage = RunRequest | RunAnswer | BodyOffer | BodyPart | BodyTaken
 
 MESSAGES: codec.Registry[HopMessage] = codec.Registry(
-    name="hop message", kinds={1: RunRequest, 2: RunAnswer}
+    name="hop message",
+    kinds={
+        1: RunRequest,
+        2: RunAnswer,
+        3: BodyOffer,
+        4: BodyPart,
+        5: BodyTaken,
+    },
 )
 
 
--- a/src/lovagesaddle/node/application.py
+++ b/src/lovagesaddle/node/application.py
@@ -75,33 +75,37 @@
         except errors.CodecError as error:
             _log.warning("hop_refused", cause=error.cause)
             return _refuse_hop(403, error.cause)
-        if not isinstance(message, hop.RunRequest):
-            return _refuse_hop(400, "the envelope holds no run request")
+        answer: hop.HopMessage
+        match message:
+            case hop.RunRequest() | hop.BodyOffer():
+                answer = self._run_attempt(message, request, arrived_at)
+            case hop.BodyPart():
+                answer = self._owner.take_part(message)
+            case _:
+                return _refuse_hop(400, "the envelope asks for nothing")
         return gateway.Answer(
-            status=200,
-            headers=ENVELOPE_TYPE,
-            body=self._seal.seal(
-                self._run_attempt(message, request, arrived_at)
-            ),
+            status=200, headers=ENVELOPE_TYPE, body=self._seal.seal(answer)
         )
 
     def _run_attempt(
         self,
-        message: hop.RunRequest,
+        message: hop.RunRequest | hop.BodyOffer,
         request: gateway.Incoming,
         arrived_at: float,
-    ) -> hop.RunAnswer:
+    ) -> hop.HopMessage:
         if lanes.is_refusal():
             return hop.RunAnswer(
                 attempt_id=message.attempt_id,
                 outcome=hop.RunOutcome.REFUSED,
                 cause=OVERLOADED,
             )
-        _note_body(message, request)
         deadline = arrived_at + message.remaining_ms / MS_PER_S
         with self._guards.watch(
             deadline=deadline, is_gone=request.is_gone
         ) as guard:
+            if isinstance(message, hop.BodyOffer):
+                return self._owner.offer(message, guard)
+            _note_body(message, request)
             return self._owner.run(message, guard)
 
 
@@ -121,7 +125,7 @@
 
 def _note_body(message: hop.RunRequest, request: gateway.Incoming) -> None:
     """Logs how long a large body travelled, by the sample of calls."""
-    if len(message.body) < NOTED_BODY_BYTES:
+    if message.offset or len(message.body) < NOTED_BODY_BYTES:
         return
     if logs.allows_request(failed=False):
         _log.info(
--- /dev/null
+++ b/src/lovagesaddle/node/body_hops.py
@@ -0,0 +1,103 @@
+"""Entry side: takes a large body to an owner, part by part."""
+
+from collections.abc import Callable
+import dataclasses
+import time
+
+from returns import result
+
+from lovagesaddle.core.routing import table
+from lovagesaddle.http import client
+from lovagesaddle.http import hop
+from lovagesaddle.http import watchdog
+
+MS_PER_S = 1000
+
+HopResult = result.Result[hop.RunAnswer, client.ExchangeError]
+Answered = result.Result[hop.HopMessage, client.ExchangeError]
+Exchange = Callable[[table.Candidate, hop.HopMessage, watchdog.Guard], Answered]
+
+
+def carry_body(
+    exchange: Exchange,
+    server: table.Candidate,
+    request: hop.RunRequest,
+    guard: watchdog.Guard,
+    part_bytes: int,
+) -> HopResult | hop.RunRequest:
+    """Offers a body and sends all of it but its last part.
+
+    Nothing runs before the request itself is there, so whatever fails here is
+    proof that it did not run.
+
+    Args:
+      exchange: Sends a message to an owner and returns what it answers.
+      server: Whose owner gets it.
+      request: The attempt with its whole body.
+      guard: Ends the way at its deadline or when the caller hung up.
+      part_bytes: Size of a part.
+
+    Returns:
+      The request with the last part, to be sent next, or how the way ended.
+    """
+    started = time.monotonic()
+    offer = hop.BodyOffer(
+        attempt_id=request.attempt_id,
+        server_id=request.server_id,
+        body_bytes=len(request.body),
+        remaining_ms=request.remaining_ms,
+        priority=request.priority,
+        route=request.route,
+    )
+    ended = _send(exchange, server, offer, guard)
+    last = (len(request.body) - 1) // part_bytes * part_bytes
+    for offset in range(0, last, part_bytes):
+        if ended is not None:
+            return ended
+        part = hop.BodyPart(
+            attempt_id=request.attempt_id,
+            server_id=request.server_id,
+            offset=offset,
+            data=request.body[offset : offset + part_bytes],
+        )
+        ended = _send(exchange, server, part, guard)
+    if ended is not None:
+        return ended
+    spent_ms = int((time.monotonic() - started) * MS_PER_S)
+    target_ms = request.target_ms
+    return dataclasses.replace(
+        request,
+        body=request.body[last:],
+        offset=last,
+        remaining_ms=max(0, request.remaining_ms - spent_ms),
+        target_ms=None if target_ms is None else target_ms - spent_ms,
+    )
+
+
+def _send(
+    exchange: Exchange,
+    server: table.Candidate,
+    message: hop.BodyOffer | hop.BodyPart,
+    guard: watchdog.Guard,
+) -> HopResult | None:
+    """Returns how the way ended, or None if it goes on."""
+    outcome = exchange(server, message, guard)
+    match outcome:
+        case result.Success(hop.BodyTaken(attempt_id=message.attempt_id)):
+            return None
+        case result.Success(
+            hop.RunAnswer(attempt_id=message.attempt_id) as answer
+        ):
+            return result.Success(answer)
+        case result.Success(_):
+            cause = "answer is not to this attempt"
+        case result.Failure(error):
+            cause = error.cause
+    return result.Failure(
+        client.ExchangeError(
+            step="send body",
+            peer=server.http_address,
+            cause=cause,
+            kind=client.FailureKind.NOT_SENT,
+        )
+    )
--- a/src/lovagesaddle/node/hops.py
+++ b/src/lovagesaddle/node/hops.py
@@ -11,6 +11,7 @@
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
+from lovagesaddle.node import body_hops
 from lovagesaddle.node import owner as owner_lib
 
 _DUPLICATE = admission.RefusalReason.DUPLICATE.value
@@ -30,7 +31,7 @@
     hop.RunOutcome.CANCELLED: call_events.Ending.LOST,
 }
 
-HopResult = result.Result[hop.RunAnswer, client.ExchangeError]
+HopResult = body_hops.HopResult
 
 
 class Carrier(abc.ABC):
@@ -54,6 +55,8 @@
       owner: Of this node.
       pool: Connections to other nodes.
       seal: Signs and checks envelopes.
+      part_bytes: Size of the parts in which larger bodies are sent; 0 to send
+        every body whole.
     """
 
     def __init__(
@@ -63,7 +66,9 @@
         owner: owner_lib.Owner,
         pool: client.Pool,
         seal: hop.Seal,
+        part_bytes: int = 0,
     ) -> None:
+        self._part_bytes = part_bytes
         self._node_id = node_id
         self._owner = owner
         self._pool = pool
@@ -78,38 +83,49 @@
         """Returns the owner's answer, or how the hop failed."""
         if server.node_id == self._node_id:
             return result.Success(self._owner.run(request, guard))
+        if self._part_bytes and len(request.body) > self._part_bytes:
+            carried = body_hops.carry_body(
+                self._exchange, server, request, guard, self._part_bytes
+            )
+            if not isinstance(carried, hop.RunRequest):
+                return carried
+            request = carried
+        match self._exchange(server, request, guard):
+            case result.Success(hop.RunAnswer() as answer):
+                if answer.attempt_id == request.attempt_id:
+                    return result.Success(answer)
+            case result.Failure(error):
+                return result.Failure(error)
+        peer = server.http_address
+        return _misunderstand(peer, "answer is not to this attempt")
+
+    def _exchange(
+        self,
+        server: table.Candidate,
+        message: hop.HopMessage,
+        guard: watchdog.Guard,
+    ) -> body_hops.Answered:
+        peer = server.http_address
         sent = client.Request(
             method="POST",
             target=hop.RUN_PATH,
             headers={},
-            body=self._seal.seal(request),
+            body=self._seal.seal(message),
         )
-        outcome = self._pool.exchange(server.http_address, sent, guard)
+        outcome = self._pool.exchange(peer, sent, guard)
         match outcome:
             case result.Success(reply):
-                return self._open(server, request, reply)
+                try:
+                    return result.Success(
+                        self._seal.open(reply.body, peer=peer)
+                    )
+                except errors.CodecError as error:
+                    cause = f"status {reply.status}: {error.cause}"
+                    return _misunderstand(peer, cause)
             case result.Failure(error):
                 return result.Failure(error)
         raise AssertionError("unreachable")
 
-    def _open(
-        self,
-        server: table.Candidate,
-        request: hop.RunRequest,
-        reply: client.Reply,
-    ) -> HopResult:
-        peer = server.http_address
-        try:
-            answer = self._seal.open(reply.body, peer=peer)
-        except errors.CodecError as error:
-            return _misunderstand(peer, f"status {reply.status}: {error.cause}")
-        if (
-            not isinstance(answer, hop.RunAnswer)
-            or answer.attempt_id != request.attempt_id
-        ):
-            return _misunderstand(peer, "answer is not to this attempt")
-        return result.Success(answer)
-
 
 def classify_answer(answer: hop.RunAnswer) -> call_events.Ending:
     """Returns how an attempt ended, by its owner's word."""
@@ -134,7 +150,9 @@
     return call_events.Ending.LOST
 
 
-def _misunderstand(peer: str, cause: str) -> HopResult:
+def _misunderstand(
+    peer: str, cause: str
+) -> result.Failure[client.ExchangeError]:
     return result.Failure(
         client.ExchangeError(
             step="read owner's answer",
--- /dev/null
+++ b/src/lovagesaddle/node/inbound.py
@@ -0,0 +1,191 @@
+"""Large bodies on their way to this node: turns, and the parts that came."""
+
+import dataclasses
+import threading
+import time
+
+from lovagesaddle.core.routing import body_turns
+from lovagesaddle.http import watchdog
+from lovagesaddle.observability import logs
+
+MS_PER_S = 1000
+_log = logs.get_logger("inbound")
+
+Verdict = body_turns.Granted | body_turns.Declined
+
+
+class _Waiter:
+    """Holds the verdict on one offer."""
+
+    __slots__ = ("decided", "verdict")
+
+    def __init__(self) -> None:
+        self.verdict: Verdict | None = None
+        self.decided = threading.Event()
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Body:
+    size: int
+    deadline: float
+    granted_at: float
+    data: bytearray = dataclasses.field(default_factory=bytearray)
+
+
+class Inbound:
+    """Shares the inbound link of this VM among large bodies.
+
+    A body that is not finished by its deadline is forgotten.
+
+    Args:
+      link_bytes_s: Stated rate of the link, in bytes a second; 0 if unknown.
+    """
+
+    def __init__(self, link_bytes_s: float) -> None:
+        self._turns = body_turns.BodyTurns(link_bytes_s)
+        self._lock = threading.Lock()
+        self._waiters: dict[str, _Waiter] = {}
+        self._offers: dict[str, _Body] = {}
+        self._bodies: dict[str, _Body] = {}
+
+    @property
+    def wait_s(self) -> float:
+        """Expected time until a new offer has its turn, in seconds."""
+        with self._lock:
+            return self._turns.wait_s
+
+    def offer(
+        self, offer: body_turns.Offered, guard: watchdog.Guard
+    ) -> Verdict | None:
+        """Waits for the turn of a body.
+
+        Args:
+          offer: The body.
+          guard: Ends the wait at the deadline or when the entry hung up.
+
+        Returns:
+          The verdict, or None when the wait ended without one.
+        """
+        attempt_id = offer.attempt_id
+        waiter = _Waiter()
+        now = time.monotonic()
+        with self._lock:
+            if attempt_id in self._offers or attempt_id in self._bodies:
+                return None
+            self._forget_overdue(now)
+            self._waiters[attempt_id] = waiter
+            self._offers[attempt_id] = _Body(
+                size=offer.body_bytes, deadline=guard.deadline, granted_at=now
+            )
+            self._step(offer, now)
+        with guard.ending(waiter.decided.set):
+            self._wait(waiter, guard)
+        with self._lock:
+            self._waiters.pop(attempt_id, None)
+            if waiter.verdict is not None and guard.reason is None:
+                return waiter.verdict
+            self._drop(attempt_id)
+        return None
+
+    def take(self, attempt_id: str, offset: int, data: bytes) -> bool:
+        """Takes a part; returns whether it follows what came before."""
+        with self._lock:
+            body = self._bodies.get(attempt_id)
+            if body is None or not _fits(body, offset, data):
+                self._drop(attempt_id)
+                return False
+            body.data += data
+            self._step(
+                body_turns.PartArrived(
+                    attempt_id=attempt_id, part_bytes=len(data)
+                ),
+                time.monotonic(),
+            )
+            return True
+
+    def finish(self, attempt_id: str, offset: int, data: bytes) -> bytes | None:
+        """Takes the last part; returns the body, or None if it is not whole."""
+        now = time.monotonic()
+        with self._lock:
+            body = self._bodies.get(attempt_id)
+            is_whole = (
+                body is not None
+                and _fits(body, offset, data)
+                and offset + len(data) == body.size
+            )
+            self._step(
+                body_turns.PartArrived(
+                    attempt_id=attempt_id, part_bytes=len(data)
+                ),
+                now,
+            )
+            self._drop(attempt_id)
+        if body is None or not is_whole:
+            return None
+        if logs.allows_request(failed=False):
+            _log.info(
+                "body_arrived",
+                attempt=attempt_id,
+                body_bytes=body.size,
+                body_ms=int((now - body.granted_at) * MS_PER_S),
+            )
+        return bytes(body.data) + data
+
+    def drop(self, attempt_id: str) -> None:
+        """Forgets a body and ends its turn."""
+        with self._lock:
+            self._drop(attempt_id)
+
+    def _wait(self, waiter: _Waiter, guard: watchdog.Guard) -> None:
+        """Waits for a verdict; whoever waits passes on an unused turn."""
+        while waiter.verdict is None and guard.remaining_s:
+            with self._lock:
+                now = time.monotonic()
+                self._step(body_turns.Tick(), now)
+                expires_at = self._turns.expires_at
+            if waiter.verdict is not None:
+                return
+            pause_s = guard.remaining_s
+            if expires_at is not None:
+                pause_s = min(pause_s, max(0.0, expires_at - now))
+            waiter.decided.wait(pause_s)
+
+    def _step(self, event: body_turns.Event, now: float) -> None:
+        for action in self._turns.step(event, now):
+            match action:
+                case body_turns.Granted():
+                    body = self._offers.pop(action.attempt_id)
+                    body.granted_at = now
+                    self._bodies[action.attempt_id] = body
+                    self._decide(action)
+                case body_turns.Declined():
+                    self._offers.pop(action.attempt_id, None)
+                    self._decide(action)
+                case body_turns.Expired():
+                    _log.info("turn_unused", attempt=action.attempt_id)
+
+    def _decide(self, verdict: Verdict) -> None:
+        waiter = self._waiters.pop(verdict.attempt_id, None)
+        if waiter is not None:
+            waiter.verdict = verdict
+            waiter.decided.set()
+
+    def _drop(self, attempt_id: str) -> None:
+        self._offers.pop(attempt_id, None)
+        self._bodies.pop(attempt_id, None)
+        self._step(
+            body_turns.Withdrawn(attempt_id=attempt_id), time.monotonic()
+        )
+
+    def _forget_overdue(self, now: float) -> None:
+        overdue = [
+            attempt_id
+            for attempt_id, body in self._bodies.items()
+            if now > body.deadline
+        ]
+        for attempt_id in overdue:
+            self._drop(attempt_id)
+
+
+def _fits(body: _Body, offset: int, data: bytes) -> bool:
+    return offset == len(body.data) and offset + len(data) <= body.size
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -1,6 +1,7 @@
 """Owner side of a node: admits attempts and runs them on the local server."""
 
 import collections
+import dataclasses
 import threading
 import time
 
@@ -8,6 +9,7 @@
 
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import admission
+from lovagesaddle.core.routing import body_turns
 from lovagesaddle.core.routing import chain
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
@@ -15,6 +17,7 @@
 from lovagesaddle.http import hop
 from lovagesaddle.http import sockets
 from lovagesaddle.http import watchdog
+from lovagesaddle.node import inbound as inbound_lib
 from lovagesaddle.node import run_answers
 from lovagesaddle.node import slots as slots_lib
 from lovagesaddle.node import suspects as suspects_lib
@@ -24,6 +27,7 @@
 DEATH_CHECK_S = 0.2
 MS_PER_S = 1000
 REFUSED_UNKNOWN = "server-unknown"
+BODY_LOST = "body-lost"
 _log = logs.get_logger("owner")
 
 
@@ -35,6 +39,7 @@
       suspects: Knows requests that crash servers.
       options: Policies.
       names: Names of the headers that tell a server what it needs to know.
+      inbound: Bodies on their way to this node; None where they come whole.
     """
 
     def __init__(
@@ -44,7 +49,9 @@
         suspects: suspects_lib.Suspects,
         options: slots_lib.OwnerOptions | None = None,
         names: header_names.HeaderNames = header_names.DEFAULT,
+        inbound: inbound_lib.Inbound | None = None,
     ) -> None:
+        self._inbound = inbound
         self._names = names
         self._pool = pool
         self._suspects = suspects
@@ -70,7 +77,7 @@
             that no other server at that address runs one; empty for none.
         """
         self._slots[server.server_id] = slots_lib.Slots(
-            server, address, self._options, instance
+            server, address, self._options, instance, self._inbound
         )
         _log.info(
             "server_opened",
@@ -133,16 +140,89 @@
         """
         slots = self._slots.get(request.server_id)
         if slots is None:
+            self._drop_body(request)
             return run_answers.refuse(request, REFUSED_UNKNOWN, None)
         if not self._claim(request.attempt_id):
             reason = admission.RefusalReason.DUPLICATE.value
             return run_answers.refuse(request, reason, slots)
+        if request.offset:
+            whole = self._join_body(request)
+            if whole is None:
+                return run_answers.refuse(request, BODY_LOST, slots)
+            request = whole
         running = self._admit(request, slots, guard)
         if isinstance(running, hop.RunAnswer):
             return running
         slots.start(request.attempt_id, running)
         return self._hand_over(request, slots, guard, running)
 
+    def offer(
+        self, offer: hop.BodyOffer, guard: watchdog.Guard
+    ) -> hop.RunAnswer | hop.BodyTaken:
+        """Waits for the turn of a large body, or refuses its request.
+
+        Args:
+          offer: The body.
+          guard: Ends the wait at its deadline or when the entry hung up.
+        """
+        slots = self._slots.get(offer.server_id)
+        if slots is None or self._inbound is None:
+            return run_answers.refuse(offer, REFUSED_UNKNOWN, slots)
+        with slots.lock:
+            reason = slots.admission.judge_offer()
+            run_s = slots.admission.expect_run(offer.route)
+        if reason is not None:
+            return run_answers.refuse(offer, reason.value, slots)
+        verdict = self._inbound.offer(
+            body_turns.Offered(
+                attempt_id=offer.attempt_id,
+                body_bytes=offer.body_bytes,
+                priority=offer.priority,
+                latest_at=guard.deadline - run_s,
+            ),
+            guard,
+        )
+        match verdict:
+            case body_turns.Granted():
+                return hop.BodyTaken(attempt_id=offer.attempt_id)
+            case body_turns.Declined():
+                reason = admission.RefusalReason.DEADLINE
+                after_s = verdict.retry_after_s
+            case None:
+                reason, after_s = admission.RefusalReason.CANCELLED, 0.0
+        return run_answers.refuse(offer, reason.value, slots, after_s)
+
+    def take_part(self, part: hop.BodyPart) -> hop.RunAnswer | hop.BodyTaken:
+        """Takes a part of a body, or refuses its request."""
+        slots = self._slots.get(part.server_id)
+        if slots is None or self._inbound is None:
+            return run_answers.refuse(part, REFUSED_UNKNOWN, slots)
+        if slots.draining or slots.down:
+            self._inbound.drop(part.attempt_id)
+            reason = admission.RefusalReason.SERVER_DOWN
+            if slots.draining:
+                reason = admission.RefusalReason.DRAINING
+            return run_answers.refuse(part, reason.value, slots)
+        if self._inbound.take(part.attempt_id, part.offset, part.data):
+            return hop.BodyTaken(attempt_id=part.attempt_id)
+        return run_answers.refuse(part, BODY_LOST, slots)
+
+    def _join_body(self, request: hop.RunRequest) -> hop.RunRequest | None:
+        """Returns the request with its whole body, or None without it."""
+        if self._inbound is None:
+            return None
+        body = self._inbound.finish(
+            request.attempt_id, request.offset, request.body
+        )
+        if body is None:
+            _log.warning("body_lost", attempt=request.attempt_id)
+            return None
+        return dataclasses.replace(request, body=body)
+
+    def _drop_body(self, request: hop.RunRequest) -> None:
+        if self._inbound is not None and request.offset:
+            self._inbound.drop(request.attempt_id)
+
     def _admit(
         self,
         request: hop.RunRequest,
@@ -161,6 +241,7 @@
             kind=request.route,
             target=_find_target(request, time.monotonic()),
             suspect=suspect,
+            has_place=bool(request.offset),
         )
         verdict = slots.admit(arrived, guard)
         if isinstance(verdict, admission.Refused):
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -11,6 +11,7 @@
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.model import services
+from lovagesaddle.core.routing import body_turns
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import retries
@@ -27,6 +28,7 @@
 from lovagesaddle.node import discovery
 from lovagesaddle.node import entry as entry_lib
 from lovagesaddle.node import hops
+from lovagesaddle.node import inbound as inbound_lib
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import ports
@@ -44,6 +46,7 @@
 # An envelope holds the headers beside the body.
 ENVELOPE_MARGIN_BYTES = 64 * 1024
 LEAVE_S = 2.0
+BYTES_PER_MBIT = 125_000
 # Two retransmissions go unacknowledged only where the link or the VM is gone.
 HOP_SILENCE_S = 0.6
 _log = logs.get_logger("node")
@@ -103,9 +106,14 @@
         self._stack = contextlib.ExitStack()
         self._stopping = False
         self.metrics = metrics_lib.Metrics()
+        link_bytes_s = settings.link_mbps * BYTES_PER_MBIT
+        self._part_bytes = body_turns.find_part_bytes(link_bytes_s)
+        inbound = inbound_lib.Inbound(link_bytes_s) if link_bytes_s else None
         self._routing = routing_lib.Routing(
             failure_domain=settings.failure_domain,
             options=routing_options or _make_routing_options(settings),
+            node_id=settings.node_id,
+            part_bytes=self._part_bytes,
         )
         self._pool = client.Pool(
             request_id_header=names.request_id,
@@ -119,6 +127,7 @@
             suspects=self._suspects,
             options=owner_options,
             names=names,
+            inbound=inbound,
         )
         self._servers = local_servers.LocalServers(
             node_id=settings.node_id, owner=self._owner
@@ -263,6 +272,7 @@
             owner=self._owner,
             pool=self._hop_pool,
             seal=seal,
+            part_bytes=self._part_bytes,
         )
         return entry_lib.Entry(
             routing=self._routing,
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -48,15 +48,25 @@
     Args:
       failure_domain: Of this node.
       options: Policies.
+      node_id: Of this node.
+      part_bytes: Size of the parts in which larger bodies are sent; 0 where
+        bodies are sent whole.
 
     Raises:
       ValueError: The options ask for hedging.
     """
 
     def __init__(
-        self, *, failure_domain: str, options: RoutingOptions | None = None
+        self,
+        *,
+        failure_domain: str,
+        options: RoutingOptions | None = None,
+        node_id: str = "",
+        part_bytes: int = 0,
     ) -> None:
         self.options = options or RoutingOptions()
+        large_bytes = balancer.LARGE_BODY_BYTES
+        has_thin_link = 0 < part_bytes < large_bytes
         if self.options.call.hedge:
             raise ValueError("attempts run one at a time, so none is hedged")
         self._table: table_lib.Table | None = None
@@ -64,6 +74,9 @@
             options=balancer.BalancerOptions(
                 failure_domain=failure_domain,
                 prefer_own_domain=self.options.prefer_own_domain,
+                # Elsewhere a faster server is worth the way to it.
+                node_id=node_id if has_thin_link else "",
+                large_body_bytes=part_bytes if has_thin_link else large_bytes,
             ),
             policy=self.options.policy,
             source=random.Random(),
--- a/src/lovagesaddle/node/run_answers.py
+++ b/src/lovagesaddle/node/run_answers.py
@@ -38,7 +38,7 @@
             outcome=hop.RunOutcome.SHED,
             cause=f"status {reply.status}",
             status=reply.status,
-            load=slots.admission.report(),
+            load=slots.report(),
         )
     return hop.RunAnswer(
         attempt_id=request.attempt_id,
@@ -48,7 +48,7 @@
             reply.headers, bodyless=request.method == "HEAD"
         ),
         body=reply.body,
-        load=slots.admission.report(),
+        load=slots.report(),
     )
 
 
@@ -61,7 +61,7 @@
 
 
 def refuse(
-    request: hop.RunRequest,
+    request: hop.RunRequest | hop.BodyOffer | hop.BodyPart,
     reason: str,
     slots: slots_lib.Slots | None,
     retry_after_s: float = 0.0,
@@ -72,7 +72,7 @@
         outcome=hop.RunOutcome.REFUSED,
         cause=reason,
         retry_after_s=retry_after_s,
-        load=slots.admission.report() if slots is not None else None,
+        load=slots.report() if slots is not None else None,
     )
 
 
@@ -84,7 +84,7 @@
         attempt_id=request.attempt_id,
         outcome=_OUTCOMES[kind],
         cause=kind.value,
-        load=slots.admission.report(),
+        load=slots.report(),
     )
 
 
@@ -104,7 +104,7 @@
         attempt_id=request.attempt_id,
         outcome=hop.RunOutcome.CRASHED,
         cause=SERVER_DIED,
-        load=slots.admission.report(),
+        load=slots.report(),
         marks=(mark,),
     )
 
--- a/src/lovagesaddle/node/slots.py
+++ b/src/lovagesaddle/node/slots.py
@@ -7,10 +7,12 @@
 
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import admission
+from lovagesaddle.core.routing import feedback
 from lovagesaddle.core.routing import limits
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import queues
 from lovagesaddle.http import watchdog
+from lovagesaddle.node import inbound as inbound_lib
 
 LimitFactory = Callable[[int], limits.LimitPolicy]
 
@@ -56,6 +58,7 @@
       address: `ip:port` where it answers HTTP.
       options: Policies.
       instance: The server's own name for itself; empty when it has none.
+      inbound: Bodies on their way to this node; None where they come whole.
     """
 
     def __init__(
@@ -64,7 +67,9 @@
         address: str,
         options: OwnerOptions,
         instance: str = "",
+        inbound: inbound_lib.Inbound | None = None,
     ) -> None:
+        self._inbound = inbound
         self.server = server
         self.address = address
         self.instance = instance
@@ -80,6 +85,14 @@
         self._running: dict[str, quarantine.RunningRequest] = {}
         self._waiters: dict[str, _Waiter] = {}
 
+    def report(self) -> feedback.Feedback:
+        """Returns what goes with each answer to an entry."""
+        report = self.admission.report()
+        wait_s = 0.0 if self._inbound is None else self._inbound.wait_s
+        if not wait_s:
+            return report
+        return dataclasses.replace(report, link_wait_s=wait_s)
+
     def step(self, event: admission.Event) -> None:
         """Hands an event to the admission and its verdicts to the waiters."""
         with self.lock:
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -165,6 +165,8 @@
       retry_share: Retries allowed to a service, as a share of its calls.
       retry_reserve: Retries beyond the share that all nodes together may
         make; 0 for a bound of each node's own.
+      link_mbps: Rate of the VM's own link, in megabits a second; 0 if unknown,
+        then bodies travel whole whatever their size.
     """
 
     node_id: Identifier
@@ -191,6 +193,7 @@
     unframed_answers: Switch = False
     retry_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.2
     retry_reserve: Annotated[int, msgspec.Meta(ge=0)] = 0
+    link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/link_mesh.py
+++ b/tests/link_mesh.py
@@ -2,7 +2,7 @@
 
 The inbound link of an owner's VM hands on its bytes in the order in which they
 were sent, so whatever is sent waits behind all that was sent before. It also
-carries the bodies of callers who use that VM as their entry.
+carries the bodies of callers who use that VM as their entry: those come whole.
 """
 
 from collections.abc import Callable, Sequence
@@ -14,6 +14,7 @@
 
 from lovagesaddle.core.routing import admission as admission_lib
 from lovagesaddle.core.routing import balancer as balancer_lib
+from lovagesaddle.core.routing import body_turns
 from lovagesaddle.core.routing import feedback
 from lovagesaddle.core.routing import limits
 from lovagesaddle.core.routing import pick_policies
@@ -96,7 +97,8 @@
             limit=limits.FixedLimit(candidate.slots), order=queues.ShareOrder()
         )
         self.held: dict[str, Call] = {}
-        self.body_bytes = 0
+        self.turns = body_turns.BodyTurns(link_bytes_s)
+        self.offered: dict[str, Call] = {}
         self._free_at = 0.0
 
     def send(self, count: int, now: float) -> float:
@@ -115,7 +117,7 @@
       slots: Of each server.
       link_bytes_s: Of each link, in bytes a second.
       slowness: Of the servers in turn, 1 for the stated work.
-      foreign_per_s: Bodies of callers a second over each link.
+      nodes: Nodes in all; a caller uses any of them as its entry.
       seed: Of all random numbers.
     """
 
@@ -127,7 +129,7 @@
         slots: int,
         link_bytes_s: float,
         slowness: Sequence[float],
-        foreign_per_s: float,
+        nodes: int,
         seed: int,
     ) -> None:
         self._source = random.Random(seed)
@@ -135,27 +137,35 @@
         self._numbers = itertools.count()
         self._domains = domains
         self._kinds = kinds
-        self._foreign_per_s = foreign_per_s
+        self._nodes = nodes
         self.now = 0.0
         self.latencies: dict[str, list[float]] = {k.name: [] for k in kinds}
         self.vain_bytes = 0
         self.owners = self._make_owners(slots, link_bytes_s, slowness)
         self._candidates = tuple(o.candidate for o in self.owners.values())
+        large_body_bytes = (
+            body_turns.find_part_bytes(link_bytes_s)
+            or balancer_lib.LARGE_BODY_BYTES
+        )
         self._entries = [
-            self._make_entry(f"d{number}")
+            self._make_entry(f"d{number}", "", large_body_bytes)
             for number, _ in enumerate(domains)
             for _ in range(ENTRIES_PER_DOMAIN)
         ]
+        first = len(self._entries)
+        self._entries += [
+            self._make_entry(
+                each.failure_domain, each.node_id, large_body_bytes
+            )
+            for each in self._candidates
+        ]
+        self._beside = dict(enumerate(self.owners.values(), first))
 
     def run(self, length_s: float) -> None:
         """Plays the arrivals of so many seconds, to their last answer."""
         for kind in self._kinds:
             for sent_at in self._draw_times(kind.per_s, length_s):
                 self._at(sent_at, self._make_arrival(kind, sent_at))
-        bodies = max(self._kinds, key=lambda kind: kind.body_bytes)
-        for owner in self.owners.values():
-            for sent_at in self._draw_times(self._foreign_per_s, length_s):
-                self._at(sent_at, self._make_foreign(owner, bodies))
         while self._events:
             self.now, _, action = heapq.heappop(self._events)
             action()
@@ -185,9 +195,15 @@
                 )
         return made
 
-    def _make_entry(self, domain: str) -> balancer_lib.Balancer:
+    def _make_entry(
+        self, domain: str, node_id: str, large_body_bytes: int
+    ) -> balancer_lib.Balancer:
         made = balancer_lib.Balancer(
-            options=balancer_lib.BalancerOptions(failure_domain=domain),
+            options=balancer_lib.BalancerOptions(
+                failure_domain=domain,
+                node_id=node_id,
+                large_body_bytes=large_body_bytes,
+            ),
             policy=pick_policies.TwoChoicesPick(),
             source=random.Random(self._source.random()),
         )
@@ -213,25 +229,35 @@
         return int(min(drawn, BODY_MAX_X * kind.body_bytes))
 
     def _make_arrival(self, kind: Kind, sent_at: float) -> Callable[[], None]:
-        shares = [domain.share for domain in self._domains]
-        (domain,) = self._source.choices(range(len(shares)), shares)
-        turn = self._source.randrange(ENTRIES_PER_DOMAIN)
         call = Call(
             name=f"{kind.name}-{next(self._numbers)}",
             kind=kind,
-            entry=domain * ENTRIES_PER_DOMAIN + turn,
+            entry=self._draw_entry(),
             body_bytes=self._draw_body(kind),
             sent_at=sent_at,
         )
-        return lambda: self._attempt(call)
-
-    def _make_foreign(self, owner: Owner, kind: Kind) -> Callable[[], None]:
-        body_bytes = self._draw_body(kind)
+        return lambda: self._enter(call)
 
-        def arrive() -> None:
-            owner.send(body_bytes, self.now)
+    def _draw_entry(self) -> int:
+        shares = [domain.share for domain in self._domains]
+        (domain,) = self._source.choices(range(len(shares)), shares)
+        near = [
+            number
+            for number, owner in self._beside.items()
+            if owner.candidate.failure_domain == f"d{domain}"
+        ]
+        if self._source.random() * self._nodes < len(self._beside):
+            return self._source.choice(near)
+        turn = self._source.randrange(ENTRIES_PER_DOMAIN)
+        return domain * ENTRIES_PER_DOMAIN + turn
 
-        return arrive
+    def _enter(self, call: Call) -> None:
+        beside = self._beside.get(call.entry)
+        if beside is None:
+            self._attempt(call)
+            return
+        arrived_at = beside.send(HEAD_BYTES + call.body_bytes, self.now)
+        self._at(arrived_at, lambda: self._attempt(call))
 
     def _attempt(self, call: Call) -> None:
         decision = self._entries[call.entry].pick(
@@ -254,11 +280,68 @@
         self._send(call, owner)
 
     def _send(self, call: Call, owner: Owner) -> None:
+        if self._beside.get(call.entry) is owner:
+            self._arrive(call, owner)
+            return
+        part_bytes = body_turns.find_part_bytes(owner.link_bytes_s)
+        if part_bytes and call.body_bytes > part_bytes:
+            arrived_at = owner.send(HEAD_BYTES, self.now)
+            self._at(arrived_at, lambda: self._offer(call, owner))
+            return
         arrived_at = owner.send(HEAD_BYTES + call.body_bytes, self.now)
         self._at(arrived_at, lambda: self._arrive(call, owner))
 
-    def _arrive(self, call: Call, owner: Owner) -> None:
-        owner.body_bytes += call.body_bytes
+    def _offer(self, call: Call, owner: Owner) -> None:
+        if owner.admission.judge_offer() is not None:
+            self._refuse(call, owner)
+            return
+        owner.offered[call.attempt_id] = call
+        deadline = call.sent_at + call.kind.deadline_s
+        run_s = owner.admission.expect_run(call.kind.name)
+        self._turn(
+            owner,
+            body_turns.Offered(
+                attempt_id=call.attempt_id,
+                body_bytes=call.body_bytes,
+                priority=call.kind.priority,
+                latest_at=deadline - run_s,
+            ),
+        )
+
+    def _turn(self, owner: Owner, event: body_turns.Event) -> None:
+        for action in owner.turns.step(event, self.now):
+            call = owner.offered[action.attempt_id]
+            match action:
+                case body_turns.Granted():
+                    self._send_part(call, owner, call.body_bytes)
+                case body_turns.Declined():
+                    del owner.offered[action.attempt_id]
+                    self._refuse(call, owner)
+                case body_turns.Expired():
+                    pass
+
+    def _send_part(self, call: Call, owner: Owner, left: int) -> None:
+        part_bytes = body_turns.find_part_bytes(owner.link_bytes_s)
+        sent = min(left, part_bytes)
+        arrived_at = owner.send(HEAD_BYTES + sent, self.now + ONE_WAY_S)
+
+        def take() -> None:
+            event = body_turns.PartArrived(
+                attempt_id=call.attempt_id, part_bytes=sent
+            )
+            self._turn(owner, event)
+            if left > sent:
+                self._send_part(call, owner, left - sent)
+                return
+            del owner.offered[call.attempt_id]
+            self._turn(owner, body_turns.Withdrawn(attempt_id=call.attempt_id))
+            self._arrive(call, owner, has_place=True)
+
+        self._at(arrived_at, take)
+
+    def _arrive(
+        self, call: Call, owner: Owner, *, has_place: bool = False
+    ) -> None:
         owner.held[call.attempt_id] = call
         self._step(
             owner,
@@ -268,6 +351,7 @@
                 deadline=call.sent_at + call.kind.deadline_s,
                 target=call.sent_at + call.kind.target_s,
                 kind=call.kind.name,
+                has_place=has_place,
             ),
         )
 
@@ -317,7 +401,9 @@
         )
 
     def _report(self, owner: Owner) -> feedback.Feedback:
-        return owner.admission.report()
+        return dataclasses.replace(
+            owner.admission.report(), link_wait_s=owner.turns.wait_s
+        )
 
     def _finish(self, call: Call, latency_s: float) -> None:
         self.latencies[call.kind.name].append(latency_s)
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -253,6 +253,7 @@
             "Bootstrap": is_first,
             "FaultTolerance": {"Machines": 1, "Zones": 0, "Regions": 0},
             "Bounds": {"RetryBudgetExtra": 58},
+            "Limits": {"LinkMbps": 1000.0},
         }
 
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -382,4 +382,20 @@
     }
 
 
+def test_body_that_was_promised_a_place_is_not_sent_away() -> None:
+    """A full queue sends another request away, and offers before they come."""
+    owner = _create(slots=1)
+    for name in ("a", "b"):
+        assert owner.judge_offer() is None
+        _arrive(owner, name, deadline=5.0)
+    assert owner.judge_offer() is Reason.QUEUE_FULL
+    promised = admission_lib.Arrived(
+        request_id="body", priority=9, deadline=9.0, has_place=True
+    )
+    assert _describe(owner.step(promised, 0.0)) == []
+    assert _arrive(owner, "c", deadline=4.0) == ["queue-full b"]
+    assert _end(owner, "a") == ["run c"]
+    assert _end(owner, "c") == ["run body"]
+
+
 load_tests = fixtures.collect(__name__)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -232,11 +232,23 @@
 def test_feedback_header_survives_the_way_and_rejects_nonsense() -> None:
     """A report is read back as written; a malformed one is no report."""
     report = feedback.Feedback(
-        running=3, queued=1, limit=20, latency_s=0.0004, draining=True
+        running=3,
+        queued=1,
+        limit=20,
+        latency_s=0.0004,
+        draining=True,
+        link_wait_s=0.25,
     )
     text = feedback.format_feedback(report)
     assert feedback.parse_feedback(text) == report
-    for bad in ("", "1,2,3", "a,b,c,d,e", "-1,0,1,1,0", "²,0,1,1,0"):
+    for bad in (
+        "",
+        "1,2,3",
+        "3,1,20,400,1",
+        "a,b,c,d,e,f",
+        "-1,0,1,1,0,0",
+        "²,0,1,1,0,0",
+    ):
         assert feedback.parse_feedback(bad) is None, bad
 
 
@@ -277,4 +289,47 @@
         assert picked == domains
 
 
+def _report_link(wait_s: float) -> feedback.Feedback:
+    return feedback.Feedback(
+        running=0, queued=0, limit=20, latency_s=0.01, link_wait_s=wait_s
+    )
+
+
+def test_large_body_goes_where_the_link_is_free() -> None:
+    """It leaves its failure domain only when it would else come late."""
+    size = balancer_lib.LARGE_BODY_BYTES
+    entry = Entry(routing_mesh.make_candidates(6))
+    for name in ("s0", "s3"):
+        entry.finish(name, Result.ANSWERED, 0.0, _report_link(0.5))
+    assert entry.pick(0.01, body_bytes=size).reason is Reason.OWN_DOMAIN
+    for name in ("s0", "s3"):
+        entry.finish(name, Result.ANSWERED, 0.0, _report_link(1.5))
+    assert entry.pick(0.01, body_bytes=size).reason is Reason.OTHER_DOMAIN
+    assert entry.pick(0.01).reason is Reason.OWN_DOMAIN
+    entry.finish("s0", Result.ANSWERED, 0.0, _report_link(0.0))
+    server = entry.pick(0.01, body_bytes=size).server
+    assert server is not None
+    assert server.server_id == "s0"
+
+
+def test_large_body_stays_on_its_node_while_that_has_room() -> None:
+    """A body that came over the node's link need not cross another one."""
+    candidates = routing_mesh.make_candidates(4, slots=4)
+    made = balancer_lib.Balancer(
+        options=balancer_lib.BalancerOptions(failure_domain="d0", node_id="n0"),
+        policy=pick_policies.TwoChoicesPick(),
+        source=random.Random(1),
+    )
+    made.step(balancer_lib.Installed(candidates=candidates), 0.0)
+    event = balancer_lib.Pick(
+        service="desk",
+        version=1,
+        candidates=candidates,
+        body_bytes=balancer_lib.LARGE_BODY_BYTES,
+    )
+    picked = [made.pick(event, 0.0) for _ in range(4)]
+    assert [each.reason for each in picked[:3]] == [Reason.OWN_NODE] * 3
+    assert picked[3].reason is not Reason.OWN_NODE
+
+
 load_tests = fixtures.collect(__name__)
--- /dev/null
+++ b/tests/test_body_turns.py
@@ -0,0 +1,146 @@
+"""Tests of the turns of large bodies on an owner's link."""
+
+import time
+
+from lovagesaddle.core.routing import body_turns
+from lovagesaddle.http import watchdog
+from lovagesaddle.node import inbound as inbound_lib
+from tests import fixtures
+
+LINK_BYTES_S = 100_000.0
+PART_BYTES = 20_000
+
+
+def _describe(actions: tuple[body_turns.Action, ...]) -> list[str]:
+    return [
+        f"{type(action).__name__.lower()} {action.attempt_id}"
+        for action in actions
+    ]
+
+
+def _offer(
+    turns: body_turns.BodyTurns,
+    name: str,
+    *,
+    now: float = 0.0,
+    body_bytes: int = 60_000,
+    priority: int = 1,
+    latest_at: float = 10.0,
+) -> list[str]:
+    event = body_turns.Offered(
+        attempt_id=name,
+        body_bytes=body_bytes,
+        priority=priority,
+        latest_at=latest_at,
+    )
+    return _describe(turns.step(event, now))
+
+
+def _withdraw(
+    turns: body_turns.BodyTurns, name: str, now: float = 0.0
+) -> list[str]:
+    return _describe(turns.step(body_turns.Withdrawn(attempt_id=name), now))
+
+
+def test_one_body_at_a_time_is_on_the_link() -> None:
+    """The next body has its turn when the one before it is there."""
+    turns = body_turns.BodyTurns(LINK_BYTES_S)
+    assert _offer(turns, "a") == ["granted a"]
+    assert _offer(turns, "b") == []
+    assert _offer(turns, "c", priority=0) == []
+    assert turns.wait_s == 1.8
+    assert _withdraw(turns, "a", 0.6) == ["granted c"]
+    assert _withdraw(turns, "c", 1.2) == ["granted b"]
+    assert _withdraw(turns, "b", 1.8) == []
+    assert turns.wait_s == 0.0
+
+
+def test_body_that_would_come_too_late_is_declined_at_once() -> None:
+    """It doesn't wait until its deadline for a turn in vain."""
+    turns = body_turns.BodyTurns(LINK_BYTES_S)
+    assert _offer(turns, "a", latest_at=0.5) == ["declined a"]
+    assert _offer(turns, "b") == ["granted b"]
+    assert _offer(turns, "c", latest_at=1.1) == ["declined c"]
+    assert _offer(turns, "d", latest_at=1.3) == []
+
+
+def test_waiting_body_is_declined_when_the_link_turns_slow() -> None:
+    """What a slower link can't carry in time is let go while it waits."""
+    turns = body_turns.BodyTurns(LINK_BYTES_S)
+    assert _offer(turns, "a", body_bytes=200_000) == ["granted a"]
+    assert _offer(turns, "b", latest_at=2.7) == []
+    declined: list[str] = []
+    for number in range(1, 6):
+        event = body_turns.PartArrived(attempt_id="a", part_bytes=PART_BYTES)
+        declined += _describe(turns.step(event, number * 0.8))
+    assert declined == ["declined b"]
+
+
+def test_unused_turn_is_passed_on() -> None:
+    """An entry that is gone doesn't keep the link from the others."""
+    turns = body_turns.BodyTurns(LINK_BYTES_S)
+    assert _offer(turns, "a") == ["granted a"]
+    assert _offer(turns, "b") == []
+    assert turns.expires_at == body_turns.MAX_SILENCE_S
+    passed = turns.step(body_turns.Tick(), body_turns.MAX_SILENCE_S)
+    assert _describe(passed) == ["expired a", "granted b"]
+
+
+def test_entry_that_hangs_up_leaves_the_queue() -> None:
+    """Its body is granted no turn."""
+    turns = body_turns.BodyTurns(LINK_BYTES_S)
+    for name in ("a", "b", "c"):
+        _offer(turns, name)
+    assert _withdraw(turns, "b") == []
+    assert _withdraw(turns, "a", 0.6) == ["granted c"]
+
+
+def test_fast_link_takes_usual_bodies_whole() -> None:
+    """Parts are as long as the link carries in PART_S; none if unknown."""
+    assert body_turns.find_part_bytes(0.0) == 0
+    assert body_turns.find_part_bytes(279e3) == body_turns.MIN_PART_BYTES
+    assert body_turns.find_part_bytes(125e6) == 6_250_000
+
+
+def _open(
+    inbound: inbound_lib.Inbound, name: str, body_bytes: int
+) -> inbound_lib.Verdict | None:
+    deadline = time.monotonic() + 60.0
+    return inbound.offer(
+        body_turns.Offered(
+            attempt_id=name,
+            body_bytes=body_bytes,
+            priority=1,
+            latest_at=deadline,
+        ),
+        watchdog.Guard(deadline, lambda: False),
+    )
+
+
+def test_body_is_joined_from_its_parts() -> None:
+    """Its bytes are those that were sent, once."""
+    inbound = inbound_lib.Inbound(LINK_BYTES_S)
+    assert isinstance(_open(inbound, "a", 5), body_turns.Granted)
+    assert inbound.take("a", 0, b"ab")
+    assert inbound.take("a", 2, b"cd")
+    assert inbound.finish("a", 4, b"e") == b"abcde"
+    assert inbound.finish("a", 4, b"e") is None
+
+
+def test_body_with_a_gap_or_an_excess_is_not_run() -> None:
+    """A lost, repeated or surplus part makes a body unusable."""
+    for parts, last in (
+        (((2, b"cd"),), (4, b"e")),
+        (((0, b"ab"), (0, b"ab")), (4, b"e")),
+        (((0, b"abcdef"),), (6, b"")),
+        (((0, b"ab"),), (2, b"cd")),
+    ):
+        inbound = inbound_lib.Inbound(LINK_BYTES_S)
+        _open(inbound, "a", 5)
+        for offset, data in parts:
+            inbound.take("a", offset, data)
+        assert inbound.finish("a", *last) is None, parts
+        assert isinstance(_open(inbound, "b", 5), body_turns.Granted)
+
+
+load_tests = fixtures.collect(__name__)
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -28,6 +28,7 @@
 from tests import nodes
 
 SERVICE = "orderdesk"
+THIN_MBPS = 2.23
 
 
 @contextlib.contextmanager
@@ -403,6 +404,21 @@
     assert answer.cause == hop.QUARANTINED
 
 
+def test_large_body_crosses_a_thin_link_whole() -> None:
+    """An upload sent in parts is run once, with every byte."""
+    with (
+        nodes.Mesh(nodes.make_service()) as mesh,
+        backend.Backend(stand_in.BackendOptions()) as server,
+    ):
+        owner = mesh.start("n0", link_mbps=THIN_MBPS)
+        entry = mesh.start("n1", link_mbps=THIN_MBPS)
+        _announce(owner, server)
+        body = bytes(100_000)
+        reply = nodes.send(entry.http_address, "POST", body=body)
+        assert reply.status == 200, reply
+        assert json.loads(reply.body)["length"] == len(body)
+
+
 def test_crashing_request_is_kept_from_further_servers() -> None:
     """A request that crashed two servers is refused, others are not."""
     with (
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,12 +1,15 @@
 """Tests of the owner part of a node."""
 
+import dataclasses
 import time
 
 from lovagesaddle.core.model import services
+from lovagesaddle.core.routing import admission
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
+from lovagesaddle.node import inbound as inbound_lib
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import suspects as suspects_lib
 from tests import fixtures
@@ -67,4 +70,68 @@
     assert answer.load.running == 0
 
 
+def _make_guard() -> watchdog.Guard:
+    return watchdog.Guard(time.monotonic() + 60.0, lambda: False)
+
+
+def test_body_does_not_travel_to_a_server_that_leaves() -> None:
+    """Its request is refused before, and while, its body is under way."""
+    inbound = inbound_lib.Inbound(1e6)
+    owner = owner_lib.Owner(
+        pool=ForbiddenPool(), suspects=suspects_lib.Suspects(), inbound=inbound
+    )
+    server = routing_mesh.make_server(0)
+    owner.open(server, "127.0.0.1:1")
+    offer = hop.BodyOffer(
+        attempt_id="r.1",
+        server_id=server.server_id,
+        body_bytes=100_000,
+        remaining_ms=60_000,
+        priority=services.Priority.NORMAL,
+    )
+    taken = hop.BodyTaken(attempt_id="r.1")
+    part = hop.BodyPart(
+        attempt_id="r.1", server_id=server.server_id, offset=0, data=b"a"
+    )
+    assert owner.offer(offer, _make_guard()) == taken
+    assert owner.take_part(part) == taken
+    owner.drain(server.server_id)
+    for answer in (
+        owner.take_part(dataclasses.replace(part, offset=1)),
+        owner.offer(
+            dataclasses.replace(offer, attempt_id="r.2"), _make_guard()
+        ),
+    ):
+        assert isinstance(answer, hop.RunAnswer)
+        assert answer.outcome is hop.RunOutcome.REFUSED
+        assert answer.cause == admission.RefusalReason.DRAINING.value
+
+
+def test_request_without_the_start_of_its_body_is_not_run() -> None:
+    """The last part alone, or sent again, is refused and not handed over."""
+    owner = owner_lib.Owner(
+        pool=ForbiddenPool(),
+        suspects=suspects_lib.Suspects(),
+        inbound=inbound_lib.Inbound(1e6),
+    )
+    server = routing_mesh.make_server(0)
+    owner.open(server, "127.0.0.1:1")
+    request = hop.RunRequest(
+        attempt_id="r.1",
+        server_id=server.server_id,
+        incarnation=server.incarnation,
+        method="POST",
+        target="/orders",
+        headers=(),
+        body=b"end",
+        remaining_ms=1000,
+        priority=services.Priority.NORMAL,
+        fingerprint=bytes(16),
+        offset=10,
+    )
+    answer = owner.run(request, _make_guard())
+    assert answer.outcome is hop.RunOutcome.REFUSED
+    assert answer.cause == owner_lib.BODY_LOST
+
+
 load_tests = fixtures.collect(__name__)
--- a/tests/test_thin_links.py
+++ b/tests/test_thin_links.py
@@ -4,8 +4,8 @@
 from tests import link_mesh
 
 # As the users state them: rates, work, targets and deadlines of the kinds of
-# requests of one service, and 2.23 Mbit/s a link. Of 84 nodes 18 stand beside
-# a server of it, and one of 84 uploads comes in over each node's link.
+# requests of one service, and 2.23 Mbit/s a link. Of 84 nodes, any of which is
+# used by callers, 18 stand beside a server of it.
 LINK_BYTES_S = 279e3
 READ = link_mesh.Kind(
     name="inner-read",
@@ -54,7 +54,7 @@
         slots=7,
         link_bytes_s=LINK_BYTES_S,
         slowness=(0.7, 0.7, 1.6),
-        foreign_per_s=UPLOAD.per_s / 84,
+        nodes=84,
         seed=SEED,
     )
     mesh.run(LENGTH_S)
