--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,7 @@
 
 MEASUREMENTS = (
     "state_cost",
+    "publication_cost",
     "capacity",
     "distribution_slopes",
     "distribution",
