--- a/src/lovagesaddle/control/machine.py
+++ b/src/lovagesaddle/control/machine.py
@@ -1,16 +1,12 @@
 """The replicated state machine of this process, and its snapshots."""
 
-import msgspec
-
+from lovagesaddle.control import state_images
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.configuration import state as state_lib
 from lovagesaddle.core.consensus import entries as entries_lib
 from lovagesaddle.core.model import commands
 
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(state_lib.State)
-
 
 class Machine:
     """Applies committed entries in order."""
@@ -63,17 +59,21 @@
             self._log_bytes += len(entry.payload)
 
     def restore(self, image: entries_lib.Image) -> None:
-        """Replaces the state by a snapshot."""
+        """Replaces the state by a snapshot.
+
+        Raises:
+          errors.ConsensusError: It is malformed; the replica must stop.
+        """
         if image.index == 0:
             return
         self._log_bytes = 0
-        self._state = _DECODER.decode(image.data)
+        self._state = state_images.decode_state(image.data)
         self._stamped = delta.stamp(self._state.snapshot)
 
     def encode(self) -> bytes:
         """Returns the whole state, for a snapshot."""
         self._log_bytes = 0
-        return _ENCODER.encode(self._state)
+        return state_images.encode_state(self._state)
 
 
 def _decode(entry: entries_lib.Entry) -> commands.Command | None:
--- a/src/lovagesaddle/control/verification.py
+++ b/src/lovagesaddle/control/verification.py
@@ -79,7 +79,7 @@
                 commands.COMMANDS.decode(entry.payload, peer=peer)
             elif entry.kind is entries_lib.EntryKind.MEMBERS:
                 log_lib.decode_members(entry.payload)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, errors.ConsensusError) as error:
         raise errors.StorageError(
             step="verify folder", peer=str(folder), cause=str(error)
         ) from error
