Carry publications in the log as edits of the one before

Cause: the log entry of a publication carried the whole document and all services, whatever had changed, and each replica decoded all of it.

A publication that builds on the newest one that the proposing replica has applied is now proposed as an edit: the routes that differ, and the document as pieces of the last one with a checksum. Replicas expand it against their own state before it is applied, so the state is the one that the whole command gives. Since an edit names the publication that it edits, it can be accepted only where it was made from: if another one came first, it has been overtaken as the whole command would have been. One difference: a document whose base lost its content meanwhile, to a publication without a document, is now a conflict. What has no such base goes whole. Kind number 5 is new, old entries are read as before; replicas of earlier releases can't read the new kind.

--- a/bench/publication_cost.py
+++ b/bench/publication_cost.py
@@ -16,7 +16,6 @@
 from lovagesaddle.control import machine as machine_lib
 from lovagesaddle.core.consensus import entries as entries_lib
 from lovagesaddle.core.consensus import events
-from lovagesaddle.core.model import commands
 from lovagesaddle.storage import identity as identity_lib
 from lovagesaddle.storage import store as store_lib
 
@@ -41,7 +40,7 @@
             for index in range(1, PUBLICATIONS + 1):
                 command = author.write_command()
                 begun = time.process_time()
-                payload = commands.COMMANDS.encode(command)
+                payload = machine.encode_command(command)
                 propose_s += time.process_time() - begun
                 sizes.append(len(payload))
                 del command
--- a/features/support/control_vms.py
+++ b/features/support/control_vms.py
@@ -61,7 +61,7 @@
 
     def send(self, name: str, command: commands.PublishServices) -> Attempt:
         """Sends a publish to one replica; its answer may never come."""
-        payload = commands.COMMANDS.encode(command)
+        payload = self.machines[name].encode_command(command)
         return Attempt(command=command, proposal_id=self.propose(name, payload))
 
     def await_answer(self, attempt: Attempt) -> commands.PublishResult | None:
--- a/src/lovagesaddle/control/consensus.py
+++ b/src/lovagesaddle/control/consensus.py
@@ -95,7 +95,7 @@
     ) -> None:
         """See base class."""
         proposal_id = self._expect(on_applied, on_refused)
-        payload = commands.COMMANDS.encode(command)
+        payload = self._machine.encode_command(command)
         self._batch.append(
             events.Proposal(proposal_id=proposal_id, payload=payload)
         )
--- a/src/lovagesaddle/control/machine.py
+++ b/src/lovagesaddle/control/machine.py
@@ -3,6 +3,7 @@
 from lovagesaddle.control import state_images
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.configuration import publications
 from lovagesaddle.core.configuration import state as state_lib
 from lovagesaddle.core.consensus import entries as entries_lib
 from lovagesaddle.core.model import commands
@@ -53,7 +54,7 @@
                     cause=f"entry {entry.index} follows {self.version}",
                 )
             applied = state_lib.apply_command(
-                self._state, entry.index, _decode(entry)
+                self._state, entry.index, self._decode(entry)
             )
             self._state = applied.state
             self._log_bytes += len(entry.payload)
@@ -75,8 +76,15 @@
         self._log_bytes = 0
         return state_images.encode_state(self._state)
 
+    def encode_command(self, command: commands.Command) -> bytes:
+        """Returns the payload of an entry that carries `command`."""
+        stored = publications.shorten(self._state, command)
+        return commands.COMMANDS.encode(stored)
 
-def _decode(entry: entries_lib.Entry) -> commands.Command | None:
-    if entry.kind is not entries_lib.EntryKind.COMMAND:
-        return None
-    return commands.COMMANDS.decode(entry.payload, peer=f"entry {entry.index}")
+    def _decode(self, entry: entries_lib.Entry) -> commands.Command | None:
+        if entry.kind is not entries_lib.EntryKind.COMMAND:
+            return None
+        stored = commands.COMMANDS.decode(
+            entry.payload, peer=f"entry {entry.index}"
+        )
+        return publications.expand(self._state, stored)
--- a/src/lovagesaddle/core/model/commands.py
+++ b/src/lovagesaddle/core/model/commands.py
@@ -5,6 +5,7 @@
 
 from lovagesaddle.core import codec
 from lovagesaddle.core.model import documents
+from lovagesaddle.core.model import edits
 from lovagesaddle.core.model import services as services_lib
 from lovagesaddle.core.model import snapshots
 
@@ -38,6 +39,29 @@
     limits: services_lib.CallerLimits | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EditPublication:
+    """A PublishServices command as an edit of the newest publication.
+
+    Attributes:
+      publish_id: As in that command.
+      operator: As in that command.
+      base_version: As in that command.
+      edited: Version of the publication that is edited.
+      services: What turns its services into those of the command.
+      document: As in that command, but as an edit.
+      limits: As in that command.
+    """
+
+    publish_id: str
+    operator: str
+    base_version: int
+    edited: int
+    services: edits.ServicesEdit
+    document: edits.DocumentEdit | None = None
+    limits: services_lib.CallerLimits | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ChangeMembership:
     """A batch of joins, changes and leaves.
@@ -108,12 +132,16 @@
 
 Command = FoundCluster | PublishServices | ChangeMembership | AssignShards
 
-COMMANDS: codec.Registry[Command] = codec.Registry(
+# What stands in the log, which has publications as edits where it can.
+StoredCommand = Command | EditPublication
+
+COMMANDS: codec.Registry[StoredCommand] = codec.Registry(
     name="command",
     kinds={
         1: FoundCluster,
         2: PublishServices,
         3: ChangeMembership,
         4: AssignShards,
+        5: EditPublication,
     },
 )
--- a/src/lovagesaddle/core/model/edits.py
+++ b/src/lovagesaddle/core/model/edits.py
@@ -35,3 +35,35 @@
     edits: tuple[ServiceEdit, ...] = ()
     removed: tuple[str, ...] = ()
     is_whole: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Splice:
+    """Some bytes of the base, then some of the target's own.
+
+    Attributes:
+      start: Position in the base, in bytes.
+      length: Bytes that are copied from there.
+      added: Bytes that follow them.
+    """
+
+    start: int
+    length: int
+    added: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DocumentEdit:
+    """A document as an edit of the one it builds on.
+
+    Attributes:
+      serial: As in the document.
+      base_serial: As in the document.
+      splices: What its content consists of, in order.
+      checksum: CRC-32 of the content.
+    """
+
+    serial: int
+    base_serial: int
+    splices: tuple[Splice, ...]
+    checksum: int
