Show that orders at followers delay the leader's heartbeat

A replica that does not lead forwards a publication whole: 1,290,272 bytes pass the leader's link for one changed route of 3,040. Operators have up to eight orders in progress, which take 0.49 s of 170 Mbit/s, while a heartbeat is due each 0.1 s.

--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -128,6 +128,11 @@
         """Publishes and reads for other threads of this process."""
         return self._forwarder
 
+    @property
+    def traffic_bytes(self) -> int:
+        """Bytes sent to and received from other processes; any thread."""
+        return self._endpoint.traffic_bytes
+
     def stop(self) -> None:
         """Makes `run` hand leadership over and return.
 
--- a/tests/test_publication_cost.py
+++ b/tests/test_publication_cost.py
@@ -9,6 +9,7 @@
 
 from lovagesaddle.core.consensus import timing
 from lovagesaddle.core.model import commands
+from tests import control_cluster
 from tests import fixtures
 from tests import publishing_replica
 
@@ -23,8 +24,11 @@
 LINK_BITS_PER_S = 170_000_000
 FOLLOWERS = 5
 BITS_PER_BYTE = 8
+# Orders that an operator has in progress at a time.
+ORDERS = 8
 HEARTBEAT_S = timing.Timing(election_timeout_s=0.5).heartbeat_s
 LIMIT_S = 300.0
+WAIT_S = 30.0
 
 
 def test_storm_of_changes_outgrows_the_memory_of_a_replica() -> None:
@@ -49,6 +53,31 @@
     assert seconds < HEARTBEAT_S, f"{sent} bytes"
 
 
+def test_changes_at_a_follower_delay_the_leaders_heartbeat() -> None:
+    """Orders that other replicas take reach the leader within a heartbeat."""
+    author = publication_documents.Author(ROUTES)
+    first, second = author.write_command(), author.write_command()
+    with control_cluster.ControlCluster() as cluster:
+        leader_id = cluster.find_leader()
+        other = next(name for name in cluster.programs if name != leader_id)
+        leader = cluster.programs[leader_id]
+        forwarder = cluster.programs[other].forwarder
+        assert forwarder.publish(first, WAIT_S).unwrap().version
+        cluster.wait_until(
+            lambda: (
+                cluster.get_status(other).publication_version
+                == cluster.get_status(leader_id).publication_version
+            )
+        )
+        before = leader.traffic_bytes
+        assert forwarder.publish(second, WAIT_S).unwrap().version
+        carried = leader.traffic_bytes - before
+        newest = forwarder.read_newest(WAIT_S).unwrap()
+    assert newest.document == second.document
+    seconds = carried * ORDERS * BITS_PER_BYTE / LINK_BITS_PER_S
+    assert seconds < HEARTBEAT_S, f"{carried} bytes"
+
+
 def _publish(*published: commands.PublishServices) -> list[int]:
     """Returns the size of the log entry of each publication, in bytes."""
     sizes: list[int] = []
