Forward publications to the leader as edits

What callers saw: as for the entries of the log, heartbeats that waited while changes came through replicas that do not lead, which are five of six.

Cause: such a replica forwarded the whole document and all services, which the leader decoded, and the leader made the edit for the log on the thread that also sends its heartbeats.

The replica that takes the order now makes the edit, on the thread of the call, against the state that it has applied, and sends only that. The leader passes it on as it is. Where the replica lags behind the base of the order, it sends the whole as before and the leader makes the edit. Kind number 16 is new.

--- a/src/lovagesaddle/control/consensus.py
+++ b/src/lovagesaddle/control/consensus.py
@@ -8,6 +8,7 @@
 from lovagesaddle.control import machine as machine_lib
 from lovagesaddle.control import ports
 from lovagesaddle.core import errors
+from lovagesaddle.core.configuration import state as state_lib
 from lovagesaddle.core.consensus import entries as entries_lib
 from lovagesaddle.core.consensus import events
 from lovagesaddle.core.consensus import founding as founding_lib
@@ -75,6 +76,11 @@
         """The core."""
         return self._replica
 
+    @property
+    def state(self) -> state_lib.State:
+        """The applied state; any thread may read it."""
+        return self._machine.state
+
     def view(self) -> ports.ClusterView:
         """See base class."""
         is_leader = self._replica.is_confirmed_leader
@@ -89,7 +95,7 @@
 
     def propose(
         self,
-        command: commands.Command,
+        command: commands.StoredCommand,
         on_applied: Callable[[int], None],
         on_refused: Callable[[str], None],
     ) -> None:
--- a/src/lovagesaddle/control/forwarder.py
+++ b/src/lovagesaddle/control/forwarder.py
@@ -13,6 +13,7 @@
 from lovagesaddle.control import operators as operators_lib
 from lovagesaddle.control import ports
 from lovagesaddle.core import errors
+from lovagesaddle.core.configuration import publications
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import operator_messages
 from lovagesaddle.observability import logs
@@ -82,10 +83,7 @@
           command: What to publish; the same one may be sent again.
           timeout_s: Longest wait, in seconds.
         """
-        request = operator_messages.PublishRequest(
-            request_id=self._number(), command=command
-        )
-        answer = self._ask(request, timeout_s)
+        answer = self._ask(self._make_order(command), timeout_s)
         if isinstance(answer, operator_messages.PublishAnswer):
             return result.Success(answer.result)
         return result.Failure(_describe("publish", answer))
@@ -138,6 +136,17 @@
             self._refuse(errand, STOPPED)
         self._sent.clear()
 
+    def _make_order(self, command: commands.PublishServices) -> _Message:
+        # On the calling thread, so that the replica's own beats go on.
+        stored = publications.shorten(self._consensus.state, command)
+        if isinstance(stored, commands.EditPublication):
+            return operator_messages.EditRequest(
+                request_id=self._number(), command=stored
+            )
+        return operator_messages.PublishRequest(
+            request_id=self._number(), command=command
+        )
+
     def _number(self) -> str:
         return f"{self._own_id}/{next(self._numbers)}"
 
--- a/src/lovagesaddle/control/machine.py
+++ b/src/lovagesaddle/control/machine.py
@@ -76,7 +76,7 @@
         self._log_bytes = 0
         return state_images.encode_state(self._state)
 
-    def encode_command(self, command: commands.Command) -> bytes:
+    def encode_command(self, command: commands.StoredCommand) -> bytes:
         """Returns the payload of an entry that carries `command`."""
         stored = publications.shorten(self._state, command)
         return commands.COMMANDS.encode(stored)
--- a/src/lovagesaddle/control/operators.py
+++ b/src/lovagesaddle/control/operators.py
@@ -16,6 +16,7 @@
 
 NOT_LEADING = "this replica does not lead"
 _MESSAGES = operator_messages.OPERATOR_MESSAGES
+_Order = operator_messages.PublishRequest | operator_messages.EditRequest
 
 
 class Operators(ports.Subsystem):
@@ -70,7 +71,10 @@
         messages, which are no requests, never come.
         """
         match request:
-            case operator_messages.PublishRequest():
+            case (
+                operator_messages.PublishRequest()
+                | operator_messages.EditRequest()
+            ):
                 self._publish(request, reply)
             case operator_messages.ChangeReplicaRequest():
                 self._change_replica(request, reply)
@@ -105,9 +109,7 @@
         )
         reply(answer)
 
-    def _publish(
-        self, request: operator_messages.PublishRequest, reply: Reply
-    ) -> None:
+    def _publish(self, request: _Order, reply: Reply) -> None:
         if not self._consensus.view().is_leader:
             self._refuse(request.request_id, NOT_LEADING, reply)
             return
@@ -135,9 +137,7 @@
             lambda cause: self._refuse(request.request_id, cause, reply),
         )
 
-    def _finish_publish(
-        self, request: operator_messages.PublishRequest, reply: Reply
-    ) -> None:
+    def _finish_publish(self, request: _Order, reply: Reply) -> None:
         result = self._find_result(request.command.publish_id)
         self._log.info(
             "publish_answered",
--- a/src/lovagesaddle/core/configuration/publications.py
+++ b/src/lovagesaddle/core/configuration/publications.py
@@ -8,7 +8,7 @@
 
 
 def shorten(
-    state: state_lib.State, command: commands.Command
+    state: state_lib.State, command: commands.StoredCommand
 ) -> commands.StoredCommand:
     """Returns what `expand` turns back into `command`.
 
--- a/src/lovagesaddle/core/model/operator_messages.py
+++ b/src/lovagesaddle/core/model/operator_messages.py
@@ -21,6 +21,14 @@
     command: commands.PublishServices
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EditRequest:
+    """Asks the leader to accept an edit of the newest publication."""
+
+    request_id: str
+    command: commands.EditPublication
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PublishAnswer:
     """Result of a publish, sent only once it is synced on a majority."""
@@ -240,6 +248,7 @@
 
 OperatorMessage = (
     PublishRequest
+    | EditRequest
     | PublishAnswer
     | NotLeader
     | StatusRequest
@@ -274,5 +283,6 @@
         13: ChangeReplicaAnswer,
         14: NewestRequest,
         15: NewestAnswer,
+        16: EditRequest,
     },
 )
