--- a/tests/test_publication_cost.py
+++ b/tests/test_publication_cost.py
@@ -53,6 +53,16 @@
     assert seconds < HEARTBEAT_S, f"{sent} bytes"
 
 
+def test_many_new_routes_delay_a_heartbeat() -> None:
+    """So have a first document, and one that adds as many routes at once."""
+    author = publication_documents.Author(ROUTES)
+    first = author.write_command()
+    author.add_routes(ROUTES)
+    for sent in _publish(first, author.write_command()):
+        seconds = sent * FOLLOWERS * BITS_PER_BYTE / LINK_BITS_PER_S
+        assert seconds < HEARTBEAT_S, f"{sent} bytes"
+
+
 def test_changes_at_a_follower_delay_the_leaders_heartbeat() -> None:
     """Orders that other replicas take reach the leader within a heartbeat."""
     author = publication_documents.Author(ROUTES)
