--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -11,6 +11,7 @@
 import zmq
 
 from lovagesaddle.control import program as program_lib
+from lovagesaddle.core.configuration import state as state_lib
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import operator_messages
 from lovagesaddle.http import sockets
@@ -210,6 +211,10 @@
                 return
         raise AssertionError(f"nothing came of it in {WAIT_S} s")
 
+    def get_state(self, name: str) -> state_lib.State:
+        """Returns what one replica has applied, without asking it."""
+        return self.programs[name]._consensus.state
+
     def get_status(self, name: str) -> operator_messages.StatusAnswer:
         """Returns what one replica knows."""
         self._requests += 1
--- a/tests/test_publication_cost.py
+++ b/tests/test_publication_cost.py
@@ -75,8 +75,8 @@
         assert forwarder.publish(first, WAIT_S).unwrap().version
         cluster.wait_until(
             lambda: (
-                cluster.get_status(other).publication_version
-                == cluster.get_status(leader_id).publication_version
+                cluster.get_state(other).publication_version
+                == cluster.get_state(leader_id).publication_version
             )
         )
         before = leader.traffic_bytes
