Pack large entries of the log

What callers saw: heartbeats wait behind a first document, or one with many new routes, as they did behind every change.

Cause: a document without a base, or with a thousand new routes, goes whole, 677 to 1,286 kB to each follower, to each disk and into each log in memory.

Entries of 4 kB and more are packed by zlib at its lowest level. Kind number 6 is new; entries of earlier releases are read as before. Unpacking is bounded, and what can't be unpacked is an error as for any malformed entry.

--- a/src/lovagesaddle/control/machine.py
+++ b/src/lovagesaddle/control/machine.py
@@ -3,6 +3,7 @@
 from lovagesaddle.control import state_images
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.configuration import log_commands
 from lovagesaddle.core.configuration import publications
 from lovagesaddle.core.configuration import state as state_lib
 from lovagesaddle.core.consensus import entries as entries_lib
@@ -79,12 +80,10 @@
     def encode_command(self, command: commands.StoredCommand) -> bytes:
         """Returns the payload of an entry that carries `command`."""
         stored = publications.shorten(self._state, command)
-        return commands.COMMANDS.encode(stored)
+        return log_commands.encode(stored)
 
     def _decode(self, entry: entries_lib.Entry) -> commands.Command | None:
         if entry.kind is not entries_lib.EntryKind.COMMAND:
             return None
-        stored = commands.COMMANDS.decode(
-            entry.payload, peer=f"entry {entry.index}"
-        )
+        stored = log_commands.decode(entry.payload, peer=f"entry {entry.index}")
         return publications.expand(self._state, stored)
--- a/src/lovagesaddle/core/model/commands.py
+++ b/src/lovagesaddle/core/model/commands.py
@@ -62,6 +62,17 @@
     limits: services_lib.CallerLimits | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PackedCommand:
+    """Another command in the log.
+
+    Attributes:
+      data: Its kind and payload, packed by zlib.
+    """
+
+    data: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ChangeMembership:
     """A batch of joins, changes and leaves.
@@ -135,7 +146,7 @@
 # What stands in the log, which has publications as edits where it can.
 StoredCommand = Command | EditPublication
 
-COMMANDS: codec.Registry[StoredCommand] = codec.Registry(
+COMMANDS: codec.Registry[StoredCommand | PackedCommand] = codec.Registry(
     name="command",
     kinds={
         1: FoundCluster,
@@ -143,5 +154,6 @@
         3: ChangeMembership,
         4: AssignShards,
         5: EditPublication,
+        6: PackedCommand,
     },
 )
--- a/tests/test_publications.py
+++ b/tests/test_publications.py
@@ -2,11 +2,13 @@
 
 import dataclasses
 import random
+import zlib
 
 from bench import publication_documents
 
 from lovagesaddle.control import machine as machine_lib
 from lovagesaddle.core import errors
+from lovagesaddle.core.configuration import log_commands
 from lovagesaddle.core.configuration import publications
 from lovagesaddle.core.configuration import splices
 from lovagesaddle.core.configuration import state as state_lib
@@ -115,13 +117,33 @@
     assert machine.state.serial == 3
 
 
+def test_packed_command_is_checked() -> None:
+    """A large command survives being packed; a malformed one is an error."""
+    command = publication_documents.Author(4 * ROUTES).write_command()
+    payload = log_commands.encode(command)
+    assert len(payload) < len(commands.COMMANDS.encode(command)) / 2
+    assert log_commands.decode(payload, peer="test") == command
+    packed = zlib.compress(payload)
+    twice = commands.COMMANDS.encode(commands.PackedCommand(data=packed))
+    # Room for anything, packed.
+    bomb = zlib.compress(bytes(log_commands.MAX_PLAIN_BYTES + 1))
+    huge = commands.COMMANDS.encode(commands.PackedCommand(data=bomb))
+    cut = commands.COMMANDS.encode(commands.PackedCommand(data=packed[:-20]))
+    for malformed in (payload[:-9], twice, huge, cut):
+        try:
+            log_commands.decode(malformed, peer="test")
+        except errors.CodecError:
+            continue
+        raise AssertionError(f"{malformed[:9]!r} was taken")
+
+
 def _apply(
     machine: machine_lib.Machine, command: commands.PublishServices
 ) -> type[commands.StoredCommand]:
     """Returns the class of what the log carried."""
     payload = machine.encode_command(command)
     machine.apply((_entry(machine, payload),))
-    return type(commands.COMMANDS.decode(payload, peer="test"))
+    return type(log_commands.decode(payload, peer="test"))
 
 
 def _entry(machine: machine_lib.Machine, payload: bytes) -> entries_lib.Entry:
