Show that a full disk ends a replica

It asks that the replica stays, that the others accept meanwhile, and that its disk counts for a majority again once there is room.

Run: python -m tests tests.test_program.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -86,6 +86,26 @@
         assert second.outcome is OUTCOME.CONFLICT
 
 
+def test_full_disk_ends_a_replica() -> None:
+    """While its disk is full a replica stays, and goes on with room again."""
+    disks = {name: test_store.FaultyDisk() for name in NAMES}
+    with control_cluster.ControlCluster(disks=disks) as cluster:
+        cluster.publish("p1", 0)
+        full = cluster.find_leader()
+        disks[full].cause = OSError(28, "No space left on device")
+        first = cluster.get_state(full).publication_version
+        accepted = cluster.publish("p2", first).result
+        assert accepted.outcome is OUTCOME.ACCEPTED
+        assert full not in cluster.failures
+        disks[full].cause = None
+        stopped = next(n for n in NAMES if n != full)
+        cluster.stop(stopped)
+        # Only with this replica's disk is there a majority now.
+        third = cluster.publish("p3", accepted.version).result
+        assert third.outcome is OUTCOME.ACCEPTED
+        assert not cluster.failures
+
+
 def test_emptied_folder_is_refused_and_replaced() -> None:
     """A replica with a lost disk founds nothing; replaced, it votes again."""
     with control_cluster.ControlCluster() as cluster:
