--- a/src/lovagesaddle/control/machine.py
+++ b/src/lovagesaddle/control/machine.py
@@ -1,16 +1,14 @@
 """The replicated state machine of this process, and its snapshots."""
 
-import msgspec
-
+from lovagesaddle.control import state_images
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.configuration import log_commands
+from lovagesaddle.core.configuration import publications
 from lovagesaddle.core.configuration import state as state_lib
 from lovagesaddle.core.consensus import entries as entries_lib
 from lovagesaddle.core.model import commands
 
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(state_lib.State)
-
 
 class Machine:
     """Applies committed entries in order."""
@@ -57,26 +55,37 @@
                     cause=f"entry {entry.index} follows {self.version}",
                 )
             applied = state_lib.apply_command(
-                self._state, entry.index, _decode(entry)
+                self._state, entry.index, self._decode(entry)
             )
             self._state = applied.state
             self._log_bytes += len(entry.payload)
 
     def restore(self, image: entries_lib.Image) -> None:
-        """Replaces the state by a snapshot."""
+        """Replaces the state by a snapshot.
+
+        Raises:
+          errors.ConsensusError: It is malformed; the replica must stop.
+        """
         if image.index == 0:
             return
         self._log_bytes = 0
-        self._state = state_lib.name_publication(_DECODER.decode(image.data))
+        self._state = state_lib.name_publication(
+            state_images.decode_state(image.data)
+        )
         self._stamped = delta.stamp(self._state.snapshot)
 
     def encode(self) -> bytes:
         """Returns the whole state, for a snapshot."""
         self._log_bytes = 0
-        return _ENCODER.encode(self._state)
-
-
-def _decode(entry: entries_lib.Entry) -> commands.Command | None:
-    if entry.kind is not entries_lib.EntryKind.COMMAND:
-        return None
-    return commands.COMMANDS.decode(entry.payload, peer=f"entry {entry.index}")
+        return state_images.encode_state(self._state)
+
+    def encode_command(self, command: commands.StoredCommand) -> bytes:
+        """Returns the payload of an entry that carries `command`."""
+        stored = publications.shorten(self._state, command)
+        return log_commands.encode(stored)
+
+    def _decode(self, entry: entries_lib.Entry) -> commands.Command | None:
+        if entry.kind is not entries_lib.EntryKind.COMMAND:
+            return None
+        stored = log_commands.decode(entry.payload, peer=f"entry {entry.index}")
+        return publications.expand(self._state, stored)
