Show two ways on which a request outlives its caller

- The caller hangs up while its request waits for a thread, and the loop has not read the end of the connection yet when the thread comes free: the request runs.
On the hop to an owner the end follows right behind the last byte of the request, so there the thread is nearly always first.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -17,6 +17,10 @@
 from tests import nodes
 
 LONG_S = 10.0
+# Longer than what a peer takes that does not read, shorter than what the
+# kernel takes from a sender.
+BUFFERED_BYTES = 256 * 1024
+NARROW_WINDOW_BYTES = 4096
 
 
 @contextlib.contextmanager
@@ -97,6 +101,38 @@
     assert _get_kind(cancelled) is client.FailureKind.CANCELLED
 
 
+def test_cancelled_request_is_not_delivered_from_the_buffer() -> None:
+    """What a full link still holds of a request is dropped with its wait."""
+    body = b"x" * BUFFERED_BYTES
+    request = client.Request(method="POST", target="/", headers={}, body=body)
+    guard = watchdog.Guard(time.monotonic() + LONG_S, lambda: False)
+    with (
+        socket.socket() as listener,
+        futures.ThreadPoolExecutor(1) as pool,
+        client.Pool() as connections,
+    ):
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, NARROW_WINDOW_BYTES
+        )
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        host, port = listener.getsockname()
+        cancelled = pool.submit(
+            connections.exchange, f"{host}:{port}", request, guard
+        )
+        accepted, _ = listener.accept()
+        with accepted:
+            arrived = len(accepted.recv(1))
+            guard.end(watchdog.EndReason.CANCELLED)
+            assert _get_kind(cancelled.result()) is (
+                client.FailureKind.CANCELLED
+            )
+            with contextlib.suppress(ConnectionResetError):
+                while part := accepted.recv(65536):
+                    arrived += len(part)
+    assert arrived < BUFFERED_BYTES, arrived
+
+
 def test_refused_connection_proves_that_nothing_was_sent() -> None:
     """Only a connection that never opened counts as not sent."""
     with _open_server() as server, client.Pool() as pool:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -204,6 +204,37 @@
     assert seen.count(True) == 1
 
 
+def test_request_whose_caller_left_in_the_queue_does_not_run() -> None:
+    """A hang-up that the loop has not read yet keeps a request from running."""
+    gate = threading.Event()
+    with _serve() as (application, server), contextlib.ExitStack() as stack:
+        stack.callback(gate.set)
+        for _ in range(THREADS):
+            sock = stack.enter_context(_connect(server))
+            sock.sendall(b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
+        nodes.wait_for(lambda: len(application.ran) == THREADS, "the threads")
+        left = _connect(server)
+        left.sendall(b"GET /left HTTP/1.1\r\nHost: a\r\n\r\n")
+        nodes.wait_for(lambda: server.count_busy() == THREADS + 1, "the queue")
+        _block_loop(server, gate)
+        left.close()
+        application.release.set()
+        nodes.wait_for(lambda: not server.count_busy(), "the threads")
+        assert "/left" not in application.ran
+
+
+def _block_loop(server: server_lib.HttpServer, gate: threading.Event) -> None:
+    """Keeps a server's loop from reading until `gate` is set."""
+    blocked = threading.Event()
+
+    def block() -> None:
+        blocked.set()
+        gate.wait(nodes.WAIT_S)
+
+    server._call(block, threading.Event())
+    assert blocked.wait(nodes.WAIT_S)
+
+
 def _is_refused(server: server_lib.HttpServer) -> bool:
     try:
         _connect(server).close()
