Run nothing for a caller that left while it waited for a thread

Cause: waitress runs a request unless its loop has read the end of the connection, and the loop needs one more turn for that after the last byte of the request. When a hop is late, as in a full link, request and end arrive together at the owner, and the thread hands the request over before the loop has looked. The guard finds it 20 ms later, when the backend server works on it already.

Change: a connection's thread asks the kernel for the end (POLLRDHUP, no byte is taken) before it runs a request, where waitress asks its flag. Callers and entries that hang up are found by the same line.

Why it works: what is closed when the thread starts is never handed over; what closes later is the guard's, as before.

--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -41,6 +41,9 @@
     task_class = parser.ClosingTask
     error_task_class = parser.OutcomeErrorTask
 
+    # Whether the requester is there; waitress runs nothing once it is not.
+    connected: bool
+
     # Whether the loop has passed over this connection when it last polled.
     unwatched = False
     # Whether a task's thread is writing to the socket.
@@ -98,8 +101,15 @@
         return written
 
     def service(self) -> None:
-        """Runs one request on the current thread."""
+        """Runs one request on the current thread.
+
+        The requester may have hung up while the request waited for this
+        thread; on a hop, the end follows right behind the last byte. The loop
+        needs a turn more to read it, so it is looked for here.
+        """
         _serving.channel = self
+        if self.connected and sockets.has_ended(self.socket):
+            self.connected = False
         try:
             super().service()
         finally:
--- a/src/lovagesaddle/http/sockets.py
+++ b/src/lovagesaddle/http/sockets.py
@@ -27,6 +27,17 @@
     return not poll.poll(0)
 
 
+def has_ended(sock: socket.socket) -> bool:
+    """Returns whether the peer closed, read or not, without taking bytes."""
+    poll = select.poll()
+    try:
+        poll.register(sock, select.POLLRDHUP)
+    except ValueError:
+        # Another thread has closed the socket meanwhile.
+        return True
+    return bool(poll.poll(0))
+
+
 def shut_down(sock: socket.socket) -> None:
     """Ends a socket in both directions, whoever waits on it."""
     try:
