Drop what a link still holds of a cancelled request

What callers saw: a request reached a backend server over half a second after its client had closed.

Cause: a cancelled exchange shut its socket down in order. The kernel went on to send what it held, as long as the link took, and closed only then. On a full link that is up to the whole request, so that the owner got a request that nobody waited for, in front of the end that would have told so; bytes that other calls waited behind were spent on it.

Change: a wait that ends by its guard closes the socket with a reset, which discards what is not sent yet. The peer has a part of the request, which it never runs.

Why it works: only the guard takes this way (caller gone, or deadline over), and after it nobody reads an answer. Connections that are closed for another reason end in order as before.

--- a/src/lovagesaddle/http/sockets.py
+++ b/src/lovagesaddle/http/sockets.py
@@ -4,12 +4,15 @@
 import random
 import select
 import socket
+import struct
 
 LOOPBACK = "127.0.0.1"
 # Below the range that outgoing connections draw their own ports from. A port
 # of that range was taken now and then between its choice and its use.
 FIRST_CHOSEN_PORT = 15_000
 LAST_CHOSEN_PORT = 31_999
+# The kernel's `struct linger`: on, for 0 s.
+_LINGER_NOT = struct.pack("ii", 1, 0)
 
 
 def parse_address(address: str) -> tuple[str, int]:
@@ -39,8 +42,12 @@
 
 
 def shut_down(sock: socket.socket) -> None:
-    """Ends a socket in both directions, whoever waits on it."""
+    """Ends a socket in both directions, whoever waits on it.
+
+    What the kernel has not sent yet is dropped when the socket is closed.
+    """
     try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
         sock.shutdown(socket.SHUT_RDWR)
     except OSError:
         # The peer closed the connection first.
