Test that a publish without a base never conflicts with the last one

Cause, which decision 0103 names and no test showed: the base was the freshest status of any replica. The publish then went to the new leader on base 0. The state kept the conflict as the answer to the ID, for every resend.

No source is changed.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,10 +11,12 @@
 from lovagesaddle.cli import exits
 from lovagesaddle.cli import main
 from lovagesaddle.core import errors
+from lovagesaddle.core.model import operator_messages
 from lovagesaddle.transport import keys as keys_lib
 from tests import fake_replica
 from tests import fixtures
 
+JUST_STARTED_S = 0.05
 DIGEST = "sha256:" + "0a" * 32
 DESK = f"""\
 [service]
@@ -94,6 +96,33 @@
     assert "published by ana (id first)" in lost.stderr
 
 
+def test_base_is_never_that_of_a_replica_that_lags() -> None:
+    """Right after a restart of all replicas, the base is the last publish."""
+    with _Desk(DESK) as desk:
+        desk.run("publish", str(desk.folder), "--id", "pub-101")
+        desk.restart_replicas()
+        found = desk.run("publish", str(desk.folder), "--id", "pub-102")
+    assert found.exit_code == 0, found.output
+    assert [
+        kept.publication.base_version
+        for kept in desk.cluster.state.publications
+    ] == [0, 1]
+
+
+def test_id_with_a_wrong_base_passes_without_one() -> None:
+    """A conflict sticks to no ID: the same publish on the last base passes."""
+    with _Desk(DESK) as desk:
+        desk.run("publish", str(desk.folder), "--id", "pub-101")
+        again = ("publish", str(desk.folder), "--id", "pub-102")
+        lost = desk.run(*again, "--base", "0")
+        passed = desk.run(*again)
+        resent = desk.run(*again, "--base", "0")
+    assert lost.exit_code == exits.Exit.REFUSED
+    assert "published by ana (id pub-101)" in lost.stderr
+    assert passed.exit_code == 0, passed.output
+    assert resent.stdout == passed.stdout
+
+
 def test_unanswered_publish_is_reported_as_unknown() -> None:
     """Without an answer the command says unknown and how to ask again."""
     with _Desk(DESK, answered=False) as desk:
@@ -210,7 +239,8 @@
         self.cluster = fake_replica.FakeCluster()
         self._text = text
         self._timeout = "5s" if answered and not sealed else "500ms"
-        answer = self.cluster.answer if answered else lambda _: None
+        self._refusals = 0
+        answer = self._answer if answered else lambda _: None
         self._temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self._temporary.name)
         self._allowed = self.folder / "allowed"
@@ -237,6 +267,27 @@
         self._replica.__exit__(None, None, None)
         self._temporary.cleanup()
 
+    def restart_replicas(self) -> None:
+        """Has them apply nothing and know no leader for two questions more."""
+        self._refusals = 2
+
+    def _answer(
+        self, request: fake_replica.Message
+    ) -> fake_replica.Message | None:
+        if not self._refusals:
+            return self.cluster.answer(request)
+        if isinstance(request, operator_messages.StatusRequest):
+            lagging = fake_replica.FakeCluster()
+            lagging.stale_s = JUST_STARTED_S
+            return lagging.answer(request)
+        self._refusals -= 1
+        return operator_messages.NotLeader(
+            request_id=request.request_id,
+            leader_id="",
+            leader_address="",
+            cause="this replica does not lead",
+        )
+
     def allow_operator(self) -> None:
         line = f"{self._public.stdout.strip()} ana\n"
         self._allowed.write_text(line, encoding="utf-8")
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -90,6 +90,27 @@
     assert again.state.snapshot.services == later.state.snapshot.services
 
 
+def test_conflict_is_judged_again_on_a_resend() -> None:
+    """An ID whose base was wrong is accepted with the right one, once."""
+    first = state_lib.apply_command(
+        state_lib.found_state(), 1, _publish("p1", 0, _service("orderdesk"))
+    )
+    lost = state_lib.apply_command(
+        first.state, 2, _publish("p2", 0, _service("artwork"))
+    )
+    won = state_lib.apply_command(
+        lost.state, 3, _publish("p2", 1, _service("artwork"))
+    )
+    again = state_lib.apply_command(
+        won.state, 4, _publish("p2", 0, _service("artwork"))
+    )
+    assert lost.result is not None and won.result is not None
+    assert lost.result.outcome is commands.PublishOutcome.CONFLICT
+    assert won.result.outcome is ACCEPTED
+    assert again.result == won.result
+    assert again.state.publication_version == 3
+
+
 def test_removing_a_needed_service_is_rejected() -> None:
     """A publish without a service that another one needs changes nothing."""
     state = state_lib.found_state()
