--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 import pathlib
+import socket
 import tempfile
 import time
 from typing import Any
@@ -230,6 +231,21 @@
             )
 
 
+def test_caller_with_requests_in_a_row_is_seen_to_hang_up() -> None:
+    """A close behind a second request on the connection ends the first."""
+    service = nodes.make_service(timeout_s=60.0)
+    with _run_mesh(1, services=(service,)) as (_, started, server):
+        head = (
+            f"GET / HTTP/1.1\r\nHost: {nodes.HOST}\r\n"
+            f"Authorization: Bearer {nodes.TOKEN}\r\nRun-Ms: 50000\r\n\r\n"
+        )
+        host, _, port = started[0].http_address.rpartition(":")
+        with socket.create_connection((host, int(port))) as gone:
+            gone.sendall(head.encode() * 2)
+            nodes.wait_for(lambda: server.state.running, "the run to start")
+        nodes.wait_for(lambda: not server.state.running, "the slot to be free")
+
+
 def test_full_owner_refuses_with_retry_after() -> None:
     """Beyond slots and queue callers get 503, not-run and Retry-After."""
     with (
