See a caller hang up behind requests that it sent in a row

What callers saw: nothing; their servers went on to run requests whose callers had closed, to the end of the run.

Cause: while two whole requests are held of a connection, the loop reads no more of it, so it never reads the end; a close in one direction is not among the events that the kernel reports unasked.

Change: for such a connection the guard's question goes to the kernel. Others are asked their flag as before, without a system call.

Why it works: the guard asks each 20 ms while a request runs.

Evidence: tests.test_node_program, four of four runs red before, three of three green after, with the other 22 tests.

--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -54,6 +54,16 @@
         super().add_channel(map)
         self.server.loop.mark(self._fileno)
 
+    def check_client_disconnected(self) -> bool:
+        """Whether the requester hung up.
+
+        While requests wait behind the one that runs, the loop reads nothing
+        more, so it would not see the end either.
+        """
+        if self.connected and self.unwatched:
+            return sockets.has_ended(self.socket)
+        return not self.connected
+
     @property
     def needs_loop(self) -> bool:
         """Whether the loop has to look at this connection at once."""
