--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -41,6 +41,9 @@
     task_class = parser.ClosingTask
     error_task_class = parser.OutcomeErrorTask
 
+    # Whether the requester is there; waitress runs nothing once it is not.
+    connected: bool
+
     # Whether the loop has passed over this connection when it last polled.
     unwatched = False
     # Whether a task's thread is writing to the socket.
@@ -51,6 +54,16 @@
         super().add_channel(map)
         self.server.loop.mark(self._fileno)
 
+    def check_client_disconnected(self) -> bool:
+        """Whether the requester hung up.
+
+        While requests wait behind the one that runs, the loop reads nothing
+        more, so it would not see the end either.
+        """
+        if self.connected and self.unwatched:
+            return sockets.has_ended(self.socket)
+        return not self.connected
+
     @property
     def needs_loop(self) -> bool:
         """Whether the loop has to look at this connection at once."""
@@ -98,8 +111,15 @@
         return written
 
     def service(self) -> None:
-        """Runs one request on the current thread."""
+        """Runs one request on the current thread.
+
+        The requester may have hung up while the request waited for this
+        thread; on a hop, the end follows right behind the last byte. The loop
+        needs a turn more to read it, so it is looked for here.
+        """
         _serving.channel = self
+        if self.connected and sockets.has_ended(self.socket):
+            self.connected = False
         try:
             super().service()
         finally:
