--- a/src/lovagesaddle/stopping.py
+++ b/src/lovagesaddle/stopping.py
@@ -2,7 +2,7 @@
 
 import os
 import signal
-from types import FrameType
+import types
 from typing import Self
 
 STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
@@ -44,5 +44,5 @@
             pass
 
 
-def _pass_over(number: int, frame: FrameType | None) -> None:
+def _pass_over(number: int, frame: types.FrameType | None) -> None:
     del number, frame
--- a/tests/log_program.py
+++ b/tests/log_program.py
@@ -2,7 +2,7 @@
 
 import io
 import signal
-from types import FrameType
+import types
 
 from lovagesaddle.observability import logs
 from lovagesaddle.settings import schema
@@ -16,7 +16,7 @@
     log = logs.get_logger("x")
     handled = 0
 
-    def handle(number: int, frame: FrameType | None) -> None:
+    def handle(number: int, frame: types.FrameType | None) -> None:
         nonlocal handled
         del number, frame
         handled += 1
