--- a/src/lovagesaddle/core/configuration/delta.py
+++ b/src/lovagesaddle/core/configuration/delta.py
@@ -6,7 +6,8 @@
 
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import digest
-from lovagesaddle.core.configuration import service_changes
+from lovagesaddle.core.configuration import edits as edits_lib
+from lovagesaddle.core.model import edits
 from lovagesaddle.core.model import services
 from lovagesaddle.core.model import snapshots
 
@@ -177,7 +178,7 @@
 ) -> tuple[services.Service, ...]:
     by_name = {service.name: service for service in held}
     changed = tuple(
-        service_changes.apply_change(by_name.get(each.service.name), each)
+        edits_lib.apply_service_edit(by_name.get(each.service.name), each)
         for each in change.services
     )
     return merge(held, changed, change.removed_services)
@@ -185,15 +186,15 @@
 
 def _list_changed_services(
     old: tuple[services.Service, ...], new: tuple[services.Service, ...]
-) -> tuple[snapshots.ServiceChange, ...]:
+) -> tuple[edits.ServiceEdit, ...]:
     if old is new:
         return ()
     before = {service.name: service for service in old}
-    changes = (
-        service_changes.find_change(before.get(service.name), service)
+    return tuple(
+        edits_lib.edit_service(before.get(service.name), service)
         for service in new
+        if (held := before.get(service.name)) is not service and held != service
     )
-    return tuple(change for change in changes if change is not None)
 
 
 def _list_changed(
--- a/src/lovagesaddle/core/configuration/edits.py
+++ b/src/lovagesaddle/core/configuration/edits.py
@@ -27,7 +27,7 @@
     kept = {service.name for service in target}
     return edits.ServicesEdit(
         edits=tuple(
-            _edit_service(held.get(service.name), service)
+            edit_service(held.get(service.name), service)
             for service in target
             if not _is_equal(held.get(service.name), service)
         ),
@@ -44,13 +44,19 @@
         held.pop(name, None)
     for changed in edit.edits:
         name = changed.service.name
-        held[name] = _apply_to_service(held.get(name), changed)
+        held[name] = apply_service_edit(held.get(name), changed)
     return tuple(held[name] for name in sorted(held))
 
 
-def _edit_service(
+def edit_service(
     base: services_lib.Service | None, target: services_lib.Service
 ) -> edits.ServiceEdit:
+    """Returns what turns `base` into exactly `target`.
+
+    Args:
+      base: None for a service that is added.
+      target: The service after the edit.
+    """
     if base is None or not _is_sorted(route.name for route in target.routes):
         return _keep_whole(target)
     held = {route.name: route for route in base.routes}
@@ -66,9 +72,15 @@
     )
 
 
-def _apply_to_service(
+def apply_service_edit(
     base: services_lib.Service | None, edit: edits.ServiceEdit
 ) -> services_lib.Service:
+    """Returns the service that `edit` turns `base` into.
+
+    Args:
+      base: None for a service that is added.
+      edit: See `edit_service`.
+    """
     if edit.is_whole or base is None:
         return edit.service
     return dataclasses.replace(
--- a/src/lovagesaddle/core/configuration/service_changes.py
+++ b/src/lovagesaddle/core/configuration/service_changes.py
@@ -8,7 +8,6 @@
 import dataclasses
 
 from lovagesaddle.core.model import services
-from lovagesaddle.core.model import snapshots
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,55 +36,6 @@
         yield RouteChange(old=route, new=None)
 
 
-def find_change(
-    old: services.Service | None, new: services.Service
-) -> snapshots.ServiceChange | None:
-    """Returns what turns `old` into `new`; None where nothing differs.
-
-    Args:
-      old: None for a service that is added.
-      new: The service after the change.
-    """
-    if old is None:
-        return snapshots.ServiceChange(service=new)
-    if old is new:
-        return None
-    changes = tuple(list_route_changes(old, new))
-    if not changes and strip_routes(old) == strip_routes(new):
-        return None
-    changed = tuple(each.new for each in changes if each.new is not None)
-    removed = tuple(
-        each.old.name
-        for each in changes
-        if each.old is not None and each.new is None
-    )
-    return snapshots.ServiceChange(
-        service=dataclasses.replace(new, routes=changed),
-        removed_routes=removed,
-    )
-
-
-def apply_change(
-    old: services.Service | None, change: snapshots.ServiceChange
-) -> services.Service:
-    """Returns the service after a change, sharing the routes that stay.
-
-    Args:
-      old: None for a service that is added.
-      change: See `find_change`.
-    """
-    if old is None:
-        return change.service
-    routes = {route.name: route for route in old.routes}
-    for name in change.removed_routes:
-        routes.pop(name, None)
-    for route in change.service.routes:
-        routes[route.name] = route
-    return dataclasses.replace(
-        change.service, routes=tuple(routes[name] for name in sorted(routes))
-    )
-
-
 def share_routes(
     held: services.Service | None, new: services.Service
 ) -> services.Service:
--- a/src/lovagesaddle/core/model/snapshots.py
+++ b/src/lovagesaddle/core/model/snapshots.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from lovagesaddle.core.model import edits
 from lovagesaddle.core.model import services as services_lib
 
 
@@ -123,20 +124,6 @@
     publication: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ServiceChange:
-    """A service that was added or changed, without the routes that stay.
-
-    Attributes:
-      service: The service after the change; of its routes, those that were
-        added or changed.
-      removed_routes: Names.
-    """
-
-    service: services_lib.Service
-    removed_routes: tuple[str, ...] = ()
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Delta:
     """What turns the snapshot at one version into a later one.
@@ -163,7 +150,7 @@
     base_digest: bytes
     version: int
     digest: bytes
-    services: tuple[ServiceChange, ...] = ()
+    services: tuple[edits.ServiceEdit, ...] = ()
     removed_services: tuple[str, ...] = ()
     nodes: tuple[Node, ...] = ()
     removed_nodes: tuple[str, ...] = ()
--- a/tests/test_route_index.py
+++ b/tests/test_route_index.py
@@ -1,4 +1,4 @@
-"""Tests of an index that succeeds an earlier one, and of route changes."""
+"""Tests of an index that succeeds an earlier one."""
 
 import dataclasses
 
@@ -123,13 +123,12 @@
 
 
 def test_equal_publication_shares_the_held_service() -> None:
-    """Publishing the same again costs no delta."""
+    """Publishing the same again leaves the held objects in force."""
     held = _build_service("orderdesk", [routing_mesh.make_route()], ())
     again = dataclasses.replace(
         held, routes=tuple(dataclasses.replace(each) for each in held.routes)
     )
     assert service_changes.share_routes(held, again) is held
-    assert service_changes.find_change(held, again) is None
 
 
 load_tests = fixtures.collect(__name__)
