Add a failing test of links that idle between parts of a body

The test lets ten bodies of several entries, whose links are as thin, come to one owner. A part leaves the entry's link before it is on the owner's, so one body at a time uses half of each. Bound: at the stated rates uploads need 65 % of the owners' links, so these have to carry bodies at three quarters of their rate.

--- a/tests/link_mesh.py
+++ b/tests/link_mesh.py
@@ -117,6 +117,8 @@
       slots: Of each server.
       link_bytes_s: Of each link, in bytes a second.
       slowness: Of the servers in turn, 1 for the stated work.
+      sender_bytes_s: Of the links of the entries, which carry one body at a
+        time here.
       nodes: Nodes in all; a caller uses any of them as its entry.
       seed: Of all random numbers.
     """
@@ -131,7 +133,9 @@
         slowness: Sequence[float],
         nodes: int,
         seed: int,
+        sender_bytes_s: float = math.inf,
     ) -> None:
+        self._sender_bytes_s = sender_bytes_s
         self._source = random.Random(seed)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
@@ -141,6 +145,7 @@
         self.now = 0.0
         self.latencies: dict[str, list[float]] = {k.name: [] for k in kinds}
         self.vain_bytes = 0
+        self.entered_bytes = 0
         self.owners = self._make_owners(slots, link_bytes_s, slowness)
         self._candidates = tuple(o.candidate for o in self.owners.values())
         large_body_bytes = (
@@ -170,6 +175,11 @@
             self.now, _, action = heapq.heappop(self._events)
             action()
 
+    def enter(self, kind: Kind, count: int) -> None:
+        """Adds so many requests at once, at the start."""
+        for _ in range(count):
+            self._at(0.0, self._make_arrival(kind, 0.0))
+
     def find_share(self, kind: Kind, within_s: float) -> float:
         """Returns the share of a kind's requests answered within a time."""
         latencies = self.latencies[kind.name]
@@ -252,6 +262,7 @@
         return domain * ENTRIES_PER_DOMAIN + turn
 
     def _enter(self, call: Call) -> None:
+        self.entered_bytes += call.body_bytes
         beside = self._beside.get(call.entry)
         if beside is None:
             self._attempt(call)
@@ -323,7 +334,9 @@
     def _send_part(self, call: Call, owner: Owner, left: int) -> None:
         part_bytes = body_turns.find_part_bytes(owner.link_bytes_s)
         sent = min(left, part_bytes)
-        arrived_at = owner.send(HEAD_BYTES + sent, self.now + ONE_WAY_S)
+        size = HEAD_BYTES + sent
+        left_at = self.now + ONE_WAY_S + size / self._sender_bytes_s
+        arrived_at = owner.send(size, left_at)
 
         def take() -> None:
             event = body_turns.PartArrived(
--- a/tests/test_thin_links.py
+++ b/tests/test_thin_links.py
@@ -1,5 +1,7 @@
 """Tests of bodies that are large beside the links they travel over."""
 
+import dataclasses
+
 from tests import fixtures
 from tests import link_mesh
 
@@ -35,6 +37,9 @@
 KINDS = (READ, LOOKUP, UPLOAD)
 # The users' alarm: over a tenth of a kind of request is not served.
 MIN_SHARE = 0.9
+# At the stated rates uploads take 65 % of the owners' links, so these have to
+# carry bodies at three quarters of their rate at least.
+MAX_LINK_X = 4 / 3
 LENGTH_S = 12.0
 SEED = 1
 
@@ -62,4 +67,28 @@
     assert min(shares.values()) >= MIN_SHARE, (shares, mesh.vain_bytes)
 
 
+def test_thin_links_of_entries_leave_the_owners_link_in_use() -> None:
+    """Bodies from several entries come at the pace of their owner's link.
+
+    A part is on one link at a time, so one body alone uses half of each.
+    """
+    count = 10
+    upload = dataclasses.replace(UPLOAD, work_s=0.001, deadline_s=60.0)
+    mesh = link_mesh.LinkMesh(
+        domains=(link_mesh.Domain(servers=1, share=1.0),),
+        kinds=(upload,),
+        slots=count,
+        link_bytes_s=LINK_BYTES_S,
+        slowness=(1.0,),
+        nodes=1_000_000,
+        seed=SEED,
+        sender_bytes_s=LINK_BYTES_S,
+    )
+    mesh.enter(upload, count)
+    mesh.run(0.0)
+    carried = mesh.entered_bytes / LINK_BYTES_S
+    slowest_s = max(mesh.latencies[upload.name])
+    assert slowest_s <= MAX_LINK_X * carried, (slowest_s, carried)
+
+
 load_tests = fixtures.collect(__name__)
