Add a failing test of a server whose answers don't come

The test plays the calls of one entry to five servers in virtual time, of which one never answers. Bound: a tenth, the users' alarm.

--- /dev/null
+++ b/tests/test_silent_servers.py
@@ -0,0 +1,121 @@
+"""Tests of servers whose answers don't come, in virtual time."""
+
+import heapq
+import random
+
+from lovagesaddle.core.routing import balancer as balancer_lib
+from lovagesaddle.core.routing import call as call_lib
+from lovagesaddle.core.routing import call_events as events
+from lovagesaddle.core.routing import feedback
+from lovagesaddle.core.routing import pick_policies
+from lovagesaddle.core.routing import retries
+from tests import fixtures
+from tests import routing_mesh
+
+SERVERS = 5
+SILENT = "s0"
+RUN_S = 0.1
+DEADLINE_S = 1.0
+GAP_S = 0.3
+LENGTH_S = 60.0
+# The users' alarm: over a tenth of a kind of request is not served.
+MAX_LOST_SHARE = 0.1
+
+
+class _Entry:
+    """Calls of one entry to servers of which one answers nobody."""
+
+    def __init__(self) -> None:
+        self._candidates = routing_mesh.make_candidates(SERVERS, domains=1)
+        self._balancer = balancer_lib.Balancer(
+            options=balancer_lib.BalancerOptions(failure_domain="d0"),
+            policy=pick_policies.TwoChoicesPick(),
+            source=random.Random(1),
+        )
+        self._balancer.step(
+            balancer_lib.Installed(candidates=self._candidates), 0.0
+        )
+        self._due: list[tuple[float, int, call_lib.Call, events.Event]] = []
+        self._count = 0
+        self.lost = 0
+
+    def run(self) -> int:
+        """Plays the calls; returns their number."""
+        count = int(LENGTH_S / GAP_S)
+        for number in range(count):
+            self._push(number * GAP_S, self._make_call(number * GAP_S))
+        while self._due:
+            now, _, call, event = heapq.heappop(self._due)
+            self._step(call, event, now)
+        return count
+
+    def _push(
+        self,
+        now: float,
+        call: call_lib.Call,
+        event: events.Event | None = None,
+    ) -> None:
+        self._count += 1
+        due = (now, self._count, call, event or events.Started())
+        heapq.heappush(self._due, due)
+
+    def _make_call(self, now: float) -> call_lib.Call:
+        return call_lib.Call(
+            request=events.CallRequest(
+                request_id="r",
+                service="desk",
+                route=routing_mesh.make_route(timeout_s=DEADLINE_S),
+                version=1,
+                chain=routing_mesh.make_chain(),
+                arrived_at=now,
+            ),
+            options=call_lib.CallOptions(),
+            retry_policy=retries.RetryBudget(cap=5),
+        )
+
+    def _step(
+        self, call: call_lib.Call, event: events.Event, now: float
+    ) -> None:
+        for action in call.step(event, now):
+            match action:
+                case events.PickServer():
+                    pick = balancer_lib.Pick(
+                        service="desk",
+                        version=1,
+                        candidates=self._candidates,
+                        tried=action.tried,
+                    )
+                    decision = self._balancer.pick(pick, now)
+                    self._step(call, events.Picked(decision=decision), now)
+                case events.SendAttempt():
+                    if action.server.server_id != SILENT:
+                        self._push(now + RUN_S, call, _answer(action))
+                case events.SetTimer():
+                    self._push(action.at, call, events.TimerFired())
+                case events.ReleaseServer():
+                    self._balancer.step(action.finished, now)
+                case events.FailCaller():
+                    self.lost += 1
+                case _:
+                    pass
+
+
+def _answer(action: events.SendAttempt) -> events.AttemptEnded:
+    return events.AttemptEnded(
+        number=action.number,
+        ending=events.Ending.ANSWERED,
+        status=200,
+        feedback=feedback.Feedback(
+            running=1, queued=0, limit=20, latency_s=RUN_S
+        ),
+    )
+
+
+def test_server_that_answers_nobody_is_not_taken_for_idle() -> None:
+    """Calls that it left without an answer don't draw more calls to it."""
+    entry = _Entry()
+    count = entry.run()
+    assert entry.lost <= MAX_LOST_SHARE * count, (entry.lost, count)
+
+
+load_tests = fixtures.collect(__name__)
