Hold a call without an answer against its server

Cause: such a call freed its place in the entry's count and was released as abandoned, which blames nobody; the last report grew old meanwhile. A second later the server looked idle and without latency, cheaper than every other, so it was picked whenever it was one of the two choices. What was sent to it kept its link full.

Change: the time waited in vain is the least that a call costs at that server, fading over the memory of latencies; each answer halves it, a wait below two runs says nothing.

--- a/src/lovagesaddle/core/routing/balancer.py
+++ b/src/lovagesaddle/core/routing/balancer.py
@@ -79,12 +79,14 @@
       incarnation: Its incarnation when it was picked.
       result: What the attempt showed.
       feedback: Report of the owner, when one came.
+      waited_s: Time that an abandoned attempt got no answer, in seconds.
     """
 
     server_id: str
     incarnation: int
     result: AttemptResult
     feedback: feedback_lib.Feedback | None = None
+    waited_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -329,7 +331,9 @@
                 load.eject(now)
             case AttemptResult.FAILED:
                 load.count_failure(now)
-            case AttemptResult.REFUSED | AttemptResult.ABANDONED:
+            case AttemptResult.ABANDONED:
+                load.note_silence(event.waited_s, now)
+            case AttemptResult.REFUSED:
                 pass
 
     def _install(self, event: Installed, now: float) -> None:
--- a/src/lovagesaddle/core/routing/call.py
+++ b/src/lovagesaddle/core/routing/call.py
@@ -66,6 +66,7 @@
         self._policy = retry_policy
         self._deadline = request.arrived_at + _find_timeout(request)
         self._open: dict[int, table.Candidate] = {}
+        self._sent_at: dict[int, float] = {}
         self._tried: frozenset[str] = frozenset()
         self._attempts = 0
         self._rules = attempt_rules.AttemptRules(
@@ -112,7 +113,7 @@
             case events.TimerFired():
                 return self._fire(now)
             case events.CallerGone():
-                return self._abandon()
+                return self._abandon(now)
 
     def _start(self, now: float) -> tuple[events.Action, ...]:
         if self._request.chain.depth >= chain_lib.MAX_DEPTH:
@@ -137,9 +138,10 @@
     ) -> tuple[events.Action, ...]:
         server = decision.server
         if server is None:
-            return self._give_up()
+            return self._give_up(now)
         self._attempts += 1
         self._open[self._attempts] = server
+        self._sent_at[self._attempts] = now
         self._tried |= {server.server_id}
         remaining_s = max(0.0, self._deadline - now)
         margin_s = min(OWNER_MARGIN_S, remaining_s * OWNER_MARGIN_SHARE)
@@ -166,7 +168,7 @@
         if event.ending is events.Ending.ANSWERED:
             self._may_have_run = True
             if event.status not in RETRIED_STATUSES:
-                return (released, *self._answer(event))
+                return (released, *self._answer(event, now))
             self._held = event
         elif event.ending not in attempt_rules.NOT_RUN_ENDINGS:
             self._may_have_run = True
@@ -182,21 +184,23 @@
             return (released, self._pick(newest=True, needs_room=is_full))
         if self._open:
             return (released,)
-        return (released, *self._give_up())
+        return (released, *self._give_up(now))
 
-    def _answer(self, event: events.AttemptEnded) -> tuple[events.Action, ...]:
-        cancelled = self._cancel_open()
+    def _answer(
+        self, event: events.AttemptEnded, now: float
+    ) -> tuple[events.Action, ...]:
+        cancelled = self._cancel_open(now)
         self._over = True
         failed = event.status >= FIRST_FAILURE_STATUS
         outcome = outcomes.RequestOutcome.UNKNOWN if failed else None
         answer = events.AnswerCaller(number=event.number, outcome=outcome)
         return (*cancelled, answer)
 
-    def _give_up(self) -> tuple[events.Action, ...]:
+    def _give_up(self, now: float) -> tuple[events.Action, ...]:
         if self._open:
             return ()
         if self._held is not None:
-            return self._answer(self._held)
+            return self._answer(self._held, now)
         last = self._last
         if last is None:
             return self._fail(503, events.FailureReason.NO_SERVER)
@@ -212,7 +216,7 @@
         if now >= self._deadline:
             # An attempt in progress may have been handed over by now.
             self._may_have_run |= bool(self._open)
-            cancelled = self._cancel_open()
+            cancelled = self._cancel_open(now)
             failed = self._fail(504, events.FailureReason.DEADLINE)
             return (*cancelled, *failed)
         timer = events.SetTimer(at=self._deadline)
@@ -244,17 +248,18 @@
             return events.SetTimer(at=hedge_at)
         return events.SetTimer(at=self._deadline)
 
-    def _abandon(self) -> tuple[events.Action, ...]:
+    def _abandon(self, now: float) -> tuple[events.Action, ...]:
         self._may_have_run |= bool(self._open)
-        cancelled = self._cancel_open()
+        cancelled = self._cancel_open(now)
         self._over = True
         return (*cancelled, events.EndCall(outcome=self._find_outcome()))
 
-    def _cancel_open(self) -> tuple[events.Action, ...]:
+    def _cancel_open(self, now: float) -> tuple[events.Action, ...]:
         actions: list[events.Action] = []
         for number, server in self._open.items():
             actions.append(events.CancelAttempt(number=number))
-            actions.append(releases.abandon(server))
+            waited_s = now - self._sent_at[number]
+            actions.append(releases.abandon(server, waited_s))
         self._open.clear()
         return tuple(actions)
 
--- a/src/lovagesaddle/core/routing/loads.py
+++ b/src/lovagesaddle/core/routing/loads.py
@@ -13,6 +13,9 @@
 ROOM_SHARE = 0.8
 # A quarter of the slots as a queue is a short wait beside the run itself.
 LARGE_ROOM_SHARE = 1.25
+# A wait without an answer says something of the server only where it is longer
+# than so many of its runs; callers also leave for reasons of their own.
+SILENT_RUNS = 2.0
 # Bodies that wait at a link are gone from there about as long after.
 LINK_MEMORY_S = 2.0
 # A body that would wait longer for its turn goes to another failure domain.
@@ -47,6 +50,8 @@
       ejected_until: When it ends; 0 when the server is not ejected.
       draining_until: Until when a refusal as draining is believed.
       hinted_unhealthy: Whether its health endpoint says it is not well.
+      silence_s: How long a call waited in vain for an answer, in seconds.
+      silent_at: When that call was given up.
     """
 
     incarnation: int
@@ -63,6 +68,8 @@
     ejected_until: float = 0.0
     draining_until: float = 0.0
     hinted_unhealthy: bool = False
+    silence_s: float = 0.0
+    silent_at: float = 0.0
 
     def take_report(self, report: feedback_lib.Feedback, now: float) -> None:
         """Keeps the newest report of the owner."""
@@ -85,8 +92,20 @@
         self.ejected_until = now + length_s
         self.ejections = min(self.ejections + 1, 16)
 
+    def note_silence(self, waited_s: float, now: float) -> None:
+        """Takes a call that was given up without an answer.
+
+        It reports nothing and holds no place any more, so a server that
+        answers nobody would else look idle, and draw ever more calls.
+        """
+        run_s = 0.0 if self.report is None else self.report.latency_s
+        if waited_s > SILENT_RUNS * run_s:
+            self.silence_s = max(waited_s, self._estimate_silence(now))
+            self.silent_at = now
+
     def count_success(self) -> None:
         """Forgets failures, ejections and hints: the server answered."""
+        self.silence_s /= 2
         self.failures = 0
         self.ejections = 0
         self.ejected_until = 0.0
@@ -122,7 +141,12 @@
             freshness = max(0.0, 1 - age_s / LATENCY_MEMORY_S)
             latency_s = self.report.latency_s * freshness
         queue = (self.estimate_load(now) + 1) / self.estimate_limit(now)
-        return queue * max(latency_s, MIN_LATENCY_S)
+        cost_s = queue * max(latency_s, MIN_LATENCY_S)
+        return max(cost_s, self._estimate_silence(now))
+
+    def _estimate_silence(self, now: float) -> float:
+        age_share = (now - self.silent_at) / LATENCY_MEMORY_S
+        return self.silence_s * max(0.0, 1 - age_share)
 
     def estimate_link_wait(self, now: float) -> float:
         """Returns how long a large body would wait for its turn, in seconds."""
--- a/src/lovagesaddle/core/routing/releases.py
+++ b/src/lovagesaddle/core/routing/releases.py
@@ -32,12 +32,20 @@
     )
 
 
-def abandon(server: table.Candidate) -> events.ReleaseServer:
-    """Returns what an attempt that was given up tells the balancer."""
+def abandon(
+    server: table.Candidate, waited_s: float = 0.0
+) -> events.ReleaseServer:
+    """Returns what an attempt that was given up tells the balancer.
+
+    Args:
+      server: Of the attempt.
+      waited_s: Time that its owner was waited for, in seconds.
+    """
     return events.ReleaseServer(
         finished=balancer.Finished(
             server_id=server.server_id,
             incarnation=server.incarnation,
             result=balancer.AttemptResult.ABANDONED,
+            waited_s=waited_s,
         )
     )
