Wait for room when a replica's disk is full

Cause: any write that the operating system refuses was an error at which the replica must stop, since what is on the disk is then unknown. For a lack of room it is known: what was synced before is there, and the rest can be cut off.

No room is now an error of its own. The segment is cut back to its length before, unfinished new files are removed, and the syncing thread writes the same actions again each 0.1 s. Nothing that rests on them has been promised, so to the replica it is a sync that takes long: it gives no votes and no answers for entries, and others go on. Any other error ends the replica as before.

A cluster with a full disk at the leader goes on; one that needs that disk for its majority answers nothing until there is room. Before, the replica had ended.

--- a/src/lovagesaddle/core/errors.py
+++ b/src/lovagesaddle/core/errors.py
@@ -33,6 +33,14 @@
     """
 
 
+class DiskFullError(StorageError):
+    """Raised when a file has no room.
+
+    What was to be stored is not, and nothing of it may be answered; the same
+    may be stored again once there is room.
+    """
+
+
 class ConsensusError(LovagesaddleError):
     """Raised when a replica's log contradicts its leader's.
 
--- a/src/lovagesaddle/storage/disk.py
+++ b/src/lovagesaddle/storage/disk.py
@@ -1,12 +1,15 @@
-"""File operations whose failure must stop the replica."""
+"""File operations whose failure must stop the replica, unless for room."""
 
 import abc
+import contextlib
+import errno
 import os
 import pathlib
 
 from lovagesaddle.core import errors
 
 FILE_MODE = 0o600
+_FULL_ERRNOS = frozenset({errno.ENOSPC, errno.EDQUOT})
 
 
 class Disk(abc.ABC):
@@ -73,14 +76,24 @@
             os.close(descriptor)
         disk.replace(temporary, path)
     except OSError as error:
+        remove_unfinished(temporary)
         raise describe_failure("write file", path, error) from error
 
 
+def remove_unfinished(path: pathlib.Path) -> None:
+    """Removes a file that could not be written, and gives its room back."""
+    # The error that left it there is the one to be raised.
+    with contextlib.suppress(OSError):
+        path.unlink()
+
+
 def describe_failure(
     step: str, path: pathlib.Path, error: OSError
 ) -> errors.StorageError:
     """Returns the storage error for a failed operation on `path`."""
-    return errors.StorageError(step=step, peer=str(path), cause=str(error))
+    is_full = error.errno in _FULL_ERRNOS
+    kind = errors.DiskFullError if is_full else errors.StorageError
+    return kind(step=step, peer=str(path), cause=str(error))
 
 
 TEMPORARY_SUFFIX = ".tmp"
--- a/src/lovagesaddle/storage/segments.py
+++ b/src/lovagesaddle/storage/segments.py
@@ -117,11 +117,17 @@
             if keep_bytes is None:
                 flags |= os.O_CREAT | os.O_EXCL
             self._descriptor = os.open(self.path, flags, disk_lib.FILE_MODE)
+        except OSError as error:
+            raise self._describe("open segment", error) from error
+        try:
             if keep_bytes is None:
                 self._start()
             else:
                 self._resume(keep_bytes)
         except OSError as error:
+            self.close()
+            if keep_bytes is None:
+                disk_lib.remove_unfinished(self.path)
             raise self._describe("open segment", error) from error
 
     @property
@@ -133,8 +139,10 @@
         """Writes records and syncs them.
 
         Raises:
+          errors.DiskFullError: There is no room; the file is as before.
           errors.StorageError: They may not be on the disk.
         """
+        start = self._bytes
         data = b"".join(
             frames.encode_frame(records.RECORDS.encode(record))
             for record in added
@@ -144,7 +152,10 @@
             self._disk.sync(self._descriptor)
             self._write_mark()
         except OSError as error:
-            raise self._describe("append records", error) from error
+            failure = self._describe("append records", error)
+            if isinstance(failure, errors.DiskFullError):
+                self._cut(start)
+            raise failure from error
         for record in added:
             if isinstance(record, entries_lib.Entry):
                 self.last_index = max(self.last_index, record.index)
@@ -165,6 +176,16 @@
             self._write(frames.encode_header())
         self._disk.sync(self._descriptor)
 
+    def _cut(self, length: int) -> None:
+        # Half a record would hide what is appended after it.
+        try:
+            os.ftruncate(self._descriptor, length)
+        except OSError as error:
+            raise errors.StorageError(
+                step="cut segment", peer=str(self.path), cause=str(error)
+            ) from error
+        self._bytes = length
+
     def _write(self, data: bytes) -> None:
         self._disk.write(self._descriptor, data)
         self._bytes += len(data)
--- a/src/lovagesaddle/storage/store.py
+++ b/src/lovagesaddle/storage/store.py
@@ -79,6 +79,8 @@
         """Stores several Persist actions; one sync covers their records.
 
         Raises:
+          errors.DiskFullError: There is no room; the same actions are to be
+            written again, before any others.
           errors.StorageError: They may not be on the disk; the replica must
             stop.
         """
--- a/src/lovagesaddle/storage/syncer.py
+++ b/src/lovagesaddle/storage/syncer.py
@@ -2,16 +2,24 @@
 
 from collections.abc import Callable
 from concurrent import futures
+import threading
 from typing import Self
 
+from lovagesaddle.core import errors
 from lovagesaddle.core.consensus import events
+from lovagesaddle.observability import logs
 from lovagesaddle.storage import store as store_lib
 
+# A heartbeat: the replica counts again about as soon as there is room.
+FULL_RETRY_S = 0.1
+
 
 class Syncer:
     """Feeds a store from the replica's thread.
 
-    While one sync runs, further actions gather and share the next one.
+    While one sync runs, further actions gather and share the next one. One
+    that finds the disk full waits for room; the replica promises nothing
+    meanwhile, as with a disk that hangs.
 
     Args:
       store: The data folder.
@@ -21,7 +29,9 @@
     def __init__(
         self, *, store: store_lib.Store, on_synced: Callable[[], None]
     ) -> None:
+        self._log = logs.get_logger("storage")
         self._store = store
+        self._closing = threading.Event()
         self._on_synced = on_synced
         self._executor = futures.ThreadPoolExecutor(
             max_workers=1, thread_name_prefix="sync"
@@ -33,6 +43,7 @@
         return self
 
     def __exit__(self, *_: object) -> None:
+        self._closing.set()
         self._executor.shutdown()
 
     def put(self, persist: events.Persist) -> None:
@@ -57,5 +68,22 @@
         return done
 
     def _write(self, gathered: tuple[events.Persist, ...]) -> int:
-        self._store.write(gathered)
-        return gathered[-1].sync_id
+        is_full = False
+        while True:
+            try:
+                self._store.write(gathered)
+            except errors.DiskFullError as error:
+                if not is_full:
+                    self._log.warning(
+                        "disk_full",
+                        step=error.step,
+                        peer=error.peer,
+                        cause=error.cause,
+                    )
+                is_full = True
+                if self._closing.wait(FULL_RETRY_S):
+                    raise
+                continue
+            if is_full:
+                self._log.info("disk_has_room")
+            return gathered[-1].sync_id
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import errno
 import pathlib
+import shutil
 import tempfile
 
 from lovagesaddle.core import errors
@@ -38,6 +40,42 @@
         super().sync(descriptor)
 
 
+class FillingDisk(disk_lib.LocalDisk):
+    """A disk that has no room for one operation, which it half does.
+
+    Args:
+      refused: Number of that operation, counted from 1; 0 for none.
+    """
+
+    def __init__(self, refused: int) -> None:
+        self._refused = refused
+        self.operations = 0
+        self.is_counting = False
+
+    def write(self, descriptor: int, data: bytes) -> None:
+        """See base class."""
+        if self._is_refused():
+            super().write(descriptor, data[: len(data) // 2])
+            raise OSError(errno.ENOSPC, "No space left on device")
+        super().write(descriptor, data)
+
+    def sync(self, descriptor: int) -> None:
+        """See base class."""
+        if self._is_refused():
+            raise OSError(errno.ENOSPC, "No space left on device")
+        super().sync(descriptor)
+
+    def sync_folder(self, folder: pathlib.Path) -> None:
+        """See base class."""
+        if self._is_refused():
+            raise OSError(errno.ENOSPC, "No space left on device")
+        super().sync_folder(folder)
+
+    def _is_refused(self) -> bool:
+        self.operations += self.is_counting
+        return self.operations == self._refused and self.is_counting
+
+
 def test_hard_state_and_entries_survive() -> None:
     """What was written is there after a restart, in its newest form."""
     with _folder() as folder:
@@ -229,6 +267,22 @@
                     raise AssertionError(f"{cause} was passed over")
 
 
+def test_full_disk_leaves_what_was_stored() -> None:
+    """Wherever room ends, all is kept, and the same writes go on later."""
+    batches = (
+        (_persist(1, _entries(1, 5)),),
+        (_persist(2, _entries(5, 6, term=2), term=2),),
+        (_image(3, 4, drop_log=False), _persist(4, _entries(7, 8, term=2))),
+        (_image(5, 20, drop_log=True), _persist(6, _entries(21, 22, term=3))),
+        (_persist(7, _entries(23, 23, term=3), term=3),),
+    )
+    wanted, operations = _write_batches(batches, refused=0)
+    assert operations > 20
+    for refused in range(1, operations + 1):
+        restored, _ = _write_batches(batches, refused=refused)
+        assert restored == wanted, refused
+
+
 def test_other_format_version_is_refused() -> None:
     """A file of another format version is not read."""
     with _folder() as folder:
@@ -264,6 +318,52 @@
     return store_lib.Store(folder=folder, identity=IDENTITY)
 
 
+def _write_batches(
+    batches: tuple[tuple[events.Persist, ...], ...], *, refused: int
+) -> tuple[entries_lib.Restored, int]:
+    """Writes batches, each again where there was no room.
+
+    Args:
+      batches: What to write.
+      refused: Number of the operation that finds the disk full; 0 for none.
+
+    Returns:
+      What a restart finds, and the number of operations.
+    """
+    with _folder() as folder:
+        _open(folder).close()
+        with _open(folder) as store:
+            store.write((_persist(1, _entries(1, 1)),))
+        disk = FillingDisk(refused)
+        opened = store_lib.Store(folder=folder, identity=IDENTITY, disk=disk)
+        with opened as store:
+            disk.is_counting = True
+            for batch in batches:
+                before = _restore_copy(folder)
+                try:
+                    store.write(batch)
+                except errors.DiskFullError:
+                    # As after a crash while the disk is full.
+                    found = _restore_copy(folder)
+                    assert _find_last(found) >= _find_last(before), refused
+                    assert found.hard_state.term >= before.hard_state.term
+                    store.write(batch)
+        with _open(folder) as store:
+            return store.restored, disk.operations
+
+
+def _restore_copy(folder: pathlib.Path) -> entries_lib.Restored:
+    with tempfile.TemporaryDirectory() as name:
+        copy = pathlib.Path(name) / "copy"
+        shutil.copytree(folder, copy)
+        with _open(copy) as store:
+            return store.restored
+
+
+def _find_last(restored: entries_lib.Restored) -> int:
+    return restored.image.index + len(restored.entries)
+
+
 def _fail_to_open(
     folder: pathlib.Path, identity: identity_lib.Identity = IDENTITY
 ) -> errors.StorageError:
