Answer reads without the document that the asker holds

What callers saw: as with changes, the leader's heartbeats wait while its link carries whole documents, here for reads at replicas that do not lead.

Cause: the leader's word that a publication is the newest came with the whole document, which every replica has applied already.

The asking replica says which publication it has applied. If that is the newest, the leader says so and leaves the document out, and the asker answers with its own, which the log makes the same. A replica that lags gets it as before, and so does the command line, which holds nothing.

--- a/src/lovagesaddle/control/forwarder.py
+++ b/src/lovagesaddle/control/forwarder.py
@@ -96,9 +96,14 @@
         Args:
           timeout_s: Longest wait, in seconds.
         """
-        request = operator_messages.NewestRequest(request_id=self._number())
+        held = self._consensus.state
+        request = operator_messages.NewestRequest(
+            request_id=self._number(), held_version=held.publication_version
+        )
         answer = self._ask(request, timeout_s)
         if isinstance(answer, operator_messages.NewestAnswer):
+            if answer.is_held:
+                answer = dataclasses.replace(answer, document=held.document)
             return result.Success(answer)
         return result.Failure(_describe("read the newest publication", answer))
 
--- a/src/lovagesaddle/control/operators.py
+++ b/src/lovagesaddle/control/operators.py
@@ -123,12 +123,15 @@
         self, request: operator_messages.NewestRequest, reply: Reply
     ) -> None:
         def finish(_: int) -> None:
-            state = self._consensus.view().state
+            state = self._consensus.state
+            version = state.publication_version
+            is_held = version != 0 and version == request.held_version
             reply(
                 operator_messages.NewestAnswer(
                     request_id=request.request_id,
-                    publication_version=state.publication_version,
-                    document=state.document,
+                    publication_version=version,
+                    document=None if is_held else state.document,
+                    is_held=is_held,
                 )
             )
 
--- a/src/lovagesaddle/core/model/operator_messages.py
+++ b/src/lovagesaddle/core/model/operator_messages.py
@@ -111,9 +111,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class NewestRequest:
-    """Asks the leader for what is sure to be the newest publication."""
+    """Asks the leader for what is sure to be the newest publication.
+
+    Attributes:
+      request_id: Repeated by the answer.
+      held_version: Version of the publication that the asking replica has
+        applied, whose document need not be sent; 0 for none.
+    """
 
     request_id: str
+    held_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -124,11 +131,14 @@
       request_id: Of the request.
       publication_version: Version of the publication; 0 before the first.
       document: What it was read from, if it brought a document.
+      is_held: Whether it is the publication that the request says is held;
+        then the document is left out.
     """
 
     request_id: str
     publication_version: int
     document: documents.Document | None
+    is_held: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
