Pass over routes that name no service when checking references

Cause: applying a publication made two generators for each of its routes, which was most of what a replica spent on a change of one route among 1,600 once the log carried only that.

Routes that name no other service and have no split are passed over.

What is checked and what it says is as before; tests.test_state and test_documents_of_the_platform cover it.

--- a/src/lovagesaddle/core/configuration/references.py
+++ b/src/lovagesaddle/core/configuration/references.py
@@ -1,5 +1,7 @@
 """Checks that services only refer to services that exist."""
 
+from collections.abc import Iterator
+
 from lovagesaddle.core.model import services
 
 
@@ -17,16 +19,24 @@
                     f' service "{service.name}"'
                 )
         for route in service.routes:
-            causes.extend(
+            # Most routes name no service, and there may be thousands.
+            if route.services or route.split:
+                causes.extend(_check_route(service, route, names))
+    return tuple(causes)
+
+
+def _check_route(
+    service: services.Service, route: services.Route, names: set[str]
+) -> Iterator[str]:
+    for client in route.services:
+        if client not in names:
+            yield (
                 f'service "{client}" does not exist but may use route'
                 f' "{route.name}" of service "{service.name}"'
-                for client in route.services
-                if client not in names
             )
-            causes.extend(
+    for part in route.split:
+        if part.service not in names:
+            yield (
                 f'service "{part.service}" does not exist but takes a share of'
                 f' route "{route.name}" of service "{service.name}"'
-                for part in route.split
-                if part.service not in names
             )
-    return tuple(causes)
