Test answers of a backend server that never end, red

A server in trouble may send bytes that are no answer until its caller closes. The tests play that on real sockets, count the bytes that are read, and take conditions for waits.

--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,375 @@
+"""Tests of answers that never end, on real sockets.
+
+A server in trouble may send bytes that are no answer until its caller closes.
+"""
+
+import time
+
+from bench import admin as admin_lib
+from bench import backend
+from bench import stand_in
+from returns import result
+
+from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.routing import chain
+from lovagesaddle.http import client
+from lovagesaddle.http import watchdog
+from lovagesaddle.node import discovery
+from lovagesaddle.platform import names
+from tests import endless_server
+from tests import fixtures
+from tests import nodes
+
+DEADLINE_S = 3.0
+SHORT_S = 0.3
+GAP_S = 0.01
+# Head, interim answers, chunk extensions and trailers of one answer: 64 KiB.
+HEAD_BYTES = 64 * 1024
+# What is read at a time may lie beyond a bound.
+READ_BYTES = 64 * 1024
+# An eighth of the memory of a VM of 128 MB, for all answers at a time.
+BODY_BYTES = 16 * 1024 * 1024
+OWN = "own"
+SERVICE = "orderdesk"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def _make_head(length: int, request_id: str = OWN) -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n"
+    return f"{head}{chain.REQUEST_ID_HEADER}: {request_id}\r\n\r\n".encode()
+
+
+def _exchange(
+    pool: client.Pool, address: str, *, deadline_s: float = DEADLINE_S
+) -> client.ExchangeResult:
+    request = client.Request(
+        method="GET",
+        target="/",
+        headers={chain.REQUEST_ID_HEADER: OWN},
+        body=b"",
+    )
+    with (
+        watchdog.Watchdog() as guards,
+        guards.watch(
+            deadline=time.monotonic() + deadline_s, is_gone=lambda: False
+        ) as guard,
+    ):
+        return pool.exchange(address, request, guard)
+
+
+def _check_given_up(
+    script: endless_server.Script,
+    *,
+    kind: client.FailureKind = client.FailureKind.MALFORMED,
+    most_bytes: int = HEAD_BYTES + READ_BYTES,
+    takes_unframed: bool = True,
+) -> None:
+    """Asserts that an answer is given up for what it is, not for its time."""
+    with (
+        endless_server.EndlessServer(script) as server,
+        endless_server.count_reads() as read,
+        client.Pool(takes_unframed=takes_unframed) as pool,
+    ):
+        outcome = _exchange(pool, server.address)
+        nodes.wait_for(lambda: server.closed, "the connection to be closed")
+    assert isinstance(outcome, result.Failure), outcome
+    assert outcome.failure().kind is kind, outcome
+    assert read.value <= most_bytes, read.value
+
+
+def test_bytes_that_are_no_answer_end_the_wait_at_once() -> None:
+    """The first bytes tell that no answer follows, whatever comes or not."""
+    for first in (b"x", b"HTTP/2", b"\r\n", b"{"):
+        _check_given_up(endless_server.Script(first=first))
+
+
+def test_line_without_an_end_is_given_up() -> None:
+    """A status line or a header of endless bytes is read up to a bound."""
+    for first in (
+        b"HTTP/1.1 200 ",
+        b"HTTP/1.1 200 OK\r\nName: ",
+        b"HTTP/1.1 200 OK\r\n",
+    ):
+        _check_given_up(
+            endless_server.Script(first=first, repeated=b"x" * 1024)
+        )
+
+
+def test_status_that_can_not_follow_ends_the_wait_at_once() -> None:
+    """A status line is judged when it is whole."""
+    for first in (b"HTTP/1.1 099 X\r\n", b"HTTP/1.1 700 X\r\n"):
+        _check_given_up(endless_server.Script(first=first))
+
+
+def test_headers_without_an_end_are_given_up() -> None:
+    """Long header lines that go on and on are bounded all together."""
+    line = b"Name: " + b"x" * 32_000 + b"\r\n"
+    _check_given_up(
+        endless_server.Script(first=b"HTTP/1.1 200 OK\r\n", repeated=line)
+    )
+
+
+def test_interim_answers_without_an_end_are_given_up() -> None:
+    """Interim answers promise an answer, but not for ever."""
+    for interim in (b"100 Continue", b"102 Processing", b"103 Early Hints"):
+        repeated = b"HTTP/1.1 " + interim + b"\r\n\r\n"
+        _check_given_up(endless_server.Script(first=b"", repeated=repeated))
+
+
+def test_interim_answer_is_not_taken_for_the_answer() -> None:
+    """Whatever interim answer comes first, the final one is returned."""
+    hints = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+    script = endless_server.Script(first=hints + _make_head(2) + b"ok")
+    with (
+        endless_server.EndlessServer(script) as server,
+        client.Pool(takes_unframed=True) as pool,
+    ):
+        outcome = _exchange(pool, server.address)
+    assert outcome.unwrap().status == 200
+    assert outcome.unwrap().body == b"ok"
+
+
+def test_switch_of_protocols_is_no_answer() -> None:
+    """Nobody asked for another protocol, whose bytes would never end."""
+    _check_given_up(
+        endless_server.Script(
+            first=b"HTTP/1.1 101 Switching Protocols\r\n\r\n", repeated=b"x"
+        )
+    )
+
+
+def test_chunks_without_an_end_are_given_up() -> None:
+    """The body of a chunked answer takes a share of the memory at most."""
+    for chunk in (b"400\r\n" + b"x" * 1024 + b"\r\n", b"1\r\nx\r\n"):
+        _check_given_up(
+            endless_server.Script(first=CHUNKED, repeated=chunk),
+            kind=client.FailureKind.TOO_LARGE,
+            most_bytes=BODY_BYTES,
+        )
+
+
+def test_chunk_extensions_without_an_end_are_given_up() -> None:
+    """Extensions are bounded in one line and over all chunks."""
+    for repeated in (
+        b"1;" + b"x" * 1024,
+        b"1;" + b"x" * 1024 + b"\r\nx\r\n",
+    ):
+        _check_given_up(endless_server.Script(first=CHUNKED, repeated=repeated))
+
+
+def test_chunk_of_a_wrong_size_is_no_chunk() -> None:
+    """A size that isn't plain hexadecimal digits frames nothing."""
+    for size in (b"-1", b"+1", b"0x1", b"1_0", b"", b" 1", b"1" * 17, b"g"):
+        _check_given_up(
+            endless_server.Script(
+                first=CHUNKED + size + b"\r\n", repeated=b"x" * 1024
+            )
+        )
+
+
+def test_bytes_beyond_a_chunk_are_no_chunk() -> None:
+    """Data that runs on past its chunk frames nothing."""
+    _check_given_up(
+        endless_server.Script(first=CHUNKED + b"1\r\n", repeated=b"x" * 1024)
+    )
+
+
+def test_trailers_without_an_end_are_given_up() -> None:
+    """Trailers count with the head."""
+    for trailer in (b"Name: x\r\n", b"Name: " + b"x" * 32_000 + b"\r\n"):
+        _check_given_up(
+            endless_server.Script(first=CHUNKED + b"0\r\n", repeated=trailer)
+        )
+
+
+def test_body_without_a_length_and_an_end_is_given_up() -> None:
+    """A body that ends with its connection is bounded too."""
+    _check_given_up(
+        endless_server.Script(
+            first=b"HTTP/1.1 200 OK\r\n\r\n", repeated=b"x" * 1024
+        ),
+        kind=client.FailureKind.TOO_LARGE,
+        most_bytes=BODY_BYTES,
+    )
+
+
+def test_length_beyond_the_memory_is_given_up_at_its_head() -> None:
+    """A length tells before the body is read that there is no room for it."""
+    head = _make_head(1024 * 1024 * 1024)
+    _check_given_up(
+        endless_server.Script(first=head, repeated=b"x" * 1024),
+        kind=client.FailureKind.TOO_LARGE,
+    )
+
+
+def test_answer_to_another_request_is_given_up_at_its_head() -> None:
+    """On a new connection its body is not waited for."""
+    head = _make_head(1024, "another")
+    _check_given_up(endless_server.Script(first=head))
+
+
+def test_dribbled_bytes_end_with_the_deadline() -> None:
+    """Bytes one by one don't prolong a wait that no watchdog watches."""
+    for first in (
+        b"HTTP/1.1 200 ",
+        b"HTTP/1.1 200 OK\r\nName: ",
+        _make_head(100_000),
+        b"HTTP/1.1 200 OK\r\n\r\n",
+    ):
+        # Without a bound the bytes go on for several times the deadline.
+        script = endless_server.Script(
+            first=first,
+            repeated=b"x",
+            gap_s=GAP_S,
+            most_bytes=200,
+            ends=True,
+        )
+        with (
+            endless_server.EndlessServer(script) as server,
+            client.Pool(takes_unframed=True) as pool,
+        ):
+            request = client.Request(
+                method="GET", target="/", headers={}, body=b""
+            )
+            guard = watchdog.Guard(time.monotonic() + SHORT_S, lambda: False)
+            outcome = pool.exchange(server.address, request, guard)
+        assert isinstance(outcome, result.Failure), first
+        assert outcome.failure().kind is client.FailureKind.TIMEOUT, first
+
+
+def test_dribbled_bytes_end_with_the_watchdog() -> None:
+    """The watchdog ends a wait that bytes keep alive."""
+    script = endless_server.Script(
+        first=_make_head(100_000), repeated=b"x", gap_s=GAP_S
+    )
+    with (
+        endless_server.EndlessServer(script) as server,
+        client.Pool() as pool,
+    ):
+        outcome = _exchange(pool, server.address, deadline_s=SHORT_S)
+        nodes.wait_for(lambda: server.closed, "the connection to be closed")
+    assert outcome.failure().kind is client.FailureKind.TIMEOUT
+
+
+def test_late_answers_without_an_end_are_given_up() -> None:
+    """Answers to earlier requests are passed over twice at most."""
+    script = endless_server.Script(
+        first=_make_head(2) + b"ok",
+        repeated=_make_head(4, "earlier") + b"late",
+        waits=True,
+    )
+    with (
+        endless_server.EndlessServer(script) as server,
+        endless_server.count_reads() as read,
+        client.Pool() as pool,
+    ):
+        first = _exchange(pool, server.address)
+        second = _exchange(pool, server.address)
+        nodes.wait_for(lambda: server.closed, "the connection to be closed")
+    assert first.unwrap().body == b"ok"
+    assert second.failure().kind is client.FailureKind.MALFORMED
+    assert read.value <= HEAD_BYTES + READ_BYTES
+
+
+def test_bytes_after_an_answer_reach_no_other_request() -> None:
+    """What follows an answer closes its connection and is not drained."""
+    for extra in (b"x" * 1024, _make_head(4) + b"more"):
+        own = endless_server.Script(first=_make_head(2) + b"ok", repeated=extra)
+        plain = endless_server.Script(first=_make_head(4) + b"next")
+        with (
+            endless_server.EndlessServer(own, plain) as server,
+            endless_server.count_reads() as read,
+            client.Pool() as pool,
+        ):
+            first = _exchange(pool, server.address)
+            second = _exchange(pool, server.address)
+            nodes.wait_for(lambda: 0 in server.closed, "the close")
+        assert first.unwrap().body == b"ok"
+        # The extra bytes may have arrived after the second request was sent.
+        if isinstance(second, result.Success):
+            assert second.unwrap().body == b"next"
+        assert read.value <= HEAD_BYTES + READ_BYTES
+
+
+def test_endless_answer_moves_a_request_that_may_run_twice() -> None:
+    """An idempotent request goes to another server, and a slot is free."""
+    broken = endless_server.Script(first=CHUNKED, repeated=b"1\r\nx\r\n")
+    garbage = endless_server.Script(first=b"", repeated=b"x")
+    with (
+        nodes.Mesh(nodes.make_service(SERVICE, idempotent=True)) as mesh,
+        endless_server.EndlessServer(broken, garbage) as server,
+        backend.Backend(stand_in.BackendOptions()) as other,
+    ):
+        started = [mesh.start(f"n{number}") for number in range(2)]
+        for node, address in zip(
+            started, (server.address, other.address), strict=True
+        ):
+            admin_lib.announce(node.admin_address, SERVICE, address, 1, 100)
+        statuses = set()
+        while len(server.requests) < 2:
+            statuses.add(nodes.send(started[0].http_address).status)
+        nodes.wait_for(lambda: len(server.closed) > 1, "both to be closed")
+    assert statuses == {200}
+
+
+def test_endless_answer_leaves_the_outcome_open() -> None:
+    """What may have run is no refusal, and its slot is free at once."""
+    scripts = (
+        endless_server.Script(first=b"", repeated=b"x"),
+        endless_server.Script(first=CHUNKED, repeated=b"1\r\nx\r\n"),
+        endless_server.Script(first=b"", repeated=b"HTTP/1.1 100 C\r\n\r\n"),
+        endless_server.Script(first=_make_head(4, "own") + b"done"),
+    )
+    with (
+        nodes.Mesh(nodes.make_service(SERVICE)) as mesh,
+        endless_server.EndlessServer(*scripts) as server,
+    ):
+        node = mesh.start("n0")
+        admin_lib.announce(node.admin_address, SERVICE, server.address, 1, 100)
+        sent = {chain.REQUEST_ID_HEADER: OWN}
+        replies = [
+            nodes.send(node.http_address, "POST", body=b"x", **sent)
+            for _ in scripts
+        ]
+    assert [reply.status for reply in replies] == [502, 502, 502, 200]
+    for reply in replies[:-1]:
+        assert reply.headers[outcomes.OUTCOME_HEADER] == "unknown"
+
+
+def test_question_for_a_server_reads_no_endless_answer() -> None:
+    """A node that looks for its server gives up what never ends."""
+    described = (
+        f"HTTP/1.1 200 OK\r\n{names.HEADERS.instance}: i-1\r\n"
+        f"{names.HEADERS.server_load}: 0,0,4\r\n"
+    ).encode()
+    scripts = (
+        endless_server.Script(first=described + b"\r\n", repeated=b"x"),
+        endless_server.Script(
+            first=described + b"\r\n",
+            repeated=b"x",
+            gap_s=GAP_S,
+            most_bytes=200,
+            ends=True,
+        ),
+        endless_server.Script(first=described + b"Content-Length: 0\r\n\r\n"),
+    )
+    with (
+        nodes.Mesh(nodes.make_service(SERVICE)) as mesh,
+        endless_server.EndlessServer(*scripts) as server,
+        endless_server.count_reads() as read,
+    ):
+        node = mesh.start("n0", probe=False)
+        with discovery.Discovery(
+            beats=node.beats,
+            service=SERVICE,
+            address=server.address,
+            names=names.HEADERS,
+            find_health_path=lambda service: f"/{service}",
+            ask_s=GAP_S,
+        ):
+            nodes.wait_for(lambda: not node.beats.lacks(SERVICE), "the server")
+        assert len(server.requests) == len(scripts)
+    assert read.value <= 2 * (HEAD_BYTES + READ_BYTES)
+
+
+load_tests = fixtures.collect(__name__)
