Test an unframed answer cut by the node's own deadline, red

The watchdog shuts the connection down, the reader takes that for the end of a body without a length, and a cut answer is a success. Chunks of single bytes without an end get a test of their own, with a bound for what frames them. Both fail on the unchanged code.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -140,12 +140,20 @@
 
 def test_chunks_without_an_end_are_given_up() -> None:
     """The body of a chunked answer takes a share of the memory at most."""
-    for chunk in (b"400\r\n" + b"x" * 1024 + b"\r\n", b"1\r\nx\r\n"):
-        _check_given_up(
-            endless_server.Script(first=CHUNKED, repeated=chunk),
-            kind=client.FailureKind.TOO_LARGE,
-            most_bytes=BODY_BYTES,
-        )
+    chunk = b"400\r\n" + b"x" * 1024 + b"\r\n"
+    _check_given_up(
+        endless_server.Script(first=CHUNKED, repeated=chunk),
+        kind=client.FailureKind.TOO_LARGE,
+        most_bytes=BODY_BYTES,
+    )
+
+
+def test_chunks_of_single_bytes_are_given_up() -> None:
+    """Frames that outweigh their data cost more time than memory."""
+    _check_given_up(
+        endless_server.Script(first=CHUNKED, repeated=b"1\r\nx\r\n"),
+        most_bytes=2 * HEAD_BYTES + READ_BYTES,
+    )
 
 
 def test_chunk_extensions_without_an_end_are_given_up() -> None:
@@ -238,17 +246,17 @@
 
 
 def test_dribbled_bytes_end_with_the_watchdog() -> None:
-    """The watchdog ends a wait that bytes keep alive."""
-    script = endless_server.Script(
-        first=_make_head(100_000), repeated=b"x", gap_s=GAP_S
-    )
-    with (
-        endless_server.EndlessServer(script) as server,
-        client.Pool() as pool,
-    ):
-        outcome = _exchange(pool, server.address, deadline_s=SHORT_S)
-        nodes.wait_for(lambda: server.closed, "the connection to be closed")
-    assert outcome.failure().kind is client.FailureKind.TIMEOUT
+    """The watchdog ends a wait that bytes keep alive, not the answer."""
+    for head in (_make_head(100_000), b"HTTP/1.1 200 OK\r\n\r\n"):
+        script = endless_server.Script(first=head, repeated=b"x", gap_s=GAP_S)
+        with (
+            endless_server.EndlessServer(script) as server,
+            client.Pool(takes_unframed=True) as pool,
+        ):
+            outcome = _exchange(pool, server.address, deadline_s=SHORT_S)
+            nodes.wait_for(lambda: server.closed, "the connection's end")
+        assert isinstance(outcome, result.Failure), outcome
+        assert outcome.failure().kind is client.FailureKind.TIMEOUT
 
 
 def test_late_answers_without_an_end_are_given_up() -> None:
