Bound the memory, bytes and time of answers, whatever arrives

Callers: a backend server whose bytes never end held a slot until the deadline and up to 64 MiB for each request; a node of 128 MB ends with two of them. An interim answer other than 100 was taken for the answer; a body without a length that the node's own deadline cut was passed off as whole, and so was one whose trailers were cut.

Cause: the body was read by http.client up to a fixed 64 MiB; headers were bounded by line only; interim answers, chunk extensions and trailers were not bounded; a chunk of size -1 read to the connection's end; each read had the whole time anew where no watchdog watched; the question of a restarted node had no bound at all; http.client's file kept the descriptor open for as long as the failure was held.

Change: responses.AnswerReader reads from the socket itself. What frames an answer has 64 KiB beyond its data. Bytes are judged from the first; an answer to another request on a new connection is given up at its head. The time is checked before each read, and an end that the watchdog made is no answer's end.

--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -17,6 +17,7 @@
 
 from lovagesaddle.core import errors
 from lovagesaddle.core.routing import header_names
+from lovagesaddle.http import answer_budget
 from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import requests
 from lovagesaddle.http import responses
@@ -30,7 +31,6 @@
 MAX_IDLE_S = 20.0
 # One earlier request is answered twice at most, and one may be late.
 MAX_LATE_ANSWERS = 2
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
 Request = requests.Request
 
 
@@ -90,6 +90,7 @@
       echoes_id: Whether every success has to name its request's ID.
       silence_s: Time after which a peer that acknowledges nothing of what it
         was sent is given up; 0 leaves that to the deadline.
+      budget: Memory for the answers that are read at a time.
     """
 
     def __init__(
@@ -99,7 +100,9 @@
         takes_unframed: bool = False,
         echoes_id: bool = False,
         silence_s: float = 0.0,
+        budget: answer_budget.AnswerBudget | None = None,
     ) -> None:
+        self._budget = budget or answer_budget.AnswerBudget()
         self._silence_ms = int(silence_s * MS_PER_S)
         self._echoes_id = echoes_id
         self._request_id_header = request_id_header
@@ -190,17 +193,18 @@
                 return
         connection.close()
 
-    def _find_crossing(self, request: Request, reply: Reply) -> str:
+    def _find_crossing(self, request: Request, head: responses.Head) -> str:
         """Says why an answer is another request's; empty when it is not."""
         own = request.headers.get(self._request_id_header)
+        if own is None:
+            return ""
         lowered = self._request_id_header.lower()
-        for name, value in reply.headers:
-            if name.lower() == lowered and own is not None and value != own:
+        for value in headers_lib.find_all(head.headers, lowered):
+            if value != own:
                 return f"answer is to request {value}, not to {own}"
-            if name.lower() == lowered:
-                return ""
-        is_success = reply.status < http.HTTPStatus.MULTIPLE_CHOICES
-        if own is not None and self._echoes_id and is_success:
+            return ""
+        is_success = head.status < http.HTTPStatus.MULTIPLE_CHOICES
+        if self._echoes_id and is_success:
             return f"answer does not name request {own}"
         return ""
 
@@ -222,30 +226,29 @@
           late: Answers to earlier requests that may be passed over.
         """
         sock = connection.sock
-        _limit_waits(sock, guard)
         step = "send request"
+        share = answer_budget.Share(self._budget)
+        reader = responses.AnswerReader(
+            sock, method=request.method, share=share, guard=guard
+        )
         try:
             with guard.ending(lambda: sockets.shut_down(sock)):
+                watchdog.limit_wait(sock, guard)
                 sock.sendall(requests.encode_request(request, address))
                 step = "read answer"
-                response = responses.StrictResponse(
-                    connection.sock, method=request.method
-                )
-                response.begin()
-                reply, idle_s = self._read_own(
-                    connection, response, address, request, late
-                )
+                read = self._read_own(reader, address, request, late)
         except ExchangeError as error:
             return result.Failure(error)
         except (OSError, http.client.HTTPException, ValueError) as error:
             kind = _classify(error, guard)
             return result.Failure(_fail(step, address, repr(error), kind))
-        return result.Success((reply, idle_s))
+        finally:
+            share.release()
+        return result.Success(read)
 
     def _read_own(
         self,
-        connection: http.client.HTTPConnection,
-        response: responses.StrictResponse,
+        reader: responses.AnswerReader,
         address: str,
         request: Request,
         late: int,
@@ -255,60 +258,27 @@
         A server may send a second answer to an earlier request, which arrives
         in front of this one's.
         """
-        reply = self._read(response, address)
-        wrong = self._find_crossing(request, reply)
-        if not wrong:
-            is_last = response.will_close or response.left_over
-            return reply, 0.0 if is_last else requests.find_idle_s(response)
-        if not late or response.will_close:
-            raise _fail("check answer", address, wrong, FailureKind.MALFORMED)
-        following = responses.StrictResponse(
-            connection.sock,
-            method=request.method,
-            first=response.left_over,
-        )
-        following.begin()
-        reply, _ = self._read_own(
-            connection, following, address, request, late - 1
-        )
-        return reply, 0.0
-
-    def _read(self, response: http.client.HTTPResponse, address: str) -> Reply:
-        unframed = response.length is None and not response.chunked
-        if unframed and not self._takes_unframed:
-            raise _fail(
-                "read answer",
-                address,
-                "answer states no length, so its end can't be checked",
-                FailureKind.MALFORMED,
-            )
-        body = response.read(MAX_ANSWER_BYTES + 1)
-        if len(body) > MAX_ANSWER_BYTES:
-            raise _fail(
-                "read answer",
-                address,
-                f"answer exceeds {MAX_ANSWER_BYTES} bytes",
-                FailureKind.TOO_LARGE,
-            )
-        if response.length:
-            raise http.client.IncompleteRead(body, response.length)
-        return Reply(
-            status=response.status,
-            headers=tuple(response.getheaders()),
-            body=body,
-        )
-
-
-def _limit_waits(sock: socket.socket, guard: watchdog.Guard) -> None:
-    """Bounds the waits on a socket where no watchdog ends them.
-
-    With a limit, each send and receive costs one more system call.
-    """
-    limit_s = None
-    if not guard.is_watched:
-        limit_s = max(watchdog.SCAN_S, guard.remaining_s)
-    if sock.gettimeout() != limit_s:
-        sock.settimeout(limit_s)
+        for left in range(late, -1, -1):
+            head = reader.read_head()
+            wrong = self._find_crossing(request, head)
+            if wrong and (not left or head.closes):
+                raise _fail(
+                    "check answer", address, wrong, FailureKind.MALFORMED
+                )
+            if head.is_unframed and not self._takes_unframed:
+                cause = "answer states no length, so its end can't be checked"
+                raise _fail(
+                    "read answer", address, cause, FailureKind.MALFORMED
+                )
+            body = reader.read_body(head)
+            if wrong:
+                continue
+            idle_s = 0.0
+            if left == late and not (head.closes or reader.has_more()):
+                idle_s = requests.find_idle_s(head.headers)
+            reply = Reply(status=head.status, headers=head.headers, body=body)
+            return reply, idle_s
+        raise AssertionError("unreachable")
 
 
 def _classify(error: Exception, guard: watchdog.Guard) -> FailureKind:
@@ -316,6 +286,8 @@
         return FailureKind.CANCELLED
     if guard.reason is not None or isinstance(error, TimeoutError):
         return FailureKind.TIMEOUT
+    if isinstance(error, responses.AnswerTooLargeError):
+        return FailureKind.TOO_LARGE
     if isinstance(error, http.client.IncompleteRead):
         return FailureKind.TRUNCATED
     if isinstance(error, (http.client.RemoteDisconnected, OSError)):
--- a/src/lovagesaddle/http/headers.py
+++ b/src/lovagesaddle/http/headers.py
@@ -9,17 +9,20 @@
 Headers = tuple[tuple[str, str], ...]
 
 AUTHORIZATION = "authorization"
+CONNECTION = "connection"
 CONTENT_LENGTH = "content-length"
+KEEP_ALIVE = "keep-alive"
+TRANSFER_ENCODING = "transfer-encoding"
 HOP_BY_HOP = frozenset(
     {
-        "connection",
-        "keep-alive",
+        CONNECTION,
+        KEEP_ALIVE,
         "proxy-authenticate",
         "proxy-authorization",
         "proxy-connection",
         "te",
         "trailer",
-        "transfer-encoding",
+        TRANSFER_ENCODING,
         "upgrade",
         "expect",
     }
@@ -86,6 +89,11 @@
     return tuple(pair for pair in headers if pair[0].lower() != lowered)
 
 
+def find_all(headers: Headers, name: str) -> list[str]:
+    """Returns the values of a header, whose name is in lower case."""
+    return [value for key, value in headers if key.lower() == name]
+
+
 def _list_connection_options(value: str) -> frozenset[str]:
     if not value:
         return frozenset()
--- a/src/lovagesaddle/http/requests.py
+++ b/src/lovagesaddle/http/requests.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Mapping
 import dataclasses
-import http.client
+
+from lovagesaddle.http import headers as headers_lib
 
 BODYLESS_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
 MAX_IDLE_S = 20.0
@@ -51,9 +52,14 @@
     return head.encode("latin-1") + b"\r\n\r\n" + request.body
 
 
-def find_idle_s(response: http.client.HTTPResponse) -> float:
-    """Returns how long a peer keeps an idle connection, less a margin."""
-    for option in response.headers.get("keep-alive", "").split(","):
+def find_idle_s(headers: headers_lib.Headers) -> float:
+    """Returns how long a peer keeps an idle connection, less a margin.
+
+    Args:
+      headers: Of its answer.
+    """
+    stated = ",".join(headers_lib.find_all(headers, headers_lib.KEEP_ALIVE))
+    for option in stated.split(","):
         name, _, value = option.strip().partition("=")
         if name.lower() == "timeout" and value.isascii() and value.isdigit():
             return min(MAX_IDLE_S, int(value) - IDLE_MARGIN_S)
--- a/src/lovagesaddle/http/responses.py
+++ b/src/lovagesaddle/http/responses.py
@@ -1,38 +1,86 @@
-"""Reads the head of an answer, strictly and without the email parser.
+"""Reads answers strictly, and never more of them than there is room for.
 
-`http.client` takes the first of several lengths and parses headers as those
-of a mail; a node must not guess where an answer ends, and reads two heads for
-each call.
+`http.client` takes the first of several lengths, parses headers as those of a
+mail, and reads on for as long as bytes arrive. A node must not guess where an
+answer ends, reads two for each call, and outlives a peer whose bytes never
+end.
 """
 
+import dataclasses
 import http
 import http.client
 import io
+import re
 import socket
 from typing import Any
 
-LINE_BYTES = 65_536
+from lovagesaddle.http import answer_budget
+from lovagesaddle.http import headers as headers_lib
+from lovagesaddle.http import watchdog
+
+# All that frames one answer: its head with the interim ones before it, its
+# trailers, and what the frames of its chunks take beyond their data.
+# http.client allows as much for one line.
+HEAD_BYTES = 65_536
 MAX_HEADERS = 100
-LENGTH = "content-length"
-CODING = "transfer-encoding"
-STATUS_FIELDS = 3
-HTTP_11 = 11
+# What is taken from the kernel at a time, and so beyond a bound at most.
+PIECE_BYTES = 65_536
+HTTP_11 = "1"
+_START = b"HTTP/1."
+_STATUS_LINE = re.compile(rb"([01]) ([1-5][0-9]{2})( [^\r\n]*)?\r?\n")
+_HEADER = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([^\r\n\0]*)\r?\n")
+_CHUNK = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n")
+_EMPTY_LINES = (b"\r\n", b"\n")
+_LINE_END = b"\r\n"
+
+
+class AnswerTooLargeError(http.client.HTTPException):
+    """Raised when there is no room for an answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Head:
+    """The head of a final answer.
+
+    Attributes:
+      status: HTTP status.
+      headers: Names and values in their order.
+      length: Bytes of the body; None when it is chunked or has no length.
+      chunked: Whether the body comes in chunks.
+      closes: Whether the connection ends after the answer.
+    """
+
+    status: int
+    headers: headers_lib.Headers
+    length: int | None
+    chunked: bool
+    closes: bool
+
+    @property
+    def is_unframed(self) -> bool:
+        """Whether the body ends with the connection."""
+        return self.length is None and not self.chunked
 
 
 class _Source(io.RawIOBase):
-    """The bytes of a connection, until they are held back.
+    """The bytes of a connection, counted, until they are held back.
 
     Args:
       sock: The connection.
-      first: Bytes that were read from it before.
+      share: Room for what arrives.
+      guard: Bounds the time.
     """
 
-    def __init__(self, sock: socket.socket, first: bytes) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        share: answer_budget.Share,
+        guard: watchdog.Guard,
+    ) -> None:
         super().__init__()
-        # The connection may close its socket before the answer is read; the
-        # file keeps the descriptor open.
-        self._raw = sock.makefile("rb", buffering=0)
-        self._first = first
+        self._sock = sock
+        self._share = share
+        self._guard = guard
         self.is_held_back = False
 
     def readable(self) -> bool:
@@ -40,136 +88,193 @@
         return True
 
     def readinto(self, buffer: Any, /) -> int | None:
-        """Fills `buffer`; returns None for no bytes while held back."""
+        """Fills `buffer`; returns None for no bytes while held back.
+
+        Raises:
+          AnswerTooLargeError: There is no room for what arrived.
+          TimeoutError: The wait is over, whether bytes arrive or not.
+        """
         if self.is_held_back:
             return None
-        view = memoryview(buffer)
-        if self._first:
-            taken = self._first[: len(view)]
-            self._first = self._first[len(taken) :]
-            view[: len(taken)] = taken
-            return len(taken)
-        return self._raw.readinto(view)
+        watchdog.limit_wait(self._sock, self._guard)
+        received = self._sock.recv_into(buffer)
+        if not received and self._guard.reason is not None:
+            # The connection's end is the watchdog's and not the peer's.
+            raise TimeoutError("the wait is over")
+        if not self._share.grow(received):
+            raise AnswerTooLargeError("no room for the answer")
+        return received
 
-    def close(self) -> None:
-        """Gives the descriptor back."""
-        self._raw.close()
-        super().close()
 
-
-class StrictResponse(http.client.HTTPResponse):
-    """An answer whose framing is stated once and in one way.
+class AnswerReader:
+    """Reads the answers to one request from a connection.
 
     Args:
-      sock: Connection that it arrives on.
-      debuglevel: Of http.client.
+      sock: The connection.
       method: Of the request.
-      url: Of the request.
-      first: Bytes that an earlier answer on the connection left over.
-
-    Attributes:
-      left_over: Bytes that arrived after the answer; they are no part of it.
+      share: Room for all that is read.
+      guard: Bounds the time.
     """
 
     def __init__(
         self,
         sock: socket.socket,
-        debuglevel: int = 0,
-        method: str | None = None,
-        url: str | None = None,
-        first: bytes = b"",
+        *,
+        method: str,
+        share: answer_budget.Share,
+        guard: watchdog.Guard,
     ) -> None:
-        super().__init__(sock, debuglevel, method, url)
-        self.fp.close()
-        self._source = _Source(sock, first)
-        self.fp = io.BufferedReader(self._source)
         self._is_head = method == "HEAD"
-        self.left_over = b""
+        self._share = share
+        self._source = _Source(sock, share, guard)
+        self._file = io.BufferedReader(self._source)
+        self._head_left = HEAD_BYTES
 
-    def begin(self) -> None:
-        """Reads the status line and the headers.
+    def read_head(self) -> Head:
+        """Reads the head of the next final answer, past the interim ones.
 
         Raises:
-          http.client.HTTPException: The head is malformed or ambiguous.
+          http.client.HTTPException: The head is malformed, ambiguous or too
+            long.
+          OSError: The connection broke or the wait is over.
         """
-        if self.headers is not None:
-            return
-        while True:
-            self.version, self.status, self.reason = self._read_first_line()
+        self._head_left = HEAD_BYTES
+        status = 0
+        while status < http.HTTPStatus.OK:
+            if status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+                raise http.client.HTTPException("nobody asked to switch")
+            minor, status = self._read_status_line()
             headers = self._read_headers()
-            if self.status != http.HTTPStatus.CONTINUE:
-                break
-        self.code = self.status
-        self.headers = self.msg = headers
-        self._frame(headers)
-
-    def _close_conn(self) -> None:
-        """Ends the reading; http.client calls it after the last byte."""
+        return self._frame(minor, status, headers)
+
+    def read_body(self, head: Head) -> bytes:
+        """Reads the whole body that belongs to a head.
+
+        Raises:
+          AnswerTooLargeError: There is no room for it.
+          http.client.HTTPException: It is malformed or cut.
+          OSError: The connection broke or the wait is over.
+        """
+        if head.length is not None:
+            return self._read_exactly(head.length)
+        body = io.BytesIO()
+        if head.chunked:
+            while size := self._read_chunk_size():
+                body.write(self._read_exactly(size))
+                if self._file.read(len(_LINE_END)) != _LINE_END:
+                    raise http.client.HTTPException("chunk runs on")
+                self._spend(len(_LINE_END) - size)
+            self._read_headers()
+        else:
+            while piece := self._file.read(PIECE_BYTES):
+                body.write(piece)
+        return body.getvalue()
+
+    def has_more(self) -> bool:
+        """Returns whether bytes arrived beyond what was read."""
         self._source.is_held_back = True
-        if self.fp is not None:
-            self.left_over = self.fp.peek()
-        super()._close_conn()  # type: ignore[misc]
+        try:
+            return bool(self._file.peek())
+        finally:
+            self._source.is_held_back = False
+
+    def _read_status_line(self) -> tuple[bytes, int]:
+        """Returns the minor version and the status.
 
-    def _read_first_line(self) -> tuple[int, int, str]:
+        The line is judged from its first byte, since what is no answer may
+        never bring a line's end.
+        """
+        for number, expected in enumerate(_START):
+            byte = self._file.read(1)
+            if not byte and not number:
+                raise http.client.RemoteDisconnected("closed without an answer")
+            if byte != bytes((expected,)):
+                raise http.client.BadStatusLine(repr(_START[:number] + byte))
         line = self._read_line()
-        if not line:
-            raise http.client.RemoteDisconnected("closed without an answer")
-        version, _, rest = line.partition(" ")
-        status, _, reason = rest.partition(" ")
-        if version not in ("HTTP/1.0", "HTTP/1.1") or not (
-            len(status) == STATUS_FIELDS and status.isdigit()
-        ):
-            raise http.client.BadStatusLine(line)
-        return int(version[-3] + version[-1]), int(status), reason.strip()
-
-    def _read_headers(self) -> http.client.HTTPMessage:
-        headers = http.client.HTTPMessage()
-        for _ in range(MAX_HEADERS):
-            line = self._read_line()
-            if not line:
-                raise http.client.IncompleteRead(b"")
-            if line in ("\r\n", "\n"):
-                return headers
-            name, colon, value = line.partition(":")
-            if not colon or not name or name != name.strip():
-                raise http.client.BadStatusLine(line)
-            headers.set_raw(name, value.strip())
-        raise http.client.HTTPException("too many headers")
-
-    def _read_line(self) -> str:
-        line = self.fp.readline(LINE_BYTES + 1)
-        if len(line) > LINE_BYTES:
-            raise http.client.LineTooLong("answer head")
-        return line.decode("latin-1")
-
-    def _frame(self, headers: http.client.HTTPMessage) -> None:
-        lengths = headers.get_all(LENGTH, [])
-        codings = headers.get_all(CODING, [])
+        matched = _STATUS_LINE.fullmatch(line)
+        if matched is None:
+            raise http.client.BadStatusLine(repr(_START + line))
+        return matched[1], int(matched[2])
+
+    def _read_headers(self) -> headers_lib.Headers:
+        """Reads headers or trailers up to the empty line."""
+        headers: list[tuple[str, str]] = []
+        while (line := self._read_line()) not in _EMPTY_LINES:
+            matched = _HEADER.fullmatch(line)
+            if matched is None:
+                raise http.client.HTTPException("malformed header")
+            if len(headers) >= MAX_HEADERS:
+                raise http.client.HTTPException("too many headers")
+            name, value = matched[1], matched[2].strip(b" \t")
+            headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        return tuple(headers)
+
+    def _read_line(self) -> bytes:
+        """Returns a line that frames the answer, with its end."""
+        line = self._file.readline(self._head_left + 1)
+        self._spend(len(line))
+        if not line.endswith(b"\n"):
+            raise http.client.IncompleteRead(b"")
+        return line
+
+    def _spend(self, count: int) -> None:
+        """Counts bytes that frame the answer, less what they framed."""
+        self._head_left = min(self._head_left - count, HEAD_BYTES)
+        if self._head_left < 0:
+            raise http.client.LineTooLong("answer's head or frames")
+
+    def _read_chunk_size(self) -> int:
+        matched = _CHUNK.fullmatch(self._read_line())
+        if matched is None:
+            raise http.client.HTTPException("malformed chunk size")
+        return int(matched[1], base=16)
+
+    def _read_exactly(self, size: int) -> bytes:
+        """Returns that many bytes, taking memory only as they arrive."""
+        # A part of them may be counted already.
+        if not self._share.has_room(size - PIECE_BYTES):
+            raise AnswerTooLargeError(f"no room for {size} bytes")
+        if size <= PIECE_BYTES:
+            return self._check(self._file.read(size), size)
+        body = io.BytesIO()
+        while size:
+            wanted = min(size, PIECE_BYTES)
+            body.write(self._check(self._file.read(wanted), wanted))
+            size -= wanted
+        return body.getvalue()
+
+    def _check(self, data: bytes, wanted: int) -> bytes:
+        if len(data) < wanted:
+            raise http.client.IncompleteRead(b"", wanted - len(data))
+        return data
+
+    def _frame(
+        self, minor: bytes, status: int, headers: headers_lib.Headers
+    ) -> Head:
+        lengths = headers_lib.find_all(headers, headers_lib.CONTENT_LENGTH)
+        codings = headers_lib.find_all(headers, headers_lib.TRANSFER_ENCODING)
         if len(lengths) + len(codings) > 1:
             raise http.client.HTTPException("answer states two lengths")
-        self.chunked = bool(codings)
         if codings and codings[0].lower() != "chunked":
             raise http.client.HTTPException("answer has an unknown coding")
-        self.chunk_left = None
-        self.length = None
-        if lengths:
-            if not (lengths[0].isascii() and lengths[0].isdigit()):
-                raise http.client.HTTPException("answer's length is malformed")
-            self.length = int(lengths[0])
-        if self._has_no_body():
-            self.length = 0
-            self.chunked = False
-        unframed = not self.chunked and self.length is None
-        self.will_close = unframed or self._says_close(headers)
-
-    def _has_no_body(self) -> bool:
-        return self._is_head or self.status in (
+        if lengths and not (lengths[0].isascii() and lengths[0].isdigit()):
+            raise http.client.HTTPException("answer's length is malformed")
+        length = int(lengths[0]) if lengths else None
+        chunked = bool(codings)
+        if self._is_head or status in (
             http.HTTPStatus.NO_CONTENT,
             http.HTTPStatus.NOT_MODIFIED,
+        ):
+            length, chunked = 0, False
+        options = headers_lib.find_all(headers, headers_lib.CONNECTION)
+        option = ",".join(options).lower()
+        keeps = "close" not in option
+        if minor.decode() != HTTP_11:
+            keeps = "keep-alive" in option
+        return Head(
+            status=status,
+            headers=headers,
+            length=length,
+            chunked=chunked,
+            closes=not keeps or (length is None and not chunked),
         )
-
-    def _says_close(self, headers: http.client.HTTPMessage) -> bool:
-        options = headers.get("connection", "").lower()
-        if self.version == HTTP_11:
-            return "close" in options
-        return "keep-alive" not in options
--- a/src/lovagesaddle/http/watchdog.py
+++ b/src/lovagesaddle/http/watchdog.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 import contextlib
 import enum
+import socket
 import threading
 import time
 from typing import Self
@@ -82,6 +83,22 @@
                 self._on_end()
 
 
+def limit_wait(sock: socket.socket, guard: Guard) -> None:
+    """Bounds the next wait on a socket where no watchdog ends it.
+
+    Bytes one by one must not prolong the whole, so it is called before each
+    wait. Only without a watchdog it costs one more system call.
+
+    Raises:
+      TimeoutError: The wait is over.
+    """
+    limit_s = None if guard.is_watched else guard.remaining_s
+    if guard.reason is not None or limit_s == 0:
+        raise TimeoutError("the wait is over")
+    if sock.gettimeout() != limit_s:
+        sock.settimeout(limit_s)
+
+
 class Watchdog:
     """Scans the open guards on a thread of its own, as a context manager.
 
--- a/src/lovagesaddle/node/discovery.py
+++ b/src/lovagesaddle/node/discovery.py
@@ -1,11 +1,16 @@
 """Finds the local backend server when the node starts after it."""
 
 from collections.abc import Callable
-import http.client
+import time
+
+from returns import result
 
 from lovagesaddle import ticker
 from lovagesaddle.core.routing import header_names
-from lovagesaddle.http import sockets
+from lovagesaddle.http import answer_budget
+from lovagesaddle.http import client
+from lovagesaddle.http import headers as headers_lib
+from lovagesaddle.http import watchdog
 from lovagesaddle.node import beats as beats_lib
 from lovagesaddle.node import local_servers
 from lovagesaddle.observability import logs
@@ -60,28 +65,44 @@
             self.stop()
 
     def _ask(self, path: str) -> local_servers.Announcement | None:
-        host, port = sockets.parse_address(self._address)
-        connection = http.client.HTTPConnection(host, port, timeout=ANSWER_S)
-        try:
-            connection.request("GET", path, headers={"Connection": "close"})
-            response = connection.getresponse()
-            response.read()
-        except (OSError, http.client.HTTPException) as error:
-            _log.info(
-                "server_not_found", address=self._address, cause=repr(error)
-            )
-            return None
-        finally:
-            connection.close()
-        instance = response.headers.get(self._names.instance, "")
-        load = response.headers.get(self._names.server_load, "")
+        request = client.Request(
+            method="GET",
+            target=path,
+            headers={"Connection": "close"},
+            body=b"",
+        )
+        guard = watchdog.Guard(time.monotonic() + ANSWER_S, _stay)
+        # The server has few connections, so none is kept for this. Its
+        # answer is told by the head.
+        with client.Pool(
+            takes_unframed=True, budget=answer_budget.AnswerBudget(0)
+        ) as pool:
+            outcome = pool.exchange(self._address, request, guard)
+        match outcome:
+            case result.Success(reply):
+                return self._describe(reply)
+            case result.Failure(error):
+                _log.info(
+                    "server_not_found",
+                    address=self._address,
+                    step=error.step,
+                    cause=error.cause,
+                )
+                return None
+        raise AssertionError("unreachable")
+
+    def _describe(
+        self, reply: client.Reply
+    ) -> local_servers.Announcement | None:
+        instance = _find(reply, self._names.instance)
+        load = _find(reply, self._names.server_load)
         slots = load.rpartition(",")[2].strip()
         is_described = bool(instance) and load.count(",") == LOAD_FIELDS - 1
-        if response.status != 200 or not (is_described and slots.isdigit()):
+        if reply.status != 200 or not (is_described and slots.isdigit()):
             _log.info(
                 "server_not_found",
                 address=self._address,
-                status=response.status,
+                status=reply.status,
                 instance=instance,
                 load=load,
             )
@@ -94,3 +115,13 @@
             instance=instance,
             is_warm=True,
         )
+
+
+def _find(reply: client.Reply, name: str) -> str:
+    """Returns the first value of a header; empty without one."""
+    values = headers_lib.find_all(reply.headers, name.lower())
+    return values[0] if values else ""
+
+
+def _stay() -> bool:
+    return False
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -15,6 +15,7 @@
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import retries
+from lovagesaddle.http import answer_budget
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
 from lovagesaddle.http import lanes
@@ -115,12 +116,14 @@
             node_id=settings.node_id,
             part_bytes=self._part_bytes,
         )
+        budget = answer_budget.AnswerBudget(settings.memory_bytes)
         self._pool = client.Pool(
             request_id_header=names.request_id,
             takes_unframed=settings.unframed_answers,
             echoes_id=names.echoes_request_id,
+            budget=budget,
         )
-        self._hop_pool = client.Pool(silence_s=HOP_SILENCE_S)
+        self._hop_pool = client.Pool(silence_s=HOP_SILENCE_S, budget=budget)
         self._suspects = suspects_lib.Suspects()
         self._owner = owner_lib.Owner(
             pool=self._pool,
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -145,6 +145,8 @@
       log: Logging.
       heartbeat_s: Time between heartbeats.
       max_body_bytes: Largest request body that is read.
+      memory_bytes: Memory of the process; an eighth of it is for the answers
+        that are read at a time.
       threads: Threads that answer callers.
       mesh_secret_file: File with the secret that all nodes share; empty for
         trials on one machine only.
@@ -181,6 +183,7 @@
     log: LogSettings = LogSettings()
     heartbeat_s: PositiveSeconds = 1.0
     max_body_bytes: Size = 16 * 1024 * 1024
+    memory_bytes: Size = 1024 * 1024 * 1024
     threads: Annotated[int, msgspec.Meta(ge=1, le=512)] = 32
     mesh_secret_file: str = ""
     drain_s: PositiveSeconds = 30.0
