--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -131,6 +131,31 @@
         assert nodes.send(node.http_address, path="/").status == 503
 
 
+def test_node_refuses_callers_until_the_first_publication() -> None:
+    """A node that knows no configuration can't say that a route is unknown."""
+    with nodes.Mesh() as mesh:
+        node = mesh.start("n1")
+        early = nodes.send(node.http_address)
+        assert early.status == 503
+        assert _get_outcome(early) == "not-run"
+        assert "Retry-After" in early.headers
+        assert not node.is_ready
+        # An empty set is a publication too.
+        mesh.control.change(publication=mesh.control.snapshot.version + 1)
+        assert nodes.send(node.http_address).status == 404
+        assert node.is_ready
+
+
+def test_services_of_an_earlier_release_are_a_publication() -> None:
+    """A control VM that does not name the publication yet is believed."""
+    with nodes.Mesh(nodes.make_service()) as mesh:
+        node = mesh.start("n1")
+        assert mesh.control.snapshot.publication == 0
+        unknown = nodes.send(node.http_address, Host="unknown.example")
+        assert unknown.status == 404
+        assert node.is_ready
+
+
 def test_local_service_calls_by_its_token() -> None:
     """A server calls other services with the token of its announcement."""
     inner = nodes.make_service("inner", host="inner", services=(SERVICE,))
