Answer 503 before the first publication, not 404

Callers got 404 from nodes that held members and no publication yet, and clients don't ask again after a 404. Cause: the entry took a table without routes for the word of a configuration. Change: without a publication the entry refuses with 503, not-run and Retry-After, and the node is not ready, since it could only refuse; /healthz goes on to tell of the join alone. An empty publication is one, and 404 is right then. Services of a control VM of an earlier release, which names no publication, are believed.

--- a/src/lovagesaddle/core/routing/table.py
+++ b/src/lovagesaddle/core/routing/table.py
@@ -136,6 +136,14 @@
         """Version of the publication that brought the routes; 0 for none."""
         return self._publication
 
+    @property
+    def is_published(self) -> bool:
+        """Whether a configuration is known, be it an empty one.
+
+        Control VMs of an earlier release name no publication.
+        """
+        return bool(self._publication or self._index.services)
+
     def match(self, *, host: str, path: str, method: str) -> Match | Miss:
         """Finds the route of a request; the longest path prefix wins.
 
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -117,6 +117,8 @@
         table = self._routing.table
         if table is None:
             return self.refuse("this node has not joined the mesh yet")
+        if not table.is_published:
+            return self.refuse("no configuration is published yet")
         match = table.match(
             host=request.headers.get("host", ""),
             path=request.path,
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -198,9 +198,13 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers should come to this node."""
-        health = self._read_health()
-        return health.joined and not health.stopping
+        """Whether callers should come to this node.
+
+        Without a configuration it could only refuse them.
+        """
+        table = self._routing.table
+        is_published = table is not None and table.is_published
+        return is_published and not self._stopping
 
     @property
     def http_address(self) -> str:
