Test proper requests that a node refuses or loses by itself, red

A chunked body was measured with its frames (413), a head of exactly its limit was refused (431), a body within the limits of the mesh was lost between two nodes whose settings allow less (502), and paths that can't be decoded in one way only were refused where anybody may use every route (400).

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.model import services
 from lovagesaddle.http import gateway
 from lovagesaddle.http import lanes
 from lovagesaddle.http import parser
@@ -261,4 +262,48 @@
     return False
 
 
+def test_head_of_exactly_its_limit_is_served() -> None:
+    """A limit is the largest head that is served."""
+    limits = services.CallerLimits(
+        max_header_bytes=500,
+        max_body_bytes=MAX_BODY_BYTES,
+        header_timeout_s=nodes.WAIT_S,
+        idle_timeout_s=nodes.WAIT_S,
+    )
+    start = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nName: "
+    for beyond, status in ((0, b" 200 "), (1, b" 431 ")):
+        size = limits.max_header_bytes + beyond - len(start) - 4
+        with _serve() as (_, server):
+            server.set_limits(limits)
+            answer = _ask(server, start + b"x" * size + b"\r\n\r\n")
+        assert status in answer.split(b"\r\n")[0], answer
+
+
+def test_frames_of_chunks_do_not_count_as_body() -> None:
+    """A body in chunks has the same limit as one with a length."""
+    head = (
+        b"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+    chunks = b"5\r\nxxxxx\r\n" * (MAX_BODY_BYTES // 5)
+    for more, status in ((b"", b" 200 "), (b"1\r\nx\r\n", b" 413 ")):
+        with _serve() as (_, server):
+            answer = _ask(server, head + chunks + more + b"0\r\n\r\n")
+        assert status in answer.split(b"\r\n")[0], answer
+
+
+def test_control_lines_of_chunks_are_bounded() -> None:
+    """Chunk extensions and trailers are held up to the limit of a head."""
+    head = (
+        b"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+    endless = b"x" * (2 * parser.MAX_HEADER_BYTES)
+    for start in (b"1;a=", b"0\r\nName: "):
+        with _serve() as (application, server):
+            answer = _ask(server, head + start + endless)
+        assert b" 413 " in answer.split(b"\r\n")[0], answer
+        assert not application.ran
+
+
 load_tests = fixtures.collect(__name__)
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -156,6 +156,33 @@
         assert node.is_ready
 
 
+def test_body_of_exactly_its_limit_reaches_another_node() -> None:
+    """What callers may send in all fits between two nodes."""
+    limit = 1024 * 1024
+    limits = services_lib.CallerLimits(
+        max_header_bytes=16 * 1024,
+        max_body_bytes=limit,
+        header_timeout_s=nodes.WAIT_S,
+        idle_timeout_s=nodes.WAIT_S,
+    )
+    # The settings allow less than the limits of the mesh.
+    shared: dict[str, Any] = {"max_body_bytes": limit // 2}
+    apart = {**shared, "hop_address": nodes.ANY}
+    for fields in (shared, apart):
+        with (
+            nodes.Mesh(nodes.make_service(max_body_bytes=limit)) as mesh,
+            backend.Backend(stand_in.BackendOptions()) as server,
+        ):
+            started = [mesh.start(f"n{n}", **fields) for n in range(2)]
+            mesh.control.change(limits=limits)
+            _announce(started[0], server)
+            address = started[1].http_address
+            reply = nodes.send(address, "POST", body=b"x" * limit)
+            assert reply.status == 200, reply
+            over = nodes.send(address, "POST", body=b"x" * (limit + 1))
+            assert over.status == 413, over
+
+
 def test_local_service_calls_by_its_token() -> None:
     """A server calls other services with the token of its announcement."""
     inner = nodes.make_service("inner", host="inner", services=(SERVICE,))
--- a/tests/test_table.py
+++ b/tests/test_table.py
@@ -181,4 +181,25 @@
     assert kept.list_candidates(routing_mesh.SERVICE) == ()
 
 
+def test_open_host_takes_every_path_below_its_prefixes() -> None:
+    """Where anybody may use every route, no path can slip past a caller."""
+    routes = (
+        routing_mesh.make_route("all", path="/orders/", methods=()),
+        routing_mesh.make_route("p", path="/orders/a/", methods=()),
+    )
+    opened = [dataclasses.replace(route, is_open=True) for route in routes]
+    compiled = table.Table(routing_mesh.make_snapshot(*opened))
+    for path, name in (
+        ("/orders/a%2Fb", "all"),
+        ("/orders//x", "all"),
+        ("/orders/x//", "all"),
+        ("/orders/50%25", "all"),
+        ("/orders/a/../b", "p"),
+        ("/orders/a/%00", "p"),
+    ):
+        match = compiled.match(host=routing_mesh.HOST, path=path, method="GET")
+        assert isinstance(match, table.Match), path
+        assert match.route.name == name, path
+
+
 load_tests = fixtures.collect(__name__)
