Name the publication in the tests' fake control, as replicas do

The fake now states a publication with each change of services, and the test asks for 404 as before. The test of an earlier release's control VM says that there is none.

--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -51,7 +51,10 @@
         self._lock = threading.RLock()
         self._sinks: list[ports.SnapshotSink] = []
         self._snapshot = snapshots.Snapshot(
-            cluster_id="c", version=1, services=services_
+            cluster_id="c",
+            version=1,
+            services=services_,
+            publication=1 if services_ else 0,
         )
         self.handlers: dict[str, Callable[[str, bytes], None]] = {}
         self._delivery = futures.ThreadPoolExecutor(max_workers=1)
@@ -90,8 +93,13 @@
             self.handlers.pop(settings.node_id, None)
 
     def change(self, **fields: Any) -> None:
-        """Installs a newer snapshot with other fields."""
+        """Installs a newer snapshot with other fields.
+
+        Other services are a publication, as they are at a replica.
+        """
         with self._lock:
+            if "services" in fields:
+                fields.setdefault("publication", self._snapshot.version + 1)
             self._snapshot = dataclasses.replace(
                 self._snapshot, version=self._snapshot.version + 1, **fields
             )
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -150,7 +150,7 @@
     """A control VM that does not name the publication yet is believed."""
     with nodes.Mesh(nodes.make_service()) as mesh:
         node = mesh.start("n1")
-        assert mesh.control.snapshot.publication == 0
+        mesh.control.change(publication=0)
         unknown = nodes.send(node.http_address, Host="unknown.example")
         assert unknown.status == 404
         assert node.is_ready
