Match every path as sent where anybody may use every route

Callers got 400 for paths with double slashes, dot segments or an encoded slash or percent sign below a prefix in force. Cause: such a path is refused, since it could be judged by the callers of another prefix than the one that the server reads. Where every route of the host is open there is nobody to slip past, so the path is matched as it was sent. Hosts with callers go on refusing.

--- a/src/lovagesaddle/core/routing/table.py
+++ b/src/lovagesaddle/core/routing/table.py
@@ -148,7 +148,8 @@
         """Finds the route of a request; the longest path prefix wins.
 
         A method that the longest prefix lacks is not looked for under a
-        shorter one, since that may belong to another service.
+        shorter one, since that may belong to another service. A path that two
+        readers could decode apart is matched as sent, if at all.
 
         Args:
           host: Host header, with or without a port, in any case.
@@ -159,6 +160,9 @@
         if prefixes is None:
             return self._miss(MissReason.UNKNOWN_HOST, 404)
         decoded = paths.decode_path(path)
+        if decoded is None and _are_open(prefixes):
+            # No path can slip past a route's callers, as none has any.
+            decoded = path
         if decoded is None:
             return self._miss(MissReason.MALFORMED_PATH, 400)
         found = _find_longest(prefixes, decoded)
@@ -244,6 +248,15 @@
     return Access(allowed=False, status=status, client=client, reason=reason)
 
 
+def _are_open(prefixes: route_index.Prefixes) -> bool:
+    """Returns whether anybody may use every route of a host."""
+    return all(
+        target.match.route.is_open
+        for prefix in prefixes.values()
+        for target in prefix.targets
+    )
+
+
 def _find_longest(
     prefixes: route_index.Prefixes, path: str
 ) -> route_index.Prefix | None:
