Hold requests to their stated limits, also between nodes

Callers got 431 for a head of exactly the limit (waitress refuses from it on), 413 for a body in chunks whose frames came on top (waitress counts them), and 502 for a body within the limits of the mesh where the settings of a node allow less: the limits were set at the callers' listener alone, and where nodes share it, an envelope is larger than the body in it. Now a head may be as long as its limit, a chunked body is measured without its frames, whose lines have the limit of a head, and the listener for nodes takes the body and head that callers may send, and the envelope's margin.

--- a/src/lovagesaddle/http/parser.py
+++ b/src/lovagesaddle/http/parser.py
@@ -32,6 +32,30 @@
 
     headed_at: float = 0.0
 
+    def received(self, data: bytes) -> int:
+        """Takes bytes of the request; returns how many belong to it.
+
+        Unlike waitress's own, it measures a chunked body without its frames,
+        as one with a length, and the lines of the frames with the head's
+        limit.
+        """
+        receiver = self.body_rcv
+        if self.completed or receiver is None or not self.chunked:
+            return int(super().received(data))
+        consumed = int(receiver.received(data))
+        self.body_bytes_received = len(receiver)
+        held = len(receiver.control_line) + len(receiver.trailer)
+        if self.body_bytes_received >= self.adj.max_request_body_size:
+            self.error = utilities.RequestEntityTooLarge("body in chunks")
+        elif held >= self.adj.max_request_header_size:
+            self.error = utilities.RequestEntityTooLarge("frames of chunks")
+        elif receiver.error:
+            self.error = receiver.error
+        elif receiver.completed:
+            self.headers["CONTENT_LENGTH"] = str(len(receiver))
+        self.completed: bool = bool(self.error or receiver.completed)
+        return consumed
+
     def parse_header(self, header_plus: bytes) -> None:
         """Parses the request line and the headers.
 
--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -230,10 +230,14 @@
     def set_limits(self, limits: services.CallerLimits) -> None:
         """Takes other limits on requesters, for what arrives from now on."""
         adjustments = self._server.adj
-        adjustments.max_request_header_size = limits.max_header_bytes
-        adjustments.max_request_body_size = limits.max_body_bytes + 1
+        adjustments.max_request_header_size = limits.max_header_bytes + 1
+        self.set_max_body(limits.max_body_bytes)
         adjustments.channel_timeout = limits.idle_timeout_s
 
+    def set_max_body(self, max_body_bytes: int) -> None:
+        """Takes another limit on bodies, for what arrives from now on."""
+        self._server.adj.max_request_body_size = max_body_bytes + 1
+
     def answer_with_close(self) -> None:
         """Adds `Connection: close` to every answer from now on."""
         self._server.stopping = True
@@ -323,8 +327,8 @@
             "channel_timeout": CHANNEL_TIMEOUT_S,
             "cleanup_interval": CLEANUP_S,
             "channel_request_lookahead": LOOKAHEAD_REQUESTS,
-            "max_request_header_size": parser.MAX_HEADER_BYTES,
-            # waitress refuses a body of exactly the limit.
+            # waitress refuses a head or a body of exactly its limit.
+            "max_request_header_size": parser.MAX_HEADER_BYTES + 1,
             "max_request_body_size": self._options.max_body_bytes + 1,
             "inbuf_overflow": SPOOL_BYTES,
             "recv_bytes": RECV_BYTES,
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -222,6 +222,13 @@
         if limits is not None and limits != self._limits:
             self._limits = limits
             self._http.set_limits(limits)
+            # An envelope holds a whole request of a caller. Where callers and
+            # nodes share the listener, the route bounds a caller's body.
+            self._hops.set_max_body(
+                limits.max_body_bytes
+                + limits.max_header_bytes
+                + ENVELOPE_MARGIN_BYTES
+            )
         self._claims.install(stamped.snapshot, joined=joined)
         is_first = self._routing.table is None
         self._routing.install(stamped, joined=joined)
