Give the stand-in of the platform both limits of a VM

Two changes each named Limits in its settings, and the second one hid the first, so that the settings file of its nodes would lack their memory.

--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -252,9 +252,8 @@
             "DataDir": str(self._folder / f"data-{ip}"),
             "Bootstrap": is_first,
             "FaultTolerance": {"Machines": 1, "Zones": 0, "Regions": 0},
-            "Limits": {"MemoryMb": 150},
             "Bounds": {"RetryBudgetExtra": 58},
-            "Limits": {"LinkMbps": 1000.0},
+            "Limits": {"LinkMbps": 1000.0, "MemoryMb": 150},
         }
 
 
