--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -15,6 +15,7 @@
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import retries
+from lovagesaddle.http import answer_budget
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
 from lovagesaddle.http import lanes
@@ -115,12 +116,14 @@
             node_id=settings.node_id,
             part_bytes=self._part_bytes,
         )
+        budget = answer_budget.AnswerBudget(settings.memory_bytes)
         self._pool = client.Pool(
             request_id_header=names.request_id,
             takes_unframed=settings.unframed_answers,
             echoes_id=names.echoes_request_id,
+            budget=budget,
         )
-        self._hop_pool = client.Pool(silence_s=HOP_SILENCE_S)
+        self._hop_pool = client.Pool(silence_s=HOP_SILENCE_S, budget=budget)
         self._suspects = suspects_lib.Suspects()
         self._owner = owner_lib.Owner(
             pool=self._pool,
@@ -195,9 +198,13 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers should come to this node."""
-        health = self._read_health()
-        return health.joined and not health.stopping
+        """Whether callers should come to this node.
+
+        Without a configuration it could only refuse them.
+        """
+        table = self._routing.table
+        is_published = table is not None and table.is_published
+        return is_published and not self._stopping
 
     @property
     def http_address(self) -> str:
@@ -215,6 +222,13 @@
         if limits is not None and limits != self._limits:
             self._limits = limits
             self._http.set_limits(limits)
+            # An envelope holds a whole request of a caller. Where callers and
+            # nodes share the listener, the route bounds a caller's body.
+            self._hops.set_max_body(
+                limits.max_body_bytes
+                + limits.max_header_bytes
+                + ENVELOPE_MARGIN_BYTES
+            )
         self._claims.install(stamped.snapshot, joined=joined)
         is_first = self._routing.table is None
         self._routing.install(stamped, joined=joined)
