Show that an owner declines large bodies for good after a slow time

Large bodies that come in at a tenth of the stated rate for a minute bring the measured rate down to its floor. From then on a body of 60 kB that has 1.5 s is declined on an idle link, also minutes later: only parts that arrive measure the link anew, and none is let in.

--- a/tests/test_body_turns.py
+++ b/tests/test_body_turns.py
@@ -76,6 +76,24 @@
     assert declined == ["declined b"]
 
 
+def test_idle_link_is_tried_whatever_was_measured_before() -> None:
+    """A slow time doesn't keep an owner from bodies after it has passed."""
+    turns = body_turns.BodyTurns(LINK_BYTES_S)
+    now = 0.0
+    for number in range(20):
+        assert _offer(turns, f"slow-{number}", now=now, latest_at=now + 9.0)
+        for _ in range(3):
+            now += 0.95
+            event = body_turns.PartArrived(
+                attempt_id=f"slow-{number}", part_bytes=PART_BYTES // 10
+            )
+            turns.step(event, now)
+        _withdraw(turns, f"slow-{number}", now)
+    now += 60.0
+    # It takes 0.6 s at the stated rate.
+    assert _offer(turns, "a", now=now, latest_at=now + 1.5) == ["granted a"]
+
+
 def test_unused_turn_is_passed_on() -> None:
     """An entry that is gone doesn't keep the link from the others."""
     turns = body_turns.BodyTurns(LINK_BYTES_S)
