Try an idle link whatever the last bodies took

What callers saw: large requests refused at an owner with an idle link, without end, once its link had been slow for a time. Cause: an offer is judged by the measured rate, which only parts that arrive can raise, and it stays at its floor as long as every offer is declined. An offer that finds the link idle and no other offer is now judged by the stated rate, as admission tries a free slot that nobody else waits for. With a turn or others waiting the measured rate holds. Evidence: the test failed before, in virtual time; 14 tests of turns, owners and hops pass.

--- a/src/lovagesaddle/core/routing/body_turns.py
+++ b/src/lovagesaddle/core/routing/body_turns.py
@@ -196,15 +196,20 @@
     def _decline_hopeless(self, now: float, actions: list[Action]) -> None:
         """Declines at once what would wait for a turn in vain."""
         ahead = self._turn.left_bytes if self._turn is not None else 0
+        bytes_s = self._bytes_s
+        if self._turn is None and len(self._waiting) == 1:
+            # An idle link is tried whatever the last bodies took: only another
+            # one can bring its measured rate up again.
+            bytes_s = max(bytes_s, self._stated_bytes_s)
         kept: list[tuple[int, int, Offered]] = []
         for each in self._waiting:
             offer = each[2]
-            here_at = now + (ahead + offer.body_bytes) / self._bytes_s
+            here_at = now + (ahead + offer.body_bytes) / bytes_s
             if here_at <= offer.latest_at:
                 ahead += offer.body_bytes
                 kept.append(each)
                 continue
-            after_s = max(MIN_RETRY_AFTER_S, ahead / self._bytes_s)
+            after_s = max(MIN_RETRY_AFTER_S, ahead / bytes_s)
             actions.append(
                 Declined(attempt_id=offer.attempt_id, retry_after_s=after_s)
             )
