--- a/tests/test_documents_of_the_platform.py
+++ b/tests/test_documents_of_the_platform.py
@@ -105,6 +105,21 @@
     )
 
 
+def test_rule_that_stands_twice_in_a_host_is_refused() -> None:
+    """Not even two sections of one host may hold it, as digests need that."""
+    document = _make()
+    listener = document["Listeners"][0]
+    document["Listeners"].append(
+        {"Host": listener["Host"], "RouteRules": listener["RouteRules"][:1]}
+    )
+    try:
+        _parse(document)
+    except documents.DocumentError as error:
+        assert "confirm" in error.cause
+    else:
+        raise AssertionError("the document was taken")
+
+
 def test_every_invalid_document_is_refused() -> None:
     """Each way to be invalid gets an error that says what is wrong."""
     rule = ("Listeners", 0, "RouteRules", 1)
