Refuse a document in which one rule of a host stands twice

Cause: prefixes were checked within each section of a host only, so one service could get two routes of the same name, which the digests and the index of routes take for one. Names are now checked where routes are gathered by service, as a prefix that stands twice within a section was before.

--- a/src/lovagesaddle/platform/documents.py
+++ b/src/lovagesaddle/platform/documents.py
@@ -153,6 +153,11 @@
             home = rule.action.service or route.split[0].service
             _check_service(home, rule, routes)
             routes[home].append(route)
+    # One host may stand in several listeners.
+    for name, held in routes.items():
+        _check_unique(
+            f"route of service {name}", (route.name for route in held)
+        )
     return tuple(
         services.Service(
             name=cluster.name,
