--- a/tests/test_documents_of_the_platform.py
+++ b/tests/test_documents_of_the_platform.py
@@ -105,6 +105,16 @@
     )
 
 
+def test_changed_limits_leave_every_route_as_it_is() -> None:
+    """An update for other limits doesn't carry the routes."""
+    document = _make()
+    before = _parse(document)
+    document["Limits"]["MaxBodyBytes"] *= 2
+    after = _parse(document)
+    assert after.limits != before.limits
+    assert after.services == before.services
+
+
 def test_rule_that_stands_twice_in_a_host_is_refused() -> None:
     """Not even two sections of one host may hold it, as digests need that."""
     document = _make()
