Keep the limit on bodies out of the routes of a document

Cause: each route carried the document's limit beside the publication's limits on callers, which the HTTP server holds to already: a body over it is answered 413 by its Content-Length. The routes of a document are now unbounded themselves.

--- a/src/lovagesaddle/platform/documents.py
+++ b/src/lovagesaddle/platform/documents.py
@@ -14,6 +14,8 @@
 MS_PER_S = 1000
 SERIAL_DIGITS = 8
 OPERATOR = "platform"
+# The limits on callers bound each body, and change without the routes.
+UNBOUNDED_BYTES = 2**63 - 1
 
 Text = Annotated[str, msgspec.Meta(min_length=1)]
 Natural = Annotated[int, msgspec.Meta(ge=0)]
@@ -147,7 +149,7 @@
             (rule.match.path_prefix for rule in listener.route_rules),
         )
         for rule in listener.route_rules:
-            route = _convert_route(listener, rule, configuration.limits)
+            route = _convert_route(listener, rule)
             for part in route.split:
                 _check_service(part.service, rule, routes)
             home = rule.action.service or route.split[0].service
@@ -173,9 +175,7 @@
     )
 
 
-def _convert_route(
-    listener: _Listener, rule: _Rule, limits: _Limits
-) -> services.Route:
+def _convert_route(listener: _Listener, rule: _Rule) -> services.Route:
     action = rule.action
     if bool(action.service) == bool(action.weighted_split):
         raise _refuse(f"route {rule.name} needs one of a service and a split")
@@ -195,7 +195,7 @@
         idempotent=rule.route_kind == "idempotent",
         callers=(),
         services=(),
-        max_body_bytes=limits.max_body_bytes,
+        max_body_bytes=UNBOUNDED_BYTES,
         is_open=True,
         target_latency_s=rule.target_latency_ms / MS_PER_S,
         split=tuple(
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.model import services
 from lovagesaddle.http import gateway
 from lovagesaddle.http import lanes
 from lovagesaddle.http import parser
@@ -116,6 +117,25 @@
         assert application.ran == []
 
 
+def test_changed_limit_bounds_the_bodies_that_come_next() -> None:
+    """No route needs to carry the limit on bodies that holds for all."""
+    limits = services.CallerLimits(
+        max_header_bytes=16_384,
+        max_body_bytes=2000,
+        header_timeout_s=3.0,
+        idle_timeout_s=15.0,
+    )
+    line = b"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+    with _serve() as (application, server):
+        server.set_limits(limits)
+        whole = line + b"Content-Length: 2000\r\n\r\n" + b"x" * 2000
+        assert _ask(server, whole).startswith(b"HTTP/1.1 200 ")
+        refused = _ask(server, line + b"Content-Length: 2001\r\n\r\n")
+        assert b" 413 " in refused
+        assert NOT_RUN in refused
+        assert len(application.ran) == 1
+
+
 def test_body_of_exactly_the_limit_is_read() -> None:
     """The limit itself is allowed."""
     with _serve() as (_, server):
