Show that a stop signal waits for the thread that it interrupts

The handler of SIGTERM and SIGINT runs on the replica's own thread and takes the lock of wakes. If that thread holds it, in a handler that a second signal interrupts or while the replica closes, the process waits for itself without end. The test holds the lock as such a thread does; it fails after its limit.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,5 +1,10 @@
 """Tests of whole control replicas on loopback, with real folders."""
 
+from collections.abc import Iterator
+import contextlib
+import signal
+import types
+
 from lovagesaddle.core import errors
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import operator_messages
@@ -70,6 +75,31 @@
         cluster.programs["r1"].stop()
 
 
+def test_stop_signal_during_a_wake_is_taken() -> None:
+    """A handler that interrupts its own thread doesn't wait for it."""
+    with control_cluster.ControlCluster() as cluster:
+        program = cluster.programs["r1"]
+        with _limit_wait(), program._wake_lock:
+            program.stop()
+
+
+@contextlib.contextmanager
+def _limit_wait() -> Iterator[None]:
+    """Fails a wait of the main thread that would not end."""
+    previous = signal.signal(signal.SIGALRM, _fail)
+    signal.setitimer(signal.ITIMER_REAL, control_cluster.WAIT_S)
+    try:
+        yield
+    finally:
+        signal.setitimer(signal.ITIMER_REAL, 0.0)
+        signal.signal(signal.SIGALRM, previous)
+
+
+def _fail(number: int, frame: types.FrameType | None) -> None:
+    del number, frame
+    raise AssertionError("the handler waits for its own thread")
+
+
 def test_failed_disk_stops_the_leader_unanswered() -> None:
     """A leader that can't sync stops and does not answer its publish."""
     disks = {name: test_store.FaultyDisk() for name in NAMES}
