Let a stop signal interrupt a wake of its own thread

What callers saw: nothing yet; a replica that gets SIGINT during its handler of SIGTERM, or SIGTERM while it closes, would hang until it is killed. Cause: the handler takes a lock that its own thread may hold. The lock is now one that its thread may take again; other threads still take turns.

--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -77,7 +77,8 @@
         self._settings = settings
         self._log = logs.get_logger("control")
         self._stopping = threading.Event()
-        self._wake_lock = threading.Lock()
+        # A signal handler may interrupt its own thread while that holds it.
+        self._wake_lock = threading.RLock()
         self._is_closed = False
         self._stack = contextlib.ExitStack()
         try:
