Show that one misfit edit ends every replica

A leader puts an edit that it was sent into the log without a look at it. If the edit doesn't fit the document that it names, each replica stops when it applies the entry, and again after each start, since the entry is committed. One order with a wrong checksum ended replicas of a cluster of three. Followers send such orders, and so may any program that holds an operator's key.

--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,12 +1,14 @@
 """Tests of publishes and reads that any replica carries to the leader."""
 
 from collections.abc import Callable
+import dataclasses
 import threading
 from typing import Any, TypeVar
 
 from returns import result
 
 from lovagesaddle.control import program
+from lovagesaddle.core.configuration import publications
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import documents
 from lovagesaddle.core.model import operator_messages
@@ -92,6 +94,29 @@
         ]
 
 
+def test_edit_that_does_not_fit_is_not_put_into_the_log() -> None:
+    """One malformed order doesn't end every replica."""
+    with control_cluster.ControlCluster() as cluster:
+        leader = cluster.programs[cluster.find_leader()]
+        _publish(leader, _make(7, 0))
+        state = leader._consensus.state
+        edit = publications.shorten(state, _make(8, 7))
+        assert isinstance(edit, commands.EditPublication)
+        assert edit.document is not None
+        damaged = dataclasses.replace(
+            edit,
+            document=dataclasses.replace(
+                edit.document, checksum=edit.document.checksum ^ 1
+            ),
+        )
+        for name in tuple(cluster.programs):
+            request = operator_messages.EditRequest(
+                request_id=f"damaged-{name}", command=damaged
+            )
+            cluster.ask(name, request)
+        assert not cluster.failures
+
+
 def test_replica_without_a_leader_refuses_at_once() -> None:
     """Alone, a replica neither publishes nor reads, and says so."""
     with control_cluster.ControlCluster() as cluster:
