Look at an edit before it goes into the log

What callers saw: nothing yet; an edit that doesn't fit its base would end all replicas for good. Cause: the checksum of an edited document was looked at only when a committed entry was applied. A leader now makes the document of an edit on the publication that it has applied, and refuses one that doesn't follow or whose publication it has not applied yet; an overtaken edit is a conflict as before. Between the look and the entry no other state has that publication, so what passes here passes at each replica. The check when an entry is applied stays.

--- a/src/lovagesaddle/core/configuration/publications.py
+++ b/src/lovagesaddle/core/configuration/publications.py
@@ -1,5 +1,6 @@
 """Publications as edits of the one before, as the log carries them."""
 
+from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import edits
 from lovagesaddle.core.configuration import splices
 from lovagesaddle.core.configuration import state as state_lib
@@ -71,6 +72,27 @@
     )
 
 
+def find_misfit(state: state_lib.State, command: commands.StoredCommand) -> str:
+    """Returns why a command would stop replicas; empty when it would not.
+
+    Args:
+      state: State that the proposing replica has applied.
+      command: What another process wants to have proposed.
+    """
+    if not isinstance(command, commands.EditPublication):
+        return ""
+    if command.edited < state.publication_version:
+        # It has been overtaken for good, so it is not carried out.
+        return ""
+    if command.edited > state.publication_version:
+        return f"publication {command.edited} is not applied here yet"
+    try:
+        _expand_document(state.document, command)
+    except errors.ConsensusError as error:
+        return error.cause
+    return ""
+
+
 def _builds_on_newest(
     state: state_lib.State, command: commands.PublishServices
 ) -> bool:
