Name the module of edits after what it edits

Three modules of edits stood side by side: the data in core/model, the functions on services, and the splices of documents. No change of behaviour.

--- a/src/lovagesaddle/control/state_images.py
+++ b/src/lovagesaddle/control/state_images.py
@@ -10,7 +10,7 @@
 
 from lovagesaddle.core import codec
 from lovagesaddle.core import errors
-from lovagesaddle.core.configuration import edits as edits_lib
+from lovagesaddle.core.configuration import service_edits
 from lovagesaddle.core.configuration import state as state_lib
 from lovagesaddle.core.model import documents
 from lovagesaddle.core.model import edits
@@ -64,7 +64,7 @@
     services = state.snapshot.services
     stored: list[StoredPublication] = []
     for kept in reversed(state.publications):
-        edit = edits_lib.edit_services(services, kept.services)
+        edit = service_edits.edit_services(services, kept.services)
         stored.append(
             StoredPublication(publication=kept.publication, edit=edit)
         )
@@ -99,7 +99,7 @@
     services = stored.snapshot.services
     kept: list[state_lib.KeptPublication] = []
     for publication in stored.publications:
-        services = edits_lib.apply_edit(services, publication.edit)
+        services = service_edits.apply_edit(services, publication.edit)
         kept.append(
             state_lib.KeptPublication(
                 publication=publication.publication, services=services
--- a/src/lovagesaddle/core/configuration/delta.py
+++ b/src/lovagesaddle/core/configuration/delta.py
@@ -6,7 +6,7 @@
 
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import digest
-from lovagesaddle.core.configuration import edits as edits_lib
+from lovagesaddle.core.configuration import service_edits
 from lovagesaddle.core.model import edits
 from lovagesaddle.core.model import services
 from lovagesaddle.core.model import snapshots
@@ -178,7 +178,7 @@
 ) -> tuple[services.Service, ...]:
     by_name = {service.name: service for service in held}
     changed = tuple(
-        edits_lib.apply_service_edit(by_name.get(each.service.name), each)
+        service_edits.apply_service_edit(by_name.get(each.service.name), each)
         for each in change.services
     )
     return merge(held, changed, change.removed_services)
@@ -191,7 +191,7 @@
         return ()
     before = {service.name: service for service in old}
     return tuple(
-        edits_lib.edit_service(before.get(service.name), service)
+        service_edits.edit_service(before.get(service.name), service)
         for service in new
         if (held := before.get(service.name)) is not service and held != service
     )
--- a/src/lovagesaddle/core/configuration/publications.py
+++ b/src/lovagesaddle/core/configuration/publications.py
@@ -1,7 +1,7 @@
 """Publications as edits of the one before, as the log carries them."""
 
 from lovagesaddle.core import errors
-from lovagesaddle.core.configuration import edits
+from lovagesaddle.core.configuration import service_edits
 from lovagesaddle.core.configuration import splices
 from lovagesaddle.core.configuration import state as state_lib
 from lovagesaddle.core.model import commands
@@ -32,7 +32,7 @@
         operator=command.operator,
         base_version=command.base_version,
         edited=newest.publication.version,
-        services=edits.edit_services(newest.services, command.services),
+        services=service_edits.edit_services(newest.services, command.services),
         document=document,
         limits=command.limits,
     )
@@ -66,7 +66,7 @@
         publish_id=stored.publish_id,
         operator=stored.operator,
         base_version=stored.base_version,
-        services=edits.apply_edit(base, stored.services),
+        services=service_edits.apply_edit(base, stored.services),
         document=_expand_document(state.document, stored),
         limits=stored.limits,
     )
--- a/tests/test_edits.py
+++ b/tests/test_service_edits.py
@@ -3,7 +3,7 @@
 import dataclasses
 import random
 
-from lovagesaddle.core.configuration import edits as edits_lib
+from lovagesaddle.core.configuration import service_edits
 from lovagesaddle.core.model import services as services_lib
 from tests import fixtures
 
@@ -15,11 +15,11 @@
     """Whatever changed, an edit turns its base into the very target."""
     for seed in SEEDS:
         source = random.Random(seed)
-        base: edits_lib.Services = ()
+        base: service_edits.Services = ()
         for _ in range(ROUNDS):
             target = _change(base, source)
-            edit = edits_lib.edit_services(base, target)
-            assert edits_lib.apply_edit(base, edit) == target, seed
+            edit = service_edits.edit_services(base, target)
+            assert service_edits.apply_edit(base, edit) == target, seed
             base = target
 
 
@@ -33,8 +33,8 @@
         (dataclasses.replace(first, routes=first.routes[:1] * 2), base[1]),
         (first, first),
     ):
-        edit = edits_lib.edit_services(base, target)
-        assert edits_lib.apply_edit(base, edit) == target
+        edit = service_edits.edit_services(base, target)
+        assert service_edits.apply_edit(base, edit) == target
 
 
 def test_what_did_not_change_is_shared() -> None:
@@ -48,16 +48,16 @@
         ),
         dataclasses.replace(base[1]),
     )
-    edit = edits_lib.edit_services(base, target)
+    edit = service_edits.edit_services(base, target)
     assert [e.service.routes for e in edit.edits] == [(changed,)]
-    result = edits_lib.apply_edit(base, edit)
+    result = service_edits.apply_edit(base, edit)
     assert result[0].routes[1] is base[0].routes[1]
     assert result[1] is base[1]
 
 
 def _change(
-    base: edits_lib.Services, source: random.Random
-) -> edits_lib.Services:
+    base: service_edits.Services, source: random.Random
+) -> service_edits.Services:
     held = {service.name: service for service in base}
     name = f"s{source.randrange(4)}"
     match source.randrange(4):
