--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -3,12 +3,10 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
-import pathlib
 from typing import Self
 
 import zmq
 
-from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import body_turns
@@ -31,6 +29,7 @@
 from lovagesaddle.node import hops
 from lovagesaddle.node import inbound as inbound_lib
 from lovagesaddle.node import local_servers
+from lovagesaddle.node import mesh_secret
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import ports
 from lovagesaddle.node import probes
@@ -312,7 +311,7 @@
     ) -> tuple[server_lib.HttpServer, server_lib.HttpServer]:
         """Returns the servers for callers and for nodes, which may be one."""
         settings = self._settings
-        seal = hop.Seal(_read_secret(settings))
+        seal = hop.Seal(mesh_secret.read(settings))
         entry = self._make_entry(seal)
         if not settings.hop_address:
             everybody = self._make_application(
@@ -392,17 +391,3 @@
         make_retry_policy=make_budget,
         call=call_lib.CallOptions(moves_to_room=True),
     )
-
-
-def _read_secret(settings: schema.NodeSettings) -> bytes:
-    if not settings.mesh_secret_file:
-        _log.warning("mesh_secret_missing", node=settings.node_id)
-        return settings.cluster_id.encode()
-    try:
-        return pathlib.Path(settings.mesh_secret_file).read_bytes().strip()
-    except OSError as error:
-        raise errors.SettingsError(
-            step="read mesh secret",
-            peer=settings.mesh_secret_file,
-            cause=str(error),
-        ) from error
