Wake a closed loop no more, whose descriptors may be others' by now

Cause: the HTTP servers are stopped by the graceful stop and once more when the program ends. The second stop wakes a loop that is closed, by a byte into the number of a pipe that is closed too. Links to the control VMs are opened in between and get that number, so the byte went to one of them; it could as well have gone into a connection. The error of a number that is not in use was passed over, with the case of one that is in use again. Change: the loop is woken under the lock under which it is closed, and never after. Evidence: test_stopped_server_writes_to_no_descriptor_of_others finds the byte in a socket before, and none now.

--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -1,7 +1,6 @@
 """An HTTP server over waitress that stops without cutting a request."""
 
 from collections.abc import Callable
-import contextlib
 import dataclasses
 import functools
 import socket
@@ -138,6 +137,8 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.loop = loop.Loop(self._map)
+        # What the loop runs under it may wake the loop again.
+        self.trigger.lock = threading.RLock()
 
     def run(self) -> None:
         """Serves until every socket is closed."""
@@ -148,10 +149,26 @@
         served = getattr(_serving, "channel", None)
         if served is None:
             self.loop.mark_all()
-            super().pull_trigger()
+            self.wake()
         elif served.needs_loop:
             self.loop.mark(served._fileno)
-            super().pull_trigger()
+            self.wake()
+
+    def wake(self, work: Callable[[], None] | None = None) -> bool:
+        """Wakes the loop, to run `work` on its thread; for any thread.
+
+        Returns:
+          False when the loop is closed, and its descriptors with it: their
+          numbers may belong to something else by now.
+        """
+        # The loop holds this lock while it runs work, such as the closing.
+        with self.trigger.lock:
+            if self.trigger._closed:
+                return False
+            if work is not None:
+                self.trigger.thunks.append(work)
+            self.trigger._physical_pull()
+        return True
 
     def stop_listening(self) -> None:
         """Takes what has connected already, then closes the listener."""
@@ -294,9 +311,8 @@
             finally:
                 done.set()
 
-        # The loop has ended and closed its trigger already on an OSError.
-        with contextlib.suppress(OSError):
-            self._server.trigger.pull_trigger(run)
+        if not self._server.wake(run):
+            done.set()
 
     def _listen(self) -> _Server:
         host, port = sockets.parse_address(self._options.address)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -4,6 +4,7 @@
 from concurrent import futures
 import contextlib
 import io
+import select
 import socket
 import threading
 import types
@@ -22,6 +23,8 @@
 THREADS = 4
 LONG_BYTES = 32 * 1024 * 1024
 GRACE_S = 10.0
+# More than the descriptors that a server closes.
+REUSED_PAIRS = 8
 NOT_RUN = f"{outcomes.OUTCOME_HEADER}: not-run".encode()
 
 
@@ -242,6 +245,24 @@
     assert request.body_s == 1.5
 
 
+def test_stopped_server_writes_to_no_descriptor_of_others() -> None:
+    """Stopping again, or a late wake, leaves reused descriptors alone."""
+    with _serve() as (_, server):
+        server.stop(grace_s=0.0)
+        pairs = [socket.socketpair() for _ in range(REUSED_PAIRS)]
+        try:
+            server.stop(grace_s=0.0)
+            server._server.pull_trigger()
+            ready, _, _ = select.select(
+                [each for pair in pairs for each in pair], [], [], 0.0
+            )
+            assert not ready
+        finally:
+            for pair in pairs:
+                for each in pair:
+                    each.close()
+
+
 def test_request_whose_caller_left_in_the_queue_does_not_run() -> None:
     """A hang-up that the loop has not read yet keeps a request from running."""
     gate = threading.Event()
