Let a failed disk be needed in the test that asks for no answer

Traced: the two other replicas had synced the entry before the leader's own sync failed, and an answer that rests on a majority of sound disks is true and lasting. What is asked is the same: no answer rests on that disk, and the replica ends.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -106,12 +106,16 @@
     with control_cluster.ControlCluster(disks=disks) as cluster:
         cluster.publish("p1", 0)
         leader = cluster.find_leader()
+        # With all three, the two others may accept it without this disk.
+        stopped = next(name for name in NAMES if name != leader)
+        cluster.stop(stopped)
         disks[leader].cause = OSError(5, "Input/output error")
         request = operator_messages.PublishRequest(
             request_id="once", command=control_cluster.make_publish("p2", 0)
         )
         assert cluster.ask(leader, request) is None
         assert isinstance(cluster.wait(leader), errors.StorageError)
+        cluster.start(stopped)
         second = cluster.publish("p2", 0).result
         assert second.outcome is OUTCOME.CONFLICT
 
