--- a/tests/test_publication_cost.py
+++ b/tests/test_publication_cost.py
@@ -63,6 +63,18 @@
         assert seconds < HEARTBEAT_S, f"{sent} bytes"
 
 
+def _wait_until_level(
+    cluster: control_cluster.ControlCluster, leader_id: str, other: str
+) -> None:
+    """Waits until a replica has applied what the leader has."""
+    cluster.wait_until(
+        lambda: (
+            cluster.get_state(other).publication_version
+            == cluster.get_state(leader_id).publication_version
+        )
+    )
+
+
 def test_changes_at_a_follower_delay_the_leaders_heartbeat() -> None:
     """Orders that other replicas take reach the leader within a heartbeat."""
     author = publication_documents.Author(ROUTES)
@@ -73,12 +85,7 @@
         leader = cluster.programs[leader_id]
         forwarder = cluster.programs[other].forwarder
         assert forwarder.publish(first, WAIT_S).unwrap().version
-        cluster.wait_until(
-            lambda: (
-                cluster.get_state(other).publication_version
-                == cluster.get_state(leader_id).publication_version
-            )
-        )
+        _wait_until_level(cluster, leader_id, other)
         before = leader.traffic_bytes
         assert forwarder.publish(second, WAIT_S).unwrap().version
         carried = leader.traffic_bytes - before
@@ -97,12 +104,7 @@
         leader = cluster.programs[leader_id]
         forwarder = cluster.programs[other].forwarder
         assert forwarder.publish(command, WAIT_S).unwrap().version
-        cluster.wait_until(
-            lambda: (
-                cluster.get_state(other).publication_version
-                == cluster.get_state(leader_id).publication_version
-            )
-        )
+        _wait_until_level(cluster, leader_id, other)
         before = leader.traffic_bytes
         newest = forwarder.read_newest(WAIT_S).unwrap()
         carried = leader.traffic_bytes - before
