Serve routes of the kind download

Cause: the platform's decoder knew three kinds, so every document of the further deployment was refused with 400 and no request was served. Change: a download is an idempotent route.

--- a/tests/test_documents_of_the_platform.py
+++ b/tests/test_documents_of_the_platform.py
@@ -105,6 +105,15 @@
     )
 
 
+def test_download_may_run_again() -> None:
+    """Routes of downloads, whose answers are large, are idempotent."""
+    document = _make()
+    rules = document["Listeners"][0]["RouteRules"]
+    rules[0]["RouteKind"] = rules[1]["RouteKind"] = "download"
+    routes = _parse(document).services[1].routes
+    assert [route.idempotent for route in routes] == [True, True]
+
+
 def test_changed_limits_leave_every_route_as_it_is() -> None:
     """A change of the limits leaves the services equal.
 
