Keep every deadline in force after an error in the watchdog

What operators of similar systems saw: one unexpected error takes a process down. Cause here: one thread ends the waits of all requests of a process, and an error while it checks one requester ended the thread. No later request then met its deadline or noticed that its caller had left. By reading, no check raises today; nothing kept one from doing so. Change: the error is logged (watch_failed), that wait keeps its deadline only, and the thread goes on. test_unexpected_error_leaves_every_deadline_in_force failed before.

--- a/src/lovagesaddle/http/watchdog.py
+++ b/src/lovagesaddle/http/watchdog.py
@@ -9,10 +9,13 @@
 import time
 from typing import Self
 
+from lovagesaddle.observability import logs
+
 # A requester that disconnects is noticed within this time at each node of a
 # call, so that an abandoned request frees its slot within half a second.
 SCAN_INTERVAL_S = 0.05
 IDLE_SCANS = 20
+_log = logs.get_logger("watchdog")
 
 
 class EndReason(enum.Enum):
@@ -76,6 +79,10 @@
         elif self._is_gone():
             self.end(EndReason.CANCELLED)
 
+    def ignore_requester(self) -> None:
+        """Leaves only the deadline to end the wait."""
+        self._is_gone = _is_never_gone
+
     def end(self, reason: EndReason) -> None:
         """Ends the wait; later calls have no effect."""
         with self._lock:
@@ -86,6 +93,10 @@
                 self._callback()
 
 
+def _is_never_gone() -> bool:
+    return False
+
+
 def limit_wait(sock: socket.socket, guard: Guard) -> None:
     """Sets the timeout for the next wait on a socket that no watchdog ends.
 
@@ -160,7 +171,7 @@
             guards = tuple(self._guards.values())
             now = time.monotonic()
             for guard in guards:
-                guard.check(now)
+                _check(guard, now)
             idle_scans = 0 if guards else idle_scans + 1
             if self._stopped:
                 return
@@ -175,6 +186,18 @@
             self._wakeup.wait(max(0.0, next_scan_at - time.monotonic()))
 
 
+def _check(guard: Guard, now: float) -> None:
+    """Checks a guard; an unexpected error must not end the watchdog's thread.
+
+    Without the thread no request of the process would meet its deadline.
+    """
+    try:
+        guard.check(now)
+    except Exception as error:
+        _log.error("watch_failed", cause=repr(error))
+        guard.ignore_requester()
+
+
 def plan_next_scan(now: float, deadlines: Iterable[float]) -> float:
     """Returns the monotonic time of the next scan, in seconds.
 
--- a/tests/test_watchdog.py
+++ b/tests/test_watchdog.py
@@ -71,6 +71,23 @@
                 assert _wait(guard) is watchdog.EndReason.DEADLINE
 
 
+def _fail_to_check() -> bool:
+    raise OSError("the connection can't be checked")
+
+
+def test_unexpected_error_leaves_every_deadline_in_force() -> None:
+    """A requester that can't be checked does not end the watchdog's thread.
+
+    The waits of all later requests, and its own, still end at their deadlines.
+    """
+    with watchdog.Watchdog() as guards:
+        for _ in range(2):
+            with guards.watch(
+                deadline=time.monotonic() + SHORT_S, is_gone=_fail_to_check
+            ) as guard:
+                assert _wait(guard) is watchdog.EndReason.DEADLINE
+
+
 def test_requester_that_left_ends_the_wait() -> None:
     """A wait far from its deadline ends when its requester is gone."""
     with (
