--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -16,16 +16,14 @@
 from lovagesaddle.http import answer_budget
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
-from lovagesaddle.http import server as server_lib
-from lovagesaddle.http import thread_pools
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import admin
-from lovagesaddle.node import application
 from lovagesaddle.node import attempt_senders
 from lovagesaddle.node import body_receiver as body_receiver_lib
 from lovagesaddle.node import claims as claims_lib
 from lovagesaddle.node import control_thread
 from lovagesaddle.node import entry as entry_lib
+from lovagesaddle.node import listeners
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import mesh_secret
 from lovagesaddle.node import owned_server
@@ -41,11 +39,6 @@
 from lovagesaddle.observability import metrics as metrics_lib
 from lovagesaddle.settings import schema
 
-ADMIN_THREADS = 2
-MAX_ADMIN_BODY_BYTES = 64 * 1024
-# Space for the headers, which an envelope between nodes contains in addition to
-# the body.
-ENVELOPE_MARGIN_BYTES = 64 * 1024
 LEAVE_TIMEOUT_S = 2.0
 BYTES_PER_MBIT = 125_000
 # Two TCP retransmissions stay unacknowledged only if the link or VM is down.
@@ -148,8 +141,24 @@
         self._claims = claims_lib.Claims(node_id=settings.node_id)
         self._watchdog = watchdog.Watchdog()
         self._limits: services.CallerLimits | None = None
-        self._http, self._hops = self._open_listeners()
-        self._admin = self._listen_admin()
+        signer = hop.EnvelopeSigner(mesh_secret.read(settings))
+        self._http, self._hops = listeners.open_listeners(
+            settings,
+            listeners.RequestHandlers(
+                entry=self._make_entry(signer),
+                owner=self._owner,
+                signer=signer,
+                guards=self._watchdog,
+            ),
+        )
+        self._admin = listeners.open_admin_listener(
+            settings,
+            admin.AdminApplication(
+                servers=self._servers,
+                metrics=self.metrics,
+                read_health=self._read_health,
+            ),
+        )
 
     def __enter__(self) -> Self:
         with contextlib.ExitStack() as stack:
@@ -236,7 +245,7 @@
             self._hops.set_max_body(
                 limits.max_body_bytes
                 + limits.max_header_bytes
-                + ENVELOPE_MARGIN_BYTES
+                + listeners.ENVELOPE_MARGIN_BYTES
             )
         self._claims.install(hashed.snapshot, joined=joined)
         is_first = self._routing.table is None
@@ -319,90 +328,6 @@
             claims_keys=self._settings.claims,
         )
 
-    def _open_listeners(
-        self,
-    ) -> tuple[server_lib.HttpServer, server_lib.HttpServer]:
-        """Opens the server for callers and the server for nodes.
-
-        Both are the same server if the settings have no hop address.
-        """
-        settings = self._settings
-        signer = hop.EnvelopeSigner(mesh_secret.read(settings))
-        entry = self._make_entry(signer)
-        if not settings.hop_address:
-            shared = self._make_application(
-                entry, signer, application.RequestSource.ALL
-            )
-            listener = self._listen(settings.http_address, shared)
-            return listener, listener
-        callers = self._make_application(
-            entry, signer, application.RequestSource.CALLERS
-        )
-        nodes = self._make_application(
-            entry, signer, application.RequestSource.NODES
-        )
-        return (
-            self._listen(settings.http_address, callers),
-            self._listen(settings.hop_address, nodes),
-        )
-
-    def _make_application(
-        self,
-        entry: entry_lib.Entry,
-        signer: hop.EnvelopeSigner,
-        source: application.RequestSource,
-    ) -> application.Application:
-        return application.Application(
-            entry=entry,
-            owner=self._owner,
-            signer=signer,
-            guards=self._watchdog,
-            source=source,
-        )
-
-    def _listen(
-        self, address: str, app: application.Application
-    ) -> server_lib.HttpServer:
-        threads = self._settings.threads
-        dispatcher = thread_pools.PoolDispatcher(
-            threads=dict.fromkeys(
-                (
-                    thread_pools.PoolKind.CALLER,
-                    thread_pools.PoolKind.SERVICE,
-                    thread_pools.PoolKind.OWNER,
-                ),
-                threads,
-            ),
-            classify=application.classify,
-        )
-        return server_lib.HttpServer(
-            application=app,
-            dispatcher=dispatcher,
-            options=server_lib.ServerOptions(
-                address=address,
-                max_body_bytes=self._settings.max_body_bytes
-                + ENVELOPE_MARGIN_BYTES,
-            ),
-        )
-
-    def _listen_admin(self) -> server_lib.HttpServer:
-        dispatcher = thread_pools.PoolDispatcher(
-            threads={thread_pools.PoolKind.CALLER: ADMIN_THREADS},
-            classify=admin.classify,
-        )
-        return server_lib.HttpServer(
-            application=admin.AdminApplication(
-                servers=self._servers,
-                metrics=self.metrics,
-                read_health=self._read_health,
-            ),
-            dispatcher=dispatcher,
-            options=server_lib.ServerOptions(
-                address=self._settings.admin_address,
-                max_body_bytes=MAX_ADMIN_BODY_BYTES,
-            ),
-        )
-
 
 def _make_routing_options(
     settings: schema.NodeSettings,
