Mark only the incarnation down to which a connect failed

Cause: a failed connect marked down whatever incarnation the owner held under the server's ID by then. A server that had just started again at another address was refused until its next sign of life, because an attempt on the ended one failed late.

--- a/src/lovagesaddle/node/owned_server.py
+++ b/src/lovagesaddle/node/owned_server.py
@@ -13,6 +13,9 @@
 from lovagesaddle.core.routing import queues
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import body_receiver as body_receiver_lib
+from lovagesaddle.observability import logs
+
+_log = logs.get_logger("owner")
 
 LimitFactory = Callable[[int], concurrency_limits.LimitPolicy]
 
@@ -101,6 +104,15 @@
         with self.lock:
             self._step(event)
 
+    def mark_down(self) -> None:
+        """Refuses requests, as the server accepts no connection."""
+        with self.lock:
+            if self.down:
+                return
+            self.down = True
+            self._step(admission.ServerDown())
+        _log.warning("server_down", server=self.server.server_id)
+
     def admit(
         self, event: admission.Arrived, guard: watchdog.Guard
     ) -> admission.Admitted | admission.Refused:
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -5,26 +5,22 @@
 import threading
 import time
 
-from returns import result
-
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import admission
 from lovagesaddle.core.routing import body_scheduler
-from lovagesaddle.core.routing import call_chain
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
-from lovagesaddle.http import sockets
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import body_receiver as body_receiver_lib
 from lovagesaddle.node import owned_server
 from lovagesaddle.node import owner_answers
+from lovagesaddle.node import server_exchange
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
 from lovagesaddle.observability import logs
 
 MAX_SEEN_ATTEMPTS = 65_536
-CRASH_CHECK_TIMEOUT_S = 0.2
 MS_PER_S = 1000
 SERVER_UNKNOWN = "server-unknown"
 BODY_LOST = "body-lost"
@@ -53,8 +49,9 @@
         body_receiver: body_receiver_lib.BodyReceiver | None = None,
     ) -> None:
         self._body_receiver = body_receiver
-        self._names = names
-        self._pool = pool
+        self._exchange = server_exchange.ServerExchange(
+            pool=pool, shared_quarantine=shared_quarantine, names=names
+        )
         self._shared_quarantine = shared_quarantine
         self._options = options or owned_server.OwnerOptions()
         self._owned: dict[str, owned_server.OwnedServer] = {}
@@ -108,10 +105,8 @@
     def mark_down(self, server_id: str) -> None:
         """Refuses requests for a server that accepts no connection."""
         owned = self._owned.get(server_id)
-        if owned is not None and not owned.down:
-            owned.down = True
-            owned.step(admission.ServerDown())
-            _log.warning("server_down", server=server_id)
+        if owned is not None:
+            owned.mark_down()
 
     def mark_up(self, server_id: str) -> None:
         """Admits requests again for a server that accepts connections."""
@@ -156,7 +151,7 @@
         if isinstance(running, hop.RunAnswer):
             return running
         owned.start(request.attempt_id, running)
-        return self._send_to_server(request, owned, guard, running)
+        return self._exchange.run(request, owned, guard, running)
 
     def offer(
         self, offer: hop.BodyOffer, guard: watchdog.Guard
@@ -275,119 +270,6 @@
             request.fingerprint, hinted=request.suspect
         )
 
-    def _send_to_server(
-        self,
-        request: hop.RunRequest,
-        owned: owned_server.OwnedServer,
-        guard: watchdog.Guard,
-        running: quarantine.RunningRequest,
-    ) -> hop.RunAnswer:
-        failed = True
-        try:
-            outcome = self._pool.exchange(
-                owned.address,
-                self._format_request(request, owned, guard),
-                guard,
-            )
-            answer = self._make_answer(request, outcome, owned, guard, running)
-            failed = owner_answers.has_failed(answer)
-        finally:
-            owned.finish(request.attempt_id, failed=failed)
-        return answer
-
-    def _make_answer(
-        self,
-        request: hop.RunRequest,
-        outcome: client.ExchangeResult,
-        owned: owned_server.OwnedServer,
-        guard: watchdog.Guard,
-        running: quarantine.RunningRequest,
-    ) -> hop.RunAnswer:
-        match outcome:
-            case result.Success(reply):
-                self._shared_quarantine.clear(request.fingerprint)
-                return owner_answers.make_answer(
-                    request, reply, owned, self._names
-                )
-            case result.Failure(error):
-                return self._handle_failure(
-                    request, error, owned, guard, running
-                )
-        raise AssertionError("unreachable")
-
-    def _format_request(
-        self,
-        request: hop.RunRequest,
-        owned: owned_server.OwnedServer,
-        guard: watchdog.Guard,
-    ) -> client.Request:
-        names = self._names
-        headers = dict(request.headers)
-        if names.deadline_ms in headers:
-            # The entry computed the header's value before the request waited
-            # in the owner's queue.
-            left = call_chain.format_remaining(guard.remaining_s)
-            headers[names.deadline_ms] = left
-        if owned.instance and names.expected_instance:
-            headers[names.expected_instance] = owned.instance
-        return client.Request(
-            method=request.method,
-            target=request.target,
-            headers=headers,
-            body=request.body,
-        )
-
-    def _handle_failure(
-        self,
-        request: hop.RunRequest,
-        error: client.ExchangeError,
-        owned: owned_server.OwnedServer,
-        guard: watchdog.Guard,
-        running: quarantine.RunningRequest,
-    ) -> hop.RunAnswer:
-        if logs.allows_request_line(failed=True):
-            _log.warning(
-                "run_failed",
-                attempt=request.attempt_id,
-                server=request.server_id,
-                step=error.step,
-                kind=error.kind.value,
-                cause=error.cause,
-            )
-        if error.kind is client.FailureKind.NOT_SENT:
-            if guard.remaining_s:
-                self.mark_down(request.server_id)
-            reason = admission.RefusalReason.SERVER_DOWN.value
-            return owner_answers.make_refusal(request, reason, owned)
-        if error.kind is client.FailureKind.CLOSED and self._has_crashed(owned):
-            return self._handle_crash(request, owned, running)
-        return owner_answers.make_failure(request, error.kind, owned)
-
-    def _has_crashed(self, owned: owned_server.OwnedServer) -> bool:
-        """Returns whether a server crashed rather than closed a connection."""
-        return owned.crashed or not sockets.is_listening(
-            owned.address, CRASH_CHECK_TIMEOUT_S
-        )
-
-    def _handle_crash(
-        self,
-        request: hop.RunRequest,
-        owned: owned_server.OwnedServer,
-        running: quarantine.RunningRequest,
-    ) -> hop.RunAnswer:
-        server = owned.server
-        interrupted = owned.mark_crashed()
-        if interrupted is not None:
-            self.mark_down(server.server_id)
-            self._shared_quarantine.record_crash(
-                quarantine.ServerDied(
-                    server_id=server.server_id,
-                    incarnation=server.incarnation,
-                    running=interrupted,
-                )
-            )
-        return owner_answers.make_crash_answer(request, owned, running)
-
     def _register_attempt(self, attempt_id: str) -> bool:
         """Records an attempt; returns False if it was received before."""
         with self._seen_lock:
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,8 +1,11 @@
 """Tests of the owner side of a node."""
 
+from collections.abc import Callable
 import dataclasses
 import time
 
+from returns import result
+
 from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import admission
 from lovagesaddle.core.routing import quarantine
@@ -52,8 +55,60 @@
     )
     server = routing_mesh.make_server(0)
     owner.open(server, "127.0.0.1:1")
-    request = hop.RunRequest(
-        attempt_id="r.1",
+    answer = owner.run(_make_request("r.1"), _make_guard())
+    assert answer.outcome is hop.RunOutcome.REFUSED
+    assert answer.cause == hop.QUARANTINED
+    assert answer.load is not None
+    assert answer.load.running == 0
+
+
+class ReopeningPool(client.ConnectionPool):
+    """Refuses connections; runs `before_refusal` while it connects."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.addresses: list[str] = []
+        self.before_refusal: Callable[[], None] = lambda: None
+
+    def exchange(
+        self, address: str, request: client.Request, guard: watchdog.Guard
+    ) -> client.ExchangeResult:
+        """Returns a failure of an exchange of which nothing was sent."""
+        del request, guard
+        self.addresses.append(address)
+        self.before_refusal()
+        return result.Failure(
+            client.ExchangeError(
+                step="connect",
+                peer=address,
+                cause="refused",
+                kind=client.FailureKind.NOT_SENT,
+            )
+        )
+
+
+def test_failed_connect_to_an_ended_server_leaves_its_successor_up() -> None:
+    """Only the incarnation to which an attempt was sent is marked down."""
+    pool = ReopeningPool()
+    owner = owner_lib.Owner(
+        pool=pool, shared_quarantine=shared_quarantine_lib.SharedQuarantine()
+    )
+    server = routing_mesh.make_server(0)
+    owner.open(server, "127.0.0.1:1")
+    pool.before_refusal = lambda: owner.open(server, "127.0.0.1:2")
+    owner.run(_make_request("r.1"), _make_guard())
+    pool.before_refusal = lambda: None
+    for attempt_id in ("r.2", "r.3"):
+        answer = owner.run(_make_request(attempt_id), _make_guard())
+        assert answer.cause == admission.RefusalReason.SERVER_DOWN.value
+    # The successor is asked once, and is down after its own refusal.
+    assert pool.addresses == ["127.0.0.1:1", "127.0.0.1:2"]
+
+
+def _make_request(attempt_id: str) -> hop.RunRequest:
+    server = routing_mesh.make_server(0)
+    return hop.RunRequest(
+        attempt_id=attempt_id,
         server_id=server.server_id,
         incarnation=server.incarnation,
         method="POST",
@@ -64,12 +119,6 @@
         priority=services.Priority.NORMAL,
         fingerprint=bytes(16),
     )
-    guard = watchdog.Guard(time.monotonic() + 60.0, lambda: False)
-    answer = owner.run(request, guard)
-    assert answer.outcome is hop.RunOutcome.REFUSED
-    assert answer.cause == hop.QUARANTINED
-    assert answer.load is not None
-    assert answer.load.running == 0
 
 
 def _make_guard() -> watchdog.Guard:
@@ -120,19 +169,7 @@
     )
     server = routing_mesh.make_server(0)
     owner.open(server, "127.0.0.1:1")
-    request = hop.RunRequest(
-        attempt_id="r.1",
-        server_id=server.server_id,
-        incarnation=server.incarnation,
-        method="POST",
-        target="/orders",
-        headers=(),
-        body=b"end",
-        remaining_ms=1000,
-        priority=services.Priority.NORMAL,
-        fingerprint=bytes(16),
-        offset=10,
-    )
+    request = dataclasses.replace(_make_request("r.1"), body=b"end", offset=10)
     answer = owner.run(request, _make_guard())
     assert answer.outcome is hop.RunOutcome.REFUSED
     assert answer.cause == owner_lib.BODY_LOST
