Pass over a late failure that names no request

What operators of similar systems saw: a second copy of an answer arrives late on a connection that is in use again, and the next caller gets it. Cause here: only a success had to name its request, so a late failure without an ID was taken for the next request's answer. Change: on a reused connection each answer has to name its request, where backend servers repeat the ID. On a new connection nothing changes. test_late_failure_without_an_id_reaches_no_other_request failed before (the second request got the late 500).

--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -89,8 +89,8 @@
       allows_unframed: Whether the end of the connection may end an answer.
         Such an answer can't be distinguished from a truncated one whose
         connection was closed in an orderly way.
-      requires_request_id: Whether each successful answer must carry the ID of
-        its request.
+      requires_request_id: Whether each successful answer, and each answer on a
+        reused connection, must carry the ID of its request.
       unacknowledged_s: Time in seconds that sent data may stay unacknowledged
         before the connection is closed (TCP_USER_TIMEOUT); 0 relies on the
         deadline alone.
@@ -201,8 +201,14 @@
                 return
         connection.close()
 
-    def _find_mismatch(self, request: Request, head: responses.Head) -> str:
-        """Returns why an answer is not to the request; empty if it is."""
+    def _find_mismatch(
+        self, request: Request, head: responses.Head, *, is_reused: bool
+    ) -> str:
+        """Returns why an answer is not to the request; empty if it is.
+
+        On a reused connection, a failure without an ID may be a second answer
+        to an earlier request.
+        """
         own = request.headers.get(self._request_id_header)
         if own is None:
             return ""
@@ -212,7 +218,7 @@
                 return f"answer is to request {value}, not to {own}"
             return ""
         is_success = head.status < http.HTTPStatus.MULTIPLE_CHOICES
-        if self._requires_request_id and is_success:
+        if self._requires_request_id and (is_success or is_reused):
             return f"answer does not name request {own}"
         return ""
 
@@ -268,7 +274,7 @@
         """
         for left in range(late, -1, -1):
             head = reader.read_head()
-            mismatch = self._find_mismatch(request, head)
+            mismatch = self._find_mismatch(request, head, is_reused=bool(late))
             if mismatch and (not left or head.closes):
                 raise _fail(
                     "check answer", address, mismatch, FailureKind.MALFORMED
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -245,6 +245,45 @@
     assert bodies == [b"1.", b"2."]
 
 
+def test_late_failure_without_an_id_reaches_no_other_request() -> None:
+    """On a reused connection, a failure that names no request is not taken.
+
+    It may be a second answer to the request before.
+    """
+    own = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nRequest-Id: %b\r\n\r\n%b"
+    late = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
+
+    def serve(listener: socket.socket) -> None:
+        accepted, _ = listener.accept()
+        with accepted:
+            accepted.recv(65536)
+            accepted.sendall(own % (b"one", b"1"))
+            accepted.recv(65536)
+            accepted.sendall(late)
+            accepted.sendall(own % (b"two", b"2"))
+
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        futures.ThreadPoolExecutor(1) as pool,
+        client.ConnectionPool(requires_request_id=True) as connections,
+    ):
+        served = pool.submit(serve, listener)
+        host, port = listener.getsockname()
+        replies = []
+        for request_id in ("one", "two"):
+            request = client.Request(
+                method="GET",
+                target="/",
+                headers={call_chain.REQUEST_ID_HEADER: request_id},
+                body=b"",
+            )
+            guard = watchdog.Guard(time.monotonic() + LONG_S, lambda: False)
+            found = connections.exchange(f"{host}:{port}", request, guard)
+            replies.append(found.unwrap())
+        served.result()
+    assert [(r.status, r.body) for r in replies] == [(200, b"1"), (200, b"2")]
+
+
 def _serve_raw(listener: socket.socket, answer: bytes) -> None:
     accepted, _ = listener.accept()
     with accepted:
