Send no request whose deadline has passed

What operators of similar systems saw: a process that had been paused acted on a permission that had run out meanwhile. Cause here: only the watchdog's thread compared a watched wait with its deadline. After a pause another thread may go on first, and sent the request on a kept connection although its caller had an answer by then.

--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -136,6 +136,13 @@
           request: What to send.
           guard: Bounds the exchange; its end closes the connection.
         """
+        if not guard.remaining_s:
+            # The guard's own thread may not have run since a pause of the
+            # process, so the time is checked here too.
+            cause = "the wait has ended"
+            return result.Failure(
+                _fail("connect", address, cause, FailureKind.NOT_SENT)
+            )
         try:
             connection, is_reused = self._acquire(address, guard)
         except OSError as error:
@@ -172,7 +179,7 @@
             idle.connection.close()
         host, port = sockets.parse_address(address)
         timeout_s = min(CONNECT_TIMEOUT_S, guard.remaining_s)
-        if timeout_s <= 0:
+        if not timeout_s:
             raise TimeoutError("no time is left to connect")
         connection = http.client.HTTPConnection(host, port, timeout=timeout_s)
         connection.connect()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 import time
+from unittest import mock
 
 from bench import backend
 from bench import stand_in
@@ -284,6 +285,35 @@
     assert [(r.status, r.body) for r in replies] == [(200, b"1"), (200, b"2")]
 
 
+def test_request_is_not_sent_after_its_deadline() -> None:
+    """A process that was paused past a deadline sends nothing afterwards.
+
+    The thread that ends waits may not have run yet when the sender goes on.
+    The failure proves that the request did not run.
+    """
+    runs: list[str] = []
+
+    def record(_: stand_in.State, event: str, __: str, attempt: str) -> None:
+        if event == "start":
+            runs.append(attempt)
+
+    with (
+        _open_server() as server,
+        client.ConnectionPool() as pool,
+        mock.patch.object(stand_in.State, "record", record),
+        mock.patch.object(watchdog.Watchdog, "_run"),
+        watchdog.Watchdog() as guards,
+    ):
+        _exchange(pool, server, "first").unwrap()
+        with guards.watch(
+            deadline=time.monotonic(), is_gone=lambda: False
+        ) as guard:
+            overdue = _exchange(pool, server, "overdue", guard=guard)
+        _exchange(pool, server, "last").unwrap()
+    assert _get_kind(overdue) is client.FailureKind.NOT_SENT
+    assert runs == ["first", "last"]
+
+
 def _serve_raw(listener: socket.socket, answer: bytes) -> None:
     accepted, _ = listener.accept()
     with accepted:
