Close no connection whose request is not read yet

What operators of similar systems saw: during a planned stop under load, requests that had just been accepted were cut off without an answer. Cause here: a stop closes connections that were idle for 0.3 s, and the regular cleanup those beyond the idle timeout. When the loop was held up for that long, a request was waiting in the kernel and its connection was closed before the loop read it. Change: both leave a connection with unread input to the loop. test_request_that_arrived_during_a_pause_is_answered failed before (connection reset by peer).

--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -133,6 +133,15 @@
         """Whether no request is being read, run or answered."""
         return not (self.requests or self.request or self.total_outbufs_len)
 
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether bytes have arrived that the loop has not read.
+
+        After a pause of the process, a connection may seem idle for long
+        although a request has arrived.
+        """
+        return not sockets.has_no_input(self.socket)
+
 
 class _Server(server.TcpWSGIServer):  # type: ignore[misc]
     channel_class = _Channel
@@ -190,10 +199,28 @@
     def close_idle(self, idle_since: float) -> None:
         """Closes connections without a request since `idle_since`."""
         for connection in tuple(self.active_channels.values()):
-            if connection.idle and connection.last_activity < idle_since:
+            if (
+                connection.idle
+                and connection.last_activity < idle_since
+                and not connection.has_unread_input
+            ):
                 connection.will_close = True
         self.loop.mark_all_changed()
 
+    def maintenance(self, now: float) -> None:
+        """Closes connections that were idle or sent no whole request for long.
+
+        Unlike waitress's method, it leaves one whose input is not read yet.
+        """
+        overdue_since = now - self.adj.channel_timeout
+        for connection in tuple(self.active_channels.values()):
+            if (
+                not connection.requests
+                and connection.last_activity < overdue_since
+                and not connection.has_unread_input
+            ):
+                connection.will_close = True
+
     def close_all(self) -> None:
         """Closes every connection, also those with open requests."""
         for connection in tuple(self.active_channels.values()):
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,9 +1,10 @@
 """Tests of the HTTP server: framing, limits and graceful stops."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent import futures
 import contextlib
 import io
+import math
 import select
 import socket
 import threading
@@ -203,6 +204,37 @@
         assert stopped.result()
 
 
+def test_request_that_arrived_during_a_pause_is_answered() -> None:
+    """An idle connection whose request is not read yet is not closed.
+
+    The process was paused; when it goes on, a planned stop or the regular
+    cleanup looks for idle connections before the request is read.
+    """
+    for sweep in (
+        lambda server: server.close_idle(math.inf),
+        lambda server: server.maintenance(math.inf),
+    ):
+        with _serve() as (application, server), _connect(server) as caller:
+            inner = server._server
+            channels = inner.active_channels
+            nodes.wait_for(channels.__len__, "the connection")
+            resumed = threading.Event()
+
+            def pause(
+                sweep: Callable[[Any], None] = sweep,
+                inner: Any = inner,
+                resumed: threading.Event = resumed,
+            ) -> None:
+                resumed.wait(nodes.WAIT_S)
+                sweep(inner)
+
+            inner.wake(pause)
+            caller.sendall(b"GET /late HTTP/1.1\r\nHost: a\r\n\r\n")
+            resumed.set()
+            assert b" 200 " in caller.recv(65536)
+            assert application.ran == ["/late"]
+
+
 def test_full_pools_refuse_instead_of_queueing() -> None:
     """Requests beyond the queue of a pool are served by the refusal pool."""
     seen: list[bool] = []
