Refuse a malformed load in a health answer

Cause here: after a restart of its node a server is found through its health answer. A number of slots such as a superscript two passes str.isdigit and not int, and the error ended the thread that looks for the server. A number beyond 64 bits ended the thread that sends it to control. Change: the number is checked as ASCII digits from 1 to the most slots that a heartbeat may state, which is one constant now. test_malformed_load_does_not_end_the_discovery failed before.

--- a/src/lovagesaddle/node/server_discovery.py
+++ b/src/lovagesaddle/node/server_discovery.py
@@ -103,11 +103,8 @@
     ) -> local_servers.Announcement | None:
         instance = _find_header(reply, self._names.instance)
         load = _find_header(reply, self._names.server_load)
-        slots = load.rpartition(",")[2].strip()
-        is_described = (
-            bool(instance) and load.count(",") == SERVER_LOAD_FIELDS - 1
-        )
-        if reply.status != 200 or not (is_described and slots.isdigit()):
+        slots = _parse_slots(load)
+        if reply.status != 200 or not (instance and slots):
             _log.info(
                 "server_not_found",
                 address=self._address,
@@ -119,13 +116,27 @@
         return local_servers.Announcement(
             service=self._service,
             address=self._address,
-            slots=int(slots),
-            connections=int(slots),
+            slots=slots,
+            connections=slots,
             instance=instance,
             is_warm=True,
         )
 
 
+def _parse_slots(load: str) -> int:
+    """Returns the slots that a load header states; 0 if it is malformed."""
+    fields = load.split(",")
+    text = fields[-1].strip()
+    if len(fields) != SERVER_LOAD_FIELDS or len(text) > len(
+        str(local_servers.MAX_SLOTS)
+    ):
+        return 0
+    if not (text.isascii() and text.isdigit()):
+        return 0
+    slots = int(text)
+    return slots if slots <= local_servers.MAX_SLOTS else 0
+
+
 def _find_header(reply: client.Reply, name: str) -> str:
     """Returns the first value of a header; empty if there is none."""
     values = headers_lib.get_all(reply.headers, name.lower())
--- a/src/lovagesaddle/platform/heartbeats.py
+++ b/src/lovagesaddle/platform/heartbeats.py
@@ -11,7 +11,7 @@
 from lovagesaddle.core import errors
 from lovagesaddle.node import local_servers
 
-Count = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=local_servers.MAX_SLOTS)]
 Address = Annotated[
     str, msgspec.Meta(pattern=r"^[0-9]+(\.[0-9]+){3}:[0-9]{1,5}$")
 ]
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,6 +4,7 @@
 import contextlib
 import http.server
 import threading
+from typing import ClassVar
 from unittest import mock
 
 from lovagesaddle.node import server_discovery
@@ -16,11 +17,14 @@
 
 
 class _HealthHandler(http.server.BaseHTTPRequestHandler):
+    loads: ClassVar[list[str]] = []
+
     def do_GET(self) -> None:
         """Answers as a healthy server of four slots."""
         self.send_response(200)
         self.send_header(platform_headers.HEADERS.instance, "i-1")
-        self.send_header(platform_headers.HEADERS.server_load, "0,0,4")
+        load = self.loads.pop(0) if self.loads else "0,0,4"
+        self.send_header(platform_headers.HEADERS.server_load, load)
         self.send_header("Content-Length", "0")
         self.end_headers()
 
@@ -73,6 +77,32 @@
             )
 
 
+def test_malformed_load_does_not_end_the_discovery() -> None:
+    """A server whose answers become sound is found after malformed ones."""
+    malformed = ["0,0,\u00b2", "0,0," + "9" * 5000, "0,0,0", "0,0,100001"]
+    with (
+        nodes.Mesh(nodes.make_service()) as mesh,
+        mock.patch.object(_HealthHandler, "loads", malformed),
+        _run_server() as address,
+    ):
+        node = mesh.start("n0", probe=False)
+        with server_discovery.ServerDiscovery(
+            heartbeats=node.heartbeats,
+            service=SERVICE,
+            address=address,
+            names=platform_headers.HEADERS,
+            find_health_path=lambda _: "/health",
+            poll_interval_s=0.01,
+        ):
+            nodes.wait_for(
+                lambda: not node.heartbeats.needs_discovery(SERVICE),
+                "the server to be found",
+            )
+        (server,) = mesh.control.snapshot.servers
+    assert server.slots == 4
+    assert not malformed
+
+
 def test_only_the_join_wakes_the_discovery() -> None:
     """A burst of new configurations does not poll a server that is down."""
     with (
