Keep timers and messages going after an unexpected error

Cause: an exception in a function of a timer (claims, discovery, probes) or in the handler of a message between nodes ended its thread, and the process went on without it: a node whose control thread had ended followed no configuration any more. Change: both log the error and go on. The bound on slots of the admin address is the same constant now.

--- a/src/lovagesaddle/node/admin.py
+++ b/src/lovagesaddle/node/admin.py
@@ -13,7 +13,7 @@
 from lovagesaddle.observability import metrics as metrics_lib
 from lovagesaddle.settings import schema
 
-Count = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=local_servers.MAX_SLOTS)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]+$")]
 
 
--- a/src/lovagesaddle/node/control_thread.py
+++ b/src/lovagesaddle/node/control_thread.py
@@ -18,6 +18,7 @@
 from lovagesaddle.core.model import peers
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.node import ports
+from lovagesaddle.observability import logs
 from lovagesaddle.settings import schema
 from lovagesaddle.transport import endpoint as endpoint_lib
 from lovagesaddle.transport import keys as keys_lib
@@ -27,6 +28,7 @@
 TICK_S = 0.05
 START_ID_BYTES = 8
 STOP_TIMEOUT_S = 5.0
+_log = logs.get_logger("control")
 _CHANNEL = endpoint_lib.Channel.DISTRIBUTION
 
 Handler = Callable[[str, bytes], None]
@@ -220,7 +222,7 @@
         if received.channel is not _CHANNEL:
             handler = self._handlers.get(received.channel)
             if handler is not None:
-                handler(received.sender_id, received.data)
+                self._handle(handler, received)
             return
         self._step(
             events.FrameReceived(
@@ -230,6 +232,20 @@
             )
         )
 
+    def _handle(
+        self, handler: Handler, received: endpoint_lib.Received
+    ) -> None:
+        """Passes a message to its handler; its errors don't end the thread."""
+        try:
+            handler(received.sender_id, received.data)
+        except Exception as error:
+            _log.error(
+                "message_failed",
+                channel=received.channel.name,
+                peer=received.sender_id,
+                cause=repr(error),
+            )
+
     def _step(self, event: events.NodeEvent) -> None:
         for action in self._agent.step(event, time.monotonic()):
             self._execute(action)
--- a/src/lovagesaddle/ticker.py
+++ b/src/lovagesaddle/ticker.py
@@ -4,11 +4,16 @@
 import threading
 from typing import Self
 
+from lovagesaddle.observability import logs
+
+_log = logs.get_logger("ticker")
+
 
 class Ticker:
     """Calls a function at intervals while its context is open.
 
-    Leaving the context waits for a call in progress.
+    Leaving the context waits for a call in progress. A call that raises an
+    exception is logged, and the next one follows as usual.
 
     Args:
       name: Name of the thread.
@@ -50,4 +55,11 @@
             self._wake_event.clear()
             if self._is_stopped:
                 return
-            self._work()
+            try:
+                self._work()
+            except Exception as error:
+                _log.error(
+                    "tick_failed",
+                    ticker=self._thread.name,
+                    cause=repr(error),
+                )
--- a/tests/test_control_half.py
+++ b/tests/test_control_half.py
@@ -183,30 +183,11 @@
 
 def test_nodes_send_to_each_other_and_spread_marks() -> None:
     """A message reaches the node's handler; a mark reaches all other nodes."""
+    received_messages: list[tuple[str, bytes]] = []
     with contextlib.ExitStack() as stack:
-        context = stack.enter_context(zmq.Context())
-        control = Control(context)
-        stack.callback(control.stop)
-        sinks = [Sink(), Sink()]
-        received_messages: list[tuple[str, bytes]] = []
-        threads = []
-        for number, sink in enumerate(sinks):
-            thread = control_thread.ControlThread(
-                settings=_make_settings(f"n{number}", control.endpoint.address),
-                http_address="127.0.0.1:1",
-                sink=sink,
-                context=context,
-            )
-            thread.subscribe(
-                endpoint.Channel.CLAIMS,
-                lambda sender, data: received_messages.append((sender, data)),
-            )
-            threads.append(stack.enter_context(thread))
-        wait(
-            lambda: all(
-                sink.installed and len(sink.installed[-1].snapshot.nodes) == 2
-                for sink in sinks
-            )
+        threads, sinks = _start_pair(
+            stack,
+            lambda sender, data: received_messages.append((sender, data)),
         )
         assert threads[0].send("n1", endpoint.Channel.CLAIMS, b"claim")
         assert not threads[0].send("n9", endpoint.Channel.CLAIMS, b"claim")
@@ -219,4 +200,50 @@
         threads[0].stop()
 
 
+def test_unexpected_error_does_not_end_the_thread() -> None:
+    """A node goes on to follow after the handler of a message failed."""
+    received_messages: list[bytes] = []
+
+    def receive(sender_id: str, data: bytes) -> None:
+        del sender_id
+        received_messages.append(data)
+        raise ValueError("the message can't be handled")
+
+    with contextlib.ExitStack() as stack:
+        threads, sinks = _start_pair(stack, receive)
+        for data in (b"1", b"2"):
+            assert threads[0].send("n1", endpoint.Channel.CLAIMS, data)
+        wait(lambda: received_messages == [b"1", b"2"])
+        sinks[1].installed.clear()
+        threads[0].announce_server(mesh.make_server("n0"))
+        wait(lambda: bool(sinks[1].installed))
+
+
+def _start_pair(
+    stack: contextlib.ExitStack, receive: control_thread.Handler
+) -> tuple[list[control_thread.ControlThread], list["Sink"]]:
+    """Starts two nodes that have joined, and their control."""
+    context = stack.enter_context(zmq.Context())
+    control = Control(context)
+    stack.callback(control.stop)
+    sinks = [Sink(), Sink()]
+    threads = []
+    for number, sink in enumerate(sinks):
+        thread = control_thread.ControlThread(
+            settings=_make_settings(f"n{number}", control.endpoint.address),
+            http_address="127.0.0.1:1",
+            sink=sink,
+            context=context,
+        )
+        thread.subscribe(endpoint.Channel.CLAIMS, receive)
+        threads.append(stack.enter_context(thread))
+    wait(
+        lambda: all(
+            sink.installed and len(sink.installed[-1].snapshot.nodes) == 2
+            for sink in sinks
+        )
+    )
+    return threads, sinks
+
+
 load_tests = fixtures.collect(__name__)
--- a/tests/test_ticker.py
+++ b/tests/test_ticker.py
@@ -46,4 +46,17 @@
     assert calls == [0]
 
 
+def test_unexpected_error_does_not_end_the_calls() -> None:
+    """A function that raises an exception is called again."""
+    done = threading.Semaphore(0)
+
+    def work() -> None:
+        done.release()
+        raise ValueError("unexpected")
+
+    with ticker.Ticker(name="t", interval_s=0.001, work=work):
+        for _ in range(3):
+            assert done.acquire(timeout=WAIT_S)
+
+
 load_tests = fixtures.collect(__name__)
