Share the maker of attempts between the tests of the owner and its callers

Cause: two tests built the same run request, each in its own way. Change: routing_mesh.make_run_request.

--- a/tests/routing_mesh.py
+++ b/tests/routing_mesh.py
@@ -6,6 +6,7 @@
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import call_chain
 from lovagesaddle.core.routing import table
+from lovagesaddle.http import hop
 
 HOST = "desk.example"
 TOKEN = "sha256:" + "a" * 64
@@ -84,6 +85,23 @@
     )
 
 
+def make_run_request(attempt_id: str) -> hop.RunRequest:
+    """Returns an attempt on the server of node `n0`."""
+    server = make_server(0)
+    return hop.RunRequest(
+        attempt_id=attempt_id,
+        server_id=server.server_id,
+        incarnation=server.incarnation,
+        method="POST",
+        target="/orders",
+        headers=(),
+        body=b"",
+        remaining_ms=1000,
+        priority=services.Priority.NORMAL,
+        fingerprint=bytes(16),
+    )
+
+
 def make_snapshot(
     *routes: services.Route, count: int = 3, version: int = 7
 ) -> snapshots.Snapshot:
--- a/tests/test_attempt_senders.py
+++ b/tests/test_attempt_senders.py
@@ -4,7 +4,6 @@
 
 from returns import result
 
-from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import call_events
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.http import client
@@ -14,27 +13,17 @@
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
 from tests import fixtures
+from tests import routing_mesh
 
 SIGNER = hop.EnvelopeSigner(b"secret")
+OWNED = routing_mesh.make_server(0)
 SERVER = table_lib.Candidate(
-    server_id="n1/desk",
-    incarnation=1,
-    node_id="n1",
+    server_id=OWNED.server_id,
+    incarnation=OWNED.incarnation,
+    node_id=OWNED.node_id,
     http_address="127.0.0.1:1",
     failure_domain="a",
-    slots=4,
-)
-REQUEST = hop.RunRequest(
-    attempt_id="r.2",
-    server_id=SERVER.server_id,
-    incarnation=SERVER.incarnation,
-    method="GET",
-    target="/",
-    headers=(),
-    body=b"",
-    remaining_ms=1000,
-    priority=services.Priority.NORMAL,
-    fingerprint=bytes(16),
+    slots=OWNED.slots,
 )
 
 
@@ -58,7 +47,7 @@
     """An owner's answer that names another attempt proves nothing."""
     pool = LateOwnerPool()
     sender = attempt_senders.HttpAttemptSender(
-        node_id="n0",
+        node_id="n1",
         owner=owner_lib.Owner(
             pool=pool,
             shared_quarantine=shared_quarantine_lib.SharedQuarantine(),
@@ -67,7 +56,7 @@
         signer=SIGNER,
     )
     guard = watchdog.Guard(time.monotonic() + 60.0, lambda: False)
-    outcome = sender.send(SERVER, REQUEST, guard)
+    outcome = sender.send(SERVER, routing_mesh.make_run_request("r.2"), guard)
     error = outcome.failure()
     assert error.kind is client.FailureKind.MALFORMED
     ending = attempt_senders.classify_error(error)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -55,7 +55,7 @@
     )
     server = routing_mesh.make_server(0)
     owner.open(server, "127.0.0.1:1")
-    answer = owner.run(_make_request("r.1"), _make_guard())
+    answer = owner.run(routing_mesh.make_run_request("r.1"), _make_guard())
     assert answer.outcome is hop.RunOutcome.REFUSED
     assert answer.cause == hop.QUARANTINED
     assert answer.load is not None
@@ -96,31 +96,17 @@
     server = routing_mesh.make_server(0)
     owner.open(server, "127.0.0.1:1")
     pool.before_refusal = lambda: owner.open(server, "127.0.0.1:2")
-    owner.run(_make_request("r.1"), _make_guard())
+    owner.run(routing_mesh.make_run_request("r.1"), _make_guard())
     pool.before_refusal = lambda: None
     for attempt_id in ("r.2", "r.3"):
-        answer = owner.run(_make_request(attempt_id), _make_guard())
+        answer = owner.run(
+            routing_mesh.make_run_request(attempt_id), _make_guard()
+        )
         assert answer.cause == admission.RefusalReason.SERVER_DOWN.value
     # The successor is asked once, and is down after its own refusal.
     assert pool.addresses == ["127.0.0.1:1", "127.0.0.1:2"]
 
 
-def _make_request(attempt_id: str) -> hop.RunRequest:
-    server = routing_mesh.make_server(0)
-    return hop.RunRequest(
-        attempt_id=attempt_id,
-        server_id=server.server_id,
-        incarnation=server.incarnation,
-        method="POST",
-        target="/orders",
-        headers=(),
-        body=b"",
-        remaining_ms=1000,
-        priority=services.Priority.NORMAL,
-        fingerprint=bytes(16),
-    )
-
-
 def _make_guard() -> watchdog.Guard:
     return watchdog.Guard(time.monotonic() + 60.0, lambda: False)
 
@@ -169,7 +155,9 @@
     )
     server = routing_mesh.make_server(0)
     owner.open(server, "127.0.0.1:1")
-    request = dataclasses.replace(_make_request("r.1"), body=b"end", offset=10)
+    request = dataclasses.replace(
+        routing_mesh.make_run_request("r.1"), body=b"end", offset=10
+    )
     answer = owner.run(request, _make_guard())
     assert answer.outcome is hop.RunOutcome.REFUSED
     assert answer.cause == owner_lib.BODY_LOST
