List which tests guard against the faults that other operators reported

Cause: six faults are to be looked for; no page said which test covers which, nor what none covers. Change: a third part of docs/promises.md, rendered by tools.promises, with what is not covered.

--- a/tools/promises.py
+++ b/tools/promises.py
@@ -39,11 +39,13 @@
       tag: Tag of its scenarios.
       text: Statement of the promise or fault.
       tests: Names of the test functions that check it.
+      limits: What the tests don't cover; empty if nothing is known.
     """
 
     tag: str
     text: str
     tests: tuple[str, ...]
+    limits: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -230,6 +232,102 @@
 )
 
 
+# Faults that operators of similar systems reported.
+REPORTED = (
+    Subject(
+        tag="reported:late-answer",
+        text="A late second answer reaches the next caller of a connection.",
+        limits=(
+            "Backend servers that don't repeat the request ID: there, only an"
+            " answer that came before the next request was sent is told apart."
+        ),
+        tests=(
+            "test_late_second_answer_is_passed_over",
+            "test_late_failure_without_an_id_reaches_no_other_request",
+            "test_trailing_answer_reaches_no_other_request",
+            "test_late_answer_closes_its_connection",
+            "test_answer_to_another_attempt_reaches_no_caller",
+        ),
+    ),
+    Subject(
+        tag="reported:cut-at-stop",
+        text=(
+            "A planned stop under load cuts off requests that had just been"
+            " accepted."
+        ),
+        tests=(
+            "test_request_that_arrived_during_a_pause_is_answered",
+            "test_stop_answers_what_it_holds",
+            "test_planned_stop_cuts_nothing",
+            "test_planned_stop_of_a_node_cuts_nothing",
+            "test_shut_down_finishes_what_runs",
+        ),
+    ),
+    Subject(
+        tag="reported:back-after-restart",
+        text=(
+            "After a restart of a process, a server that had left, or a"
+            " withdrawn key, is in use again."
+        ),
+        tests=(
+            "test_late_heartbeat_does_not_restore_a_leaving_server",
+            "test_server_that_left_meanwhile_is_not_discovered",
+            "test_acks_of_an_earlier_incarnation_renew_nothing",
+            "test_join_older_than_a_restart_is_dropped",
+            "test_nothing_older_than_the_join_is_installed",
+            "test_a_restarted_node_does_not_go_back_to_a_stale_replica",
+            "test_two_keys_are_valid_during_a_rotation",
+        ),
+    ),
+    Subject(
+        tag="reported:both-act",
+        text="Around a hand-over, two processes act, and orders go out twice.",
+        tests=(
+            "test_resend_across_a_leader_crash_gets_the_same_version",
+            "test_resend_after_the_leader_stopped_gets_the_same_version",
+            "test_leader_that_was_cut_off_never_answers_a_read",
+            "test_minority_leader_steps_down",
+            "test_claim_of_the_old_epoch_is_refused_during_a_handover",
+            "test_of_two_processes_with_one_name_the_later_one_stays",
+            "test_schedules_of_faults_break_no_promise",
+        ),
+    ),
+    Subject(
+        tag="reported:lapsed-permission",
+        text="A process that was paused acts on a permission that ran out.",
+        limits=(
+            "A VM whose steady clock stands still while it is suspended: its"
+            " deadlines go on from where they stood."
+        ),
+        tests=(
+            "test_request_is_not_sent_after_its_deadline",
+            "test_votes_that_a_paused_process_counts_late_decide_nothing",
+            "test_claim_granted_too_late_does_not_run",
+            "test_request_whose_caller_left_in_the_queue_does_not_run",
+            "test_failed_connect_to_an_ended_server_leaves_its_successor_up",
+        ),
+    ),
+    Subject(
+        tag="reported:one-bad-message",
+        text="A malformed message or unexpected error ends a whole process.",
+        limits=(
+            "An unexpected error in a replica's consensus ends the replica, and"
+            " one while a node installs a version ends its control thread."
+        ),
+        tests=(
+            "test_unexpected_error_leaves_every_deadline_in_force",
+            "test_unexpected_error_does_not_end_the_calls",
+            "test_unexpected_error_does_not_end_the_thread",
+            "test_malformed_load_does_not_end_the_discovery",
+            "test_absurd_messages_of_nodes_end_no_replica",
+            "test_absurd_messages_of_operators_end_no_replica",
+            "test_damaged_frames_end_no_replica",
+            "test_edit_that_does_not_fit_is_not_put_into_the_log",
+        ),
+    ),
+)
+
+
 def render_page() -> str:
     """Returns the text of docs/promises.md.
 
@@ -239,7 +337,11 @@
     scenarios = list_scenarios()
     tests = list_tests()
     parts = [_INTRO]
-    for title, subjects in (("Promises", PROMISES), ("Faults", FAULTS)):
+    for title, subjects in (
+        ("Promises", PROMISES),
+        ("Faults", FAULTS),
+        ("Faults that operators of similar systems reported", REPORTED),
+    ):
         parts.append(f"## {title}\n")
         parts += [
             _render_subject(subject, scenarios, tests) for subject in subjects
@@ -271,6 +373,8 @@
         if name not in tests:
             raise MissingTestError(f"test {name} does not exist in tests/")
         lines.append(f"- test: `{name}`")
+    if subject.limits:
+        lines += ["", f"Not covered: {subject.limits}"]
     return "\n".join([*lines, ""])
 
 
