Log what backend servers state and count what owners send them

Cause: the evidence of the exceeded limit can't tell a limit that nobody reads from one that requests pass by: no line says when a server states a limit, and attempts are counted at the entry only. Change: the owner parses Server-Limit and Server-Leaving of each answer and logs server_stated when they change, with the header as received; metrics server_requests_total and server_rate_limit at the owner's node. Nothing is decided by it yet.

--- a/src/lovagesaddle/core/routing/header_names.py
+++ b/src/lovagesaddle/core/routing/header_names.py
@@ -22,6 +22,10 @@
         answers to health checks.
       server_load: Header with the number of requests that a backend server
         runs, the number that wait, and its slots.
+      rate_limit: Headers, in lower case, in which a backend server states how
+        many requests a second it takes from all nodes together.
+      leaving: Headers, in lower case, in which a backend server states that it
+        takes no new requests.
       passes_credentials: Whether nodes pass a caller's Authorization header
         on to backend servers.
       echoes_request_id: Whether backend servers repeat the request ID in
@@ -39,6 +43,8 @@
     not_run: str = "Request-Not-Run"
     instance: str = "Server-Instance"
     server_load: str = "Server-Load"
+    rate_limit: frozenset[str] = frozenset({"server-limit"})
+    leaving: frozenset[str] = frozenset({"server-leaving"})
     passes_credentials: bool = False
     echoes_request_id: bool = False
     has_fractional_retry: bool = False
--- a/src/lovagesaddle/node/owned_server.py
+++ b/src/lovagesaddle/node/owned_server.py
@@ -11,6 +11,7 @@
 from lovagesaddle.core.routing import load_reports
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import queues
+from lovagesaddle.core.routing import server_statements
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import body_receiver as body_receiver_lib
 from lovagesaddle.observability import logs
@@ -86,6 +87,7 @@
         self.down = False
         self.draining = False
         self.crashed = False
+        self.stated = server_statements.NOTHING
         self._running: dict[str, quarantine.RunningRequest] = {}
         self._waiters: dict[str, _Waiter] = {}
 
@@ -151,6 +153,31 @@
             self._running.pop(attempt_id, None)
             self._step(admission.Ended(request_id=attempt_id, failed=failed))
 
+    def record_statement(
+        self, stated: server_statements.Statement, attempt_id: str
+    ) -> None:
+        """Records what an answer of the server states, and logs changes.
+
+        Args:
+          stated: What the answer states.
+          attempt_id: The answered attempt.
+        """
+        with self.lock:
+            before, self.stated = self.stated, stated
+        if before != stated:
+            _log.info(
+                "server_stated",
+                server=self.server.server_id,
+                incarnation=self.server.incarnation,
+                instance=self.instance,
+                attempt=attempt_id,
+                rate_limit=stated.rate_limit,
+                rate_limit_before=before.rate_limit,
+                leaving=stated.is_leaving,
+                malformed=stated.malformed,
+                header=stated.header,
+            )
+
     def mark_crashed(self) -> tuple[quarantine.RunningRequest, ...] | None:
         """Records that the server crashed.
 
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -19,9 +19,11 @@
 from lovagesaddle.node import server_exchange
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
 from lovagesaddle.observability import logs
+from lovagesaddle.observability import metrics
 
 MAX_SEEN_ATTEMPTS = 65_536
 MS_PER_S = 1000
+NO_RATE_LIMIT = -1.0
 SERVER_UNKNOWN = "server-unknown"
 BODY_LOST = "body-lost"
 _log = logs.get_logger("owner")
@@ -59,6 +61,22 @@
             collections.OrderedDict()
         )
         self._seen_lock = threading.Lock()
+        self._sent = metrics.Counter()
+
+    @property
+    def sent(self) -> int:
+        """Number of requests sent to local backend servers."""
+        return self._sent.value
+
+    @property
+    def rate_limit(self) -> float:
+        """Lowest stated requests a second of a local server; -1 for none."""
+        limits = [
+            owned.stated.rate_limit
+            for owned in tuple(self._owned.values())
+            if owned.stated.rate_limit is not None
+        ]
+        return min(limits, default=NO_RATE_LIMIT)
 
     def open(
         self,
@@ -151,6 +169,7 @@
         if isinstance(running, hop.RunAnswer):
             return running
         owned.start(request.attempt_id, running)
+        self._sent.add()
         return self._exchange.run(request, owned, guard, running)
 
     def offer(
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -191,6 +191,18 @@
                 lambda: control.control_bytes,
                 kind="counter",
             )
+            self.metrics.set_gauge(
+                "server_requests_total",
+                "Requests sent to the local backend server.",
+                lambda: self._owner.sent,
+                kind="counter",
+            )
+            self.metrics.set_gauge(
+                "server_rate_limit",
+                "Requests a second that the local backend server takes from"
+                " all nodes; -1 if it states no limit.",
+                lambda: self._owner.rate_limit,
+            )
             if self._settings.probe:
                 stack.enter_context(probes.Prober(self._servers))
             self._stack = stack.pop_all()
--- a/src/lovagesaddle/node/server_exchange.py
+++ b/src/lovagesaddle/node/server_exchange.py
@@ -6,6 +6,7 @@
 from lovagesaddle.core.routing import call_chain
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
+from lovagesaddle.core.routing import server_statements
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
 from lovagesaddle.http import sockets
@@ -79,6 +80,10 @@
         match outcome:
             case result.Success(reply):
                 self._shared_quarantine.clear(request.fingerprint)
+                stated = server_statements.parse_statement(
+                    reply.headers, self._names
+                )
+                owned.record_statement(stated, request.attempt_id)
                 return owner_answers.make_answer(
                     request, reply, owned, self._names
                 )
--- a/src/lovagesaddle/platform/platform_headers.py
+++ b/src/lovagesaddle/platform/platform_headers.py
@@ -16,6 +16,9 @@
     not_run="Lovagesaddle-Not-Run",
     instance="Lovagesaddle-Instance-Id",
     server_load="Lovagesaddle-Server-Load",
+    # The platform's announcement of these two leaves their prefix open.
+    rate_limit=frozenset({"server-limit", "lovagesaddle-server-limit"}),
+    leaving=frozenset({"server-leaving", "lovagesaddle-server-leaving"}),
     passes_credentials=True,
     echoes_request_id=True,
     has_fractional_retry=True,
