Keep the rate of requests that a backend server states

What was seen: a server stated 38.6 requests a second and got 376 in 4 s, 237 allowed; another 15.2 and 171, 96 allowed. Cause: nobody read the limit. An owner admits by announced slots, which bound requests at a time, not requests a second. Evidence: the rate at both servers is the same before and after the limit, for 85 s; every request reached them through their one owner. Change: the owner, through which every request passes, keeps a token bucket of the stated rate. What is over is refused before a byte is sent, with the time at which the next may start, a later one for each refusal; entries send it to other servers without using the retry budget, skip a server until that time, and refuse at once when all that are left are known to be limited. A limit ends with an answer without it to a request sent after the last answer that had it.

--- a/bench/virtual_policies.py
+++ b/bench/virtual_policies.py
@@ -324,13 +324,16 @@
           status: HTTP status; 0 without an answer.
           admission: Source of the load report, or None if unreachable.
         """
+        simulation = self.driver.simulation
+        report = None
+        if admission is not None:
+            report = admission.report(simulation.now)
         event = events.AttemptEnded(
             number=self.number,
             ending=ending,
             status=status,
-            load_report=None if admission is None else admission.report(),
+            load_report=report,
         )
-        simulation = self.driver.simulation
         simulation.schedule(
             simulation.now + self.hop_s, lambda: self.driver.step(event)
         )
--- a/src/lovagesaddle/core/routing/admission.py
+++ b/src/lovagesaddle/core/routing/admission.py
@@ -11,6 +11,7 @@
 from lovagesaddle.core.routing import concurrency_limits
 from lovagesaddle.core.routing import load_reports
 from lovagesaddle.core.routing import queues
+from lovagesaddle.core.routing import request_rates
 from lovagesaddle.core.routing import run_times
 from lovagesaddle.core.routing import running_requests
 from lovagesaddle.core.routing import served_shares
@@ -33,6 +34,7 @@
     SERVER_DOWN = "server-down"
     DUPLICATE = "duplicate"
     CANCELLED = "cancelled"
+    RATE_LIMIT = "rate-limit"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -106,12 +108,48 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RateStated:
+    """Reports whether an answer of the server states a limit of its rate.
+
+    It comes before the request's Ended.
+
+    Attributes:
+      request_id: ID of the answered request.
+      rate: Requests a second; None if the answer states no limit.
+    """
+
+    request_id: str
+    rate: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RateKnown:
+    """Reports a limit that the server stated before this owner started.
+
+    Attributes:
+      rate: Requests a second.
+    """
+
+    rate: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Tick:
     """Reports that time has passed."""
 
 
-Event = Arrived | Ended | Cancelled | Drain | ServerDown | ServerUp | Tick
+Event = (
+    Arrived
+    | Ended
+    | Cancelled
+    | Drain
+    | ServerDown
+    | ServerUp
+    | RateStated
+    | RateKnown
+    | Tick
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -171,6 +209,7 @@
         self._queue = queues.Queue(order, self._shares)
         self._queue_share = queue_share
         self._running = running_requests.RunningRequests()
+        self._rate = request_rates.RequestRate()
         self._arrivals = 0
         self._times = run_times.RunTimes()
         self._draining = False
@@ -187,7 +226,12 @@
         """Number of requests in the queue."""
         return len(self._queue)
 
-    def check_capacity(self) -> RefusalReason | None:
+    @property
+    def rate_limit(self) -> float | None:
+        """Requests a second that the server takes; None without a limit."""
+        return self._rate.rate
+
+    def check_capacity(self, now: float) -> RefusalReason | None:
         """Returns why a new request would be refused now, or None."""
         if self._draining:
             return RefusalReason.DRAINING
@@ -195,13 +239,15 @@
             return RefusalReason.SERVER_DOWN
         if len(self._queue) >= self._compute_queue_capacity():
             return RefusalReason.QUEUE_FULL
+        if self._rate.compute_wait(now):
+            return RefusalReason.RATE_LIMIT
         return None
 
     def estimate_run_time(self, kind: str) -> float:
         """Returns the expected run time of a kind, in seconds."""
         return self._times.estimate(kind)
 
-    def report(self) -> load_reports.LoadReport:
+    def report(self, now: float) -> load_reports.LoadReport:
         """Returns the load report sent with each answer to an entry node."""
         return load_reports.LoadReport(
             running=len(self._running),
@@ -209,6 +255,7 @@
             limit=self._limit.limit,
             latency_s=self._times.mean_s,
             draining=self._draining,
+            start_wait_s=self._rate.compute_wait(now),
         )
 
     def step(self, event: Event, now: float) -> tuple[Action, ...]:
@@ -234,6 +281,11 @@
                 self._down = False
                 self._draining = False
                 self._drained = False
+            case RateStated():
+                sent_at = self._running.find_start(event.request_id)
+                self._rate.state(event.rate, sent_at=sent_at, now=now)
+            case RateKnown():
+                self._rate.adopt(event.rate, now)
             case Tick():
                 pass
         self._admit_waiting(now, actions)
@@ -305,6 +357,16 @@
             )
             if first is None:
                 break
+            # Without this, the queue would wait for a permission that no
+            # event announces.
+            if not self._rate.take(now, may_overdraw=first.has_reservation):
+                self._shares.record_refused(first.kind, now)
+                refusal = self._refuse(first, RefusalReason.RATE_LIMIT)
+                wait_s = self._rate.reserve_wait(now)
+                actions.append(
+                    dataclasses.replace(refusal, retry_after_s=wait_s)
+                )
+                continue
             self._running.start(first, now)
             self._shares.record_served(first.kind, now)
             actions.append(
--- a/src/lovagesaddle/core/routing/balancer.py
+++ b/src/lovagesaddle/core/routing/balancer.py
@@ -27,6 +27,7 @@
     ANY_DOMAIN = "any-domain"
     HINTED_UNHEALTHY = "hinted-unhealthy"
     NO_ROOM = "no-room"
+    RATE_LIMITED = "rate-limited"
     NO_SERVER = "no-server"
     ALL_TRIED = "all-tried"
 
@@ -62,6 +63,8 @@
       tried: Server IDs that earlier attempts of the call used.
       body_bytes: Size of the request body, in bytes.
       needs_room: Whether to pick no server if all seem to be full.
+      needs_start: Whether to pick no server if the stated rates of all seem
+        to be used up.
     """
 
     service: str
@@ -70,6 +73,7 @@
     tried: frozenset[str] = frozenset()
     body_bytes: int = 0
     needs_room: bool = False
+    needs_start: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -179,6 +183,8 @@
         self._source = source
         self._stats: dict[str, server_stats.ServerStats] = {}
         self._installed = False
+        # When the last stated rate that is used up allows a request again.
+        self._rates_used_until = 0.0
 
     def step(self, event: Event, now: float) -> tuple[Decision, ...]:
         """Handles one event; returns one Decision for a Pick."""
@@ -202,6 +208,12 @@
             tried = bool(event.tried)
             reason = PickReason.ALL_TRIED if tried else PickReason.NO_SERVER
             return _make_decision(event, None, reason, 0)
+        startable = self._list_startable(eligible, now)
+        if startable:
+            eligible = startable
+        elif event.needs_start:
+            reason = PickReason.RATE_LIMITED
+            return _make_decision(event, None, reason, len(eligible))
         is_large = event.body_bytes >= self._options.large_body_bytes
         server, reason = self._choose(eligible, now, is_large=is_large)
         if event.needs_room and reason is PickReason.NO_ROOM:
@@ -314,6 +326,18 @@
             available.extend(ejected[:missing])
         return [each for each in available if each.server_id not in event.tried]
 
+    def _list_startable(
+        self, eligible: list[table.Candidate], now: float
+    ) -> list[table.Candidate]:
+        """Returns the servers whose stated rates allow a request now."""
+        if now >= self._rates_used_until:
+            return eligible
+        return [
+            each
+            for each in eligible
+            if not self._stats[each.server_id].estimate_start_wait(now)
+        ]
+
     def _get_or_create_stats(
         self, candidate: table.Candidate, now: float
     ) -> server_stats.ServerStats:
@@ -331,6 +355,11 @@
         stats.outstanding = max(0, stats.outstanding - 1)
         if event.load_report is not None:
             stats.record_report(event.load_report, now)
+            if event.load_report.start_wait_s:
+                self._rates_used_until = max(
+                    self._rates_used_until,
+                    now + event.load_report.start_wait_s,
+                )
         match event.result:
             case AttemptResult.ANSWERED:
                 stats.record_success()
--- a/src/lovagesaddle/core/routing/call.py
+++ b/src/lovagesaddle/core/routing/call.py
@@ -129,13 +129,18 @@
         return (self._set_timer(now), self._pick(newest=False))
 
     def _pick(
-        self, *, newest: bool, needs_room: bool = False
+        self,
+        *,
+        newest: bool,
+        needs_room: bool = False,
+        needs_start: bool = False,
     ) -> events.PickServer:
         return events.PickServer(
             service=self._request.service,
             newest=newest,
             tried=self._tried,
             needs_room=needs_room,
+            needs_start=needs_start,
         )
 
     def _send(
@@ -187,7 +192,15 @@
                 self._options.moves_need_room
                 and event.ending is events.Ending.REFUSED
             )
-            return (released, self._pick(newest=True, needs_room=is_full))
+            # Other servers may have room, but those known to be limited too
+            # would refuse the request after another round trip.
+            is_limited = event.ending is events.Ending.RATE_LIMITED
+            return (
+                released,
+                self._pick(
+                    newest=True, needs_room=is_full, needs_start=is_limited
+                ),
+            )
         if self._open_attempts:
             return (released,)
         return (released, *self._give_up(now))
--- a/src/lovagesaddle/core/routing/call_events.py
+++ b/src/lovagesaddle/core/routing/call_events.py
@@ -14,10 +14,12 @@
 class Ending(enum.Enum):
     """How an attempt ended, as seen by the entry node.
 
-    The first six prove that the request did not run in this attempt.
+    The first seven prove that the request did not run in this attempt.
 
     UNREACHABLE: no connection to the owner, so not a byte was sent.
     REFUSED: the owner refused the request for lack of room or time.
+    RATE_LIMITED: the owner refused the request because its server has stated
+      how many requests a second it takes.
     DRAINING: the owner refused the request because its server is draining.
     SERVER_DOWN: the owner refused the request because its server is down.
     QUARANTINED: the owner refused the request because it crashes servers.
@@ -30,6 +32,7 @@
 
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
+    RATE_LIMITED = "rate-limited"
     DRAINING = "draining"
     SERVER_DOWN = "server-down"
     QUARANTINED = "quarantined"
@@ -130,12 +133,15 @@
         started with.
       tried: Server IDs of earlier attempts.
       needs_room: Whether to pick only a server that seems to have room.
+      needs_start: Whether to pick only a server whose stated rate seems to
+        allow another request now.
     """
 
     service: str
     newest: bool
     tried: frozenset[str]
     needs_room: bool = False
+    needs_start: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/core/routing/load_reports.py
+++ b/src/lovagesaddle/core/routing/load_reports.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 LOAD_HEADER = "Owner-Load"
-FIELD_COUNT = 6
+FIELD_COUNT = 7
 MAX_FIELD_DIGITS = 12
 US_PER_S = 1_000_000
 
@@ -20,6 +20,8 @@
       draining: Whether the owner refuses all new requests.
       link_wait_s: Expected time that a large body waits for the inbound link
         of the owner, in seconds.
+      start_wait_s: Time until the rate that the server states allows another
+        request to start, in seconds; 0 without such a limit.
     """
 
     running: int
@@ -28,6 +30,7 @@
     latency_s: float
     draining: bool = False
     link_wait_s: float = 0.0
+    start_wait_s: float = 0.0
 
 
 def format_load_report(report: LoadReport) -> str:
@@ -36,7 +39,8 @@
     return (
         f"{report.running},{report.queued},{report.limit},"
         f"{latency_us},{int(report.draining)},"
-        f"{int(report.link_wait_s * US_PER_S)}"
+        f"{int(report.link_wait_s * US_PER_S)},"
+        f"{int(report.start_wait_s * US_PER_S)}"
     )
 
 
@@ -53,7 +57,9 @@
         for field in fields
     ):
         return None
-    running, queued, limit, latency_us, draining, link_us = map(int, fields)
+    running, queued, limit, latency_us, draining, link_us, start_us = map(
+        int, fields
+    )
     return LoadReport(
         running=running,
         queued=queued,
@@ -61,4 +67,5 @@
         latency_s=latency_us / US_PER_S,
         draining=draining == 1,
         link_wait_s=link_us / US_PER_S,
+        start_wait_s=start_us / US_PER_S,
     )
--- a/src/lovagesaddle/core/routing/running_requests.py
+++ b/src/lovagesaddle/core/routing/running_requests.py
@@ -59,6 +59,11 @@
         )
         return tuple(sorted(max(0.0, each) for each in remaining))
 
+    def find_start(self, request_id: str) -> float:
+        """Returns when a request got its slot; -inf if it has none."""
+        run = self._runs.get(request_id)
+        return float("-inf") if run is None else run.started_at
+
     def end(self, request_id: str) -> Run | None:
         """Frees the slot of a request; returns its run, or None without one."""
         return self._runs.pop(request_id, None)
--- a/src/lovagesaddle/core/routing/server_releases.py
+++ b/src/lovagesaddle/core/routing/server_releases.py
@@ -11,6 +11,7 @@
 _RESULTS = {
     events.Ending.UNREACHABLE: balancer.AttemptResult.UNREACHABLE,
     events.Ending.REFUSED: balancer.AttemptResult.REFUSED,
+    events.Ending.RATE_LIMITED: balancer.AttemptResult.REFUSED,
     events.Ending.DRAINING: balancer.AttemptResult.DRAINING,
     events.Ending.SERVER_DOWN: balancer.AttemptResult.UNREACHABLE,
     events.Ending.QUARANTINED: balancer.AttemptResult.ABANDONED,
--- a/src/lovagesaddle/core/routing/server_stats.py
+++ b/src/lovagesaddle/core/routing/server_stats.py
@@ -165,12 +165,19 @@
             latency_s = self.report.latency_s * freshness
         queue = (self.estimate_load(now) + 1) / self.estimate_limit(now)
         cost_s = queue * max(latency_s, MIN_LATENCY_S)
-        return max(cost_s, self._estimate_unanswered_wait(now))
+        wait_s = self.estimate_start_wait(now)
+        return max(cost_s, self._estimate_unanswered_wait(now)) + wait_s
 
     def _estimate_unanswered_wait(self, now: float) -> float:
         age_share = (now - self.unanswered_at) / LATENCY_FADE_S
         return self.unanswered_s * max(0.0, 1 - age_share)
 
+    def estimate_start_wait(self, now: float) -> float:
+        """Returns how long the stated rate allows no request, in seconds."""
+        if self.report is None:
+            return 0.0
+        return max(0.0, self.reported_at + self.report.start_wait_s - now)
+
     def estimate_link_wait(self, now: float) -> float:
         """Returns how long a large body would wait for the link, in seconds."""
         if self.report is None:
--- a/src/lovagesaddle/node/attempt_senders.py
+++ b/src/lovagesaddle/node/attempt_senders.py
@@ -16,6 +16,7 @@
 
 _DUPLICATE = admission.RefusalReason.DUPLICATE.value
 _DRAINING = admission.RefusalReason.DRAINING.value
+_RATE_LIMIT = admission.RefusalReason.RATE_LIMIT.value
 _SERVER_DOWN_CAUSES = frozenset(
     {
         admission.RefusalReason.SERVER_DOWN.value,
@@ -139,6 +140,8 @@
         return call_events.Ending.DRAINING
     if answer.cause in _SERVER_DOWN_CAUSES:
         return call_events.Ending.SERVER_DOWN
+    if answer.cause == _RATE_LIMIT:
+        return call_events.Ending.RATE_LIMITED
     if answer.cause == hop.QUARANTINED:
         return call_events.Ending.QUARANTINED
     return call_events.Ending.REFUSED
--- a/src/lovagesaddle/node/call_runner.py
+++ b/src/lovagesaddle/node/call_runner.py
@@ -194,6 +194,7 @@
             action.tried,
             body_bytes=len(self._forwarded.body),
             needs_room=action.needs_room,
+            needs_start=action.needs_start,
         )
         server = decision.server
         self._decisions.record(
--- a/src/lovagesaddle/node/owned_server.py
+++ b/src/lovagesaddle/node/owned_server.py
@@ -93,7 +93,8 @@
 
     def report(self) -> load_reports.LoadReport:
         """Returns the load report that each answer to an entry contains."""
-        report = self.admission.report()
+        with self.lock:
+            report = self.admission.report(time.monotonic())
         wait_s = (
             0.0 if self._body_receiver is None else self._body_receiver.wait_s
         )
@@ -164,6 +165,12 @@
         """
         with self.lock:
             before, self.stated = self.stated, stated
+            if not stated.malformed:
+                self._step(
+                    admission.RateStated(
+                        request_id=attempt_id, rate=stated.rate_limit
+                    )
+                )
         if before != stated:
             _log.info(
                 "server_stated",
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -72,9 +72,9 @@
     def rate_limit(self) -> float:
         """Lowest stated requests a second of a local server; -1 for none."""
         limits = [
-            owned.stated.rate_limit
+            owned.admission.rate_limit
             for owned in tuple(self._owned.values())
-            if owned.stated.rate_limit is not None
+            if owned.admission.rate_limit is not None
         ]
         return min(limits, default=NO_RATE_LIMIT)
 
@@ -185,7 +185,7 @@
         if owned is None or self._body_receiver is None:
             return owner_answers.make_refusal(offer, SERVER_UNKNOWN, owned)
         with owned.lock:
-            reason = owned.admission.check_capacity()
+            reason = owned.admission.check_capacity(time.monotonic())
             run_s = owned.admission.estimate_run_time(offer.route)
         if reason is not None:
             return owner_answers.make_refusal(offer, reason.value, owned)
@@ -271,6 +271,7 @@
                     reason=decision.reason.value,
                     running=owned.admission.running,
                     waiting=owned.admission.waiting,
+                    rate_limit=owned.admission.rate_limit,
                 )
             return owner_answers.make_refusal(
                 request, decision.reason.value, owned, decision.retry_after_s
--- a/tests/link_mesh.py
+++ b/tests/link_mesh.py
@@ -306,7 +306,7 @@
         self._at(arrived_at, lambda: self._arrive(call, owner))
 
     def _offer(self, call: Call, owner: Owner) -> None:
-        if owner.admission.check_capacity() is not None:
+        if owner.admission.check_capacity(self.now) is not None:
             self._refuse(call, owner)
             return
         owner.offered[call.attempt_id] = call
@@ -422,7 +422,7 @@
 
     def _report(self, owner: Owner) -> load_reports.LoadReport:
         return dataclasses.replace(
-            owner.admission.report(), link_wait_s=owner.scheduler.wait_s
+            owner.admission.report(self.now), link_wait_s=owner.scheduler.wait_s
         )
 
     def _finish(self, call: Call, latency_s: float) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -163,7 +163,7 @@
     drained = _describe(owner.step(admission_lib.Drain(), 0.0))
     assert drained == ["draining b"]
     assert _arrive(owner, "c") == ["draining c"]
-    assert owner.report().draining
+    assert owner.report(0.0).draining
     assert _end(owner, "a") == ["drained"]
 
 
@@ -395,9 +395,9 @@
     """A full queue evicts a request without a reservation instead."""
     owner = _create(slots=1)
     for name in ("a", "b"):
-        assert owner.check_capacity() is None
+        assert owner.check_capacity(0.0) is None
         _arrive(owner, name, deadline=5.0)
-    assert owner.check_capacity() is Reason.QUEUE_FULL
+    assert owner.check_capacity(0.0) is Reason.QUEUE_FULL
     reserved = admission_lib.Arrived(
         request_id="body", priority=9, deadline=9.0, has_reservation=True
     )
