--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -58,7 +58,8 @@
         while running := _find_running(context, POISON):
             mesh.crash(running)
         for server in mesh.servers.values():
-            if not server.drained and not server.owner.report().draining:
+            report = server.owner.report(mesh.now)
+            if not server.drained and not report.draining:
                 mesh.restart(server, context.slots)
         mesh.pass_time(0.1)
 
