Send nothing new to a server that states that it leaves

What would be seen: a server that says only in its answers that it is leaving gets requests until it reports that in a heartbeat, or ends (DRAIN). Cause: Server-Leaving was passed on to callers and read by nobody. Change: the owner refuses new requests from the answer on, before it passes the answer to any entry, and reports the server as draining to the control VMs.

--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -53,6 +53,7 @@
     server: snapshots.BackendServer
     token: str
     probe_failures: int = 0
+    states_leaving: bool = False
 
 
 class LocalServers:
@@ -70,6 +71,7 @@
         self._entries: dict[str, _Entry] = {}
         self._services_by_token: dict[str, str] = {}
         self._lock = threading.RLock()
+        owner.watch_leaving(self._drain_leaving)
 
     def connect(self, control: ports.ControlPort) -> None:
         """Reports all servers to the control thread, and later changes."""
@@ -180,6 +182,8 @@
             if entry is None:
                 return 0
             entry.probe_failures += 1
+            # Whatever listens there next is another process.
+            entry.states_leaving = False
             self._owner.mark_down(entry.server.server_id)
             return entry.probe_failures
 
@@ -195,8 +199,24 @@
             else:
                 self._owner.mark_up(entry.server.server_id)
 
+    def _drain_leaving(self, server_id: str, incarnation: int) -> None:
+        """Drains a server whose answers state that it is leaving."""
+        with self._lock:
+            for service, entry in tuple(self._entries.items()):
+                server = entry.server
+                if (server.server_id, server.incarnation) == (
+                    server_id,
+                    incarnation,
+                ):
+                    entry.states_leaving = True
+                    self.drain(service)
+
     def _is_current(self, known: _Entry, announcement: Announcement) -> bool:
-        serving = known.server.state is snapshots.ServerState.SERVING
+        # A server that states that it is leaving may announce itself as before.
+        serving = (
+            known.states_leaving
+            or known.server.state is snapshots.ServerState.SERVING
+        )
         alive = not self._owner.has_crashed(known.server.server_id)
         return serving and alive and known.announcement == announcement
 
--- a/src/lovagesaddle/node/owned_server.py
+++ b/src/lovagesaddle/node/owned_server.py
@@ -107,6 +107,13 @@
         with self.lock:
             self._step(event)
 
+    def drain(self) -> None:
+        """Refuses queued and new requests; running ones are finished."""
+        with self.lock:
+            self.draining = True
+            self._step(admission.Drain())
+        _log.info("server_draining", server=self.server.server_id)
+
     def mark_down(self) -> None:
         """Refuses requests, as the server accepts no connection."""
         with self.lock:
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -1,6 +1,7 @@
 """Owner side of a node: admits attempts and sends them to a local server."""
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import threading
 import time
@@ -26,6 +27,7 @@
 NO_RATE_LIMIT = -1.0
 SERVER_UNKNOWN = "server-unknown"
 BODY_LOST = "body-lost"
+LeavingReport = Callable[[str, int], None]
 _log = logs.get_logger("owner")
 
 
@@ -62,6 +64,7 @@
         )
         self._seen_lock = threading.Lock()
         self._sent = metrics.Counter()
+        self._report_leaving: LeavingReport = _ignore_leaving
 
     @property
     def sent(self) -> int:
@@ -105,6 +108,14 @@
             instance=instance,
         )
 
+    def watch_leaving(self, report: LeavingReport) -> None:
+        """Sets what is called when an answer states that its server leaves.
+
+        The owner refuses new requests before it calls `report`, which gets the
+        ID and the incarnation of the server.
+        """
+        self._report_leaving = report
+
     def close(self, server_id: str, reason: str) -> None:
         """Removes a server and refuses the requests queued for it."""
         owned = self._owned.pop(server_id, None)
@@ -116,9 +127,7 @@
         """Refuses queued and new requests; running ones are finished."""
         owned = self._owned.get(server_id)
         if owned is not None:
-            owned.draining = True
-            owned.step(admission.Drain())
-            _log.info("server_draining", server=server_id)
+            owned.drain()
 
     def mark_down(self, server_id: str) -> None:
         """Refuses requests for a server that accepts no connection."""
@@ -170,7 +179,10 @@
             return running
         owned.start(request.attempt_id, running)
         self._sent.add()
-        return self._exchange.run(request, owned, guard, running)
+        answer = self._exchange.run(request, owned, guard, running)
+        if owned.stated.is_leaving and not owned.draining:
+            self._drain_leaving(owned)
+        return answer
 
     def offer(
         self, offer: hop.BodyOffer, guard: watchdog.Guard
@@ -225,6 +237,11 @@
             return hop.BodyTaken(attempt_id=part.attempt_id)
         return owner_answers.make_refusal(part, BODY_LOST, owned)
 
+    def _drain_leaving(self, owned: owned_server.OwnedServer) -> None:
+        owned.drain()
+        server = owned.server
+        self._report_leaving(server.server_id, server.incarnation)
+
     def _complete_body(self, request: hop.RunRequest) -> hop.RunRequest | None:
         """Returns the request with its whole body; None if incomplete."""
         if self._body_receiver is None:
@@ -301,6 +318,11 @@
             return True
 
 
+def _ignore_leaving(server_id: str, incarnation: int) -> None:
+    """Does nothing; the owner itself refuses new requests."""
+    del server_id, incarnation
+
+
 def _compute_target_time(request: hop.RunRequest, now: float) -> float | None:
     if request.target_ms is None:
         return None
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -8,6 +8,7 @@
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
+from lovagesaddle.node import local_servers
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
 from tests import fixtures
@@ -83,4 +84,24 @@
     assert len(pool.sent_at) == 1
 
 
+def test_announcement_does_not_restore_a_server_that_states_it_leaves() -> None:
+    """A leaving server announced itself as ready as before."""
+    pool = StatingPool(("Server-Leaving", "1"))
+    owner = owner_lib.Owner(
+        pool=pool, shared_quarantine=shared_quarantine_lib.SharedQuarantine()
+    )
+    servers = local_servers.LocalServers(node_id="n0", owner=owner)
+    announcement = local_servers.Announcement(
+        service="desk", address="127.0.0.1:1", slots=4, connections=4
+    )
+    servers.announce(announcement)
+    assert _run(owner, "r.1").outcome is hop.RunOutcome.ANSWERED
+    servers.announce(announcement)
+    assert _run(owner, "r.2").cause == admission.RefusalReason.DRAINING.value
+    # After a failed connect another process may have taken its place.
+    servers.record_probe_failure("desk")
+    servers.announce(announcement)
+    assert _run(owner, "r.3").outcome is hop.RunOutcome.ANSWERED
+
+
 load_tests = fixtures.collect(__name__)
