Keep limits and departures of servers through restarts of their owner

What would be seen: after a restart of the node beside it, a server that stated 1 request a second gets 4 too many in 4 s, and a server that was leaving is in use again. Cause: only the owner knew, and it has no disk. The same class as the limit itself: what a server says of itself was kept by nobody who outlives the loss. Change: the owner tells entries with each answer what its server process has stated; entries send that along with later attempts, and an owner whose server has not answered yet keeps to it. It is tied to the process (instance and start), so a successor under the same name is not bound by it; where the start is unknown, only the requests of who knows are refused.

--- a/src/lovagesaddle/core/routing/admission.py
+++ b/src/lovagesaddle/core/routing/admission.py
@@ -231,6 +231,11 @@
         """Requests a second that the server takes; None without a limit."""
         return self._rate.rate
 
+    @property
+    def has_stated_rate(self) -> bool:
+        """Whether an answer has shown if the server states a limit."""
+        return self._rate.is_stated
+
     def check_capacity(self, now: float) -> RefusalReason | None:
         """Returns why a new request would be refused now, or None."""
         if self._draining:
--- a/src/lovagesaddle/core/routing/server_statements.py
+++ b/src/lovagesaddle/core/routing/server_statements.py
@@ -23,8 +23,8 @@
       rate_limit: Requests a second that the server takes from all nodes
         together; None if it states no limit.
       is_leaving: Whether the server takes no new requests.
-      malformed: A stated limit that is no number of requests; empty if there
-        is none. Such an answer neither sets nor ends a limit.
+      malformed: A stated limit that is no number of requests, quoted; empty
+        if there is none. Such an answer neither sets nor ends a limit.
       header: Name of the last header that stated any of these, as received.
     """
 
@@ -58,7 +58,7 @@
         if lower in names.rate_limit:
             limit = _parse_limit(value.strip())
             if limit is None:
-                malformed = value[:MAX_LIMIT_CHARS]
+                malformed = repr(value[:MAX_LIMIT_CHARS])
             else:
                 limits.append(limit)
         elif lower in names.leaving:
--- a/src/lovagesaddle/http/hop.py
+++ b/src/lovagesaddle/http/hop.py
@@ -11,6 +11,7 @@
 
 from lovagesaddle.core import codec
 from lovagesaddle.core import errors
+from lovagesaddle.core.routing import known_statements
 from lovagesaddle.core.routing import load_reports
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.http import headers as headers_lib
@@ -41,6 +42,8 @@
         negative once it has passed, None when the route has no target.
       suspect: Whether the entry knows that the request may crash a server.
       offset: Bytes of the body that were sent before in parts.
+      known: What the entry knows that the server has stated, which the owner
+        forgets when it restarts; None if nothing.
     """
 
     attempt_id: str
@@ -57,6 +60,7 @@
     target_ms: int | None = None
     suspect: bool = False
     offset: int = 0
+    known: known_statements.KnownStatement | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -146,6 +150,8 @@
       body: Body of a complete answer.
       load: Load of the backend server.
       marks: The crash mark of the request if the server died.
+      stated: What the server has stated, if anything, or if the request told
+        of an earlier statement.
     """
 
     attempt_id: str
@@ -157,6 +163,7 @@
     body: bytes = b""
     load: load_reports.LoadReport | None = None
     marks: tuple[quarantine.CrashMark, ...] = ()
+    stated: known_statements.KnownStatement | None = None
 
 
 HopMessage = RunRequest | RunAnswer | BodyOffer | BodyPart | BodyTaken
--- a/src/lovagesaddle/node/call_runner.py
+++ b/src/lovagesaddle/node/call_runner.py
@@ -229,6 +229,10 @@
             case result.Success(answer):
                 self._answers[action.number] = answer
                 self._report_to_quarantine(answer)
+                if answer.stated is not None:
+                    self._routing.record_statement(
+                        action.server.server_id, answer.stated
+                    )
                 return events.AttemptEnded(
                     number=action.number,
                     ending=attempt_senders.classify_answer(answer),
@@ -278,6 +282,7 @@
             route=self._match.route.name,
             target_ms=self._compute_target_ms(),
             suspect=verdict is quarantine.Verdict.SUSPECT,
+            known=self._routing.find_statement(action.server.server_id),
         )
 
     def _compute_target_ms(self) -> int | None:
--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -110,6 +110,7 @@
         with self._lock:
             entry = self._get_entry(announcement.service, "confirm")
             entry.announcement = announcement
+            self._owner.identify(entry.server.server_id, announcement.born_ms)
             if entry.server.state is not snapshots.ServerState.DRAINING:
                 self.announce(announcement)
 
@@ -231,7 +232,10 @@
         self._entries[announcement.service] = entry
         self._services_by_token[token] = announcement.service
         self._owner.open(
-            entry.server, announcement.address, announcement.instance
+            entry.server,
+            announcement.address,
+            announcement.instance,
+            announcement.born_ms,
         )
         self._report_server(entry.server)
         return token
--- a/src/lovagesaddle/node/owned_server.py
+++ b/src/lovagesaddle/node/owned_server.py
@@ -8,6 +8,7 @@
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import admission
 from lovagesaddle.core.routing import concurrency_limits
+from lovagesaddle.core.routing import known_statements
 from lovagesaddle.core.routing import load_reports
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import queues
@@ -64,6 +65,8 @@
       instance: Instance ID that the server reported; empty if it has none.
       body_receiver: Receives large bodies in parts; None if every body comes in
         one piece.
+      born_ms: Start of the server's process, in milliseconds since 1970; 0 if
+        unknown.
     """
 
     def __init__(
@@ -73,11 +76,13 @@
         options: OwnerOptions,
         instance: str = "",
         body_receiver: body_receiver_lib.BodyReceiver | None = None,
+        born_ms: int = 0,
     ) -> None:
         self._body_receiver = body_receiver
         self.server = server
         self.address = address
         self.instance = instance
+        self.born_ms = born_ms
         self.admission = admission.Admission(
             limit=options.make_limit(server.slots),
             order=options.order,
@@ -171,7 +176,10 @@
           attempt_id: The answered attempt.
         """
         with self.lock:
-            before, self.stated = self.stated, stated
+            before = self.stated
+            if before.is_leaving:
+                stated = dataclasses.replace(stated, is_leaving=True)
+            self.stated = stated
             if not stated.malformed:
                 self._step(
                     admission.RateStated(
@@ -192,6 +200,31 @@
                 header=stated.header,
             )
 
+    def mark_leaving(self) -> None:
+        """Records that the server told an earlier owner that it leaves."""
+        with self.lock:
+            self.stated = dataclasses.replace(self.stated, is_leaving=True)
+
+    def adopt_rate(self, rate: float | None) -> None:
+        """Keeps to an earlier limit until the server itself has answered."""
+        if rate is not None and not self.admission.has_stated_rate:
+            self.step(admission.RateKnown(rate=rate))
+
+    def describe_statement(self) -> known_statements.KnownStatement | None:
+        """Returns what the server has stated; None if it has no instance ID.
+
+        Without an instance ID, the statement of an earlier process could be
+        taken for that of this one.
+        """
+        if not self.instance:
+            return None
+        return known_statements.KnownStatement(
+            instance=self.instance,
+            born_ms=self.born_ms,
+            rate_limit=self.admission.rate_limit,
+            is_leaving=self.stated.is_leaving,
+        )
+
     def mark_crashed(self) -> tuple[quarantine.RunningRequest, ...] | None:
         """Records that the server crashed.
 
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -86,6 +86,7 @@
         server: snapshots.BackendServer,
         address: str,
         instance: str = "",
+        born_ms: int = 0,
     ) -> None:
         """Starts to admit requests for a server.
 
@@ -95,10 +96,21 @@
           instance: Instance ID that the server reported, or empty. It is sent
             with each request, so that another server that has taken over the
             address refuses the request.
+          born_ms: Start of its process, in milliseconds since 1970; 0 if
+            unknown.
         """
-        self._owned[server.server_id] = owned_server.OwnedServer(
-            server, address, self._options, instance, self._body_receiver
+        previous = self._owned.get(server.server_id)
+        owned = owned_server.OwnedServer(
+            server,
+            address,
+            self._options,
+            instance,
+            self._body_receiver,
+            born_ms,
         )
+        if previous is not None and instance and previous.instance == instance:
+            owned.adopt_rate(previous.admission.rate_limit)
+        self._owned[server.server_id] = owned
         _log.info(
             "server_opened",
             server=server.server_id,
@@ -108,6 +120,12 @@
             instance=instance,
         )
 
+    def identify(self, server_id: str, born_ms: int) -> None:
+        """Sets the start of a server's process, in milliseconds since 1970."""
+        owned = self._owned.get(server_id)
+        if owned is not None:
+            owned.born_ms = born_ms
+
     def watch_leaving(self, report: LeavingReport) -> None:
         """Sets what is called when an answer states that its server leaves.
 
@@ -166,6 +184,18 @@
         if owned is None:
             self._drop_body(request)
             return owner_answers.make_refusal(request, SERVER_UNKNOWN, None)
+        answer = self._run(request, owned, guard)
+        stated = owned.describe_statement()
+        if stated is None or (stated.is_empty and request.known is None):
+            return answer
+        return dataclasses.replace(answer, stated=stated)
+
+    def _run(
+        self,
+        request: hop.RunRequest,
+        owned: owned_server.OwnedServer,
+        guard: watchdog.Guard,
+    ) -> hop.RunAnswer:
         if not self._register_attempt(request.attempt_id):
             reason = admission.RefusalReason.DUPLICATE.value
             return owner_answers.make_refusal(request, reason, owned)
@@ -174,6 +204,9 @@
             if completed is None:
                 return owner_answers.make_refusal(request, BODY_LOST, owned)
             request = completed
+        if self._refuses_known(request, owned):
+            reason = admission.RefusalReason.DRAINING.value
+            return owner_answers.make_refusal(request, reason, owned)
         running = self._admit(request, owned, guard)
         if isinstance(running, hop.RunAnswer):
             return running
@@ -237,6 +270,24 @@
             return hop.BodyTaken(attempt_id=part.attempt_id)
         return owner_answers.make_refusal(part, BODY_LOST, owned)
 
+    def _refuses_known(
+        self, request: hop.RunRequest, owned: owned_server.OwnedServer
+    ) -> bool:
+        """Applies what the entry knows; returns whether to refuse for it."""
+        known = request.known
+        if known is None:
+            return False
+        if not known.may_concern(owned.instance, owned.born_ms):
+            return False
+        owned.adopt_rate(known.rate_limit)
+        if not known.is_leaving:
+            return False
+        is_certain = owned.born_ms and known.born_ms
+        if is_certain and not owned.draining:
+            owned.mark_leaving()
+            self._drain_leaving(owned)
+        return True
+
     def _drain_leaving(self, owned: owned_server.OwnedServer) -> None:
         owned.drain()
         server = owned.server
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -9,6 +9,7 @@
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.routing import balancer
 from lovagesaddle.core.routing import call as call_lib
+from lovagesaddle.core.routing import known_statements
 from lovagesaddle.core.routing import pick_policies
 from lovagesaddle.core.routing import retries
 from lovagesaddle.core.routing import table as table_lib
@@ -93,6 +94,7 @@
         self._splitter = traffic_split.TrafficSplitter()
         self._node_count = 1
         self._health_paths: dict[str, str] = {}
+        self._statements = known_statements.KnownStatements()
 
     @property
     def table(self) -> table_lib.Table | None:
@@ -174,6 +176,20 @@
         with self._lock:
             self._balancer.step(finished, time.monotonic())
 
+    def find_statement(
+        self, server_id: str
+    ) -> known_statements.KnownStatement | None:
+        """Returns what a server is known to have stated, or None."""
+        with self._lock:
+            return self._statements.find(server_id)
+
+    def record_statement(
+        self, server_id: str, stated: known_statements.KnownStatement
+    ) -> None:
+        """Records what an owner reports that its server has stated."""
+        with self._lock:
+            self._statements.record(server_id, stated)
+
     def get_retry_policy(self, service: str) -> retries.RetryPolicy:
         """Returns the retry policy that all calls of a service share."""
         policy = self._retry_policies.get(service)
--- a/tests/limited_mesh.py
+++ b/tests/limited_mesh.py
@@ -14,6 +14,7 @@
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import call_events as events
 from lovagesaddle.core.routing import concurrency_limits
+from lovagesaddle.core.routing import known_statements
 from lovagesaddle.core.routing import pick_policies
 from lovagesaddle.core.routing import queues
 from lovagesaddle.core.routing import retries
@@ -89,6 +90,9 @@
         self._candidates = tuple(s.candidate for s in self.servers.values())
         self._policy = retries.RetryBudget(cap=8)
         self._balancers = [self._make_balancer() for _ in range(entries)]
+        self._known = [
+            known_statements.KnownStatements() for _ in range(entries)
+        ]
         self._due: list[tuple[float, int, Callable[[float], None]]] = []
         self._attempts: dict[str, _Attempt] = {}
         self._count = 0
@@ -110,6 +114,7 @@
         def restart(now: float) -> None:
             del now
             self._balancers[entry] = self._make_balancer()
+            self._known[entry] = known_statements.KnownStatements()
             for server in self.servers.values():
                 server.told_at.pop(entry, None)
 
@@ -223,7 +228,15 @@
         arrived = admission_lib.Arrived(
             request_id=action.attempt_id, priority=1, deadline=action.deadline
         )
-        self._at(now + HOP_S, lambda at: self._step_owner(server, arrived, at))
+        known = self._known[entry].find(action.server.server_id)
+
+        def arrive(at: float) -> None:
+            if known is not None and known.rate_limit is not None:
+                adopted = admission_lib.RateKnown(rate=known.rate_limit)
+                self._step_owner(server, adopted, at)
+            self._step_owner(server, arrived, at)
+
+        self._at(now + HOP_S, arrive)
 
     def _step_owner(
         self, server: Server, event: admission_lib.Event, now: float
@@ -278,11 +291,20 @@
             load_report=attempt.server.admission.report(now),
             retry_after_s=0.0 if refused is None else refused.retry_after_s,
         )
-        self._at(
-            now + HOP_S,
-            lambda at: self._step_call(attempt.entry, attempt.call, ended, at),
+        stated = known_statements.KnownStatement(
+            instance="i",
+            born_ms=1,
+            rate_limit=attempt.server.admission.rate_limit,
         )
 
+        def arrive(at: float) -> None:
+            self._known[attempt.entry].record(
+                attempt.server.candidate.server_id, stated
+            )
+            self._step_call(attempt.entry, attempt.call, ended, at)
+
+        self._at(now + HOP_S, arrive)
+
 
 def _make_admission() -> admission_lib.Admission:
     return admission_lib.Admission(
--- a/tests/test_limited_servers.py
+++ b/tests/test_limited_servers.py
@@ -80,4 +80,24 @@
     assert rate.rate is None
 
 
+def test_limit_outlives_restarts_of_the_owner() -> None:
+    """A restarted owner knew no limit and sent a burst before each answer."""
+    mesh = _make_mesh(lambda _: 1.0, lambda _: 8.0)
+    for number in range(1, 20):
+        mesh.restart_owner("s0", 2.0 * number)
+        mesh.restart_owner("s1", 2.0 * number)
+    mesh.run(LENGTH_S)
+    assert mesh.find_excess(mesh.servers["s0"], since=0.0) <= 0
+    assert mesh.find_excess(mesh.servers["s1"], since=0.0) <= 0
+
+
+def test_limit_outlives_restarts_of_entries() -> None:
+    """Entries that know nothing of a limit come and go."""
+    mesh = _make_mesh(lambda _: 1.0)
+    for number in range(60):
+        mesh.restart_entry(number % ENTRIES, 0.6 * number)
+    mesh.run(LENGTH_S)
+    assert mesh.find_excess(mesh.servers["s0"], since=0.0) <= 0
+
+
 load_tests = fixtures.collect(__name__)
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -1,10 +1,14 @@
 """Tests of backend servers that state a limit, or that they are leaving."""
 
+import dataclasses
 import time
 
 from returns import result
 
 from lovagesaddle.core.routing import admission
+from lovagesaddle.core.routing import header_names
+from lovagesaddle.core.routing import known_statements
+from lovagesaddle.core.routing import server_statements
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
@@ -21,22 +25,38 @@
 WINDOW_S = 4.0
 ALLOWED_SHARE = 1.5
 ALLOWED_EXTRA = 5
+INSTANCE = "i-1"
+BORN_MS = 1000
 
 
 class StatingPool(client.ConnectionPool):
-    """Answers each request at once, with the given headers."""
+    """Answers each request at once, with the given headers.
+
+    Attributes:
+      headers: Headers of the answers; None to break off without an answer.
+      sent_at: When each request was sent.
+    """
 
     def __init__(self, *headers: tuple[str, str]) -> None:
         super().__init__()
-        self.headers = headers
+        self.headers: tuple[tuple[str, str], ...] | None = headers
         self.sent_at: list[float] = []
 
     def exchange(
         self, address: str, request: client.Request, guard: watchdog.Guard
     ) -> client.ExchangeResult:
         """Returns an empty answer with status 200."""
-        del address, request, guard
+        del request, guard
         self.sent_at.append(time.monotonic())
+        if self.headers is None:
+            return result.Failure(
+                client.ExchangeError(
+                    step="read answer",
+                    peer=address,
+                    cause="truncated",
+                    kind=client.FailureKind.TRUNCATED,
+                )
+            )
         return result.Success(
             client.Reply(status=200, headers=self.headers, body=b"")
         )
@@ -50,17 +70,39 @@
     )
 
 
-def _make_owner(pool: client.ConnectionPool) -> owner_lib.Owner:
+def _make_owner(
+    pool: client.ConnectionPool, born_ms: int = BORN_MS
+) -> owner_lib.Owner:
     owner = owner_lib.Owner(
         pool=pool, shared_quarantine=shared_quarantine_lib.SharedQuarantine()
     )
-    owner.open(routing_mesh.make_server(0), "127.0.0.1:1")
+    server = routing_mesh.make_server(0)
+    owner.open(server, "127.0.0.1:1", INSTANCE, born_ms)
     return owner
 
 
-def _run(owner: owner_lib.Owner, attempt_id: str) -> hop.RunAnswer:
+def _run(
+    owner: owner_lib.Owner,
+    attempt_id: str,
+    known: known_statements.KnownStatement | None = None,
+) -> hop.RunAnswer:
     guard = watchdog.Guard(time.monotonic() + 60.0, lambda: False)
-    return owner.run(routing_mesh.make_run_request(attempt_id), guard)
+    request = routing_mesh.make_run_request(attempt_id)
+    return owner.run(dataclasses.replace(request, known=known), guard)
+
+
+def _know(
+    *,
+    born_ms: int = BORN_MS,
+    rate_limit: float | None = None,
+    is_leaving: bool = False,
+) -> known_statements.KnownStatement:
+    return known_statements.KnownStatement(
+        instance=INSTANCE,
+        born_ms=born_ms,
+        rate_limit=rate_limit,
+        is_leaving=is_leaving,
+    )
 
 
 def test_server_gets_no_more_than_its_stated_limit() -> None:
@@ -104,4 +146,83 @@
     assert _run(owner, "r.3").outcome is hop.RunOutcome.ANSWERED
 
 
+def test_restarted_owner_keeps_the_limit_that_entries_know() -> None:
+    """The server got a full load until it answered its restarted owner."""
+    pool = StatingPool()
+    pool.headers = None
+    owner = _make_owner(pool)
+    known = _know(rate_limit=LIMIT)
+    answers = [_run(owner, f"r.{n}", known) for n in range(ARRIVALS)]
+    assert {answer.stated for answer in answers} == {known}
+    allowed = ALLOWED_SHARE * LIMIT * WINDOW_S + ALLOWED_EXTRA
+    assert count_most(pool.sent_at) <= allowed
+
+
+def test_limit_known_of_another_process_is_ignored() -> None:
+    """A server that took over the name of another one was held to its limit."""
+    owner = _make_owner(StatingPool())
+    known = _know(born_ms=BORN_MS - 1, rate_limit=0.0)
+    for number in range(5):
+        answer = _run(owner, f"r.{number}", known)
+        assert answer.outcome is hop.RunOutcome.ANSWERED
+        assert answer.stated == _know()
+
+
+def test_restarted_owner_sends_nothing_to_a_server_known_to_leave() -> None:
+    """After a restart of its node, a server that had left was in use again."""
+    pool = StatingPool()
+    owner = _make_owner(pool)
+    answer = _run(owner, "r.1", _know(is_leaving=True))
+    assert answer.cause == admission.RefusalReason.DRAINING.value
+    # Other entries need not know.
+    answer = _run(owner, "r.2")
+    assert answer.cause == admission.RefusalReason.DRAINING.value
+    assert answer.stated == _know(is_leaving=True)
+    assert not pool.sent_at
+
+
+def test_server_of_unknown_start_is_refused_only_to_who_knows_it_leaves() -> (
+    None
+):
+    """A server found by its health check may be the one that left, or not."""
+    owner = _make_owner(StatingPool(), born_ms=0)
+    known = _know(is_leaving=True)
+    answer = _run(owner, "r.1", known)
+    assert answer.cause == admission.RefusalReason.DRAINING.value
+    assert _run(owner, "r.2").outcome is hop.RunOutcome.ANSWERED
+    owner.identify(routing_mesh.make_server(0).server_id, BORN_MS + 1)
+    answer = _run(owner, "r.3", known)
+    assert answer.outcome is hop.RunOutcome.ANSWERED
+
+
+def test_entry_forgets_a_limit_that_ended_but_no_departure() -> None:
+    """The end of a limit is told by the owner; leaving has no end."""
+    known = known_statements.KnownStatements()
+    known.record("s", _know(rate_limit=3.0))
+    known.record("s", _know())
+    assert known.find("s") is None
+    known.record("s", _know(is_leaving=True))
+    known.record("s", _know())
+    assert known.find("s") == _know(is_leaving=True)
+    known.record("s", _know(born_ms=BORN_MS + 1))
+    assert known.find("s") is None
+
+
+def test_malformed_limit_neither_sets_nor_ends_one() -> None:
+    """A garbled header of one answer must not change what others stated."""
+    pool = StatingPool(("Server-Limit", "0.5"))
+    owner = _make_owner(pool)
+    _run(owner, "r.1")
+    pool.headers = (("Server-Limit", "-3"),)
+    assert _run(owner, "r.2").outcome is hop.RunOutcome.ANSWERED
+    assert _run(owner, "r.3").outcome is hop.RunOutcome.REFUSED
+    for text in ("", "nan", "inf", "-1", "x", "\u0663", "1" * 99):
+        stated = server_statements.parse_statement(
+            (("server-limit", text),), header_names.DEFAULT
+        )
+        assert stated.rate_limit is None
+        shown = text[: server_statements.MAX_LIMIT_CHARS]
+        assert stated.malformed == repr(shown)
+
+
 load_tests = fixtures.collect(__name__)
