End a server's limit only by an answer of its own that ran a request

What would be seen: a server in need that refuses a request without naming its limit again gets its full load; an answer 421 of a server that took over the address says that the expected one leaves. Cause: every answer counted as a statement of the expected server. Change: a refusal that states nothing changes nothing, and 421 is passed over. A health answer that states that its server leaves registers no server after a restart of the node. server_stated is bounded while a limit changes with each answer. test_refusal_of_the_server_does_not_end_its_limit failed before.

--- a/src/lovagesaddle/node/owned_server.py
+++ b/src/lovagesaddle/node/owned_server.py
@@ -186,7 +186,10 @@
                         request_id=attempt_id, rate=stated.rate_limit
                     )
                 )
-        if before != stated:
+        if before == stated:
+            return
+        is_new_value = None not in (before.rate_limit, stated.rate_limit)
+        if not is_new_value or logs.allows_request_line(failed=True):
             _log.info(
                 "server_stated",
                 server=self.server.server_id,
--- a/src/lovagesaddle/node/owner_answers.py
+++ b/src/lovagesaddle/node/owner_answers.py
@@ -4,6 +4,7 @@
 
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
+from lovagesaddle.core.routing import server_statements
 from lovagesaddle.http import client
 from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import hop
@@ -52,6 +53,21 @@
     )
 
 
+def find_statement(
+    reply: client.Reply, names: header_names.HeaderNames
+) -> server_statements.Statement | None:
+    """Returns what a server states in an answer, or None if it says nothing.
+
+    A refusal that states no limit doesn't end one, and one of another server
+    that has taken over the address says nothing about the expected server.
+    """
+    if reply.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+        return None
+    stated = server_statements.parse_statement(reply.headers, names)
+    is_empty = stated == server_statements.NOTHING
+    return None if is_empty and _states_not_run(reply, names) else stated
+
+
 def _states_not_run(
     reply: client.Reply, names: header_names.HeaderNames
 ) -> bool:
--- a/src/lovagesaddle/node/server_discovery.py
+++ b/src/lovagesaddle/node/server_discovery.py
@@ -7,6 +7,7 @@
 
 from lovagesaddle import ticker
 from lovagesaddle.core.routing import header_names
+from lovagesaddle.core.routing import server_statements
 from lovagesaddle.http import answer_budget
 from lovagesaddle.http import client
 from lovagesaddle.http import headers as headers_lib
@@ -104,13 +105,16 @@
         instance = _find_header(reply, self._names.instance)
         load = _find_header(reply, self._names.server_load)
         slots = _parse_slots(load)
-        if reply.status != 200 or not (instance and slots):
+        stated = server_statements.parse_statement(reply.headers, self._names)
+        is_usable = bool(instance and slots) and not stated.is_leaving
+        if reply.status != 200 or not is_usable:
             _log.info(
                 "server_not_found",
                 address=self._address,
                 status=reply.status,
                 instance=instance,
                 load=load,
+                leaving=stated.is_leaving,
             )
             return None
         return local_servers.Announcement(
--- a/src/lovagesaddle/node/server_exchange.py
+++ b/src/lovagesaddle/node/server_exchange.py
@@ -6,7 +6,6 @@
 from lovagesaddle.core.routing import call_chain
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
-from lovagesaddle.core.routing import server_statements
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
 from lovagesaddle.http import sockets
@@ -80,10 +79,9 @@
         match outcome:
             case result.Success(reply):
                 self._shared_quarantine.clear(request.fingerprint)
-                stated = server_statements.parse_statement(
-                    reply.headers, self._names
-                )
-                owned.record_statement(stated, request.attempt_id)
+                stated = owner_answers.find_statement(reply, self._names)
+                if stated is not None:
+                    owned.record_statement(stated, request.attempt_id)
                 return owner_answers.make_answer(
                     request, reply, owned, self._names
                 )
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -34,18 +34,20 @@
 
     Attributes:
       headers: Headers of the answers; None to break off without an answer.
+      status: Status of the answers.
       sent_at: When each request was sent.
     """
 
     def __init__(self, *headers: tuple[str, str]) -> None:
         super().__init__()
         self.headers: tuple[tuple[str, str], ...] | None = headers
+        self.status = 200
         self.sent_at: list[float] = []
 
     def exchange(
         self, address: str, request: client.Request, guard: watchdog.Guard
     ) -> client.ExchangeResult:
-        """Returns an empty answer with status 200."""
+        """Returns an empty answer, or its failure."""
         del request, guard
         self.sent_at.append(time.monotonic())
         if self.headers is None:
@@ -58,7 +60,7 @@
                 )
             )
         return result.Success(
-            client.Reply(status=200, headers=self.headers, body=b"")
+            client.Reply(status=self.status, headers=self.headers, body=b"")
         )
 
 
@@ -225,4 +227,19 @@
         assert stated.malformed == repr(shown)
 
 
+def test_refusal_of_the_server_does_not_end_its_limit() -> None:
+    """A server in need refused a request and got the full load again."""
+    pool = StatingPool(("Server-Limit", "0.5"))
+    owner = _make_owner(pool)
+    _run(owner, "r.1")
+    for status, marker in ((503, "Request-Not-Run"), (421, "Server-Leaving")):
+        pool.status, pool.headers = status, ((marker, "1"),)
+        owner.open(routing_mesh.make_server(0), "127.0.0.1:1", INSTANCE)
+        answer = _run(owner, f"r.{status}")
+        assert answer.outcome is hop.RunOutcome.SHED
+        assert answer.stated == dataclasses.replace(
+            _know(rate_limit=0.5), born_ms=0
+        )
+
+
 load_tests = fixtures.collect(__name__)
