--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -55,13 +55,23 @@
 
 
 class BackendServer:
-    """A backend server that sends heartbeats and records its requests."""
+    """A backend server that sends heartbeats and records its requests.
+
+    Attributes:
+      seen: Path, method and headers of each request.
+      arrived: Monotonic time and ID of each request.
+      run_s: Time that it runs each request, in seconds.
+      stated: Headers of its answers in which it states a limit, or that it
+        leaves.
+    """
 
     def __init__(self, address: str, instance: str, beat_address: str) -> None:
         self.address = address
         self.instance = instance
         self.seen: list[dict[str, str]] = []
+        self.arrived: list[tuple[float, str]] = []
         self.run_s = 0.0
+        self.stated: dict[str, str] = {}
         self._beat_address = beat_address
         self._sequence = 0
         self._born = int(time.time() * 1000)
@@ -121,12 +131,14 @@
         if self.headers.get(EXPECTED) != self.owner.instance:
             self._answer(421, b"", {"Lovagesaddle-Not-Run": "1"})
             return
+        request_id = self.headers.get(REQUEST_ID, "")
+        self.owner.arrived.append((time.monotonic(), request_id))
         self.owner.seen.append(
             {"path": self.path, "method": self.command, **dict(self.headers)}
         )
         time.sleep(self.owner.run_s)
         stamp = {STAMP: f"{self.owner.instance}.{len(self.owner.seen)}"}
-        self._answer(200, b"ran " + body, stamp)
+        self._answer(200, b"ran " + body, stamp | self.owner.stated)
 
     do_POST = do_GET  # noqa: N815
 
