Keep a stated rate finite, and say once that a server drains

Cause: found by reading. A rate from another node that is no number would let no request start for ever; a departure was logged twice; each answer was described to its entry before it was known that there is nothing to tell. Change: rates are clamped, drain is idempotent, and nothing is built for servers that state nothing. test_absurd_rates_of_other_nodes_leave_the_bucket_usable failed before (nan: nothing taken).

--- a/src/lovagesaddle/core/routing/request_rates.py
+++ b/src/lovagesaddle/core/routing/request_rates.py
@@ -11,6 +11,8 @@
 # A server that takes none still gets a request now and then, since only the
 # answer to a request can end the limit.
 MIN_RATE = 0.25
+# Keeps the arithmetic finite, whatever another node sends.
+MAX_RATE = 1_000_000.0
 # Waits that refusals reserve lie at most this far ahead, so that requests come
 # back before permissions are lost.
 MAX_RESERVED_S = 1.0
@@ -118,7 +120,7 @@
             self._filled_at = now
         else:
             self._fill(now)
-        self._rate = max(rate, MIN_RATE)
+        self._rate = max(MIN_RATE, min(rate, MAX_RATE))
         self._tokens = min(self._tokens, self._capacity)
 
     def _fill(self, now: float) -> None:
--- a/src/lovagesaddle/core/routing/server_statements.py
+++ b/src/lovagesaddle/core/routing/server_statements.py
@@ -53,15 +53,15 @@
     is_leaving = False
     for name, value in headers:
         lower = name.lower()
-        if lower in names.rate_limit or lower in names.leaving:
-            header = name
         if lower in names.rate_limit:
+            header = name
             limit = _parse_limit(value.strip())
             if limit is None:
                 malformed = repr(value[:MAX_LIMIT_CHARS])
             else:
                 limits.append(limit)
         elif lower in names.leaving:
+            header = name
             is_leaving = is_leaving or value.strip() == LEAVING
     if not (limits or is_leaving or malformed):
         return NOTHING
--- a/src/lovagesaddle/node/owned_server.py
+++ b/src/lovagesaddle/node/owned_server.py
@@ -115,6 +115,8 @@
     def drain(self) -> None:
         """Refuses queued and new requests; running ones are finished."""
         with self.lock:
+            if self.draining:
+                return
             self.draining = True
             self._step(admission.Drain())
         _log.info("server_draining", server=self.server.server_id)
@@ -213,6 +215,11 @@
         if rate is not None and not self.admission.has_stated_rate:
             self.step(admission.RateKnown(rate=rate))
 
+    @property
+    def has_stated(self) -> bool:
+        """Whether the server states a limit or that it leaves."""
+        return self.stated.is_leaving or self.admission.rate_limit is not None
+
     def describe_statement(self) -> known_statements.KnownStatement | None:
         """Returns what the server has stated; None if it has no instance ID.
 
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -185,10 +185,9 @@
             self._drop_body(request)
             return owner_answers.make_refusal(request, SERVER_UNKNOWN, None)
         answer = self._run(request, owned, guard)
-        stated = owned.describe_statement()
-        if stated is None or (stated.is_empty and request.known is None):
+        if request.known is None and not owned.has_stated:
             return answer
-        return dataclasses.replace(answer, stated=stated)
+        return dataclasses.replace(answer, stated=owned.describe_statement())
 
     def _run(
         self,
--- a/tests/test_limited_servers.py
+++ b/tests/test_limited_servers.py
@@ -1,5 +1,7 @@
 """Tests of servers that state limits to many nodes, in virtual time."""
 
+import math
+
 from lovagesaddle.core.routing import request_rates
 from tests import fixtures
 from tests import limited_mesh
@@ -100,4 +102,14 @@
     assert mesh.find_excess(mesh.servers["s0"], since=0.0) <= 0
 
 
+def test_absurd_rates_of_other_nodes_leave_the_bucket_usable() -> None:
+    """A rate that is no number let no request start for ever."""
+    for absurd in (math.nan, math.inf, -math.inf, -1.0, 1e308):
+        rate = request_rates.RequestRate()
+        rate.adopt(absurd, 0.0)
+        taken = sum(rate.take(float(second)) for second in range(100))
+        assert taken >= request_rates.MIN_RATE * 100, (absurd, taken)
+        assert math.isfinite(rate.reserve_wait(100.0))
+
+
 load_tests = fixtures.collect(__name__)
--- a/tools/promises.py
+++ b/tools/promises.py
@@ -277,6 +277,8 @@
             "test_nothing_older_than_the_join_is_installed",
             "test_a_restarted_node_does_not_go_back_to_a_stale_replica",
             "test_two_keys_are_valid_during_a_rotation",
+            "test_restarted_owner_sends_nothing_to_a_server_known_to_leave",
+            "test_server_that_leaves_stays_unused_after_restart_of_its_node",
         ),
     ),
     Subject(
