Say rightly what an absurd rate of another node did

Run against the earlier arithmetic, nan takes no effect as a limit (100 of 100 start) and makes the reported wait nan; that is what the test catches.

--- a/tests/test_limited_servers.py
+++ b/tests/test_limited_servers.py
@@ -103,7 +103,7 @@
 
 
 def test_absurd_rates_of_other_nodes_leave_the_bucket_usable() -> None:
-    """A rate that is no number let no request start for ever."""
+    """A rate that is no number made the reported waits no number either."""
     for absurd in (math.nan, math.inf, -math.inf, -1.0, 1e308):
         rate = request_rates.RequestRate()
         rate.adopt(absurd, 0.0)
