Give no port to two users before either listens

Cause: suspected. find_free_ports closes what it found and may return it again; a cluster asks three times before any replica listens. Change: the last 4,096 ports are not returned again by one process. test_two_users_get_different_ports_before_either_listens failed before.

--- a/src/lovagesaddle/http/sockets.py
+++ b/src/lovagesaddle/http/sockets.py
@@ -1,5 +1,6 @@
 """Helpers for TCP sockets and their addresses."""
 
+import collections
 import contextlib
 import random
 import select
@@ -11,6 +12,8 @@
 # port of that range after it was chosen and before it was bound.
 FIRST_FREE_PORT = 15_000
 LAST_FREE_PORT = 31_999
+# Ports that were returned last; whoever asked may not listen on them yet.
+_RECENT_PORTS: collections.deque[int] = collections.deque(maxlen=4096)
 # The kernel's `struct linger`: enabled, with 0 s.
 _NO_LINGER = struct.pack("ii", 1, 0)
 
@@ -65,11 +68,16 @@
 
 
 def find_free_ports(count: int) -> tuple[int, ...]:
-    """Returns distinct loopback ports that nothing listens on now."""
+    """Returns distinct loopback ports that nothing listens on now.
+
+    A port isn't returned again soon, as its user may not listen on it yet.
+    """
     chosen: list[int] = []
     with contextlib.ExitStack() as stack:
         while len(chosen) < count:
             port = random.randint(FIRST_FREE_PORT, LAST_FREE_PORT)
+            if port in _RECENT_PORTS:
+                continue
             try:
                 listener = socket.create_server((LOOPBACK, port))
             except OSError:
@@ -77,4 +85,5 @@
                 continue
             stack.enter_context(listener)
             chosen.append(port)
+            _RECENT_PORTS.append(port)
     return tuple(chosen)
