--- a/tests/test_limits_on_the_platform.py
+++ b/tests/test_limits_on_the_platform.py
@@ -192,8 +192,6 @@
     total = 0.0
     ends = [at for at, _ in limit_at[1:]] + [float("inf")]
     for (since, limit), until in zip(limit_at, ends, strict=True):
-        # A fallen limit is known to the nodes with the next answer only, so the
-        # earlier one counts until then at most.
         begin, end = max(since, start), min(until, start + WINDOW_S)
         total += limit * max(0.0, end - begin)
     return total
