--- a/bench/virtual_policies.py
+++ b/bench/virtual_policies.py
@@ -18,7 +18,9 @@
 
 from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import admission as admission_lib
+from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import balancer as balancer_lib
+from lovagesaddle.core.routing import balancer_events
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import call_chain as chain_lib
 from lovagesaddle.core.routing import call_events as events
@@ -241,7 +243,7 @@
             return
         self._attempts[attempt.attempt_id] = attempt
         self._step(
-            admission_lib.Arrived(
+            admission_events.Arrived(
                 request_id=attempt.attempt_id,
                 priority=attempt.driver.priority,
                 deadline=attempt.deadline,
@@ -253,15 +255,15 @@
         if self._attempts.pop(attempt_id, None) is None:
             return
         self._free_slot(attempt_id)
-        self._step(admission_lib.Cancelled(request_id=attempt_id))
+        self._step(admission_events.Cancelled(request_id=attempt_id))
 
-    def _step(self, event: admission_lib.Event) -> None:
+    def _step(self, event: admission_events.Event) -> None:
         for action in self._admission.step(event, self.simulation.now):
             match action:
-                case admission_lib.Admitted():
+                case admission_events.Admitted():
                     self._backlog.append(action.request_id)
                     self._run_next()
-                case admission_lib.Refused():
+                case admission_events.Refused():
                     attempt = self._attempts.pop(action.request_id)
                     self._send_result(attempt, events.Ending.REFUSED, 0)
 
@@ -281,7 +283,7 @@
         if attempt is None:
             return
         self._free_slot(attempt_id)
-        self._step(admission_lib.Ended(request_id=attempt_id))
+        self._step(admission_events.Ended(request_id=attempt_id))
         self._send_result(attempt, events.Ending.ANSWERED, 200)
 
     def _free_slot(self, attempt_id: str) -> None:
@@ -405,7 +407,7 @@
                 self._count_call(action)
 
     def _pick_server(self, action: events.PickServer) -> None:
-        event = balancer_lib.Pick(
+        event = balancer_events.Pick(
             service="s",
             version=1,
             candidates=self.simulation.candidates,
--- a/features/support/calls.py
+++ b/features/support/calls.py
@@ -8,7 +8,8 @@
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import admission as admission_lib
-from lovagesaddle.core.routing import balancer
+from lovagesaddle.core.routing import admission_events
+from lovagesaddle.core.routing import balancer_events
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import call_events as events
 from lovagesaddle.core.routing import concurrency_limits
@@ -19,8 +20,8 @@
 SERVICE = "desk"
 RETRY_CAP = 5
 _ENDING_BY_REASON = {
-    admission_lib.RefusalReason.DRAINING: events.Ending.DRAINING,
-    admission_lib.RefusalReason.SERVER_DOWN: events.Ending.SERVER_DOWN,
+    admission_events.RefusalReason.DRAINING: events.Ending.DRAINING,
+    admission_events.RefusalReason.SERVER_DOWN: events.Ending.SERVER_DOWN,
 }
 
 
@@ -142,7 +143,7 @@
             ]:
                 server.running.remove(attempt)
                 self._step_owner(
-                    server, admission_lib.Ended(request_id=attempt)
+                    server, admission_events.Ended(request_id=attempt)
                 )
                 self._end_attempt(attempt, events.Ending.ANSWERED, status=200)
                 return
@@ -168,18 +169,18 @@
         for spread in server.quarantine.step(event, self.now):
             self._spread_marks(spread.marks)
         server.incarnation += 1
-        self._step_owner(server, admission_lib.ServerDown())
+        self._step_owner(server, admission_events.ServerDown())
         for attempt in died:
-            self._step_owner(server, admission_lib.Ended(request_id=attempt))
+            self._step_owner(server, admission_events.Ended(request_id=attempt))
             self._end_attempt(attempt, events.Ending.CRASHED)
 
     def restart(self, server: BackendServer, slots: int) -> None:
         """Restarts a crashed backend server with a number of slots."""
-        self._step_owner(server, admission_lib.ServerUp(slots=slots))
+        self._step_owner(server, admission_events.ServerUp(slots=slots))
 
     def drain(self, server: BackendServer) -> None:
         """Starts to drain a backend server."""
-        self._step_owner(server, admission_lib.Drain())
+        self._step_owner(server, admission_events.Drain())
 
     def pass_time(self, seconds: float) -> None:
         """Advances the virtual time by seconds and fires the calls' timers."""
@@ -188,7 +189,7 @@
             if not call.state_machine.is_over and call.timer <= self.now:
                 self._step(call, events.TimerFired())
 
-    def release(self, finished: balancer.Finished) -> None:
+    def release(self, finished: balancer_events.Finished) -> None:
         """Handles the outcome of an attempt at a picked server."""
 
     def check_results(self) -> None:
@@ -252,7 +253,7 @@
         if verdict is quarantine_lib.Verdict.REFUSED:
             self._end_attempt(sent.attempt_id, events.Ending.QUARANTINED)
             return
-        arrived = admission_lib.Arrived(
+        arrived = admission_events.Arrived(
             request_id=sent.attempt_id,
             priority=services.Priority.NORMAL,
             deadline=sent.deadline,
@@ -263,18 +264,18 @@
     def _cancel(self, call: Call, number: int) -> None:
         server = self.servers[call.sent[number]]
         attempt = f"{call.name}.{number}"
-        self._step_owner(server, admission_lib.Cancelled(request_id=attempt))
+        self._step_owner(server, admission_events.Cancelled(request_id=attempt))
 
     def _step_owner(
-        self, server: BackendServer, event: admission_lib.Event
+        self, server: BackendServer, event: admission_events.Event
     ) -> None:
         for action in server.owner.step(event, self.now):
             match action:
-                case admission_lib.Admitted():
+                case admission_events.Admitted():
                     self.log_event(f"{server.name} admits {action.request_id}")
                     server.running.append(action.request_id)
                     self.runs[_get_request_name(action.request_id)] += 1
-                case admission_lib.Refused():
+                case admission_events.Refused():
                     self.log_event(
                         f"{server.name} refuses {action.request_id}"
                         f" reason={action.reason.value}"
@@ -283,7 +284,7 @@
                         action.reason, events.Ending.REFUSED
                     )
                     self._end_attempt(action.request_id, ending)
-                case admission_lib.Drained():
+                case admission_events.Drained():
                     self.log_event(f"{server.name} is drained")
                     server.drained = True
 
@@ -295,16 +296,16 @@
         ended = events.AttemptEnded(number=number, ending=ending, status=status)
         self._step(call, ended)
 
-    def pick(self, asked: events.PickServer) -> balancer.Decision:
+    def pick(self, asked: events.PickServer) -> balancer_events.Decision:
         """Picks the first server that the call has not tried yet."""
         left = [
             each
             for each in self._candidates
             if each.server_id not in asked.tried
         ]
-        return balancer.Decision(
+        return balancer_events.Decision(
             server=left[0] if left else None,
-            reason=balancer.PickReason.OWN_DOMAIN,
+            reason=balancer_events.PickReason.OWN_DOMAIN,
             service=SERVICE,
             version=7,
             candidates=len(self._candidates),
--- a/src/lovagesaddle/core/routing/admission.py
+++ b/src/lovagesaddle/core/routing/admission.py
@@ -5,9 +5,9 @@
 """
 
 import dataclasses
-import enum
 
 from lovagesaddle.core import state_machine
+from lovagesaddle.core.routing import admission_events as events
 from lovagesaddle.core.routing import concurrency_limits
 from lovagesaddle.core.routing import load_reports
 from lovagesaddle.core.routing import queues
@@ -21,174 +21,7 @@
 MIN_RETRY_AFTER_S = 0.05
 
 
-class RefusalReason(enum.Enum):
-    """Reasons for which an owner refuses a request.
-
-    Each reason proves that the request did not run, except DUPLICATE: the
-    first copy of the attempt may be running.
-    """
-
-    QUEUE_FULL = "queue-full"
-    DEADLINE = "deadline"
-    DRAINING = "draining"
-    SERVER_DOWN = "server-down"
-    DUPLICATE = "duplicate"
-    CANCELLED = "cancelled"
-    RATE_LIMIT = "rate-limit"
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Arrived:
-    """Reports that a request has arrived and needs a slot.
-
-    Attributes:
-      request_id: Unique among the attempts that this owner holds.
-      priority: Priority of its route; 0 is the most urgent.
-      deadline: Monotonic time by which its answer must arrive, in seconds.
-      target: Monotonic time of the target latency of its route, in seconds;
-        None if the route states no target.
-      kind: Name of its route; runs of one kind take similar times.
-      suspect: Whether the request may crash the server; one suspect runs at a
-        time.
-      has_reservation: Whether the owner granted the transfer of its body
-        beforehand; such a request is queued even if the queue is full.
-    """
-
-    request_id: str
-    priority: int
-    deadline: float
-    target: float | None = None
-    kind: str = ""
-    suspect: bool = False
-    has_reservation: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Ended:
-    """Reports that a run ended, for whatever reason; this frees its slot.
-
-    Attributes:
-      request_id: ID of the request.
-      failed: Whether the backend server shed or failed it.
-    """
-
-    request_id: str
-    failed: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Cancelled:
-    """Reports that the entry node cancelled a request, queued or running.
-
-    The slot is freed at once, since the shell closes the connection to the
-    backend server before it sends this event.
-    """
-
-    request_id: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Drain:
-    """Reports that the backend server is leaving: admits nothing new."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ServerDown:
-    """Reports that the server is unreachable: refuses the queue."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ServerUp:
-    """Reports that the backend server announced itself, possibly cold.
-
-    Attributes:
-      slots: Number of requests that it runs at a time.
-    """
-
-    slots: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class RateStated:
-    """Reports whether an answer of the server states a limit of its rate.
-
-    It comes before the request's Ended.
-
-    Attributes:
-      request_id: ID of the answered request.
-      rate: Requests a second; None if the answer states no limit.
-    """
-
-    request_id: str
-    rate: float | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class RateKnown:
-    """Reports a limit that the server stated before this owner started.
-
-    Attributes:
-      rate: Requests a second.
-    """
-
-    rate: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Tick:
-    """Reports that time has passed."""
-
-
-Event = (
-    Arrived
-    | Ended
-    | Cancelled
-    | Drain
-    | ServerDown
-    | ServerUp
-    | RateStated
-    | RateKnown
-    | Tick
-)
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Admitted:
-    """Gives the request a slot: the shell sends it to the server now.
-
-    Attributes:
-      request_id: ID of the request.
-      waited_s: Time that it spent in the queue, in seconds.
-    """
-
-    request_id: str
-    waited_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Refused:
-    """Refuses this copy of the request, which did not and will not run.
-
-    Attributes:
-      request_id: ID of the request.
-      reason: Reason of the refusal.
-      retry_after_s: Time until a slot is expected to be free, in seconds.
-    """
-
-    request_id: str
-    reason: RefusalReason
-    retry_after_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Drained:
-    """Reports that no request is queued or running after a Drain."""
-
-
-Action = Admitted | Refused | Drained
-
-
-class Admission(state_machine.StateMachine[Event, Action]):
+class Admission(state_machine.StateMachine[events.Event, events.Action]):
     """Assigns the slots of one backend server and keeps a short queue.
 
     Args:
@@ -236,16 +69,16 @@
         """Whether an answer has shown if the server states a limit."""
         return self._rate.is_stated
 
-    def check_capacity(self, now: float) -> RefusalReason | None:
+    def check_capacity(self, now: float) -> events.RefusalReason | None:
         """Returns why a new request would be refused now, or None."""
         if self._draining:
-            return RefusalReason.DRAINING
+            return events.RefusalReason.DRAINING
         if self._down:
-            return RefusalReason.SERVER_DOWN
+            return events.RefusalReason.SERVER_DOWN
         if len(self._queue) >= self._compute_queue_capacity():
-            return RefusalReason.QUEUE_FULL
+            return events.RefusalReason.QUEUE_FULL
         if self._rate.compute_wait(now):
-            return RefusalReason.RATE_LIMIT
+            return events.RefusalReason.RATE_LIMIT
         return None
 
     def estimate_run_time(self, kind: str) -> float:
@@ -275,41 +108,50 @@
             return limit
         return min(limit, max(1, round(rate * self._times.mean_s)))
 
-    def step(self, event: Event, now: float) -> tuple[Action, ...]:
+    def step(
+        self, event: events.Event, now: float
+    ) -> tuple[events.Action, ...]:
         """Handles one event."""
-        actions: list[Action] = []
+        actions: list[events.Action] = []
         match event:
-            case Arrived():
+            case events.Arrived():
                 self._arrive(event, now, actions)
-            case Ended():
+            case events.Ended():
                 self._end(event, now)
-            case Cancelled():
+            case events.Cancelled():
                 self._queue.remove(event.request_id)
                 self._running.end(event.request_id)
-            case Drain():
+            case events.Drain():
                 self._draining = True
                 waiting = self._queue.pop_all()
-                actions += self._refuse_all(waiting, RefusalReason.DRAINING)
-            case ServerDown():
+                actions += self._refuse_all(
+                    waiting, events.RefusalReason.DRAINING
+                )
+            case events.ServerDown():
                 self._down = True
                 waiting = self._queue.pop_all()
-                actions += self._refuse_all(waiting, RefusalReason.SERVER_DOWN)
-            case ServerUp():
+                actions += self._refuse_all(
+                    waiting, events.RefusalReason.SERVER_DOWN
+                )
+            case events.ServerUp():
                 self._down = False
                 self._draining = False
                 self._drained = False
-            case RateStated():
+            case events.RateStated():
                 sent_at = self._running.find_start(event.request_id)
                 self._rate.state(event.rate, sent_at=sent_at, now=now)
-            case RateKnown():
+            case events.RateKnown():
                 self._rate.adopt(event.rate, now)
-            case Tick():
+            case events.Tick():
                 pass
         self._admit_waiting(now, actions)
         return tuple(actions)
 
     def _arrive(
-        self, event: Arrived, now: float, actions: list[Action]
+        self,
+        event: events.Arrived,
+        now: float,
+        actions: list[events.Action],
     ) -> None:
         reason = self._find_refusal(event)
         if reason is not None:
@@ -335,23 +177,25 @@
         ):
             last = self._queue.pop_last(self._times, now)
             self._shares.record_refused(last.kind, now)
-            actions.append(self._refuse(last, RefusalReason.QUEUE_FULL))
+            actions.append(self._refuse(last, events.RefusalReason.QUEUE_FULL))
 
     def _compute_queue_capacity(self) -> int:
         """Returns the free slots and the queue length, as one number."""
         free = self._limit.limit - len(self._running)
         return max(0, free) + int(self._limit.limit * self._queue_share)
 
-    def _find_refusal(self, event: Arrived) -> RefusalReason | None:
+    def _find_refusal(
+        self, event: events.Arrived
+    ) -> events.RefusalReason | None:
         if self._draining:
-            return RefusalReason.DRAINING
+            return events.RefusalReason.DRAINING
         if self._down:
-            return RefusalReason.SERVER_DOWN
+            return events.RefusalReason.SERVER_DOWN
         if event.request_id in self._running or event.request_id in self._queue:
-            return RefusalReason.DUPLICATE
+            return events.RefusalReason.DUPLICATE
         return None
 
-    def _end(self, event: Ended, now: float) -> None:
+    def _end(self, event: events.Ended, now: float) -> None:
         ended = self._running.end(event.request_id)
         if ended is None:
             return
@@ -365,7 +209,7 @@
             now=now,
         )
 
-    def _admit_waiting(self, now: float, actions: list[Action]) -> None:
+    def _admit_waiting(self, now: float, actions: list[events.Action]) -> None:
         self._refuse_unmeetable(now, actions)
         while len(self._running) < self._limit.limit:
             allow_suspects = not self._running.has_suspect
@@ -378,7 +222,7 @@
             # event announces.
             if not self._rate.take(now, may_overdraw=first.has_reservation):
                 self._shares.record_refused(first.kind, now)
-                refusal = self._refuse(first, RefusalReason.RATE_LIMIT)
+                refusal = self._refuse(first, events.RefusalReason.RATE_LIMIT)
                 wait_s = self._rate.reserve_wait(now)
                 actions.append(
                     dataclasses.replace(refusal, retry_after_s=wait_s)
@@ -387,7 +231,7 @@
             self._running.start(first, now)
             self._shares.record_served(first.kind, now)
             actions.append(
-                Admitted(
+                events.Admitted(
                     request_id=first.request_id,
                     waited_s=now - first.arrived_at,
                 )
@@ -395,9 +239,11 @@
         is_empty = not self._queue and not self._running
         if self._draining and is_empty and not self._drained:
             self._drained = True
-            actions.append(Drained())
+            actions.append(events.Drained())
 
-    def _refuse_unmeetable(self, now: float, actions: list[Action]) -> None:
+    def _refuse_unmeetable(
+        self, now: float, actions: list[events.Action]
+    ) -> None:
         # A single request for a free slot runs whatever the expected run time:
         # only another run can lower that estimate again.
         full = len(self._running) >= self._limit.limit
@@ -409,18 +255,22 @@
         unmeetable = self._queue.pop_unmeetable(times, now, slot_waits)
         for waiting in unmeetable:
             self._shares.record_refused(waiting.kind, now)
-        actions += self._refuse_all(unmeetable, RefusalReason.DEADLINE)
+        actions += self._refuse_all(unmeetable, events.RefusalReason.DEADLINE)
 
     def _refuse_all(
-        self, refused: tuple[queues.Waiting, ...], reason: RefusalReason
-    ) -> list[Refused]:
+        self,
+        refused: tuple[queues.Waiting, ...],
+        reason: events.RefusalReason,
+    ) -> list[events.Refused]:
         return [self._refuse(waiting, reason) for waiting in refused]
 
     def _refuse(
-        self, refused: queues.Waiting | Arrived, reason: RefusalReason
-    ) -> Refused:
+        self,
+        refused: queues.Waiting | events.Arrived,
+        reason: events.RefusalReason,
+    ) -> events.Refused:
         rounds = len(self._queue) / self._limit.limit + 1
-        return Refused(
+        return events.Refused(
             request_id=refused.request_id,
             reason=reason,
             retry_after_s=max(MIN_RETRY_AFTER_S, rounds * self._times.mean_s),
--- a/src/lovagesaddle/core/routing/balancer.py
+++ b/src/lovagesaddle/core/routing/balancer.py
@@ -2,11 +2,10 @@
 
 from collections.abc import Sequence
 import dataclasses
-import enum
 import math
 
 from lovagesaddle.core import state_machine
-from lovagesaddle.core.routing import load_reports
+from lovagesaddle.core.routing import balancer_events as events
 from lovagesaddle.core.routing import pick_policies
 from lovagesaddle.core.routing import server_stats
 from lovagesaddle.core.routing import table
@@ -18,129 +17,6 @@
 LARGE_BODY_BYTES = 64 * 1024
 
 
-class PickReason(enum.Enum):
-    """Reasons for which a backend server was picked, or none was."""
-
-    OWN_NODE = "own-node"
-    OWN_DOMAIN = "own-domain"
-    OTHER_DOMAIN = "other-domain"
-    ANY_DOMAIN = "any-domain"
-    HINTED_UNHEALTHY = "hinted-unhealthy"
-    NO_ROOM = "no-room"
-    RATE_LIMITED = "rate-limited"
-    NO_SERVER = "no-server"
-    ALL_TRIED = "all-tried"
-
-
-class AttemptResult(enum.Enum):
-    """Results of an attempt, as far as they concern its backend server.
-
-    ANSWERED: a complete answer that reports no failure of the server.
-    REFUSED: the owner refused the request for lack of room.
-    DRAINING: the owner refused it because the server is leaving.
-    UNREACHABLE: the connection to the owner failed.
-    FAILED: the request was sent to the server and the server failed it.
-    ABANDONED: the entry node gave up for a reason that is no fault of the
-      server.
-    """
-
-    ANSWERED = "answered"
-    REFUSED = "refused"
-    DRAINING = "draining"
-    UNREACHABLE = "unreachable"
-    FAILED = "failed"
-    ABANDONED = "abandoned"
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Pick:
-    """Asks for a server; a picked server has one more request outstanding.
-
-    Attributes:
-      service: Name of the service, for the log.
-      version: Version of the table that the candidates come from.
-      candidates: The serving servers of the service.
-      tried: Server IDs that earlier attempts of the call used.
-      body_bytes: Size of the request body, in bytes.
-      needs_room: Whether to pick no server if all seem to be full.
-      needs_start: Whether to pick no server if the stated rates of all seem
-        to be used up.
-    """
-
-    service: str
-    version: int
-    candidates: tuple[table.Candidate, ...]
-    tried: frozenset[str] = frozenset()
-    body_bytes: int = 0
-    needs_room: bool = False
-    needs_start: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Finished:
-    """Reports the end of the attempt on a picked server, once per pick.
-
-    Attributes:
-      server_id: The picked server.
-      incarnation: Its incarnation when it was picked.
-      result: Result of the attempt.
-      load_report: Load report of the owner, if one arrived.
-      waited_s: Time that an abandoned attempt waited for an answer, in seconds.
-    """
-
-    server_id: str
-    incarnation: int
-    result: AttemptResult
-    load_report: load_reports.LoadReport | None = None
-    waited_s: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class HealthHinted:
-    """Reports the state of a health endpoint.
-
-    It may be late or wrong, so an unhealthy server is only picked last.
-    """
-
-    server_id: str
-    healthy: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class TableInstalled:
-    """Reports that a new routing table is in force.
-
-    Attributes:
-      candidates: All serving servers of the table.
-    """
-
-    candidates: tuple[table.Candidate, ...]
-
-
-Event = Pick | Finished | HealthHinted | TableInstalled
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Decision:
-    """Result of a Pick, for the call and for the log line.
-
-    Attributes:
-      server: The picked server, or None.
-      reason: Reason of the pick.
-      service: Name of the service.
-      version: Version of the table.
-      candidates: Number of candidates of the pick.
-      eligible: Number of candidates that are not tried, draining or ejected.
-    """
-
-    server: table.Candidate | None
-    reason: PickReason
-    service: str
-    version: int
-    candidates: int
-    eligible: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BalancerOptions:
     """Options of a balancer.
@@ -162,7 +38,7 @@
     large_body_bytes: int = LARGE_BODY_BYTES
 
 
-class Balancer(state_machine.StateMachine[Event, Decision]):
+class Balancer(state_machine.StateMachine[events.Event, events.Decision]):
     """Picks servers by the load reports of owners and this node's statistics.
 
     Args:
@@ -186,37 +62,43 @@
         # When the last stated rate that is used up allows a request again.
         self._rates_used_until = 0.0
 
-    def step(self, event: Event, now: float) -> tuple[Decision, ...]:
+    def step(
+        self, event: events.Event, now: float
+    ) -> tuple[events.Decision, ...]:
         """Handles one event; returns one Decision for a Pick."""
         match event:
-            case Pick():
+            case events.Pick():
                 return (self.pick(event, now),)
-            case Finished():
+            case events.Finished():
                 self._finish(event, now)
-            case HealthHinted():
+            case events.HealthHinted():
                 stats = self._stats.get(event.server_id)
                 if stats is not None:
                     stats.hinted_unhealthy = not event.healthy
-            case TableInstalled():
+            case events.TableInstalled():
                 self._install(event, now)
         return ()
 
-    def pick(self, event: Pick, now: float) -> Decision:
+    def pick(self, event: events.Pick, now: float) -> events.Decision:
         """Picks a server, or none; counts the request as outstanding there."""
         eligible = self._list_eligible(event, now)
         if not eligible:
             tried = bool(event.tried)
-            reason = PickReason.ALL_TRIED if tried else PickReason.NO_SERVER
+            reason = (
+                events.PickReason.ALL_TRIED
+                if tried
+                else events.PickReason.NO_SERVER
+            )
             return _make_decision(event, None, reason, 0)
         startable = self._list_startable(eligible, now)
         if startable:
             eligible = startable
         elif event.needs_start:
-            reason = PickReason.RATE_LIMITED
+            reason = events.PickReason.RATE_LIMITED
             return _make_decision(event, None, reason, len(eligible))
         is_large = event.body_bytes >= self._options.large_body_bytes
         server, reason = self._choose(eligible, now, is_large=is_large)
-        if event.needs_room and reason is PickReason.NO_ROOM:
+        if event.needs_room and reason is events.PickReason.NO_ROOM:
             return _make_decision(event, None, reason, len(eligible))
         self._stats[server.server_id].outstanding += 1
         return _make_decision(event, server, reason, len(eligible))
@@ -227,7 +109,7 @@
         now: float,
         *,
         is_large: bool,
-    ) -> tuple[table.Candidate, PickReason]:
+    ) -> tuple[table.Candidate, events.PickReason]:
         room_share = (
             server_stats.LARGE_BODY_ROOM_SHARE
             if is_large
@@ -248,12 +130,12 @@
             server = self._policy.choose(pool, cost, self._source)
             stats = self._stats[server.server_id]
             # A body for a server on this node crosses no link.
-            crosses = is_large and reason is not PickReason.OWN_NODE
+            crosses = is_large and reason is not events.PickReason.OWN_NODE
             if crosses and not stats.has_link_room(now):
                 continue
             if stats.has_room(
                 now,
-                room_share if reason is PickReason.OWN_DOMAIN else None,
+                room_share if reason is events.PickReason.OWN_DOMAIN else None,
             ):
                 return server, reason
         # Chooses anew: a comparison of the servers chosen above would be a
@@ -261,11 +143,11 @@
         # entry nodes to the same server.
         candidates = self._list_own_domain(eligible) if is_large else eligible
         server = self._policy.choose(candidates, cost, self._source)
-        return server, PickReason.NO_ROOM
+        return server, events.PickReason.NO_ROOM
 
     def _list_own_node(
         self, eligible: Sequence[table.Candidate]
-    ) -> tuple[list[table.Candidate], PickReason]:
+    ) -> tuple[list[table.Candidate], events.PickReason]:
         """Returns the healthy server on the entry node itself, if any."""
         own_node = [
             each
@@ -273,7 +155,7 @@
             if each.node_id == self._options.node_id
             and not self._stats[each.server_id].hinted_unhealthy
         ]
-        return own_node, PickReason.OWN_NODE
+        return own_node, events.PickReason.OWN_NODE
 
     def _list_own_domain(
         self, eligible: Sequence[table.Candidate]
@@ -289,25 +171,27 @@
 
     def _list_tiers(
         self, eligible: Sequence[table.Candidate]
-    ) -> tuple[tuple[list[table.Candidate], PickReason], ...]:
+    ) -> tuple[tuple[list[table.Candidate], events.PickReason], ...]:
         healthy: list[table.Candidate] = []
         hinted: list[table.Candidate] = []
         for server in eligible:
             stats = self._stats[server.server_id]
             (hinted if stats.hinted_unhealthy else healthy).append(server)
-        last = (hinted, PickReason.HINTED_UNHEALTHY)
+        last = (hinted, events.PickReason.HINTED_UNHEALTHY)
         if not self._options.prefer_own_domain:
-            return (healthy, PickReason.ANY_DOMAIN), last
+            return (healthy, events.PickReason.ANY_DOMAIN), last
         domain = self._options.failure_domain
         own = [each for each in healthy if each.failure_domain == domain]
         other = [each for each in healthy if each.failure_domain != domain]
         return (
-            (own, PickReason.OWN_DOMAIN),
-            (other, PickReason.OTHER_DOMAIN),
+            (own, events.PickReason.OWN_DOMAIN),
+            (other, events.PickReason.OTHER_DOMAIN),
             last,
         )
 
-    def _list_eligible(self, event: Pick, now: float) -> list[table.Candidate]:
+    def _list_eligible(
+        self, event: events.Pick, now: float
+    ) -> list[table.Candidate]:
         available: list[table.Candidate] = []
         ejected: list[table.Candidate] = []
         for candidate in event.candidates:
@@ -348,7 +232,7 @@
             self._stats[candidate.server_id] = stats
         return stats
 
-    def _finish(self, event: Finished, now: float) -> None:
+    def _finish(self, event: events.Finished, now: float) -> None:
         stats = self._stats.get(event.server_id)
         if stats is None or stats.incarnation != event.incarnation:
             return
@@ -361,22 +245,22 @@
                     now + event.load_report.start_wait_s,
                 )
         match event.result:
-            case AttemptResult.ANSWERED:
+            case events.AttemptResult.ANSWERED:
                 stats.record_success()
-            case AttemptResult.DRAINING:
+            case events.AttemptResult.DRAINING:
                 stats.draining_until = now + server_stats.DRAINING_S
-            case AttemptResult.UNREACHABLE:
+            case events.AttemptResult.UNREACHABLE:
                 # The server is ejected at once: every further attempt at an
                 # unreachable server would cost the caller a full timeout.
                 stats.eject(now)
-            case AttemptResult.FAILED:
+            case events.AttemptResult.FAILED:
                 stats.record_failure(now)
-            case AttemptResult.ABANDONED:
+            case events.AttemptResult.ABANDONED:
                 stats.record_no_answer(event.waited_s, now)
-            case AttemptResult.REFUSED:
+            case events.AttemptResult.REFUSED:
                 pass
 
-    def _install(self, event: TableInstalled, now: float) -> None:
+    def _install(self, event: events.TableInstalled, now: float) -> None:
         for candidate in event.candidates:
             self._get_or_create_stats(candidate, now)
         kept = {candidate.server_id for candidate in event.candidates}
@@ -387,12 +271,12 @@
 
 
 def _make_decision(
-    event: Pick,
+    event: events.Pick,
     server: table.Candidate | None,
-    reason: PickReason,
+    reason: events.PickReason,
     eligible: int,
-) -> Decision:
-    return Decision(
+) -> events.Decision:
+    return events.Decision(
         server=server,
         reason=reason,
         service=event.service,
--- a/src/lovagesaddle/core/routing/call.py
+++ b/src/lovagesaddle/core/routing/call.py
@@ -11,7 +11,7 @@
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import attempt_rules
-from lovagesaddle.core.routing import balancer
+from lovagesaddle.core.routing import balancer_events
 from lovagesaddle.core.routing import call_chain as chain_lib
 from lovagesaddle.core.routing import call_events as events
 from lovagesaddle.core.routing import retries
@@ -144,7 +144,7 @@
         )
 
     def _send(
-        self, decision: balancer.Decision, now: float
+        self, decision: balancer_events.Decision, now: float
     ) -> tuple[events.Action, ...]:
         server = decision.server
         if server is None:
--- a/src/lovagesaddle/core/routing/call_events.py
+++ b/src/lovagesaddle/core/routing/call_events.py
@@ -5,7 +5,7 @@
 
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.model import services
-from lovagesaddle.core.routing import balancer
+from lovagesaddle.core.routing import balancer_events
 from lovagesaddle.core.routing import call_chain as chain_lib
 from lovagesaddle.core.routing import load_reports
 from lovagesaddle.core.routing import table
@@ -88,7 +88,7 @@
       decision: The balancer's decision, made with the requested table.
     """
 
-    decision: balancer.Decision
+    decision: balancer_events.Decision
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -174,7 +174,7 @@
 class ReleaseServer:
     """Reports the result of a picked server to the balancer."""
 
-    finished: balancer.Finished
+    finished: balancer_events.Finished
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/core/routing/server_releases.py
+++ b/src/lovagesaddle/core/routing/server_releases.py
@@ -4,22 +4,22 @@
 They tell the balancer the result of the attempt.
 """
 
-from lovagesaddle.core.routing import balancer
+from lovagesaddle.core.routing import balancer_events
 from lovagesaddle.core.routing import call_events as events
 from lovagesaddle.core.routing import table
 
 _RESULTS = {
-    events.Ending.UNREACHABLE: balancer.AttemptResult.UNREACHABLE,
-    events.Ending.REFUSED: balancer.AttemptResult.REFUSED,
-    events.Ending.RATE_LIMITED: balancer.AttemptResult.REFUSED,
-    events.Ending.DRAINING: balancer.AttemptResult.DRAINING,
-    events.Ending.SERVER_DOWN: balancer.AttemptResult.UNREACHABLE,
-    events.Ending.QUARANTINED: balancer.AttemptResult.ABANDONED,
-    events.Ending.SHED: balancer.AttemptResult.FAILED,
-    events.Ending.ANSWERED: balancer.AttemptResult.ANSWERED,
-    events.Ending.LOST: balancer.AttemptResult.FAILED,
-    events.Ending.CRASHED: balancer.AttemptResult.FAILED,
-    events.Ending.TIMED_OUT: balancer.AttemptResult.FAILED,
+    events.Ending.UNREACHABLE: balancer_events.AttemptResult.UNREACHABLE,
+    events.Ending.REFUSED: balancer_events.AttemptResult.REFUSED,
+    events.Ending.RATE_LIMITED: balancer_events.AttemptResult.REFUSED,
+    events.Ending.DRAINING: balancer_events.AttemptResult.DRAINING,
+    events.Ending.SERVER_DOWN: balancer_events.AttemptResult.UNREACHABLE,
+    events.Ending.QUARANTINED: balancer_events.AttemptResult.ABANDONED,
+    events.Ending.SHED: balancer_events.AttemptResult.FAILED,
+    events.Ending.ANSWERED: balancer_events.AttemptResult.ANSWERED,
+    events.Ending.LOST: balancer_events.AttemptResult.FAILED,
+    events.Ending.CRASHED: balancer_events.AttemptResult.FAILED,
+    events.Ending.TIMED_OUT: balancer_events.AttemptResult.FAILED,
 }
 
 
@@ -33,7 +33,7 @@
       event: End of the attempt.
     """
     return events.ReleaseServer(
-        finished=balancer.Finished(
+        finished=balancer_events.Finished(
             server_id=server.server_id,
             incarnation=server.incarnation,
             result=_RESULTS[event.ending],
@@ -52,10 +52,10 @@
       waited_s: Time that the attempt waited for an answer, in seconds.
     """
     return events.ReleaseServer(
-        finished=balancer.Finished(
+        finished=balancer_events.Finished(
             server_id=server.server_id,
             incarnation=server.incarnation,
-            result=balancer.AttemptResult.ABANDONED,
+            result=balancer_events.AttemptResult.ABANDONED,
             waited_s=waited_s,
         )
     )
--- a/src/lovagesaddle/node/attempt_senders.py
+++ b/src/lovagesaddle/node/attempt_senders.py
@@ -5,7 +5,7 @@
 from returns import result
 
 from lovagesaddle.core import errors
-from lovagesaddle.core.routing import admission
+from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import call_events
 from lovagesaddle.core.routing import table
 from lovagesaddle.http import client
@@ -14,12 +14,12 @@
 from lovagesaddle.node import body_transfer
 from lovagesaddle.node import owner as owner_lib
 
-_DUPLICATE = admission.RefusalReason.DUPLICATE.value
-_DRAINING = admission.RefusalReason.DRAINING.value
-_RATE_LIMIT = admission.RefusalReason.RATE_LIMIT.value
+_DUPLICATE = admission_events.RefusalReason.DUPLICATE.value
+_DRAINING = admission_events.RefusalReason.DRAINING.value
+_RATE_LIMIT = admission_events.RefusalReason.RATE_LIMIT.value
 _SERVER_DOWN_CAUSES = frozenset(
     {
-        admission.RefusalReason.SERVER_DOWN.value,
+        admission_events.RefusalReason.SERVER_DOWN.value,
         owner_lib.SERVER_UNKNOWN,
     }
 )
--- a/src/lovagesaddle/node/owned_server.py
+++ b/src/lovagesaddle/node/owned_server.py
@@ -7,6 +7,7 @@
 
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import admission
+from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import concurrency_limits
 from lovagesaddle.core.routing import known_statements
 from lovagesaddle.core.routing import load_reports
@@ -45,10 +46,14 @@
     __slots__ = ("action", "decided")
 
     def __init__(self) -> None:
-        self.action: admission.Admitted | admission.Refused | None = None
+        self.action: (
+            admission_events.Admitted | admission_events.Refused | None
+        ) = None
         self.decided: threading.Event | None = None
 
-    def decide(self, action: admission.Admitted | admission.Refused) -> None:
+    def decide(
+        self, action: admission_events.Admitted | admission_events.Refused
+    ) -> None:
         """Sets the decision and wakes the thread that waits for it."""
         self.action = action
         if self.decided is not None:
@@ -107,7 +112,7 @@
             return report
         return dataclasses.replace(report, link_wait_s=wait_s)
 
-    def step(self, event: admission.Event) -> None:
+    def step(self, event: admission_events.Event) -> None:
         """Handles an event and passes the decisions to the waiting threads."""
         with self.lock:
             self._step(event)
@@ -118,7 +123,7 @@
             if self.draining:
                 return
             self.draining = True
-            self._step(admission.Drain())
+            self._step(admission_events.Drain())
         _log.info("server_draining", server=self.server.server_id)
 
     def mark_down(self) -> None:
@@ -127,17 +132,17 @@
             if self.down:
                 return
             self.down = True
-            self._step(admission.ServerDown())
+            self._step(admission_events.ServerDown())
         _log.warning("server_down", server=self.server.server_id)
 
     def admit(
-        self, event: admission.Arrived, guard: watchdog.Guard
-    ) -> admission.Admitted | admission.Refused:
+        self, event: admission_events.Arrived, guard: watchdog.Guard
+    ) -> admission_events.Admitted | admission_events.Refused:
         """Waits until an attempt is admitted or refused."""
         waiter = _Waiter()
         with self.lock:
             if event.request_id in self._waiters:
-                return _refuse(event, admission.RefusalReason.DUPLICATE)
+                return _refuse(event, admission_events.RefusalReason.DUPLICATE)
             self._waiters[event.request_id] = waiter
             self._step(event)
             if waiter.action is not None:
@@ -149,10 +154,10 @@
             if waiter.action is not None:
                 return waiter.action
             self._waiters.pop(event.request_id, None)
-            self._step(admission.Cancelled(request_id=event.request_id))
-        reason = admission.RefusalReason.DEADLINE
+            self._step(admission_events.Cancelled(request_id=event.request_id))
+        reason = admission_events.RefusalReason.DEADLINE
         if guard.reason is watchdog.EndReason.CANCELLED:
-            reason = admission.RefusalReason.CANCELLED
+            reason = admission_events.RefusalReason.CANCELLED
         return _refuse(event, reason)
 
     def start(
@@ -166,7 +171,9 @@
         """Removes a request that ended and frees its slot."""
         with self.lock:
             self._running.pop(attempt_id, None)
-            self._step(admission.Ended(request_id=attempt_id, failed=failed))
+            self._step(
+                admission_events.Ended(request_id=attempt_id, failed=failed)
+            )
 
     def record_statement(
         self, stated: server_statements.Statement, attempt_id: str
@@ -184,7 +191,7 @@
             self.stated = stated
             if not stated.malformed:
                 self._step(
-                    admission.RateStated(
+                    admission_events.RateStated(
                         request_id=attempt_id, rate=stated.rate_limit
                     )
                 )
@@ -213,7 +220,7 @@
     def adopt_rate(self, rate: float | None) -> None:
         """Keeps to an earlier limit until the server itself has answered."""
         if rate is not None and not self.admission.has_stated_rate:
-            self.step(admission.RateKnown(rate=rate))
+            self.step(admission_events.RateKnown(rate=rate))
 
     @property
     def has_stated(self) -> bool:
@@ -252,9 +259,9 @@
         """Returns whether no request runs or is queued."""
         return not (self.admission.running or self.admission.waiting)
 
-    def _step(self, event: admission.Event) -> None:
+    def _step(self, event: admission_events.Event) -> None:
         for action in self.admission.step(event, time.monotonic()):
-            if isinstance(action, admission.Drained):
+            if isinstance(action, admission_events.Drained):
                 continue
             waiter = self._waiters.pop(action.request_id, None)
             if waiter is not None:
@@ -262,8 +269,8 @@
 
 
 def _refuse(
-    event: admission.Arrived, reason: admission.RefusalReason
-) -> admission.Refused:
-    return admission.Refused(
+    event: admission_events.Arrived, reason: admission_events.RefusalReason
+) -> admission_events.Refused:
+    return admission_events.Refused(
         request_id=event.request_id, reason=reason, retry_after_s=0.0
     )
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -7,7 +7,7 @@
 import time
 
 from lovagesaddle.core.model import snapshots
-from lovagesaddle.core.routing import admission
+from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import body_scheduler
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
@@ -138,7 +138,7 @@
         """Removes a server and refuses the requests queued for it."""
         owned = self._owned.pop(server_id, None)
         if owned is not None:
-            owned.step(admission.ServerDown())
+            owned.step(admission_events.ServerDown())
         _log.info("server_closed", server=server_id, reason=reason)
 
     def drain(self, server_id: str) -> None:
@@ -158,7 +158,7 @@
         owned = self._owned.get(server_id)
         if owned is not None and owned.down and not owned.draining:
             owned.down = False
-            owned.step(admission.ServerUp(slots=owned.server.slots))
+            owned.step(admission_events.ServerUp(slots=owned.server.slots))
             _log.info("server_up", server=server_id)
 
     def has_crashed(self, server_id: str) -> bool:
@@ -196,7 +196,7 @@
         guard: watchdog.Guard,
     ) -> hop.RunAnswer:
         if not self._register_attempt(request.attempt_id):
-            reason = admission.RefusalReason.DUPLICATE.value
+            reason = admission_events.RefusalReason.DUPLICATE.value
             return owner_answers.make_refusal(request, reason, owned)
         if request.offset:
             completed = self._complete_body(request)
@@ -204,7 +204,7 @@
                 return owner_answers.make_refusal(request, BODY_LOST, owned)
             request = completed
         if self._refuses_known(request, owned):
-            reason = admission.RefusalReason.DRAINING.value
+            reason = admission_events.RefusalReason.DRAINING.value
             return owner_answers.make_refusal(request, reason, owned)
         running = self._admit(request, owned, guard)
         if isinstance(running, hop.RunAnswer):
@@ -246,10 +246,10 @@
             case body_scheduler.Granted():
                 return hop.BodyTaken(attempt_id=offer.attempt_id)
             case body_scheduler.Declined():
-                reason = admission.RefusalReason.DEADLINE
+                reason = admission_events.RefusalReason.DEADLINE
                 after_s = decision.retry_after_s
             case None:
-                reason, after_s = admission.RefusalReason.CANCELLED, 0.0
+                reason, after_s = admission_events.RefusalReason.CANCELLED, 0.0
         return owner_answers.make_refusal(offer, reason.value, owned, after_s)
 
     def receive_part(self, part: hop.BodyPart) -> hop.RunAnswer | hop.BodyTaken:
@@ -259,9 +259,9 @@
             return owner_answers.make_refusal(part, SERVER_UNKNOWN, owned)
         if owned.draining or owned.down:
             self._body_receiver.drop(part.attempt_id)
-            reason = admission.RefusalReason.SERVER_DOWN
+            reason = admission_events.RefusalReason.SERVER_DOWN
             if owned.draining:
-                reason = admission.RefusalReason.DRAINING
+                reason = admission_events.RefusalReason.DRAINING
             return owner_answers.make_refusal(part, reason.value, owned)
         if self._body_receiver.add_part(
             part.attempt_id, part.offset, part.data
@@ -319,7 +319,7 @@
         if classification is quarantine.Verdict.REFUSED:
             return owner_answers.make_refusal(request, hop.QUARANTINED, owned)
         suspect = classification is quarantine.Verdict.SUSPECT
-        arrived = admission.Arrived(
+        arrived = admission_events.Arrived(
             request_id=request.attempt_id,
             priority=request.priority,
             deadline=guard.deadline,
@@ -329,7 +329,7 @@
             has_reservation=bool(request.offset),
         )
         decision = owned.admit(arrived, guard)
-        if isinstance(decision, admission.Refused):
+        if isinstance(decision, admission_events.Refused):
             if logs.allows_request_line(failed=True):
                 _log.info(
                     "refused",
@@ -346,7 +346,9 @@
         if self._classify(request) is quarantine.Verdict.REFUSED:
             # The request was quarantined while it waited, because of crash
             # marks from other nodes or another crash on this node.
-            owned.step(admission.Cancelled(request_id=request.attempt_id))
+            owned.step(
+                admission_events.Cancelled(request_id=request.attempt_id)
+            )
             return owner_answers.make_refusal(request, hop.QUARANTINED, owned)
         return quarantine.RunningRequest(
             fingerprint=request.fingerprint, suspected=suspect
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -8,6 +8,7 @@
 
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.routing import balancer
+from lovagesaddle.core.routing import balancer_events
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import known_statements
 from lovagesaddle.core.routing import pick_policies
@@ -120,7 +121,8 @@
             if self._table is not None and self._table.version >= table.version:
                 return
             self._balancer.step(
-                balancer.TableInstalled(candidates=candidates), time.monotonic()
+                balancer_events.TableInstalled(candidates=candidates),
+                time.monotonic(),
             )
             self._known_servers = len(candidates)
             self._node_count = max(1, len(hashed.snapshot.nodes))
@@ -147,7 +149,7 @@
         body_bytes: int = 0,
         needs_room: bool = False,
         needs_start: bool = False,
-    ) -> balancer.Decision:
+    ) -> balancer_events.Decision:
         """Returns the balancer's decision on a server for one attempt.
 
         Args:
@@ -159,7 +161,7 @@
           needs_start: Whether to pick no server if the stated rates of all
             seem to be used up.
         """
-        event = balancer.Pick(
+        event = balancer_events.Pick(
             service=service,
             version=table.version,
             candidates=table.list_candidates(service),
@@ -171,7 +173,7 @@
         with self._lock:
             return self._balancer.pick(event, time.monotonic())
 
-    def report_finished(self, finished: balancer.Finished) -> None:
+    def report_finished(self, finished: balancer_events.Finished) -> None:
         """Reports to the balancer how an attempt at a picked server ended."""
         with self._lock:
             self._balancer.step(finished, time.monotonic())
--- a/src/lovagesaddle/node/server_exchange.py
+++ b/src/lovagesaddle/node/server_exchange.py
@@ -2,7 +2,7 @@
 
 from returns import result
 
-from lovagesaddle.core.routing import admission
+from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import call_chain
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
@@ -133,7 +133,7 @@
         if error.kind is client.FailureKind.NOT_SENT:
             if guard.remaining_s:
                 owned.mark_down()
-            reason = admission.RefusalReason.SERVER_DOWN.value
+            reason = admission_events.RefusalReason.SERVER_DOWN.value
             return owner_answers.make_refusal(request, reason, owned)
         if error.kind is client.FailureKind.CLOSED and _has_crashed(owned):
             return self._handle_crash(request, owned, running)
--- a/tests/limited_mesh.py
+++ b/tests/limited_mesh.py
@@ -10,7 +10,9 @@
 import random
 
 from lovagesaddle.core.routing import admission as admission_lib
+from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import balancer as balancer_lib
+from lovagesaddle.core.routing import balancer_events
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import call_events as events
 from lovagesaddle.core.routing import concurrency_limits
@@ -160,7 +162,7 @@
             source=self._source,
         )
         created.step(
-            balancer_lib.TableInstalled(candidates=self._candidates), 0.0
+            balancer_events.TableInstalled(candidates=self._candidates), 0.0
         )
         return created
 
@@ -192,7 +194,7 @@
         for action in call.step(event, now):
             match action:
                 case events.PickServer():
-                    pick = balancer_lib.Pick(
+                    pick = balancer_events.Pick(
                         service="desk",
                         version=1,
                         candidates=self._candidates,
@@ -225,27 +227,27 @@
         self._attempts[action.attempt_id] = _Attempt(
             entry=entry, call=call, number=action.number, server=server
         )
-        arrived = admission_lib.Arrived(
+        arrived = admission_events.Arrived(
             request_id=action.attempt_id, priority=1, deadline=action.deadline
         )
         known = self._known[entry].find(action.server.server_id)
 
         def arrive(at: float) -> None:
             if known is not None and known.rate_limit is not None:
-                adopted = admission_lib.RateKnown(rate=known.rate_limit)
+                adopted = admission_events.RateKnown(rate=known.rate_limit)
                 self._step_owner(server, adopted, at)
             self._step_owner(server, arrived, at)
 
         self._at(now + HOP_S, arrive)
 
     def _step_owner(
-        self, server: Server, event: admission_lib.Event, now: float
+        self, server: Server, event: admission_events.Event, now: float
     ) -> None:
         for action in server.admission.step(event, now):
             match action:
-                case admission_lib.Admitted():
+                case admission_events.Admitted():
                     self._run(server, action.request_id, now)
-                case admission_lib.Refused():
+                case admission_events.Refused():
                     server.refusals += 1
                     self._end(action.request_id, now, action)
 
@@ -260,9 +262,11 @@
                 # The owner has restarted meanwhile.
                 self._end(attempt_id, at, None)
                 return
-            stated = admission_lib.RateStated(request_id=attempt_id, rate=limit)
+            stated = admission_events.RateStated(
+                request_id=attempt_id, rate=limit
+            )
             self._step_owner(server, stated, at)
-            ended = admission_lib.Ended(request_id=attempt_id)
+            ended = admission_events.Ended(request_id=attempt_id)
             self._step_owner(server, ended, at)
             if limit is not None:
                 server.told_at.setdefault(entry, at + HOP_S)
@@ -271,13 +275,16 @@
         self._at(now + RUN_S, end)
 
     def _end(
-        self, attempt_id: str, now: float, refused: admission_lib.Refused | None
+        self,
+        attempt_id: str,
+        now: float,
+        refused: admission_events.Refused | None,
     ) -> None:
         attempt = self._attempts.pop(attempt_id)
         ending = events.Ending.ANSWERED
         if refused is not None:
             is_limited = (
-                refused.reason is admission_lib.RefusalReason.RATE_LIMIT
+                refused.reason is admission_events.RefusalReason.RATE_LIMIT
             )
             ending = (
                 events.Ending.RATE_LIMITED
--- a/tests/link_mesh.py
+++ b/tests/link_mesh.py
@@ -13,7 +13,9 @@
 import random
 
 from lovagesaddle.core.routing import admission as admission_lib
+from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import balancer as balancer_lib
+from lovagesaddle.core.routing import balancer_events
 from lovagesaddle.core.routing import body_scheduler
 from lovagesaddle.core.routing import concurrency_limits
 from lovagesaddle.core.routing import load_reports
@@ -220,7 +222,9 @@
             policy=pick_policies.TwoChoicesPick(),
             source=random.Random(self._source.random()),
         )
-        made.step(balancer_lib.TableInstalled(candidates=self._candidates), 0.0)
+        made.step(
+            balancer_events.TableInstalled(candidates=self._candidates), 0.0
+        )
         return made
 
     def _at(self, time_s: float, action: Callable[[], None]) -> None:
@@ -275,7 +279,7 @@
 
     def _attempt(self, call: Call) -> None:
         decision = self._entries[call.entry].pick(
-            balancer_lib.Pick(
+            balancer_events.Pick(
                 service="artwork",
                 version=1,
                 candidates=self._candidates,
@@ -365,7 +369,7 @@
         owner.held[call.attempt_id] = call
         self._step(
             owner,
-            admission_lib.Arrived(
+            admission_events.Arrived(
                 request_id=call.attempt_id,
                 priority=call.kind.priority,
                 deadline=call.sent_at + call.kind.deadline_s,
@@ -375,16 +379,16 @@
             ),
         )
 
-    def _step(self, owner: Owner, event: admission_lib.Event) -> None:
+    def _step(self, owner: Owner, event: admission_events.Event) -> None:
         for action in owner.admission.step(event, self.now):
             match action:
-                case admission_lib.Admitted():
+                case admission_events.Admitted():
                     self._start(owner, action.request_id)
-                case admission_lib.Refused():
+                case admission_events.Refused():
                     call = owner.held.pop(action.request_id)
                     self.refused_bytes += call.body_bytes
                     self._refuse(call, owner)
-                case admission_lib.Drained():
+                case admission_events.Drained():
                     pass
 
     def _start(self, owner: Owner, attempt_id: str) -> None:
@@ -393,25 +397,25 @@
         run_s = self._source.lognormvariate(mean, RUN_SIGMA) * owner.slowness
 
         def end() -> None:
-            self._step(owner, admission_lib.Ended(request_id=attempt_id))
+            self._step(owner, admission_events.Ended(request_id=attempt_id))
             del owner.held[attempt_id]
-            self._release(call, owner, balancer_lib.AttemptResult.ANSWERED)
+            self._release(call, owner, balancer_events.AttemptResult.ANSWERED)
             self._finish(call, self.now + ONE_WAY_S - call.sent_at)
 
         self._at(self.now + run_s, end)
 
     def _refuse(self, call: Call, owner: Owner) -> None:
-        self._release(call, owner, balancer_lib.AttemptResult.REFUSED)
+        self._release(call, owner, balancer_events.AttemptResult.REFUSED)
         if self.now < call.sent_at + call.kind.deadline_s:
             self._attempt(call)
         else:
             self._finish(call, math.inf)
 
     def _release(
-        self, call: Call, owner: Owner, ended: balancer_lib.AttemptResult
+        self, call: Call, owner: Owner, ended: balancer_events.AttemptResult
     ) -> None:
         self._entries[call.entry].step(
-            balancer_lib.Finished(
+            balancer_events.Finished(
                 server_id=owner.candidate.server_id,
                 incarnation=1,
                 result=ended,
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -20,6 +20,7 @@
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import balancer as balancer_lib
+from lovagesaddle.core.routing import balancer_events
 from lovagesaddle.core.routing import call_events
 from lovagesaddle.core.routing import explanation
 from lovagesaddle.core.routing import pick_policies
@@ -144,11 +145,11 @@
         )
         self.log_event = session.record_event
 
-    def pick(self, asked: call_events.PickServer) -> balancer_lib.Decision:
+    def pick(self, asked: call_events.PickServer) -> balancer_events.Decision:
         """Picks a server from the newest table of the entry."""
         table = table_lib.Table(self._session.read_snapshot())
         decision = self._balancer.pick(
-            balancer_lib.Pick(
+            balancer_events.Pick(
                 service="orderdesk",
                 version=table.version,
                 candidates=table.list_candidates("orderdesk"),
@@ -164,7 +165,7 @@
         )
         return decision
 
-    def release(self, finished: balancer_lib.Finished) -> None:
+    def release(self, finished: balancer_events.Finished) -> None:
         """Passes the outcome of an attempt to the balancer."""
         self._balancer.step(finished, self.now)
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,12 +5,13 @@
 
 from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import admission as admission_lib
+from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import concurrency_limits
 from lovagesaddle.core.routing import queues
 from tests import fixtures
 
 Priority = services.Priority
-Reason = admission_lib.RefusalReason
+Reason = admission_events.RefusalReason
 
 
 def _create(
@@ -30,7 +31,7 @@
     deadline: float = 10.0,
     priority: int = Priority.NORMAL,
 ) -> list[str]:
-    event = admission_lib.Arrived(
+    event = admission_events.Arrived(
         request_id=name,
         priority=priority,
         deadline=deadline,
@@ -42,18 +43,18 @@
 def _end(
     owner: admission_lib.Admission, name: str, now: float = 0.0
 ) -> list[str]:
-    return _describe(owner.step(admission_lib.Ended(request_id=name), now))
+    return _describe(owner.step(admission_events.Ended(request_id=name), now))
 
 
-def _describe(actions: tuple[admission_lib.Action, ...]) -> list[str]:
+def _describe(actions: tuple[admission_events.Action, ...]) -> list[str]:
     found: list[str] = []
     for action in actions:
         match action:
-            case admission_lib.Admitted():
+            case admission_events.Admitted():
                 found.append(f"run {action.request_id}")
-            case admission_lib.Refused():
+            case admission_events.Refused():
                 found.append(f"{action.reason.value} {action.request_id}")
-            case admission_lib.Drained():
+            case admission_events.Drained():
                 found.append("drained")
     return found
 
@@ -139,9 +140,9 @@
     owner = _create(1)
     _arrive(owner, "a")
     _arrive(owner, "b")
-    owner.step(admission_lib.Cancelled(request_id="b"), 0.0)
+    owner.step(admission_events.Cancelled(request_id="b"), 0.0)
     assert _arrive(owner, "c") == []
-    freed = owner.step(admission_lib.Cancelled(request_id="a"), 0.0)
+    freed = owner.step(admission_events.Cancelled(request_id="a"), 0.0)
     assert _describe(freed) == ["run c"]
 
 
@@ -149,7 +150,7 @@
     """The end of a run after its cancellation frees no other slot."""
     owner = _create(1)
     _arrive(owner, "a")
-    owner.step(admission_lib.Cancelled(request_id="a"), 0.0)
+    owner.step(admission_events.Cancelled(request_id="a"), 0.0)
     _arrive(owner, "b")
     assert _end(owner, "a") == []
     assert owner.running == 1
@@ -160,7 +161,7 @@
     owner = _create(1)
     _arrive(owner, "a")
     _arrive(owner, "b")
-    drained = _describe(owner.step(admission_lib.Drain(), 0.0))
+    drained = _describe(owner.step(admission_events.Drain(), 0.0))
     assert drained == ["draining b"]
     assert _arrive(owner, "c") == ["draining c"]
     assert owner.report(0.0).draining
@@ -170,9 +171,9 @@
 def test_idle_owner_is_drained_at_once() -> None:
     """The drain of an idle owner ends at once, and only once."""
     owner = _create()
-    drained = owner.step(admission_lib.Drain(), 0.0)
+    drained = owner.step(admission_events.Drain(), 0.0)
     assert _describe(drained) == ["drained"]
-    assert owner.step(admission_lib.Tick(), 1.0) == ()
+    assert owner.step(admission_events.Tick(), 1.0) == ()
 
 
 def test_attempt_is_not_admitted_twice() -> None:
@@ -188,11 +189,11 @@
     owner = _create(1)
     _arrive(owner, "a")
     _arrive(owner, "b")
-    down = owner.step(admission_lib.ServerDown(), 0.0)
+    down = owner.step(admission_events.ServerDown(), 0.0)
     assert _describe(down) == ["server-down b"]
     assert _arrive(owner, "c") == ["server-down c"]
     _end(owner, "a")
-    owner.step(admission_lib.ServerUp(slots=1), 0.0)
+    owner.step(admission_events.ServerUp(slots=1), 0.0)
     assert _arrive(owner, "d") == ["run d"]
 
 
@@ -244,10 +245,10 @@
     in_time = 0
 
     def schedule_ends(
-        actions: tuple[admission_lib.Action, ...], now: float
+        actions: tuple[admission_events.Action, ...], now: float
     ) -> None:
         for action in actions:
-            if isinstance(action, admission_lib.Admitted):
+            if isinstance(action, admission_events.Admitted):
                 ends.append((now + run_s, action.request_id))
 
     for number, at in enumerate(arrivals):
@@ -256,10 +257,12 @@
             ends.remove(ended)
             in_time += ended[0] <= arrivals[int(ended[1])] + target_s
             schedule_ends(
-                owner.step(admission_lib.Ended(request_id=ended[1]), ended[0]),
+                owner.step(
+                    admission_events.Ended(request_id=ended[1]), ended[0]
+                ),
                 ended[0],
             )
-        event = admission_lib.Arrived(
+        event = admission_events.Arrived(
             request_id=str(number),
             priority=Priority.NORMAL,
             deadline=at + deadline_s,
@@ -288,7 +291,7 @@
     )
 
     def arrive(name: str, kind: str, now: float, target: float) -> list[str]:
-        event = admission_lib.Arrived(
+        event = admission_events.Arrived(
             request_id=name,
             priority=Priority.NORMAL,
             deadline=now + 10.0,
@@ -361,10 +364,10 @@
     ends: list[tuple[float, str]] = []
 
     def schedule_ends(
-        actions: tuple[admission_lib.Action, ...], now: float
+        actions: tuple[admission_events.Action, ...], now: float
     ) -> None:
         for action in actions:
-            if isinstance(action, admission_lib.Admitted):
+            if isinstance(action, admission_events.Admitted):
                 name = action.request_id.partition("/")[0]
                 served[name] += 1
                 heapq.heappush(
@@ -374,10 +377,10 @@
     for number, (at, name) in enumerate(arrivals):
         while ends and ends[0][0] <= at:
             ended_at, ended = heapq.heappop(ends)
-            ending = admission_lib.Ended(request_id=ended)
+            ending = admission_events.Ended(request_id=ended)
             schedule_ends(owner.step(ending, ended_at), ended_at)
         kind = _KINDS[name]
-        event = admission_lib.Arrived(
+        event = admission_events.Arrived(
             request_id=f"{name}/{number}",
             priority=kind.priority,
             deadline=at + 2.5 * kind.target_s,
@@ -398,7 +401,7 @@
         assert owner.check_capacity(0.0) is None
         _arrive(owner, name, deadline=5.0)
     assert owner.check_capacity(0.0) is Reason.QUEUE_FULL
-    reserved = admission_lib.Arrived(
+    reserved = admission_events.Arrived(
         request_id="body", priority=9, deadline=9.0, has_reservation=True
     )
     assert _describe(owner.step(reserved, 0.0)) == []
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -6,7 +6,7 @@
 
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.model import outcomes
-from lovagesaddle.core.routing import admission
+from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.http import hop
@@ -124,7 +124,7 @@
         refused,
         refused,
         refused,
-        cause=admission.RefusalReason.DUPLICATE.value,
+        cause=admission_events.RefusalReason.DUPLICATE.value,
     )
     ended = _run(sender, shared_quarantine_lib.SharedQuarantine())
     assert ended.failure().outcome is outcomes.RequestOutcome.UNKNOWN
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -3,6 +3,7 @@
 import random
 
 from lovagesaddle.core.routing import balancer as balancer_lib
+from lovagesaddle.core.routing import balancer_events
 from lovagesaddle.core.routing import load_reports
 from lovagesaddle.core.routing import pick_policies
 from lovagesaddle.core.routing import server_stats
@@ -10,8 +11,8 @@
 from tests import fixtures
 from tests import routing_mesh
 
-Result = balancer_lib.AttemptResult
-Reason = balancer_lib.PickReason
+Result = balancer_events.AttemptResult
+Reason = balancer_events.PickReason
 
 
 class Entry:
@@ -31,7 +32,7 @@
     ) -> None:
         """Installs another table."""
         self.candidates = candidates
-        event = balancer_lib.TableInstalled(candidates=candidates)
+        event = balancer_events.TableInstalled(candidates=candidates)
         self.balancer.step(event, now)
 
     def pick(
@@ -39,9 +40,9 @@
         now: float = 0.0,
         tried: frozenset[str] = frozenset(),
         body_bytes: int = 0,
-    ) -> balancer_lib.Decision:
+    ) -> balancer_events.Decision:
         """Picks a server for one attempt."""
-        event = balancer_lib.Pick(
+        event = balancer_events.Pick(
             service="desk",
             version=1,
             candidates=self.candidates,
@@ -58,7 +59,7 @@
         report: load_reports.LoadReport | None = None,
     ) -> None:
         """Reports the end of one attempt."""
-        event = balancer_lib.Finished(
+        event = balancer_events.Finished(
             server_id=server_id,
             incarnation=1,
             result=result,
@@ -191,7 +192,7 @@
 def test_unhealthy_hint_only_puts_a_server_last() -> None:
     """A server with a false unhealthy hint is used once the others are full."""
     entry = Entry(routing_mesh.make_candidates(3, slots=2, domains=1))
-    hint = balancer_lib.HealthHinted(server_id="s0", healthy=False)
+    hint = balancer_events.HealthHinted(server_id="s0", healthy=False)
     entry.balancer.step(hint, 0.0)
     decisions = [entry.pick() for _ in range(3)]
     reasons = [decision.reason for decision in decisions]
@@ -202,7 +203,7 @@
     """A failed server with a false healthy hint stays ejected."""
     entry = Entry(routing_mesh.make_candidates(3, domains=1))
     entry.fail("s0", 0.0, 3)
-    hint = balancer_lib.HealthHinted(server_id="s0", healthy=True)
+    hint = balancer_events.HealthHinted(server_id="s0", healthy=True)
     entry.balancer.step(hint, 0.5)
     assert "s0" not in entry.sample(0.5)
 
@@ -330,8 +331,8 @@
         policy=pick_policies.TwoChoicesPick(),
         source=random.Random(1),
     )
-    made.step(balancer_lib.TableInstalled(candidates=candidates), 0.0)
-    event = balancer_lib.Pick(
+    made.step(balancer_events.TableInstalled(candidates=candidates), 0.0)
+    event = balancer_events.Pick(
         service="desk",
         version=1,
         candidates=candidates,
--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -2,7 +2,7 @@
 
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.model import services
-from lovagesaddle.core.routing import balancer
+from lovagesaddle.core.routing import balancer_events
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import call_chain as chain_lib
 from lovagesaddle.core.routing import call_events as events
@@ -33,7 +33,7 @@
         self.picks: list[events.PickServer] = []
         self.sent: list[events.SendAttempt] = []
         self.cancelled: list[int] = []
-        self.released: list[balancer.Finished] = []
+        self.released: list[balancer_events.Finished] = []
         self.timer = 0.0
         self.end: events.Action | None = None
         route = routing_mesh.make_route(
@@ -90,11 +90,11 @@
         assert isinstance(self.end, events.FailCaller), self.end
         return self.end
 
-    def _decide(self) -> balancer.Decision:
+    def _decide(self) -> balancer_events.Decision:
         server = self.servers.pop(0) if self.servers else None
-        return balancer.Decision(
+        return balancer_events.Decision(
             server=server,
-            reason=balancer.PickReason.OWN_DOMAIN,
+            reason=balancer_events.PickReason.OWN_DOMAIN,
             service="desk",
             version=7,
             candidates=9,
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -8,6 +8,7 @@
 
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.routing import balancer as balancer_lib
+from lovagesaddle.core.routing import balancer_events
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import call_chain as chain_lib
 from lovagesaddle.core.routing import call_events as events
@@ -37,10 +38,10 @@
 
     def pick(
         self, action: events.PickServer, now: float
-    ) -> balancer_lib.Decision:
+    ) -> balancer_events.Decision:
         """Answers a PickServer."""
         return self.balancer.pick(
-            balancer_lib.Pick(
+            balancer_events.Pick(
                 service="s",
                 version=1,
                 candidates=self.candidates,
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -7,7 +7,7 @@
 from returns import result
 
 from lovagesaddle.core.model import services
-from lovagesaddle.core.routing import admission
+from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
@@ -102,7 +102,7 @@
         answer = owner.run(
             routing_mesh.make_run_request(attempt_id), _make_guard()
         )
-        assert answer.cause == admission.RefusalReason.SERVER_DOWN.value
+        assert answer.cause == admission_events.RefusalReason.SERVER_DOWN.value
     # The successor is asked once, and is down after its own refusal.
     assert pool.addresses == ["127.0.0.1:1", "127.0.0.1:2"]
 
@@ -143,7 +143,7 @@
     ):
         assert isinstance(answer, hop.RunAnswer)
         assert answer.outcome is hop.RunOutcome.REFUSED
-        assert answer.cause == admission.RefusalReason.DRAINING.value
+        assert answer.cause == admission_events.RefusalReason.DRAINING.value
 
 
 def test_request_without_the_start_of_its_body_is_not_run() -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -5,6 +5,7 @@
 
 from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import admission as admission_lib
+from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import concurrency_limits
 from lovagesaddle.core.routing import quarantine as quarantine_lib
 from lovagesaddle.core.routing import queues
@@ -140,7 +141,7 @@
     )
 
     def arrive(name: str, suspect: bool) -> int:
-        event = admission_lib.Arrived(
+        event = admission_events.Arrived(
             request_id=name,
             priority=services.Priority.NORMAL,
             deadline=9.0,
@@ -150,8 +151,8 @@
 
     counts = [arrive("a", True), arrive("b", True), arrive("c", False)]
     assert counts == [1, 0, 1]
-    (admitted,) = owner.step(admission_lib.Ended(request_id="a"), 0.1)
-    assert isinstance(admitted, admission_lib.Admitted)
+    (admitted,) = owner.step(admission_events.Ended(request_id="a"), 0.1)
+    assert isinstance(admitted, admission_events.Admitted)
     assert admitted.request_id == "b"
 
 
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -5,7 +5,7 @@
 
 from returns import result
 
-from lovagesaddle.core.routing import admission
+from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import known_statements
 from lovagesaddle.core.routing import server_statements
@@ -124,7 +124,7 @@
     owner = _make_owner(pool)
     assert _run(owner, "r.1").outcome is hop.RunOutcome.ANSWERED
     answer = _run(owner, "r.2")
-    assert answer.cause == admission.RefusalReason.DRAINING.value
+    assert answer.cause == admission_events.RefusalReason.DRAINING.value
     assert len(pool.sent_at) == 1
 
 
@@ -141,7 +141,10 @@
     servers.announce(announcement)
     assert _run(owner, "r.1").outcome is hop.RunOutcome.ANSWERED
     servers.announce(announcement)
-    assert _run(owner, "r.2").cause == admission.RefusalReason.DRAINING.value
+    assert (
+        _run(owner, "r.2").cause
+        == admission_events.RefusalReason.DRAINING.value
+    )
     # After a failed connect another process may have taken its place.
     servers.record_probe_failure("desk")
     servers.announce(announcement)
@@ -175,10 +178,10 @@
     pool = StatingPool()
     owner = _make_owner(pool)
     answer = _run(owner, "r.1", _know(is_leaving=True))
-    assert answer.cause == admission.RefusalReason.DRAINING.value
+    assert answer.cause == admission_events.RefusalReason.DRAINING.value
     # Other entries need not know.
     answer = _run(owner, "r.2")
-    assert answer.cause == admission.RefusalReason.DRAINING.value
+    assert answer.cause == admission_events.RefusalReason.DRAINING.value
     assert answer.stated == _know(is_leaving=True)
     assert not pool.sent_at
 
@@ -190,7 +193,7 @@
     owner = _make_owner(StatingPool(), born_ms=0)
     known = _know(is_leaving=True)
     answer = _run(owner, "r.1", known)
-    assert answer.cause == admission.RefusalReason.DRAINING.value
+    assert answer.cause == admission_events.RefusalReason.DRAINING.value
     assert _run(owner, "r.2").outcome is hop.RunOutcome.ANSWERED
     owner.identify(routing_mesh.make_server(0).server_id, BORN_MS + 1)
     answer = _run(owner, "r.3", known)
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -4,6 +4,7 @@
 import random
 
 from lovagesaddle.core.routing import balancer as balancer_lib
+from lovagesaddle.core.routing import balancer_events
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import call_events as events
 from lovagesaddle.core.routing import load_reports
@@ -33,7 +34,7 @@
             source=random.Random(1),
         )
         self._balancer.step(
-            balancer_lib.TableInstalled(candidates=self._candidates), 0.0
+            balancer_events.TableInstalled(candidates=self._candidates), 0.0
         )
         self._due: list[tuple[float, int, call_lib.Call, events.Event]] = []
         self._count = 0
@@ -79,7 +80,7 @@
         for action in call.step(event, now):
             match action:
                 case events.PickServer():
-                    pick = balancer_lib.Pick(
+                    pick = balancer_events.Pick(
                         service="desk",
                         version=1,
                         candidates=self._candidates,
