Reword what a newcomer would not know, and share the maker of calls in tests

Change: skips_rate_limited, _list_within_rate, _apply_known; tokens; one make_call_request. No logic and no check changed.

--- a/src/lovagesaddle/core/routing/admission.py
+++ b/src/lovagesaddle/core/routing/admission.py
@@ -218,8 +218,8 @@
             )
             if first is None:
                 break
-            # Without this, the queue would wait for a permission that no
-            # event announces.
+            # No event announces the next token, so a request that waited for it
+            # could stay in the queue until its deadline.
             if not self._rate.take(now, may_overdraw=first.has_reservation):
                 self._shares.record_refused(first.kind, now)
                 refusal = self._refuse(first, events.RefusalReason.RATE_LIMIT)
--- a/src/lovagesaddle/core/routing/balancer.py
+++ b/src/lovagesaddle/core/routing/balancer.py
@@ -90,10 +90,10 @@
                 else events.PickReason.NO_SERVER
             )
             return _make_decision(event, None, reason, 0)
-        startable = self._list_startable(eligible, now)
+        startable = self._list_within_rate(eligible, now)
         if startable:
             eligible = startable
-        elif event.needs_start:
+        elif event.skips_rate_limited:
             reason = events.PickReason.RATE_LIMITED
             return _make_decision(event, None, reason, len(eligible))
         is_large = event.body_bytes >= self._options.large_body_bytes
@@ -210,7 +210,7 @@
             available.extend(ejected[:missing])
         return [each for each in available if each.server_id not in event.tried]
 
-    def _list_startable(
+    def _list_within_rate(
         self, eligible: list[table.Candidate], now: float
     ) -> list[table.Candidate]:
         """Returns the servers whose stated rates allow a request now."""
--- a/src/lovagesaddle/core/routing/balancer_events.py
+++ b/src/lovagesaddle/core/routing/balancer_events.py
@@ -52,7 +52,7 @@
       tried: Server IDs that earlier attempts of the call used.
       body_bytes: Size of the request body, in bytes.
       needs_room: Whether to pick no server if all seem to be full.
-      needs_start: Whether to pick no server if the stated rates of all seem
+      skips_rate_limited: Whether to pick no server if the stated rates of all seem
         to be used up.
     """
 
@@ -62,7 +62,7 @@
     tried: frozenset[str] = frozenset()
     body_bytes: int = 0
     needs_room: bool = False
-    needs_start: bool = False
+    skips_rate_limited: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/core/routing/call.py
+++ b/src/lovagesaddle/core/routing/call.py
@@ -133,14 +133,14 @@
         *,
         newest: bool,
         needs_room: bool = False,
-        needs_start: bool = False,
+        skips_rate_limited: bool = False,
     ) -> events.PickServer:
         return events.PickServer(
             service=self._request.service,
             newest=newest,
             tried=self._tried,
             needs_room=needs_room,
-            needs_start=needs_start,
+            skips_rate_limited=skips_rate_limited,
         )
 
     def _send(
@@ -198,7 +198,9 @@
             return (
                 released,
                 self._pick(
-                    newest=True, needs_room=is_full, needs_start=is_limited
+                    newest=True,
+                    needs_room=is_full,
+                    skips_rate_limited=is_limited,
                 ),
             )
         if self._open_attempts:
--- a/src/lovagesaddle/core/routing/call_events.py
+++ b/src/lovagesaddle/core/routing/call_events.py
@@ -133,7 +133,7 @@
         started with.
       tried: Server IDs of earlier attempts.
       needs_room: Whether to pick only a server that seems to have room.
-      needs_start: Whether to pick only a server whose stated rate seems to
+      skips_rate_limited: Whether to pick only a server whose stated rate seems to
         allow another request now.
     """
 
@@ -141,7 +141,7 @@
     newest: bool
     tried: frozenset[str]
     needs_room: bool = False
-    needs_start: bool = False
+    skips_rate_limited: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/core/routing/request_rates.py
+++ b/src/lovagesaddle/core/routing/request_rates.py
@@ -5,8 +5,8 @@
 from, and tells the entry nodes when the next one may start.
 """
 
-# Unused permissions to start a request are kept for this time: a pause is not
-# followed by a burst that the server feels.
+# Unused tokens are kept for this time, so that a pause is not followed by a
+# burst that the server feels.
 BURST_S = 0.25
 # A server that takes none still gets a request now and then, since only the
 # answer to a request can end the limit.
@@ -14,7 +14,7 @@
 # Keeps the arithmetic finite, whatever another node sends.
 MAX_RATE = 1_000_000.0
 # Waits that refusals reserve lie at most this far ahead, so that requests come
-# back before permissions are lost.
+# back before the bucket is full and tokens are lost.
 MAX_RESERVED_S = 1.0
 
 
@@ -72,7 +72,7 @@
 
         Args:
           now: Monotonic time in seconds.
-          may_overdraw: Whether the request may use a later permission, as its
+          may_overdraw: Whether the request may use a token in advance, as its
             body has already been transferred.
         """
         if self._rate is None:
--- a/src/lovagesaddle/node/call_runner.py
+++ b/src/lovagesaddle/node/call_runner.py
@@ -194,7 +194,7 @@
             action.tried,
             body_bytes=len(self._forwarded.body),
             needs_room=action.needs_room,
-            needs_start=action.needs_start,
+            skips_rate_limited=action.skips_rate_limited,
         )
         server = decision.server
         self._decisions.record(
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -203,7 +203,7 @@
             if completed is None:
                 return owner_answers.make_refusal(request, BODY_LOST, owned)
             request = completed
-        if self._refuses_known(request, owned):
+        if self._apply_known(request, owned):
             reason = admission_events.RefusalReason.DRAINING.value
             return owner_answers.make_refusal(request, reason, owned)
         running = self._admit(request, owned, guard)
@@ -269,7 +269,7 @@
             return hop.BodyTaken(attempt_id=part.attempt_id)
         return owner_answers.make_refusal(part, BODY_LOST, owned)
 
-    def _refuses_known(
+    def _apply_known(
         self, request: hop.RunRequest, owned: owned_server.OwnedServer
     ) -> bool:
         """Applies what the entry knows; returns whether to refuse for it."""
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -148,7 +148,7 @@
         tried: frozenset[str],
         body_bytes: int = 0,
         needs_room: bool = False,
-        needs_start: bool = False,
+        skips_rate_limited: bool = False,
     ) -> balancer_events.Decision:
         """Returns the balancer's decision on a server for one attempt.
 
@@ -158,7 +158,7 @@
           tried: IDs of servers that this call tried already.
           body_bytes: Size of the request's body, in bytes.
           needs_room: Whether to pick no server if all seem to be full.
-          needs_start: Whether to pick no server if the stated rates of all
+          skips_rate_limited: Whether to pick no server if the stated rates of all
             seem to be used up.
         """
         event = balancer_events.Pick(
@@ -168,7 +168,7 @@
             tried=tried,
             body_bytes=body_bytes,
             needs_room=needs_room,
-            needs_start=needs_start,
+            skips_rate_limited=skips_rate_limited,
         )
         with self._lock:
             return self._balancer.pick(event, time.monotonic())
--- a/tests/limited_mesh.py
+++ b/tests/limited_mesh.py
@@ -173,13 +173,8 @@
     def _start_call(self, now: float) -> None:
         self._count += 1
         call = call_lib.Call(
-            request=events.CallRequest(
-                request_id=f"r{self._count}",
-                service="desk",
-                route=routing_mesh.make_route(timeout_s=DEADLINE_S),
-                version=1,
-                chain=routing_mesh.make_chain(),
-                arrived_at=now,
+            request=routing_mesh.make_call_request(
+                f"r{self._count}", now=now, timeout_s=DEADLINE_S
             ),
             options=call_lib.CallOptions(moves_need_room=True),
             retry_policy=self._policy,
@@ -200,7 +195,7 @@
                         candidates=self._candidates,
                         tried=action.tried,
                         needs_room=action.needs_room,
-                        needs_start=action.needs_start,
+                        skips_rate_limited=action.skips_rate_limited,
                     )
                     decision = balancer.pick(pick, now)
                     picked = events.Picked(decision=decision)
--- a/tests/routing_mesh.py
+++ b/tests/routing_mesh.py
@@ -5,6 +5,7 @@
 from lovagesaddle.core.model import services
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import call_chain
+from lovagesaddle.core.routing import call_events
 from lovagesaddle.core.routing import table
 from lovagesaddle.http import hop
 
@@ -85,6 +86,20 @@
     )
 
 
+def make_call_request(
+    request_id: str, *, now: float, timeout_s: float
+) -> call_events.CallRequest:
+    """Returns a caller's request on a route with a timeout."""
+    return call_events.CallRequest(
+        request_id=request_id,
+        service=SERVICE,
+        route=make_route(timeout_s=timeout_s),
+        version=1,
+        chain=make_chain(),
+        arrived_at=now,
+    )
+
+
 def make_run_request(attempt_id: str) -> hop.RunRequest:
     """Returns an attempt on the server of node `n0`."""
     server = make_server(0)
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -62,13 +62,8 @@
 
     def _make_call(self, now: float) -> call_lib.Call:
         return call_lib.Call(
-            request=events.CallRequest(
-                request_id="r",
-                service="desk",
-                route=routing_mesh.make_route(timeout_s=DEADLINE_S),
-                version=1,
-                chain=routing_mesh.make_chain(),
-                arrived_at=now,
+            request=routing_mesh.make_call_request(
+                "r", now=now, timeout_s=DEADLINE_S
             ),
             options=call_lib.CallOptions(),
             retry_policy=retries.RetryBudget(cap=5),
