--- a/src/lovagesaddle/core/routing/balancer_events.py
+++ b/src/lovagesaddle/core/routing/balancer_events.py
@@ -52,8 +52,8 @@
       tried: Server IDs that earlier attempts of the call used.
       body_bytes: Size of the request body, in bytes.
       needs_room: Whether to pick no server if all seem to be full.
-      skips_rate_limited: Whether to pick no server if the stated rates of all seem
-        to be used up.
+      skips_rate_limited: Whether to pick no server if the stated rates of all
+        seem to be used up.
     """
 
     service: str
--- a/src/lovagesaddle/core/routing/call_events.py
+++ b/src/lovagesaddle/core/routing/call_events.py
@@ -133,8 +133,8 @@
         started with.
       tried: Server IDs of earlier attempts.
       needs_room: Whether to pick only a server that seems to have room.
-      skips_rate_limited: Whether to pick only a server whose stated rate seems to
-        allow another request now.
+      skips_rate_limited: Whether to pick only a server whose stated rate seems
+        to allow another request now.
     """
 
     service: str
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -158,8 +158,8 @@
           tried: IDs of servers that this call tried already.
           body_bytes: Size of the request's body, in bytes.
           needs_room: Whether to pick no server if all seem to be full.
-          skips_rate_limited: Whether to pick no server if the stated rates of all
-            seem to be used up.
+          skips_rate_limited: Whether to pick no server if the stated rates of
+            all seem to be used up.
         """
         event = balancer_events.Pick(
             service=service,
