--- /dev/null
+++ b/tests/test_stale_tables.py
@@ -0,0 +1,74 @@
+"""Tests of answers by a table that may no longer be the newest."""
+
+from collections.abc import Iterator
+import contextlib
+import json
+
+from bench import admin as admin_lib
+from bench import backend
+from bench import stand_in
+
+from lovagesaddle.core.model import outcomes
+from lovagesaddle.node import program
+from tests import fixtures
+from tests import nodes
+
+SERVICE = "orderdesk"
+ADDED_HOST = "added.example"
+
+
+@contextlib.contextmanager
+def _run_node(
+    *, proves: bool
+) -> Iterator[tuple[nodes.Mesh, program.NodeProgram, backend.Backend]]:
+    """Runs a node with a server; later versions are proved if `proves`."""
+    with (
+        nodes.Mesh(nodes.make_service()) as mesh,
+        backend.Backend(stand_in.BackendOptions()) as server,
+    ):
+        mesh.control.proves = proves
+        node = mesh.start("n0")
+        admin_lib.announce(node.admin_address, SERVICE, server.address, 20, 100)
+        yield mesh, node, server
+
+
+def test_refusal_by_an_unproved_table_is_not_final() -> None:
+    """A node that can't prove its table to be the newest refuses for now.
+
+    The newest one may have the route, the method, the caller or the limit.
+    """
+    with _run_node(proves=False) as (_, node, server):
+        address = node.http_address
+        replies = (
+            nodes.send(address, Host=ADDED_HOST),
+            nodes.send(address, "PUT"),
+            nodes.send(address, token="wrong"),
+            nodes.send(address, "POST", body=b"x" * 1_100_000),
+        )
+        for reply in replies:
+            assert reply.status == 503, reply
+            assert "Retry-After" in reply.headers
+            assert reply.headers[outcomes.OUTCOME_HEADER] == "not-run"
+        assert "unproved_refusals_total 4" in node.metrics.render()
+        assert server.state.most_running == 0
+
+
+def test_request_that_the_unproved_table_allows_is_served() -> None:
+    """Losing all of control does not stop calls."""
+    with _run_node(proves=False) as (_, node, _server):
+        reply = nodes.send(node.http_address, "POST", "/a", body=b"xy")
+        assert reply.status == 200, reply
+        assert json.loads(reply.body)["length"] == 2
+
+
+def test_proof_makes_a_refusal_final() -> None:
+    """A node that proves its table answers as before."""
+    with _run_node(proves=False) as (mesh, node, _server):
+        assert nodes.send(node.http_address, Host=ADDED_HOST).status == 503
+        mesh.control.proves = True
+        mesh.control.change()
+        assert nodes.send(node.http_address, Host=ADDED_HOST).status == 404
+        assert nodes.send(node.http_address, token="wrong").status == 401
+
+
+load_tests = fixtures.collect(__name__)
