Make a replica the lazy parent of every node

Cause: both parents of most nodes were nodes, on the VMs that carry calls and die. What they know is as old as what their own parents told them, and both can be lost at once. Change: deltas still come from a node; the lazy parent, which tells of new versions and is asked for those that were not delivered, is a replica for every node. Their number at a replica is the number of nodes by that of replicas, one heartbeat a second each. A calm mesh proves its age by heartbeats alone.

--- a/src/lovagesaddle/core/distribution/relay_tree.py
+++ b/src/lovagesaddle/core/distribution/relay_tree.py
@@ -5,6 +5,9 @@
 parents from the level above by rendezvous hashing, so that a joining or
 leaving node changes the parents of few others. The nodes of the first level,
 the roots, have the replicas as parents.
+
+The lazy parent of every node is a replica. Deltas are relayed, but what proves
+that a version is the newest does not depend on other nodes.
 """
 
 from collections.abc import Sequence
@@ -30,9 +33,8 @@
 
     Attributes:
       eager: Candidates for the parent that pushes deltas.
-      lazy: Candidates for the parent that sends heartbeats only; the first
-        one belongs to another branch than the first eager candidate if any
-        candidate does.
+      lazy: Candidates for the parent that sends heartbeats only; replicas
+        first, then nodes of other branches than the first eager candidate.
     """
 
     eager: tuple[peers.Peer, ...]
@@ -121,13 +123,16 @@
     if node_id not in {node.node_id for node in domain}:
         return ParentPlan(eager=ranked, lazy=ranked[1:] + ranked[:1])
     turn = int.from_bytes(_score(node_id, "replica")) % max(1, len(ranked))
-    fallbacks = ranked[turn:] + ranked[:turn]
-    fallbacks += _list_remotes(snapshot, node_id, failure_domain)
-    return _plan_below_roots(tree, node_id, fallbacks)
+    rotated = ranked[turn:] + ranked[:turn]
+    remotes = _list_remotes(snapshot, node_id, failure_domain)
+    return _plan_below_roots(tree, node_id, rotated, remotes)
 
 
 def _plan_below_roots(
-    tree: RelayTree, node_id: str, fallbacks: tuple[peers.Peer, ...]
+    tree: RelayTree,
+    node_id: str,
+    replicas: tuple[peers.Peer, ...],
+    remotes: tuple[peers.Peer, ...],
 ) -> ParentPlan:
     ranked = tree.rank_parents(node_id)
     branch = tree.find_root(ranked[0].node_id)
@@ -140,8 +145,8 @@
     lazy = (*other_branch, *rest[:SPARE_PARENTS])
     eager = (ranked[0], *rest[:SPARE_PARENTS], *other_branch)
     return ParentPlan(
-        eager=tuple(make_peer(node) for node in eager) + fallbacks,
-        lazy=tuple(make_peer(node) for node in lazy) + fallbacks,
+        eager=tuple(make_peer(node) for node in eager) + replicas + remotes,
+        lazy=replicas + tuple(make_peer(node) for node in lazy) + remotes,
     )
 
 
