Ask other replicas as soon as the parents prove nothing

Cause: a parent counted as failed 2.5 heartbeats after its last frame, and one that is behind or paused in between never did; a pull without an answer was repeated after 1 s and then less often. Each waited for silence, while the bound is on the age of the version.

--- a/src/lovagesaddle/core/distribution/events.py
+++ b/src/lovagesaddle/core/distribution/events.py
@@ -59,6 +59,11 @@
     """The process is about to stop."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ProofRequested:
+    """A caller's request waits until the age of the version is proved."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Send:
     """Sends a frame on the connection that this process opens to a peer."""
@@ -142,6 +147,7 @@
     | ServerWithdrawn
     | MarksRaised
     | LeaveRequested
+    | ProofRequested
 )
 Action = (
     Send | Answer | Disconnect | Install | RecordProof | DeliverMarks | LogLine
--- a/src/lovagesaddle/core/distribution/node_agent.py
+++ b/src/lovagesaddle/core/distribution/node_agent.py
@@ -17,6 +17,7 @@
 from lovagesaddle.core.distribution import mark_filter
 from lovagesaddle.core.distribution import messages
 from lovagesaddle.core.distribution import parents as parents_lib
+from lovagesaddle.core.distribution import prober as prober_lib
 from lovagesaddle.core.distribution import puller as puller_lib
 from lovagesaddle.core.distribution import rate_limiter
 from lovagesaddle.core.distribution import registration as registration_lib
@@ -75,6 +76,12 @@
             installed=self._installed, random=random
         )
         self._freshness = freshness_lib.Freshness(random)
+        self._prober = prober_lib.Prober(
+            installed=self._installed,
+            freshness=self._freshness,
+            heartbeat_s=heartbeat_s,
+            random=random,
+        )
         self._heartbeats = heartbeats.HeartbeatSender(
             installed=self._installed,
             parents=self._parents,
@@ -117,6 +124,8 @@
                 return self._relay_marks(event.marks, "", now)
             case events.LeaveRequested():
                 self._registration.start_leaving()
+            case events.ProofRequested():
+                self._prober.request(now)
             case _:
                 assert_never(event)
         return self._tick(now)
@@ -315,12 +324,14 @@
             now,
         )
         pulls = self._puller.tick(self._rotated, now)
+        probes = self._prober.tick(self._rotated, now)
         child_heartbeats = self._children.tick(self._parents.stamp, now)
         return (
             *parent_actions,
             *self._heartbeats.tick(self._make_own_ack(), now),
             *requests,
             *pulls,
+            *probes,
             *child_heartbeats,
         )
 
--- a/src/lovagesaddle/node/control_thread.py
+++ b/src/lovagesaddle/node/control_thread.py
@@ -136,6 +136,10 @@
         self._post_event(events.LeaveRequested())
         return self._removed.wait(timeout_s)
 
+    def request_proof(self) -> None:
+        """Asks for a proof of the configuration's age; see the base class."""
+        self._post_event(events.ProofRequested())
+
     def spread_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
         """Sends crash marks to every node."""
         mark_messages = tuple(
--- a/src/lovagesaddle/node/ports.py
+++ b/src/lovagesaddle/node/ports.py
@@ -72,6 +72,10 @@
           node is removed once its lease expires.
         """
 
+    @abc.abstractmethod
+    def request_proof(self) -> None:
+        """Asks for a proof of the configuration's age, without waiting."""
+
     @abc.abstractmethod
     def spread_marks(self, marks: tuple[CrashMark, ...]) -> None:
         """Sends crash marks to every node, with the next heartbeats."""
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -50,6 +50,7 @@
 
     Attributes:
       proves: Whether each version is proved to stay the newest.
+      on_proof_requested: Called when a node asks for a proof.
     """
 
     def __init__(self, *services_: services.Service) -> None:
@@ -66,6 +67,7 @@
         self.cut_off: set[str] = set()
         self.joined = True
         self.proves = True
+        self.on_proof_requested: Callable[[], None] = lambda: None
 
     @property
     def snapshot(self) -> snapshots.Snapshot:
@@ -205,6 +207,10 @@
         self._control.leave(self._node_id)
         return True
 
+    def request_proof(self) -> None:
+        """See base class."""
+        self._control.on_proof_requested()
+
     def spread_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
         """See base class."""
         self._control.spread_marks(marks)
