Give no final refusal by a table whose age is not proved

Callers saw 404 for a route that had been accepted over 2 s before. Cause: a node acted on its table whatever its age: hung on a dead parent, paused, cut off or starved. Change: core/routing/table_age.py decides for each request. With a proof younger than max-table-age the table is acted on as before. Past it the request asks for a proof and waits for it up to 0.1 s, is routed by the newest table, and runs if that allows it; a refusal without a proof is 503, not run, with Retry-After.

--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -118,9 +118,10 @@
     def _answer(
         self, request: wsgi.IncomingRequest, arrived_at: float
     ) -> wsgi.Answer:
-        table = self._routing.table
-        if table is None:
+        if self._routing.table is None:
             return self.refuse("this node has not joined the mesh yet")
+        is_proved = self._proofs.prove()
+        table = self._routing.table
         if not table.is_published:
             return self.refuse("no configuration is published yet")
         match = table.match(
@@ -129,12 +130,14 @@
             method=request.method,
         )
         if isinstance(match, table_lib.Miss):
-            self._log_miss(match, table, request)
+            self._log_miss(match, table, request, is_proved=is_proved)
+            if not is_proved:
+                return self._refuse_unproved(table)
             return _make_miss_answer(match)
         access = table.authorise(match, self._parse_credential(request))
         refusal = _check_request(match, access, request)
         if refusal is not None:
-            return refusal
+            return refusal if is_proved else self._refuse_unproved(table)
         try:
             chain = chain_lib.parse_headers(request.headers, self._names)
         except errors.ChainError as error:
@@ -150,11 +153,23 @@
             request,
         )
 
+    def _refuse_unproved(self, table: table_lib.Table) -> wsgi.Answer:
+        """Refuses a request that the newest table may allow."""
+        self._metrics.get_counter(
+            "unproved_refusals_total",
+            "Requests refused for now since the table's age is not proved",
+        ).add()
+        return self.refuse(
+            f"version {table.version} may not be the newest configuration"
+        )
+
     def _log_miss(
         self,
         miss: table_lib.Miss,
         table: table_lib.Table,
         request: wsgi.IncomingRequest,
+        *,
+        is_proved: bool,
     ) -> None:
         self._metrics.get_counter(
             "route_misses_total",
@@ -173,6 +188,7 @@
             version=miss.version,
             publication=table.publication,
             age_ms=_format_age(self._proofs.compute_age()),
+            proved=is_proved,
         )
 
     def _parse_credential(
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -116,7 +116,7 @@
             node_id=settings.node_id,
             part_bytes=self._part_bytes,
         )
-        self._table_proofs = table_proofs.TableProofs()
+        self._table_proofs = table_proofs.TableProofs(settings.max_table_age_s)
         budget = answer_budget.AnswerBudget(settings.memory_bytes)
         self._pool = client.ConnectionPool(
             request_id_header=names.request_id,
@@ -183,6 +183,7 @@
             self._servers.connect(control)
             self._shared_quarantine.connect(control)
             self._claims.connect(control)
+            self._table_proofs.connect(control)
             self.metrics.set_gauge(
                 "table_version",
                 "Version of the routing table; 0 for none.",
--- a/src/lovagesaddle/node/table_proofs.py
+++ b/src/lovagesaddle/node/table_proofs.py
@@ -1,13 +1,32 @@
-"""Holds how current the routing table of a node is proved to be."""
+"""Lets the threads that answer callers wait for a proof of the table's age."""
 
+import threading
 import time
 
+from lovagesaddle.core.routing import table_age
+from lovagesaddle.node import ports
+from lovagesaddle.observability import logs
+
+MS_PER_S = 1000
+_log = logs.get_logger("routing")
+
 
 class TableProofs:
-    """Holds the newest proof of the table's age; any thread may use it."""
+    """Holds the newest proof of the table's age; any thread may use it.
+
+    Args:
+      max_age_s: Largest age at which the table is acted on without reserve, in
+        seconds.
+    """
 
-    def __init__(self) -> None:
-        self._current_at: float | None = None
+    def __init__(self, max_age_s: float) -> None:
+        self._age = table_age.TableAge(max_age_s)
+        self._changed = threading.Condition()
+        self._control: ports.ControlPort | None = None
+
+    def connect(self, control: ports.ControlPort) -> None:
+        """Starts to ask for proofs through the control thread."""
+        self._control = control
 
     def record(self, current_at: float) -> None:
         """Records a proof, once the table that it concerns is in force.
@@ -16,9 +35,41 @@
           current_at: Monotonic time in seconds; everything that was accepted
             before it is part of the table.
         """
-        self._current_at = current_at
+        with self._changed:
+            self._age.record_proof(current_at, time.monotonic())
+            self._changed.notify_all()
 
     def compute_age(self) -> float | None:
         """Returns how old the table may be, in seconds; None if unproved."""
-        current_at = self._current_at
-        return None if current_at is None else time.monotonic() - current_at
+        return self._age.compute_age(time.monotonic())
+
+    def prove(self) -> bool:
+        """Returns whether the table is young enough; may wait for a proof.
+
+        The table has to be read after the call: it is at least as new as the
+        one that the proof concerns.
+        """
+        if self._is_proved():
+            return True
+        with self._changed:
+            decision = self._age.decide(time.monotonic())
+        if decision.asks:
+            self._ask()
+        with self._changed:
+            return self._changed.wait_for(
+                self._is_proved,
+                max(0.0, decision.wait_until - time.monotonic()),
+            )
+
+    def _is_proved(self) -> bool:
+        return self._age.is_proved(time.monotonic())
+
+    def _ask(self) -> None:
+        age_s = self.compute_age()
+        if logs.allows_request_line(failed=True):
+            _log.warning(
+                "table_unproved",
+                age_ms="none" if age_s is None else int(age_s * MS_PER_S),
+            )
+        if self._control is not None:
+            self._control.request_proof()
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -175,6 +175,8 @@
         make; 0 for a separate limit at each node.
       link_mbps: Rate of the VM's link, in megabits per second; 0 if unknown.
         Bodies of any size are then sent in one piece.
+      max_table_age_s: Time within which an accepted configuration is in force,
+        in seconds. A node whose table may be older gives no final refusal.
     """
 
     node_id: Identifier
@@ -203,6 +205,7 @@
     retry_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.2
     retry_reserve: Annotated[int, msgspec.Meta(ge=0)] = 0
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    max_table_age_s: PositiveSeconds = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -264,7 +264,7 @@
             "DataDir": str(self._folder / f"data-{ip}"),
             "Bootstrap": is_first,
             "FaultTolerance": {"Machines": 1, "Zones": 0, "Regions": 0},
-            "Bounds": {"RetryBudgetExtra": 58},
+            "Bounds": {"RetryBudgetExtra": 58, "ConfigApplyMs": 2000},
             "Limits": {"LinkMbps": 1000.0, "MemoryMb": 150},
         }
 
--- a/tests/test_stale_tables.py
+++ b/tests/test_stale_tables.py
@@ -71,4 +71,22 @@
         assert nodes.send(node.http_address, token="wrong").status == 401
 
 
+def test_added_route_is_served_once_the_node_has_asked() -> None:
+    """A request waits for the version that a node lacks, and is served by it.
+
+    A node that has been paused gets its first requests before it has heard
+    anything of control.
+    """
+    with _run_node(proves=False) as (mesh, node, _server):
+
+        def catch_up() -> None:
+            mesh.control.proves = True
+            mesh.control.change(services=(nodes.make_service(host=ADDED_HOST),))
+
+        mesh.control.on_proof_requested = catch_up
+        reply = nodes.send(node.http_address, Host=ADDED_HOST)
+        assert reply.status == 200, reply
+        assert nodes.send(node.http_address).status == 404
+
+
 load_tests = fixtures.collect(__name__)
