Let an owner refuse a request that its newer table routes elsewhere

A table that is behind also runs a request at the service that a route had before, or on a route that was dropped. The entry alone can't know; the owner of the server may hold the newer publication already. Change: a run request names the publication by which it was routed. Checks: both tests failed on the code before (200 by the old service).

--- a/src/lovagesaddle/core/routing/attempt_rules.py
+++ b/src/lovagesaddle/core/routing/attempt_rules.py
@@ -14,9 +14,14 @@
         events.Ending.DRAINING,
         events.Ending.SERVER_DOWN,
         events.Ending.QUARANTINED,
+        events.Ending.ROUTE_OUTDATED,
         events.Ending.SHED,
     }
 )
+# No server of the service may run the request.
+FINAL_ENDINGS = frozenset(
+    {events.Ending.QUARANTINED, events.Ending.ROUTE_OUTDATED}
+)
 
 
 class AttemptRules:
@@ -58,7 +63,7 @@
 
     def allow_another(self, ending: events.Ending) -> bool:
         """Returns whether an attempt may follow an ended one, and counts it."""
-        if ending is events.Ending.QUARANTINED:
+        if ending in FINAL_ENDINGS:
             return False
         if ending is events.Ending.SHED:
             # The request did not run, but it reached a server and so counts
--- a/src/lovagesaddle/core/routing/call.py
+++ b/src/lovagesaddle/core/routing/call.py
@@ -27,6 +27,8 @@
 HEDGE_DELAY_S = 0.1
 RETRIED_STATUSES = frozenset({502, 503, 504})
 FIRST_FAILURE_STATUS = 500
+# An entry that hears of a newer publication has it within this time.
+OUTDATED_RETRY_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -227,12 +229,21 @@
             return self._fail(503, events.FailureReason.NO_SERVER)
         if last.ending is events.Ending.QUARANTINED:
             return self._fail(503, events.FailureReason.QUARANTINED)
+        if last.ending is events.Ending.ROUTE_OUTDATED:
+            return self._give_up_outdated()
         if last.ending is events.Ending.TIMED_OUT:
             return self._fail(504, events.FailureReason.DEADLINE)
         if self._may_have_run:
             return self._fail(502, events.FailureReason.LOST)
         return self._fail(503, events.FailureReason.REFUSED, last.retry_after_s)
 
+    def _give_up_outdated(self) -> tuple[events.Action, ...]:
+        if self._may_have_run:
+            return self._fail(502, events.FailureReason.LOST)
+        return self._fail(
+            503, events.FailureReason.ROUTE_OUTDATED, OUTDATED_RETRY_S
+        )
+
     def _handle_timer(self, now: float) -> tuple[events.Action, ...]:
         if now >= self._deadline:
             # An attempt in progress may have reached its backend server.
--- a/src/lovagesaddle/core/routing/call_events.py
+++ b/src/lovagesaddle/core/routing/call_events.py
@@ -14,7 +14,7 @@
 class Ending(enum.Enum):
     """How an attempt ended, as seen by the entry node.
 
-    The first seven prove that the request did not run in this attempt.
+    The first eight prove that the request did not run in this attempt.
 
     UNREACHABLE: no connection to the owner, so not a byte was sent.
     REFUSED: the owner refused the request for lack of room or time.
@@ -23,6 +23,8 @@
     DRAINING: the owner refused the request because its server is draining.
     SERVER_DOWN: the owner refused the request because its server is down.
     QUARANTINED: the owner refused the request because it crashes servers.
+    ROUTE_OUTDATED: the owner refused the request because a newer publication
+      does not route it to the server's service.
     SHED: the backend server answered that it did not run the request.
     ANSWERED: the backend server's complete answer arrived.
     LOST: the connection broke, or the answer was truncated or malformed.
@@ -36,6 +38,7 @@
     DRAINING = "draining"
     SERVER_DOWN = "server-down"
     QUARANTINED = "quarantined"
+    ROUTE_OUTDATED = "route-outdated"
     SHED = "shed"
     ANSWERED = "answered"
     LOST = "lost"
@@ -51,6 +54,7 @@
     NO_SERVER = "no-server"
     REFUSED = "refused"
     QUARANTINED = "quarantined"
+    ROUTE_OUTDATED = "route-outdated"
     LOST = "lost"
 
 
--- a/src/lovagesaddle/core/routing/server_releases.py
+++ b/src/lovagesaddle/core/routing/server_releases.py
@@ -15,6 +15,7 @@
     events.Ending.DRAINING: balancer_events.AttemptResult.DRAINING,
     events.Ending.SERVER_DOWN: balancer_events.AttemptResult.UNREACHABLE,
     events.Ending.QUARANTINED: balancer_events.AttemptResult.ABANDONED,
+    events.Ending.ROUTE_OUTDATED: balancer_events.AttemptResult.ABANDONED,
     events.Ending.SHED: balancer_events.AttemptResult.FAILED,
     events.Ending.ANSWERED: balancer_events.AttemptResult.ANSWERED,
     events.Ending.LOST: balancer_events.AttemptResult.FAILED,
--- a/src/lovagesaddle/core/routing/table.py
+++ b/src/lovagesaddle/core/routing/table.py
@@ -207,6 +207,24 @@
             return _deny(403, AccessReason.FORBIDDEN, known)
         return _deny(401, AccessReason.UNKNOWN_CREDENTIAL)
 
+    def routes_to(
+        self, service: str, *, host: str, path: str, method: str
+    ) -> bool:
+        """Returns whether a request may run at a service by this table.
+
+        Args:
+          service: Name of the service.
+          host: See `match`.
+          path: See `match`.
+          method: See `match`.
+        """
+        match = self.match(host=host, path=path, method=method)
+        if isinstance(match, Miss):
+            return False
+        return service == match.service or any(
+            part.service == service for part in match.route.split
+        )
+
     def list_candidates(self, service: str) -> tuple[Candidate, ...]:
         """Returns a service's serving backend servers, by server ID."""
         return self._candidates.get(service, ())
--- a/src/lovagesaddle/http/headers.py
+++ b/src/lovagesaddle/http/headers.py
@@ -90,6 +90,14 @@
     return tuple(pair for pair in headers if pair[0].lower() != lowered)
 
 
+def find(headers: Headers, name: str) -> str:
+    """Returns the first value of a header, or ""; `name` is in lower case."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return ""
+
+
 def get_all(headers: Headers, name: str) -> list[str]:
     """Returns all values of a header; `name` is in lower case."""
     return [value for key, value in headers if key.lower() == name]
--- a/src/lovagesaddle/http/hop.py
+++ b/src/lovagesaddle/http/hop.py
@@ -18,6 +18,7 @@
 
 RUN_PATH = "/.lovagesaddle/run"
 QUARANTINED = "quarantined"
+ROUTE_OUTDATED = "route-outdated"
 DIGEST_BYTES = 32
 HASH = "sha256"
 
@@ -44,6 +45,8 @@
       offset: Bytes of the body that were sent before in parts.
       known: What the entry knows that the server has stated, which the owner
         forgets when it restarts; None if nothing.
+      publication: Publication by which the entry routed the request; 0 if the
+        owner is not to check the route.
     """
 
     attempt_id: str
@@ -61,6 +64,7 @@
     suspect: bool = False
     offset: int = 0
     known: known_statements.KnownStatement | None = None
+    publication: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/node/attempt_senders.py
+++ b/src/lovagesaddle/node/attempt_senders.py
@@ -142,6 +142,8 @@
         return call_events.Ending.SERVER_DOWN
     if answer.cause == _RATE_LIMIT:
         return call_events.Ending.RATE_LIMITED
+    if answer.cause == hop.ROUTE_OUTDATED:
+        return call_events.Ending.ROUTE_OUTDATED
     if answer.cause == hop.QUARANTINED:
         return call_events.Ending.QUARANTINED
     return call_events.Ending.REFUSED
--- a/src/lovagesaddle/node/call_runner.py
+++ b/src/lovagesaddle/node/call_runner.py
@@ -283,6 +283,7 @@
             target_ms=self._compute_target_ms(),
             suspect=verdict is quarantine.Verdict.SUSPECT,
             known=self._routing.find_statement(action.server.server_id),
+            publication=self._table.publication,
         )
 
     def _compute_target_ms(self) -> int | None:
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import hashlib
 import math
 import os
@@ -17,6 +18,7 @@
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.http import headers as headers_lib
+from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.http import wsgi
 from lovagesaddle.node import attempt_senders
@@ -120,8 +122,36 @@
     ) -> wsgi.Answer:
         if self._routing.table is None:
             return self.refuse("this node has not joined the mesh yet")
+        # The body can be read once only, and a request may be routed twice.
+        request = dataclasses.replace(
+            request, read_body=functools.cache(request.read_body)
+        )
+        try:
+            return self._route(request, arrived_at)
+        except _OutdatedRouteError as error:
+            outdated = error.publication
+        self._proofs.await_version(lambda: self._holds_newer_than(outdated))
+        try:
+            return self._route(request, arrived_at)
+        except _OutdatedRouteError:
+            return self.refuse("a newer configuration changes the route")
+
+    def _holds_newer_than(self, publication: int) -> bool:
+        table = self._routing.table
+        return table is not None and table.publication > publication
+
+    def _route(
+        self, request: wsgi.IncomingRequest, arrived_at: float
+    ) -> wsgi.Answer:
+        """Returns the answer by the newest table.
+
+        Raises:
+          _OutdatedRouteError: An owner has a newer publication that routes the
+            request otherwise; it did not run.
+        """
         is_proved = self._proofs.prove()
         table = self._routing.table
+        assert table is not None
         if not table.is_published:
             return self.refuse("no configuration is published yet")
         match = table.match(
@@ -245,6 +275,8 @@
         else:
             return wsgi.make_failure(400, "malformed-key", _NOT_RUN)
         self._attempts.add(runner.attempts)
+        if _is_outdated(call_result):
+            raise _OutdatedRouteError(accepted.table.publication)
         return self._format(call_result, request_id)
 
     def _make_caller_header(self) -> headers_lib.Headers:
@@ -349,6 +381,25 @@
     arrived_at: float
 
 
+class _OutdatedRouteError(Exception):
+    """A request was routed by a publication that is no longer the newest.
+
+    Attributes:
+      publication: That publication.
+    """
+
+    def __init__(self, publication: int) -> None:
+        super().__init__(publication)
+        self.publication = publication
+
+
+def _is_outdated(call_result: call_results.CallResult) -> bool:
+    match call_result:
+        case result.Failure(call_results.Failed(reason=hop.ROUTE_OUTDATED)):
+            return True
+    return False
+
+
 def _format_age(age_s: float | None) -> str:
     return "none" if age_s is None else str(int(age_s * MS_PER_S))
 
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -28,6 +28,7 @@
 SERVER_UNKNOWN = "server-unknown"
 BODY_LOST = "body-lost"
 LeavingReport = Callable[[str, int], None]
+RouteCheck = Callable[[hop.RunRequest, str], bool]
 _log = logs.get_logger("owner")
 
 
@@ -41,6 +42,8 @@
       names: Names of the headers that are sent to backend servers.
       body_receiver: Receives large bodies in parts; None if every body comes in
         one piece.
+      allows_route: Returns whether this node's table allows a request to run
+        at the service with the given name.
     """
 
     def __init__(
@@ -51,7 +54,9 @@
         options: owned_server.OwnerOptions | None = None,
         names: header_names.HeaderNames = header_names.DEFAULT,
         body_receiver: body_receiver_lib.BodyReceiver | None = None,
+        allows_route: RouteCheck | None = None,
     ) -> None:
+        self._allows_route = allows_route or _allow_route
         self._body_receiver = body_receiver
         self._exchange = server_exchange.ServerExchange(
             pool=pool, shared_quarantine=shared_quarantine, names=names
@@ -198,6 +203,17 @@
         if not self._register_attempt(request.attempt_id):
             reason = admission_events.RefusalReason.DUPLICATE.value
             return owner_answers.make_refusal(request, reason, owned)
+        if not self._allows_route(request, owned.server.service):
+            self._drop_body(request)
+            _log.info(
+                "route_outdated",
+                attempt=request.attempt_id,
+                service=owned.server.service,
+                publication=request.publication,
+            )
+            return owner_answers.make_refusal(
+                request, hop.ROUTE_OUTDATED, owned
+            )
         if request.offset:
             completed = self._complete_body(request)
             if completed is None:
@@ -375,6 +391,12 @@
     del server_id, incarnation
 
 
+def _allow_route(request: hop.RunRequest, service: str) -> bool:
+    """Leaves the choice of the service to the entry."""
+    del request, service
+    return True
+
+
 def _compute_target_time(request: hop.RunRequest, now: float) -> float | None:
     if request.target_ms is None:
         return None
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -134,6 +134,7 @@
             options=owner_options,
             names=names,
             body_receiver=body_receiver,
+            allows_route=self._routing.allows_route,
         )
         self._servers = local_servers.LocalServers(
             node_id=settings.node_id, owner=self._owner
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -15,6 +15,8 @@
 from lovagesaddle.core.routing import retries
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.core.routing import traffic_split
+from lovagesaddle.http import headers as headers_lib
+from lovagesaddle.http import hop
 from lovagesaddle.observability import logs
 
 MAX_MOVES = 8
@@ -192,6 +194,24 @@
         with self._lock:
             self._statements.record(server_id, stated)
 
+    def allows_route(self, request: hop.RunRequest, service: str) -> bool:
+        """Returns whether a request that an entry sent here may run.
+
+        Entries learn of a publication at different times. If this node holds a
+        newer one than the entry, the newer one decides.
+        """
+        table = self._table
+        if table is None or not request.publication:
+            return True
+        if table.publication <= request.publication:
+            return True
+        return table.routes_to(
+            service,
+            host=headers_lib.find(request.headers, "host"),
+            path=request.target.partition("?")[0],
+            method=request.method,
+        )
+
     def get_retry_policy(self, service: str) -> retries.RetryPolicy:
         """Returns the retry policy that all calls of a service share."""
         policy = self._retry_policies.get(service)
--- a/src/lovagesaddle/node/table_proofs.py
+++ b/src/lovagesaddle/node/table_proofs.py
@@ -1,5 +1,6 @@
 """Lets the threads that answer callers wait for a proof of the table's age."""
 
+from collections.abc import Callable
 import threading
 import time
 
@@ -61,6 +62,19 @@
                 max(0.0, decision.wait_until - time.monotonic()),
             )
 
+    def await_version(self, is_newer: Callable[[], bool]) -> bool:
+        """Asks for the newest version and waits a moment until it is in force.
+
+        Args:
+          is_newer: Returns whether the awaited version is in force.
+
+        Returns:
+          Whether it is.
+        """
+        self._ask()
+        with self._changed:
+            return self._changed.wait_for(is_newer, table_age.PROOF_WAIT_S)
+
     def _is_proved(self) -> bool:
         return self._age.is_proved(time.monotonic())
 
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -50,12 +50,13 @@
 
     Attributes:
       proves: Whether each version is proved to stay the newest.
+      held_back: IDs of nodes that receive no further version.
       on_proof_requested: Called when a node asks for a proof.
     """
 
     def __init__(self, *services_: services.Service) -> None:
         self._lock = threading.RLock()
-        self._sinks: list[ports.SnapshotSink] = []
+        self._sinks: dict[str, ports.SnapshotSink] = {}
         self._snapshot = snapshots.Snapshot(
             cluster_id="c",
             version=1,
@@ -67,6 +68,7 @@
         self.cut_off: set[str] = set()
         self.joined = True
         self.proves = True
+        self.held_back: set[str] = set()
         self.on_proof_requested: Callable[[], None] = lambda: None
 
     @property
@@ -93,11 +95,11 @@
             public_key="",
         )
         with self._lock:
-            self._sinks.append(sink)
+            self._sinks[settings.node_id] = sink
             self.change(nodes=self._merge("nodes", "node_id", node))
         yield _NodePort(self, settings.node_id)
         with self._lock:
-            self._sinks.remove(sink)
+            del self._sinks[settings.node_id]
             self.handlers.pop(settings.node_id, None)
 
     def change(self, **fields: Any) -> None:
@@ -112,7 +114,9 @@
                 self._snapshot, version=self._snapshot.version + 1, **fields
             )
             hashed = delta.hash_snapshot(self._snapshot)
-            for sink in self._sinks:
+            for node_id, sink in self._sinks.items():
+                if node_id in self.held_back:
+                    continue
                 sink.install(hashed, joined=self.joined)
                 if self.proves:
                     sink.record_proof(time.monotonic() + PROOF_S)
@@ -136,7 +140,7 @@
 
     def spread_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
         """Sends crash marks to every node."""
-        for sink in tuple(self._sinks):
+        for sink in tuple(self._sinks.values()):
             sink.add_crash_marks(marks)
 
     def close(self) -> None:
--- a/tests/test_stale_tables.py
+++ b/tests/test_stale_tables.py
@@ -89,4 +89,73 @@
         assert nodes.send(node.http_address).status == 404
 
 
+@contextlib.contextmanager
+def _run_outdated_entry() -> Iterator[
+    tuple[nodes.Mesh, program.NodeProgram, backend.Backend]
+]:
+    """Runs an entry that gets no further version, and the owner of a server.
+
+    The entry believes its table to be proved, like a node whose bound has not
+    passed yet.
+    """
+    with (
+        nodes.Mesh(nodes.make_service()) as mesh,
+        backend.Backend(stand_in.BackendOptions()) as server,
+    ):
+        owner = mesh.start("n0")
+        entry = mesh.start("n1")
+        admin_lib.announce(
+            owner.admin_address, SERVICE, server.address, 20, 100
+        )
+        mesh.control.held_back = {"n1"}
+        yield mesh, entry, server
+
+
+def test_dropped_route_is_refused_by_an_owner_that_knows() -> None:
+    """A request on a route that the owner's newer table lacks does not run."""
+    with _run_outdated_entry() as (mesh, entry, server):
+        mesh.control.change(services=(nodes.make_service(host=ADDED_HOST),))
+        reply = nodes.send(entry.http_address, "POST")
+        assert reply.status == 503, reply
+        assert "Retry-After" in reply.headers
+        assert reply.headers[outcomes.OUTCOME_HEADER] == "not-run"
+        assert server.state.most_running == 0
+
+
+def test_request_on_a_moved_route_runs_at_the_new_service() -> None:
+    """An entry that learns of a newer table from an owner routes by that."""
+    with (
+        _run_outdated_entry() as (mesh, entry, old_server),
+        backend.Backend(stand_in.BackendOptions()) as new_server,
+    ):
+        owner = mesh.start("n2")
+        mesh.control.held_back = set()
+        mesh.control.change(
+            services=(
+                nodes.make_service(),
+                nodes.make_service("artwork", host=ADDED_HOST),
+            )
+        )
+        admin_lib.announce(
+            owner.admin_address, "artwork", new_server.address, 20, 100
+        )
+        mesh.control.held_back = {"n1"}
+        mesh.control.change(
+            services=(
+                nodes.make_service("artwork"),
+                nodes.make_service(host=ADDED_HOST),
+            )
+        )
+
+        def catch_up() -> None:
+            mesh.control.held_back = set()
+            mesh.control.change()
+
+        mesh.control.on_proof_requested = catch_up
+        reply = nodes.send(entry.http_address, "POST")
+        assert reply.status == 200, reply
+        assert new_server.state.most_running == 1
+        assert old_server.state.most_running == 0
+
+
 load_tests = fixtures.collect(__name__)
