Ask again for a version that a node could not put in force

Cause: looked for after the report of machines that stopped following the list. An error while a node installed a version, or in any other event, ended its control thread: the node served on by the table that it held, for good, and acknowledged the version. Change: an error of one event is logged and the next event follows. A version whose installation fails is dropped, with the proof of its age; the node asks for a whole version, none older, after 1 s.

--- a/src/lovagesaddle/core/distribution/events.py
+++ b/src/lovagesaddle/core/distribution/events.py
@@ -59,6 +59,11 @@
     """The process is about to stop."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class InstallFailed:
+    """The version that was to be installed last could not be put in force."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ProofRequested:
     """A caller's request waits until the age of the version is proved."""
@@ -147,6 +152,7 @@
     | ServerWithdrawn
     | MarksRaised
     | LeaveRequested
+    | InstallFailed
     | ProofRequested
 )
 Action = (
--- a/src/lovagesaddle/core/distribution/freshness.py
+++ b/src/lovagesaddle/core/distribution/freshness.py
@@ -44,6 +44,11 @@
         """Returns the number to send with a message that asks for a proof."""
         return self._echoes.send(now)
 
+    def discard(self) -> None:
+        """Drops all proofs, since the version is no longer installed."""
+        self._current_at = None
+        self._pending.clear()
+
     def record_statement(
         self, heartbeat: messages.ParentBeat, installed_version: int
     ) -> bool:
--- a/src/lovagesaddle/core/distribution/installed_version.py
+++ b/src/lovagesaddle/core/distribution/installed_version.py
@@ -66,6 +66,11 @@
         """
         self._floor = max(version, self._floor or 0)
 
+    def discard(self) -> None:
+        """Drops the installed version; the next one may not be older."""
+        self.raise_floor(self.version)
+        self._current = None
+
     def install_delta(self, change: snapshots.Delta) -> InstallResult:
         """Applies a delta and installs the result, wholly or not at all."""
         refusal = self._refuse(change.cluster_id, change.version)
--- a/src/lovagesaddle/core/distribution/node_agent.py
+++ b/src/lovagesaddle/core/distribution/node_agent.py
@@ -30,6 +30,8 @@
 SNAPSHOTS_PER_S = 4.0
 SNAPSHOT_BURST = 4
 MS_PER_S = 1000
+# Time after which a version that could not be installed is asked for again.
+REINSTALL_AFTER_S = 1.0
 
 
 class NodeAgent(state_machine.StateMachine[events.NodeEvent, events.Action]):
@@ -124,6 +126,13 @@
                 return self._relay_marks(event.marks, "", now)
             case events.LeaveRequested():
                 self._registration.start_leaving()
+            case events.InstallFailed():
+                # Nothing of the version is in force, so it is not acknowledged
+                # and asked for again as a whole.
+                self._installed.discard()
+                self._freshness.discard()
+                self._children.current_at = None
+                self._puller.delay(REINSTALL_AFTER_S, now)
             case events.ProofRequested():
                 self._prober.request(now)
             case _:
--- a/src/lovagesaddle/core/distribution/puller.py
+++ b/src/lovagesaddle/core/distribution/puller.py
@@ -99,6 +99,10 @@
             if known > version
         }
 
+    def delay(self, seconds: float, now: float) -> None:
+        """Sends no pull for a time."""
+        self._next_at = now + seconds
+
     def compute_delay(self, now: float) -> float:
         """Returns how long a newer version has been known, in seconds."""
         return now - self._known_since if self._known else 0.0
--- a/src/lovagesaddle/node/control_thread.py
+++ b/src/lovagesaddle/node/control_thread.py
@@ -251,8 +251,17 @@
             )
 
     def _step(self, event: events.NodeEvent) -> None:
-        for action in self._agent.step(event, time.monotonic()):
-            self._execute(action)
+        try:
+            for action in self._agent.step(event, time.monotonic()):
+                self._execute(action)
+        except _InstallError:
+            self._step(events.InstallFailed())
+        except Exception as error:
+            _log.error(
+                "control_event_failed",
+                event_type=type(event).__name__,
+                cause=repr(error),
+            )
 
     def _execute(self, action: events.Action) -> None:
         match action:
@@ -296,6 +305,18 @@
         for peer in set(self._peers.values()) - set(peers_by_id.values()):
             self._endpoint.disconnect(peer)
         self._peers = peers_by_id
-        self._sink.install(action.hashed, joined=True)
+        try:
+            self._sink.install(action.hashed, joined=True)
+        except Exception as error:
+            _log.error(
+                "install_failed",
+                version=action.hashed.version,
+                cause=repr(error),
+            )
+            raise _InstallError from error
         if self._leaving and self._settings.node_id not in peers_by_id:
             self._removed.set()
+
+
+class _InstallError(Exception):
+    """A version could not be put in force; the actions after it are dropped."""
--- a/tests/test_control_half.py
+++ b/tests/test_control_half.py
@@ -113,9 +113,14 @@
 
 
 class Sink(ports.SnapshotSink):
-    """Records the installed versions and the crash marks."""
+    """Records the installed versions and the crash marks.
 
-    def __init__(self) -> None:
+    Args:
+      failures: Number of installations that fail first.
+    """
+
+    def __init__(self, failures: int = 0) -> None:
+        self.failures = failures
         self.installed: list[delta.HashedSnapshot] = []
         self.proofs: list[float] = []
         self.marks: list[ports.CrashMark] = []
@@ -123,6 +128,9 @@
     def install(self, hashed: delta.HashedSnapshot, *, joined: bool) -> None:
         """Records the version."""
         assert joined
+        if self.failures:
+            self.failures -= 1
+            raise ValueError("the version can't be installed")
         self.installed.append(hashed)
 
     def record_proof(self, current_at: float) -> None:
@@ -225,6 +233,28 @@
         wait(lambda: bool(sinks[1].installed))
 
 
+def test_version_that_fails_to_install_is_asked_for_again() -> None:
+    """A node whose HTTP side can't take a version does not acknowledge it.
+
+    Its control thread goes on, and the version is installed once it can be.
+    """
+    with contextlib.ExitStack() as stack:
+        context = stack.enter_context(zmq.Context())
+        control = Control(context)
+        stack.callback(control.stop)
+        sink = Sink(failures=2)
+        stack.enter_context(
+            control_thread.ControlThread(
+                settings=_make_settings("n0", control.endpoint.address),
+                http_address="127.0.0.1:1",
+                sink=sink,
+                context=context,
+            )
+        )
+        wait(lambda: bool(sink.installed and sink.proofs))
+        assert not sink.failures
+
+
 def _start_pair(
     stack: contextlib.ExitStack, receive: control_thread.Handler
 ) -> tuple[list[control_thread.ControlThread], list["Sink"]]:
