Use no kept connection for a request under the ID that it answered last

Report of another operator: a faulty server wrote an earlier refusal once more, and callers heard 'not run' of requests that ran. Shown here for a request that is sent again under the same ID over the connection that carried its refusal; under another ID, or without one, the repeated refusal was passed over before too. Cause: the ID is all that tells copies apart. Change: such a connection is closed and another one used. An address that no socket takes is a failure to connect, in place of an error of the call. Checks: the test of repeated refusals failed before (503 for 200).

--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -77,6 +77,7 @@
 class _Idle:
     connection: http.client.HTTPConnection
     expires_at: float
+    request_id: str
 
 
 class ConnectionPool:
@@ -143,9 +144,11 @@
             return result.Failure(
                 _fail("connect", address, cause, FailureKind.NOT_SENT)
             )
+        own_id = request.headers.get(self._request_id_header, "")
         try:
-            connection, is_reused = self._acquire(address, guard)
-        except OSError as error:
+            connection, is_reused = self._acquire(address, guard, own_id)
+        except (OSError, ValueError, OverflowError) as error:
+            # The address may come from a list that others wrote.
             return result.Failure(
                 _fail("connect", address, str(error), FailureKind.NOT_SENT)
             )
@@ -154,7 +157,7 @@
         outcome = self._exchange(connection, address, request, guard, late)
         match outcome:
             case result.Success((reply, idle_s)):
-                self._release(address, connection, idle_s)
+                self._release(address, connection, idle_s, own_id)
                 return result.Success(reply)
             case result.Failure(error):
                 connection.close()
@@ -162,9 +165,13 @@
         raise AssertionError("unreachable")
 
     def _acquire(
-        self, address: str, guard: watchdog.Guard
+        self, address: str, guard: watchdog.Guard, own_id: str
     ) -> tuple[http.client.HTTPConnection, bool]:
-        """Returns a connection and whether it was used before."""
+        """Returns a connection and whether it was used before.
+
+        A connection that answered a request with the same ID is not used: a
+        second copy of that answer could not be told from the next one.
+        """
         now = time.monotonic()
         stack = self._idle.get(address)
         while stack:
@@ -172,9 +179,10 @@
                 idle = stack.pop()
             except IndexError:
                 break
-            if now < idle.expires_at and sockets.has_no_input(
-                idle.connection.sock
-            ):
+            is_usable = now < idle.expires_at and not (
+                own_id and idle.request_id == own_id
+            )
+            if is_usable and sockets.has_no_input(idle.connection.sock):
                 return idle.connection, True
             idle.connection.close()
         host, port = sockets.parse_address(address)
@@ -196,12 +204,15 @@
         address: str,
         connection: http.client.HTTPConnection,
         idle_s: float,
+        request_id: str,
     ) -> None:
         if idle_s <= 0:
             connection.close()
             return
         expires_at = time.monotonic() + idle_s
-        idle = _Idle(connection=connection, expires_at=expires_at)
+        idle = _Idle(
+            connection=connection, expires_at=expires_at, request_id=request_id
+        )
         with self._lock:
             if not self._closed:
                 self._idle.setdefault(address, collections.deque()).append(idle)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,6 +1,6 @@
 """Tests of exchanges over pooled connections."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent import futures
 import contextlib
 import socket
@@ -285,6 +285,117 @@
     assert [(r.status, r.body) for r in replies] == [(200, b"1"), (200, b"2")]
 
 
+def _exchange_in_turn(
+    served: Callable[[socket.socket], None], *request_ids: str
+) -> list[client.ExchangeResult]:
+    """Sends requests one after another to a server that handles one connection.
+
+    Args:
+      served: Handles each accepted connection, of which there are at most as
+        many as requests.
+      request_ids: IDs of the requests.
+    """
+
+    def serve(listener: socket.socket) -> None:
+        with contextlib.suppress(TimeoutError):
+            while True:
+                accepted, _ = listener.accept()
+                with accepted:
+                    served(accepted)
+
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        futures.ThreadPoolExecutor(1) as pool,
+    ):
+        listener.settimeout(0.5)
+        done = pool.submit(serve, listener)
+        host, port = listener.getsockname()
+        with client.ConnectionPool(
+            requires_request_id=True, allows_unframed=True
+        ) as connections:
+            outcomes = []
+            for request_id in request_ids:
+                request = client.Request(
+                    method="POST",
+                    target="/",
+                    headers={call_chain.REQUEST_ID_HEADER: request_id},
+                    body=b"",
+                )
+                guard = watchdog.Guard(time.monotonic() + LONG_S, lambda: False)
+                outcomes.append(
+                    connections.exchange(f"{host}:{port}", request, guard)
+                )
+        done.result()
+    return outcomes
+
+
+class _RepeatingServer:
+    """Refuses the first request and repeats the refusal before the next answer.
+
+    Args:
+      refusal: The refusal.
+      answer: Answer to every later request.
+    """
+
+    def __init__(self, refusal: bytes, answer: bytes) -> None:
+        self._refusal = refusal
+        self._answer = answer
+        self._has_refused = False
+
+    def serve(self, connection: socket.socket) -> None:
+        """Handles one connection."""
+        connection.recv(65536)
+        if self._has_refused:
+            connection.sendall(self._answer)
+            return
+        self._has_refused = True
+        connection.sendall(self._refusal)
+        if connection.recv(65536):
+            connection.sendall(self._refusal)
+            connection.sendall(self._answer)
+
+
+def test_refusal_that_is_repeated_refuses_no_other_request() -> None:
+    """A server writes its refusal once more before the next answer.
+
+    The next request runs, so its caller must not hear that it did not. The
+    refusal may name the request that it belongs to, or none; and a caller may
+    send a request that was refused again under the same ID.
+    """
+    head = b"HTTP/1.1 %b\r\nContent-Length: 0\r\n%b\r\n"
+    named = b"Request-Id: %b\r\n"
+    for first_id, next_id, is_named in (
+        ("one", "two", True),
+        ("one", "two", False),
+        ("one", "one", True),
+    ):
+        name = named % first_id.encode() if is_named else b""
+        server = _RepeatingServer(
+            head % (b"503 Full", name),
+            head % (b"200 OK", named % next_id.encode()),
+        )
+        first, second = _exchange_in_turn(server.serve, first_id, next_id)
+        assert first.unwrap().status == 503
+        assert second.unwrap().status == 200, (first_id, next_id, is_named)
+
+
+def test_head_that_ends_early_is_no_answer() -> None:
+    """A server stops anywhere within the head of its answer and closes."""
+    answer = (
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+        b"Request-Id: one\r\nContent-Length: 12\r\n\r\n"
+    )
+    for size in range(len(answer)):
+
+        def serve(connection: socket.socket, size: int = size) -> None:
+            connection.recv(65536)
+            connection.sendall(answer[:size])
+
+        (outcome,) = _exchange_in_turn(serve, "one")
+        assert isinstance(outcome, result.Failure), answer[:size]
+        assert outcome.failure().kind is not client.FailureKind.NOT_SENT
+
+
 def test_request_is_not_sent_after_its_deadline() -> None:
     """A process that was paused past a deadline sends nothing afterwards.
 
