Refuse odd entries of servers and nodes where they enter

Report of another operator: one entry that is nested too deep, has a number too large or a port out of range ended the machines that read the list. Shown here: a heartbeat with port 99999 was listed, and each call to its server failed with 500; a start time of over 64 bits raised an error when it was sent on; a document with a huge priority, weight or number of attempts raised one in place of a 400; a leader listed servers without slots. Change: bounds where each of them is parsed; the leader refuses odd entries of nodes; a table passes over those that another release has listed.

--- a/src/lovagesaddle/core/membership/registrar.py
+++ b/src/lovagesaddle/core/membership/registrar.py
@@ -9,6 +9,7 @@
 from lovagesaddle.core.distribution import replica_events
 from lovagesaddle.core.distribution import wire
 from lovagesaddle.core.membership import change_batcher as batcher_lib
+from lovagesaddle.core.membership import entry_checks
 from lovagesaddle.core.membership import leases as leases_lib
 from lovagesaddle.core.membership import pending_joins as pending_joins_lib
 from lovagesaddle.core.model import peers
@@ -183,6 +184,13 @@
         message: messages.DistributionMessage,
         now: float,
     ) -> Actions:
+        odd = _find_odd_entry(message)
+        if odd:
+            return (
+                events.LogLine(
+                    event="entry refused", peer=origin, reason=f"odd {odd}"
+                ),
+            )
         match message:
             case messages.Join() if message.node.node_id == origin:
                 answer = self._batcher.add_join(message, now)
@@ -259,3 +267,15 @@
 
     def _is_replica(self, sender_id: str) -> bool:
         return any(peer.peer_id == sender_id for peer in self._replicas)
+
+
+def _find_odd_entry(message: messages.DistributionMessage) -> str:
+    """Returns what is odd about the entries of a message; empty if nothing."""
+    match message:
+        case messages.Join():
+            return entry_checks.find_odd_node(
+                message.node
+            ) or entry_checks.find_odd_server(message.servers)
+        case messages.ServerReport():
+            return entry_checks.find_odd_server(message.servers)
+    return ""
--- a/src/lovagesaddle/core/model/snapshots.py
+++ b/src/lovagesaddle/core/model/snapshots.py
@@ -6,6 +6,9 @@
 from lovagesaddle.core.model import edits
 from lovagesaddle.core.model import services as services_lib
 
+# Largest number of requests that a backend server runs at a time.
+MAX_SLOTS = 100_000
+
 
 class ServerState(enum.Enum):
     """Whether a backend server accepts new requests."""
--- a/src/lovagesaddle/core/routing/table.py
+++ b/src/lovagesaddle/core/routing/table.py
@@ -7,6 +7,7 @@
 import dataclasses
 import enum
 
+from lovagesaddle.core.membership import entry_checks
 from lovagesaddle.core.model import services as services_lib
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import paths
@@ -246,6 +247,11 @@
         node = nodes.get(server.node_id)
         if node is None or server.state is not snapshots.ServerState.SERVING:
             continue
+        if entry_checks.find_odd_node(node) or entry_checks.find_odd_server(
+            (server,)
+        ):
+            # Another release may have taken it into the list.
+            continue
         found.setdefault(server.service, []).append(
             Candidate(
                 server_id=server.server_id,
--- a/src/lovagesaddle/node/admin.py
+++ b/src/lovagesaddle/node/admin.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from lovagesaddle.core.model import addresses
 from lovagesaddle.http import applications
 from lovagesaddle.http import thread_pools
 from lovagesaddle.http import wsgi
@@ -94,13 +95,15 @@
             return _make_error(405, f"use {allowed}", (("Allow", allowed),))
         try:
             return handler(request)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, ValueError, RecursionError) as error:
             return _make_error(400, str(error))
         except local_servers.AnnouncementError as error:
             return _make_error(404, error.cause)
 
     def _announce(self, request: wsgi.IncomingRequest) -> wsgi.Answer:
         body = msgspec.json.decode(request.read_body(), type=AnnounceBody)
+        if not addresses.has_valid_port(body.address):
+            return _make_error(400, f"port of {body.address} is invalid")
         token = self._servers.announce(
             local_servers.Announcement(
                 service=body.service,
--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -16,7 +16,7 @@
 TOKEN_PREFIX = "local-"
 TOKEN_BYTES = 24
 MS_PER_S = 1000
-MAX_SLOTS = 100_000
+MAX_SLOTS = snapshots.MAX_SLOTS
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/platform/documents.py
+++ b/src/lovagesaddle/platform/documents.py
@@ -18,12 +18,16 @@
 OPERATOR = "platform"
 # Bodies are bounded by the limits on callers, which change independently of
 # the routes.
-UNBOUNDED_BYTES = 2**63 - 1
+MAX_NUMBER = 2**31 - 1
+MAX_BYTES = 2**63 - 1
+UNBOUNDED_BYTES = MAX_BYTES
 
 Text = Annotated[str, msgspec.Meta(min_length=1)]
-Natural = Annotated[int, msgspec.Meta(ge=0)]
-Positive = Annotated[int, msgspec.Meta(ge=1)]
-Duration = Annotated[float, msgspec.Meta(gt=0)]
+Natural = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_NUMBER)]
+HeaderBytes = Annotated[int, msgspec.Meta(ge=1, le=MAX_BYTES)]
+BodyBytes = Annotated[int, msgspec.Meta(ge=0, le=MAX_BYTES)]
+Duration = Annotated[float, msgspec.Meta(gt=0, le=MAX_NUMBER)]
 Prefix = Annotated[str, msgspec.Meta(pattern=r"^/")]
 
 
@@ -32,8 +36,8 @@
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="pascal"):
-    max_header_bytes: Positive
-    max_body_bytes: Natural
+    max_header_bytes: HeaderBytes
+    max_body_bytes: BodyBytes
     header_timeout_ms: Duration
     idle_timeout_ms: Duration
 
@@ -60,7 +64,7 @@
     route_kind: Literal["idempotent", "non_idempotent", "upload", "download"]
     match: _Match
     action: _Action
-    target_latency_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
+    target_latency_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
     priority: Natural = 0
 
 
--- a/src/lovagesaddle/platform/heartbeats.py
+++ b/src/lovagesaddle/platform/heartbeats.py
@@ -9,12 +9,15 @@
 import msgspec
 
 from lovagesaddle.core import errors
+from lovagesaddle.core.model import addresses
 from lovagesaddle.node import local_servers
 
 Count = Annotated[int, msgspec.Meta(ge=1, le=local_servers.MAX_SLOTS)]
 Address = Annotated[
     str, msgspec.Meta(pattern=r"^[0-9]+(\.[0-9]+){3}:[0-9]{1,5}$")
 ]
+# Processes exchange numbers of 64 bits.
+Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 UNKNOWN_BORN_MS = 0
 
 
@@ -27,17 +30,15 @@
     address: Address
     slots: Count
     state: Literal["ready", "draining"]
-    sequence: Annotated[int, msgspec.Meta(ge=0)]
+    sequence: Number
     # Time for which the server remains slow after its start.
     cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
     # Start of the server's process, in milliseconds since 1970.
-    born: Annotated[int, msgspec.Meta(ge=0)] = msgspec.field(
-        default=UNKNOWN_BORN_MS, name="born"
-    )
+    born: Number = msgspec.field(default=UNKNOWN_BORN_MS, name="born")
 
 
 class _Farewell(msgspec.Struct, frozen=True):
-    born: Annotated[int, msgspec.Meta(ge=0)] = UNKNOWN_BORN_MS
+    born: Number = UNKNOWN_BORN_MS
 
 
 _HEARTBEAT_DECODER = msgspec.json.Decoder(_Beat)
@@ -73,6 +74,8 @@
         heartbeat = _HEARTBEAT_DECODER.decode(content)
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise _make_error(instance, str(error)) from error
+    if not addresses.has_valid_port(heartbeat.address):
+        raise _make_error(instance, f"port of {heartbeat.address} is invalid")
     return Beat(
         announcement=local_servers.Announcement(
             service=heartbeat.service,
