Tick the configuration agent of a node only when something is due

Cause: the agent ticked each 50 ms, 22 wake-ups a second. Change: its parts say when they are due next; the thread waits up to 0.25 s, and 50 ms at least. Test meshes can pace nodes in the same way, and those of lost parents and of ages do.

--- a/src/lovagesaddle/core/distribution/heartbeats.py
+++ b/src/lovagesaddle/core/distribution/heartbeats.py
@@ -43,6 +43,13 @@
         self._next_at = 0.0
         self._acks_at: float | None = None
 
+    @property
+    def due_at(self) -> float:
+        """When the next heartbeat is due, in monotonic seconds."""
+        if self._acks_at is None:
+            return self._next_at
+        return min(self._next_at, self._acks_at)
+
     def schedule_acks(self, now: float) -> None:
         """Schedules a heartbeat to the eager parent after acks changed."""
         if self._acks_at is None:
--- a/src/lovagesaddle/core/distribution/node_agent.py
+++ b/src/lovagesaddle/core/distribution/node_agent.py
@@ -30,6 +30,10 @@
 SNAPSHOTS_PER_S = 4.0
 SNAPSHOT_BURST = 4
 MS_PER_S = 1000
+# Bounds on the time between two ticks. Children and the silence of parents are
+# checked at every tick.
+MIN_TICK_S = 0.05
+MAX_TICK_S = 0.25
 # Time after which a version that could not be installed is asked for again.
 REINSTALL_AFTER_S = 1.0
 
@@ -107,6 +111,19 @@
         """Number of the installed version; 0 for none."""
         return self._installed.version
 
+    def compute_wait(self, now: float) -> float:
+        """Returns the time until the next tick is due, in seconds.
+
+        It holds until the next event.
+        """
+        due_at = min(
+            self._heartbeats.due_at,
+            self._registration.due_at,
+            self._puller.due_at,
+            self._prober.due_at,
+        )
+        return min(max(due_at - now, MIN_TICK_S), MAX_TICK_S)
+
     def step(
         self, event: events.NodeEvent, now: float
     ) -> tuple[events.Action, ...]:
--- a/src/lovagesaddle/core/distribution/prober.py
+++ b/src/lovagesaddle/core/distribution/prober.py
@@ -51,6 +51,14 @@
         self._next_at = 0.0
         self._sent_at = 0.0
 
+    @property
+    def due_at(self) -> float:
+        """When the next probe may be due, in monotonic seconds."""
+        current_at = self._freshness.current_at
+        if current_at is None:
+            return self._next_at
+        return max(self._next_at, current_at + self._limit_s)
+
     def request(self, now: float) -> None:
         """Makes a probe due soon, since a request waits for a proof."""
         self._next_at = min(
--- a/src/lovagesaddle/core/distribution/puller.py
+++ b/src/lovagesaddle/core/distribution/puller.py
@@ -4,6 +4,8 @@
 that its eager parent does not have.
 """
 
+import math
+
 from lovagesaddle.core.distribution import backoff as backoff_lib
 from lovagesaddle.core.distribution import events
 from lovagesaddle.core.distribution import installed_version
@@ -48,6 +50,15 @@
             first_s=ANSWER_TIMEOUT_S, cap_s=RETRY_CAP_S, random=random
         )
 
+    @property
+    def due_at(self) -> float:
+        """When the next pull may be due, in seconds; infinite for none."""
+        if self._installed.current is None:
+            return self._next_at
+        if not self._known:
+            return math.inf
+        return max(self._next_at, self._known_since + PULL_AFTER_S)
+
     def record_version(
         self, source: peers.Peer, version: int, now: float, *, is_eager: bool
     ) -> None:
--- a/src/lovagesaddle/core/distribution/registration.py
+++ b/src/lovagesaddle/core/distribution/registration.py
@@ -62,6 +62,11 @@
         """Whether a process with the same node ID joined later."""
         return self._superseded
 
+    @property
+    def due_at(self) -> float:
+        """When the next request is due, in seconds; infinite for none."""
+        return self._next_request_at
+
     def accept(self, accepted: messages.JoinAccepted) -> bool:
         """Records that the leader accepted the join.
 
--- a/src/lovagesaddle/node/control_thread.py
+++ b/src/lovagesaddle/node/control_thread.py
@@ -25,7 +25,6 @@
 from lovagesaddle.transport import log_lines
 from lovagesaddle.transport import traffic as traffic_lib
 
-TICK_S = 0.05
 START_ID_BYTES = 8
 STOP_TIMEOUT_S = 5.0
 _log = logs.get_logger("control")
@@ -215,12 +214,18 @@
         while not self._stopping:
             now = time.monotonic()
             if now >= next_tick:
-                next_tick = now + TICK_S
                 self._step(events.Tick())
-            for received in self._endpoint.receive(next_tick - now):
+                next_tick = now + self._agent.compute_wait(now)
+            received_messages = self._endpoint.receive(next_tick - now)
+            for received in received_messages:
                 self._receive(received)
+            has_events = bool(received_messages or self._tasks)
             while self._tasks:
                 self._tasks.popleft()()
+            if has_events:
+                now = time.monotonic()
+                wait_s = self._agent.compute_wait(now)
+                next_tick = min(next_tick, now + wait_s)
 
     def _receive(self, received: endpoint_lib.Received) -> None:
         if received.channel is not _CHANNEL:
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -57,6 +57,8 @@
         self.marks: list[bytes] = []
         self.lines: list[events.LogLine] = []
         self.current_at: float | None = None
+        self.tick_at = 0.0
+        self.ticks = 0
 
 
 class Link:
@@ -89,6 +91,8 @@
       heartbeat_s: Time between heartbeats, in seconds.
       link_rate: Rate of each node's link in each direction, in bytes per
         second.
+      is_paced: Whether nodes tick when they ask for it, as their threads do;
+        else at every step of time.
 
     Attributes:
       intercept: Called with the sender, the target and each frame; the frame
@@ -102,7 +106,10 @@
         replica_count: int = 3,
         heartbeat_s: float = HEARTBEAT_S,
         link_rate: float = math.inf,
+        *,
+        is_paced: bool = False,
     ) -> None:
+        self._is_paced = is_paced
         self.heartbeat_s = heartbeat_s
         self._links: dict[tuple[str, bool], Link] = collections.defaultdict(
             lambda: Link(link_rate)
@@ -206,6 +213,9 @@
                 heapq.heappop(self._queue)[2]()
             self._observe()
             for process_id in (*self.replicas, *self.nodes):
+                node = self.nodes.get(process_id)
+                if self._is_paced and node and self.now < node.tick_at:
+                    continue
                 self.step(process_id, events.Tick())
 
     def run_until(self, done: Callable[[], bool], limit_s: float) -> float:
@@ -242,8 +252,13 @@
                 self._carry_out_at_replica(process_id, action)
         elif process_id in self.nodes:
             node = self.nodes[process_id]
+            if isinstance(event, events.Tick):
+                node.tick_at = math.inf
+                node.ticks += 1
             for act in node.part.step(event, self.now):  # type: ignore[arg-type]
                 self._carry_out_at_node(process_id, node, act)
+            due_at = self.now + node.part.compute_wait(self.now)
+            node.tick_at = min(node.tick_at, due_at)
 
     def _observe(self) -> None:
         for replica_id, replica in self.replicas.items():
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -17,7 +17,7 @@
 
 
 def _start() -> mesh_lib.Mesh:
-    mesh = mesh_lib.Mesh(replica_count=REPLICAS)
+    mesh = mesh_lib.Mesh(replica_count=REPLICAS, is_paced=True)
     mesh.add_nodes(NODES)
     mesh.run(4)
     mesh.run_until_converged()
--- a/tests/test_parent_losses.py
+++ b/tests/test_parent_losses.py
@@ -14,11 +14,14 @@
 DEATH_GAP_S = 1.0
 DEATHS = 4
 STORM_S = 9.0
+REST_S = 10.0
+# Heartbeats, their answers and checks of children and parents.
+MOST_TICKS_PER_S = 8
 SETTLE_S = 6.0
 
 
 def _start() -> mesh_lib.Mesh:
-    mesh = mesh_lib.Mesh(replica_count=REPLICAS)
+    mesh = mesh_lib.Mesh(replica_count=REPLICAS, is_paced=True)
     mesh.add_nodes(NODES, DOMAIN)
     mesh.run(4)
     mesh.run_until_converged()
@@ -90,4 +93,17 @@
     assert max(lags) <= IN_FORCE_S, max(lags)
 
 
+def test_nodes_without_news_rest_between_heartbeats() -> None:
+    """A node that waits for nothing ticks a few times a second only.
+
+    Hundreds of idle nodes spend their processors on ticks otherwise.
+    """
+    mesh = _start()
+    for node in mesh.nodes.values():
+        node.ticks = 0
+    mesh.run(REST_S)
+    most = max(node.ticks for node in mesh.nodes.values())
+    assert most <= MOST_TICKS_PER_S * REST_S, most
+
+
 load_tests = fixtures.collect(__name__)
