--- a/src/lovagesaddle/node/claims.py
+++ b/src/lovagesaddle/node/claims.py
@@ -161,9 +161,12 @@
 
     Args:
       node_id: ID of this node.
+      is_enabled: Whether Idempotency-Keys are claimed in this mesh; if not,
+        nothing here has to be checked regularly.
     """
 
-    def __init__(self, *, node_id: str) -> None:
+    def __init__(self, *, node_id: str, is_enabled: bool = True) -> None:
+        self._is_enabled = is_enabled
         self._node_id = node_id
         self._holder = claim_holder.ClaimHolder(node_id=node_id)
         self._lock = threading.Lock()
@@ -176,6 +179,8 @@
         self._stack = contextlib.ExitStack()
 
     def __enter__(self) -> Self:
+        if not self._is_enabled:
+            return self
         self._stack.enter_context(
             ticker.Ticker(
                 name="claims",
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -142,7 +142,9 @@
         self.heartbeats = server_heartbeats.ServerHeartbeats(self._servers)
         self._control: ports.ControlPort | None = None
         self._discovery = self._make_discovery()
-        self._claims = claims_lib.Claims(node_id=settings.node_id)
+        self._claims = claims_lib.Claims(
+            node_id=settings.node_id, is_enabled=settings.claims
+        )
         self._watchdog = watchdog.Watchdog()
         self._limits: services.CallerLimits | None = None
         signer = hop.EnvelopeSigner(mesh_secret.read(settings))
--- a/tests/test_node_claims.py
+++ b/tests/test_node_claims.py
@@ -1,5 +1,7 @@
 """Tests of how a node assigns keys to shards."""
 
+import threading
+
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import claim_keys
 from lovagesaddle.core.routing import shard_plan
@@ -49,4 +51,17 @@
     assert all(_is_open(claims, str(each)) for each in range(100))
 
 
+def test_claims_that_are_turned_off_run_no_thread() -> None:
+    """A mesh that claims no keys does not wake up for them."""
+    for is_enabled in (True, False):
+        before = {thread.ident for thread in threading.enumerate()}
+        with claims.Claims(node_id="n0", is_enabled=is_enabled):
+            names = [
+                thread.name
+                for thread in threading.enumerate()
+                if thread.ident not in before
+            ]
+        assert names == ["claims"] * is_enabled, names
+
+
 load_tests = fixtures.collect(__name__)
