--- a/tests/test_node_claims.py
+++ b/tests/test_node_claims.py
@@ -55,7 +55,7 @@
     """A mesh that claims no keys does not wake up for them."""
     for is_enabled in (True, False):
         before = {thread.ident for thread in threading.enumerate()}
-        with claims.Claims(node_id="n0", is_enabled=is_enabled):
+        with claims_lib.Claims(node_id="n0", is_enabled=is_enabled):
             names = [
                 thread.name
                 for thread in threading.enumerate()
