Keep the body of a request only if it has to be routed again

Cause: read as part of the cost of a call: each request was copied, with a cache around its body, for the rare case that an owner finds its route outdated. Change: the error carries the body. The test of a moved route sends one.

--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import dataclasses
-import functools
 import hashlib
 import math
 import os
@@ -122,17 +121,17 @@
     ) -> wsgi.Answer:
         if self._routing.table is None:
             return self.refuse("this node has not joined the mesh yet")
-        # The body can be read once only, and a request may be routed twice.
-        request = dataclasses.replace(
-            request, read_body=functools.cache(request.read_body)
-        )
         try:
             return self._route(request, arrived_at)
         except _OutdatedRouteError as error:
-            outdated = error.publication
-        self._proofs.await_version(lambda: self._holds_newer_than(outdated))
+            outdated = error
+        self._proofs.await_version(
+            lambda: self._holds_newer_than(outdated.publication)
+        )
+        # The body can be read from the connection only once.
+        again = dataclasses.replace(request, read_body=lambda: outdated.body)
         try:
-            return self._route(request, arrived_at)
+            return self._route(again, arrived_at)
         except _OutdatedRouteError:
             return self.refuse("a newer configuration changes the route")
 
@@ -276,7 +275,7 @@
             return wsgi.make_failure(400, "malformed-key", _NOT_RUN)
         self._attempts.add(runner.attempts)
         if _is_outdated(call_result):
-            raise _OutdatedRouteError(accepted.table.publication)
+            raise _OutdatedRouteError(accepted.table.publication, body)
         return self._format(call_result, request_id)
 
     def _make_caller_header(self) -> headers_lib.Headers:
@@ -386,11 +385,13 @@
 
     Attributes:
       publication: That publication.
+      body: Body of the request.
     """
 
-    def __init__(self, publication: int) -> None:
+    def __init__(self, publication: int, body: bytes) -> None:
         super().__init__(publication)
         self.publication = publication
+        self.body = body
 
 
 def _is_outdated(call_result: call_results.CallResult) -> bool:
--- a/tests/test_stale_tables.py
+++ b/tests/test_stale_tables.py
@@ -152,8 +152,9 @@
             mesh.control.change()
 
         mesh.control.on_proof_requested = catch_up
-        reply = nodes.send(entry.http_address, "POST")
+        reply = nodes.send(entry.http_address, "POST", body=b"xy")
         assert reply.status == 200, reply
+        assert json.loads(reply.body)["length"] == 2
         assert new_server.state.most_running == 1
         assert old_server.state.most_running == 0
 
