Count ages, leases and elections by a clock that goes on while a VM is suspended

The steady clock of Linux stands still while a VM is suspended, so a node or a leader that goes on afterwards took its old proof for young. Change: replicas, agents and the age of tables read the boot clock. Check: a proof runs out while only the boot clock moves; 503 in place of 404.

--- a/src/lovagesaddle/control/forwarder.py
+++ b/src/lovagesaddle/control/forwarder.py
@@ -4,10 +4,10 @@
 from concurrent import futures
 import dataclasses
 import itertools
-import time
 
 from returns import result
 
+from lovagesaddle import clocks
 from lovagesaddle.control import consensus as consensus_lib
 from lovagesaddle.control import operator_requests
 from lovagesaddle.control import ports
@@ -169,7 +169,7 @@
         pending = _PendingRequest(
             request=request,
             answer=futures.Future(),
-            deadline=time.monotonic() + timeout_s,
+            deadline=clocks.read_uptime() + timeout_s,
         )
         self._queue.append(pending)
         self._wake()
--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -8,12 +8,12 @@
 import pathlib
 import random
 import threading
-import time
 from typing import Self
 import uuid
 
 import zmq
 
+from lovagesaddle import clocks
 from lovagesaddle.control import consensus as consensus_lib
 from lovagesaddle.control import distribution
 from lovagesaddle.control import forwarder as forwarder_lib
@@ -166,12 +166,12 @@
         )
         self._serve_until(self._stopping.is_set)
         if self._consensus.replica.is_confirmed_leader:
-            self._consensus.transfer_leadership(time.monotonic())
-            deadline = time.monotonic() + TRANSFER_TIMEOUT_S
+            self._consensus.transfer_leadership(clocks.read_uptime())
+            deadline = clocks.read_uptime() + TRANSFER_TIMEOUT_S
             self._serve_until(
                 lambda: (
                     not self._consensus.replica.is_confirmed_leader
-                    or time.monotonic() >= deadline
+                    or clocks.read_uptime() >= deadline
                 )
             )
         self._forwarder.close()
@@ -183,10 +183,10 @@
         )
 
     def _serve_until(self, is_done: Callable[[], bool]) -> None:
-        next_tick = time.monotonic()
+        next_tick = clocks.read_uptime()
         while not is_done():
-            received = self._endpoint.receive(next_tick - time.monotonic())
-            now = time.monotonic()
+            received = self._endpoint.receive(next_tick - clocks.read_uptime())
+            now = clocks.read_uptime()
             for message in received:
                 self._dispatch(message, now)
             if now >= next_tick:
--- a/src/lovagesaddle/node/control_thread.py
+++ b/src/lovagesaddle/node/control_thread.py
@@ -5,11 +5,11 @@
 import random
 import secrets
 import threading
-import time
 from typing import Self
 
 import zmq
 
+from lovagesaddle import clocks
 from lovagesaddle.core import errors
 from lovagesaddle.core.distribution import events
 from lovagesaddle.core.distribution import messages
@@ -212,7 +212,7 @@
     def _run(self) -> None:
         next_tick = 0.0
         while not self._stopping:
-            now = time.monotonic()
+            now = clocks.read_uptime()
             if now >= next_tick:
                 self._step(events.Tick())
                 next_tick = now + self._agent.compute_wait(now)
@@ -223,7 +223,7 @@
             while self._tasks:
                 self._tasks.popleft()()
             if has_events:
-                now = time.monotonic()
+                now = clocks.read_uptime()
                 wait_s = self._agent.compute_wait(now)
                 next_tick = min(next_tick, now + wait_s)
 
@@ -257,7 +257,7 @@
 
     def _step(self, event: events.NodeEvent) -> None:
         try:
-            for action in self._agent.step(event, time.monotonic()):
+            for action in self._agent.step(event, clocks.read_uptime()):
                 self._execute(action)
         except _InstallError:
             self._step(events.InstallFailed())
--- a/src/lovagesaddle/node/table_proofs.py
+++ b/src/lovagesaddle/node/table_proofs.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 import threading
-import time
 
+from lovagesaddle import clocks
 from lovagesaddle.core.routing import table_age
 from lovagesaddle.node import ports
 from lovagesaddle.observability import logs
@@ -37,12 +37,12 @@
             before it is part of the table.
         """
         with self._changed:
-            self._age.record_proof(current_at, time.monotonic())
+            self._age.record_proof(current_at, clocks.read_uptime())
             self._changed.notify_all()
 
     def compute_age(self) -> float | None:
         """Returns how old the table may be, in seconds; None if unproved."""
-        return self._age.compute_age(time.monotonic())
+        return self._age.compute_age(clocks.read_uptime())
 
     def prove(self) -> bool:
         """Returns whether the table is young enough; may wait for a proof.
@@ -53,13 +53,13 @@
         if self._is_proved():
             return True
         with self._changed:
-            decision = self._age.decide(time.monotonic())
+            decision = self._age.decide(clocks.read_uptime())
         if decision.asks:
             self._ask()
         with self._changed:
             return self._changed.wait_for(
                 self._is_proved,
-                max(0.0, decision.wait_until - time.monotonic()),
+                max(0.0, decision.wait_until - clocks.read_uptime()),
             )
 
     def await_version(self, is_newer: Callable[[], bool]) -> bool:
@@ -76,7 +76,7 @@
             return self._changed.wait_for(is_newer, table_age.PROOF_WAIT_S)
 
     def _is_proved(self) -> bool:
-        return self._age.is_proved(time.monotonic())
+        return self._age.is_proved(clocks.read_uptime())
 
     def _ask(self) -> None:
         age_s = self.compute_age()
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -13,6 +13,7 @@
 
 import zmq
 
+from lovagesaddle import clocks
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.model import services
 from lovagesaddle.core.model import snapshots
@@ -119,7 +120,7 @@
                     continue
                 sink.install(hashed, joined=self.joined)
                 if self.proves:
-                    sink.record_proof(time.monotonic() + PROOF_S)
+                    sink.record_proof(clocks.read_uptime() + PROOF_S)
 
     def announce_server(self, server: snapshots.BackendServer) -> None:
         """Adds or changes a server."""
--- a/tests/test_stale_tables.py
+++ b/tests/test_stale_tables.py
@@ -3,11 +3,13 @@
 from collections.abc import Iterator
 import contextlib
 import json
+from unittest import mock
 
 from bench import admin as admin_lib
 from bench import backend
 from bench import stand_in
 
+from lovagesaddle import clocks
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.node import program
 from tests import fixtures
@@ -89,6 +91,19 @@
         assert nodes.send(node.http_address).status == 404
 
 
+def test_proof_runs_out_while_the_vm_is_suspended() -> None:
+    """A node that goes on after a suspension does not trust its old proof.
+
+    The steady clock of the system stands still meanwhile.
+    """
+    with _run_node(proves=True) as (_, node, _server):
+        assert nodes.send(node.http_address, Host=ADDED_HOST).status == 404
+        resumed_at = clocks.read_uptime() + 2 * nodes.PROOF_S
+        with mock.patch.object(clocks, "read_uptime", lambda: resumed_at):
+            reply = nodes.send(node.http_address, Host=ADDED_HOST)
+        assert reply.status == 503, reply
+
+
 @contextlib.contextmanager
 def _run_outdated_entry() -> Iterator[
     tuple[nodes.Mesh, program.NodeProgram, backend.Backend]
