Ask for the newest version also while the proof of the one before is young

Cause: found by reading. An entry that hears from an owner of a newer publication asks for it, but the prober sent nothing while its proof was younger than 1.5 heartbeats, so the request could only wait for the update by itself. Change: a request makes a probe due whatever the age. The new test failed before (no pull).

--- a/src/lovagesaddle/core/distribution/prober.py
+++ b/src/lovagesaddle/core/distribution/prober.py
@@ -50,17 +50,19 @@
         self._turn = 0
         self._next_at = 0.0
         self._sent_at = 0.0
+        self._is_requested = False
 
     @property
     def due_at(self) -> float:
         """When the next probe may be due, in monotonic seconds."""
         current_at = self._freshness.current_at
-        if current_at is None:
+        if current_at is None or self._is_requested:
             return self._next_at
         return max(self._next_at, current_at + self._limit_s)
 
     def request(self, now: float) -> None:
-        """Makes a probe due soon, since a request waits for a proof."""
+        """Makes a probe due soon, since a request waits for its answer."""
+        self._is_requested = True
         self._next_at = min(
             self._next_at, max(now, self._sent_at + DEMAND_GAP_S)
         )
@@ -77,11 +79,12 @@
         if self._installed.current is None or not replicas:
             return ()
         age_s = self._freshness.compute_age(now)
-        if age_s is not None and age_s <= self._limit_s:
+        is_proved = age_s is not None and age_s <= self._limit_s
+        if is_proved:
             self._backoff.reset()
+        if now < self._next_at or (is_proved and not self._is_requested):
             return ()
-        if now < self._next_at:
-            return ()
+        self._is_requested = False
         self._next_at = now + self._backoff.draw()
         self._sent_at = now
         replica = replicas[self._turn % len(replicas)]
@@ -95,7 +98,7 @@
         return (
             events.Send(peer=replica, frame=wire.encode(pull)),
             events.LogLine(
-                event="age unproved",
+                event="newest requested" if is_proved else "age unproved",
                 peer=replica.peer_id,
                 version=self._installed.version,
                 age_ms=None if age_s is None else int(age_s * MS_PER_S),
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -3,8 +3,10 @@
 import random
 
 from lovagesaddle.core import echoes
+from lovagesaddle.core.distribution import events
 from lovagesaddle.core.distribution import freshness as freshness_lib
 from lovagesaddle.core.distribution import messages
+from lovagesaddle.core.distribution import wire
 from tests import fixtures
 from tests import mesh as mesh_lib
 
@@ -136,4 +138,21 @@
     assert oldest <= IN_FORCE_S, oldest
 
 
+def test_request_asks_for_the_newest_version_however_young_the_proof() -> None:
+    """A node that hears from an owner of a newer version asks for it at once.
+
+    Its own proof may be younger than that version.
+    """
+    mesh = _start()
+    name = min(mesh.nodes)
+    mesh.sent.clear()
+    mesh.step(name, events.ProofRequested())
+    asked = [
+        target
+        for sender, target, frame in mesh.sent
+        if sender == name and wire.name_kind(frame) == "Pull"
+    ]
+    assert len(asked) == 1 and asked[0] in mesh.replicas, asked
+
+
 load_tests = fixtures.collect(__name__)
