--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -26,6 +26,7 @@
 from lovagesaddle.node import claimed_calls
 from lovagesaddle.node import claims as claims_lib
 from lovagesaddle.node import local_servers
+from lovagesaddle.node import refusals
 from lovagesaddle.node import routing as routing_lib
 from lovagesaddle.node import server_heartbeats
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
@@ -34,7 +35,6 @@
 from lovagesaddle.observability import metrics as metrics_lib
 
 BEARER = "bearer "
-CHALLENGE = ("WWW-Authenticate", "Bearer")
 REQUEST_ID_BYTES = 8
 MS_PER_S = 1000
 KEY_HEADER = claim_keys.KEY_HEADER.lower()
@@ -162,9 +162,9 @@
             self._log_miss(match, table, request, is_proved=is_proved)
             if not is_proved:
                 return self._refuse_unproved(table)
-            return _make_miss_answer(match)
+            return refusals.make_miss_answer(match)
         access = table.authorise(match, self._parse_credential(request))
-        refusal = _check_request(match, access, request)
+        refusal = refusals.check_request(match, access, request)
         if refusal is not None:
             return refusal if is_proved else self._refuse_unproved(table)
         try:
@@ -411,31 +411,3 @@
 
 def _is_never_gone() -> bool:
     return False
-
-
-def _check_request(
-    match: table_lib.Match,
-    access: table_lib.Access,
-    request: wsgi.IncomingRequest,
-) -> wsgi.Answer | None:
-    if not access.allowed:
-        _log.info(
-            "access_denied",
-            service=match.service,
-            route=match.route.name,
-            version=match.version,
-            reason=access.reason.value,
-            client=access.client,
-        )
-        extra = (CHALLENGE,) if access.status == 401 else ()
-        return wsgi.make_failure(
-            access.status, access.reason.value, _NOT_RUN, extra
-        )
-    if request.content_length > match.route.max_body_bytes:
-        return wsgi.make_failure(413, "body-too-large", _NOT_RUN)
-    return None
-
-
-def _make_miss_answer(miss: table_lib.Miss) -> wsgi.Answer:
-    extra = (("Allow", ", ".join(miss.allow)),) if miss.allow else ()
-    return wsgi.make_failure(miss.status, miss.reason.value, _NOT_RUN, extra)
