Log an unproved table only where a request needs the proof

An entry that an owner tells of a newer publication asks for it as well; its table may be proved, so the line table_unproved was wrong there.

--- a/src/lovagesaddle/node/table_proofs.py
+++ b/src/lovagesaddle/node/table_proofs.py
@@ -55,6 +55,7 @@
         with self._changed:
             decision = self._age.decide(clocks.read_uptime())
         if decision.asks:
+            self._log_unproved()
             self._ask()
         with self._changed:
             return self._changed.wait_for(
@@ -79,11 +80,13 @@
         return self._age.is_proved(clocks.read_uptime())
 
     def _ask(self) -> None:
+        if self._control is not None:
+            self._control.request_proof()
+
+    def _log_unproved(self) -> None:
         age_s = self.compute_age()
         if logs.allows_request_line(failed=True):
             _log.warning(
                 "table_unproved",
                 age_ms="none" if age_s is None else int(age_s * MS_PER_S),
             )
-        if self._control is not None:
-            self._control.request_proof()
