--- a/tools/promises.py
+++ b/tools/promises.py
@@ -141,6 +141,9 @@
             "test_leader_loss_elects_another",
             "test_publish_survives_a_restart_of_all",
             "test_a_node_joins_through_any_replica_and_follows",
+            "test_parents_that_die_in_turn_delay_no_version",
+            "test_refusal_by_an_unproved_table_is_not_final",
+            "test_request_on_a_moved_route_runs_at_the_new_service",
         ),
     ),
 )
