Survive answers to heartbeat rounds that were never started

The time of a confirmed round is looked up by its number, so answers of a majority that name a round of the future ended the leader with a KeyError; the new test showed it. Change: no round beyond the newest one counts as confirmed.

--- a/src/lovagesaddle/core/consensus/leadership.py
+++ b/src/lovagesaddle/core/consensus/leadership.py
@@ -227,7 +227,8 @@
             key: progress.round for key, progress in self._progress.items()
         }
         rounds[self._own_id] = self._round
-        confirmed = self._compute_majority_value(rounds)
+        # A faulty member may answer a round that was never started.
+        confirmed = min(self._compute_majority_value(rounds), self._round)
         if confirmed <= self._confirmed_round:
             return
         self._confirmed_round = confirmed
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -94,6 +94,29 @@
     assert age_s is not None and age_s <= STATED_AGE_S, age_s
 
 
+def test_answers_to_rounds_that_were_never_started_end_no_leader() -> None:
+    """Absurd round numbers of a majority are survived and prove no age."""
+    cluster = replica_cluster.Cluster(seed=9)
+    index = cluster.publish(b"one")
+    leader = cluster.find_leader()
+    term = cluster.get(leader).term
+    for name in cluster.hosts:
+        if name == leader:
+            continue
+        answer = messages.AppendAnswer(
+            term=term,
+            is_accepted=True,
+            index=index,
+            previous_index=index,
+            round=2**40,
+        )
+        cluster.step(
+            leader, events.MessageReceived(sender=name, message=answer)
+        )
+    cluster.publish(b"two")
+    cluster.check_accepted_kept()
+
+
 def test_minority_leader_steps_down() -> None:
     """A partitioned leader steps down and accepts no command until then."""
     cluster = replica_cluster.Cluster(seed=3)
