Believe no absurd age

A negative age in a faulty statement would have proved a table for years, and one that is not a number none at all times. Change: one place dates statements, for followers and nodes alike, and takes ages from 0 on only. The extended test failed before (-5.0).

--- a/src/lovagesaddle/core/consensus/follower.py
+++ b/src/lovagesaddle/core/consensus/follower.py
@@ -121,11 +121,11 @@
         self, request: messages.AppendRequest, commit: int
     ) -> None:
         """Dates the committed entries by what the leader confirmed."""
-        sent_at = self._echoes.find_sent_at(request.sequence)
-        age_s = request.confirmed_age_s
-        if commit < request.commit_index or sent_at is None or age_s is None:
+        current_at = self._echoes.date(
+            request.sequence, request.confirmed_age_s
+        )
+        if commit < request.commit_index or current_at is None:
             return
-        current_at = sent_at - age_s
         self._current_at = max(current_at, self._current_at or current_at)
 
     def _update_stamp(
--- a/src/lovagesaddle/core/distribution/freshness.py
+++ b/src/lovagesaddle/core/distribution/freshness.py
@@ -58,10 +58,10 @@
           heartbeat: Answer to a message of this node; any other is ignored.
           installed_version: Version that this node has installed.
         """
-        asked_at = self._echoes.find_sent_at(heartbeat.sequence)
-        if asked_at is None or heartbeat.age_s is None:
+        current_at = self._echoes.date(heartbeat.sequence, heartbeat.age_s)
+        if current_at is None:
             return False
-        self._pending.append((heartbeat.version, asked_at - heartbeat.age_s))
+        self._pending.append((heartbeat.version, current_at))
         return self.apply_installed(installed_version)
 
     def apply_installed(self, installed_version: int) -> bool:
--- a/src/lovagesaddle/core/echoes.py
+++ b/src/lovagesaddle/core/echoes.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import math
 from typing import Protocol
 
 # Sent in place of a number by a process that has none to send or to return.
@@ -50,6 +51,19 @@
         """When the newest number was sent, in seconds; None before that."""
         return self._sent_at.get(self._last)
 
-    def find_sent_at(self, number: int) -> float | None:
-        """Returns when a number was sent; None if it was not sent lately."""
-        return self._sent_at.get(number)
+    def date(self, number: int, age_s: float | None) -> float | None:
+        """Returns the time that a statement with a returned number proves.
+
+        Args:
+          number: The returned number.
+          age_s: How old the statement says it may be when it is made, in
+            seconds; None if it does not say.
+
+        Returns:
+          When the number was sent, less the age, in seconds. None if the number
+          was not sent lately, or the age is missing or absurd.
+        """
+        sent_at = self._sent_at.get(number)
+        if sent_at is None or age_s is None or not 0 <= age_s < math.inf:
+            return None
+        return sent_at - age_s
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -1,5 +1,6 @@
 """Tests of how nodes measure the age of the version that they installed."""
 
+import math
 import random
 
 from lovagesaddle.core import echoes
@@ -79,14 +80,15 @@
 
 
 def test_statement_for_another_process_proves_nothing() -> None:
-    """Answers to an earlier process, and unasked heartbeats, are ignored."""
+    """Answers to an earlier process, unasked and absurd ones are ignored."""
     before = freshness_lib.Freshness(random.Random(1))
     freshness = freshness_lib.Freshness(random.Random(2))
     for sequence in (before.ask(1.0), echoes.NONE):
         statement = _make_statement(7, sequence, 0.0)
         assert not freshness.record_statement(statement, 7)
-    unproved = _make_statement(7, freshness.ask(2.0), None)
-    assert not freshness.record_statement(unproved, 7)
+    for age_s in (None, -5.0, math.inf, math.nan):
+        unproved = _make_statement(7, freshness.ask(2.0), age_s)
+        assert not freshness.record_statement(unproved, 7), age_s
     assert freshness.compute_age(3.0) is None
 
 
