--- a/src/lovagesaddle/core/distribution/children.py
+++ b/src/lovagesaddle/core/distribution/children.py
@@ -328,7 +328,8 @@
     ) -> bytes:
         age_s = None
         if self.current_at is not None and sequence != echoes.NONE:
-            age_s = now - self.current_at
+            # The proof may be read from the clock after `now` was.
+            age_s = max(0.0, now - self.current_at)
         return wire.encode(
             messages.ParentBeat(
                 version=self._history.version,
