--- a/src/lovagesaddle/core/distribution/prober.py
+++ b/src/lovagesaddle/core/distribution/freshness_prober.py
@@ -23,7 +23,7 @@
 MS_PER_S = 1000
 
 
-class Prober:
+class FreshnessProber:
     """Sends probes to one replica after another until one proves an age.
 
     Args:
--- a/src/lovagesaddle/core/distribution/node_agent.py
+++ b/src/lovagesaddle/core/distribution/node_agent.py
@@ -11,13 +11,13 @@
 from lovagesaddle.core.distribution import children as children_lib
 from lovagesaddle.core.distribution import events
 from lovagesaddle.core.distribution import freshness as freshness_lib
+from lovagesaddle.core.distribution import freshness_prober
 from lovagesaddle.core.distribution import heartbeats
 from lovagesaddle.core.distribution import history as history_lib
 from lovagesaddle.core.distribution import installed_version
 from lovagesaddle.core.distribution import mark_filter
 from lovagesaddle.core.distribution import messages
 from lovagesaddle.core.distribution import parents as parents_lib
-from lovagesaddle.core.distribution import prober as prober_lib
 from lovagesaddle.core.distribution import puller as puller_lib
 from lovagesaddle.core.distribution import rate_limiter
 from lovagesaddle.core.distribution import registration as registration_lib
@@ -82,7 +82,7 @@
             installed=self._installed, random=random
         )
         self._freshness = freshness_lib.Freshness(random)
-        self._prober = prober_lib.Prober(
+        self._prober = freshness_prober.FreshnessProber(
             installed=self._installed,
             freshness=self._freshness,
             heartbeat_s=heartbeat_s,
--- a/src/lovagesaddle/core/membership/registrar.py
+++ b/src/lovagesaddle/core/membership/registrar.py
@@ -9,10 +9,11 @@
 from lovagesaddle.core.distribution import replica_events
 from lovagesaddle.core.distribution import wire
 from lovagesaddle.core.membership import change_batcher as batcher_lib
-from lovagesaddle.core.membership import entry_checks
 from lovagesaddle.core.membership import leases as leases_lib
 from lovagesaddle.core.membership import pending_joins as pending_joins_lib
+from lovagesaddle.core.model import entry_checks
 from lovagesaddle.core.model import peers
+from lovagesaddle.core.model import snapshots
 
 # Interval between checks for lapsed leases.
 SWEEP_S = 0.5
@@ -184,11 +185,13 @@
         message: messages.DistributionMessage,
         now: float,
     ) -> Actions:
-        odd = _find_odd_entry(message)
-        if odd:
+        flaw = _find_entry_flaw(message)
+        if flaw:
             return (
                 events.LogLine(
-                    event="entry refused", peer=origin, reason=f"odd {odd}"
+                    event="entry refused",
+                    peer=origin,
+                    reason=f"invalid: {flaw}",
                 ),
             )
         match message:
@@ -269,13 +272,15 @@
         return any(peer.peer_id == sender_id for peer in self._replicas)
 
 
-def _find_odd_entry(message: messages.DistributionMessage) -> str:
-    """Returns what is odd about the entries of a message; empty if nothing."""
+def _find_entry_flaw(message: messages.DistributionMessage) -> str:
+    """Returns what is invalid about an entry of a message, if anything is."""
+    servers: tuple[snapshots.BackendServer, ...] = ()
+    flaws: list[str] = []
     match message:
         case messages.Join():
-            return entry_checks.find_odd_node(
-                message.node
-            ) or entry_checks.find_odd_server(message.servers)
+            flaws.append(entry_checks.find_node_flaw(message.node))
+            servers = message.servers
         case messages.ServerReport():
-            return entry_checks.find_odd_server(message.servers)
-    return ""
+            servers = message.servers
+    flaws.extend(entry_checks.find_server_flaw(server) for server in servers)
+    return next(filter(None, flaws), "")
--- a/src/lovagesaddle/core/routing/table.py
+++ b/src/lovagesaddle/core/routing/table.py
@@ -7,7 +7,7 @@
 import dataclasses
 import enum
 
-from lovagesaddle.core.membership import entry_checks
+from lovagesaddle.core.model import entry_checks
 from lovagesaddle.core.model import services as services_lib
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import paths
@@ -247,10 +247,7 @@
         node = nodes.get(server.node_id)
         if node is None or server.state is not snapshots.ServerState.SERVING:
             continue
-        if entry_checks.find_odd_node(node) or entry_checks.find_odd_server(
-            (server,)
-        ):
-            # Another release may have taken it into the list.
+        if _has_flaw(node, server):
             continue
         found.setdefault(server.service, []).append(
             Candidate(
@@ -266,6 +263,14 @@
     return {service: tuple(servers) for service, servers in found.items()}
 
 
+def _has_flaw(node: snapshots.Node, server: snapshots.BackendServer) -> bool:
+    """Returns whether an entry that another release listed can't be used."""
+    return bool(
+        entry_checks.find_node_flaw(node)
+        or entry_checks.find_server_flaw(server)
+    )
+
+
 def _authorise_service(route: services_lib.Route, service: str) -> Access:
     if service in route.services:
         return Access(
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import dataclasses
 import hashlib
-import math
 import os
 import time
 
@@ -21,6 +20,7 @@
 from lovagesaddle.http import watchdog
 from lovagesaddle.http import wsgi
 from lovagesaddle.node import attempt_senders
+from lovagesaddle.node import call_answers
 from lovagesaddle.node import call_results
 from lovagesaddle.node import call_runner
 from lovagesaddle.node import claimed_calls
@@ -276,7 +276,7 @@
         self._attempts.add(runner.attempts)
         if _is_outdated(call_result):
             raise _OutdatedRouteError(accepted.table.publication, body)
-        return self._format(call_result, request_id)
+        return call_answers.make_answer(call_result, request_id, self._names)
 
     def _make_caller_header(self) -> headers_lib.Headers:
         """Returns the header with the service of this VM, if it is known."""
@@ -334,40 +334,6 @@
         ) as guard:
             return runner.run(guard)
 
-    def _format(
-        self, call_result: call_results.CallResult, request_id: str
-    ) -> wsgi.Answer:
-        id_header: headers_lib.Headers = ((self._names.request_id, request_id),)
-        match call_result:
-            case result.Success(answered):
-                outcome: headers_lib.Headers = ()
-                if answered.outcome is not None:
-                    outcome = (
-                        (outcomes.OUTCOME_HEADER, answered.outcome.value),
-                    )
-                remaining = headers_lib.remove(
-                    answered.headers, self._names.request_id
-                )
-                return wsgi.Answer(
-                    status=answered.status,
-                    headers=remaining + id_header + outcome,
-                    body=answered.body,
-                )
-            case result.Failure(failed):
-                extra = id_header
-                if failed.retry_after_s:
-                    seconds = self._format_retry_after(failed.retry_after_s)
-                    extra = (*id_header, ("Retry-After", seconds))
-                return wsgi.make_failure(
-                    failed.status, failed.reason, failed.outcome, extra
-                )
-        raise AssertionError("unreachable")
-
-    def _format_retry_after(self, seconds: float) -> str:
-        if self._names.has_fractional_retry:
-            return f"{seconds:.3f}"
-        return str(math.ceil(seconds))
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Accepted:
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -1,9 +1,7 @@
 """Owner side of a node: admits attempts and sends them to a local server."""
 
-import collections
 from collections.abc import Callable
 import dataclasses
-import threading
 import time
 
 from lovagesaddle.core.model import snapshots
@@ -17,12 +15,12 @@
 from lovagesaddle.node import body_receiver as body_receiver_lib
 from lovagesaddle.node import owned_server
 from lovagesaddle.node import owner_answers
+from lovagesaddle.node import seen_attempts
 from lovagesaddle.node import server_exchange
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
 from lovagesaddle.observability import logs
 from lovagesaddle.observability import metrics
 
-MAX_SEEN_ATTEMPTS = 65_536
 MS_PER_S = 1000
 NO_RATE_LIMIT = -1.0
 SERVER_UNKNOWN = "server-unknown"
@@ -64,10 +62,7 @@
         self._shared_quarantine = shared_quarantine
         self._options = options or owned_server.OwnerOptions()
         self._owned: dict[str, owned_server.OwnedServer] = {}
-        self._seen: collections.OrderedDict[str, None] = (
-            collections.OrderedDict()
-        )
-        self._seen_lock = threading.Lock()
+        self._seen_attempts = seen_attempts.SeenAttempts()
         self._sent = metrics.Counter()
         self._report_leaving: LeavingReport = _ignore_leaving
 
@@ -200,7 +195,7 @@
         owned: owned_server.OwnedServer,
         guard: watchdog.Guard,
     ) -> hop.RunAnswer:
-        if not self._register_attempt(request.attempt_id):
+        if not self._seen_attempts.add(request.attempt_id):
             reason = admission_events.RefusalReason.DUPLICATE.value
             return owner_answers.make_refusal(request, reason, owned)
         if not self._allows_route(request, owned.server.service):
@@ -375,16 +370,6 @@
             request.fingerprint, hinted=request.suspect
         )
 
-    def _register_attempt(self, attempt_id: str) -> bool:
-        """Records an attempt; returns False if it was received before."""
-        with self._seen_lock:
-            if attempt_id in self._seen:
-                return False
-            self._seen[attempt_id] = None
-            if len(self._seen) > MAX_SEEN_ATTEMPTS:
-                self._seen.popitem(last=False)
-            return True
-
 
 def _ignore_leaving(server_id: str, incarnation: int) -> None:
     """Does nothing; the owner itself refuses new requests."""
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -4,6 +4,7 @@
 from concurrent import futures
 import contextlib
 import socket
+import threading
 import time
 from unittest import mock
 
@@ -209,111 +210,38 @@
     assert found.unwrap().body == body
 
 
-def test_late_second_answer_is_passed_over() -> None:
-    """A second answer to an earlier request does not fail the next one."""
-    head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nRequest-Id: {}\r\n\r\n{}"
-    first = head.format("one", "1.").encode()
-    second = head.format("two", "2.").encode()
-
-    def serve(listener: socket.socket) -> None:
-        accepted, _ = listener.accept()
-        with accepted:
-            accepted.recv(65536)
-            accepted.sendall(first)
-            accepted.recv(65536)
-            accepted.sendall(first)
-            accepted.sendall(second)
-
-    with (
-        socket.create_server(("127.0.0.1", 0)) as listener,
-        futures.ThreadPoolExecutor(1) as pool,
-        client.ConnectionPool() as connections,
-    ):
-        served = pool.submit(serve, listener)
-        host, port = listener.getsockname()
-        bodies = []
-        for request_id in ("one", "two"):
-            request = client.Request(
-                method="GET",
-                target="/",
-                headers={call_chain.REQUEST_ID_HEADER: request_id},
-                body=b"",
-            )
-            guard = watchdog.Guard(time.monotonic() + LONG_S, lambda: False)
-            found = connections.exchange(f"{host}:{port}", request, guard)
-            bodies.append(found.unwrap().body)
-        served.result()
-    assert bodies == [b"1.", b"2."]
-
-
-def test_late_failure_without_an_id_reaches_no_other_request() -> None:
-    """On a reused connection, a failure that names no request is not taken.
-
-    It may be a second answer to the request before.
-    """
-    own = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nRequest-Id: %b\r\n\r\n%b"
-    late = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
-
-    def serve(listener: socket.socket) -> None:
-        accepted, _ = listener.accept()
-        with accepted:
-            accepted.recv(65536)
-            accepted.sendall(own % (b"one", b"1"))
-            accepted.recv(65536)
-            accepted.sendall(late)
-            accepted.sendall(own % (b"two", b"2"))
-
-    with (
-        socket.create_server(("127.0.0.1", 0)) as listener,
-        futures.ThreadPoolExecutor(1) as pool,
-        client.ConnectionPool(requires_request_id=True) as connections,
-    ):
-        served = pool.submit(serve, listener)
-        host, port = listener.getsockname()
-        replies = []
-        for request_id in ("one", "two"):
-            request = client.Request(
-                method="GET",
-                target="/",
-                headers={call_chain.REQUEST_ID_HEADER: request_id},
-                body=b"",
-            )
-            guard = watchdog.Guard(time.monotonic() + LONG_S, lambda: False)
-            found = connections.exchange(f"{host}:{port}", request, guard)
-            replies.append(found.unwrap())
-        served.result()
-    assert [(r.status, r.body) for r in replies] == [(200, b"1"), (200, b"2")]
-
-
 def _exchange_in_turn(
-    served: Callable[[socket.socket], None], *request_ids: str
+    serve: Callable[[socket.socket], None],
+    *request_ids: str,
+    requires_id: bool = True,
 ) -> list[client.ExchangeResult]:
-    """Sends requests one after another to a server that handles one connection.
+    """Sends requests one after another to a server.
 
     Args:
-      served: Handles each accepted connection, of which there are at most as
-        many as requests.
+      serve: Handles each accepted connection.
       request_ids: IDs of the requests.
+      requires_id: Whether answers must carry the ID of their request.
     """
+    is_over = threading.Event()
 
-    def serve(listener: socket.socket) -> None:
-        with contextlib.suppress(TimeoutError):
-            while True:
-                accepted, _ = listener.accept()
-                with accepted:
-                    served(accepted)
+    def accept_all(listener: socket.socket) -> None:
+        while True:
+            accepted, _ = listener.accept()
+            with accepted:
+                if is_over.is_set():
+                    return
+                serve(accepted)
 
+    outcomes = []
     with (
         socket.create_server(("127.0.0.1", 0)) as listener,
         futures.ThreadPoolExecutor(1) as pool,
     ):
-        listener.settimeout(0.5)
-        done = pool.submit(serve, listener)
+        served = pool.submit(accept_all, listener)
         host, port = listener.getsockname()
         with client.ConnectionPool(
-            requires_request_id=True, allows_unframed=True
+            requires_request_id=requires_id, allows_unframed=True
         ) as connections:
-            outcomes = []
             for request_id in request_ids:
                 request = client.Request(
                     method="POST",
@@ -325,10 +253,50 @@
                 outcomes.append(
                     connections.exchange(f"{host}:{port}", request, guard)
                 )
-        done.result()
+        is_over.set()
+        socket.create_connection((host, port)).close()
+        served.result()
     return outcomes
 
 
+def test_late_second_answer_is_passed_over() -> None:
+    """A second answer to an earlier request does not fail the next one."""
+    head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nRequest-Id: {}\r\n\r\n{}"
+    first = head.format("one", "1.").encode()
+    second = head.format("two", "2.").encode()
+
+    def serve(connection: socket.socket) -> None:
+        connection.recv(65536)
+        connection.sendall(first)
+        connection.recv(65536)
+        connection.sendall(first)
+        connection.sendall(second)
+
+    outcomes = _exchange_in_turn(serve, "one", "two", requires_id=False)
+    bodies = [outcome.unwrap().body for outcome in outcomes]
+    assert bodies == [b"1.", b"2."]
+
+
+def test_late_failure_without_an_id_reaches_no_other_request() -> None:
+    """On a reused connection, a failure that names no request is not taken.
+
+    It may be a second answer to the request before.
+    """
+    own = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nRequest-Id: %b\r\n\r\n%b"
+    late = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
+
+    def serve(connection: socket.socket) -> None:
+        connection.recv(65536)
+        connection.sendall(own % (b"one", b"1"))
+        connection.recv(65536)
+        connection.sendall(late)
+        connection.sendall(own % (b"two", b"2"))
+
+    outcomes = _exchange_in_turn(serve, "one", "two")
+    replies = [outcome.unwrap() for outcome in outcomes]
+    assert [(r.status, r.body) for r in replies] == [(200, b"1"), (200, b"2")]
+
+
 class _RepeatingServer:
     """Refuses the first request and repeats the refusal before the next answer.
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_invalid_entries.py
@@ -1,4 +1,4 @@
-"""Tests of one odd entry among those of the backend servers and nodes.
+"""Tests of one invalid entry among those of the backend servers and nodes.
 
 It has a number that is too large, a port out of range, or is nested too deep.
 """
@@ -9,10 +9,6 @@
 import time
 from typing import Any
 
-from bench import admin as admin_lib
-from bench import backend
-from bench import stand_in
-
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.configuration import state as state_lib
 from lovagesaddle.core.distribution import events
@@ -30,11 +26,12 @@
 from tests import fixtures
 from tests import mesh as mesh_lib
 from tests import nodes
+from tests import served_mesh
 
 SERVICE = "orderdesk"
 HUGE = 10**25
 NESTED = b"[" * 20_000 + b"]" * 20_000
-ODD_PORTS = ("0", "65536", "99999")
+INVALID_PORTS = ("0", "65536", "99999")
 BEAT: dict[str, Any] = {
     "Service": SERVICE,
     "Address": "10.0.0.1:80",
@@ -52,20 +49,20 @@
     return False
 
 
-def test_odd_heartbeat_is_refused() -> None:
+def test_invalid_heartbeat_is_refused() -> None:
     """What no other process can read is not taken into the list."""
-    odd: list[dict[str, Any]] = [
-        {"Address": f"10.0.0.1:{port}"} for port in ODD_PORTS
+    invalid: list[dict[str, Any]] = [
+        {"Address": f"10.0.0.1:{port}"} for port in INVALID_PORTS
     ]
-    odd += [{"born": HUGE}, {"Sequence": HUGE}, {"Slots": HUGE}]
+    invalid += [{"born": HUGE}, {"Sequence": HUGE}, {"Slots": HUGE}]
     assert not _is_beat_refused(json.dumps(BEAT).encode())
-    for fields in odd:
+    for fields in invalid:
         assert _is_beat_refused(json.dumps(BEAT | fields).encode()), fields
     nested = json.dumps(BEAT).encode()[:-1] + b',"X":' + NESTED + b"}"
     assert _is_beat_refused(nested)
 
 
-def test_odd_deregistration_is_refused() -> None:
+def test_invalid_deregistration_is_refused() -> None:
     """The start time of the process that ends is bounded too."""
     try:
         heartbeats.parse_deregistration("i-1", b'{"born": %d}' % HUGE)
@@ -74,7 +71,7 @@
     raise AssertionError("a huge start time was taken")
 
 
-def test_odd_document_is_refused() -> None:
+def test_invalid_document_is_refused() -> None:
     """A number that can't be stored is an error of the document."""
     rule = {
         "Name": "r",
@@ -87,7 +84,7 @@
         "WeightedSplit": [{"Service": "s", "Weight": HUGE}],
     }
     attempts = {"TimeoutMs": 100, "Service": "s", "Attempts": HUGE}
-    for odd in (
+    for invalid in (
         {"Priority": HUGE},
         {"Action": attempts},
         {"Action": split},
@@ -100,17 +97,17 @@
                 "HeaderTimeoutMs": 10,
                 "IdleTimeoutMs": 10,
             },
-            "Listeners": [{"Host": "h", "RouteRules": [rule | odd]}],
+            "Listeners": [{"Host": "h", "RouteRules": [rule | invalid]}],
             "Clusters": [{"Name": "s"}],
         }
         try:
             documents.parse_publication(json.dumps(content).encode(), "")
         except documents.DocumentError:
             continue
-        raise AssertionError(odd)
+        raise AssertionError(invalid)
 
 
-def test_odd_announcement_is_answered_400() -> None:
+def test_invalid_announcement_is_answered_400() -> None:
     """The local VM learns why its announcement is not taken."""
     with nodes.Mesh(nodes.make_service()) as mesh:
         node = mesh.start("n0")
@@ -130,7 +127,7 @@
 
 
 def test_address_that_no_socket_takes_is_no_connection() -> None:
-    """An exchange with an odd address fails like one with a dead VM."""
+    """An exchange with an invalid address fails like one with a dead VM."""
     request = client.Request(method="GET", target="/", headers={}, body=b"")
     with client.ConnectionPool() as pool:
         for address in ("127.0.0.1:99999", "127.0.0.1:x", "nowhere", ""):
@@ -156,7 +153,7 @@
     return registrar
 
 
-def _list_odd_servers() -> list[snapshots.BackendServer]:
+def _list_invalid_servers() -> list[snapshots.BackendServer]:
     sound = mesh_lib.make_server("n1")
     return [
         dataclasses.replace(sound, slots=0),
@@ -166,7 +163,7 @@
     ]
 
 
-def _list_odd_nodes() -> list[snapshots.Node]:
+def _list_invalid_nodes() -> list[snapshots.Node]:
     sound = mesh_lib.make_node("n1")
     return [
         dataclasses.replace(sound, http_address="10.0.0.1:99999"),
@@ -195,19 +192,19 @@
     return bool(refusals)
 
 
-def test_odd_entry_of_a_node_does_not_reach_the_log() -> None:
+def test_invalid_entry_of_a_node_does_not_reach_the_log() -> None:
     """The leader refuses what processes that read the list can't use."""
     sound = mesh_lib.make_node("n1")
     assert not _join(sound, mesh_lib.make_server("n1"))
-    for server in _list_odd_servers():
+    for server in _list_invalid_servers():
         assert _join(sound, server), server
-    for node in _list_odd_nodes():
+    for node in _list_invalid_nodes():
         assert _join(node), node
 
 
-def test_odd_report_of_servers_does_not_reach_the_log() -> None:
-    """A report with an odd server is refused as a whole."""
-    for server in _list_odd_servers():
+def test_invalid_report_of_servers_does_not_reach_the_log() -> None:
+    """A report with an invalid server is refused as a whole."""
+    for server in _list_invalid_servers():
         registrar = _make_leader()
         report = messages.ServerReport(
             node_id="n1", incarnation=1, sequence=1, servers=(server,)
@@ -219,35 +216,29 @@
         assert isinstance(line, events.LogLine), server
 
 
-def test_odd_entry_of_the_list_is_passed_over() -> None:
+def test_invalid_entry_of_the_list_is_passed_over() -> None:
     """A node uses the other entries of a list that another release wrote."""
-    with (
-        nodes.Mesh(nodes.make_service()) as mesh,
-        backend.Backend(stand_in.BackendOptions()) as server,
-    ):
-        owner = mesh.start("n0")
-        entry = mesh.start("n1")
-        admin_lib.announce(
-            owner.admin_address, SERVICE, server.address, 20, 100
-        )
+    with served_mesh.run_mesh() as (mesh, (_, entry), _):
         listed = mesh.control.snapshot
-        odd_nodes = tuple(
-            dataclasses.replace(node, node_id=f"odd{number}")
-            for number, node in enumerate(_list_odd_nodes())
+        invalid_nodes = tuple(
+            dataclasses.replace(node, node_id=f"invalid{number}")
+            for number, node in enumerate(_list_invalid_nodes())
         )
-        odd_servers = tuple(
+        invalid_servers = tuple(
             dataclasses.replace(
                 mesh_lib.make_server(node.node_id), incarnation=7
             )
-            for node in odd_nodes
+            for node in invalid_nodes
         )
         extra = tuple(
-            dataclasses.replace(odd, server_id=f"n1/{number}", node_id="n1")
-            for number, odd in enumerate(_list_odd_servers())
+            dataclasses.replace(
+                server_entry, server_id=f"n1/{number}", node_id="n1"
+            )
+            for number, server_entry in enumerate(_list_invalid_servers())
         )
         mesh.control.change(
-            nodes=listed.nodes + odd_nodes,
-            servers=listed.servers + odd_servers[:2] + extra,
+            nodes=listed.nodes + invalid_nodes,
+            servers=listed.servers + invalid_servers[:2] + extra,
         )
         for _ in range(20):
             reply = nodes.send(entry.http_address, "POST")
--- a/tests/test_node_program.py
+++ b/tests/test_node_program.py
@@ -1,6 +1,5 @@
 """Tests of whole nodes in one process, with stand-in backend servers."""
 
-from collections.abc import Iterator
 from concurrent import futures
 import contextlib
 import json
@@ -23,44 +22,21 @@
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import owner as owner_lib
-from lovagesaddle.node import program
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
 from tests import fixtures
 from tests import nodes
+from tests import served_mesh
 
-SERVICE = "orderdesk"
 THIN_MBPS = 2.23
 
 
-@contextlib.contextmanager
-def _run_mesh(
-    count: int = 2, *, services: tuple[Any, ...] = (), **options: Any
-) -> Iterator[tuple[nodes.Mesh, list[program.NodeProgram], backend.Backend]]:
-    """Runs nodes; the first one owns a stand-in backend server."""
-    with (
-        nodes.Mesh(*(services or (nodes.make_service(),))) as mesh,
-        backend.Backend(stand_in.BackendOptions(**options)) as server,
-    ):
-        started = [mesh.start(f"n{number}") for number in range(count)]
-        _announce(started[0], server)
-        yield mesh, started, server
-
-
-def _announce(
-    node: program.NodeProgram, server: backend.Backend, slots: int = 20
-) -> str:
-    return admin_lib.announce(
-        node.admin_address, SERVICE, server.address, slots, 100
-    )
-
-
 def _get_outcome(reply: nodes.Reply) -> str | None:
     return reply.headers.get(outcomes.OUTCOME_HEADER)
 
 
 def test_any_node_carries_a_call() -> None:
     """A call through the owner's node or another gets the server's answer."""
-    with _run_mesh() as (_, started, _server):
+    with served_mesh.run_mesh() as (_, started, _server):
         for node in started:
             reply = nodes.send(node.http_address, "POST", "/a?b=1", body=b"xy")
             assert reply.status == 200
@@ -71,7 +47,7 @@
 
 def test_refusals_say_that_nothing_ran() -> None:
     """Each refusal has its status and the outcome not-run."""
-    with _run_mesh() as (_, started, server):
+    with served_mesh.run_mesh() as (_, started, server):
         address = started[1].http_address
         cases = (
             (404, nodes.send(address, Host="unknown.example")),
@@ -89,7 +65,7 @@
 
 def test_forged_headers_stop_at_the_entry() -> None:
     """A caller's credential and internal headers reach no backend server."""
-    with _run_mesh() as (_, started, _server):
+    with served_mesh.run_mesh() as (_, started, _server):
         reply = nodes.send(
             started[1].http_address,
             Owner_Load="0,0,0,0,0",
@@ -106,7 +82,7 @@
 
 def test_caller_can_not_forge_a_run_request() -> None:
     """A run request without the mesh's secret runs nothing."""
-    with _run_mesh() as (_, started, server):
+    with served_mesh.run_mesh() as (_, started, server):
         forged = hop.EnvelopeSigner(b"guess").sign(
             hop.RunAnswer(attempt_id="a", outcome=hop.RunOutcome.REFUSED)
         )
@@ -175,7 +151,7 @@
         ):
             started = [mesh.start(f"n{n}", **fields) for n in range(2)]
             mesh.control.change(limits=limits)
-            _announce(started[0], server)
+            served_mesh.announce(started[0], server)
             address = started[1].http_address
             reply = nodes.send(address, "POST", body=b"x" * limit)
             assert reply.status == 200, reply
@@ -185,16 +161,18 @@
 
 def test_local_service_calls_by_its_token() -> None:
     """A server calls other services with the token from its announcement."""
-    inner = nodes.make_service("inner", host="inner", services=(SERVICE,))
+    inner = nodes.make_service(
+        "inner", host="inner", services=(served_mesh.SERVICE,)
+    )
     outer = nodes.make_service()
     with (
-        _run_mesh(services=(inner, outer)) as (_, started, server),
+        served_mesh.run_mesh(services=(inner, outer)) as (_, started, server),
         backend.Backend(stand_in.BackendOptions()) as other,
     ):
         admin_lib.announce(
             started[1].admin_address, "inner", other.address, 5, 5
         )
-        token = _announce(started[0], server)
+        token = served_mesh.announce(started[0], server)
         own = started[0].http_address
         assert nodes.send(own, Host="inner", token=token).status == 200
         elsewhere = started[1].http_address
@@ -206,7 +184,7 @@
     """A failure after the request was sent is 502, unknown and never rerun."""
     with tempfile.TemporaryDirectory() as folder:
         record = pathlib.Path(folder) / "runs"
-        with _run_mesh(record=str(record)) as (_, started, _server):
+        with served_mesh.run_mesh(record=str(record)) as (_, started, _server):
             for act in ("lose-answer", "truncate", "cross"):
                 reply = nodes.send(
                     started[1].http_address, "POST", Act=act, Bench_Id=act
@@ -223,7 +201,7 @@
 
 def test_dead_backend_is_proof_that_nothing_ran() -> None:
     """A server without a listener gives not-run and is then withdrawn."""
-    with _run_mesh() as (mesh, started, server):
+    with served_mesh.run_mesh() as (mesh, started, server):
         server.crash()
         reply = nodes.send(started[1].http_address, "POST")
         assert reply.status == 503
@@ -233,9 +211,9 @@
 
 def test_wrong_health_reports_change_nothing() -> None:
     """A server that reports itself down is used; a crashed one is withdrawn."""
-    with _run_mesh(health="down") as (_, started, _server):
+    with served_mesh.run_mesh(health="down") as (_, started, _server):
         assert nodes.send(started[1].http_address).status == 200
-    with _run_mesh(health="up") as (mesh, _, server):
+    with served_mesh.run_mesh(health="up") as (mesh, _, server):
         server.crash()
         nodes.wait_for(lambda: not mesh.control.snapshot.servers, "withdrawal")
 
@@ -243,7 +221,7 @@
 def test_deadline_gives_504_and_frees_the_slot() -> None:
     """A late run is cancelled at the deadline and its outcome is unknown."""
     service = nodes.make_service(timeout_s=0.3)
-    with _run_mesh(services=(service,), heed_deadline=False) as (
+    with served_mesh.run_mesh(services=(service,), heed_deadline=False) as (
         _,
         started,
         server,
@@ -263,7 +241,7 @@
         futures.ThreadPoolExecutor(1) as pool,
     ):
         node = mesh.start("n0", threads=1)
-        _announce(node, server)
+        served_mesh.announce(node, server)
         first = pool.submit(nodes.send, node.http_address, "POST", Run_Ms="400")
         nodes.wait_for(lambda: server.state.running, "the thread to be taken")
         late = nodes.send(node.http_address, "POST", Request_Deadline_Ms="100")
@@ -274,7 +252,7 @@
 def test_caller_that_hangs_up_frees_its_slot() -> None:
     """Closing the caller's connection cancels the run behind two hops."""
     service = nodes.make_service(timeout_s=60.0)
-    with _run_mesh(services=(service,)) as (_, started, server):
+    with served_mesh.run_mesh(services=(service,)) as (_, started, server):
         for node in started:
             sock = nodes.open_request(node.http_address, Run_Ms="50000")
             nodes.wait_for(lambda: server.state.running, "the run to start")
@@ -287,7 +265,7 @@
 def test_caller_with_requests_in_a_row_is_seen_to_hang_up() -> None:
     """A close after a second request on the connection cancels the first."""
     service = nodes.make_service(timeout_s=60.0)
-    with _run_mesh(1, services=(service,)) as (_, started, server):
+    with served_mesh.run_mesh(1, services=(service,)) as (_, started, server):
         head = (
             f"GET / HTTP/1.1\r\nHost: {nodes.HOST}\r\n"
             f"Authorization: Bearer {nodes.TOKEN}\r\nRun-Ms: 50000\r\n\r\n"
@@ -302,10 +280,10 @@
 def test_full_owner_refuses_with_retry_after() -> None:
     """Beyond slots and queue callers get 503, not-run and Retry-After."""
     with (
-        _run_mesh() as (_, started, server),
+        served_mesh.run_mesh() as (_, started, server),
         futures.ThreadPoolExecutor(8) as pool,
     ):
-        _announce(started[0], server, slots=1)
+        served_mesh.announce(started[0], server, slots=1)
         calls = [
             pool.submit(nodes.send, started[1].http_address, Run_Ms="200")
             for _ in range(8)
@@ -320,7 +298,7 @@
 
 def test_planned_stop_leaves_the_mesh() -> None:
     """After a graceful stop no snapshot lists the node, before any lease."""
-    with _run_mesh() as (mesh, started, _server):
+    with served_mesh.run_mesh() as (mesh, started, _server):
         assert started[1].shut_down()
         listed = [node.node_id for node in mesh.control.snapshot.nodes]
         assert listed == ["n0"]
@@ -329,7 +307,7 @@
 def test_shut_down_finishes_what_runs() -> None:
     """A stopping node interrupts no run and its server gets no new requests."""
     with (
-        _run_mesh() as (_, started, server),
+        served_mesh.run_mesh() as (_, started, server),
         futures.ThreadPoolExecutor() as pool,
     ):
         calls = [
@@ -350,7 +328,7 @@
 def test_configuration_changes_cut_nothing() -> None:
     """Calls are finished while the configuration changes all the time."""
     with (
-        _run_mesh() as (mesh, started, _server),
+        served_mesh.run_mesh() as (mesh, started, _server),
         futures.ThreadPoolExecutor() as pool,
     ):
         calls = [
@@ -367,7 +345,7 @@
 def test_removed_service_finishes_what_runs() -> None:
     """Calls in progress are finished when their service is removed."""
     with (
-        _run_mesh() as (mesh, started, server),
+        served_mesh.run_mesh() as (mesh, started, server),
         futures.ThreadPoolExecutor() as pool,
     ):
         calls = [
@@ -387,7 +365,11 @@
     with tempfile.TemporaryDirectory() as folder:
         record = pathlib.Path(folder) / "runs"
         with (
-            _run_mesh(count=3, record=str(record)) as (mesh, started, _server),
+            served_mesh.run_mesh(count=3, record=str(record)) as (
+                mesh,
+                started,
+                _server,
+            ),
             futures.ThreadPoolExecutor() as pool,
         ):
             mesh.control.assign_shards()
@@ -418,7 +400,7 @@
 
 def test_key_without_a_majority_does_not_run() -> None:
     """A request with a key is refused if no majority of holders answers."""
-    with _run_mesh() as (mesh, started, server):
+    with served_mesh.run_mesh() as (mesh, started, server):
         address = started[0].http_address
         refused = nodes.send(address, "POST", Idempotency_Key="k")
         assert (refused.status, _get_outcome(refused)) == (503, "unknown")
@@ -483,7 +465,7 @@
     ):
         owner = mesh.start("n0", link_mbps=THIN_MBPS)
         entry = mesh.start("n1", link_mbps=THIN_MBPS)
-        _announce(owner, server)
+        served_mesh.announce(owner, server)
         body = bytes(100_000)
         reply = nodes.send(entry.http_address, "POST", body=body)
         assert reply.status == 200, reply
@@ -493,7 +475,7 @@
 def test_crashing_request_is_kept_from_further_servers() -> None:
     """A request that crashed two servers is refused; others are not."""
     with (
-        _run_mesh() as (_, started, _server),
+        served_mesh.run_mesh() as (_, started, _server),
         contextlib.ExitStack() as stack,
     ):
         address = started[1].http_address
@@ -504,7 +486,7 @@
                 break
             crashes += 1
             again = backend.Backend(stand_in.BackendOptions())
-            _announce(started[0], stack.enter_context(again))
+            served_mesh.announce(started[0], stack.enter_context(again))
         assert _get_outcome(reply) == "not-run"
         assert crashes == 2, crashes
         good = nodes.send(address, path="/good")
@@ -513,7 +495,7 @@
 
 def test_admin_errors_are_clear() -> None:
     """The admin address answers a wrong request with its error."""
-    with _run_mesh(count=1) as (_, started, _server):
+    with served_mesh.run_mesh(count=1) as (_, started, _server):
         admin = started[0].admin_address
         cases = (
             (404, nodes.send(admin, path="/unknown")),
--- a/tests/test_stale_tables.py
+++ b/tests/test_stale_tables.py
@@ -5,7 +5,6 @@
 import json
 from unittest import mock
 
-from bench import admin as admin_lib
 from bench import backend
 from bench import stand_in
 
@@ -14,32 +13,17 @@
 from lovagesaddle.node import program
 from tests import fixtures
 from tests import nodes
+from tests import served_mesh
 
-SERVICE = "orderdesk"
 ADDED_HOST = "added.example"
 
 
-@contextlib.contextmanager
-def _run_node(
-    *, proves: bool
-) -> Iterator[tuple[nodes.Mesh, program.NodeProgram, backend.Backend]]:
-    """Runs a node with a server; later versions are proved if `proves`."""
-    with (
-        nodes.Mesh(nodes.make_service()) as mesh,
-        backend.Backend(stand_in.BackendOptions()) as server,
-    ):
-        mesh.control.proves = proves
-        node = mesh.start("n0")
-        admin_lib.announce(node.admin_address, SERVICE, server.address, 20, 100)
-        yield mesh, node, server
-
-
 def test_refusal_by_an_unproved_table_is_not_final() -> None:
     """A node that can't prove its table to be the newest refuses for now.
 
     The newest one may have the route, the method, the caller or the limit.
     """
-    with _run_node(proves=False) as (_, node, server):
+    with served_mesh.run_mesh(1, proves=False) as (_, (node,), server):
         address = node.http_address
         replies = (
             nodes.send(address, Host=ADDED_HOST),
@@ -57,7 +41,7 @@
 
 def test_request_that_the_unproved_table_allows_is_served() -> None:
     """Losing all of control does not stop calls."""
-    with _run_node(proves=False) as (_, node, _server):
+    with served_mesh.run_mesh(1, proves=False) as (_, (node,), _):
         reply = nodes.send(node.http_address, "POST", "/a", body=b"xy")
         assert reply.status == 200, reply
         assert json.loads(reply.body)["length"] == 2
@@ -65,7 +49,7 @@
 
 def test_proof_makes_a_refusal_final() -> None:
     """A node that proves its table answers as before."""
-    with _run_node(proves=False) as (mesh, node, _server):
+    with served_mesh.run_mesh(1, proves=False) as (mesh, (node,), _):
         assert nodes.send(node.http_address, Host=ADDED_HOST).status == 503
         mesh.control.proves = True
         mesh.control.change()
@@ -79,7 +63,7 @@
     A node that has been paused gets its first requests before it has heard
     anything of control.
     """
-    with _run_node(proves=False) as (mesh, node, _server):
+    with served_mesh.run_mesh(1, proves=False) as (mesh, (node,), _):
 
         def catch_up() -> None:
             mesh.control.proves = True
@@ -96,7 +80,7 @@
 
     The steady clock of the system stands still meanwhile.
     """
-    with _run_node(proves=True) as (_, node, _server):
+    with served_mesh.run_mesh(1) as (_, (node,), _):
         assert nodes.send(node.http_address, Host=ADDED_HOST).status == 404
         resumed_at = clocks.read_uptime() + 2 * nodes.PROOF_S
         with mock.patch.object(clocks, "read_uptime", lambda: resumed_at):
@@ -113,15 +97,7 @@
     The entry believes its table to be proved, like a node whose bound has not
     passed yet.
     """
-    with (
-        nodes.Mesh(nodes.make_service()) as mesh,
-        backend.Backend(stand_in.BackendOptions()) as server,
-    ):
-        owner = mesh.start("n0")
-        entry = mesh.start("n1")
-        admin_lib.announce(
-            owner.admin_address, SERVICE, server.address, 20, 100
-        )
+    with served_mesh.run_mesh() as (mesh, (_, entry), server):
         mesh.control.held_back = {"n1"}
         yield mesh, entry, server
 
@@ -151,9 +127,7 @@
                 nodes.make_service("artwork", host=ADDED_HOST),
             )
         )
-        admin_lib.announce(
-            owner.admin_address, "artwork", new_server.address, 20, 100
-        )
+        served_mesh.announce(owner, new_server, service="artwork")
         mesh.control.held_back = {"n1"}
         mesh.control.change(
             services=(
