List the tests of the three new reports, and what the earlier six gained

Change: each of the nine has its tests and what they don't cover. Two reports can't happen here as told (a head that ends early; a refusal repeated before another request's answer); one could (invalid entries), and a refusal repeated under the same ID. No figures, no logic.

--- a/tools/promises.py
+++ b/tools/promises.py
@@ -301,8 +301,8 @@
         tag="reported:lapsed-permission",
         text="A process that was paused acts on a permission that ran out.",
         limits=(
-            "A VM whose steady clock stands still while it is suspended: its"
-            " deadlines go on from where they stood."
+            "Deadlines of requests on a VM whose steady clock stands still"
+            " while it is suspended; ages, leases and elections count on."
         ),
         tests=(
             "test_request_is_not_sent_after_its_deadline",
@@ -310,14 +310,17 @@
             "test_claim_granted_too_late_does_not_run",
             "test_request_whose_caller_left_in_the_queue_does_not_run",
             "test_failed_connect_to_an_ended_server_leaves_its_successor_up",
+            "test_messages_that_waited_at_a_paused_replica_prove_no_age",
+            "test_statement_that_waited_dates_from_its_question",
+            "test_proof_runs_out_while_the_vm_is_suspended",
         ),
     ),
     Subject(
         tag="reported:one-bad-message",
         text="A malformed message or unexpected error ends a whole process.",
         limits=(
-            "An unexpected error in a replica's consensus ends the replica, and"
-            " one while a node installs a version ends its control thread."
+            "An unexpected error in a replica's consensus or distribution ends"
+            " the replica."
         ),
         tests=(
             "test_unexpected_error_leaves_every_deadline_in_force",
@@ -328,8 +331,44 @@
             "test_absurd_messages_of_operators_end_no_replica",
             "test_damaged_frames_end_no_replica",
             "test_edit_that_does_not_fit_is_not_put_into_the_log",
+            "test_version_that_fails_to_install_is_asked_for_again",
+            "test_answers_to_rounds_that_were_never_started_end_no_leader",
         ),
     ),
+    Subject(
+        tag="reported:invalid-entry",
+        text=(
+            "One invalid entry among those of the backend servers ends the"
+            " processes that read the list, or they stop following it."
+        ),
+        tests=(
+            "test_invalid_heartbeat_is_refused",
+            "test_invalid_deregistration_is_refused",
+            "test_invalid_announcement_is_answered_400",
+            "test_invalid_document_is_refused",
+            "test_invalid_entry_of_a_node_does_not_reach_the_log",
+            "test_invalid_report_of_servers_does_not_reach_the_log",
+            "test_invalid_entry_of_the_list_is_passed_over",
+            "test_address_that_no_socket_takes_is_no_connection",
+        ),
+    ),
+    Subject(
+        tag="reported:repeated-refusal",
+        text=(
+            "A server repeats an earlier refusal on a kept connection, and a"
+            " request that runs is said not to, or runs a second time."
+        ),
+        limits="Backend servers that don't repeat the request ID.",
+        tests=("test_refusal_that_is_repeated_refuses_no_other_request",),
+    ),
+    Subject(
+        tag="reported:cut-head",
+        text=(
+            "A server stops within the head of its answer, and the caller gets"
+            " a success with an empty or short body."
+        ),
+        tests=("test_head_that_ends_early_is_no_answer",),
+    ),
 )
 
 
