--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -254,6 +254,28 @@
         self.send_signal(ip, signal.SIGKILL)
         self.processes[ip].wait()
 
+    def add_core_machine(self) -> str:
+        """Starts an empty core machine at a new address, which it returns.
+
+        The operator's list, and so the seeds of later starts, has it at once.
+        """
+        net, _, _ = self.controls[0].rpartition(".")
+        ip = f"{net}.{len(self.machines) + 1}"
+        self.machines[ip] = Machine("control", ip)
+        self.start(ip)
+        self.controls.append(ip)
+        return ip
+
+    def remove_core_machine(self, ip: str, grace_s: float) -> None:
+        """Takes a core machine away for good: SIGTERM, then SIGKILL."""
+        self.send_signal(ip, signal.SIGTERM)
+        try:
+            self.processes[ip].wait(grace_s)
+        except subprocess.TimeoutExpired:
+            self.kill(ip)
+        self.controls.remove(ip)
+        self._record.write(f"platform: {ip} is gone")
+
     def lose_disk(self, ip: str) -> None:
         """Ends a core machine with its disk, and starts it again, empty."""
         self.kill(ip)
@@ -279,7 +301,9 @@
                 name: self.address(ip, name) for name in self.ports
             },
             "InnerPortRange": [str(port) for port in self._inner],
-            "SeedAddrs": [self.address(c, "Control") for c in self.controls],
+            "SeedAddrs": [
+                self.address(seed, "Control") for seed in self.controls[:3]
+            ],
             "DataDir": str(self.data_folder(ip)),
             "Bootstrap": is_first,
             "FaultTolerance": {"Machines": 1, "Zones": 0, "Regions": 0},
