Refuse kinds of routes that the specification doesn't name

Cause: platform/documents decoded four kinds and took "download" for idempotent.

Change: the three kinds of the page are decoded, and only "idempotent" is repeatable. test_download_may_run_again asserted the fault; it is replaced by test_kind_that_is_not_specified_is_refused, which asserts the kinds that are accepted, and that each other one is refused with its place. It failed before ("download"). document_answered logs what each order was answered; no line tied a route to its order.

--- a/src/lovagesaddle/platform/documents.py
+++ b/src/lovagesaddle/platform/documents.py
@@ -13,8 +13,7 @@
 
 MS_PER_S = 1000
 MAX_SERIAL_DIGITS = 8
-# A download is an idempotent request with a large answer.
-IDEMPOTENT_KINDS = frozenset({"idempotent", "download"})
+IDEMPOTENT_KIND = "idempotent"
 OPERATOR = "platform"
 # Bodies are bounded by the limits on callers, which change independently of
 # the routes.
@@ -61,7 +60,7 @@
 class _Rule(msgspec.Struct, frozen=True, rename="pascal"):
     name: Text
     # States whether requests may be retried, not how the route is matched.
-    route_kind: Literal["idempotent", "non_idempotent", "upload", "download"]
+    route_kind: Literal["idempotent", "non_idempotent", "upload"]
     match: _Match
     action: _Action
     target_latency_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
@@ -206,7 +205,7 @@
         timeout_s=action.timeout_ms / MS_PER_S,
         retries=action.attempts - 1,
         priority=rule.priority,
-        idempotent=rule.route_kind in IDEMPOTENT_KINDS,
+        idempotent=rule.route_kind == IDEMPOTENT_KIND,
         callers=(),
         services=(),
         max_body_bytes=UNBOUNDED_BYTES,
--- a/src/lovagesaddle/platform/operator_endpoints.py
+++ b/src/lovagesaddle/platform/operator_endpoints.py
@@ -17,6 +17,8 @@
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 # Below the operator's own timeout of 1 s per call.
 ANSWER_TIMEOUT_S = 0.9
+# Enough of a document's digest to tell documents of one serial number apart.
+DIGEST_DIGITS = 12
 _STATUSES = {
     commands.PublishOutcome.ACCEPTED: 200,
     commands.PublishOutcome.CONFLICT: 412,
@@ -53,6 +55,7 @@
         match self._forwarder.publish(command, ANSWER_TIMEOUT_S):
             case result.Success(commands.PublishResult() as published):
                 status = _STATUSES[published.outcome]
+                _log_answer(command, published)
                 return endpoints.make_answer(
                     status, "; ".join(published.causes)
                 )
@@ -73,3 +76,17 @@
             case result.Failure(error):
                 return endpoints.make_answer(503, str(error))
         raise AssertionError("unreachable")
+
+
+def _log_answer(
+    command: commands.PublishServices, published: commands.PublishResult
+) -> None:
+    assert command.document is not None
+    _log.info(
+        "document_answered",
+        serial=command.document.serial,
+        base=command.document.base_serial,
+        digest=command.publish_id[:DIGEST_DIGITS],
+        outcome=published.outcome.value,
+        version=published.version,
+    )
--- a/tests/test_documents_of_the_platform.py
+++ b/tests/test_documents_of_the_platform.py
@@ -105,13 +105,22 @@
     )
 
 
-def test_download_may_run_again() -> None:
-    """Routes of downloads, whose answers are large, are idempotent."""
-    document = _make()
-    rules = document["Listeners"][0]["RouteRules"]
-    rules[0]["RouteKind"] = rules[1]["RouteKind"] = "download"
-    routes = _parse(document).services[1].routes
-    assert [route.idempotent for route in routes] == [True, True]
+def test_kind_that_is_not_specified_is_refused() -> None:
+    """Only the three specified kinds are valid; no other one is guessed.
+
+    A route whose kind was taken for idempotent ran its requests twice.
+    """
+    for position in (0, 1):
+        path = ("Listeners", 0, "RouteRules", position, "RouteKind")
+        for kind in ("idempotent", "non_idempotent", "upload"):
+            document = _make()
+            _set(document, path, kind)
+            assert not _find_cause(json.dumps(document).encode()), kind
+        for other in ("download", "stream", "Idempotent", " upload", "", None):
+            document = _make()
+            _set(document, path, other)
+            cause = _find_cause(json.dumps(document).encode())
+            assert f"RouteRules[{position}].RouteKind" in cause, other
 
 
 def test_changed_limits_leave_every_route_as_it_is() -> None:
