Read serial numbers of documents as hexadecimal digits only

Callers saw: nothing yet.

Change: one to eight hexadecimal digits; anything else is refused with its text. test_number_with_other_characters_than_digits_is_refused failed before at "-7".

--- a/src/lovagesaddle/platform/documents.py
+++ b/src/lovagesaddle/platform/documents.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import hashlib
+import string
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -13,6 +14,7 @@
 
 MS_PER_S = 1000
 MAX_SERIAL_DIGITS = 8
+HEX_DIGITS = frozenset(string.hexdigits)
 IDEMPOTENT_KIND = "idempotent"
 OPERATOR = "platform"
 # Bodies are bounded by the limits on callers, which change independently of
@@ -100,10 +102,10 @@
         raise _make_error(
             f'"{text}" is not a number of 1 to {MAX_SERIAL_DIGITS} digits'
         )
-    try:
-        return int(text, 16)
-    except ValueError as error:
-        raise _make_error(f'"{text}" is not hexadecimal') from error
+    # `int` would also take a sign, spaces, underscores and "0x".
+    if not HEX_DIGITS.issuperset(text):
+        raise _make_error(f'"{text}" is not hexadecimal')
+    return int(text, 16)
 
 
 def parse_publication(content: bytes, base: str) -> commands.PublishServices:
--- a/tests/test_documents_of_the_platform.py
+++ b/tests/test_documents_of_the_platform.py
@@ -123,6 +123,20 @@
             assert f"RouteRules[{position}].RouteKind" in cause, other
 
 
+def test_number_with_other_characters_than_digits_is_refused() -> None:
+    """Signs, spaces, separators and prefixes are no hexadecimal digits."""
+    for text in ("-7", "+7", " 7", "7 ", "0x7", "1_0", "\u0667", "7\n"):
+        document = _make()
+        _set(document, ("Version",), text)
+        assert "hexadecimal" in _find_cause(json.dumps(document).encode()), text
+        try:
+            _parse(_make(), text)
+        except documents.DocumentError as error:
+            assert "hexadecimal" in error.cause
+        else:
+            raise AssertionError(f"the base {text!r} was accepted")
+
+
 def test_changed_limits_leave_every_route_as_it_is() -> None:
     """A change of the limits leaves the services equal.
 
