Let a standby vote before a stopping voter ends, and drop lost identities first

Cause: the leader counted members that it knew to be gone or about to be. A newcomer became a fourth voter beside three, and the replaced one was dropped after 2.5 s of silence; a lost identity was dropped one entry after its successor had become a voter. Two missing of four voters end the majority, and without a leader nobody is dropped.

Change: reconfiguration decides alone who counts, and takes repair in. There are 2 n + 1 voters; newcomers stand by as learners. A stopping replica says so in its answers, the leader makes a standby a voter and then the stopping one a learner, and the process ends once that is committed or half of its grace period is over. A lost voter is dropped before its successor votes, a running one after it; each step needs a majority before and after. replicas_repaired has a reason, replica_left tells whether a stopped replica still voted.

--- a/src/lovagesaddle/control/consensus.py
+++ b/src/lovagesaddle/control/consensus.py
@@ -205,10 +205,10 @@
             self._step(persisted)
         self._update_stamp()
 
-    def transfer_leadership(self, now: float) -> None:
-        """Starts a transfer of leadership to another replica."""
+    def leave(self, now: float) -> None:
+        """Hands over leadership and announces that this process stops."""
         self._now = now
-        self._step(events.TransferLeadership())
+        self._step(events.Leave())
 
     def transfer_leadership_now(self) -> None:
         """Starts a leadership transfer at the time of the current event."""
--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -39,6 +39,9 @@
 
 TICK_INTERVAL_S = 0.02
 TRANSFER_TIMEOUT_S = 2.0
+# Share of the grace period for which a stopping replica waits for a successor;
+# the rest is left to close its links and its folder.
+LEAVE_SHARE = 0.5
 
 
 class _SystemRandom(timing.RandomSource):
@@ -165,15 +168,7 @@
             version=self._consensus.view().state.snapshot.version,
         )
         self._serve_until(self._stopping.is_set)
-        if self._consensus.replica.is_confirmed_leader:
-            self._consensus.transfer_leadership(clocks.read_uptime())
-            deadline = clocks.read_uptime() + TRANSFER_TIMEOUT_S
-            self._serve_until(
-                lambda: (
-                    not self._consensus.replica.is_confirmed_leader
-                    or clocks.read_uptime() >= deadline
-                )
-            )
+        self._leave()
         self._forwarder.close()
         self._log.info(
             "replica_stopped",
@@ -182,6 +177,39 @@
             traffic_bytes=self._endpoint.traffic_bytes,
         )
 
+    def _leave(self) -> None:
+        """Serves until another replica leads and votes in this one's place.
+
+        Waits for a successor as a voter only if there is a standby.
+        """
+        replica = self._consensus.replica
+        was_voter = not replica.has_left_voters
+        started_at = clocks.read_uptime()
+        self._consensus.leave(started_at)
+        self._serve_until(
+            lambda: (
+                not replica.is_confirmed_leader
+                or clocks.read_uptime() >= started_at + TRANSFER_TIMEOUT_S
+            )
+        )
+        leave_until = started_at + self._settings.grace_s * LEAVE_SHARE
+        self._serve_until(
+            lambda: (
+                replica.has_left_voters
+                or not replica.may_be_replaced(
+                    tolerated=self._settings.tolerated_losses
+                )
+                or clocks.read_uptime() >= leave_until
+            )
+        )
+        self._log.info(
+            "replica_left",
+            replica=self._settings.replica_id,
+            was_voter=was_voter,
+            is_voter=not replica.has_left_voters,
+            waited_s=round(clocks.read_uptime() - started_at, 3),
+        )
+
     def _serve_until(self, is_done: Callable[[], bool]) -> None:
         next_tick = clocks.read_uptime()
         while not is_done():
--- a/src/lovagesaddle/control/replica_changes.py
+++ b/src/lovagesaddle/control/replica_changes.py
@@ -90,30 +90,24 @@
         replica = self._consensus.replica
         if self._is_changing:
             return
-        planned = replica.plan_member_change() or self._plan_repair()
-        if planned is None:
+        change = replica.plan_members(
+            self._consensus.list_newcomers(), tolerated=self._tolerated
+        )
+        if change is None:
             return
-        if planned.find(self._own_id) is None:
+        if change.members.find(self._own_id) is None:
             self._consensus.transfer_leadership_now()
             return
         self._is_changing = True
-        self._consensus.propose_members(
-            planned, self._handle_applied, self._handle_refused
+        self._log.info(
+            "replicas_repaired",
+            before=_format_members(replica.members),
+            after=_format_members(change.members),
+            reason=change.reason,
         )
-
-    def _plan_repair(self) -> entries_lib.Members | None:
-        if not self._tolerated:
-            return None
-        planned = self._consensus.replica.plan_repair(
-            self._consensus.list_newcomers(), tolerated=self._tolerated
+        self._consensus.propose_members(
+            change.members, self._handle_applied, self._handle_refused
         )
-        if planned is not None:
-            self._log.info(
-                "replicas_repaired",
-                before=_format_members(self._consensus.replica.members),
-                after=_format_members(planned),
-            )
-        return planned
 
     def _handle_applied(self, version: int) -> None:
         self._is_changing = False
--- a/src/lovagesaddle/core/consensus/events.py
+++ b/src/lovagesaddle/core/consensus/events.py
@@ -98,7 +98,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TransferLeadership:
-    """The process is about to stop; another replica should lead."""
+    """Another replica should lead."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Leave:
+    """The process is about to stop; others should lead and vote."""
 
 
 Event = (
@@ -111,6 +116,7 @@
     | ImageTaken
     | InitializeLog
     | TransferLeadership
+    | Leave
 )
 
 
--- a/src/lovagesaddle/core/consensus/follower.py
+++ b/src/lovagesaddle/core/consensus/follower.py
@@ -24,6 +24,11 @@
         self._stamp = (0, 0)
         self._echoes = echoes.Echoes(random)
         self._current_at: float | None = None
+        self._is_leaving = False
+
+    def announce_leave(self) -> None:
+        """Tells the leader in each answer that this process stops."""
+        self._is_leaving = True
 
     @property
     def confirmed_round(self) -> int:
@@ -176,6 +181,7 @@
             previous_index=request.previous_index,
             round=request.round,
             sequence=self._echoes.send(now),
+            is_leaving=self._is_leaving,
         )
 
     def _answer_piece(
--- a/src/lovagesaddle/core/consensus/leadership.py
+++ b/src/lovagesaddle/core/consensus/leadership.py
@@ -90,6 +90,14 @@
             if now - progress.answered_at >= limit_s
         )
 
+    def list_leaving(self) -> frozenset[str]:
+        """Returns the members that announced that they stop."""
+        return frozenset(
+            member_id
+            for member_id, progress in self._progress.items()
+            if progress.is_leaving
+        )
+
     def append(self, kind: entries_lib.EntryKind, payload: bytes) -> int:
         """Appends an entry of this term and returns its index."""
         entry = entries_lib.Entry(
@@ -163,6 +171,7 @@
         progress.round = max(progress.round, answer.round)
         if isinstance(answer, messages.AppendAnswer):
             progress.sequence = answer.sequence
+            progress.is_leaving = answer.is_leaving
         self._update_confirmed_round()
         if isinstance(answer, messages.ImageAnswer):
             self._handle_piece_answer(progress, answer)
@@ -340,9 +349,18 @@
             return []
         last = self._durable.log.last_index
         voters = self._durable.log.members.list_voters()
-        for member_id, progress in self._progress.items():
-            if member_id in voters and progress.match_index == last:
-                self._transfer_sent = True
-                request = messages.TransferRequest(term=self._durable.term)
-                return [events.Send(receiver=member_id, message=request)]
-        return []
+        complete = [
+            member_id
+            for member_id, progress in self._progress.items()
+            if member_id in voters and progress.match_index == last
+        ]
+        if not complete:
+            return []
+        self._transfer_sent = True
+        # One that stops too would have to transfer leadership again.
+        successor = min(complete, key=self._is_leaving)
+        request = messages.TransferRequest(term=self._durable.term)
+        return [events.Send(receiver=successor, message=request)]
+
+    def _is_leaving(self, member_id: str) -> bool:
+        return self._progress[member_id].is_leaving
--- a/src/lovagesaddle/core/consensus/messages.py
+++ b/src/lovagesaddle/core/consensus/messages.py
@@ -99,6 +99,7 @@
       previous_index: As in the request.
       round: As in the request.
       sequence: Number that the leader returns, which dates its next message.
+      is_leaving: Whether the follower's process is about to stop.
     """
 
     term: int
@@ -107,6 +108,7 @@
     previous_index: int
     round: int
     sequence: int = echoes.NONE
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/core/consensus/progress.py
+++ b/src/lovagesaddle/core/consensus/progress.py
@@ -18,6 +18,7 @@
       round: Newest heartbeat round that the member answered.
       answered_at: Time of its last answer, in seconds.
       sequence: Number in its newest answer.
+      is_leaving: Whether it announced that it stops.
       is_probing: Whether the last entry that matches is still unknown; then
         only messages without entries are sent.
       is_probe_due: Whether to send a probe before the next heartbeat.
@@ -33,6 +34,7 @@
     round: int = 0
     answered_at: float
     sequence: int = echoes.NONE
+    is_leaving: bool = False
     is_probing: bool = True
     is_probe_due: bool = True
     in_flight: collections.deque[int] = dataclasses.field(
--- a/src/lovagesaddle/core/consensus/replica.py
+++ b/src/lovagesaddle/core/consensus/replica.py
@@ -16,7 +16,6 @@
 from lovagesaddle.core.consensus import messages
 from lovagesaddle.core.consensus import reads as reads_lib
 from lovagesaddle.core.consensus import reconfiguration
-from lovagesaddle.core.consensus import repair
 from lovagesaddle.core.consensus import timing
 
 
@@ -135,30 +134,35 @@
             return frozenset()
         return self._leadership.list_responsive(self._clock.now)
 
-    def plan_repair(
+    def plan_members(
         self, newcomers: tuple[entries_lib.Member, ...], *, tolerated: int
-    ) -> entries_lib.Members | None:
-        """Returns the members after the next step of a repair.
+    ) -> reconfiguration.Change | None:
+        """Returns the next step of a change of the members.
 
         Args:
           newcomers: Replicas without a log that introduced themselves recently.
-          tolerated: Number of replicas that may be lost at the same time.
+          tolerated: Number of replicas that may be lost at the same time; 0 if
+            operators decide on the members.
 
         Returns:
-          The members to propose, or None if no step is due or this replica
-          does not lead.
+          The step to propose, or None if none is due or this replica does not
+          lead.
         """
         if self._leadership is None or not self.is_confirmed_leader:
             return None
         now = self._clock.now
-        observation = repair.Observation(
+        observation = reconfiguration.Observation(
+            leader=self._own_id,
             newcomers=newcomers,
             unresponsive=self._leadership.list_unresponsive(
-                now, repair.UNRESPONSIVE_AFTER_S
+                now, reconfiguration.UNRESPONSIVE_AFTER_S
             ),
             responsive=self._leadership.list_responsive(now),
+            leaving=self._leadership.list_leaving(),
+            match_indexes=self._leadership.list_match_indexes(),
+            commit=self.commit_index,
         )
-        return repair.plan_repair(
+        return reconfiguration.plan_change(
             self.members, observation, tolerated=tolerated
         )
 
@@ -171,20 +175,22 @@
         members_index = self._durable.log.members_index
         return self.is_confirmed_leader and members_index <= self.commit_index
 
-    def plan_member_change(self) -> entries_lib.Members | None:
-        """Returns the members after the next step of a change in progress.
+    def may_be_replaced(self, *, tolerated: int) -> bool:
+        """Returns whether another member could vote in place of this one.
 
-        Returns:
-          The members to propose, or None if no step is due or this replica
-          does not lead.
+        Args:
+          tolerated: Number of replicas that may be lost at the same time; 0 if
+            operators decide on the members.
         """
-        if not self.is_confirmed_leader:
-            return None
-        return reconfiguration.plan_change(
-            self.members,
-            self.list_match_indexes(),
-            self.list_responsive(),
-            self.commit_index,
+        needed = reconfiguration.count_wanted_voters(tolerated)
+        return tolerated > 0 and len(self.members.members) > needed
+
+    @property
+    def has_left_voters(self) -> bool:
+        """Whether committed members count this replica as a learner."""
+        return (
+            not self._election.is_voter()
+            and self._durable.log.members_index <= self.commit_index
         )
 
     def step(
@@ -213,8 +219,8 @@
                 self._applier.compact(event)
             case events.InitializeLog():
                 self._initialize_log(event.entry)
-            case events.TransferLeadership():
-                self._transfer()
+            case events.TransferLeadership() | events.Leave():
+                self._hand_over(is_leaving=isinstance(event, events.Leave))
 
     def _collect(self) -> tuple[events.Action, ...]:
         self._advance_commit()
@@ -257,7 +263,9 @@
         if self.last_index == 0:
             self._durable.append((entry,))
 
-    def _transfer(self) -> None:
+    def _hand_over(self, *, is_leaving: bool) -> None:
+        if is_leaving:
+            self._follower.announce_leave()
         if self._leadership is not None:
             self._leadership.transfer(self._clock.now)
 
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -112,6 +112,7 @@
       seeds: `ip:port` of processes on VMs that run founding replicas. Only
         the IPs are used: a seed's replica has its IP as name and listens on
         the port of `address`.
+      grace_s: Time after SIGTERM at which the process is killed, in seconds.
     """
 
     replica_id: Identifier
@@ -129,6 +130,7 @@
     claims: Switch = True
     tolerated_losses: Annotated[int, msgspec.Meta(ge=0, le=3)] = 0
     seeds: HttpAddresses = ()
+    grace_s: PositiveSeconds = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/replica_cluster.py
+++ b/tests/replica_cluster.py
@@ -162,6 +162,7 @@
         self._entries: dict[int, entries_lib.Entry] = {}
         self._proposals: dict[int, bytes] = {}
         self._manages_members = False
+        self._tolerated = 0
         self._accept_times: list[float] = []
         self._accept_indexes: list[int] = []
         self._has_skewed_clocks = False
@@ -258,9 +259,15 @@
         """Returns the newest members that any replica has applied."""
         return self._find_members(max(self._entries))
 
-    def manage_members(self) -> None:
-        """Makes leaders propose the next steps of member changes."""
+    def manage_members(self, *, tolerated: int = 0) -> None:
+        """Makes leaders propose the next steps of member changes.
+
+        Args:
+          tolerated: Number of replicas that may be lost at the same time; 0
+            completes only changes that a test began.
+        """
         self._manages_members = True
+        self._tolerated = tolerated
 
     def step(self, name: str, event: events.Event) -> None:
         """Passes one event to a replica if it is running."""
@@ -313,9 +320,16 @@
         self.crash(name)
         self._destroyed.append(self.hosts.pop(name))
 
-    def add_host(self, name: str) -> entries_lib.Member:
-        """Starts a replica that has an empty disk and is not a member yet."""
-        member = _make_member(name)
+    def add_host(self, name: str, replica_id: str = "") -> entries_lib.Member:
+        """Starts a replica that has an empty disk and is not a member yet.
+
+        Args:
+          name: Its identity.
+          replica_id: Its name, if it takes the place of an earlier identity.
+        """
+        member = dataclasses.replace(
+            _make_member(name), replica_id=replica_id or name
+        )
         self.hosts[name] = Host(member, Disk())
         self.restart(name)
         return member
@@ -432,9 +446,25 @@
         self._schedule_tick(name, generation)
 
     def _propose_next_members(self, host: Host) -> None:
-        planned = host.replica.plan_member_change() if host.replica else None
-        if planned is not None:
-            self.change_members(host.member.member_id, planned)
+        if host.replica is None:
+            return
+        change = host.replica.plan_members(
+            self._list_newcomers(), tolerated=self._tolerated
+        )
+        if change is None:
+            return
+        name = host.member.member_id
+        if change.members.find(name) is None:
+            self.step(name, events.TransferLeadership())
+        else:
+            self.change_members(name, change.members)
+
+    def _list_newcomers(self) -> tuple[entries_lib.Member, ...]:
+        return tuple(
+            host.member
+            for host in self.hosts.values()
+            if host.replica is not None and host.replica.last_index == 0
+        )
 
     def _apply(self, host: Host, entry: entries_lib.Entry) -> None:
         if entry.index != host.applied + 1:
@@ -507,6 +537,13 @@
                 f"entry {action.index} is on no majority of disks"
             )
 
+    def _has_applied_at_all_voters(self, index: int) -> bool:
+        leader = self.find_leader()
+        return bool(leader) and all(
+            name in self.hosts and self.hosts[name].applied >= index
+            for name in self.get(leader).members.list_voters()
+        )
+
     def _find_members(self, index: int) -> entries_lib.Members:
         changes = [
             entry
@@ -535,6 +572,12 @@
             self.hosts[member.member_id] = Host(member, disk)
             self.restart(member.member_id)
 
+    def return_without_disk(self, name: str, identity: str) -> None:
+        """Restarts a replica without its disk, under a new identity."""
+        replica_id = self.hosts[name].member.replica_id
+        self.destroy(name)
+        self.add_host(identity, replica_id)
+
     def check_accepted_kept(self) -> None:
         """Heals, restarts all replicas and checks all accepted entries."""
         self.heal()
@@ -544,10 +587,7 @@
                 self.restart(name)
         self.publish(b"last")
         last = max(entry.index for entry in self.accepted.values())
-        voters = self.get(self.find_leader()).members.list_voters()
-        self.run_until(
-            lambda: all(self.hosts[name].applied >= last for name in voters)
-        )
+        self.run_until(lambda: self._has_applied_at_all_voters(last))
         for entry in self.accepted.values():
             if self._entries[entry.index] != entry:
                 raise InvariantError(f"accepted entry {entry.index} changed")
