Refuse member changes while leadership is handed over

Callers saw: a planned stop of the leader beside a member change left the cluster without a leader for an election timeout (0.4 s in a trace of test_repair).

Cause: propose_members was not held up during a transfer, unlike commands. The successor that had been asked to stand then lacked the new entry, and the others refused their votes.

--- a/src/lovagesaddle/core/consensus/leadership.py
+++ b/src/lovagesaddle/core/consensus/leadership.py
@@ -118,6 +118,9 @@
     def check_members(self, members: entries_lib.Members, commit: int) -> str:
         """Returns why a member change is not allowed, or "" if it is."""
         log = self._durable.log
+        if self.is_transferring:
+            # The successor would lack the new entry and lose the election.
+            return "leadership is being handed over"
         if not self.has_committed_in_term(commit):
             return "the leader has not committed an entry of its term yet"
         if log.members_index > commit:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -284,6 +284,20 @@
     cluster.check_accepted_kept()
 
 
+def test_members_do_not_change_while_leadership_is_handed_over() -> None:
+    """The successor would lack the change and lose the election."""
+    cluster = replica_cluster.Cluster(seed=11)
+    old = cluster.wait_for_leader()
+    cluster.publish(b"one")
+    other = cluster.get(old).members.list_others(old)[0]
+    cluster.step(old, events.TransferLeadership())
+    change = cluster.change_members(old, cluster.get(old).members.drop(other))
+    started = cluster.now
+    cluster.run_until(lambda: cluster.find_leader() not in ("", old))
+    assert cluster.now - started < replica_cluster.TIMEOUT_S
+    assert "handed over" in cluster.refused[change]
+
+
 def test_learner_counts_for_no_majority() -> None:
     """A learner receives entries but does not count for a majority."""
     cluster = replica_cluster.Cluster(seed=12)
