--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -32,16 +32,26 @@
 SLOTS = 4
 METRICS_PORT = "9464"
 HEARTBEAT_INTERVAL_S = 0.2
+GRACE_S = 6
 _PLACE = re.compile(r"\{\{([A-Za-z.0-9]+)\}\}")
-_SECTION = re.compile(r"\{\{([#^])(\w+)\}\}(.*?)\{\{/\2\}\}")
+_SECTION = re.compile(r"\{\{([#^])(\w+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
 
 
 def fill_in(template: str, fields: dict[str, Any]) -> str:
     """Returns a settings file with the platform's fields substituted."""
 
-    def choose(match: re.Match[str]) -> str:
-        is_shown = bool(fields[match[2]]) == (match[1] == "#")
-        return match[3] if is_shown else ""
+    def expand(match: re.Match[str]) -> str:
+        value = fields[match[2]]
+        if bool(value) != (match[1] == "#"):
+            return ""
+        if not isinstance(value, dict):
+            return match[3]
+        return "".join(
+            match[3]
+            .replace("{{@}}", key)
+            .replace("{{.|json}}", json.dumps(entry))
+            for key, entry in value.items()
+        )
 
     def find(match: re.Match[str]) -> str:
         value: Any = fields
@@ -51,7 +61,7 @@
             return ",".join(value)
         return str(value)
 
-    return _PLACE.sub(find, _SECTION.sub(choose, template))
+    return _PLACE.sub(find, _SECTION.sub(expand, template))
 
 
 class BackendServer:
@@ -65,8 +75,15 @@
         leaves.
     """
 
-    def __init__(self, address: str, instance: str, beat_address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        instance: str,
+        beat_address: str,
+        slots: int = SLOTS,
+    ) -> None:
         self.address = address
+        self._slots = slots
         self.instance = instance
         self.seen: list[dict[str, str]] = []
         self.arrived: list[tuple[float, str]] = []
@@ -99,7 +116,7 @@
             "Address": self.address,
             "Zone": "a",
             "Version": "v1",
-            "Slots": SLOTS,
+            "Slots": self._slots,
             "State": state,
             "ColdRemainingMs": 0,
             "Sequence": self._sequence,
@@ -163,10 +180,14 @@
     Args:
       folder: Folder for settings, logs and data.
       sidecars: Number of nodes.
+      grace_s: Time after SIGTERM at which the platform kills a process.
     """
 
-    def __init__(self, folder: pathlib.Path, sidecars: int = 2) -> None:
+    def __init__(
+        self, folder: pathlib.Path, sidecars: int = 2, grace_s: int = GRACE_S
+    ) -> None:
         self._folder = folder
+        self._grace_s = grace_s
         self._stack = contextlib.ExitStack()
         self._inner, self._control, self._outbound, ready, app = (
             sockets.find_free_ports(5)
@@ -199,11 +220,13 @@
             processes.Process(f"{PROGRAMS}.{role}_main", str(settings), log=log)
         )
 
-    def open_server(self, ip: str, instance: str) -> BackendServer:
+    def open_server(
+        self, ip: str, instance: str, slots: int = SLOTS
+    ) -> BackendServer:
         """Starts the backend server of a sidecar."""
         return self._stack.enter_context(
             BackendServer(
-                f"{ip}:{self._app}", instance, f"{ip}:{self._control}"
+                f"{ip}:{self._app}", instance, f"{ip}:{self._control}", slots
             )
         )
 
@@ -264,7 +287,11 @@
             "DataDir": str(self._folder / f"data-{ip}"),
             "Bootstrap": is_first,
             "FaultTolerance": {"Machines": 1, "Zones": 0, "Regions": 0},
-            "Bounds": {"RetryBudgetExtra": 58, "ConfigApplyMs": 2000},
+            "Bounds": {
+                "GraceS": self._grace_s,
+                "RetryBudgetExtra": 58,
+                "ConfigApplyMs": 2000,
+            },
             "Limits": {"LinkMbps": 1000.0, "MemoryMb": 150},
         }
 
@@ -339,12 +366,13 @@
     method: str = "POST",
     path: str = "/orders/7",
     body: bytes | None = b"body",
+    deadline_ms: int = 3000,
 ) -> nodes.Reply:
     """Sends a caller's request."""
     headers = {
         "Host": HOST,
         REQUEST_ID: request_id,
-        DEADLINE: "3000",
+        DEADLINE: str(deadline_ms),
         CALLER: "forged",
         EXPECTED: "forged",
     }
