Take only requests that a stopping node can answer before it is killed

Cause: what a stopping node accepts and when it ends did not follow from the grace period. Ruled out: the listener's close and the crossing of idle connections (nothing lost with work of 0.3 s, where the listener closes at 3 s).

Change: core/routing/graceful_shutdown makes a schedule of the grace period. Callers get 2.5 s to leave; then a request is taken only if its deadline lies before the end of answers, else it is refused as not run. What is expected to run longer is refused from the start. Entry and owner ask it; the waits end with it. The setting grace replaces drain; on the platform it is GraceS, from a section [bounds] of the template. request_cut and refused_while_stopping tell what was cut or refused.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -42,7 +42,7 @@
 control-address = tcp://127.0.0.1:{control_port}
 cluster-id = {cluster}
 mesh-secret-file = {folder}/secret
-drain = 20s
+grace = 20s
 
 [replica r1]
 address = {address}
--- a/src/lovagesaddle/core/routing/balancer.py
+++ b/src/lovagesaddle/core/routing/balancer.py
@@ -103,6 +103,20 @@
         self._stats[server.server_id].outstanding += 1
         return _make_decision(event, server, reason, len(eligible))
 
+    def estimate_run_time(self, candidates: Sequence[table.Candidate]) -> float:
+        """Returns the mean run time at some servers, in seconds.
+
+        It is 0 if none of them has reported one.
+        """
+        reported = [
+            stats.report.latency_s
+            for candidate in candidates
+            if (stats := self._stats.get(candidate.server_id)) is not None
+            and stats.report is not None
+            and stats.report.latency_s
+        ]
+        return sum(reported) / len(reported) if reported else 0.0
+
     def _choose(
         self,
         eligible: Sequence[table.Candidate],
--- a/src/lovagesaddle/core/routing/graceful_shutdown.py
+++ b/src/lovagesaddle/core/routing/graceful_shutdown.py
@@ -1,9 +1,11 @@
-"""Stages and time limit of a node's graceful shutdown.
+"""Stages and schedule of a node's graceful shutdown.
 
 The backend servers of the VM outlive the node. So their slots are still served
 while callers move to other nodes, and the servers are drained only after that.
 The node listens until the servers are idle, since their running requests may
-call other services through it.
+call other services through it. All times follow from the grace period, at
+whose end the process is killed: a request is taken only if it can be answered
+before that.
 """
 
 import dataclasses
@@ -14,6 +16,49 @@
 # Callers that poll the node every second leave the node after two failed polls,
 # which this time covers.
 LINGER_S = 2.5
+# Largest share of the grace period that callers get for it, so that requests
+# taken until then can still be answered.
+MAX_LINGER_SHARE = 5 / 12
+# Share of the grace period after which open requests are cut off. The rest is
+# left to leave the mesh and to end the process.
+ANSWER_SHARE = 11 / 12
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Schedule:
+    """Times of a shutdown, in monotonic seconds.
+
+    Attributes:
+      callers_left_at: When callers had time to move to other nodes.
+      answers_end_at: When requests without a complete answer are cut off.
+    """
+
+    callers_left_at: float
+    answers_end_at: float
+
+    def allows(self, *, now: float, deadline: float, run_s: float) -> bool:
+        """Returns whether a request that has just arrived may be taken.
+
+        Callers that have not had time to leave are served if the request is
+        expected to end in time; later, only if it has to.
+
+        Args:
+          now: When the request arrived.
+          deadline: When its caller gets an answer at the latest.
+          run_s: Expected time that it takes, in seconds; 0 if unknown.
+        """
+        if now < self.callers_left_at:
+            return now + run_s <= self.answers_end_at
+        return deadline <= self.answers_end_at
+
+
+def make_schedule(now: float, grace_s: float) -> Schedule:
+    """Returns the schedule of a shutdown that begins now."""
+    linger_s = min(LINGER_S, grace_s * MAX_LINGER_SHARE)
+    return Schedule(
+        callers_left_at=now + linger_s,
+        answers_end_at=now + grace_s * ANSWER_SHARE,
+    )
 
 
 class Stage(enum.Enum):
@@ -38,11 +83,11 @@
     """Requests a shutdown; a second request changes nothing.
 
     Attributes:
-      bound_s: Time limit of the shutdown, in seconds.
+      grace_s: Time until the process is killed, in seconds.
       servers: IDs of the local backend servers to drain.
     """
 
-    bound_s: float
+    grace_s: float
     servers: tuple[str, ...]
 
 
@@ -84,8 +129,13 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class AnswerWithClose:
-    """Answers every request with `Connection: close` from now on."""
+class LimitRequests:
+    """Takes only requests that the schedule allows from now on.
+
+    Every answer gets `Connection: close`.
+    """
+
+    schedule: Schedule
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -107,7 +157,7 @@
     busy_servers: tuple[str, ...]
 
 
-Action = DrainServer | AnswerWithClose | CloseListeners | Exit
+Action = DrainServer | LimitRequests | CloseListeners | Exit
 
 
 class GracefulShutdown(state_machine.StateMachine[Event, Action]):
@@ -115,8 +165,7 @@
 
     def __init__(self) -> None:
         self._stage = Stage.SERVING
-        self._began_at = 0.0
-        self._ends_at = 0.0
+        self._schedule: Schedule | None = None
         self._servers: tuple[str, ...] = ()
         self._busy: set[str] = set()
         self._in_progress = 0
@@ -147,17 +196,16 @@
         if self._stage is not Stage.SERVING:
             return
         self._stage = Stage.LEAVING
-        self._began_at = now
-        self._ends_at = now + event.bound_s
+        self._schedule = make_schedule(now, event.grace_s)
         self._servers = event.servers
-        actions.append(AnswerWithClose())
+        actions.append(LimitRequests(schedule=self._schedule))
 
     def _advance(self, now: float, actions: list[Action]) -> None:
-        if self._stage in (Stage.SERVING, Stage.STOPPED):
+        if self._schedule is None or self._stage is Stage.STOPPED:
             return
-        is_overdue = now >= self._ends_at
+        is_overdue = now >= self._schedule.answers_end_at
         if self._stage is Stage.LEAVING:
-            if not is_overdue and now - self._began_at < LINGER_S:
+            if now < self._schedule.callers_left_at:
                 return
             self._stage = Stage.DRAINING
             self._busy = set(self._servers)
--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -36,6 +36,21 @@
 Application = Callable[[dict[str, Any], Callable[..., Any]], Any]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OpenRequest:
+    """A request without a complete answer.
+
+    Attributes:
+      path: Path of its target.
+      headers: Its headers by name in lower case.
+      open_s: Time since it was complete, in seconds.
+    """
+
+    path: str
+    headers: dict[str, str]
+    open_s: float
+
+
 class _Channel(channel.HTTPChannel):  # type: ignore[misc]
     parser_class = parser.StrictParser
     task_class = parser.ClosingTask
@@ -221,6 +236,23 @@
             ):
                 connection.will_close = True
 
+    def list_open_requests(self) -> tuple[OpenRequest, ...]:
+        """Returns the requests that have arrived and have no whole answer."""
+        now = time.monotonic()
+        return tuple(
+            OpenRequest(
+                path=request.path,
+                headers={
+                    name.replace("_", "-").lower(): value
+                    for name, value in request.headers.items()
+                },
+                open_s=now - request.arrived_at,
+            )
+            for connection in tuple(self.active_channels.values())
+            for request in tuple(connection.requests)
+            if hasattr(request, "arrived_at")
+        )
+
     def close_all(self) -> None:
         """Closes every connection, also those with open requests."""
         for connection in tuple(self.active_channels.values()):
@@ -305,12 +337,18 @@
             self._run_on_loop(self._server.stop_listening, closed)
             closed.wait(JOIN_TIMEOUT_S)
 
-    def stop(self, *, grace_s: float) -> bool:
+    def stop(
+        self,
+        *,
+        grace_s: float,
+        on_cut: Callable[[OpenRequest], None] | None = None,
+    ) -> bool:
         """Stops once every request that has arrived is answered.
 
         Args:
           grace_s: Maximum wait in seconds; connections that are still open
             then are closed.
+          on_cut: Called for each request that gets no whole answer.
 
         Returns:
           Whether all requests were answered.
@@ -318,6 +356,9 @@
         self.close_listener()
         is_empty = self._wait_until_empty(grace_s)
         if not is_empty:
+            for request in self._server.list_open_requests():
+                if on_cut is not None:
+                    on_cut(request)
             self._run_on_loop(self._server.close_all, threading.Event())
         self._dispatcher.shutdown()
         self._run_on_loop(self._server.trigger.close, threading.Event())
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -12,6 +12,7 @@
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.routing import call_chain as chain_lib
 from lovagesaddle.core.routing import claim_keys
+from lovagesaddle.core.routing import graceful_shutdown
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import table as table_lib
@@ -37,6 +38,7 @@
 BEARER = "bearer "
 REQUEST_ID_BYTES = 8
 MS_PER_S = 1000
+STOPPING = "node-stopping"
 KEY_HEADER = claim_keys.KEY_HEADER.lower()
 DIGEST_PREFIX = "sha256:"
 # The Idempotency-Key of a request with a safe method is ignored, as such a
@@ -96,6 +98,7 @@
             "call_seconds", "Time from a whole request to its answer"
         )
         self._metrics = metrics
+        self._stopping: graceful_shutdown.Schedule | None = None
         self._attempts = metrics.get_counter(
             "attempts_total", "Attempts sent to owners"
         )
@@ -112,6 +115,10 @@
         ).add()
         return answer
 
+    def limit_requests(self, schedule: graceful_shutdown.Schedule) -> None:
+        """Takes only requests that can be answered before the node stops."""
+        self._stopping = schedule
+
     def refuse(self, reason: str) -> wsgi.Answer:
         """Returns a refusal with status 503 for a request that did not run."""
         return wsgi.make_failure(503, reason, _NOT_RUN, (("Retry-After", "1"),))
@@ -259,6 +266,8 @@
             body_s=request.body_s,
         )
         runner = self._make_runner(accepted, forwarded)
+        if self._is_too_late(runner.deadline, match.service, request_id):
+            return self.refuse(STOPPING)
         key = request.headers.get(KEY_HEADER) if self._claims_keys else None
         if key is None or request.method in SAFE_METHODS:
             call_result = self._run(runner, request.is_gone)
@@ -278,6 +287,32 @@
             raise _OutdatedRouteError(accepted.table.publication, body)
         return call_answers.make_answer(call_result, request_id, self._names)
 
+    def _is_too_late(
+        self, deadline: float, service: str, request_id: str
+    ) -> bool:
+        """Returns whether this node stops before a request would end."""
+        schedule = self._stopping
+        if schedule is None:
+            return False
+        now = time.monotonic()
+        run_s = self._routing.estimate_run_time(service)
+        if schedule.allows(now=now, deadline=deadline, run_s=run_s):
+            return False
+        self._metrics.get_counter(
+            "stopping_refusals_total",
+            "Requests refused since the node stops before they would end",
+        ).add()
+        if logs.allows_request_line(failed=True):
+            _log.info(
+                "refused_while_stopping",
+                request=request_id,
+                service=service,
+                deadline_ms=int((deadline - now) * MS_PER_S),
+                run_ms=int(run_s * MS_PER_S),
+                left_ms=int((schedule.answers_end_at - now) * MS_PER_S),
+            )
+        return True
+
     def _make_caller_header(self) -> headers_lib.Headers:
         """Returns the header with the service of this VM, if it is known."""
         service = self._heartbeats.service or self._caller_service
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -7,6 +7,7 @@
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import body_scheduler
+from lovagesaddle.core.routing import graceful_shutdown
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.http import client
@@ -65,6 +66,7 @@
         self._seen_attempts = seen_attempts.SeenAttempts()
         self._sent = metrics.Counter()
         self._report_leaving: LeavingReport = _ignore_leaving
+        self._stopping: graceful_shutdown.Schedule | None = None
 
     @property
     def sent(self) -> int:
@@ -134,6 +136,10 @@
         """
         self._report_leaving = report
 
+    def limit_requests(self, schedule: graceful_shutdown.Schedule) -> None:
+        """Admits only requests that can end before the node stops."""
+        self._stopping = schedule
+
     def close(self, server_id: str, reason: str) -> None:
         """Removes a server and refuses the requests queued for it."""
         owned = self._owned.pop(server_id, None)
@@ -214,7 +220,9 @@
             if completed is None:
                 return owner_answers.make_refusal(request, BODY_LOST, owned)
             request = completed
-        if self._apply_known(request, owned):
+        if self._apply_known(request, owned) or self._is_too_late(
+            owned, request.route, guard.deadline
+        ):
             reason = admission_events.RefusalReason.DRAINING.value
             return owner_answers.make_refusal(request, reason, owned)
         running = self._admit(request, owned, guard)
@@ -242,6 +250,8 @@
         with owned.lock:
             reason = owned.admission.check_capacity(time.monotonic())
             run_s = owned.admission.estimate_run_time(offer.route)
+        if self._is_too_late(owned, offer.route, guard.deadline):
+            reason = admission_events.RefusalReason.DRAINING
         if reason is not None:
             return owner_answers.make_refusal(offer, reason.value, owned)
         decision = self._body_receiver.offer(
@@ -298,6 +308,19 @@
             self._drain_leaving(owned)
         return True
 
+    def _is_too_late(
+        self, owned: owned_server.OwnedServer, route: str, deadline: float
+    ) -> bool:
+        """Returns whether this node stops before a request would end."""
+        if self._stopping is None:
+            return False
+        with owned.lock:
+            run_s = owned.admission.estimate_run_time(route)
+        now = time.monotonic()
+        return not self._stopping.allows(
+            now=now, deadline=deadline, run_s=run_s
+        )
+
     def _drain_leaving(self, owned: owned_server.OwnedServer) -> None:
         owned.drain()
         server = owned.server
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import time
 from typing import Self
 
 import zmq
@@ -41,6 +42,8 @@
 from lovagesaddle.settings import schema
 
 LEAVE_TIMEOUT_S = 2.0
+# Time that the process takes to end once its threads have stopped.
+EXIT_S = 0.2
 BYTES_PER_MBIT = 125_000
 UNPROVED_AGE = -1.0
 # Two TCP retransmissions stay unacknowledged only if the link or VM is down.
@@ -148,10 +151,11 @@
         self._watchdog = watchdog.Watchdog()
         self._limits: services.CallerLimits | None = None
         signer = hop.EnvelopeSigner(mesh_secret.read(settings))
+        self._entry = self._make_entry(signer)
         self._http, self._hops = listeners.open_listeners(
             settings,
             listeners.RequestHandlers(
-                entry=self._make_entry(signer),
+                entry=self._entry,
                 owner=self._owner,
                 signer=signer,
                 guards=self._watchdog,
@@ -290,17 +294,25 @@
     def shut_down(self) -> bool:
         """Stops gracefully; returns whether no request was cut off."""
         self._stopping = True
-        _log.info("node_draining", node=self._settings.node_id)
+        _log.info(
+            "node_draining",
+            node=self._settings.node_id,
+            grace_s=self._settings.grace_s,
+        )
+        killed_at = time.monotonic() + self._settings.grace_s
         is_clean = shutdown.Shutdown(
             servers=self._servers,
+            entry=self._entry,
             owner=self._owner,
             http=self._http,
             hops=self._hops,
             claims=self._claims,
-        ).run(self._settings.drain_s)
+            request_id_header=self._names.request_id,
+        ).run(self._settings.grace_s)
         self._servers.withdraw_all("stopped")
+        left_s = max(0.0, killed_at - EXIT_S - time.monotonic())
         if self._control is not None and not self._control.leave(
-            LEAVE_TIMEOUT_S
+            min(LEAVE_TIMEOUT_S, left_s)
         ):
             _log.warning("leave_unconfirmed", node=self._settings.node_id)
         return is_clean
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -175,6 +175,16 @@
         with self._lock:
             return self._balancer.pick(event, time.monotonic())
 
+    def estimate_run_time(self, service: str) -> float:
+        """Returns how long a request of a service takes; 0 if unknown."""
+        table = self._table
+        if table is None:
+            return 0.0
+        with self._lock:
+            return self._balancer.estimate_run_time(
+                table.list_candidates(service)
+            )
+
     def report_finished(self, finished: balancer_events.Finished) -> None:
         """Reports to the balancer how an attempt at a picked server ended."""
         with self._lock:
--- a/src/lovagesaddle/node/shutdown.py
+++ b/src/lovagesaddle/node/shutdown.py
@@ -5,11 +5,14 @@
 from lovagesaddle.core.routing import graceful_shutdown
 from lovagesaddle.http import server as server_lib
 from lovagesaddle.node import claims as claims_lib
+from lovagesaddle.node import entry as entry_lib
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.observability import logs
 
+MS_PER_S = 1000
 POLL_INTERVAL_S = 0.02
+# Longest wait for idle connections to be closed by their callers.
 IDLE_GRACE_S = 1.0
 _log = logs.get_logger("shutdown")
 
@@ -19,37 +22,44 @@
 
     Args:
       servers: Registered local servers.
+      entry: Answers callers.
       owner: Runs attempts on the local servers.
       http: HTTP server for callers.
       hops: HTTP server for other nodes; may be the same one.
       claims: Claims of this node; their holders have to learn how each
         ended.
+      request_id_header: Header that identifies a request, for the log.
     """
 
     def __init__(
         self,
         *,
         servers: local_servers.LocalServers,
+        entry: entry_lib.Entry,
         owner: owner_lib.Owner,
         http: server_lib.HttpServer,
         hops: server_lib.HttpServer,
         claims: claims_lib.Claims,
+        request_id_header: str,
     ) -> None:
         self._servers = servers
+        self._entry = entry
+        self._request_id_header = request_id_header
         self._owner = owner
         self._http_servers = tuple(dict.fromkeys((http, hops)))
         self._claims = claims
         self._shutdown = graceful_shutdown.GracefulShutdown()
+        self._answers_end_at = 0.0
         self._exit: graceful_shutdown.Exit | None = None
 
-    def run(self, timeout_s: float) -> bool:
+    def run(self, grace_s: float) -> bool:
         """Shuts down; returns whether no request was cut off.
 
         Args:
-          timeout_s: Longest time to wait, in seconds.
+          grace_s: Time until the process is killed, in seconds.
         """
         begin = graceful_shutdown.Begin(
-            bound_s=timeout_s, servers=self._servers.list_server_ids()
+            grace_s=grace_s, servers=self._servers.list_server_ids()
         )
         self._step(begin)
         while self._exit is None:
@@ -74,17 +84,33 @@
             cut=self._exit.cut,
             busy_servers=",".join(self._exit.busy_servers),
         )
-        stopped = [
-            server.stop(grace_s=IDLE_GRACE_S) for server in self._http_servers
-        ]
+        stopped = [self._close(server) for server in self._http_servers]
         return all(stopped) and is_clean
 
+    def _close(self, server: server_lib.HttpServer) -> bool:
+        """Closes all connections; returns whether each request was answered."""
+        left_s = max(0.0, self._answers_end_at - time.monotonic())
+        return server.stop(
+            grace_s=min(IDLE_GRACE_S, left_s), on_cut=self._log_cut
+        )
+
+    def _log_cut(self, request: server_lib.OpenRequest) -> None:
+        _log.warning(
+            "request_cut",
+            request=request.headers.get(self._request_id_header.lower(), ""),
+            path=request.path,
+            open_ms=int(request.open_s * MS_PER_S),
+        )
+
     def _step(self, event: graceful_shutdown.Event) -> None:
         for action in self._shutdown.step(event, time.monotonic()):
             match action:
                 case graceful_shutdown.DrainServer():
                     self._servers.drain_server(action.server_id)
-                case graceful_shutdown.AnswerWithClose():
+                case graceful_shutdown.LimitRequests():
+                    self._answers_end_at = action.schedule.answers_end_at
+                    self._entry.limit_requests(action.schedule)
+                    self._owner.limit_requests(action.schedule)
                     for server in self._http_servers:
                         server.close_after_answers()
                 case graceful_shutdown.CloseListeners():
--- a/src/lovagesaddle/platform/control_main.py
+++ b/src/lovagesaddle/platform/control_main.py
@@ -27,6 +27,9 @@
             settings_file, ignored_sections=startup.FOREIGN_SECTIONS
         )
     )
+    settings = startup.require_settings(
+        settings_lib.apply_bounds(settings_file, settings)
+    )
     addresses = startup.require_settings(
         settings_lib.load_section(settings_file, settings_lib.ControlAddresses)
     )
--- a/src/lovagesaddle/platform/settings.py
+++ b/src/lovagesaddle/platform/settings.py
@@ -1,9 +1,10 @@
-"""Loads the settings section that only the `platform` package reads."""
+"""Loads the settings sections that only the `platform` package reads."""
 
 import dataclasses
 import pathlib
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
+import msgspec
 from returns import result
 
 from lovagesaddle.core import errors
@@ -13,7 +14,12 @@
 from lovagesaddle.settings import schema
 
 SECTION = "platform"
+BOUNDS_SECTION = "bounds"
+# Time after SIGTERM at which the platform kills a process, in seconds.
+GRACE_KEY = "GraceS".lower()
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
 T = TypeVar("T")
+Stoppable = TypeVar("Stoppable", schema.ControlSettings, schema.NodeSettings)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -65,6 +71,30 @@
     )
 
 
+def apply_bounds(
+    path: pathlib.Path, settings: Stoppable
+) -> result.Result[Stoppable, loader.Problems]:
+    """Returns the settings with the platform's bounds, or every mistake.
+
+    The section holds all bounds under the platform's names. Those that are not
+    used here, and a missing section, are passed over.
+    """
+    text = path.read_text(encoding="utf-8")
+    document = ini.parse_document(text, file=str(path))
+    for section in document.sections:
+        entry = section.find(GRACE_KEY)
+        if section.name != BOUNDS_SECTION or entry is None:
+            continue
+        try:
+            grace_s = msgspec.convert(entry.value, Seconds, strict=False)
+        except msgspec.ValidationError as error:
+            return result.Failure(
+                (section.make_problem(GRACE_KEY, str(error)),)
+            )
+        return result.Success(dataclasses.replace(settings, grace_s=grace_s))
+    return result.Success(settings)
+
+
 def _make_problem(path: pathlib.Path, cause: str) -> errors.FileProblem:
     return errors.FileProblem(
         file=str(path), line=0, section=SECTION, key="", cause=cause
--- a/src/lovagesaddle/platform/startup.py
+++ b/src/lovagesaddle/platform/startup.py
@@ -13,7 +13,7 @@
 from lovagesaddle.settings import loader
 
 EXIT_BAD_SETTINGS = 2
-FOREIGN_SECTIONS = (settings_lib.SECTION,)
+FOREIGN_SECTIONS = (settings_lib.SECTION, settings_lib.BOUNDS_SECTION)
 T = TypeVar("T")
 SettingsFile = Annotated[pathlib.Path, typer.Argument(metavar="FILE")]
 _log = logs.get_logger("platform")
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -156,8 +156,8 @@
       threads: Number of threads that answer callers.
       mesh_secret_file: File with the secret that all nodes share; empty for
         trials on one machine only.
-      drain_s: Maximum time that a stop waits for requests in progress, in
-        seconds.
+      grace_s: Time after SIGTERM at which the process is killed, in seconds;
+        requests that need longer are refused.
       seeds: `ip:port` of processes on VMs that run replicas. Only the IPs
         are used: a seed's replica has its IP as name and listens on the port
         of `control_address`.
@@ -196,7 +196,7 @@
     memory_bytes: Size = 1024 * 1024 * 1024
     threads: Annotated[int, msgspec.Meta(ge=1, le=512)] = 32
     mesh_secret_file: str = ""
-    drain_s: PositiveSeconds = 30.0
+    grace_s: PositiveSeconds = 30.0
     seeds: HttpAddresses = ()
     service: OptionalIdentifier = ""
     server_address: OptionalAddress = ""
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -3,14 +3,24 @@
 from lovagesaddle.core.routing import graceful_shutdown
 from tests import fixtures
 
-BOUND_S = 30.0
+GRACE_S = 30.0
+# Grace periods of deployments, and some shorter and longer ones.
+GRACE_PERIODS_S = (1.0, 3.0, 6.0, 10.0, 30.0)
+# The platform asks each second whether a node is ready, and the second miss
+# takes it out.
+MISSES_S = 2.0
+# Part of the grace period in which a running request may be cut off, if it was
+# sent no later than `LAST_SENT_S` after SIGTERM.
+CUT_SHARE = 5 / 6
+LAST_SENT_S = 3.0
 
 
 def _begin(*servers: str) -> graceful_shutdown.GracefulShutdown:
     node = graceful_shutdown.GracefulShutdown()
-    event = graceful_shutdown.Begin(bound_s=BOUND_S, servers=servers)
-    actions = node.step(event, 0.0)
-    assert actions == (graceful_shutdown.AnswerWithClose(),)
+    event = graceful_shutdown.Begin(grace_s=GRACE_S, servers=servers)
+    (limit,) = node.step(event, 0.0)
+    assert isinstance(limit, graceful_shutdown.LimitRequests)
+    assert limit.schedule == graceful_shutdown.make_schedule(0.0, GRACE_S)
     return node
 
 
@@ -75,8 +85,9 @@
     """A request that never ends can't block the shutdown, and is counted."""
     node = _drain("s0")
     node.step(graceful_shutdown.InProgressChanged(in_progress=3), 3.0)
-    assert _tick(node, BOUND_S - 0.1) == ()
-    assert _tick(node, BOUND_S) == (
+    end_s = graceful_shutdown.make_schedule(0.0, GRACE_S).answers_end_at
+    assert _tick(node, end_s - 0.1) == ()
+    assert _tick(node, end_s) == (
         graceful_shutdown.CloseListeners(),
         graceful_shutdown.Exit(cut=3, busy_servers=("s0",)),
     )
@@ -85,9 +96,42 @@
 def test_second_request_for_a_shutdown_changes_nothing() -> None:
     """A repeated signal neither restarts the time limit nor drains twice."""
     node = _drain("s0")
-    again = graceful_shutdown.Begin(bound_s=BOUND_S, servers=("s0",))
-    assert node.step(again, BOUND_S - 1) == ()
-    assert len(_tick(node, BOUND_S)) == 2
+    again = graceful_shutdown.Begin(grace_s=GRACE_S, servers=("s0",))
+    end_s = graceful_shutdown.make_schedule(0.0, GRACE_S).answers_end_at
+    assert node.step(again, end_s - 1) == ()
+    assert len(_tick(node, end_s)) == 2
+
+
+def test_late_request_is_taken_only_if_it_ends_before_the_process() -> None:
+    """A request that was taken late and cut had run, and got no answer."""
+    for grace_s in GRACE_PERIODS_S:
+        schedule = graceful_shutdown.make_schedule(100.0, grace_s)
+        assert schedule.callers_left_at < schedule.answers_end_at
+        late = schedule.callers_left_at
+        end = schedule.answers_end_at
+        assert schedule.allows(now=late, deadline=end, run_s=0.0)
+        assert not schedule.allows(now=late, deadline=end + 0.01, run_s=0.0)
+        # Known from the servers' reports, whatever the deadline.
+        early = late - 0.01
+        assert schedule.allows(now=early, deadline=end + 9, run_s=end - early)
+        assert not schedule.allows(
+            now=early, deadline=end + 9, run_s=end - early + 0.01
+        )
+
+
+def test_schedule_follows_from_the_grace_period() -> None:
+    """Answers end inside the part in which cuts are allowed, before the kill.
+
+    With times that did not depend on the grace period, a node was killed at the
+    end of a short one and cut requests in the middle of a long one.
+    """
+    for grace_s in GRACE_PERIODS_S:
+        schedule = graceful_shutdown.make_schedule(0.0, grace_s)
+        assert grace_s * CUT_SHARE < schedule.answers_end_at < grace_s
+        assert schedule.callers_left_at <= LAST_SENT_S
+    for grace_s in (6.0, 10.0, 30.0):
+        schedule = graceful_shutdown.make_schedule(0.0, grace_s)
+        assert schedule.callers_left_at >= MISSES_S
 
 
 load_tests = fixtures.collect(__name__)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -8,6 +8,7 @@
 
 from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import admission_events
+from lovagesaddle.core.routing import graceful_shutdown
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
@@ -146,6 +147,33 @@
         assert answer.cause == admission_events.RefusalReason.DRAINING.value
 
 
+def test_request_that_would_outlast_the_node_is_not_run() -> None:
+    """A stopping owner refuses what it could only cut, so that it moves on."""
+    owner = owner_lib.Owner(
+        pool=ForbiddenPool(),
+        shared_quarantine=shared_quarantine_lib.SharedQuarantine(),
+        body_receiver=body_receiver_lib.BodyReceiver(1e6),
+    )
+    server = routing_mesh.make_server(0)
+    owner.open(server, "127.0.0.1:1")
+    began_at = time.monotonic() - graceful_shutdown.LINGER_S
+    owner.limit_requests(graceful_shutdown.make_schedule(began_at, 10.0))
+    offer = hop.BodyOffer(
+        attempt_id="r.2",
+        server_id=server.server_id,
+        body_bytes=100_000,
+        remaining_ms=60_000,
+        priority=services.Priority.NORMAL,
+    )
+    for answer in (
+        owner.run(routing_mesh.make_run_request("r.1"), _make_guard()),
+        owner.offer(offer, _make_guard()),
+    ):
+        assert isinstance(answer, hop.RunAnswer)
+        assert answer.outcome is hop.RunOutcome.REFUSED
+        assert answer.cause == admission_events.RefusalReason.DRAINING.value
+
+
 def test_request_without_the_start_of_its_body_is_not_run() -> None:
     """A last part without the others is refused and not sent to a server."""
     owner = owner_lib.Owner(
