Complete a replaced log at the start after a crash

Callers saw: with one more loss, no replica answered a read of the configuration.

Cause: the next process left the superseded entries out in memory and appended to their segment.

Removals go through storage.disk.Disk.

--- a/src/lovagesaddle/storage/disk.py
+++ b/src/lovagesaddle/storage/disk.py
@@ -30,6 +30,10 @@
     def replace(self, source: pathlib.Path, target: pathlib.Path) -> None:
         """Renames a file over another one and syncs the folder."""
 
+    @abc.abstractmethod
+    def remove(self, path: pathlib.Path) -> None:
+        """Removes a file; the name may return unless its folder is synced."""
+
     @abc.abstractmethod
     def sync_folder(self, folder: pathlib.Path) -> None:
         """Syncs a folder; new and removed names then survive a power loss."""
@@ -53,6 +57,10 @@
         os.replace(source, target)
         self.sync_folder(target.parent)
 
+    def remove(self, path: pathlib.Path) -> None:
+        """See base class."""
+        path.unlink()
+
     def sync_folder(self, folder: pathlib.Path) -> None:
         """See base class."""
         descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
--- a/src/lovagesaddle/storage/images.py
+++ b/src/lovagesaddle/storage/images.py
@@ -37,7 +37,7 @@
     try:
         for old in list_images(folder):
             if old.name < path.name:
-                old.unlink()
+                disk.remove(old)
     except OSError as error:
         raise disk_lib.make_error("remove snapshot", folder, error) from error
 
--- a/src/lovagesaddle/storage/loader.py
+++ b/src/lovagesaddle/storage/loader.py
@@ -38,10 +38,14 @@
     Attributes:
       restored: State that the replica starts from.
       segments: Summaries of the segment files, oldest first.
+      is_log_replaced: Whether the log lacks the last entry of the snapshot, so
+        that entries after the snapshot don't follow those in the segments. A
+        crash between the snapshot and the next record leaves such a log.
     """
 
     restored: entries_lib.RestoredState
     segments: tuple[SegmentSummary, ...]
+    is_log_replaced: bool
 
 
 class _Replay:
@@ -100,12 +104,28 @@
         for record in content.records:
             replay.apply(record, path)
         summaries.append(_summarize_segment(path, content))
+    is_log_replaced = _is_log_replaced(image, replay.entries)
     restored = entries_lib.RestoredState(
         hard_state=replay.hard_state,
         image=image,
-        entries=_select_entries(folder, image, replay.entries),
+        entries=()
+        if is_log_replaced
+        else _select_entries(folder, image, replay.entries),
     )
-    return LoadedFolder(restored=restored, segments=tuple(summaries))
+    return LoadedFolder(
+        restored=restored,
+        segments=tuple(summaries),
+        is_log_replaced=is_log_replaced,
+    )
+
+
+def _is_log_replaced(
+    image: entries_lib.Image, found: list[entries_lib.Entry]
+) -> bool:
+    if not found or found[0].index > image.index:
+        return False
+    position = image.index - found[0].index
+    return position >= len(found) or found[position].term != image.term
 
 
 def _summarize_segment(
@@ -140,14 +160,7 @@
     found: list[entries_lib.Entry],
 ) -> tuple[entries_lib.Entry, ...]:
     later = tuple(entry for entry in found if entry.index > image.index)
-    if not later:
-        return ()
-    at_image = [entry for entry in found if entry.index == image.index]
-    if at_image and at_image[0].term != image.term:
-        # A crash after the snapshot was stored and before the log was reset
-        # left entries of another term, which the snapshot replaces.
-        return ()
-    if later[0].index != image.index + 1:
+    if later and later[0].index != image.index + 1:
         raise _make_gap_error(folder, image.index, later[0].index)
     return later
 
--- a/src/lovagesaddle/storage/retirement.py
+++ b/src/lovagesaddle/storage/retirement.py
@@ -37,9 +37,10 @@
             *images.list_images(folder),
             folder / identity.IDENTITY_NAME,
         ):
-            path.unlink(missing_ok=True)
+            if path.exists():
+                disk.remove(path)
         disk.sync_folder(folder)
-        marker.unlink()
+        disk.remove(marker)
         disk.sync_folder(folder)
     except OSError as error:
         raise disk_lib.make_error("empty folder", folder, error) from error
--- a/src/lovagesaddle/storage/store.py
+++ b/src/lovagesaddle/storage/store.py
@@ -54,6 +54,7 @@
         self._make_folder()
         self._lock = identity_lib.FolderLock(folder)
         self._closed_segments: list[_ClosedSegment] = []
+        self._syncs = 0
         try:
             retirement.empty_if_retired(folder, self._disk)
             found = identity_lib.read_identity(folder)
@@ -67,7 +68,6 @@
             self._lock.close()
             raise
         self._hard_state = self.restored.hard_state
-        self._syncs = 0
 
     def __enter__(self) -> Self:
         return self
@@ -127,7 +127,7 @@
                 )
             # An earlier process created this empty first segment and crashed
             # before it wrote the identity file.
-            path.unlink()
+            self._disk.remove(path)
         writer = segments.SegmentWriter(
             disk=self._disk, folder=self._folder, number=1
         )
@@ -136,7 +136,7 @@
 
     def _restore(self) -> entries_lib.RestoredState:
         for path in self._folder.glob("*" + disk_lib.TEMPORARY_SUFFIX):
-            path.unlink()
+            self._disk.remove(path)
         loaded = loader.load_folder(self._folder)
         *older, newest = loaded.segments
         self._closed_segments = [
@@ -149,6 +149,10 @@
             keep_bytes=newest.intact_bytes,
         )
         self._writer.last_index = newest.last_index
+        if loaded.is_log_replaced:
+            # Entries that follow the snapshot would leave a gap in this log.
+            self._hard_state = loaded.restored.hard_state
+            self._reset_log(loaded.restored.image)
         return loaded.restored
 
     def _append(self, pending: list[records.Record]) -> None:
@@ -158,12 +162,19 @@
 
     def _store_image(self, image: entries_lib.Image, *, drop_log: bool) -> None:
         images.write_image(self._disk, self._folder, image)
-        resets = (records.Reset(index=image.index),) if drop_log else ()
-        self._rotate(resets)
+        if drop_log:
+            self._reset_log(image)
+            return
+        self._rotate(())
         for closed in tuple(self._closed_segments):
-            if drop_log or closed.last_index <= image.index:
+            if closed.last_index <= image.index:
                 self._remove(closed)
 
+    def _reset_log(self, image: entries_lib.Image) -> None:
+        self._rotate((records.Reset(index=image.index),))
+        for closed in tuple(self._closed_segments):
+            self._remove(closed)
+
     def _rotate(self, resets: tuple[records.Reset, ...]) -> None:
         old = self._writer
         self._writer = segments.SegmentWriter(
@@ -179,7 +190,7 @@
         if closed is not self._closed_segments[0]:
             return
         try:
-            closed.path.unlink()
+            self._disk.remove(closed.path)
         except OSError as error:
             raise disk_lib.make_error(
                 "remove segment", closed.path, error
