Keep older segments readable after a loss of power

Callers saw: nothing yet; found by the new test of crashes. After a loss of power a replica could end at each start, "record at byte 364 is damaged although a newer segment follows" or "segments [1, 3] are not consecutive".

Cause: the mark at the end of a segment is not synced, and a rotation left it so, while a torn tail is accepted in the newest segment only. Removed segments were not synced one by one, so that one name could return without the next.

Removing again after a full disk is no error. test_folder_loads_after_a_loss_of_power_at_any_operation failed before with the first message, and with only the first change with the second.

--- a/src/lovagesaddle/storage/segments.py
+++ b/src/lovagesaddle/storage/segments.py
@@ -168,6 +168,17 @@
             if isinstance(record, entries_lib.Entry):
                 self.last_index = max(self.last_index, record.index)
 
+    def seal(self) -> None:
+        """Syncs the last mark: only the newest segment may end torn.
+
+        Raises:
+          errors.StorageError: The sync failed.
+        """
+        try:
+            self._disk.sync(self._descriptor)
+        except OSError as error:
+            raise self._make_error("seal segment", error) from error
+
     def close(self) -> None:
         """Closes the file."""
         os.close(self._descriptor)
--- a/src/lovagesaddle/storage/store.py
+++ b/src/lovagesaddle/storage/store.py
@@ -177,6 +177,7 @@
 
     def _rotate(self, resets: tuple[records.Reset, ...]) -> None:
         old = self._writer
+        old.seal()
         self._writer = segments.SegmentWriter(
             disk=self._disk, folder=self._folder, number=old.number + 1
         )
@@ -185,12 +186,15 @@
         self._append([*resets, self._hard_state])
 
     def _remove(self, closed: _ClosedSegment) -> None:
-        # Segments are removed oldest first, to keep the numbers of the
-        # remaining segments consecutive.
+        # Segments are removed oldest first, and each name for good, to keep the
+        # numbers of the remaining segments consecutive.
         if closed is not self._closed_segments[0]:
             return
         try:
-            self._disk.remove(closed.path)
+            # It is gone already if an earlier try failed at the sync.
+            if closed.path.exists():
+                self._disk.remove(closed.path)
+            self._disk.sync_folder(self._folder)
         except OSError as error:
             raise disk_lib.make_error(
                 "remove segment", closed.path, error
--- a/tests/test_storage_crashes.py
+++ b/tests/test_storage_crashes.py
@@ -111,6 +111,13 @@
         _check_script(name, script, losses=(None,))
 
 
+def test_folder_loads_after_a_loss_of_power_at_any_operation() -> None:
+    """Unsynced bytes and names are kept or lost independently."""
+    losses = tuple(random.Random(seed) for seed in range(POWER_LOSSES))
+    for name, script in SCRIPTS.items():
+        _check_script(name, script, losses=losses)
+
+
 def test_retired_folder_is_empty_after_a_crash_at_any_operation() -> None:
     """No identity or log of a removed replica comes back, not even in part."""
     losses = (None, *(random.Random(seed) for seed in range(POWER_LOSSES)))
