End what waits or runs before a stopping node closes its connections

Cause: nothing ended the waits of a stopping node: for a turn on a link, for a slot, for an owner. They were cut with the connection.

Change: at 7/8 of the grace period every wait is ended (Watchdog.end_waits_at): what was not passed on is refused as not run, what runs is answered as unknown, and no further attempt is sent. Connections close at 23/24, so that answers on slow links have longer.

--- a/bench/planned_stops.py
+++ b/bench/planned_stops.py
@@ -32,6 +32,7 @@
 # the last sixth of the grace period.
 CUT_SHARE = 5 / 6
 MS_PER_S = 1000
+ANSWERED = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -44,6 +45,8 @@
       rate: Requests a second.
       deadline_s: Time that a caller waits.
       sends_s: Time after SIGTERM until which callers send requests.
+      body_bytes: Size of each request's body.
+      link_mbps: Rate of each VM's link, as its settings state it.
     """
 
     grace_s: int
@@ -51,6 +54,8 @@
     rate: float
     deadline_s: float
     sends_s: float
+    body_bytes: int = 4
+    link_mbps: float = 1000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -72,8 +77,12 @@
     is_connected: bool
 
     def is_lost(self, plan: Plan) -> bool:
-        """Returns whether the request was cut though it could be answered."""
-        if self.status or not self.is_connected:
+        """Returns whether the request was cut though it could be answered.
+
+        An answer of the node in place of that of a server counts as a cut.
+        """
+        is_cut = not self.status or (self.has_run and self.status != ANSWERED)
+        if not is_cut or not self.is_connected:
             return False
         took_s = self.ended_at - self.sent_at
         if took_s >= plan.deadline_s:
@@ -117,7 +126,9 @@
             stack.enter_context(tempfile.TemporaryDirectory())
         )
         platform = stack.enter_context(
-            platform_stand_in.Platform(folder, NODES, plan.grace_s)
+            platform_stand_in.Platform(
+                folder, NODES, plan.grace_s, plan.link_mbps
+            )
         )
         servers = [
             platform.open_server(ip, f"i-{number}", SLOTS)
@@ -216,7 +227,7 @@
     try:
         connection.connect()
         is_connected = True
-        connection.request("POST", "/orders/7", b"body", headers)
+        connection.request("POST", "/orders/7", bytes(plan.body_bytes), headers)
         response = connection.getresponse()
         response.read()
         status = response.status
@@ -249,6 +260,8 @@
     parser.add_argument("--rate", type=float, default=20.0)
     parser.add_argument("--deadline", type=float, default=5.2)
     parser.add_argument("--sends", type=float, default=0.0)
+    parser.add_argument("--body", type=int, default=4)
+    parser.add_argument("--link", type=float, default=1000.0)
     options = parser.parse_args()
     plan = Plan(
         grace_s=options.grace,
@@ -256,6 +269,8 @@
         rate=options.rate,
         deadline_s=options.deadline,
         sends_s=options.sends or options.grace,
+        body_bytes=options.body,
+        link_mbps=options.link,
     )
     outcome = run(plan)
     lost = [each for each in outcome.requests if each.is_lost(plan)]
@@ -266,7 +281,8 @@
     )
     print(
         f"grace={plan.grace_s} work={plan.work_s:g}"
-        f" deadline={plan.deadline_s:g} sent={len(outcome.requests)}"
+        f" deadline={plan.deadline_s:g} body={plan.body_bytes}"
+        f" link={plan.link_mbps:g} sent={len(outcome.requests)}"
         f" lost={len(lost)} ended_at={outcome.ended_at:.2f}"
         f" killed={outcome.was_killed} statuses {counts}"
     )
--- a/src/lovagesaddle/core/routing/graceful_shutdown.py
+++ b/src/lovagesaddle/core/routing/graceful_shutdown.py
@@ -19,9 +19,12 @@
 # Largest share of the grace period that callers get for it, so that requests
 # taken until then can still be answered.
 MAX_LINGER_SHARE = 5 / 12
-# Share of the grace period after which open requests are cut off. The rest is
-# left to leave the mesh and to end the process.
-ANSWER_SHARE = 11 / 12
+# Share of the grace period after which open requests are ended: refused if they
+# have not run, else answered as unknown.
+REQUEST_SHARE = 7 / 8
+# Share after which connections are closed, whether all is sent or not. The rest
+# is left to leave the mesh and to end the process.
+ANSWER_SHARE = 23 / 24
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -30,10 +33,12 @@
 
     Attributes:
       callers_left_at: When callers had time to move to other nodes.
-      answers_end_at: When requests without a complete answer are cut off.
+      requests_end_at: When requests that wait or run are ended.
+      answers_end_at: When answers that are not sent completely are cut off.
     """
 
     callers_left_at: float
+    requests_end_at: float
     answers_end_at: float
 
     def allows(self, *, now: float, deadline: float, run_s: float) -> bool:
@@ -48,8 +53,8 @@
           run_s: Expected time that it takes, in seconds; 0 if unknown.
         """
         if now < self.callers_left_at:
-            return now + run_s <= self.answers_end_at
-        return deadline <= self.answers_end_at
+            return now + run_s <= self.requests_end_at
+        return deadline <= self.requests_end_at
 
 
 def make_schedule(now: float, grace_s: float) -> Schedule:
@@ -57,6 +62,7 @@
     linger_s = min(LINGER_S, grace_s * MAX_LINGER_SHARE)
     return Schedule(
         callers_left_at=now + linger_s,
+        requests_end_at=now + grace_s * REQUEST_SHARE,
         answers_end_at=now + grace_s * ANSWER_SHARE,
     )
 
--- a/src/lovagesaddle/http/watchdog.py
+++ b/src/lovagesaddle/http/watchdog.py
@@ -125,6 +125,7 @@
     def __init__(self) -> None:
         self._guards: dict[int, Guard] = {}
         self._stopped = False
+        self._latest = math.inf
         # Monotonic time up to which the thread sleeps, in seconds.
         self._next_scan_at = math.inf
         self._wakeup = threading.Event()
@@ -141,6 +142,13 @@
         self._wakeup.set()
         self._thread.join()
 
+    def end_waits_at(self, at: float) -> None:
+        """Ends all waits, open and later ones, at a monotonic time."""
+        self._latest = at
+        for guard in tuple(self._guards.values()):
+            guard.deadline = min(guard.deadline, at)
+        self._wakeup.set()
+
     @contextlib.contextmanager
     def watch(
         self, *, deadline: float, is_gone: Callable[[], bool]
@@ -153,7 +161,9 @@
         """
         guard = Guard(deadline, is_gone, is_watched=True)
         self._guards[id(guard)] = guard
-        if deadline < self._next_scan_at:
+        # Read after the guard was added, so that it is limited in any case.
+        guard.deadline = min(guard.deadline, self._latest)
+        if guard.deadline < self._next_scan_at:
             self._wakeup.set()
         try:
             yield guard
--- a/src/lovagesaddle/node/call_runner.py
+++ b/src/lovagesaddle/node/call_runner.py
@@ -214,6 +214,13 @@
     def _send_attempt(
         self, action: events.SendAttempt, guard: watchdog.Guard
     ) -> events.Event:
+        if guard.reason is watchdog.EndReason.DEADLINE:
+            if time.monotonic() >= self.deadline:
+                return events.TimerFired()
+            # This node stops. Nothing is sent any more.
+            return events.AttemptEnded(
+                number=action.number, ending=events.Ending.UNREACHABLE
+            )
         # An earlier attempt may have shown that the request crashes servers, so
         # the quarantine is asked before each attempt.
         verdict = self._shared_quarantine.classify(self._forwarded.fingerprint)
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -309,7 +309,7 @@
                 service=service,
                 deadline_ms=int((deadline - now) * MS_PER_S),
                 run_ms=int(run_s * MS_PER_S),
-                left_ms=int((schedule.answers_end_at - now) * MS_PER_S),
+                left_ms=int((schedule.requests_end_at - now) * MS_PER_S),
             )
         return True
 
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -306,6 +306,7 @@
             owner=self._owner,
             http=self._http,
             hops=self._hops,
+            guards=self._watchdog,
             claims=self._claims,
             request_id_header=self._names.request_id,
         ).run(self._settings.grace_s)
--- a/src/lovagesaddle/node/shutdown.py
+++ b/src/lovagesaddle/node/shutdown.py
@@ -4,6 +4,7 @@
 
 from lovagesaddle.core.routing import graceful_shutdown
 from lovagesaddle.http import server as server_lib
+from lovagesaddle.http import watchdog
 from lovagesaddle.node import claims as claims_lib
 from lovagesaddle.node import entry as entry_lib
 from lovagesaddle.node import local_servers
@@ -26,6 +27,7 @@
       owner: Runs attempts on the local servers.
       http: HTTP server for callers.
       hops: HTTP server for other nodes; may be the same one.
+      guards: Watches deadlines; ends what is open at the end.
       claims: Claims of this node; their holders have to learn how each
         ended.
       request_id_header: Header that identifies a request, for the log.
@@ -39,9 +41,11 @@
         owner: owner_lib.Owner,
         http: server_lib.HttpServer,
         hops: server_lib.HttpServer,
+        guards: watchdog.Watchdog,
         claims: claims_lib.Claims,
         request_id_header: str,
     ) -> None:
+        self._guards = guards
         self._servers = servers
         self._entry = entry
         self._request_id_header = request_id_header
@@ -111,6 +115,7 @@
                     self._answers_end_at = action.schedule.answers_end_at
                     self._entry.limit_requests(action.schedule)
                     self._owner.limit_requests(action.schedule)
+                    self._guards.end_waits_at(action.schedule.requests_end_at)
                     for server in self._http_servers:
                         server.close_after_answers()
                 case graceful_shutdown.CloseListeners():
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -181,12 +181,18 @@
       folder: Folder for settings, logs and data.
       sidecars: Number of nodes.
       grace_s: Time after SIGTERM at which the platform kills a process.
+      link_mbps: Rate of each VM's link, as its settings state it.
     """
 
     def __init__(
-        self, folder: pathlib.Path, sidecars: int = 2, grace_s: int = GRACE_S
+        self,
+        folder: pathlib.Path,
+        sidecars: int = 2,
+        grace_s: int = GRACE_S,
+        link_mbps: float = 1000.0,
     ) -> None:
         self._folder = folder
+        self._link_mbps = link_mbps
         self._grace_s = grace_s
         self._stack = contextlib.ExitStack()
         self._inner, self._control, self._outbound, ready, app = (
@@ -292,7 +298,7 @@
                 "RetryBudgetExtra": 58,
                 "ConfigApplyMs": 2000,
             },
-            "Limits": {"LinkMbps": 1000.0, "MemoryMb": 150},
+            "Limits": {"LinkMbps": self._link_mbps, "MemoryMb": 150},
         }
 
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,5 +1,7 @@
 """Tests of running one call at its entry."""
 
+from concurrent import futures
+import threading
 import time
 
 from returns import result
@@ -9,6 +11,7 @@
 from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import table as table_lib
+from lovagesaddle.http import client
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import attempt_senders
@@ -59,9 +62,40 @@
         )
 
 
+class WaitingSender(attempt_senders.AttemptSender):
+    """Waits for its turn to send a body until the wait is ended."""
+
+    def __init__(self) -> None:
+        self.waits = 0
+        self.waiting = threading.Event()
+
+    def send(
+        self,
+        server: table_lib.Candidate,
+        request: hop.RunRequest,
+        guard: watchdog.Guard,
+    ) -> attempt_senders.HopResult:
+        """Returns that nothing was sent, once the guard ended the wait."""
+        del request
+        self.waits += 1
+        ended = threading.Event()
+        with guard.on_end(ended.set):
+            self.waiting.set()
+            ended.wait()
+        return result.Failure(
+            client.ExchangeError(
+                step="send body",
+                peer=server.http_address,
+                cause="the wait has ended",
+                kind=client.FailureKind.NOT_SENT,
+            )
+        )
+
+
 def _run(
     sender: attempt_senders.AttemptSender,
     shared_quarantine: shared_quarantine_lib.SharedQuarantine,
+    guard: watchdog.Guard | None = None,
 ) -> call_results.CallResult:
     route = routing_mesh.make_route(
         idempotent=True, retries=2, timeout_s=TIMEOUT_S
@@ -92,8 +126,9 @@
         attempt_sender=sender,
         shared_quarantine=shared_quarantine,
     )
-    guard = watchdog.Guard(arrived_at + TIMEOUT_S, lambda: False)
-    return runner.run(guard)
+    return runner.run(
+        guard or watchdog.Guard(arrived_at + TIMEOUT_S, lambda: False)
+    )
 
 
 def test_repetition_after_a_crash_is_sent_as_a_suspect() -> None:
@@ -117,6 +152,29 @@
     assert shared_quarantine.classify(FINGERPRINT) is quarantine.Verdict.CLEAR
 
 
+def test_request_that_waits_while_its_node_stops_is_refused() -> None:
+    """It was cut without an answer, though it had not been sent anywhere."""
+    sender = WaitingSender()
+    with (
+        watchdog.Watchdog() as guards,
+        futures.ThreadPoolExecutor(1) as pool,
+        guards.watch(
+            deadline=time.monotonic() + TIMEOUT_S, is_gone=lambda: False
+        ) as guard,
+    ):
+        ended = pool.submit(
+            _run, sender, shared_quarantine_lib.SharedQuarantine(), guard
+        )
+        sender.waiting.wait()
+        guards.end_waits_at(time.monotonic())
+        failed = ended.result().failure()
+    assert (failed.status, failed.outcome) == (
+        503,
+        outcomes.RequestOutcome.NOT_RUN,
+    )
+    assert sender.waits == 1
+
+
 def test_duplicate_attempt_proves_nothing() -> None:
     """The refusal of a duplicate does not prove that nothing ran."""
     refused = hop.RunOutcome.REFUSED
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -106,9 +106,9 @@
     """A request that was taken late and cut had run, and got no answer."""
     for grace_s in GRACE_PERIODS_S:
         schedule = graceful_shutdown.make_schedule(100.0, grace_s)
-        assert schedule.callers_left_at < schedule.answers_end_at
+        assert schedule.callers_left_at < schedule.requests_end_at
         late = schedule.callers_left_at
-        end = schedule.answers_end_at
+        end = schedule.requests_end_at
         assert schedule.allows(now=late, deadline=end, run_s=0.0)
         assert not schedule.allows(now=late, deadline=end + 0.01, run_s=0.0)
         # Known from the servers' reports, whatever the deadline.
@@ -127,7 +127,8 @@
     """
     for grace_s in GRACE_PERIODS_S:
         schedule = graceful_shutdown.make_schedule(0.0, grace_s)
-        assert grace_s * CUT_SHARE < schedule.answers_end_at < grace_s
+        assert grace_s * CUT_SHARE < schedule.requests_end_at
+        assert schedule.requests_end_at < schedule.answers_end_at < grace_s
         assert schedule.callers_left_at <= LAST_SENT_S
     for grace_s in (6.0, 10.0, 30.0):
         schedule = graceful_shutdown.make_schedule(0.0, grace_s)
--- a/tests/test_watchdog.py
+++ b/tests/test_watchdog.py
@@ -36,6 +36,17 @@
     assert next(calls) <= SHORT_S / 0.05 + 2
 
 
+def test_stop_ends_open_and_later_waits() -> None:
+    """A request that waits while its node stops is refused, not cut."""
+    with watchdog.Watchdog() as guards:
+        far = time.monotonic() + 3600.0
+        with guards.watch(deadline=far, is_gone=lambda: False) as open_guard:
+            guards.end_waits_at(time.monotonic() + SHORT_S / 4)
+            assert _wait(open_guard) is watchdog.EndReason.DEADLINE
+        with guards.watch(deadline=far, is_gone=lambda: False) as later_guard:
+            assert _wait(later_guard) is watchdog.EndReason.DEADLINE
+
+
 def test_next_scan_is_at_the_first_deadline() -> None:
     """A wait whose deadline is before the next regular scan ends in time."""
     interval_s = watchdog.SCAN_INTERVAL_S
