Write no body after the head of an answer to HEAD

Cause: write_answer returned the body for HEAD, and waitress wrote it with a length. The refusals that waitress makes itself did the same.

Change: the tasks that write answers leave the body out, at every listener; the parser knows the method of malformed requests, too.

--- a/src/lovagesaddle/http/parser.py
+++ b/src/lovagesaddle/http/parser.py
@@ -20,6 +20,7 @@
 ARRIVED_AT = "lovagesaddle.arrived_at"
 HEADED_AT = "lovagesaddle.headed_at"
 HTTP_10 = "1.0"
+HEAD = b"HEAD "
 UNPROVEN = http.HTTPStatus.INTERNAL_SERVER_ERROR
 
 
@@ -31,6 +32,12 @@
     """
 
     headed_at: float = 0.0
+    _method_bytes: bytes = b""
+
+    @property
+    def is_head(self) -> bool:
+        """Whether its method is HEAD, also if the request is malformed."""
+        return self._method_bytes == HEAD
 
     def received(self, data: bytes) -> int:
         """Parses received bytes; returns how many belong to the request.
@@ -39,6 +46,10 @@
         against the limit on bodies, as with Content-Length. Chunk lines and
         trailers have the limit of the header.
         """
+        if len(self._method_bytes) < len(HEAD):
+            # Empty lines may precede a request.
+            start = (self._method_bytes + data).lstrip(b"\r\n")
+            self._method_bytes = start[: len(HEAD)]
         receiver = self.body_rcv
         if self.completed or receiver is None or not self.chunked:
             return int(super().received(data))
@@ -75,7 +86,15 @@
             raise parser.ParsingError("The request target is not a path")
 
 
-class OutcomeErrorTask(task.ErrorTask):  # type: ignore[misc]
+class _FramedTask(task.Task):  # type: ignore[misc]
+    """Writes no body after the head of an answer to HEAD."""
+
+    def write(self, data: bytes) -> None:
+        """Writes the header with the first part, and the part itself."""
+        super().write(b"" if self.request.is_head else data)
+
+
+class OutcomeErrorTask(_FramedTask, task.ErrorTask):  # type: ignore[misc]
     """Answers a request that did not reach the application."""
 
     def execute(self) -> None:
@@ -90,7 +109,7 @@
         super().execute()
 
 
-class ClosingTask(task.WSGITask):  # type: ignore[misc]
+class ClosingTask(_FramedTask, task.WSGITask):  # type: ignore[misc]
     """Adds `Connection: close` to answers while the server is stopping.
 
     Headers and body are joined into one write, since a second system call
@@ -114,6 +133,7 @@
             and not self.wrote_header
             and self.complete
             and self.has_body
+            and not self.request.is_head
             and self.content_length == len(data)
         )
         if not joined:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -45,6 +45,10 @@
         if request.path == "/long":
             body = bytes(LONG_BYTES)
         answer = wsgi.Answer(status=200, body=body)
+        if request.path.startswith("/fail/"):
+            status = int(request.path.removeprefix("/fail/"))
+            outcome = outcomes.RequestOutcome.NOT_RUN
+            answer = wsgi.make_failure(status, "failed", outcome)
         return wsgi.write_answer(answer, request.method, start_response)
 
 
@@ -80,6 +84,14 @@
     return b"".join(parts)
 
 
+def _read_until(sock: socket.socket, end: bytes) -> bytes:
+    """Returns what arrives up to the first bytes `end`, or to the end."""
+    got = b""
+    while end not in got and (part := sock.recv(65536)):
+        got += part
+    return got
+
+
 def _ask(server: server_lib.HttpServer, data: bytes) -> bytes:
     with _connect(server) as sock:
         sock.sendall(data)
@@ -111,6 +123,49 @@
         assert application.ran == []
 
 
+def test_answer_without_a_body_is_not_followed_by_one() -> None:
+    """A body after the answer to HEAD was read as the next answer."""
+    second = b"POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi"
+    statuses = (400, 401, 404, 413, 421, 429, 500, 502, 503, 504)
+    with _serve() as (_, server):
+        for status in statuses:
+            head = f"HEAD /fail/{status} HTTP/1.1\r\nHost: a\r\n\r\n".encode()
+            for requests in ((head + second,), (head, second)):
+                with _connect(server) as sock:
+                    for request in requests:
+                        sock.sendall(request)
+                    got = _read_until(sock, b"hi")
+                first, _, rest = got.partition(b"\r\n\r\n")
+                assert f" {status} ".encode() in first, (status, got)
+                assert b"Connection: close" not in first, got
+                assert rest.startswith(b"HTTP/1.1 200 OK\r\n"), (status, got)
+        for status in (204, 304):
+            with _connect(server) as sock:
+                sock.sendall(
+                    f"GET /fail/{status} HTTP/1.1\r\nHost: a\r\n\r\n".encode()
+                )
+                got = _read_all(sock)
+            assert got.endswith(b"\r\n\r\n"), (status, got)
+
+
+def test_refused_head_request_is_answered_without_a_body() -> None:
+    """Refusals that come before any application keep to it as well."""
+    long_header = b"X: " + bytes(parser.MAX_HEADER_BYTES)
+    cases = (
+        b"HEAD / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        b"HEAD http://b/ HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"\r\nHEAD / HTTP/1.1\r\nHost: a\r\n" + long_header + b"\r\n\r\n",
+        b"HEAD / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n",
+    )
+    with _serve() as (application, server):
+        for case in cases:
+            got = _ask(server, case)
+            assert got.startswith(b"HTTP/1."), (case[:60], got)
+            assert got.endswith(b"\r\n\r\n"), (case[:60], got)
+            assert NOT_RUN in got, (case[:60], got)
+        assert not application.ran
+
+
 def test_oversized_headers_and_bodies_are_refused() -> None:
     """Oversized headers and bodies are answered with 431 and 413."""
     with _serve() as (application, server):
