Compare paths and prefixes in one normal form

Cause: paths were decoded before they were matched, prefixes were kept as published. The checks of duplicate prefixes compared them as written as well, and decoding made all bytes equal that are not UTF-8.

Change: core/model/paths has one normal form, used by the route index, the table, documents and service files. Two spellings of one prefix are a located error.

--- a/src/lovagesaddle/core/configuration/service_sets.py
+++ b/src/lovagesaddle/core/configuration/service_sets.py
@@ -8,6 +8,7 @@
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import service_files
 from lovagesaddle.core.configuration import units
+from lovagesaddle.core.model import paths
 from lovagesaddle.core.model import services
 
 Problems = tuple[errors.FileProblem, ...]
@@ -98,7 +99,8 @@
             place = f"{section.file}:{section.line}"
             overlapping: set[str] = set()
             for method in route.methods or service_files.METHODS:
-                key = (route.host, route.path_prefix, method)
+                prefix = paths.normalise_prefix(route.path_prefix)
+                key = (route.host, prefix, method)
                 earlier = place_of.setdefault(key, place)
                 if earlier != place:
                     overlapping.add(earlier)
--- a/src/lovagesaddle/core/routing/route_index.py
+++ b/src/lovagesaddle/core/routing/route_index.py
@@ -11,8 +11,8 @@
 from typing import Self
 
 from lovagesaddle.core.configuration import route_changes
+from lovagesaddle.core.model import paths
 from lovagesaddle.core.model import services as services_lib
-from lovagesaddle.core.routing import paths
 
 ANY_METHOD = ""
 
--- a/src/lovagesaddle/core/routing/table.py
+++ b/src/lovagesaddle/core/routing/table.py
@@ -8,9 +8,9 @@
 import enum
 
 from lovagesaddle.core.model import entry_checks
+from lovagesaddle.core.model import paths
 from lovagesaddle.core.model import services as services_lib
 from lovagesaddle.core.model import snapshots
-from lovagesaddle.core.routing import paths
 from lovagesaddle.core.routing import route_index
 
 Match = route_index.Match
@@ -154,8 +154,8 @@
 
         A method that the longest prefix lacks is not looked up under a
         shorter one, since that may belong to another service. A path that
-        two programs could decode differently is matched as sent if all
-        routes of the host are open, and is a miss otherwise.
+        two programs could take for different ones is a miss, unless all routes
+        of the host are open.
 
         Args:
           host: Host header, with or without a port, in any case.
@@ -165,14 +165,10 @@
         prefixes = self._index.get_prefixes(paths.normalise_host(host))
         if prefixes is None:
             return self._make_miss(MissReason.UNKNOWN_HOST, 404)
-        decoded = paths.decode_path(path)
-        if decoded is None and _are_open(prefixes):
-            # A malformed path is matched as sent: since all routes of the host
-            # are open, no path can bypass access control.
-            decoded = path
-        if decoded is None:
+        # If all routes of the host are open, no path can bypass access control.
+        if paths.is_ambiguous(path) and not _are_open(prefixes):
             return self._make_miss(MissReason.MALFORMED_PATH, 400)
-        found = _find_longest_prefix(prefixes, decoded)
+        found = _find_longest_prefix(prefixes, paths.normalise_path(path))
         if found is None:
             return self._make_miss(MissReason.UNKNOWN_PATH, 404)
         methods = found.methods
--- a/src/lovagesaddle/platform/documents.py
+++ b/src/lovagesaddle/platform/documents.py
@@ -10,6 +10,7 @@
 from lovagesaddle.core import errors
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import documents
+from lovagesaddle.core.model import paths
 from lovagesaddle.core.model import services
 
 MS_PER_S = 1000
@@ -157,7 +158,10 @@
     for listener in configuration.listeners:
         _check_unique(
             f"prefix of host {listener.host}",
-            (rule.match.path_prefix for rule in listener.route_rules),
+            (
+                paths.normalise_prefix(rule.match.path_prefix)
+                for rule in listener.route_rules
+            ),
         )
         for rule in listener.route_rules:
             route = _convert_route(listener, rule)
--- a/tests/test_documents_of_the_platform.py
+++ b/tests/test_documents_of_the_platform.py
@@ -168,6 +168,17 @@
         raise AssertionError("the document was accepted")
 
 
+def test_second_spelling_of_a_prefix_is_refused() -> None:
+    """Both would take the same requests; the error has the prefix."""
+    document = _make()
+    rules = document["Listeners"][0]["RouteRules"]
+    rules[0]["Match"]["PathPrefix"] = "/a%C3%B1o/"
+    rules[1]["Match"]["PathPrefix"] = "/%61%c3%b1o/"
+    assert "not unique: /a%C3%B1o/" in _find_cause(
+        json.dumps(document).encode()
+    )
+
+
 def test_every_invalid_document_is_refused() -> None:
     """Each invalid field gives an error that names the cause."""
     rule = ("Listeners", 0, "RouteRules", 1)
