Confirm servers after a restart by what they say of themselves

Callers saw: requests at a server that had said farewell, longer than DrainMs ago (DRAIN); requests with the name of a service that had left the VM (UNASKED); requests of one service at a server of another one (ROUTE).

Cause: a node remembers nothing through a restart and acted on the first messages: on two heartbeats, however late, on the service in any of them, on any healthy answer at the address.

Change: server_confirmation decides. Discovery reads the service of the present settings.

--- a/src/lovagesaddle/core/membership/heartbeat_order.py
+++ b/src/lovagesaddle/core/membership/heartbeat_order.py
@@ -43,6 +43,10 @@
         self._is_stopped = False
         return True
 
+    def is_newest(self, stamp: HeartbeatStamp) -> bool:
+        """Returns whether no newer message has arrived since."""
+        return stamp == self._newest and not self._is_stopped
+
     def record_stop(self, instance: str, born_ms: int) -> bool:
         """Records that a server stopped; returns False if it isn't the newest.
 
--- a/src/lovagesaddle/node/main.py
+++ b/src/lovagesaddle/node/main.py
@@ -63,6 +63,7 @@
     routing_options: routing.RoutingOptions | None = None,
     owner_options: owned_server.OwnerOptions | None = None,
     names: header_names.HeaderNames = header_names.DEFAULT,
+    read_service: Callable[[], str] | None = None,
     attach: Attach = _attach_nothing,
 ) -> int:
     """Runs a node until SIGTERM or SIGINT; returns the exit status.
@@ -73,6 +74,7 @@
       owner_options: Policies of the owner, which runs requests on the local
         backend server.
       names: Names of the headers exchanged with callers and backend servers.
+      read_service: Returns the service of this VM by the present settings.
       attach: Returns a context that is open while the node runs, such as
         additional HTTP endpoints.
     """
@@ -88,6 +90,7 @@
                 routing_options=routing_options,
                 owner_options=owner_options,
                 names=names,
+                read_service=read_service,
             ) as node,
             attach(node),
         ):
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -9,6 +9,7 @@
 import zmq
 
 from lovagesaddle.core.configuration import delta
+from lovagesaddle.core.membership import server_confirmation
 from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import body_scheduler
 from lovagesaddle.core.routing import call as call_lib
@@ -33,6 +34,7 @@
 from lovagesaddle.node import probes
 from lovagesaddle.node import routing as routing_lib
 from lovagesaddle.node import server_discovery
+from lovagesaddle.node import server_health
 from lovagesaddle.node import server_heartbeats
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
 from lovagesaddle.node import shutdown
@@ -83,6 +85,8 @@
       owner_options: Policies of the owner, which runs requests on the local
         backend server.
       names: Names of the headers exchanged with callers and backend servers.
+      read_service: Returns the service of this VM by the present settings; by
+        those of the start if None.
 
     Attributes:
       heartbeats: Handles heartbeats of the backend server on this VM.
@@ -98,8 +102,10 @@
         routing_options: routing_lib.RoutingOptions | None = None,
         owner_options: owned_server.OwnerOptions | None = None,
         names: header_names.HeaderNames = header_names.DEFAULT,
+        read_service: Callable[[], str] | None = None,
     ) -> None:
         self._names = names
+        self._read_service = read_service or (lambda: settings.service)
         self._settings = settings
         self._context = context
         self._make_control = make_control
@@ -142,7 +148,9 @@
         self._servers = local_servers.LocalServers(
             node_id=settings.node_id, owner=self._owner
         )
-        self.heartbeats = server_heartbeats.ServerHeartbeats(self._servers)
+        self.heartbeats = server_heartbeats.ServerHeartbeats(
+            self._servers, check_health=self._check_health
+        )
         self._control: ports.ControlPort | None = None
         self._discovery = self._make_discovery()
         self._claims = claims_lib.Claims(
@@ -340,12 +348,29 @@
         age_s = self._table_proofs.compute_age()
         return UNPROVED_AGE if age_s is None else age_s
 
+    def _check_health(
+        self, announcement: local_servers.Announcement
+    ) -> server_confirmation.Health | None:
+        """Asks the server at the address of an announcement who it is."""
+        path = self._routing.find_health_path(announcement.service)
+        if not path:
+            return None
+        answer = server_health.request_health(
+            announcement.address, path, self._names
+        )
+        if answer is None or not answer.instance:
+            return None
+        return server_confirmation.Health(
+            instance=answer.instance, is_serving=answer.is_serving
+        )
+
     def _make_discovery(self) -> server_discovery.ServerDiscovery | None:
         if not (self._settings.service and self._settings.server_address):
             return None
         return server_discovery.ServerDiscovery(
             heartbeats=self.heartbeats,
             service=self._settings.service,
+            read_service=self._read_service,
             address=self._settings.server_address,
             names=self._names,
             find_health_path=self._routing.find_health_path,
--- a/src/lovagesaddle/node/server_heartbeats.py
+++ b/src/lovagesaddle/node/server_heartbeats.py
@@ -3,12 +3,16 @@
 `platform.heartbeats` parses the calls; the decisions are made here.
 """
 
+from collections.abc import Callable
+
+from lovagesaddle import clocks
 from lovagesaddle.core.membership import heartbeat_order
+from lovagesaddle.core.membership import server_confirmation
 from lovagesaddle.node import local_servers
 from lovagesaddle.observability import logs
 
-FIRST_SEQUENCE = 1
 Announcement = local_servers.Announcement
+HealthCheck = Callable[[Announcement], server_confirmation.Health | None]
 _log = logs.get_logger("beats")
 
 
@@ -16,16 +20,29 @@
     """Registers and withdraws the local backend server by its heartbeats.
 
     At most one server runs on this VM at a time. A message that arrives out of
-    order changes nothing.
+    order changes nothing. As long as no server is known, a heartbeat counts
+    only if the server at the address confirms it.
 
     Args:
       servers: Registry of the local servers.
+      check_health: Asks the server at the address of an announcement; None if
+        it doesn't answer.
+      read_clock: Returns the monotonic time, in seconds.
     """
 
-    def __init__(self, servers: local_servers.LocalServers) -> None:
+    def __init__(
+        self,
+        servers: local_servers.LocalServers,
+        *,
+        check_health: HealthCheck,
+        read_clock: Callable[[], float] = clocks.read_uptime,
+    ) -> None:
         self._servers = servers
+        self._check_health = check_health
+        self._read_clock = read_clock
         self._order = heartbeat_order.HeartbeatOrder()
-        self._unconfirmed_process = ""
+        self._confirmation = server_confirmation.ServerConfirmation()
+        self._is_confirmed = False
         self._leaving_instance = ""
         self._service = ""
 
@@ -61,12 +78,29 @@
                     sequence=sequence,
                 )
                 return
-            self._service = announcement.service
-            self._withdraw_others(announcement.service)
             if is_leaving:
-                self._handle_leaving(announcement)
-            else:
-                self._handle_serving(announcement, sequence)
+                self._leaving_instance = announcement.instance
+            if self._is_known(announcement):
+                self._apply(announcement, is_leaving=is_leaving)
+                return
+        # Other messages are handled while the server is asked.
+        health = self._check_health(announcement)
+        with self._servers.lock_changes():
+            if not self._order.is_newest(stamp):
+                return
+            if self._is_known(announcement) or self._confirmation.confirm(
+                stamp, health, self._read_clock()
+            ):
+                self._apply(announcement, is_leaving=is_leaving)
+                return
+        _log.info(
+            "server_unconfirmed",
+            service=announcement.service,
+            instance=announcement.instance,
+            sequence=sequence,
+            found="" if health is None else health.instance,
+            serving=health is not None and health.is_serving,
+        )
 
     def handle_deregistration(self, instance: str, born_ms: int) -> None:
         """Withdraws a server that is stopping; it gets no new requests.
@@ -90,19 +124,38 @@
         A server that has reported that it is leaving is not registered.
 
         Returns:
-          Whether a server of the service is known now, so that discovery is
-          finished.
+          Whether a server is known now, so that discovery is finished.
         """
         with self._servers.lock_changes():
-            if self._servers.find_announcement(announcement.service) is None:
+            if self.needs_discovery():
                 if self._leaving_instance == announcement.instance:
                     return False
+                self._service = announcement.service
                 self._servers.announce(announcement)
             return True
 
-    def needs_discovery(self, service: str) -> bool:
-        """Returns whether no server of a service is known yet."""
-        return self._servers.find_announcement(service) is None
+    def needs_discovery(self) -> bool:
+        """Returns whether no server is known yet."""
+        return not (self._is_confirmed or self._servers.list_announcements())
+
+    def _is_known(self, announcement: Announcement) -> bool:
+        """Returns whether a heartbeat needs no confirmation.
+
+        Once a heartbeat was confirmed, the order of later ones tells late ones.
+        """
+        return self._is_confirmed or any(
+            _is_same_process(known, announcement)
+            for known in self._servers.list_announcements()
+        )
+
+    def _apply(self, announcement: Announcement, *, is_leaving: bool) -> None:
+        self._is_confirmed = True
+        self._service = announcement.service
+        self._withdraw_others(announcement.service)
+        if is_leaving:
+            self._handle_leaving(announcement)
+        else:
+            self._handle_serving(announcement)
 
     def _withdraw_others(self, service: str) -> None:
         """Withdraws servers of other services, whose address was reused."""
@@ -114,7 +167,6 @@
 
     def _handle_leaving(self, announcement: Announcement) -> None:
         service = announcement.service
-        self._leaving_instance = announcement.instance
         known = self._servers.find_announcement(service)
         if known is None:
             return
@@ -126,28 +178,12 @@
                 service, f"{announcement.instance} took its place"
             )
 
-    def _handle_serving(
-        self, announcement: Announcement, sequence: int
-    ) -> None:
+    def _handle_serving(self, announcement: Announcement) -> None:
         known = self._servers.find_announcement(announcement.service)
         if known is not None and _is_same_process(known, announcement):
             self._servers.update(announcement)
-            return
-        process = f"{announcement.instance}/{announcement.born_ms}"
-        if sequence > FIRST_SEQUENCE and self._unconfirmed_process != process:
-            # An earlier process of this node may have acknowledged the server's
-            # report that it is leaving, and this heartbeat may be older than
-            # that report. So the server is registered only on its next
-            # heartbeat.
-            self._unconfirmed_process = process
-            _log.info(
-                "server_unconfirmed",
-                service=announcement.service,
-                instance=announcement.instance,
-                sequence=sequence,
-            )
-            return
-        self._servers.announce(announcement)
+        else:
+            self._servers.announce(announcement)
 
 
 def _is_same_process(known: Announcement, other: Announcement) -> bool:
--- a/src/lovagesaddle/platform/node_main.py
+++ b/src/lovagesaddle/platform/node_main.py
@@ -7,10 +7,12 @@
 from collections.abc import Iterator
 import contextlib
 
+from returns import result
 import typer
 
 from lovagesaddle.node import main as node_main
 from lovagesaddle.node import program as node_lib
+from lovagesaddle.observability import logs
 from lovagesaddle.platform import endpoints
 from lovagesaddle.platform import node_endpoints
 from lovagesaddle.platform import platform_headers
@@ -18,6 +20,8 @@
 from lovagesaddle.platform import startup
 from lovagesaddle.settings import loader
 
+_log = logs.get_logger("platform")
+
 
 def node(settings_file: startup.SettingsFile) -> None:
     """Runs a node beside a backend server, with the settings in FILE."""
@@ -43,8 +47,26 @@
         ):
             yield
 
+    def read_service() -> str:
+        loaded = loader.load_node(
+            settings_file, ignored_sections=startup.FOREIGN_SECTIONS
+        )
+        if isinstance(loaded, result.Success):
+            service: str = loaded.unwrap().service
+            return service
+        _log.warning(
+            "settings_unreadable",
+            cause=loader.format_problems(loaded.failure()),
+        )
+        return ""
+
     raise typer.Exit(
-        node_main.serve(settings, names=platform_headers.HEADERS, attach=attach)
+        node_main.serve(
+            settings,
+            names=platform_headers.HEADERS,
+            read_service=read_service,
+            attach=attach,
+        )
     )
 
 
