--- a/src/lovagesaddle/core/distribution/children.py
+++ b/src/lovagesaddle/core/distribution/children.py
@@ -203,9 +203,10 @@
     def _make_update(
         self, received: events.FrameReceived, pull: messages.Pull, now: float
     ) -> tuple[events.Action, ...]:
-        if self._history.version <= pull.version:
+        is_empty = not self._history.version
+        if self._history.version <= pull.version and not is_empty:
             return ()
-        if self._history.version < pull.least:
+        if is_empty or self._history.version < pull.least:
             later = messages.RetryLater(after_s=BEHIND_RETRY_S)
             return (
                 events.Answer(route=received.route, frame=wire.encode(later)),
--- a/src/lovagesaddle/core/distribution/node_agent.py
+++ b/src/lovagesaddle/core/distribution/node_agent.py
@@ -225,7 +225,9 @@
                 )
                 return self._finish_update(received, result, 0, now)
             case messages.RetryLater():
-                self._puller.handle_retry_later(message, now)
+                self._puller.handle_retry_later(
+                    received.sender_id, message, now
+                )
                 return ()
             case messages.JoinAccepted():
                 return self._handle_join_accepted(received, message, now)
--- a/src/lovagesaddle/core/distribution/puller.py
+++ b/src/lovagesaddle/core/distribution/puller.py
@@ -4,6 +4,7 @@
 that its eager parent does not have.
 """
 
+import itertools
 import math
 
 from lovagesaddle.core.distribution import backoff as backoff_lib
@@ -123,14 +124,17 @@
         self._helpers = helpers
 
     def handle_retry_later(
-        self, later: messages.RetryLater, now: float
+        self, sender_id: str, later: messages.RetryLater, now: float
     ) -> None:
         """Handles the refusal of a pull and schedules the next one.
 
         While no version is installed, other sources are asked after a short
         delay, and only every `REFUSALS_PER_WAIT`-th refusal is followed by
-        the delay that it names.
+        the delay that it names. A helper that refuses is not asked again.
         """
+        self._helpers = tuple(
+            peer for peer in self._helpers if peer.peer_id != sender_id
+        )
         known = set(self._helpers)
         fresh = tuple(peer for peer in later.helpers if peer not in known)
         self._helpers = (*fresh, *self._helpers)[:MAX_HELPERS]
@@ -151,13 +155,13 @@
         """Returns the pull that is due, if any, and its log line.
 
         Args:
-          replicas: Sources to ask after the helpers while no version is
-            installed.
+          replicas: Sources to ask in turn with the helpers while no version
+            is installed. Helpers may have restarted at the same time.
           now: Monotonic time in seconds.
         """
         if now < self._next_at:
             return ()
-        source = self._choose_source((*self._helpers, *replicas), now)
+        source = self._choose_source(_interleave(self._helpers, replicas), now)
         if source is None:
             return ()
         self._next_at = now + self._backoff.draw()
@@ -190,3 +194,11 @@
             self._known, key=lambda peer: (peer == self._eager, peer.peer_id)
         )
         return ranked[(self._turn - 1) % len(ranked)]
+
+
+def _interleave(
+    helpers: tuple[peers.Peer, ...], replicas: tuple[peers.Peer, ...]
+) -> tuple[peers.Peer, ...]:
+    """Returns a helper and a replica in turn, then the rest."""
+    pairs = itertools.zip_longest(helpers, replicas)
+    return tuple(peer for pair in pairs for peer in pair if peer is not None)
--- a/tests/test_distribution_failures.py
+++ b/tests/test_distribution_failures.py
@@ -14,6 +14,10 @@
 # Limit for an accepted version to be in force at every node.
 IN_FORCE_S = 2.0
 LONG_TICK_S = 0.2
+# A fleet that restarts at once, and the limit for all of it to have tables.
+RESTARTED_NODES = 99
+DOWN_S = 0.5
+RESTARTED_LIMIT_S = 2.0
 
 
 def _start(count: int, domains: tuple[str, ...] = ("a",)) -> mesh_lib.Mesh:
@@ -359,4 +363,47 @@
     assert "a007" not in names
 
 
+def test_restarted_fleet_has_tables_within_its_bound() -> None:
+    """Restarted nodes waited for helpers that had no table either.
+
+    Such a helper answered nothing, so that each one cost the full timeout, and
+    a fleet that restarted at once was without routes for nine seconds.
+    """
+    mesh = mesh_lib.Mesh()
+    for domain in ("a", "b", "c"):
+        mesh.add_nodes(RESTARTED_NODES // 3, domain)
+    mesh.run(2 * mesh.heartbeat_s)
+    mesh.run_until_converged()
+    mesh.publish("orderdesk")
+    mesh.run_until_converged()
+    names = tuple(mesh.nodes)
+    for name in names:
+        mesh.kill(name)
+    mesh.run(DOWN_S)
+    for name in names:
+        mesh.add_node(name, name[0])
+    mesh.run_until(
+        lambda: all(version > 0 for version in mesh.get_versions().values()),
+        RESTARTED_LIMIT_S,
+    )
+
+
+def test_helper_without_a_table_says_so() -> None:
+    """A node that pulls its first snapshot asks another source at once."""
+    mesh = mesh_lib.Mesh()
+    answers: list[object] = []
+    first = mesh.add_node("a000")
+    for action in first.part.step(
+        events.FrameReceived(
+            sender_id="a001",
+            route=b"route",
+            frame=wire.encode(messages.Pull(version=0, digest=b"", least=5)),
+        ),
+        mesh.now,
+    ):
+        if isinstance(action, events.Answer):
+            answers.append(wire.decode(action.frame, peer="a000"))
+    assert [type(answer) for answer in answers] == [messages.RetryLater]
+
+
 load_tests = fixtures.collect(__name__)
