Believe a removal only as the answer to a question of this process

An answer to the introduction of a new replica, delayed until the replica had joined and got entries, told it that it was no member: it emptied its folder, and with it a copy of accepted data.

Cause: answers to introductions made before and after the join looked alike.

Change: a question has a number, which its answer repeats; only an answer to a question that this process has sent counts.

--- a/src/lovagesaddle/control/consensus.py
+++ b/src/lovagesaddle/control/consensus.py
@@ -7,6 +7,7 @@
 from lovagesaddle.control import replica_discovery
 from lovagesaddle.control import replica_links
 from lovagesaddle.control import replicated_state
+from lovagesaddle.core import echoes
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import state as state_lib
 from lovagesaddle.core.consensus import entries as entries_lib
@@ -41,6 +42,7 @@
         empty.
       syncer: Writes entries to the data folder of this replica.
       links: Sends messages to the other replicas.
+      random_source: Source of the first number of a question to others.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         founding: founding_lib.Founding,
         syncer: syncer_lib.Syncer,
         links: replica_links.ReplicaLinks,
+        random_source: echoes.Random,
     ) -> None:
         self._log = logs.get_logger("consensus")
         self._cluster_id = cluster_id
@@ -66,7 +69,11 @@
         self._batch: list[events.Proposal] = []
         self._last_proposal_id = 0
         self._discovery = replica_discovery.ReplicaDiscovery(
-            cluster_id=cluster_id, own=own, replica=replica, links=links
+            cluster_id=cluster_id,
+            own=own,
+            replica=replica,
+            links=links,
+            random_source=random_source,
         )
         self._stamp = ports.LeaderStamp(term=0, counter=0)
         self._stamp_at = 0.0
--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -286,6 +286,7 @@
                 own_id=own.member_id,
                 replicas=settings.replicas,
             ),
+            random_source=_SystemRandom(),
         )
 
     def _make_subsystems(self) -> tuple[ports.Subsystem, ...]:
--- a/src/lovagesaddle/control/replica_discovery.py
+++ b/src/lovagesaddle/control/replica_discovery.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from lovagesaddle.control import replica_links
+from lovagesaddle.core import echoes
 from lovagesaddle.core import errors
 from lovagesaddle.core.consensus import entries as entries_lib
 from lovagesaddle.core.consensus import founding
@@ -35,6 +36,7 @@
       own: Member entry of this replica.
       replica: Consensus state machine of this replica.
       links: Sends messages to the other replicas.
+      random_source: Source of the first number of a question.
     """
 
     def __init__(
@@ -44,11 +46,13 @@
         own: entries_lib.Member,
         replica: replica_lib.Replica,
         links: replica_links.ReplicaLinks,
+        random_source: echoes.Random,
     ) -> None:
         self._cluster_id = cluster_id
         self._own = own
         self._replica = replica
         self._links = links
+        self._questions = echoes.Echoes(random_source)
         self._seen: dict[str, _SeenReplica] = {}
         self._is_removed = False
         self._leader_known_at: float | None = None
@@ -87,7 +91,9 @@
         elif not introduction.is_founding:
             self._seen[member.replica_id] = _SeenReplica(member, now)
         if route and self._replica.last_index > 0:
-            self._links.answer(route, self._make_answer(member))
+            self._links.answer(
+                route, self._make_answer(member, introduction.sequence)
+            )
 
     def tick(self, now: float) -> None:
         """Introduces this replica to all others while no leader is known.
@@ -116,23 +122,30 @@
                     has_log=True,
                     is_question=True,
                     term=self._replica.term,
+                    sequence=self._questions.send(now),
                 )
             )
 
     def _handle_members(self, introduction: founding.Introduction) -> None:
         """Handles the members that a replica with a log reports."""
         self._links.add_contacts(introduction.members)
+        # An answer to an introduction that was sent before this replica joined
+        # may arrive late, and doesn't know it.
+        is_answer = self._questions.date(introduction.sequence, 0.0) is not None
         # A deposed leader that has not seen the new term may report members
         # without this replica, if this replica joined since. The leader's term
         # is then lower than the term of this replica.
         self._is_removed |= (
-            introduction.is_settled
+            is_answer
+            and introduction.is_settled
             and not introduction.knows_receiver
             and introduction.term >= self._replica.term
             and self._replica.last_index > 0
         )
 
-    def _make_answer(self, member: entries_lib.Member) -> founding.Introduction:
+    def _make_answer(
+        self, member: entries_lib.Member, sequence: int
+    ) -> founding.Introduction:
         members = self._replica.members
         return founding.Introduction(
             cluster_id=self._cluster_id,
@@ -143,4 +156,5 @@
             term=self._replica.term,
             is_settled=self._replica.has_committed_members,
             members=members.members,
+            sequence=sequence,
         )
--- a/src/lovagesaddle/core/consensus/founding.py
+++ b/src/lovagesaddle/core/consensus/founding.py
@@ -11,6 +11,7 @@
 import dataclasses
 
 from lovagesaddle.core import codec
+from lovagesaddle.core import echoes
 from lovagesaddle.core import state_machine
 from lovagesaddle.core.consensus import entries as entries_lib
 from lovagesaddle.core.consensus import log as log_lib
@@ -38,6 +39,8 @@
         members, so that a receiver which is not among them is no member in
         this term.
       members: The members in the sender's log, which the receiver may contact.
+      sequence: Number of a question, and in its answer; `echoes.NONE` in other
+        introductions.
     """
 
     cluster_id: str
@@ -49,6 +52,7 @@
     term: int = 0
     is_settled: bool = False
     members: tuple[entries_lib.Member, ...] = ()
+    sequence: int = echoes.NONE
 
 
 LinkMessage = messages.Envelope | Introduction
--- a/tests/publishing_replica.py
+++ b/tests/publishing_replica.py
@@ -147,6 +147,7 @@
             cluster_id="c", own=OWN, founders=("r1",), is_founding=True
         ),
         syncer=syncer,
+        random_source=NoJitter(),
         links=replica_links.ReplicaLinks(
             endpoint=endpoint,
             cluster_id="c",
--- a/tests/test_control_consensus.py
+++ b/tests/test_control_consensus.py
@@ -85,6 +85,7 @@
             cluster_id="c", own=own, founders=("r1",), is_founding=True
         ),
         syncer=FastSyncer(),
+        random_source=NoJitter(),
         links=replica_links.ReplicaLinks(
             endpoint=endpoint,
             cluster_id="c",
