Keep results of accepted publishes apart from refused ones

An accepted order that was sent again after 4,096 other orders, refused ones too, was refused, though PROTOCOL.md lets it be acknowledged again or left without an answer.

Cause: one bounded list held the results of accepted and of refused publishes.

Change: the bound is counted for each kind. test_refused_publishes_displace_no_accepted_one failed before.

--- a/src/lovagesaddle/core/configuration/state.py
+++ b/src/lovagesaddle/core/configuration/state.py
@@ -49,8 +49,8 @@
     Attributes:
       snapshot: State that is distributed to nodes for routing.
       publications: The newest `MAX_PUBLICATIONS` publications, oldest first.
-      results: Results of the newest `MAX_PUBLISH_RESULTS` publish IDs, oldest
-        first.
+      results: Results of the newest `MAX_PUBLISH_RESULTS` accepted and as many
+        refused publish IDs, oldest first.
       document: Newest published document; None if no publication has had
         one.
     """
@@ -156,10 +156,10 @@
             )
             return Transition(state=unchanged, result=earlier.result)
     result = _check_publish(state, version, command)
-    results = (
-        *(r for r in state.results if r.publish_id != command.publish_id),
+    results = _add_result(
+        state.results,
         ResultRecord(publish_id=command.publish_id, result=result),
-    )[-MAX_PUBLISH_RESULTS:]
+    )
     if not _is_accepted(result):
         refused = dataclasses.replace(
             state, snapshot=_advance_snapshot(state, version), results=results
@@ -184,6 +184,22 @@
     return Transition(state=accepted, result=result)
 
 
+def _add_result(
+    results: tuple[ResultRecord, ...], added: ResultRecord
+) -> tuple[ResultRecord, ...]:
+    """Returns the results with one added, without the oldest of its kind.
+
+    Refused publishes may be many and must not displace an accepted one: sent
+    again, that would be refused.
+    """
+    kept = [r for r in results if r.publish_id != added.publish_id]
+    is_accepted = _is_accepted(added.result)
+    of_kind = [r for r in kept if _is_accepted(r.result) == is_accepted]
+    if len(of_kind) >= MAX_PUBLISH_RESULTS:
+        kept.remove(of_kind[0])
+    return (*kept, added)
+
+
 def _is_accepted(result: commands.PublishResult) -> bool:
     return result.outcome is commands.PublishOutcome.ACCEPTED
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -1,6 +1,7 @@
 """Tests of the replicated state machine and of deltas."""
 
 import dataclasses
+from unittest import mock
 
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import delta
@@ -119,6 +120,25 @@
     assert again.state.publication_version == 3
 
 
+def test_refused_publishes_displace_no_accepted_one() -> None:
+    """An accepted order that is sent again after many others is accepted.
+
+    Refused orders, such as invalid or outdated ones, are sent in any number.
+    """
+    kept = 5
+    with mock.patch.object(state_lib, "MAX_PUBLISH_RESULTS", kept):
+        state = state_lib.make_initial_state()
+        first = _make_publish("first", 0, _make_service("desk"))
+        state = state_lib.apply_command(state, 1, first).state
+        for number in range(2, 4 * kept):
+            refused = _make_publish(f"p{number}", 0, _make_service("art"))
+            state = state_lib.apply_command(state, number, refused).state
+        again = state_lib.apply_command(state, 4 * kept, first).result
+        assert again is not None
+        assert (again.outcome, again.version) == (ACCEPTED, 1)
+        assert len(state.results) == kept + 1
+
+
 def test_removing_a_needed_service_is_rejected() -> None:
     """A publish that lacks a service that another depends on is rejected."""
     state = state_lib.make_initial_state()
