Repeat a join whose answer is missing when a newer incarnation is listed

Callers saw: nothing yet; read by the review.

Cause: superseded was decided by the incarnation alone, while the node's own join was open.

Change: as long as no answer to its join has come, the node repeats it; the leader knows it by its start ID. test_node_whose_join_answer_is_lost_joins_all_the_same failed before.

--- a/src/lovagesaddle/core/distribution/registration.py
+++ b/src/lovagesaddle/core/distribution/registration.py
@@ -47,6 +47,7 @@
         self._leaving = False
         self._accepted = False
         self._superseded = False
+        self._is_join_open = False
         self._next_request_at = 0.0
         self._backoff = backoff_lib.Backoff(
             first_s=FIRST_RETRY_S, cap_s=RETRY_CAP_S, random=random
@@ -84,6 +85,7 @@
             )
         self._accepted = True
         self._superseded = False
+        self._is_join_open = False
         self._backoff.reset()
         return True
 
@@ -157,6 +159,10 @@
             waiting = installed is None and self._accepted
             return None if waiting or self._superseded else self._make_join()
         self._superseded = listed.incarnation > self._node.incarnation
+        if self._superseded and self._is_join_open:
+            # The newer incarnation may be that of the join whose answer is
+            # missing. The leader knows a repeated join by its start ID.
+            return self._make_join()
         if self._superseded or listed.incarnation < self._node.incarnation:
             return None
         servers = tuple(self._servers[key] for key in sorted(self._servers))
@@ -172,6 +178,7 @@
         )
 
     def _make_join(self) -> messages.Join:
+        self._is_join_open = True
         return messages.Join(
             node=self._node,
             life=self._start_id,
--- a/tests/test_distribution_failures.py
+++ b/tests/test_distribution_failures.py
@@ -17,6 +17,10 @@
 # A fleet that restarts at once, and the limit for all of it to have tables.
 RESTARTED_NODES = 99
 DOWN_S = 0.5
+# Longer than a lease.
+LEASE_LIMIT_S = 30.0
+# Long enough for a snapshot to arrive before the answer to a join.
+ANSWERS_LOST_S = 3.0
 RESTARTED_LIMIT_S = 2.0
 
 
@@ -388,6 +392,37 @@
     )
 
 
+def test_node_whose_join_answer_is_lost_joins_all_the_same() -> None:
+    """A snapshot may list the new incarnation before the answer arrives.
+
+    The node took it for another process of its name, and never joined again.
+    """
+    mesh = _start(10)
+    lost = "a003"
+    others = set(mesh.nodes) - {lost} | set(mesh.replicas)
+    mesh.cut({lost}, others)
+    mesh.run_until(lambda: not _is_listed(mesh, lost), LEASE_LIMIT_S)
+    mesh.heal()
+    healed_at = mesh.now
+
+    def drop_answers(sender: str, target: str, frame: bytes) -> bool:
+        is_answer = target == lost and isinstance(
+            wire.decode(frame, peer=sender), messages.JoinAccepted
+        )
+        return is_answer and mesh.now < healed_at + ANSWERS_LOST_S
+
+    mesh.intercept = drop_answers
+    mesh.run(2 * ANSWERS_LOST_S)
+    for _ in range(3):
+        mesh.run(LEASE_LIMIT_S / 3)
+        assert _is_listed(mesh, lost)
+    mesh.run_until_converged()
+
+
+def _is_listed(mesh: mesh_lib.Mesh, node_id: str) -> bool:
+    return node_id in {node.node_id for node in mesh.state.snapshot.nodes}
+
+
 def test_helper_without_a_table_says_so() -> None:
     """A node that pulls its first snapshot asks another source at once."""
     mesh = mesh_lib.Mesh()
