Close expired connections to addresses that are not used again

Each idle connection to an address that was gone kept a descriptor until the process ended.

Cause: an expired connection was closed only when its address was used again.

Change: the pool closes all that have expired, every 5 s while connections are returned. test_connections_to_addresses_that_are_gone_are_closed failed without the call.

--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -29,6 +29,9 @@
 CONNECT_TIMEOUT_S = 0.3
 MS_PER_S = 1000
 MAX_IDLE_S = 20.0
+# Interval at which expired connections are closed, also to addresses that are
+# not used again.
+SWEEP_S = 5.0
 # A reused connection can still deliver at most one duplicate answer to an
 # earlier request and one late answer.
 MAX_LATE_ANSWERS = 2
@@ -115,6 +118,7 @@
         self._idle: dict[str, collections.deque[_Idle]] = {}
         self._lock = threading.Lock()
         self._closed = False
+        self._next_sweep_at = 0.0
 
     def __enter__(self) -> Self:
         return self
@@ -209,7 +213,11 @@
         if idle_s <= 0:
             connection.close()
             return
-        expires_at = time.monotonic() + idle_s
+        now = time.monotonic()
+        if now >= self._next_sweep_at:
+            self._next_sweep_at = now + SWEEP_S
+            self.close_expired(now)
+        expires_at = now + idle_s
         idle = _Idle(
             connection=connection, expires_at=expires_at, request_id=request_id
         )
@@ -219,6 +227,29 @@
                 return
         connection.close()
 
+    @property
+    def idle_count(self) -> int:
+        """Number of connections that are kept open without a request."""
+        return sum(len(stack) for stack in tuple(self._idle.values()))
+
+    def close_expired(self, now: float) -> None:
+        """Closes the connections that may no longer be used.
+
+        Args:
+          now: Monotonic time in seconds.
+        """
+        for stack in tuple(self._idle.values()):
+            for _ in range(len(stack)):
+                # Other threads take connections from the right meanwhile.
+                try:
+                    idle = stack.popleft()
+                except IndexError:
+                    break
+                if now < idle.expires_at:
+                    stack.appendleft(idle)
+                    break
+                idle.connection.close()
+
     def _find_mismatch(
         self, request: Request, head: responses.Head, *, is_reused: bool
     ) -> str:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -152,6 +152,28 @@
     assert b'"again"' in again.unwrap().body
 
 
+def test_connections_to_addresses_that_are_gone_are_closed() -> None:
+    """Each kept a descriptor until the process ended.
+
+    An address that is never used again does not keep its connections open.
+    """
+    with (
+        _open_server() as gone,
+        _open_server() as other,
+        client.ConnectionPool() as pool,
+        mock.patch.object(client, "SWEEP_S", 0.0),
+    ):
+        assert isinstance(_exchange(pool, gone), result.Success)
+        assert pool.idle_count == 1
+        later = time.monotonic() + client.MAX_IDLE_S + 1
+        with mock.patch.object(time, "monotonic", lambda: later):
+            guard = watchdog.Guard(later + LONG_S, lambda: False)
+            assert isinstance(
+                _exchange(pool, other, guard=guard), result.Success
+            )
+        assert pool.idle_count == 1
+
+
 def test_ambiguous_answers_are_refused() -> None:
     """An answer whose end is ambiguous is refused."""
     length = b"Content-Length: 1\r\n"
