End a replica that is stopped while it learns that it was removed

Callers saw: nothing yet; found by reading the stop of a replica. A replica that was told of its removal while it stopped started again as a new one; the SIGTERM was spent, so the process went on until it was killed.

Change: a removal ends a stopping process; its next start finds out again. test_removed_replica_that_stops_does_not_start_again did not end before.

--- a/src/lovagesaddle/control/main.py
+++ b/src/lovagesaddle/control/main.py
@@ -99,7 +99,9 @@
                 peer=error.peer,
                 cause=error.cause,
             )
-            return ExitReason.REMOVED
+            # A process that is to end finds out again at its next start.
+            if not program.is_stopping:
+                return ExitReason.REMOVED
         return ExitReason.STOPPED
 
 
--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -145,6 +145,11 @@
         """
         return self._endpoint.traffic_bytes
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether `stop` was called."""
+        return self._stopping.is_set()
+
     def stop(self) -> None:
         """Makes `run` hand over leadership and return.
 
--- a/tests/test_control_main.py
+++ b/tests/test_control_main.py
@@ -1,12 +1,17 @@
 """Tests of real control processes: crash, resend and folder verification."""
 
 import signal
+from unittest import mock
 
 from bench import replica_processes
 from typer import testing
 
 from lovagesaddle.control import main
+from lovagesaddle.control import program as program_lib
+from lovagesaddle.control import replica_discovery
 from lovagesaddle.core.model import commands
+from lovagesaddle.settings import schema
+from lovagesaddle.storage import retirement
 from tests import fixtures
 
 
@@ -40,6 +45,34 @@
         assert str(segment) in damaged.output
 
 
+def test_removed_replica_that_stops_does_not_start_again() -> None:
+    """SIGTERM was lost, and the process was killed in its new life."""
+    program = mock.MagicMock()
+    program.__enter__.return_value = program
+    program.run.side_effect = replica_discovery.RemovedError(
+        step="follow the log", peer="leader", cause="removed"
+    )
+    program.is_stopping = True
+    settings = schema.ControlSettings(
+        replica_id="r1",
+        address="tcp://127.0.0.1:1",
+        failure_domain="a",
+        data_folder="unused",
+        cluster_id="c",
+        replicas=(),
+    )
+    with (
+        mock.patch.object(
+            program_lib, "ControlProgram", return_value=program
+        ) as start,
+        mock.patch.object(retirement, "mark_retired") as retire,
+        mock.patch.object(signal, "signal"),
+    ):
+        main.serve(settings, is_founding=False)
+    assert start.call_count == 1
+    assert not retire.called
+
+
 def _verify(folder: str) -> testing.Result:
     return testing.CliRunner().invoke(main.app, ["verify", folder])
 
