--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -182,6 +182,7 @@
       sidecars: Number of nodes.
       grace_s: Time after SIGTERM at which the platform kills a process.
       link_mbps: Rate of each VM's link, as its settings state it.
+      net: First half of all addresses, on loopback.
     """
 
     def __init__(
@@ -190,7 +191,9 @@
         sidecars: int = 2,
         grace_s: int = GRACE_S,
         link_mbps: float = 1000.0,
+        net: str = "127.0",
     ) -> None:
+        self._net = net
         self._folder = folder
         self._link_mbps = link_mbps
         self._grace_s = grace_s
@@ -199,8 +202,8 @@
             sockets.find_free_ports(5)
         )
         self._ready, self._app = ready, app
-        self.controls = [f"127.0.1.{n + 1}" for n in range(CONTROLS)]
-        self.nodes = [f"127.0.2.{n + 1}" for n in range(sidecars)]
+        self.controls = [f"{net}.1.{n + 1}" for n in range(CONTROLS)]
+        self.nodes = [f"{net}.2.{n + 1}" for n in range(sidecars)]
         self.programs: dict[str, processes.Process] = {}
 
     def __enter__(self) -> Self:
@@ -213,6 +216,10 @@
     def __exit__(self, *_: object) -> None:
         self._stack.close()
 
+    def make_control_address(self) -> str:
+        """Returns the IP of a further control VM."""
+        return f"{self._net}.1.{len(self.programs) + 1}"
+
     def start(self, role: str, ip: str, *, is_first: bool = True) -> None:
         """Starts a program on a VM."""
         template = (ROOT / "deploy" / f"{role}.ini").read_text("utf-8")
