Drop an answer quietly when the loop has closed its connection

Callers saw: nothing, they had left.

Cause: the loop closes the connection of a requester that has left, and waitress's task writes to it without a check.

Change: the connection's send returns 0 then, with a line answer_dropped. test_answer_to_a_closed_connection_is_dropped failed before.

--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -18,6 +18,7 @@
 from lovagesaddle.http import parser
 from lovagesaddle.http import sockets
 from lovagesaddle.http import thread_pools
+from lovagesaddle.observability import logs
 
 CONNECTION_LIMIT = 4096
 BACKLOG = 1024
@@ -32,6 +33,7 @@
 JOIN_TIMEOUT_S = 5.0
 
 _serving = threading.local()
+_log = logs.get_logger("http")
 
 Application = Callable[[dict[str, Any], Callable[..., Any]], Any]
 
@@ -115,6 +117,21 @@
         waits = self.total_outbufs_len > self.adj.outbuf_high_watermark
         return bool(self.total_outbufs_len) and (waits or not self.is_writing)
 
+    def send(self, data: bytes, do_close: bool = True) -> int:
+        """Sends a part of an answer; returns how many bytes were sent.
+
+        The loop may close the connection of a requester that has left while a
+        task writes its answer; waitress does not expect that.
+        """
+        try:
+            return int(super().send(data, do_close))
+        except AttributeError:
+            if self.socket is not None:
+                raise
+            if logs.allows_request_line(failed=True):
+                _log.info("answer_dropped", unsent_bytes=len(data))
+            return 0
+
     def write_soon(self, data: Any) -> int:
         """Writes a part of an answer on the task's thread."""
         self.is_writing = True
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -166,6 +166,16 @@
         assert not application.ran
 
 
+def test_answer_to_a_closed_connection_is_dropped() -> None:
+    """The loop may close a connection while a task writes to it.
+
+    After a pause of the process, waitress reported an unexpected exception.
+    """
+    channel = server_lib._Channel.__new__(server_lib._Channel)
+    channel.socket = None
+    assert channel.send(b"answer") == 0
+
+
 def test_oversized_headers_and_bodies_are_refused() -> None:
     """Oversized headers and bodies are answered with 431 and 413."""
     with _serve() as (application, server):
