--- a/src/lovagesaddle/http/parser.py
+++ b/src/lovagesaddle/http/parser.py
@@ -29,9 +29,12 @@
 
     Attributes:
       headed_at: Monotonic time when its header was complete, in seconds.
+      arrived_at: Monotonic time when it was complete and was dispatched, in
+        seconds; 0 before that.
     """
 
     headed_at: float = 0.0
+    arrived_at: float = 0.0
     _method_bytes: bytes = b""
 
     @property
--- a/src/lovagesaddle/node/attempt_senders.py
+++ b/src/lovagesaddle/node/attempt_senders.py
@@ -12,6 +12,7 @@
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import body_transfer
+from lovagesaddle.node import offered_bodies
 from lovagesaddle.node import owner as owner_lib
 
 _DUPLICATE = admission_events.RefusalReason.DUPLICATE.value
@@ -20,7 +21,7 @@
 _SERVER_DOWN_CAUSES = frozenset(
     {
         admission_events.RefusalReason.SERVER_DOWN.value,
-        owner_lib.SERVER_UNKNOWN,
+        offered_bodies.SERVER_UNKNOWN,
     }
 )
 _ENDINGS = {
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -13,7 +13,6 @@
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import call_chain as chain_lib
 from lovagesaddle.core.routing import claim_keys
-from lovagesaddle.core.routing import graceful_shutdown
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import table as table_lib
@@ -32,6 +31,7 @@
 from lovagesaddle.node import routing as routing_lib
 from lovagesaddle.node import server_heartbeats
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
+from lovagesaddle.node import stop_limit as stop_limit_lib
 from lovagesaddle.node import table_proofs
 from lovagesaddle.observability import logs
 from lovagesaddle.observability import metrics as metrics_lib
@@ -61,6 +61,7 @@
       shared_quarantine: Quarantine of requests that crash servers.
       claims: Claims on Idempotency-Keys.
       guards: Watches deadlines and callers that disconnect.
+      stop_limit: Refuses what this node can't answer before it stops.
       metrics: Metrics of this process.
       names: Names of the headers exchanged with callers and backend servers.
       caller_service: Name of the service of this VM until a heartbeat names it,
@@ -79,6 +80,7 @@
         shared_quarantine: shared_quarantine_lib.SharedQuarantine,
         claims: claims_lib.Claims,
         guards: watchdog.Watchdog,
+        stop_limit: stop_limit_lib.StopLimit,
         metrics: metrics_lib.Metrics,
         names: header_names.HeaderNames = header_names.DEFAULT,
         caller_service: str = "",
@@ -95,11 +97,11 @@
         self._shared_quarantine = shared_quarantine
         self._claims = claims
         self._guards = guards
+        self._stop_limit = stop_limit
         self._latency = metrics.get_latency(
             "call_seconds", "Time from a whole request to its answer"
         )
         self._metrics = metrics
-        self._stopping: graceful_shutdown.Schedule | None = None
         self._attempts = metrics.get_counter(
             "attempts_total", "Attempts sent to owners"
         )
@@ -116,10 +118,6 @@
         ).add()
         return answer
 
-    def limit_requests(self, schedule: graceful_shutdown.Schedule) -> None:
-        """Takes only requests that can be answered before the node stops."""
-        self._stopping = schedule
-
     def refuse(self, reason: str) -> wsgi.Answer:
         """Returns a refusal with status 503 for a request that did not run."""
         return wsgi.make_failure(503, reason, _NOT_RUN, (("Retry-After", "1"),))
@@ -180,7 +178,13 @@
         except errors.ChainError as error:
             return wsgi.make_failure(400, error.cause, _NOT_RUN)
         deadline = arrived_at + call_lib.compute_timeout(match.route, chain)
-        if self._is_too_late(deadline, match.service, chain.request_id):
+        if self._stop_limit.refuses(
+            request=chain.request_id,
+            deadline=deadline,
+            estimate_run_time=lambda: self._routing.estimate_run_time(
+                match.service
+            ),
+        ):
             return self.refuse(STOPPING)
         return self._call(
             _Accepted(
@@ -289,32 +293,6 @@
             raise _OutdatedRouteError(accepted.table.publication, body)
         return call_answers.make_answer(call_result, request_id, self._names)
 
-    def _is_too_late(
-        self, deadline: float, service: str, request_id: str
-    ) -> bool:
-        """Returns whether this node stops before a request would end."""
-        schedule = self._stopping
-        if schedule is None:
-            return False
-        now = time.monotonic()
-        run_s = self._routing.estimate_run_time(service)
-        if schedule.allows(now=now, deadline=deadline, run_s=run_s):
-            return False
-        self._metrics.get_counter(
-            "stopping_refusals_total",
-            "Requests refused since the node stops before they would end",
-        ).add()
-        if logs.allows_request_line(failed=True):
-            _log.info(
-                "refused_while_stopping",
-                request=request_id,
-                service=service,
-                deadline_ms=int((deadline - now) * MS_PER_S),
-                run_ms=int(run_s * MS_PER_S),
-                left_ms=int((schedule.requests_end_at - now) * MS_PER_S),
-            )
-        return True
-
     def _make_caller_header(self) -> headers_lib.Headers:
         """Returns the header with the service of this VM, if it is known."""
         service = self._heartbeats.service or self._caller_service
--- a/src/lovagesaddle/node/owned_server.py
+++ b/src/lovagesaddle/node/owned_server.py
@@ -255,6 +255,11 @@
             self.crashed = True
             return tuple(self._running.values())
 
+    def estimate_run_time(self, kind: str) -> float:
+        """Returns the expected run time of a kind of request, in seconds."""
+        with self.lock:
+            return self.admission.estimate_run_time(kind)
+
     def is_idle(self) -> bool:
         """Returns whether no request runs or is queued."""
         return not (self.admission.running or self.admission.waiting)
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -6,26 +6,24 @@
 
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import admission_events
-from lovagesaddle.core.routing import body_scheduler
-from lovagesaddle.core.routing import graceful_shutdown
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import body_receiver as body_receiver_lib
+from lovagesaddle.node import offered_bodies
 from lovagesaddle.node import owned_server
 from lovagesaddle.node import owner_answers
 from lovagesaddle.node import seen_attempts
 from lovagesaddle.node import server_exchange
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
+from lovagesaddle.node import stop_limit as stop_limit_lib
 from lovagesaddle.observability import logs
 from lovagesaddle.observability import metrics
 
 MS_PER_S = 1000
 NO_RATE_LIMIT = -1.0
-SERVER_UNKNOWN = "server-unknown"
-BODY_LOST = "body-lost"
 LeavingReport = Callable[[str, int], None]
 RouteCheck = Callable[[hop.RunRequest, str], bool]
 _log = logs.get_logger("owner")
@@ -43,6 +41,8 @@
         one piece.
       allows_route: Returns whether this node's table allows a request to run
         at the service with the given name.
+      stop_limit: Refuses what this node can't answer before it stops; refuses
+        nothing if None.
     """
 
     def __init__(
@@ -54,7 +54,14 @@
         names: header_names.HeaderNames = header_names.DEFAULT,
         body_receiver: body_receiver_lib.BodyReceiver | None = None,
         allows_route: RouteCheck | None = None,
+        stop_limit: stop_limit_lib.StopLimit | None = None,
     ) -> None:
+        self._stop_limit = stop_limit or stop_limit_lib.StopLimit(
+            metrics.Metrics()
+        )
+        self._bodies = offered_bodies.OfferedBodies(
+            body_receiver, self._stop_limit
+        )
         self._allows_route = allows_route or _allow_route
         self._body_receiver = body_receiver
         self._exchange = server_exchange.ServerExchange(
@@ -66,7 +73,6 @@
         self._seen_attempts = seen_attempts.SeenAttempts()
         self._sent = metrics.Counter()
         self._report_leaving: LeavingReport = _ignore_leaving
-        self._stopping: graceful_shutdown.Schedule | None = None
 
     @property
     def sent(self) -> int:
@@ -136,10 +142,6 @@
         """
         self._report_leaving = report
 
-    def limit_requests(self, schedule: graceful_shutdown.Schedule) -> None:
-        """Admits only requests that can end before the node stops."""
-        self._stopping = schedule
-
     def close(self, server_id: str, reason: str) -> None:
         """Removes a server and refuses the requests queued for it."""
         owned = self._owned.pop(server_id, None)
@@ -188,8 +190,10 @@
         """
         owned = self._owned.get(request.server_id)
         if owned is None:
-            self._drop_body(request)
-            return owner_answers.make_refusal(request, SERVER_UNKNOWN, None)
+            self._bodies.drop(request)
+            return owner_answers.make_refusal(
+                request, offered_bodies.SERVER_UNKNOWN, None
+            )
         answer = self._run(request, owned, guard)
         if request.known is None and not owned.has_stated:
             return answer
@@ -205,7 +209,7 @@
             reason = admission_events.RefusalReason.DUPLICATE.value
             return owner_answers.make_refusal(request, reason, owned)
         if not self._allows_route(request, owned.server.service):
-            self._drop_body(request)
+            self._bodies.drop(request)
             _log.info(
                 "route_outdated",
                 attempt=request.attempt_id,
@@ -216,12 +220,16 @@
                 request, hop.ROUTE_OUTDATED, owned
             )
         if request.offset:
-            completed = self._complete_body(request)
+            completed = self._bodies.complete(request)
             if completed is None:
-                return owner_answers.make_refusal(request, BODY_LOST, owned)
+                return owner_answers.make_refusal(
+                    request, offered_bodies.BODY_LOST, owned
+                )
             request = completed
-        if self._apply_known(request, owned) or self._is_too_late(
-            owned, request.route, guard.deadline
+        if self._apply_known(request, owned) or self._stop_limit.refuses(
+            attempt=request.attempt_id,
+            deadline=guard.deadline,
+            estimate_run_time=lambda: owned.estimate_run_time(request.route),
         ):
             reason = admission_events.RefusalReason.DRAINING.value
             return owner_answers.make_refusal(request, reason, owned)
@@ -238,57 +246,14 @@
     def offer(
         self, offer: hop.BodyOffer, guard: watchdog.Guard
     ) -> hop.RunAnswer | hop.BodyTaken:
-        """Waits until a large body may be sent, or refuses its request.
-
-        Args:
-          offer: Describes the body.
-          guard: Ends the wait at its deadline or when the entry disconnects.
-        """
-        owned = self._owned.get(offer.server_id)
-        if owned is None or self._body_receiver is None:
-            return owner_answers.make_refusal(offer, SERVER_UNKNOWN, owned)
-        with owned.lock:
-            reason = owned.admission.check_capacity(time.monotonic())
-            run_s = owned.admission.estimate_run_time(offer.route)
-        if self._is_too_late(owned, offer.route, guard.deadline):
-            reason = admission_events.RefusalReason.DRAINING
-        if reason is not None:
-            return owner_answers.make_refusal(offer, reason.value, owned)
-        decision = self._body_receiver.offer(
-            body_scheduler.Offered(
-                attempt_id=offer.attempt_id,
-                body_bytes=offer.body_bytes,
-                priority=offer.priority,
-                latest_at=guard.deadline - run_s,
-            ),
-            guard,
+        """Waits until a large body may be sent; see `OfferedBodies.offer`."""
+        return self._bodies.offer(
+            self._owned.get(offer.server_id), offer, guard
         )
-        match decision:
-            case body_scheduler.Granted():
-                return hop.BodyTaken(attempt_id=offer.attempt_id)
-            case body_scheduler.Declined():
-                reason = admission_events.RefusalReason.DEADLINE
-                after_s = decision.retry_after_s
-            case None:
-                reason, after_s = admission_events.RefusalReason.CANCELLED, 0.0
-        return owner_answers.make_refusal(offer, reason.value, owned, after_s)
 
     def receive_part(self, part: hop.BodyPart) -> hop.RunAnswer | hop.BodyTaken:
         """Receives a part of a body, or refuses its request."""
-        owned = self._owned.get(part.server_id)
-        if owned is None or self._body_receiver is None:
-            return owner_answers.make_refusal(part, SERVER_UNKNOWN, owned)
-        if owned.draining or owned.down:
-            self._body_receiver.drop(part.attempt_id)
-            reason = admission_events.RefusalReason.SERVER_DOWN
-            if owned.draining:
-                reason = admission_events.RefusalReason.DRAINING
-            return owner_answers.make_refusal(part, reason.value, owned)
-        if self._body_receiver.add_part(
-            part.attempt_id, part.offset, part.data
-        ):
-            return hop.BodyTaken(attempt_id=part.attempt_id)
-        return owner_answers.make_refusal(part, BODY_LOST, owned)
+        return self._bodies.receive_part(self._owned.get(part.server_id), part)
 
     def _apply_known(
         self, request: hop.RunRequest, owned: owned_server.OwnedServer
@@ -308,40 +273,11 @@
             self._drain_leaving(owned)
         return True
 
-    def _is_too_late(
-        self, owned: owned_server.OwnedServer, route: str, deadline: float
-    ) -> bool:
-        """Returns whether this node stops before a request would end."""
-        if self._stopping is None:
-            return False
-        with owned.lock:
-            run_s = owned.admission.estimate_run_time(route)
-        now = time.monotonic()
-        return not self._stopping.allows(
-            now=now, deadline=deadline, run_s=run_s
-        )
-
     def _drain_leaving(self, owned: owned_server.OwnedServer) -> None:
         owned.drain()
         server = owned.server
         self._report_leaving(server.server_id, server.incarnation)
 
-    def _complete_body(self, request: hop.RunRequest) -> hop.RunRequest | None:
-        """Returns the request with its whole body; None if incomplete."""
-        if self._body_receiver is None:
-            return None
-        body = self._body_receiver.finish(
-            request.attempt_id, request.offset, request.body
-        )
-        if body is None:
-            _log.warning("body_lost", attempt=request.attempt_id)
-            return None
-        return dataclasses.replace(request, body=body)
-
-    def _drop_body(self, request: hop.RunRequest) -> None:
-        if self._body_receiver is not None and request.offset:
-            self._body_receiver.drop(request.attempt_id)
-
     def _admit(
         self,
         request: hop.RunRequest,
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -9,7 +9,6 @@
 import zmq
 
 from lovagesaddle.core.configuration import delta
-from lovagesaddle.core.membership import server_confirmation
 from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import body_scheduler
 from lovagesaddle.core.routing import call as call_lib
@@ -28,6 +27,7 @@
 from lovagesaddle.node import listeners
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import mesh_secret
+from lovagesaddle.node import node_gauges
 from lovagesaddle.node import owned_server
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import ports
@@ -38,6 +38,7 @@
 from lovagesaddle.node import server_heartbeats
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
 from lovagesaddle.node import shutdown
+from lovagesaddle.node import stop_limit as stop_limit_lib
 from lovagesaddle.node import table_proofs
 from lovagesaddle.observability import logs
 from lovagesaddle.observability import metrics as metrics_lib
@@ -47,7 +48,6 @@
 # Time that the process takes to end once its threads have stopped.
 EXIT_S = 0.2
 BYTES_PER_MBIT = 125_000
-UNPROVED_AGE = -1.0
 # Two TCP retransmissions stay unacknowledged only if the link or VM is down.
 HOP_ACK_TIMEOUT_S = 0.6
 _log = logs.get_logger("node")
@@ -137,6 +137,7 @@
             unacknowledged_s=HOP_ACK_TIMEOUT_S, budget=budget
         )
         self._shared_quarantine = shared_quarantine_lib.SharedQuarantine()
+        self._stop_limit = stop_limit_lib.StopLimit(self.metrics)
         self._owner = owner_lib.Owner(
             pool=self._pool,
             shared_quarantine=self._shared_quarantine,
@@ -144,12 +145,16 @@
             names=names,
             body_receiver=body_receiver,
             allows_route=self._routing.allows_route,
+            stop_limit=self._stop_limit,
         )
         self._servers = local_servers.LocalServers(
             node_id=settings.node_id, owner=self._owner
         )
         self.heartbeats = server_heartbeats.ServerHeartbeats(
-            self._servers, check_health=self._check_health
+            self._servers,
+            check_health=server_health.HealthChecks(
+                self._routing.find_health_path, names
+            ).check,
         )
         self._control: ports.ControlPort | None = None
         self._discovery = self._make_discovery()
@@ -159,11 +164,10 @@
         self._watchdog = watchdog.Watchdog()
         self._limits: services.CallerLimits | None = None
         signer = hop.EnvelopeSigner(mesh_secret.read(settings))
-        self._entry = self._make_entry(signer)
         self._http, self._hops = listeners.open_listeners(
             settings,
             listeners.RequestHandlers(
-                entry=self._entry,
+                entry=self._make_entry(signer),
                 owner=self._owner,
                 signer=signer,
                 guards=self._watchdog,
@@ -199,33 +203,12 @@
             self._shared_quarantine.connect(control)
             self._claims.connect(control)
             self._table_proofs.connect(control)
-            self.metrics.set_gauge(
-                "table_version",
-                "Version of the routing table; 0 for none.",
-                lambda: self._read_health().version,
-            )
-            self.metrics.set_gauge(
-                "table_age_seconds",
-                "How old the routing table may be; -1 if nothing proves it.",
-                self._read_table_age,
-            )
-            self.metrics.set_gauge(
-                "control_bytes_total",
-                "Bytes of configuration traffic, both ways.",
-                lambda: control.control_bytes,
-                kind="counter",
-            )
-            self.metrics.set_gauge(
-                "server_requests_total",
-                "Requests sent to the local backend server.",
-                lambda: self._owner.sent,
-                kind="counter",
-            )
-            self.metrics.set_gauge(
-                "server_rate_limit",
-                "Requests a second that the local backend server takes from"
-                " all nodes; -1 if it states no limit.",
-                lambda: self._owner.rate_limit,
+            node_gauges.register_gauges(
+                self.metrics,
+                read_version=lambda: self._read_health().version,
+                proofs=self._table_proofs,
+                control=control,
+                owner=self._owner,
             )
             if self._settings.probe:
                 stack.enter_context(probes.Prober(self._servers))
@@ -310,7 +293,7 @@
         killed_at = time.monotonic() + self._settings.grace_s
         is_clean = shutdown.Shutdown(
             servers=self._servers,
-            entry=self._entry,
+            stop_limit=self._stop_limit,
             owner=self._owner,
             http=self._http,
             hops=self._hops,
@@ -344,26 +327,6 @@
             stopping=self._stopping,
         )
 
-    def _read_table_age(self) -> float:
-        age_s = self._table_proofs.compute_age()
-        return UNPROVED_AGE if age_s is None else age_s
-
-    def _check_health(
-        self, announcement: local_servers.Announcement
-    ) -> server_confirmation.Health | None:
-        """Asks the server at the address of an announcement who it is."""
-        path = self._routing.find_health_path(announcement.service)
-        if not path:
-            return None
-        answer = server_health.request_health(
-            announcement.address, path, self._names
-        )
-        if answer is None or not answer.instance:
-            return None
-        return server_confirmation.Health(
-            instance=answer.instance, is_serving=answer.is_serving
-        )
-
     def _make_discovery(self) -> server_discovery.ServerDiscovery | None:
         if not (self._settings.service and self._settings.server_address):
             return None
@@ -393,6 +356,7 @@
             shared_quarantine=self._shared_quarantine,
             claims=self._claims,
             guards=self._watchdog,
+            stop_limit=self._stop_limit,
             metrics=self.metrics,
             names=self._names,
             caller_service=self._settings.service,
--- a/src/lovagesaddle/node/server_health.py
+++ b/src/lovagesaddle/node/server_health.py
@@ -1,10 +1,12 @@
 """Asks the backend server at an address for its health and its identity."""
 
+from collections.abc import Callable
 import dataclasses
 import time
 
 from returns import result
 
+from lovagesaddle.core.membership import server_confirmation
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import server_statements
 from lovagesaddle.http import answer_budget
@@ -35,6 +37,38 @@
     is_serving: bool
 
 
+class HealthChecks:
+    """Asks the servers that announce themselves who they are.
+
+    Args:
+      find_health_path: Returns the path of a service's health endpoint; empty
+        while it is unknown.
+      names: Names of the headers in which servers describe themselves.
+    """
+
+    def __init__(
+        self,
+        find_health_path: Callable[[str], str],
+        names: header_names.HeaderNames,
+    ) -> None:
+        self._find_health_path = find_health_path
+        self._names = names
+
+    def check(
+        self, announcement: local_servers.Announcement
+    ) -> server_confirmation.Health | None:
+        """Returns what the server at an announced address says of itself."""
+        path = self._find_health_path(announcement.service)
+        if not path:
+            return None
+        answer = request_health(announcement.address, path, self._names)
+        if answer is None or not answer.instance:
+            return None
+        return server_confirmation.Health(
+            instance=answer.instance, is_serving=answer.is_serving
+        )
+
+
 def request_health(
     address: str, path: str, names: header_names.HeaderNames
 ) -> HealthAnswer | None:
--- a/src/lovagesaddle/node/shutdown.py
+++ b/src/lovagesaddle/node/shutdown.py
@@ -3,12 +3,13 @@
 import time
 
 from lovagesaddle.core.routing import graceful_shutdown
+from lovagesaddle.http import channels
 from lovagesaddle.http import server as server_lib
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import claims as claims_lib
-from lovagesaddle.node import entry as entry_lib
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import owner as owner_lib
+from lovagesaddle.node import stop_limit as stop_limit_lib
 from lovagesaddle.observability import logs
 
 MS_PER_S = 1000
@@ -23,7 +24,7 @@
 
     Args:
       servers: Registered local servers.
-      entry: Answers callers.
+      stop_limit: Refuses requests that come too late.
       owner: Runs attempts on the local servers.
       http: HTTP server for callers.
       hops: HTTP server for other nodes; may be the same one.
@@ -37,7 +38,7 @@
         self,
         *,
         servers: local_servers.LocalServers,
-        entry: entry_lib.Entry,
+        stop_limit: stop_limit_lib.StopLimit,
         owner: owner_lib.Owner,
         http: server_lib.HttpServer,
         hops: server_lib.HttpServer,
@@ -47,7 +48,7 @@
     ) -> None:
         self._guards = guards
         self._servers = servers
-        self._entry = entry
+        self._stop_limit = stop_limit
         self._request_id_header = request_id_header
         self._owner = owner
         self._http_servers = tuple(dict.fromkeys((http, hops)))
@@ -98,7 +99,7 @@
             grace_s=min(IDLE_GRACE_S, left_s), on_cut=self._log_cut
         )
 
-    def _log_cut(self, request: server_lib.OpenRequest) -> None:
+    def _log_cut(self, request: channels.OpenRequest) -> None:
         _log.warning(
             "request_cut",
             request=request.headers.get(self._request_id_header.lower(), ""),
@@ -113,8 +114,7 @@
                     self._servers.drain_server(action.server_id)
                 case graceful_shutdown.LimitRequests():
                     self._answers_end_at = action.schedule.answers_end_at
-                    self._entry.limit_requests(action.schedule)
-                    self._owner.limit_requests(action.schedule)
+                    self._stop_limit.begin(action.schedule)
                     self._guards.end_waits_at(action.schedule.requests_end_at)
                     for server in self._http_servers:
                         server.close_after_answers()
--- a/tests/test_http_loop.py
+++ b/tests/test_http_loop.py
@@ -3,6 +3,7 @@
 from typing import Any
 from unittest import mock
 
+from lovagesaddle.http import channels
 from lovagesaddle.http import server as server_lib
 from lovagesaddle.http import thread_pools
 from tests import fixtures
@@ -34,9 +35,9 @@
 def test_idle_connections_are_not_asked_at_each_request() -> None:
     """The cost of a request does not grow with the idle connections."""
     calls = [0]
-    readable = server_lib._Channel.readable
+    readable = channels.Channel.readable
 
-    def count(channel: server_lib._Channel) -> bool:
+    def count(channel: channels.Channel) -> bool:
         calls[0] += 1
         return readable(channel)
 
@@ -44,7 +45,7 @@
         idle = [nodes.open_request(server.address) for _ in range(IDLE)]
         for sock in idle:
             assert sock.recv(1000).startswith(b"HTTP/1.1 200")
-        with mock.patch.object(server_lib._Channel, "readable", count):
+        with mock.patch.object(channels.Channel, "readable", count):
             for _ in range(REQUESTS):
                 assert nodes.send(server.address).status == 200
         for sock in idle:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -13,6 +13,7 @@
 
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.model import services
+from lovagesaddle.http import channels
 from lovagesaddle.http import parser
 from lovagesaddle.http import server as server_lib
 from lovagesaddle.http import thread_pools
@@ -171,7 +172,7 @@
 
     After a pause of the process, waitress reported an unexpected exception.
     """
-    channel = server_lib._Channel.__new__(server_lib._Channel)
+    channel = channels.Channel.__new__(channels.Channel)
     channel.socket = None
     assert channel.send(b"answer") == 0
 
