Share the steps that tests and the soak wrote twice

Cause: three pairs of tests and requests repeated the same set-up line by line.

What is checked stays.

--- a/bench/soak_load.py
+++ b/bench/soak_load.py
@@ -1,6 +1,7 @@
 """Callers and an operator who go on while processes fail."""
 
 import dataclasses
+import functools
 import http.client
 import json
 import random
@@ -98,31 +99,26 @@
             platform_lib.REQUEST_ID: request_id,
             platform_lib.DEADLINE: str(int(DEADLINE_S * MS_PER_S)),
         }
-        sent_at = time.monotonic()
+        make_call = functools.partial(
+            Call,
+            request_id=request_id,
+            node=node,
+            method=method,
+            sent_at=time.monotonic(),
+        )
         try:
             connection.request(method, path, body, headers)
             response = connection.getresponse()
             content = response.read()
         except (OSError, http.client.HTTPException) as error:
-            return Call(
-                request_id=request_id,
-                node=node,
-                method=method,
-                sent_at=sent_at,
-                ended_at=time.monotonic(),
-                error=repr(error),
-            )
+            return make_call(ended_at=time.monotonic(), error=repr(error))
         is_own = response.headers.get(platform_lib.REQUEST_ID) == request_id
         is_whole = response.status != OK or (
             is_own
             and bool(response.headers.get(platform_lib.STAMP))
             and content == b"ran " + (body or b"")
         )
-        return Call(
-            request_id=request_id,
-            node=node,
-            method=method,
-            sent_at=sent_at,
+        return make_call(
             ended_at=time.monotonic(),
             status=response.status,
             is_foreign=not is_whole,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,6 +7,7 @@
 from typing import ClassVar
 from unittest import mock
 
+from lovagesaddle.node import program
 from lovagesaddle.node import server_discovery
 from lovagesaddle.platform import platform_headers
 from tests import fixtures
@@ -44,6 +45,32 @@
             thread.join()
 
 
+def _discover(
+    node: program.NodeProgram, address: str, service: str = SERVICE
+) -> None:
+    """Runs the discovery of a node's server until it is found.
+
+    Args:
+      node: The node.
+      address: Address of the server.
+      service: Service in the settings when the node started; it is `SERVICE`
+        in the present ones.
+    """
+    with server_discovery.ServerDiscovery(
+        heartbeats=node.heartbeats,
+        service=service,
+        read_service=lambda: SERVICE,
+        address=address,
+        names=platform_headers.HEADERS,
+        find_health_path=lambda _: "/health",
+        poll_interval_s=0.01,
+    ):
+        nodes.wait_for(
+            lambda: not node.heartbeats.needs_discovery(),
+            "the server to be found",
+        )
+
+
 def test_server_is_found_as_soon_as_its_health_path_is_known() -> None:
     """A node that joins again does not wait for the next poll.
 
@@ -85,19 +112,7 @@
     """
     with nodes.Mesh(nodes.make_service()) as mesh, _run_server() as address:
         node = mesh.start("n0", probe=False)
-        with server_discovery.ServerDiscovery(
-            heartbeats=node.heartbeats,
-            service="artwork",
-            read_service=lambda: SERVICE,
-            address=address,
-            names=platform_headers.HEADERS,
-            find_health_path=lambda _: "/health",
-            poll_interval_s=0.01,
-        ):
-            nodes.wait_for(
-                lambda: not node.heartbeats.needs_discovery(),
-                "the server to be found",
-            )
+        _discover(node, address, service="artwork")
         assert node.heartbeats.service == SERVICE
         assert [s.service for s in mesh.control.snapshot.servers] == [SERVICE]
 
@@ -111,19 +126,7 @@
         _run_server() as address,
     ):
         node = mesh.start("n0", probe=False)
-        with server_discovery.ServerDiscovery(
-            heartbeats=node.heartbeats,
-            service=SERVICE,
-            read_service=lambda: SERVICE,
-            address=address,
-            names=platform_headers.HEADERS,
-            find_health_path=lambda _: "/health",
-            poll_interval_s=0.01,
-        ):
-            nodes.wait_for(
-                lambda: not node.heartbeats.needs_discovery(),
-                "the server to be found",
-            )
+        _discover(node, address)
         (server,) = mesh.control.snapshot.servers
     assert server.slots == 4
     assert not malformed
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -14,8 +14,11 @@
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import body_receiver as body_receiver_lib
+from lovagesaddle.node import offered_bodies
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
+from lovagesaddle.node import stop_limit
+from lovagesaddle.observability import metrics
 from tests import fixtures
 from tests import routing_mesh
 
@@ -112,6 +115,16 @@
     return watchdog.Guard(time.monotonic() + 60.0, lambda: False)
 
 
+def _make_offer(attempt_id: str, server_id: str) -> hop.BodyOffer:
+    return hop.BodyOffer(
+        attempt_id=attempt_id,
+        server_id=server_id,
+        body_bytes=100_000,
+        remaining_ms=60_000,
+        priority=services.Priority.NORMAL,
+    )
+
+
 def test_body_is_not_sent_to_a_draining_server() -> None:
     """The request is refused before and during the transfer of its body."""
     body_receiver = body_receiver_lib.BodyReceiver(1e6)
@@ -122,13 +135,7 @@
     )
     server = routing_mesh.make_server(0)
     owner.open(server, "127.0.0.1:1")
-    offer = hop.BodyOffer(
-        attempt_id="r.1",
-        server_id=server.server_id,
-        body_bytes=100_000,
-        remaining_ms=60_000,
-        priority=services.Priority.NORMAL,
-    )
+    offer = _make_offer("r.1", server.server_id)
     taken = hop.BodyTaken(attempt_id="r.1")
     part = hop.BodyPart(
         attempt_id="r.1", server_id=server.server_id, offset=0, data=b"a"
@@ -149,22 +156,18 @@
 
 def test_request_that_would_outlast_the_node_is_not_run() -> None:
     """A stopping owner refuses what it could only cut, so that it moves on."""
+    limit = stop_limit.StopLimit(metrics.Metrics())
     owner = owner_lib.Owner(
         pool=ForbiddenPool(),
         shared_quarantine=shared_quarantine_lib.SharedQuarantine(),
         body_receiver=body_receiver_lib.BodyReceiver(1e6),
+        stop_limit=limit,
     )
     server = routing_mesh.make_server(0)
     owner.open(server, "127.0.0.1:1")
     began_at = time.monotonic() - graceful_shutdown.LINGER_S
-    owner.limit_requests(graceful_shutdown.make_schedule(began_at, 10.0))
-    offer = hop.BodyOffer(
-        attempt_id="r.2",
-        server_id=server.server_id,
-        body_bytes=100_000,
-        remaining_ms=60_000,
-        priority=services.Priority.NORMAL,
-    )
+    limit.begin(graceful_shutdown.make_schedule(began_at, 10.0))
+    offer = _make_offer("r.2", server.server_id)
     for answer in (
         owner.run(routing_mesh.make_run_request("r.1"), _make_guard()),
         owner.offer(offer, _make_guard()),
@@ -188,7 +191,7 @@
     )
     answer = owner.run(request, _make_guard())
     assert answer.outcome is hop.RunOutcome.REFUSED
-    assert answer.cause == owner_lib.BODY_LOST
+    assert answer.cause == offered_bodies.BODY_LOST
 
 
 load_tests = fixtures.collect(__name__)
