Replay planned stops over kept connections and with longer work

Cause: the replay of LOST opened a connection for each request, and no test had GraceS 10 with work of 4 s, nor work longer than the time left. A caller with an open connection goes on until the process is gone, which a closed listener doesn't show.

--- a/bench/planned_stops.py
+++ b/bench/planned_stops.py
@@ -3,7 +3,8 @@
 `python -m bench.planned_stops --grace 6 --work 2` starts the programs as on the
 platform, with real processes on loopback. One node gets SIGTERM and is killed
 at the end of its grace period. Callers go on sending requests to it that may
-not be repeated, at a fixed rate, for as long as it accepts them.
+not be repeated, at a fixed rate, for as long as it accepts them. Every second
+one goes over a connection that was opened before the SIGTERM.
 """
 
 import argparse
@@ -160,17 +161,21 @@
 ) -> Outcome:
     ip = platform.nodes[0]
     process = platform.programs[ip]
+    address = platform.get_outbound(ip)
+    connections = [
+        _connect(address, plan, is_open=bool(number % 2))
+        for number in range(int(plan.rate * plan.sends_s))
+    ]
     process.terminate()
     started = time.monotonic()
     ended: list[float] = []
     watch = pool.submit(_watch_end, process, started, plan, ended)
     sending = []
-    for number in range(int(plan.rate * plan.sends_s)):
+    for number, connection in enumerate(connections):
         time.sleep(max(0.0, started + number / plan.rate - time.monotonic()))
         if not process.is_running:
             break
-        address = platform.get_outbound(ip)
-        sending.append(pool.submit(_send, address, f"u-{number}", plan))
+        sending.append(pool.submit(_send, connection, f"u-{number}", plan))
     replies = [each.result() for each in sending]
     was_killed = watch.result()
     ran = {key for server in servers for _, key in server.arrived}
@@ -213,11 +218,22 @@
     is_connected: bool
 
 
-def _send(address: str, request_id: str, plan: Plan) -> _Reply:
-    """Sends one request on a new connection."""
+def _connect(
+    address: str, plan: Plan, *, is_open: bool
+) -> http.client.HTTPConnection:
+    """Returns a connection, which opens with its request unless `is_open`."""
     connection = http.client.HTTPConnection(
         address, timeout=plan.deadline_s + 1
     )
+    if is_open:
+        connection.connect()
+    return connection
+
+
+def _send(
+    connection: http.client.HTTPConnection, request_id: str, plan: Plan
+) -> _Reply:
+    """Sends one request, on a new connection if it isn't open."""
     headers = {
         "Host": platform_stand_in.HOST,
         platform_stand_in.REQUEST_ID: request_id,
@@ -225,7 +241,8 @@
     }
     sent_at, status, is_connected = time.monotonic(), 0, False
     try:
-        connection.connect()
+        if connection.sock is None:
+            connection.connect()
         is_connected = True
         connection.request("POST", "/orders/7", bytes(plan.body_bytes), headers)
         response = connection.getresponse()
