Name the unit of a gauge, the reason of an operator's step, and a task

Cause: read as by a newcomer, UNPROVED_AGE had no unit, _FramedTask said nothing of answers to HEAD, and replicas_repaired said that a voter was missing also where an operator had added a replica.

Change: UNPROVED_AGE_S, _HeadAwareTask, and a reason of its own.

--- a/src/lovagesaddle/core/consensus/reconfiguration.py
+++ b/src/lovagesaddle/core/consensus/reconfiguration.py
@@ -155,7 +155,9 @@
         return _replace(members, observation, learner)
     voters = members.list_voters()
     wanted = count_wanted_voters(tolerated)
-    if not tolerated or len(voters) < wanted:
+    if not tolerated:
+        return _promote(members, learner, "an operator added it")
+    if len(voters) < wanted:
         return _promote(members, learner, "a voter is missing")
     for voter in voters:
         if _is_lost(members, observation, voter):
--- a/src/lovagesaddle/http/parser.py
+++ b/src/lovagesaddle/http/parser.py
@@ -89,7 +89,7 @@
             raise parser.ParsingError("The request target is not a path")
 
 
-class _FramedTask(task.Task):  # type: ignore[misc]
+class _HeadAwareTask(task.Task):  # type: ignore[misc]
     """Writes no body after the head of an answer to HEAD."""
 
     def write(self, data: bytes) -> None:
@@ -97,7 +97,7 @@
         super().write(b"" if self.request.is_head else data)
 
 
-class OutcomeErrorTask(_FramedTask, task.ErrorTask):  # type: ignore[misc]
+class OutcomeErrorTask(_HeadAwareTask, task.ErrorTask):  # type: ignore[misc]
     """Answers a request that did not reach the application."""
 
     def execute(self) -> None:
@@ -112,7 +112,7 @@
         super().execute()
 
 
-class ClosingTask(_FramedTask, task.WSGITask):  # type: ignore[misc]
+class ClosingTask(_HeadAwareTask, task.WSGITask):  # type: ignore[misc]
     """Adds `Connection: close` to answers while the server is stopping.
 
     Headers and body are joined into one write, since a second system call
--- a/src/lovagesaddle/node/node_gauges.py
+++ b/src/lovagesaddle/node/node_gauges.py
@@ -7,7 +7,7 @@
 from lovagesaddle.node import table_proofs
 from lovagesaddle.observability import metrics as metrics_lib
 
-UNPROVED_AGE = -1.0
+UNPROVED_AGE_S = -1.0
 
 
 def register_gauges(
@@ -30,7 +30,7 @@
 
     def read_table_age() -> float:
         age_s = proofs.compute_age()
-        return UNPROVED_AGE if age_s is None else age_s
+        return UNPROVED_AGE_S if age_s is None else age_s
 
     metrics.set_gauge(
         "table_version",
