--- a/src/lovagesaddle/core/configuration/delta.py
+++ b/src/lovagesaddle/core/configuration/delta.py
@@ -4,6 +4,8 @@
 import dataclasses
 from typing import TypeVar
 
+import msgspec
+
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import digest
 from lovagesaddle.core.configuration import service_edits
@@ -17,7 +19,10 @@
     snapshots.Node,
     snapshots.BackendServer,
     snapshots.Shard,
+    services.ClientAccount,
+    snapshots.Rollout,
 )
+T = TypeVar("T")
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -61,6 +66,10 @@
             return item.server_id
         case snapshots.Shard():
             return f"{item.number:06d}"
+        case services.ClientAccount():
+            return item.name
+        case snapshots.Rollout():
+            return item.service
 
 
 def compute_delta(
@@ -75,17 +84,38 @@
         version=new.version,
         digest=target.digest,
         services=_list_changed_services(old.services, new.services),
-        removed_services=_list_removed(old.services, new.services),
-        nodes=_list_changed(old.nodes, new.nodes),
-        removed_nodes=_list_removed(old.nodes, new.nodes),
-        servers=_list_changed(old.servers, new.servers),
-        removed_servers=_list_removed(old.servers, new.servers),
-        shards=_list_changed(old.shards, new.shards),
+        removed_services=list_removed(old.services, new.services),
+        nodes=list_changed(old.nodes, new.nodes),
+        removed_nodes=list_removed(old.nodes, new.nodes),
+        servers=list_changed(old.servers, new.servers),
+        removed_servers=list_removed(old.servers, new.servers),
+        shards=list_changed(old.shards, new.shards),
         limits=new.limits,
         publication=new.publication,
+        accounts=unset_if_empty(
+            list_changed(old.accounts or (), new.accounts or ())
+        ),
+        removed_accounts=unset_if_empty(
+            list_removed(old.accounts or (), new.accounts or ())
+        ),
+        rollouts=unset_if_empty(
+            list_changed(old.rollouts or (), new.rollouts or ())
+        ),
+        removed_rollouts=unset_if_empty(
+            list_removed(old.rollouts or (), new.rollouts or ())
+        ),
     )
 
 
+def unset_if_empty(items: tuple[T, ...]) -> tuple[T, ...] | msgspec.UnsetType:
+    """Returns the items, or unset if there are none.
+
+    An unset field is not encoded, so that a snapshot without such items has
+    the bytes and the digest of earlier releases.
+    """
+    return items or msgspec.UNSET
+
+
 def apply_delta(base: HashedSnapshot, delta: snapshots.Delta) -> HashedSnapshot:
     """Applies `delta` to `base` and returns the resulting snapshot.
 
@@ -105,6 +135,20 @@
         shards=merge(old.shards, delta.shards, ()),
         limits=delta.limits,
         publication=delta.publication,
+        accounts=unset_if_empty(
+            merge(
+                old.accounts or (),
+                delta.accounts or (),
+                delta.removed_accounts or (),
+            )
+        ),
+        rollouts=unset_if_empty(
+            merge(
+                old.rollouts or (),
+                delta.rollouts or (),
+                delta.removed_rollouts or (),
+            )
+        ),
     )
     result = rehash_snapshot(base, merged)
     if result.digest != delta.digest:
@@ -128,6 +172,8 @@
         (old.nodes, snapshot.nodes),
         (old.servers, snapshot.servers),
         (old.shards, snapshot.shards),
+        (old.accounts or (), snapshot.accounts or ()),
+        (old.rollouts or (), snapshot.rollouts or ()),
     )
     for before, after in pairs:
         if before is not after:
@@ -205,9 +251,10 @@
     )
 
 
-def _list_changed(
+def list_changed(
     old: tuple[ItemT, ...], new: tuple[ItemT, ...]
 ) -> tuple[ItemT, ...]:
+    """Returns the items that `new` adds or changes."""
     if old is new:
         return ()
     before = {get_item_key(item): item for item in old}
@@ -218,9 +265,10 @@
     )
 
 
-def _list_removed(
+def list_removed(
     old: tuple[ItemT, ...], new: tuple[ItemT, ...]
 ) -> tuple[str, ...]:
+    """Returns the keys of the items that `new` lacks."""
     if old is new:
         return ()
     present = {get_item_key(item) for item in new}
--- a/src/lovagesaddle/core/configuration/digest.py
+++ b/src/lovagesaddle/core/configuration/digest.py
@@ -26,6 +26,8 @@
     | snapshots.Node
     | snapshots.BackendServer
     | snapshots.Shard
+    | services.ClientAccount
+    | snapshots.Rollout
 )
 
 
@@ -111,6 +113,8 @@
         snapshot.nodes,
         snapshot.servers,
         snapshot.shards,
+        snapshot.accounts or (),
+        snapshot.rollouts or (),
     )
     total = sum(hash_item(item) for group in groups for item in group)
     return Accumulator((total + hash_limits(snapshot.limits)) % _MODULUS)
--- a/src/lovagesaddle/core/configuration/publication_edits.py
+++ b/src/lovagesaddle/core/configuration/publication_edits.py
@@ -4,6 +4,7 @@
 """
 
 from lovagesaddle.core import errors
+from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.configuration import document_edits
 from lovagesaddle.core.configuration import service_edits
 from lovagesaddle.core.configuration import state as state_lib
@@ -42,6 +43,16 @@
         services=service_edits.compute_edit(newest.services, command.services),
         document=document,
         limits=command.limits,
+        accounts=delta.unset_if_empty(
+            delta.list_changed(
+                state.snapshot.accounts or (), command.accounts or ()
+            )
+        ),
+        removed_accounts=delta.unset_if_empty(
+            delta.list_removed(
+                state.snapshot.accounts or (), command.accounts or ()
+            )
+        ),
     )
 
 
@@ -77,6 +88,13 @@
         services=service_edits.apply_edit(base, stored.services),
         document=_apply_document_edit(state.document, stored),
         limits=stored.limits,
+        accounts=delta.unset_if_empty(
+            delta.merge(
+                state.snapshot.accounts or (),
+                stored.accounts or (),
+                stored.removed_accounts or (),
+            )
+        ),
     )
 
 
--- a/src/lovagesaddle/core/configuration/state.py
+++ b/src/lovagesaddle/core/configuration/state.py
@@ -173,6 +173,11 @@
             services=published,
             limits=command.limits,
             publication=version,
+            accounts=delta.unset_if_empty(
+                _share_accounts(
+                    state.snapshot.accounts or (), command.accounts or ()
+                )
+            ),
         ),
         publications=(
             *state.publications,
@@ -296,6 +301,20 @@
     return tuple(sorted(shared, key=lambda service: service.name))
 
 
+def _share_accounts(
+    old: tuple[services.ClientAccount, ...],
+    new: tuple[services.ClientAccount, ...],
+) -> tuple[services.ClientAccount, ...]:
+    """Returns `new`, sorted by name, with equal objects taken from `old`."""
+    if old == new:
+        return old
+    by_name = {account.name: account for account in old}
+    return tuple(
+        known if (known := by_name.get(account.name)) == account else account
+        for account in sorted(new, key=lambda account: account.name)
+    )
+
+
 def set_snapshot_publication(state: State) -> State:
     """Returns the state with the publication's version set in its snapshot.
 
--- a/src/lovagesaddle/core/model/commands.py
+++ b/src/lovagesaddle/core/model/commands.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+import msgspec
+
 from lovagesaddle.core import codec
 from lovagesaddle.core.model import documents
 from lovagesaddle.core.model import edits
@@ -30,6 +32,7 @@
       services: The complete set, sorted by name.
       document: Document that the services were read from, if it is stored.
       limits: Limits on callers; if None, each node uses its own settings.
+      accounts: Client accounts, sorted by name; unset for none.
     """
 
     publish_id: str
@@ -38,6 +41,9 @@
     services: tuple[services_lib.Service, ...]
     document: documents.Document | None = None
     limits: services_lib.CallerLimits | None = None
+    accounts: tuple[services_lib.ClientAccount, ...] | msgspec.UnsetType = (
+        msgspec.UNSET
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -52,6 +58,8 @@
       services: Edit that turns its services into those of PublishServices.
       document: As in PublishServices, but as an edit.
       limits: As in PublishServices.
+      accounts: Client accounts that the edit adds or changes; unset for none.
+      removed_accounts: Names of those that it removes; unset for none.
     """
 
     publish_id: str
@@ -61,6 +69,10 @@
     services: edits.ServicesEdit
     document: edits.DocumentEdit | None = None
     limits: services_lib.CallerLimits | None = None
+    accounts: tuple[services_lib.ClientAccount, ...] | msgspec.UnsetType = (
+        msgspec.UNSET
+    )
+    removed_accounts: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/core/model/services.py
+++ b/src/lovagesaddle/core/model/services.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import msgspec
+
 
 class Priority:
     """Named priorities; a route may have any number, and 0 is served first."""
@@ -37,6 +39,27 @@
     digests: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ClientAccount:
+    """A client account of the whole mesh, which calls any service.
+
+    Attributes:
+      name: Name of the account, unique in the mesh.
+      digests: `sha256:<hex>` of each valid key, sorted.
+      priority: Rank of the account, which goes before the route's; 0 is the
+        most urgent.
+      rate_per_s: Requests a second that the account may send to all nodes
+        together; 0 for no limit.
+      burst: Requests that the account may send beyond that at once.
+    """
+
+    name: str
+    digests: tuple[str, ...]
+    priority: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SplitPart:
     """A service that receives a share of a route's requests.
@@ -73,6 +96,11 @@
         caller, in seconds; 0 when the route has no target.
       split: Services that share the requests by weight; empty when all
         requests go to the route's own service.
+      needs_account: Whether a request has to carry the key of a client
+        account; unset for no, so that routes without it are encoded as in
+        earlier releases.
+      has_large_answers: Whether answers are passed on piece by piece; unset
+        for no.
     """
 
     name: str
@@ -89,6 +117,8 @@
     is_open: bool = False
     target_latency_s: float = 0.0
     split: tuple[SplitPart, ...] = ()
+    needs_account: bool | msgspec.UnsetType = msgspec.UNSET
+    has_large_answers: bool | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/core/model/snapshots.py
+++ b/src/lovagesaddle/core/model/snapshots.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+import msgspec
+
 from lovagesaddle.core.model import edits
 from lovagesaddle.core.model import services as services_lib
 
@@ -56,6 +58,8 @@
       state: Whether the server accepts new requests.
       is_warm: Whether the server is known to have been running for a while,
         so that it gets its full share of requests at once.
+      software: Version of the software that the server runs; unset where
+        versions are not rolled out.
     """
 
     server_id: str
@@ -66,6 +70,37 @@
     connections: int
     state: ServerState
     is_warm: bool = False
+    software: str | msgspec.UnsetType = msgspec.UNSET
+
+
+class RolloutPhase(enum.Enum):
+    """Phase of a roll-out; the last two are final."""
+
+    RUNNING = "running"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled-back"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Rollout:
+    """The newest roll-out of a version of a service's software.
+
+    Attributes:
+      service: Name of the service.
+      target: Version of the software that is brought in.
+      ramp_s: Time in which the operator wants it done, in seconds.
+      ordered_at: Log index of the order, which identifies the roll-out.
+      phase: What has become of it.
+      weight: Share of the service's requests that may go to the target
+        version, in thousandths.
+    """
+
+    service: str
+    target: str
+    ramp_s: float
+    ordered_at: int
+    phase: RolloutPhase
+    weight: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -117,6 +152,9 @@
       limits: Limits on callers; if None, each node uses its own settings.
       publication: Version of the publication that the services are from; 0
         before the first one.
+      accounts: Client accounts sorted by name; unset where there are none.
+      rollouts: Newest roll-out of each service, sorted by service; unset
+        where there has been none.
     """
 
     cluster_id: str
@@ -127,6 +165,10 @@
     shards: tuple[Shard, ...] = ()
     limits: services_lib.CallerLimits | None = None
     publication: int = 0
+    accounts: tuple[services_lib.ClientAccount, ...] | msgspec.UnsetType = (
+        msgspec.UNSET
+    )
+    rollouts: tuple[Rollout, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -148,6 +190,10 @@
       shards: Added or changed shards.
       limits: Limits on callers in the result, whether or not they changed.
       publication: Version of the result's publication.
+      accounts: Added or changed client accounts; unset for none.
+      removed_accounts: Names of removed client accounts; unset for none.
+      rollouts: Added or changed roll-outs; unset for none.
+      removed_rollouts: Services whose roll-outs are removed; unset for none.
     """
 
     cluster_id: str
@@ -164,3 +210,9 @@
     shards: tuple[Shard, ...] = ()
     limits: services_lib.CallerLimits | None = None
     publication: int = 0
+    accounts: tuple[services_lib.ClientAccount, ...] | msgspec.UnsetType = (
+        msgspec.UNSET
+    )
+    removed_accounts: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
+    rollouts: tuple[Rollout, ...] | msgspec.UnsetType = msgspec.UNSET
+    removed_rollouts: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
--- a/src/lovagesaddle/core/routing/table.py
+++ b/src/lovagesaddle/core/routing/table.py
@@ -75,12 +75,14 @@
       status: 401 or 403 when not allowed, else 0.
       client: Name of the caller or service; empty when unknown.
       reason: Why it is allowed or not.
+      account: Client account that sent the request; None without one.
     """
 
     allowed: bool
     status: int
     client: str
     reason: AccessReason
+    account: services_lib.ClientAccount | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/http/hop.py
+++ b/src/lovagesaddle/http/hop.py
@@ -9,6 +9,8 @@
 import hashlib
 import hmac
 
+import msgspec
+
 from lovagesaddle.core import codec
 from lovagesaddle.core import errors
 from lovagesaddle.core.routing import known_statements
@@ -47,6 +49,9 @@
         forgets when it restarts; None if nothing.
       publication: Publication by which the entry routed the request; 0 if the
         owner is not to check the route.
+      account: Name of the client account that sent the request; unset
+        without one.
+      account_rank: Priority of that account; unset without one.
     """
 
     attempt_id: str
@@ -65,6 +70,8 @@
     offset: int = 0
     known: known_statements.KnownStatement | None = None
     publication: int = 0
+    account: str | msgspec.UnsetType = msgspec.UNSET
+    account_rank: int | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
