--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -8,6 +8,7 @@
 import http.client
 import http.server
 import json
+import os
 import pathlib
 import re
 import threading
@@ -31,6 +32,7 @@
 CONTROLS = 3
 SLOTS = 4
 METRICS_PORT = "9464"
+MAX_NETS = 250
 HEARTBEAT_INTERVAL_S = 0.2
 GRACE_S = 6
 _PLACE = re.compile(r"\{\{([A-Za-z.0-9]+)\}\}")
@@ -182,7 +184,8 @@
       sidecars: Number of nodes.
       grace_s: Time after SIGTERM at which the platform kills a process.
       link_mbps: Rate of each VM's link, as its settings state it.
-      net: First half of all addresses, on loopback.
+      net: First half of all addresses, on loopback; if empty, one that
+        differs between processes, since the port of the metrics is fixed.
     """
 
     def __init__(
@@ -191,9 +194,9 @@
         sidecars: int = 2,
         grace_s: int = GRACE_S,
         link_mbps: float = 1000.0,
-        net: str = "127.0",
+        net: str = "",
     ) -> None:
-        self._net = net
+        self._net = net or f"127.{1 + os.getpid() % MAX_NETS}"
         self._folder = folder
         self._link_mbps = link_mbps
         self._grace_s = grace_s
