Compile client accounts into the table and bound the age of keys

Cause: a node that is cut off would take a key for good that was taken away meanwhile, and the table knew no accounts.

Change: the table finds an account by the digest of its key and refuses requests without one on routes that need it.

--- a/src/lovagesaddle/core/routing/header_names.py
+++ b/src/lovagesaddle/core/routing/header_names.py
@@ -14,6 +14,7 @@
       depth: Header with the number of entry nodes on a chain of calls.
       retry: Header that tells whether later entry nodes may retry a request.
       caller_service: Header with the service on whose VM a request began.
+      account: Header with the name of the client account that sent a request.
       expected_instance: Header with the instance of the backend server that
         may run the request.
       not_run: Header that marks a backend server's answer to a request that
@@ -27,7 +28,7 @@
       leaving: Headers, in lower case, in which a backend server states that it
         takes no new requests.
       passes_credentials: Whether nodes pass a caller's Authorization header
-        on to backend servers.
+        on to backend servers where there are no client accounts.
       echoes_request_id: Whether backend servers repeat the request ID in
         every successful answer.
       has_fractional_retry: Whether callers accept fractions of a second in
@@ -39,6 +40,7 @@
     depth: str = "Request-Depth"
     retry: str = "Request-Retry"
     caller_service: str = "Request-Caller-Service"
+    account: str = "Request-Account"
     expected_instance: str = "Request-Expected-Instance"
     not_run: str = "Request-Not-Run"
     instance: str = "Server-Instance"
@@ -57,6 +59,7 @@
             self.depth,
             self.retry,
             self.caller_service,
+            self.account,
             self.expected_instance,
         )
         return frozenset(name.lower() for name in names if name)
--- a/src/lovagesaddle/core/routing/route_index.py
+++ b/src/lovagesaddle/core/routing/route_index.py
@@ -76,12 +76,14 @@
 
     Attributes:
       services: The services that the index was built from.
+      keyed_routes: Number of routes that need a client account.
     """
 
     def __init__(
         self, published: tuple[services_lib.Service, ...], version: int
     ) -> None:
         self.services = published
+        self.keyed_routes = 0
         self._version = version
         self._hosts: dict[str, Prefixes] = {}
         self._entries: dict[RouteKey, RouteEntry] = {}
@@ -100,6 +102,7 @@
             return self
         made = type(self).__new__(type(self))
         made.services = published
+        made.keyed_routes = self.keyed_routes
         made._version = version
         made._hosts = dict(self._hosts)
         made._entries = dict(self._entries)
@@ -147,10 +150,12 @@
         copies: dict[PrefixKey, list[RouteEntry]] = {}
         for key in removed:
             entry = self._entries.pop(key)
+            self.keyed_routes -= entry.match.route.needs_account is True
             self._get_copy(copies, entry).remove(entry)
         for entry in added:
             match = entry.match
             self._entries[match.service, match.route.name] = entry
+            self.keyed_routes += match.route.needs_account is True
             self._get_copy(copies, entry).append(entry)
         by_host: dict[str, dict[str, list[RouteEntry]]] = (
             collections.defaultdict(dict)
--- a/src/lovagesaddle/core/routing/table.py
+++ b/src/lovagesaddle/core/routing/table.py
@@ -11,6 +11,7 @@
 from lovagesaddle.core.model import paths
 from lovagesaddle.core.model import services as services_lib
 from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.routing import account_keys
 from lovagesaddle.core.routing import route_index
 
 Match = route_index.Match
@@ -51,6 +52,10 @@
     NO_CREDENTIAL = "no-credential"
     UNKNOWN_CREDENTIAL = "unknown-credential"
     FORBIDDEN = "forbidden"
+    ACCOUNT = "account"
+    NO_ACCOUNT_KEY = "no-account-key"
+    UNKNOWN_ACCOUNT_KEY = "unknown-account-key"
+    MALFORMED_ACCOUNT_KEY = "malformed-account-key"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -60,10 +65,12 @@
     Attributes:
       token_digest: `sha256:<hex>` of the bearer token; empty without one.
       service: Local service that sent the request; empty for a caller.
+      account_key: Key of a client account.
     """
 
     token_digest: str = ""
     service: str = ""
+    account_key: account_keys.AccountKey = account_keys.NO_KEY
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -72,10 +79,11 @@
 
     Attributes:
       allowed: Whether the request may use the route.
-      status: 401 or 403 when not allowed, else 0.
-      client: Name of the caller or service; empty when unknown.
+      status: 400, 401 or 403 when not allowed, else 0.
+      client: Name of the account, caller or service; empty when unknown.
       reason: Why it is allowed or not.
       account: Client account that sent the request; None without one.
+      key_id: Start of the digest of the account's key; empty without one.
     """
 
     allowed: bool
@@ -83,6 +91,7 @@
     client: str
     reason: AccessReason
     account: services_lib.ClientAccount | None = None
+    key_id: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -131,6 +140,20 @@
             )
         )
         self._candidates = _compile_candidates(snapshot)
+        accounts = snapshot.accounts or ()
+        self._accounts: account_keys.AccountIndex = (
+            previous._accounts
+            if previous is not None and previous._accounts.accounts is accounts
+            else account_keys.AccountIndex(accounts)
+        )
+
+    @property
+    def has_accounts(self) -> bool:
+        """Whether there are client accounts, or routes that need one.
+
+        Authorization headers are then not passed on to backend servers.
+        """
+        return bool(self._accounts.accounts or self._index.keyed_routes)
 
     @property
     def version(self) -> int:
@@ -157,7 +180,8 @@
         A method that the longest prefix lacks is not looked up under a
         shorter one, since that may belong to another service. A path that
         two programs could take for different ones is a miss, unless all routes
-        of the host are open.
+        of the host are open. If some of these need a client account, such a
+        path does in any case.
 
         Args:
           host: Host header, with or without a port, in any case.
@@ -168,7 +192,8 @@
         if prefixes is None:
             return self._make_miss(MissReason.UNKNOWN_HOST, 404)
         # If all routes of the host are open, no path can bypass access control.
-        if paths.is_ambiguous(path) and not _are_open(prefixes):
+        is_ambiguous = paths.is_ambiguous(path)
+        if is_ambiguous and not _are_open(prefixes):
             return self._make_miss(MissReason.MALFORMED_PATH, 400)
         found = _find_longest_prefix(prefixes, paths.normalise_path(path))
         if found is None:
@@ -179,10 +204,24 @@
             return self._make_miss(
                 MissReason.METHOD_NOT_ALLOWED, 405, tuple(sorted(methods))
             )
+        if is_ambiguous and _include_keyed(prefixes):
+            return _require_account(entry.match)
         return entry.match
 
     def authorise(self, match: Match, credential: Credential) -> Access:
         """Returns whether the sender of a request may use its route."""
+        account = self._accounts.find(credential.account_key)
+        if account is not None and match.route.is_open:
+            return Access(
+                allowed=True,
+                status=0,
+                client=account.name,
+                reason=AccessReason.ACCOUNT,
+                account=account,
+                key_id=credential.account_key.key_id,
+            )
+        if match.route.needs_account is True:
+            return _deny_without_account(credential.account_key)
         if match.route.is_open:
             return Access(
                 allowed=True,
@@ -207,7 +246,14 @@
         return _deny(401, AccessReason.UNKNOWN_CREDENTIAL)
 
     def routes_to(
-        self, service: str, *, host: str, path: str, method: str
+        self,
+        service: str,
+        *,
+        host: str,
+        path: str,
+        method: str,
+        account: str = "",
+        key_id: bytes = b"",
     ) -> bool:
         """Returns whether a request may run at a service by this table.
 
@@ -216,10 +262,18 @@
           host: See `match`.
           path: See `match`.
           method: See `match`.
+          account: Client account that sent the request, as the entry knows
+            it; empty without one.
+          key_id: Start of the digest of the key by which it is known.
         """
         match = self.match(host=host, path=path, method=method)
         if isinstance(match, Miss):
             return False
+        if account:
+            if not self._accounts.holds(account, key_id):
+                return False
+        elif match.route.needs_account is True:
+            return False
         return service == match.service or any(
             part.service == service for part in match.route.split
         )
@@ -269,6 +323,32 @@
     )
 
 
+def _include_keyed(prefixes: route_index.Prefixes) -> bool:
+    """Returns whether some route of a host needs a client account."""
+    return any(
+        entry.match.route.needs_account is True
+        for prefix in prefixes.values()
+        for entry in prefix.entries
+    )
+
+
+def _require_account(match: Match) -> Match:
+    """Returns the match, with a route that needs a client account."""
+    if match.route.needs_account is True:
+        return match
+    route = dataclasses.replace(match.route, needs_account=True)
+    return dataclasses.replace(match, route=route)
+
+
+def _deny_without_account(key: account_keys.AccountKey) -> Access:
+    match key.form:
+        case account_keys.KeyForm.MALFORMED:
+            return _deny(400, AccessReason.MALFORMED_ACCOUNT_KEY)
+        case account_keys.KeyForm.WELL_FORMED:
+            return _deny(401, AccessReason.UNKNOWN_ACCOUNT_KEY)
+    return _deny(401, AccessReason.NO_ACCOUNT_KEY)
+
+
 def _authorise_service(route: services_lib.Route, service: str) -> Access:
     if service in route.services:
         return Access(
--- a/src/lovagesaddle/core/routing/table_age.py
+++ b/src/lovagesaddle/core/routing/table_age.py
@@ -8,6 +8,14 @@
 a moment for a proof. After that it still runs what its table allows, since
 most routes are the same in the newest table, but it gives no final answer: it
 can't know that the newest table lacks a route or forbids a request.
+
+Where a bound on withdrawals is set, a key that was taken away has to be refused
+that long after it at the latest, in touch or not. A node then takes no key
+once its proof is older than most of the bound. The age is read after the
+request has arrived and before the table: if the proof is at most as old as the
+bound, everything accepted a bound before the request was sent is part of the
+table. What happens to the request later, at whichever node and however late,
+changes nothing about that.
 """
 
 import dataclasses
@@ -18,6 +26,12 @@
 PROOF_WAIT_S = 0.1
 # Shortest time between two requests for a proof.
 ASK_GAP_S = 0.05
+# Part of the bound on withdrawals up to which keys are taken. The rest is for
+# clocks that run at different speeds. A node that was in touch until it was cut
+# off held a proof that was up to 1.5 heartbeats old by then.
+WITHDRAWAL_SHARE = 0.9
+# Shortest time between two requests for a proof while no key is taken.
+KEY_ASK_GAP_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -42,10 +56,19 @@
     Args:
       max_age_s: Largest proved age at which final answers are given, in
         seconds.
+      withdrawal_bound_s: Time after which a key that was taken away is refused
+        everywhere, in seconds; 0 for no bound.
     """
 
-    def __init__(self, max_age_s: float) -> None:
+    def __init__(
+        self, max_age_s: float, withdrawal_bound_s: float = 0.0
+    ) -> None:
         self._max_age_s = max_age_s
+        self._max_key_age_s = (
+            WITHDRAWAL_SHARE * withdrawal_bound_s
+            if withdrawal_bound_s
+            else math.inf
+        )
         self._current_at: float | None = None
         self._unproved_since: float | None = None
         self._asked_at = -math.inf
@@ -71,6 +94,27 @@
         current_at = self._current_at
         return current_at is not None and now - current_at <= self._max_age_s
 
+    def takes_keys(self, now: float) -> bool:
+        """Returns whether keys of accounts may be taken by the table.
+
+        Args:
+          now: Monotonic time in seconds, read after the request has arrived.
+            The table has to be read after the call.
+        """
+        if self._max_key_age_s == math.inf:
+            return True
+        current_at = self._current_at
+        return current_at is not None and (
+            now - current_at <= self._max_key_age_s
+        )
+
+    def asks_for_keys(self, now: float) -> bool:
+        """Returns whether to ask for a proof, since no key is taken."""
+        if self.takes_keys(now) or now - self._asked_at < KEY_ASK_GAP_S:
+            return False
+        self._asked_at = now
+        return True
+
     def decide(self, now: float) -> Decision:
         """Returns whether to act, to wait or to ask for a proof."""
         if self.is_proved(now):
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -125,7 +125,9 @@
             node_id=settings.node_id,
             part_bytes=self._part_bytes,
         )
-        self._table_proofs = table_proofs.TableProofs(settings.max_table_age_s)
+        self._table_proofs = table_proofs.TableProofs(
+            settings.max_table_age_s, settings.withdrawal_bound_s
+        )
         budget = answer_budget.AnswerBudget(settings.memory_bytes)
         self._pool = client.ConnectionPool(
             request_id_header=names.request_id,
--- a/src/lovagesaddle/node/table_proofs.py
+++ b/src/lovagesaddle/node/table_proofs.py
@@ -18,10 +18,14 @@
     Args:
       max_age_s: Largest age at which the table is acted on without reserve, in
         seconds.
+      withdrawal_bound_s: Time after which a key that was taken away is refused
+        everywhere, in seconds; 0 for no bound.
     """
 
-    def __init__(self, max_age_s: float) -> None:
-        self._age = table_age.TableAge(max_age_s)
+    def __init__(
+        self, max_age_s: float, withdrawal_bound_s: float = 0.0
+    ) -> None:
+        self._age = table_age.TableAge(max_age_s, withdrawal_bound_s)
         self._changed = threading.Condition()
         self._control: ports.ControlPort | None = None
 
@@ -63,6 +67,21 @@
                 max(0.0, decision.wait_until - clocks.read_uptime()),
             )
 
+    def takes_keys(self) -> bool:
+        """Returns whether keys of client accounts may be taken.
+
+        It is called after the request has arrived and before the table is
+        read. While no key is taken, it asks for a proof from time to time.
+        """
+        if self._age.takes_keys(clocks.read_uptime()):
+            return True
+        with self._changed:
+            asks = self._age.asks_for_keys(clocks.read_uptime())
+        if asks:
+            self._log_unproved()
+            self._ask()
+        return False
+
     def await_version(self, is_newer: Callable[[], bool]) -> bool:
         """Asks for the newest version and waits a moment until it is in force.
 
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -14,6 +14,10 @@
 PositiveSeconds = Annotated[
     float, msgspec.Meta(gt=0, le=3600, extra={"unit": units.Unit.DURATION})
 ]
+# 0 stands for none.
+OptionalSeconds = Annotated[
+    float, msgspec.Meta(ge=0, le=3600, extra={"unit": units.Unit.DURATION})
+]
 Size = Annotated[int, msgspec.Meta(ge=0, extra={"unit": units.Unit.SIZE})]
 ControlAddress = Annotated[
     str, msgspec.Meta(pattern=r"^tcp://[0-9]+(\.[0-9]+){3}:[0-9]{1,5}$")
@@ -179,6 +183,10 @@
         Bodies of any size are then sent in one piece.
       max_table_age_s: Time within which an accepted configuration is in force,
         in seconds. A node whose table may be older gives no final refusal.
+      withdrawal_bound_s: Time after which a key of a client account that was
+        taken away is refused by every node, in touch with control or not, in
+        seconds; 0 for no bound. A node whose table may be older than most of
+        it takes no key.
     """
 
     node_id: Identifier
@@ -208,6 +216,7 @@
     retry_reserve: Annotated[int, msgspec.Meta(ge=0)] = 0
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     max_table_age_s: PositiveSeconds = 2.0
+    withdrawal_bound_s: OptionalSeconds = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
