Read the tenants of the platform's documents

Change: Tenants become client accounts with digests, and routes that aren't AuthExempt need an account where the document has Tenants. Two tenants with one key or one name, wrong types, and keys or names that no header can carry are errors with their place. No error has a key; a mutant that names it, and one that lets two tenants share a key, fail.

--- a/src/lovagesaddle/platform/documents.py
+++ b/src/lovagesaddle/platform/documents.py
@@ -12,6 +12,7 @@
 from lovagesaddle.core.model import documents
 from lovagesaddle.core.model import paths
 from lovagesaddle.core.model import services
+from lovagesaddle.platform import tenants as tenants_lib
 
 MS_PER_S = 1000
 MAX_SERIAL_DIGITS = 8
@@ -68,6 +69,7 @@
     action: _Action
     target_latency_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
     priority: Natural = 0
+    auth_exempt: bool = False
 
 
 class _Listener(msgspec.Struct, frozen=True, rename="pascal"):
@@ -88,6 +90,8 @@
     limits: _Limits
     listeners: tuple[_Listener, ...]
     clusters: tuple[_Cluster, ...]
+    # Without this field, routes need no key; an empty list opens none of them.
+    tenants: tuple[tenants_lib.Tenant, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 _CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
@@ -125,6 +129,7 @@
     """
     try:
         configuration = _CONFIGURATION_DECODER.decode(content)
+        accounts = tenants_lib.convert_tenants(configuration.tenants or ())
     except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise _make_error(str(error)) from error
     base_serial = parse_serial(base) if base else 0
@@ -146,6 +151,7 @@
             header_timeout_s=configuration.limits.header_timeout_ms / MS_PER_S,
             idle_timeout_s=configuration.limits.idle_timeout_ms / MS_PER_S,
         ),
+        accounts=accounts or msgspec.UNSET,
     )
 
 
@@ -164,7 +170,11 @@
             ),
         )
         for rule in listener.route_rules:
-            route = _convert_route(listener, rule)
+            route = _convert_route(
+                listener,
+                rule,
+                has_tenants=configuration.tenants is not msgspec.UNSET,
+            )
             for part in route.split:
                 _check_service(part.service, rule, routes)
             owner = rule.action.service or route.split[0].service
@@ -191,7 +201,9 @@
     )
 
 
-def _convert_route(listener: _Listener, rule: _Rule) -> services.Route:
+def _convert_route(
+    listener: _Listener, rule: _Rule, *, has_tenants: bool
+) -> services.Route:
     action = rule.action
     if bool(action.service) == bool(action.weighted_split):
         raise _make_error(
@@ -221,6 +233,9 @@
             services.SplitPart(service=part.service, weight=part.weight)
             for part in action.weighted_split
         ),
+        needs_account=(
+            True if has_tenants and not rule.auth_exempt else msgspec.UNSET
+        ),
     )
 
 
--- a/src/lovagesaddle/platform/platform_headers.py
+++ b/src/lovagesaddle/platform/platform_headers.py
@@ -12,6 +12,7 @@
     depth="",
     retry="",
     caller_service="Lovagesaddle-Caller-Service",
+    account="Lovagesaddle-Tenant-Id",
     expected_instance="Lovagesaddle-Expect-Instance",
     not_run="Lovagesaddle-Not-Run",
     instance="Lovagesaddle-Instance-Id",
