Let requests in by the keys of client accounts

Change: the entry checks the key by its table, names the account to the backend server and removes the key before anything is sent. Refusals are final only with a proof of the table's age. An owner with a newer table refuses what that doesn't let in. A path in doubt needs a key if any route of its host does. access_refusals_total{reason} counts refusals; access_denied lines keep to failed-lines.

Mutants that fail: key passed on (filter, entry), the account's header not reserved, owner without either check, key ID not sent, table read before the proof, no bound, no name on exempt routes, final without proof, doubtful path without key.

--- a/src/lovagesaddle/http/headers.py
+++ b/src/lovagesaddle/http/headers.py
@@ -39,6 +39,8 @@
 def filter_request(
     received: Mapping[str, str],
     names: header_names.HeaderNames = header_names.DEFAULT,
+    *,
+    has_accounts: bool = False,
 ) -> Headers:
     """Returns the headers that are forwarded from a caller to a backend server.
 
@@ -47,9 +49,11 @@
     Args:
       received: Lower-case names to values.
       names: Names of the headers that only nodes set.
+      has_accounts: Whether there are client accounts, whose keys no backend
+        server may get.
     """
     dropped = _REQUEST_DROPPED | names.list_reserved()
-    if not names.passes_credentials:
+    if has_accounts or not names.passes_credentials:
         dropped |= {AUTHORIZATION}
     listed = _list_connection_options(received.get("connection", ""))
     return tuple(
--- a/src/lovagesaddle/node/application.py
+++ b/src/lovagesaddle/node/application.py
@@ -10,6 +10,7 @@
 from lovagesaddle.http import thread_pools
 from lovagesaddle.http import watchdog
 from lovagesaddle.http import wsgi
+from lovagesaddle.node import credentials
 from lovagesaddle.node import entry as entry_lib
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import owner as owner_lib
@@ -117,7 +118,7 @@
     if parsed.path == hop.RUN_PATH:
         return thread_pools.PoolKind.OWNER
     authorization = parsed.headers.get("AUTHORIZATION", "")
-    if authorization[len(entry_lib.BEARER) :].startswith(
+    if authorization[len(credentials.BEARER) :].startswith(
         local_servers.TOKEN_PREFIX
     ):
         return thread_pools.PoolKind.SERVICE
--- a/src/lovagesaddle/node/call_runner.py
+++ b/src/lovagesaddle/node/call_runner.py
@@ -4,6 +4,7 @@
 import os
 import time
 
+import msgspec
 from returns import result
 
 from lovagesaddle.core.model import outcomes
@@ -71,6 +72,7 @@
       attempt_sender: Sends attempts to owners.
       shared_quarantine: Gets the crash marks that owners report.
       names: Names of the headers that are sent to backend servers.
+      access: Who sent the request; None if nobody is known.
     """
 
     def __init__(
@@ -85,8 +87,11 @@
         attempt_sender: attempt_senders.AttemptSender,
         shared_quarantine: shared_quarantine_lib.SharedQuarantine,
         names: header_names.HeaderNames = header_names.DEFAULT,
+        access: table_lib.Access | None = None,
     ) -> None:
         self._names = names
+        self._access = access
+        self._account = None if access is None else access.account
         self._forwarded = forwarded
         self._match = match
         self._arrived_at = arrived_at
@@ -291,6 +296,15 @@
             suspect=verdict is quarantine.Verdict.SUSPECT,
             known=self._routing.find_statement(action.server.server_id),
             publication=self._table.publication,
+            account=self._account.name if self._account else msgspec.UNSET,
+            account_rank=(
+                self._account.priority if self._account else msgspec.UNSET
+            ),
+            account_key_id=(
+                self._access.key_id
+                if self._access and self._account
+                else msgspec.UNSET
+            ),
         )
 
     def _compute_target_ms(self) -> int | None:
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -16,7 +16,6 @@
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import table as table_lib
-from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.http import wsgi
@@ -26,6 +25,7 @@
 from lovagesaddle.node import call_runner
 from lovagesaddle.node import claimed_calls
 from lovagesaddle.node import claims as claims_lib
+from lovagesaddle.node import credentials
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import refusals
 from lovagesaddle.node import routing as routing_lib
@@ -36,12 +36,10 @@
 from lovagesaddle.observability import logs
 from lovagesaddle.observability import metrics as metrics_lib
 
-BEARER = "bearer "
 REQUEST_ID_BYTES = 8
 MS_PER_S = 1000
 STOPPING = "node-stopping"
 KEY_HEADER = claim_keys.KEY_HEADER.lower()
-DIGEST_PREFIX = "sha256:"
 # The Idempotency-Key of a request with a safe method is ignored, as such a
 # request changes nothing.
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -102,6 +100,7 @@
             "call_seconds", "Time from a whole request to its answer"
         )
         self._metrics = metrics
+        self._access_refusals = refusals.AccessRefusals(metrics)
         self._attempts = metrics.get_counter(
             "attempts_total", "Attempts sent to owners"
         )
@@ -155,6 +154,7 @@
             request otherwise; it did not run.
         """
         is_proved = self._proofs.prove()
+        takes_keys = self._proofs.takes_keys()
         table = self._routing.table
         assert table is not None
         if not table.is_published:
@@ -169,8 +169,15 @@
             if not is_proved:
                 return self._refuse_unproved(table)
             return refusals.make_miss_answer(match)
-        access = table.authorise(match, self._parse_credential(request))
-        refusal = refusals.check_request(match, access, request)
+        access = table.authorise(
+            match, credentials.read_credential(request.headers, self._servers)
+        )
+        if access.account is not None and not takes_keys:
+            self._access_refusals.count(refusals.WITHDRAWAL_BOUND)
+            return self._refuse_unproved(table)
+        refusal = self._access_refusals.check(
+            match, access, request, is_proved=is_proved
+        )
         if refusal is not None:
             return refusal if is_proved else self._refuse_unproved(table)
         try:
@@ -235,19 +242,6 @@
             proved=is_proved,
         )
 
-    def _parse_credential(
-        self, request: wsgi.IncomingRequest
-    ) -> table_lib.Credential:
-        header = request.headers.get("authorization", "")
-        if header[: len(BEARER)].lower() != BEARER:
-            return table_lib.Credential()
-        token = header[len(BEARER) :].strip()
-        service = self._servers.find_service_by_token(token)
-        if service:
-            return table_lib.Credential(service=service)
-        digest = hashlib.sha256(token.encode("latin-1")).hexdigest()
-        return table_lib.Credential(token_digest=DIGEST_PREFIX + digest)
-
     def _call(
         self, accepted: "_Accepted", request: wsgi.IncomingRequest
     ) -> wsgi.Answer:
@@ -266,8 +260,13 @@
             request_id=request_id,
             method=request.method,
             target=request.target,
-            headers=self._make_caller_header()
-            + headers_lib.filter_request(request.headers, self._names),
+            headers=credentials.make_headers(
+                request.headers,
+                self._names,
+                caller_service=self._heartbeats.service or self._caller_service,
+                access=accepted.access,
+                has_accounts=accepted.table.has_accounts,
+            ),
             body=body,
             fingerprint=fingerprint,
             verdict=self._shared_quarantine.classify(fingerprint),
@@ -293,13 +292,6 @@
             raise _OutdatedRouteError(accepted.table.publication, body)
         return call_answers.make_answer(call_result, request_id, self._names)
 
-    def _make_caller_header(self) -> headers_lib.Headers:
-        """Returns the header with the service of this VM, if it is known."""
-        service = self._heartbeats.service or self._caller_service
-        if not (service and self._names.caller_service):
-            return ()
-        return ((self._names.caller_service, service),)
-
     def _make_runner(
         self, accepted: "_Accepted", forwarded: call_runner.ForwardedRequest
     ) -> call_runner.CallRunner:
@@ -316,6 +308,7 @@
             attempt_sender=self._attempt_sender,
             shared_quarantine=self._shared_quarantine,
             names=self._names,
+            access=accepted.access,
         )
 
     def _open_claim(
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -220,6 +220,8 @@
             host=headers_lib.find(request.headers, "host"),
             path=request.target.partition("?")[0],
             method=request.method,
+            account=request.account or "",
+            key_id=request.account_key_id or b"",
         )
 
     def get_retry_policy(self, service: str) -> retries.RetryPolicy:
