--- a/src/lovagesaddle/core/routing/account_keys.py
+++ b/src/lovagesaddle/core/routing/account_keys.py
@@ -16,7 +16,7 @@
 # Longer than any key in use; bounds what is hashed for a request.
 MAX_KEY_CHARACTERS = 512
 # Enough of a digest to tell the keys of one account apart.
-KEY_ID_BYTES = 8
+KEY_ID_BYTES = 4
 
 
 class KeyForm(enum.Enum):
--- a/src/lovagesaddle/http/hop.py
+++ b/src/lovagesaddle/http/hop.py
@@ -52,7 +52,7 @@
       account: Name of the client account that sent the request; unset
         without one.
       account_rank: Priority of that account; unset without one.
-      account_key_id: Start of the digest of the key that the request carried;
+      key_id: Start of the digest of the key that the request carried;
         unset without an account.
     """
 
@@ -74,7 +74,7 @@
     publication: int = 0
     account: str | msgspec.UnsetType = msgspec.UNSET
     account_rank: int | msgspec.UnsetType = msgspec.UNSET
-    account_key_id: bytes | msgspec.UnsetType = msgspec.UNSET
+    key_id: bytes | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/node/call_runner.py
+++ b/src/lovagesaddle/node/call_runner.py
@@ -300,7 +300,7 @@
             account_rank=(
                 self._account.priority if self._account else msgspec.UNSET
             ),
-            account_key_id=(
+            key_id=(
                 self._access.key_id
                 if self._access and self._account
                 else msgspec.UNSET
--- a/src/lovagesaddle/node/credentials.py
+++ b/src/lovagesaddle/node/credentials.py
@@ -47,22 +47,22 @@
     names: header_names.HeaderNames,
     *,
     caller_service: str,
-    access: table_lib.Access,
     has_accounts: bool,
 ) -> headers_lib.Headers:
     """Returns the headers of a request for a backend server.
 
+    The header with the client account is left to the owner, which gets the
+    account's name from the entry in any case.
+
     Args:
       received: Lower-case names to values, as the caller sent them.
       names: Names of the headers that only nodes set.
       caller_service: Service of this VM; empty if it is unknown.
-      access: Who sent the request.
       has_accounts: Whether there are client accounts.
     """
-    own = (
-        (names.caller_service, caller_service),
-        (names.account, access.account.name if access.account else ""),
+    own: headers_lib.Headers = ()
+    if names.caller_service and caller_service:
+        own = ((names.caller_service, caller_service),)
+    return own + headers_lib.filter_request(
+        received, names, has_accounts=has_accounts
     )
-    return tuple(
-        (name, value) for name, value in own if name and value
-    ) + headers_lib.filter_request(received, names, has_accounts=has_accounts)
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -264,7 +264,6 @@
                 request.headers,
                 self._names,
                 caller_service=self._heartbeats.service or self._caller_service,
-                access=accepted.access,
                 has_accounts=accepted.table.has_accounts,
             ),
             body=body,
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -221,7 +221,7 @@
             path=request.target.partition("?")[0],
             method=request.method,
             account=request.account or "",
-            key_id=request.account_key_id or b"",
+            key_id=request.key_id or b"",
         )
 
     def get_retry_policy(self, service: str) -> retries.RetryPolicy:
--- a/src/lovagesaddle/node/server_exchange.py
+++ b/src/lovagesaddle/node/server_exchange.py
@@ -104,6 +104,8 @@
             # in the owner's queue.
             left = call_chain.format_remaining(guard.remaining_s)
             headers[names.deadline_ms] = left
+        if request.account and names.account:
+            headers[names.account] = request.account
         if owned.instance and names.expected_instance:
             headers[names.expected_instance] = owned.instance
         return client.Request(
--- a/src/lovagesaddle/platform/operator_endpoints.py
+++ b/src/lovagesaddle/platform/operator_endpoints.py
@@ -82,6 +82,7 @@
     command: commands.PublishServices, published: commands.PublishResult
 ) -> None:
     assert command.document is not None
+    routes = [route for each in command.services for route in each.routes]
     _log.info(
         "document_answered",
         serial=command.document.serial,
@@ -89,4 +90,7 @@
         digest=command.publish_id[:DIGEST_DIGITS],
         outcome=published.outcome.value,
         version=published.version,
+        accounts=len(command.accounts or ()),
+        routes=len(routes),
+        keyed_routes=sum(route.needs_account is True for route in routes),
     )
