Bound an account's requests over all nodes with leased tokens

Leased tokens count as present until they are reported as used or have run out, so the requests of every window stay below capacity and inflow, whatever is lost. A holder grants only with a table proved within 4 s, and a part that is new to it only 5 s later, when no other can use tokens of it.

--- /dev/null
+++ b/src/lovagesaddle/core/routing/quota_rules.py
@@ -0,0 +1,60 @@
+"""Figures that follow from a mesh's rule on quotas.
+
+In every window, the nodes together may admit, of one client account,
+(rate x window + burst) x (1 + overrun) + slack requests. A token bucket keeps
+that in each window if its capacity and what flows into it in one window add up
+to the bound. Half of the overrun goes into the rate and the rest into the
+capacity, so that tokens which wait at entries unused cost the account nothing.
+"""
+
+import dataclasses
+
+from lovagesaddle.core.model import services
+
+LEASE_S = 1.0
+LEASES_IN_WINDOW = 5
+PROOF_S = 4.0
+RATE_PART_OF_OVERRUN = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaRules:
+    """The rule on quotas, and the times by which it is kept.
+
+    Attributes:
+      window_s: Length of every window, in seconds.
+      overrun: Share by which the quota may be exceeded.
+      slack: Requests beyond that which may be admitted in a window.
+      proof_s: Age of the table, in seconds, beyond which a holder grants
+        nothing, since its part may be with another by now.
+    """
+
+    window_s: float
+    overrun: float = 0.0
+    slack: float = 0.0
+    proof_s: float = PROOF_S
+
+    @property
+    def lease_s(self) -> float:
+        """Time for which granted tokens may be used, in seconds."""
+        return min(LEASE_S, self.window_s / LEASES_IN_WINDOW)
+
+    @property
+    def settle_s(self) -> float:
+        """Time after which a former holder's tokens are void, in seconds."""
+        return self.proof_s + self.lease_s
+
+    def compute_bound(self, account: services.ClientAccount) -> float:
+        """Returns how many requests may be admitted in one window."""
+        owed = account.rate_per_s * self.window_s + account.burst
+        return owed * (1 + self.overrun) + self.slack
+
+    def compute_rate(self, account: services.ClientAccount) -> float:
+        """Returns the tokens a second of the whole mesh."""
+        extra = self.overrun * RATE_PART_OF_OVERRUN
+        return account.rate_per_s * (1 + extra)
+
+    def compute_capacity(self, account: services.ClientAccount) -> float:
+        """Returns the tokens of the whole mesh, those in leases included."""
+        inflow = self.compute_rate(account) * self.window_s
+        return self.compute_bound(account) - inflow
