Ask an account's quota at the entry, after access and size

The entry uses a token of the account that the access check names, and asks holders over a channel of their own ahead of need. Over the quota gets 429, an entry that can't tell 503; both with Retry-After and the outcome not-run. A request that is proved not to have run returns its token. On the platform the rule comes from QuotaWindowS, QuotaOverrun and QuotaSlack; without them nothing is subscribed, counted or sent.

The fake control of the tests delivered the messages of all channels to the last subscriber; it now keeps a handler for each channel, as the real one does.

--- a/src/lovagesaddle/core/routing/quota_holder.py
+++ b/src/lovagesaddle/core/routing/quota_holder.py
@@ -214,19 +214,20 @@
         held: int,
         given: int,
     ) -> messages.Grant:
-        is_enough = given >= max(ask.need, (ask.want + 1) // 2)
-        if is_enough:
-            return messages.Grant(
-                account=ask.account, stamp=ask.stamp, total=held + given
-            )
-        rate = self._rules.compute_rate(account) * share
-        missing_s = (max(ask.need, 1) - min(given, ask.need)) / rate
-        retry_s = min(max(missing_s, MIN_RETRY_S), MAX_RETRY_S)
+        state = messages.HolderState.GRANTED
+        retry_s = 0.0
+        if given < ask.need:
+            state = messages.HolderState.EMPTY
+            missing = ask.need - given
+            rate = self._rules.compute_rate(account) * share
+            retry_s = min(max(missing / rate, MIN_RETRY_S), MAX_RETRY_S)
+        elif 2 * given < ask.want:
+            retry_s = MIN_RETRY_S
         return messages.Grant(
             account=ask.account,
             stamp=ask.stamp,
             total=held + given,
-            state=messages.HolderState.EMPTY,
+            state=state,
             retry_ms=int(retry_s * MS_PER_S),
         )
 
--- a/src/lovagesaddle/core/routing/quota_ledger.py
+++ b/src/lovagesaddle/core/routing/quota_ledger.py
@@ -82,6 +82,7 @@
         self.is_pending = False
         self.used = 0
         self.quiet_until = float("-inf")
+        self.scarce_until = float("-inf")
         self.is_empty = False
 
     def count(self, now: float) -> int:
@@ -220,8 +221,9 @@
             return
         lease.is_pending = False
         lease.quiet_until = float("-inf")
+        lease.scarce_until = now + grant.retry_ms / MS_PER_S
         if grant.state is not messages.HolderState.GRANTED:
-            lease.quiet_until = now + grant.retry_ms / MS_PER_S
+            lease.quiet_until = lease.scarce_until
             lease.is_empty = grant.state is messages.HolderState.EMPTY
         if grant.state is not messages.HolderState.NOT_READY:
             lease.tokens = max(0, grant.total - lease.used)
@@ -262,7 +264,11 @@
     def _choose_holder(
         self, name: str, account: _Account, now: float
     ) -> str | None:
-        """Returns the first holder that can be asked; None to wait."""
+        """Returns the first holder that can be asked; None to wait.
+
+        Holders with little left are asked last, and only if requests wait.
+        """
+        scarce: str | None = None
         for holder_id in self._list_holders(name):
             lease = account.leases.setdefault(holder_id, _Lease())
             if lease.is_pending:
@@ -271,9 +277,11 @@
                 lease.is_pending = False
                 lease.is_empty = False
                 lease.quiet_until = now + SILENCE_S
-            if now >= lease.quiet_until:
+            if now >= lease.scarce_until and now >= lease.quiet_until:
                 return holder_id
-        return None
+            if now >= lease.quiet_until and account.waiting:
+                scarce = scarce or holder_id
+        return scarce
 
     def _ask(
         self, name: str, holder_id: str, *, need: int, want: int, now: float
--- a/src/lovagesaddle/core/routing/quota_messages.py
+++ b/src/lovagesaddle/core/routing/quota_messages.py
@@ -14,7 +14,7 @@
 class HolderState(enum.IntEnum):
     """What a holder says of its part of a quota.
 
-    GRANTED: it granted what was needed and at least half of what was wanted.
+    GRANTED: it granted what was needed.
     EMPTY: the part is used up for the moment.
     NOT_READY: it does not hold the part, or can't prove that it still does.
     """
@@ -56,7 +56,8 @@
       total: Tokens of the entry now, the held ones included; without meaning
         if the holder is not ready.
       state: What the holder says of its part.
-      retry_ms: Time after which to ask again, in milliseconds.
+      retry_ms: Time after which to ask again, in milliseconds. If granted,
+        it concerns asks ahead of need: the part has little left.
     """
 
     account: str
--- a/src/lovagesaddle/node/call_answers.py
+++ b/src/lovagesaddle/node/call_answers.py
@@ -38,7 +38,7 @@
         case result.Failure(failed):
             extra = id_header
             if failed.retry_after_s:
-                seconds = _format_retry_after(failed.retry_after_s, names)
+                seconds = format_retry_after(failed.retry_after_s, names)
                 extra = (*id_header, ("Retry-After", seconds))
             return wsgi.make_failure(
                 failed.status, failed.reason, failed.outcome, extra
@@ -46,7 +46,8 @@
     raise AssertionError("unreachable")
 
 
-def _format_retry_after(seconds: float, names: header_names.HeaderNames) -> str:
+def format_retry_after(seconds: float, names: header_names.HeaderNames) -> str:
+    """Returns the value of a Retry-After header."""
     if names.has_fractional_retry:
         return f"{seconds:.3f}"
     return str(math.ceil(seconds))
--- a/src/lovagesaddle/node/call_results.py
+++ b/src/lovagesaddle/node/call_results.py
@@ -6,6 +6,7 @@
 
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.http import headers as headers_lib
+from lovagesaddle.http import hop
 
 CALLER_GONE_STATUS = 499
 CALLER_GONE_REASON = "caller-gone"
@@ -46,3 +47,19 @@
 
 
 CallResult = result.Result[Answered, Failed]
+
+
+def did_not_run(call_result: CallResult) -> bool:
+    """Returns whether a call is proved not to have run."""
+    match call_result:
+        case result.Failure(Failed(outcome=outcome)):
+            return outcome is outcomes.RequestOutcome.NOT_RUN
+    return False
+
+
+def has_outdated_route(call_result: CallResult) -> bool:
+    """Returns whether an owner has a newer publication with another route."""
+    match call_result:
+        case result.Failure(Failed(reason=hop.ROUTE_OUTDATED)):
+            return True
+    return False
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -6,8 +6,6 @@
 import os
 import time
 
-from returns import result
-
 from lovagesaddle.core import errors
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.routing import call as call_lib
@@ -17,7 +15,6 @@
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.http import headers as headers_lib
-from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.http import wsgi
 from lovagesaddle.node import attempt_senders
@@ -27,6 +24,7 @@
 from lovagesaddle.node import claimed_calls
 from lovagesaddle.node import claims as claims_lib
 from lovagesaddle.node import local_servers
+from lovagesaddle.node import quotas as quotas_lib
 from lovagesaddle.node import refusals
 from lovagesaddle.node import routing as routing_lib
 from lovagesaddle.node import server_heartbeats
@@ -62,6 +60,7 @@
       claims: Claims on Idempotency-Keys.
       guards: Watches deadlines and callers that disconnect.
       stop_limit: Refuses what this node can't answer before it stops.
+      quotas: Admits the requests of accounts with a quota.
       metrics: Metrics of this process.
       names: Names of the headers exchanged with callers and backend servers.
       caller_service: Name of the service of this VM until a heartbeat names it,
@@ -81,6 +80,7 @@
         claims: claims_lib.Claims,
         guards: watchdog.Watchdog,
         stop_limit: stop_limit_lib.StopLimit,
+        quotas: quotas_lib.Quotas,
         metrics: metrics_lib.Metrics,
         names: header_names.HeaderNames = header_names.DEFAULT,
         caller_service: str = "",
@@ -98,6 +98,7 @@
         self._claims = claims
         self._guards = guards
         self._stop_limit = stop_limit
+        self._quotas = quotas
         self._latency = metrics.get_latency(
             "call_seconds", "Time from a whole request to its answer"
         )
@@ -178,6 +179,9 @@
         except errors.ChainError as error:
             return wsgi.make_failure(400, error.cause, _NOT_RUN)
         deadline = arrived_at + call_lib.compute_timeout(match.route, chain)
+        admitted = self._quotas.admit(access.account, deadline)
+        if isinstance(admitted, quotas_lib.Refused):
+            return self._quotas.make_answer(admitted, self._names)
         if self._stop_limit.refuses(
             request=chain.request_id,
             deadline=deadline,
@@ -185,6 +189,7 @@
                 match.service
             ),
         ):
+            self._quotas.give_back(admitted)
             return self.refuse(STOPPING)
         return self._call(
             _Accepted(
@@ -193,6 +198,7 @@
                 access=access,
                 chain=chain,
                 arrived_at=arrived_at,
+                admitted=admitted,
             ),
             request,
         )
@@ -289,7 +295,9 @@
         else:
             return wsgi.make_failure(400, "malformed-key", _NOT_RUN)
         self._attempts.add(runner.attempts)
-        if _is_outdated(call_result):
+        if call_results.did_not_run(call_result):
+            self._quotas.give_back(accepted.admitted)
+        if call_results.has_outdated_route(call_result):
             raise _OutdatedRouteError(accepted.table.publication, body)
         return call_answers.make_answer(call_result, request_id, self._names)
 
@@ -352,13 +360,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Accepted:
-    """Holds the route, access and call chain of a request that may run."""
+    """Holds route, access, call chain and quota of a request that may run."""
 
     table: table_lib.Table
     match: table_lib.Match
     access: table_lib.Access
     chain: chain_lib.Chain
     arrived_at: float
+    admitted: quotas_lib.Admitted
 
 
 class _OutdatedRouteError(Exception):
@@ -375,13 +384,6 @@
         self.body = body
 
 
-def _is_outdated(call_result: call_results.CallResult) -> bool:
-    match call_result:
-        case result.Failure(call_results.Failed(reason=hop.ROUTE_OUTDATED)):
-            return True
-    return False
-
-
 def _format_age(age_s: float | None) -> str:
     return "none" if age_s is None else str(int(age_s * MS_PER_S))
 
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -32,6 +32,7 @@
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import ports
 from lovagesaddle.node import probes
+from lovagesaddle.node import quotas as quotas_lib
 from lovagesaddle.node import routing as routing_lib
 from lovagesaddle.node import server_discovery
 from lovagesaddle.node import server_health
@@ -161,6 +162,12 @@
         self._claims = claims_lib.Claims(
             node_id=settings.node_id, is_enabled=settings.claims
         )
+        self._quotas = quotas_lib.Quotas(
+            node_id=settings.node_id,
+            rules=quotas_lib.make_rules(settings),
+            proofs=self._table_proofs,
+            metrics=self.metrics,
+        )
         self._watchdog = watchdog.Watchdog()
         self._limits: services.CallerLimits | None = None
         signer = hop.EnvelopeSigner(mesh_secret.read(settings))
@@ -202,6 +209,7 @@
             self._servers.connect(control)
             self._shared_quarantine.connect(control)
             self._claims.connect(control)
+            self._quotas.connect(control)
             self._table_proofs.connect(control)
             node_gauges.register_gauges(
                 self.metrics,
@@ -267,6 +275,7 @@
                 + listeners.ENVELOPE_MARGIN_BYTES
             )
         self._claims.install(hashed.snapshot, joined=joined)
+        self._quotas.install(hashed.snapshot, joined=joined)
         is_first = self._routing.table is None
         self._routing.install(hashed, joined=joined)
         if is_first and joined and self._discovery is not None:
@@ -357,6 +366,7 @@
             claims=self._claims,
             guards=self._watchdog,
             stop_limit=self._stop_limit,
+            quotas=self._quotas,
             metrics=self.metrics,
             names=self._names,
             caller_service=self._settings.service,
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -14,6 +14,9 @@
 PositiveSeconds = Annotated[
     float, msgspec.Meta(gt=0, le=3600, extra={"unit": units.Unit.DURATION})
 ]
+OptionalSeconds = Annotated[
+    float, msgspec.Meta(ge=0, le=3600, extra={"unit": units.Unit.DURATION})
+]
 Size = Annotated[int, msgspec.Meta(ge=0, extra={"unit": units.Unit.SIZE})]
 ControlAddress = Annotated[
     str, msgspec.Meta(pattern=r"^tcp://[0-9]+(\.[0-9]+){3}:[0-9]{1,5}$")
@@ -179,6 +182,11 @@
         Bodies of any size are then sent in one piece.
       max_table_age_s: Time within which an accepted configuration is in force,
         in seconds. A node whose table may be older gives no final refusal.
+      quota_window_s: Length of the windows in which the quotas of client
+        accounts hold, in seconds; 0 if quotas are not applied. Has to be the
+        same at all nodes.
+      quota_overrun: Share by which a quota may be exceeded in a window.
+      quota_slack: Requests beyond that which may be admitted in a window.
     """
 
     node_id: Identifier
@@ -208,6 +216,9 @@
     retry_reserve: Annotated[int, msgspec.Meta(ge=0)] = 0
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     max_table_age_s: PositiveSeconds = 2.0
+    quota_window_s: OptionalSeconds = 0.0
+    quota_overrun: Annotated[float, msgspec.Meta(ge=0, le=10)] = 0.0
+    quota_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/transport/frames.py
+++ b/src/lovagesaddle/transport/frames.py
@@ -13,6 +13,7 @@
     DISTRIBUTION = 2
     OPERATOR = 3
     CLAIMS = 4
+    QUOTAS = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -64,7 +64,9 @@
             services=services_,
             publication=1 if services_ else 0,
         )
-        self.handlers: dict[str, Callable[[str, bytes], None]] = {}
+        self.handlers: dict[
+            tuple[str, endpoint.Channel], Callable[[str, bytes], None]
+        ] = {}
         self._delivery = futures.ThreadPoolExecutor(max_workers=1)
         self.cut_off: set[str] = set()
         self.joined = True
@@ -101,7 +103,8 @@
         yield _NodePort(self, settings.node_id)
         with self._lock:
             del self._sinks[settings.node_id]
-            self.handlers.pop(settings.node_id, None)
+            for channel in endpoint.Channel:
+                self.handlers.pop((settings.node_id, channel), None)
 
     def change(self, **fields: Any) -> None:
         """Installs a newer snapshot with changed fields.
@@ -167,9 +170,15 @@
             if shards != self._snapshot.shards:
                 self.change(shards=shards)
 
-    def deliver(self, sender_id: str, node_id: str, data: bytes) -> bool:
+    def deliver(
+        self,
+        sender_id: str,
+        node_id: str,
+        channel: endpoint.Channel,
+        data: bytes,
+    ) -> bool:
         """Delivers a message; returns False if the receiver is not known."""
-        handler = self.handlers.get(node_id)
+        handler = self.handlers.get((node_id, channel))
         if handler is None:
             return False
         if not self.cut_off.intersection((sender_id, node_id)):
@@ -224,15 +233,13 @@
         self, node_id: str, channel: endpoint.Channel, data: bytes
     ) -> bool:
         """See base class."""
-        del channel
-        return self._control.deliver(self._node_id, node_id, data)
+        return self._control.deliver(self._node_id, node_id, channel, data)
 
     def subscribe(
         self, channel: endpoint.Channel, handler: Callable[[str, bytes], None]
     ) -> None:
-        """See base class; only one channel is used."""
-        del channel
-        self._control.handlers[self._node_id] = handler
+        """See base class."""
+        self._control.handlers[self._node_id, channel] = handler
 
 
 class Mesh:
