--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -14,6 +14,7 @@
 PositiveSeconds = Annotated[
     float, msgspec.Meta(gt=0, le=3600, extra={"unit": units.Unit.DURATION})
 ]
+# 0 stands for none.
 OptionalSeconds = Annotated[
     float, msgspec.Meta(ge=0, le=3600, extra={"unit": units.Unit.DURATION})
 ]
@@ -187,6 +188,10 @@
         same at all nodes.
       quota_overrun: Share by which a quota may be exceeded in a window.
       quota_slack: Requests beyond that which may be admitted in a window.
+      withdrawal_bound_s: Time after which a key of a client account that was
+        taken away is refused by every node, in touch with control or not, in
+        seconds; 0 for no bound. A node whose table may be older than most of
+        it takes no key.
     """
 
     node_id: Identifier
@@ -219,6 +224,7 @@
     quota_window_s: OptionalSeconds = 0.0
     quota_overrun: Annotated[float, msgspec.Meta(ge=0, le=10)] = 0.0
     quota_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    withdrawal_bound_s: OptionalSeconds = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
