--- a/src/lovagesaddle/core/routing/quota_parts.py
+++ b/src/lovagesaddle/core/routing/quota_parts.py
@@ -15,7 +15,8 @@
 # two of them.
 PARTS = 6
 SCORE_BYTES = 8
-Member = tuple[str, str]  # Node ID and failure domain.
+# Scores and node IDs of the holders of one failure domain, lowest first.
+_Ranking = list[tuple[bytes, str]]
 
 
 class PartMap:
@@ -37,6 +38,7 @@
         for node_id, domain in sorted(self.domain_of.items()):
             self._domains.setdefault(domain, []).append(node_id)
         self._per_domain = max(1, PARTS // max(1, len(self._domains)))
+        self._ranked: dict[str, dict[str, _Ranking]] = {}
         self._holders: dict[str, tuple[str, ...]] = {}
         if previous is not None:
             self._take_over(previous)
@@ -50,12 +52,14 @@
         """Returns the nodes that hold one equal part of a quota each."""
         known = self._holders.get(account)
         if known is None:
-            known = tuple(
-                node_id
-                for members in self._domains.values()
-                for node_id in self._choose(account, members)
-            )
-            self._holders[account] = known
+            ranked = {
+                domain: sorted(
+                    (compute_score(account, node_id), node_id)
+                    for node_id in members
+                )[-self._per_domain :]
+                for domain, members in self._domains.items()
+            }
+            known = self._keep(account, ranked)
         return known
 
     def compute_share(self, account: str, node_id: str) -> float:
@@ -63,17 +67,21 @@
         holders = self.find_holders(account)
         return 1 / len(holders) if node_id in holders else 0.0
 
-    def _choose(self, account: str, members: Iterable[str]) -> list[str]:
-        ranked = sorted(
-            members, key=lambda node_id: compute_score(account, node_id)
+    def _keep(
+        self, account: str, ranked: dict[str, _Ranking]
+    ) -> tuple[str, ...]:
+        self._ranked[account] = ranked
+        self._holders[account] = tuple(
+            node_id for ranking in ranked.values() for _, node_id in ranking
         )
-        return ranked[-self._per_domain :]
+        return self._holders[account]
 
     def _take_over(self, previous: "PartMap") -> None:
-        if previous._domains.keys() != self._domains.keys():
+        """Keeps rankings in which no holder left, and adds new nodes."""
+        if list(previous._domains) != list(self._domains):
             return
         added = [
-            node_id
+            (node_id, domain)
             for node_id, domain in self.domain_of.items()
             if previous.domain_of.get(node_id) != domain
         ]
@@ -83,15 +91,14 @@
                 for node_id in held
             ):
                 continue
-            candidates: dict[str, list[str]] = {}
-            for node_id in (*held, *added):
-                domain = self.domain_of[node_id]
-                candidates.setdefault(domain, []).append(node_id)
-            self._holders[account] = tuple(
-                node_id
-                for domain in self._domains
-                for node_id in self._choose(account, candidates[domain])
-            )
+            ranked = previous._ranked[account]
+            for node_id, domain in added:
+                entry = (compute_score(account, node_id), node_id)
+                ranking = ranked[domain]
+                if len(ranking) < self._per_domain or entry > ranking[0]:
+                    merged = sorted((*ranking, entry))[-self._per_domain :]
+                    ranked = {**ranked, domain: merged}
+            self._keep(account, ranked)
 
 
 def compute_score(account: str, node_id: str) -> bytes:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -275,6 +275,27 @@
         assert bool(count_granted(holder, 60.1, "e")) is total
 
 
+def test_holders_follow_from_the_nodes_alone() -> None:
+    """Whatever tables a node had before, all agree on who holds a part."""
+    source = random.Random(3)
+    pool = [
+        quota_mesh.make_node(f"n{number}", f"d{number % 3}")
+        for number in range(24)
+    ]
+    parts: quota_parts.PartMap | None = None
+    nodes = list(pool)
+    for _ in range(400):
+        node = source.choice(pool)
+        if node not in nodes:
+            nodes.append(node)
+        elif len(nodes) > 1:
+            nodes.remove(node)
+        parts = quota_parts.PartMap(nodes, parts)
+        fresh = quota_parts.PartMap(nodes)
+        for account in ("a", "b", "c"):
+            assert parts.find_holders(account) == fresh.find_holders(account)
+
+
 def make_ledger() -> quota_ledger.QuotaLedger:
     """Returns the ledger of an entry with one holder, `h`."""
     parts = quota_parts.PartMap((quota_mesh.make_node("h", "d"),))
