Count the leases of a part without a walk over all entries

Leases last equally long, so they run out in the order in which they were renewed, and a running sum is enough.

--- a/src/lovagesaddle/core/routing/quota_holder.py
+++ b/src/lovagesaddle/core/routing/quota_holder.py
@@ -44,27 +44,41 @@
         self.level = level
         self.share = share
         self.at = now
-        self.leases: dict[str, _Lease] = {}
         self.expired = 0
+        self.leased = 0
+        # In the order in which they run out, as all last equally long.
+        self._leases: dict[str, _Lease] = {}
+
+    def find_lease(self, entry_id: str) -> _Lease | None:
+        """Returns the lease of an entry, if it has not run out."""
+        return self._leases.get(entry_id)
+
+    def put_lease(self, entry_id: str, lease: _Lease) -> None:
+        """Replaces the lease of an entry."""
+        self._remove(entry_id)
+        self._leases[entry_id] = lease
+        self.leased += lease.count
 
     def advance(self, rate: float, capacity: float, now: float) -> None:
         """Lets tokens flow in, and leases run out, in the order of time."""
-        ended = sorted(
-            (lease.expires_at, entry_id)
-            for entry_id, lease in self.leases.items()
-            if lease.expires_at <= now
-        )
-        for expires_at, entry_id in ended:
-            self._fill(rate, capacity, expires_at)
-            self.expired += self.leases.pop(entry_id).count
+        while self._leases:
+            entry_id, lease = next(iter(self._leases.items()))
+            if lease.expires_at > now:
+                break
+            self._fill(rate, capacity, lease.expires_at)
+            self._remove(entry_id)
+            self.expired += lease.count
         self._fill(rate, capacity, now)
 
+    def _remove(self, entry_id: str) -> None:
+        lease = self._leases.pop(entry_id, None)
+        if lease is not None:
+            self.leased -= lease.count
+
     def _fill(self, rate: float, capacity: float, now: float) -> None:
-        leased = sum(lease.count for lease in self.leases.values())
         passed_s = max(0.0, now - self.at)
-        self.level = max(
-            0.0, min(capacity - leased, self.level + rate * passed_s)
-        )
+        room = capacity - self.leased
+        self.level = max(0.0, min(room, self.level + rate * passed_s))
         self.at = max(self.at, now)
 
 
@@ -174,7 +188,7 @@
                 retry_ms=int(MAX_RETRY_S * MS_PER_S),
             )
         bucket = self._advance(account, share, now)
-        lease = bucket.leases.get(entry_id)
+        lease = bucket.find_lease(entry_id)
         if lease is not None and ask.stamp <= lease.stamp:
             return None
         known = lease.count if lease is not None else 0
@@ -182,10 +196,13 @@
         bucket.level += min(ask.returned, known - held)
         given = _compute_grant(ask, bucket.level)
         bucket.level -= given
-        bucket.leases[entry_id] = _Lease(
-            stamp=ask.stamp,
-            count=held + given,
-            expires_at=now + self._rules.lease_s,
+        bucket.put_lease(
+            entry_id,
+            _Lease(
+                stamp=ask.stamp,
+                count=held + given,
+                expires_at=now + self._rules.lease_s,
+            ),
         )
         if not ask.want:
             return None
@@ -193,11 +210,7 @@
 
     def count_leased(self) -> int:
         """Returns the tokens that entries may hold by the last reports."""
-        return sum(
-            lease.count
-            for bucket in tuple(self._buckets.values())
-            for lease in tuple(bucket.leases.values())
-        )
+        return sum(bucket.leased for bucket in tuple(self._buckets.values()))
 
     def count_expired(self) -> int:
         """Returns the tokens that ran out without a report of their use."""
