Read a server's load of four figures at the boundary

Cause: the health answer of a server that tells its slowdown had four figures, was taken for malformed, and its node never discovered it. Change: one parser reads three or four figures; what contradicts itself (more running than slots, no slots, no or absurd slowdown) is not read. Seen to fail on the base: test_server_that_tells_its_slowdown_is_found gets the 4 slots of the next answer instead of 5.

--- a/src/lovagesaddle/node/server_health.py
+++ b/src/lovagesaddle/node/server_health.py
@@ -8,6 +8,7 @@
 
 from lovagesaddle.core.membership import server_confirmation
 from lovagesaddle.core.routing import header_names
+from lovagesaddle.core.routing import server_load
 from lovagesaddle.core.routing import server_statements
 from lovagesaddle.http import answer_budget
 from lovagesaddle.http import client
@@ -17,8 +18,6 @@
 from lovagesaddle.observability import logs
 
 ANSWER_TIMEOUT_S = 0.5
-# The fields are running requests, waiting requests and slots.
-SERVER_LOAD_FIELDS = 3
 _log = logs.get_logger("discovery")
 
 
@@ -112,10 +111,11 @@
 ) -> HealthAnswer:
     instance = _find_header(reply, names.instance)
     load = _find_header(reply, names.server_load)
+    parsed = server_load.parse_server_load(load)
     stated = server_statements.parse_statement(reply.headers, names)
     answer = HealthAnswer(
         instance=instance,
-        slots=_parse_slots(load),
+        slots=0 if parsed is None else parsed.slots,
         is_serving=reply.status == 200 and not stated.is_leaving,
     )
     if not (answer.is_serving and instance and answer.slots):
@@ -130,20 +130,6 @@
     return answer
 
 
-def _parse_slots(load: str) -> int:
-    """Returns the slots that a load header states; 0 if it is malformed."""
-    fields = load.split(",")
-    text = fields[-1].strip()
-    if len(fields) != SERVER_LOAD_FIELDS or len(text) > len(
-        str(local_servers.MAX_SLOTS)
-    ):
-        return 0
-    if not (text.isascii() and text.isdigit()):
-        return 0
-    slots = int(text)
-    return slots if slots <= local_servers.MAX_SLOTS else 0
-
-
 def _find_header(reply: client.Reply, name: str) -> str:
     """Returns the first value of a header; empty if there is none."""
     values = headers_lib.get_all(reply.headers, name.lower())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -132,6 +132,20 @@
     assert not malformed
 
 
+def test_server_that_tells_its_slowdown_is_found() -> None:
+    """A load of four figures was malformed, so the server wasn't found."""
+    loads = ["1,0,5,250"]
+    with (
+        nodes.Mesh(nodes.make_service()) as mesh,
+        mock.patch.object(_HealthHandler, "loads", loads),
+        _run_server() as address,
+    ):
+        node = mesh.start("n0", probe=False)
+        _discover(node, address)
+        (server,) = mesh.control.snapshot.servers
+    assert server.slots == 5
+
+
 def test_only_the_join_wakes_the_discovery() -> None:
     """A burst of new configurations does not poll a server that is down."""
     with (
