Admit by what a server tells of its load

Cause: owners knew neither that their server was slowed for parts of a second, nor that it made requests wait, and long runs poisoned the mean run time. Change: an owner keeps the load with its age, scales run times by the slowdown, counts a long run in part, holds back what the server can't start, refuses at once what would miss its target if the entry knows another server, and tells in Retry-After when a slot is free. All of it only at servers that tell four figures; else reports and messages are the same bytes.

--- a/src/lovagesaddle/core/routing/admission_events.py
+++ b/src/lovagesaddle/core/routing/admission_events.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from lovagesaddle.core.routing import server_load
+
 
 class RefusalReason(enum.Enum):
     """Reasons for which an owner refuses a request.
@@ -18,6 +20,7 @@
     DUPLICATE = "duplicate"
     CANCELLED = "cancelled"
     RATE_LIMIT = "rate-limit"
+    EXPECTED_LATE = "expected-late"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -35,6 +38,8 @@
         time.
       has_reservation: Whether the owner granted the transfer of its body
         beforehand; such a request is queued even if the queue is full.
+      may_move: Whether the entry knows another server that may answer within
+        the target, so that the request is refused if this one can't.
     """
 
     request_id: str
@@ -44,6 +49,7 @@
     kind: str = ""
     suspect: bool = False
     has_reservation: bool = False
+    may_move: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -117,6 +123,19 @@
     rate: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LoadStated:
+    """Reports what an answer of the server tells of its load.
+
+    It comes before the request's Ended.
+
+    Attributes:
+      load: The load.
+    """
+
+    load: server_load.ServerLoad
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Tick:
     """Reports that time has passed."""
@@ -131,6 +150,7 @@
     | ServerUp
     | RateStated
     | RateKnown
+    | LoadStated
     | Tick
 )
 
--- a/src/lovagesaddle/core/routing/load_reports.py
+++ b/src/lovagesaddle/core/routing/load_reports.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import msgspec
+
 LOAD_HEADER = "Owner-Load"
 FIELD_COUNT = 7
 MAX_FIELD_DIGITS = 12
@@ -22,6 +24,10 @@
         of the owner, in seconds.
       start_wait_s: Time until the rate that the server states allows another
         request to start, in seconds; 0 without such a limit.
+      slowdown: Factor by which work takes longer there now than usual; unset
+        if the server doesn't tell.
+      usual_run_s: Usual run time of the kind of the request that is answered
+        with this report, in seconds; unset as `slowdown` is, or if unknown.
     """
 
     running: int
@@ -31,6 +37,8 @@
     draining: bool = False
     link_wait_s: float = 0.0
     start_wait_s: float = 0.0
+    slowdown: float | msgspec.UnsetType = msgspec.UNSET
+    usual_run_s: float | msgspec.UnsetType = msgspec.UNSET
 
 
 def format_load_report(report: LoadReport) -> str:
--- a/src/lovagesaddle/core/routing/run_times.py
+++ b/src/lovagesaddle/core/routing/run_times.py
@@ -7,6 +7,9 @@
 
 # Weight of the last run in the moving average.
 LAST_RUN_WEIGHT = 0.1
+# A run counts as at most this multiple of the mean, so that the 3% of the work
+# that takes seven times as long doesn't make the owner refuse the other 97%.
+MAX_RUN_MEANS = 3.0
 
 
 class RunTimes:
@@ -32,6 +35,43 @@
         return self._mean_of.get(kind, 0.0)
 
 
+class SteadyRunTimes(RunTimes):
+    """Keeps run times at a server that tells how much slower it is now.
+
+    Runs are recorded as they would take as usual, and estimates are scaled by
+    the slowdown of the moment. A long run counts only in part.
+
+    Args:
+      earlier: Run times recorded before the server told its slowdown.
+    """
+
+    def __init__(self, earlier: RunTimes) -> None:
+        super().__init__()
+        self._mean_s = earlier._mean_s
+        self._mean_of = dict(earlier._mean_of)
+        self.slowdown = 1.0
+
+    @property
+    def mean_s(self) -> float:
+        """Mean run time of all kinds now, in seconds."""
+        return self._mean_s * self.slowdown
+
+    def record(self, kind: str, run_s: float) -> None:
+        """Records the usual time of one run, in seconds."""
+        mean_s = self._mean_of.get(kind, 0.0)
+        if mean_s:
+            run_s = min(run_s, MAX_RUN_MEANS * mean_s)
+        super().record(kind, run_s)
+
+    def estimate(self, kind: str) -> float:
+        """Returns the run time expected now, in seconds; 0 if unknown."""
+        return self._mean_of.get(kind, 0.0) * self.slowdown
+
+    def find_usual(self, kind: str) -> float:
+        """Returns the usual run time, in seconds; 0 before the first run."""
+        return self._mean_of.get(kind, 0.0)
+
+
 def _update_mean(mean_s: float, run_s: float) -> float:
     if not mean_s:
         return run_s
--- a/src/lovagesaddle/core/routing/running_requests.py
+++ b/src/lovagesaddle/core/routing/running_requests.py
@@ -13,10 +13,12 @@
     Attributes:
       waiting: The request as it was queued.
       started_at: Monotonic time at which it got its slot, in seconds.
+      slowdown: Factor by which work took longer than usual then.
     """
 
     waiting: queues.Waiting
     started_at: float
+    slowdown: float = 1.0
 
 
 class RunningRequests:
@@ -37,11 +39,19 @@
         """Whether a suspect is running."""
         return self._suspect_id in self._runs
 
-    def start(self, waiting: queues.Waiting, now: float) -> None:
-        """Gives a slot to a request."""
+    def start(
+        self, waiting: queues.Waiting, now: float, slowdown: float = 1.0
+    ) -> None:
+        """Gives a slot to a request.
+
+        Args:
+          waiting: The request.
+          now: Monotonic time in seconds.
+          slowdown: Factor by which work takes longer than usual now.
+        """
         if waiting.suspect:
             self._suspect_id = waiting.request_id
-        run = Run(waiting=waiting, started_at=now)
+        run = Run(waiting=waiting, started_at=now, slowdown=slowdown)
         self._runs[waiting.request_id] = run
 
     def list_remaining_times(
--- a/src/lovagesaddle/http/hop.py
+++ b/src/lovagesaddle/http/hop.py
@@ -52,6 +52,8 @@
       account: Name of the client account that sent the request; unset
         without one.
       account_rank: Priority of that account; unset without one.
+      may_move: True if the entry knows another server that may answer within
+        the target; else unset.
     """
 
     attempt_id: str
@@ -72,6 +74,7 @@
     publication: int = 0
     account: str | msgspec.UnsetType = msgspec.UNSET
     account_rank: int | msgspec.UnsetType = msgspec.UNSET
+    may_move: bool | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/node/node_gauges.py
+++ b/src/lovagesaddle/node/node_gauges.py
@@ -60,3 +60,20 @@
         " all nodes; -1 if it states no limit.",
         lambda: owner.rate_limit,
     )
+    metrics.set_gauge(
+        "server_slowdown",
+        "How much longer than usual work takes at the local backend server,"
+        " as it last told; -1 if it doesn't tell.",
+        lambda: owner.slowdown,
+    )
+    metrics.set_gauge(
+        "server_slots_held_back",
+        "Slots left free as the local backend server makes requests wait.",
+        lambda: owner.held_back,
+    )
+    metrics.set_gauge(
+        "server_expected_late_total",
+        "Requests refused as another backend server may answer in time.",
+        lambda: owner.expected_late,
+        kind="counter",
+    )
--- a/src/lovagesaddle/node/owned_server.py
+++ b/src/lovagesaddle/node/owned_server.py
@@ -13,11 +13,13 @@
 from lovagesaddle.core.routing import load_reports
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import queues
+from lovagesaddle.core.routing import server_load
 from lovagesaddle.core.routing import server_statements
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import body_receiver as body_receiver_lib
 from lovagesaddle.observability import logs
 
+MAX_LOGGED_CHARS = 64
 _log = logs.get_logger("owner")
 
 LimitFactory = Callable[[int], concurrency_limits.LimitPolicy]
@@ -101,10 +103,14 @@
         self._running: dict[str, quarantine.RunningRequest] = {}
         self._waiters: dict[str, _Waiter] = {}
 
-    def report(self) -> load_reports.LoadReport:
-        """Returns the load report that each answer to an entry contains."""
+    def report(self, kind: str = "") -> load_reports.LoadReport:
+        """Returns the load report that each answer to an entry contains.
+
+        Args:
+          kind: Kind of the request that is answered, if any.
+        """
         with self.lock:
-            report = self.admission.report(time.monotonic())
+            report = self.admission.report(time.monotonic(), kind)
         wait_s = (
             0.0 if self._body_receiver is None else self._body_receiver.wait_s
         )
@@ -212,6 +218,37 @@
                 header=stated.header,
             )
 
+    def record_load(self, text: str, attempt_id: str) -> None:
+        """Records the load that an answer of the server tells.
+
+        Args:
+          text: Value of the header.
+          attempt_id: The answered attempt.
+        """
+        load = server_load.parse_server_load(text)
+        if load is None:
+            if logs.allows_request_line(failed=True):
+                _log.warning(
+                    "server_load_malformed",
+                    server=self.server.server_id,
+                    instance=self.instance,
+                    attempt=attempt_id,
+                    value=repr(text[:MAX_LOGGED_CHARS]),
+                )
+            return
+        if load.slowdown is None:
+            return
+        is_first = self.admission.stated_slowdown is None
+        self.step(admission_events.LoadStated(load=load))
+        if is_first:
+            _log.info(
+                "server_tells_slowdown",
+                server=self.server.server_id,
+                instance=self.instance,
+                slots=load.slots,
+                slots_announced=self.server.slots,
+            )
+
     def mark_leaving(self) -> None:
         """Records that the server told an earlier owner that it leaves."""
         with self.lock:
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -24,6 +24,7 @@
 
 MS_PER_S = 1000
 NO_RATE_LIMIT = -1.0
+NO_SLOWDOWN = -1.0
 LeavingReport = Callable[[str, int], None]
 RouteCheck = Callable[[hop.RunRequest, str], bool]
 _log = logs.get_logger("owner")
@@ -72,6 +73,7 @@
         self._owned: dict[str, owned_server.OwnedServer] = {}
         self._seen_attempts = seen_attempts.SeenAttempts()
         self._sent = metrics.Counter()
+        self._expected_late = metrics.Counter()
         self._report_leaving: LeavingReport = _ignore_leaving
 
     @property
@@ -89,6 +91,28 @@
         ]
         return min(limits, default=NO_RATE_LIMIT)
 
+    @property
+    def slowdown(self) -> float:
+        """Highest told slowdown of a local server; -1 if none is told."""
+        told = [
+            owned.admission.stated_slowdown
+            for owned in tuple(self._owned.values())
+            if owned.admission.stated_slowdown is not None
+        ]
+        return max(told, default=NO_SLOWDOWN)
+
+    @property
+    def held_back(self) -> int:
+        """Slots of local servers left free as they make requests wait."""
+        return sum(
+            owned.admission.held_back for owned in tuple(self._owned.values())
+        )
+
+    @property
+    def expected_late(self) -> int:
+        """Number of requests refused as they would have missed their target."""
+        return self._expected_late.value
+
     def open(
         self,
         server: snapshots.BackendServer,
@@ -297,9 +321,13 @@
             target=_compute_target_time(request, time.monotonic()),
             suspect=suspect,
             has_reservation=bool(request.offset),
+            may_move=request.may_move is True,
         )
         decision = owned.admit(arrived, guard)
         if isinstance(decision, admission_events.Refused):
+            late = admission_events.RefusalReason.EXPECTED_LATE
+            if decision.reason is late:
+                self._expected_late.add()
             if logs.allows_request_line(failed=True):
                 _log.info(
                     "refused",
@@ -309,6 +337,7 @@
                     running=owned.admission.running,
                     waiting=owned.admission.waiting,
                     rate_limit=owned.admission.rate_limit,
+                    slowdown=owned.admission.stated_slowdown,
                 )
             return owner_answers.make_refusal(
                 request, decision.reason.value, owned, decision.retry_after_s
--- a/src/lovagesaddle/node/owner_answers.py
+++ b/src/lovagesaddle/node/owner_answers.py
@@ -39,7 +39,7 @@
             outcome=hop.RunOutcome.SHED,
             cause=f"status {reply.status}",
             status=reply.status,
-            load=owned.report(),
+            load=owned.report(request.route),
         )
     return hop.RunAnswer(
         attempt_id=request.attempt_id,
@@ -49,7 +49,7 @@
             reply.headers, bodyless=request.method == "HEAD"
         ),
         body=reply.body,
-        load=owned.report(),
+        load=owned.report(request.route),
     )
 
 
@@ -68,6 +68,17 @@
     return None if is_empty and _states_not_run(reply, names) else stated
 
 
+def find_load(reply: client.Reply, names: header_names.HeaderNames) -> str:
+    """Returns the load that a server tells in an answer; empty for none.
+
+    Another server that has taken over the address tells its own load.
+    """
+    if reply.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+        return ""
+    values = headers_lib.get_all(reply.headers, names.server_load.lower())
+    return values[0] if values else ""
+
+
 def _states_not_run(
     reply: client.Reply, names: header_names.HeaderNames
 ) -> bool:
@@ -86,12 +97,13 @@
     retry_after_s: float = 0.0,
 ) -> hop.RunAnswer:
     """Returns a refusal: the owner did not send the request to a server."""
+    kind = request.route if isinstance(request, hop.RunRequest) else ""
     return hop.RunAnswer(
         attempt_id=request.attempt_id,
         outcome=hop.RunOutcome.REFUSED,
         cause=reason,
         retry_after_s=retry_after_s,
-        load=owned.report() if owned is not None else None,
+        load=owned.report(kind) if owned is not None else None,
     )
 
 
@@ -105,7 +117,7 @@
         attempt_id=request.attempt_id,
         outcome=_OUTCOMES[kind],
         cause=kind.value,
-        load=owned.report(),
+        load=owned.report(request.route),
     )
 
 
@@ -125,7 +137,7 @@
         attempt_id=request.attempt_id,
         outcome=hop.RunOutcome.CRASHED,
         cause=SERVER_DIED,
-        load=owned.report(),
+        load=owned.report(request.route),
         marks=(mark,),
     )
 
--- a/src/lovagesaddle/node/server_exchange.py
+++ b/src/lovagesaddle/node/server_exchange.py
@@ -82,6 +82,9 @@
                 stated = owner_answers.find_statement(reply, self._names)
                 if stated is not None:
                     owned.record_statement(stated, request.attempt_id)
+                load = owner_answers.find_load(reply, self._names)
+                if load:
+                    owned.record_load(load, request.attempt_id)
                 return owner_answers.make_answer(
                     request, reply, owned, self._names
                 )
