Place requests by expected time where servers tell their slowdown

Load: servers that differ in speed by three, slowed 2.5 times for 15% of the time, changing every 600 ms, few slots, reports about a second old, bytes between failure domains dear. Change: the least expected time of four drawn in the own failure domain, by usual run time of the kind, slowness of the server, slowdown and load as they fade; another domain only for a gain in terms of the target.

--- a/src/lovagesaddle/core/routing/attempt_rules.py
+++ b/src/lovagesaddle/core/routing/attempt_rules.py
@@ -10,6 +10,7 @@
     {
         events.Ending.UNREACHABLE,
         events.Ending.REFUSED,
+        events.Ending.EXPECTED_LATE,
         events.Ending.RATE_LIMITED,
         events.Ending.DRAINING,
         events.Ending.SERVER_DOWN,
--- a/src/lovagesaddle/core/routing/balancer.py
+++ b/src/lovagesaddle/core/routing/balancer.py
@@ -9,6 +9,7 @@
 from lovagesaddle.core.routing import pick_policies
 from lovagesaddle.core.routing import server_stats
 from lovagesaddle.core.routing import table
+from lovagesaddle.core.routing import uneven_placement
 
 MIN_AVAILABLE_SHARE = 0.5
 # A larger body loads the links between failure domains more than some dozen
@@ -29,6 +30,7 @@
         however many fail, 0 to 1.
       node_id: ID of the entry node; empty to prefer no server of that node.
       large_body_bytes: Size from which a body counts as large, in bytes.
+      uneven: Options of the placement on servers that tell their slowdown.
     """
 
     failure_domain: str
@@ -36,6 +38,9 @@
     min_available_share: float = MIN_AVAILABLE_SHARE
     node_id: str = ""
     large_body_bytes: int = LARGE_BODY_BYTES
+    uneven: uneven_placement.PlacementOptions = dataclasses.field(
+        default_factory=uneven_placement.PlacementOptions
+    )
 
 
 class Balancer(state_machine.StateMachine[events.Event, events.Decision]):
@@ -58,6 +63,11 @@
         self._policy = policy
         self._source = source
         self._stats: dict[str, server_stats.ServerStats] = {}
+        self._uneven = uneven_placement.UnevenPlacement(
+            failure_domain=options.failure_domain,
+            options=options.uneven,
+            source=source,
+        )
         self._installed = False
         # When the last stated rate that is used up allows a request again.
         self._rates_used_until = 0.0
@@ -97,11 +107,26 @@
             reason = events.PickReason.RATE_LIMITED
             return _make_decision(event, None, reason, len(eligible))
         is_large = event.body_bytes >= self._options.large_body_bytes
-        server, reason = self._choose(eligible, now, is_large=is_large)
+        may_move = False
+        if not is_large and self._is_uneven(eligible):
+            server, reason, may_move = self._uneven.choose(
+                event, eligible, self._stats, now
+            )
+        else:
+            server, reason = self._choose(eligible, now, is_large=is_large)
         if event.needs_room and reason is events.PickReason.NO_ROOM:
             return _make_decision(event, None, reason, len(eligible))
         self._stats[server.server_id].outstanding += 1
-        return _make_decision(event, server, reason, len(eligible))
+        decision = _make_decision(event, server, reason, len(eligible))
+        if not may_move:
+            return decision
+        return dataclasses.replace(decision, may_move=True)
+
+    def _is_uneven(self, eligible: Sequence[table.Candidate]) -> bool:
+        """Returns whether servers of a service tell their slowdown."""
+        return self._options.prefer_own_domain and any(
+            self._stats[each.server_id].tells_slowdown for each in eligible
+        )
 
     def estimate_run_time(self, candidates: Sequence[table.Candidate]) -> float:
         """Returns the mean run time at some servers, in seconds.
@@ -253,6 +278,7 @@
         stats.outstanding = max(0, stats.outstanding - 1)
         if event.load_report is not None:
             stats.record_report(event.load_report, now)
+            self._uneven.record_report(event, stats)
             if event.load_report.start_wait_s:
                 self._rates_used_until = max(
                     self._rates_used_until,
--- a/src/lovagesaddle/core/routing/balancer_events.py
+++ b/src/lovagesaddle/core/routing/balancer_events.py
@@ -54,6 +54,8 @@
       needs_room: Whether to pick no server if all seem to be full.
       skips_rate_limited: Whether to pick no server if the stated rates of all
         seem to be used up.
+      kind: Kind of the request: name of its route.
+      target_s: Time left of its target latency, in seconds; None without one.
     """
 
     service: str
@@ -63,6 +65,8 @@
     body_bytes: int = 0
     needs_room: bool = False
     skips_rate_limited: bool = False
+    kind: str = ""
+    target_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -75,6 +79,7 @@
       result: Result of the attempt.
       load_report: Load report of the owner, if one arrived.
       waited_s: Time that an abandoned attempt waited for an answer, in seconds.
+      kind: Kind of the request: name of its route.
     """
 
     server_id: str
@@ -82,6 +87,7 @@
     result: AttemptResult
     load_report: load_reports.LoadReport | None = None
     waited_s: float = 0.0
+    kind: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -120,6 +126,8 @@
       version: Version of the table.
       candidates: Number of candidates of the pick.
       eligible: Number of candidates that are not tried, draining or ejected.
+      may_move: Whether the owner may refuse the request if it would miss its
+        target there, as another server may answer in time.
     """
 
     server: table.Candidate | None
@@ -128,3 +136,4 @@
     version: int
     candidates: int
     eligible: int
+    may_move: bool = False
--- a/src/lovagesaddle/core/routing/call.py
+++ b/src/lovagesaddle/core/routing/call.py
@@ -178,7 +178,9 @@
         server = self._open_attempts.pop(event.number, None)
         if server is None:
             return ()
-        released = server_releases.make_release(server, event)
+        released = server_releases.make_release(
+            server, event, self._request.route.name
+        )
         if event.ending is events.Ending.ANSWERED:
             self._may_have_run = True
             if event.status not in RETRIED_STATUSES:
--- a/src/lovagesaddle/core/routing/call_events.py
+++ b/src/lovagesaddle/core/routing/call_events.py
@@ -14,10 +14,12 @@
 class Ending(enum.Enum):
     """How an attempt ended, as seen by the entry node.
 
-    The first eight prove that the request did not run in this attempt.
+    The first nine prove that the request did not run in this attempt.
 
     UNREACHABLE: no connection to the owner, so not a byte was sent.
     REFUSED: the owner refused the request for lack of room or time.
+    EXPECTED_LATE: the owner refused the request because it would miss its
+      target there, while another server may answer in time.
     RATE_LIMITED: the owner refused the request because its server has stated
       how many requests a second it takes.
     DRAINING: the owner refused the request because its server is draining.
@@ -34,6 +36,7 @@
 
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
+    EXPECTED_LATE = "expected-late"
     RATE_LIMITED = "rate-limited"
     DRAINING = "draining"
     SERVER_DOWN = "server-down"
--- a/src/lovagesaddle/core/routing/server_releases.py
+++ b/src/lovagesaddle/core/routing/server_releases.py
@@ -11,6 +11,7 @@
 _RESULTS = {
     events.Ending.UNREACHABLE: balancer_events.AttemptResult.UNREACHABLE,
     events.Ending.REFUSED: balancer_events.AttemptResult.REFUSED,
+    events.Ending.EXPECTED_LATE: balancer_events.AttemptResult.REFUSED,
     events.Ending.RATE_LIMITED: balancer_events.AttemptResult.REFUSED,
     events.Ending.DRAINING: balancer_events.AttemptResult.DRAINING,
     events.Ending.SERVER_DOWN: balancer_events.AttemptResult.UNREACHABLE,
@@ -25,13 +26,14 @@
 
 
 def make_release(
-    server: table.Candidate, event: events.AttemptEnded
+    server: table.Candidate, event: events.AttemptEnded, kind: str = ""
 ) -> events.ReleaseServer:
     """Returns the release of a server whose attempt ended.
 
     Args:
       server: Server of the attempt.
       event: End of the attempt.
+      kind: Kind of the request: name of its route.
     """
     return events.ReleaseServer(
         finished=balancer_events.Finished(
@@ -39,6 +41,7 @@
             incarnation=server.incarnation,
             result=_RESULTS[event.ending],
             load_report=event.load_report,
+            kind=kind,
         )
     )
 
--- a/src/lovagesaddle/core/routing/server_stats.py
+++ b/src/lovagesaddle/core/routing/server_stats.py
@@ -66,6 +66,10 @@
       unanswered_s: How long a call waited without an answer, in seconds; each
         answer halves it.
       unanswered_at: When that call was given up.
+      others_at_report: Requests of other entries in the newest report.
+      slowness: Its usual run times relative to those of the servers that this
+        entry node uses; 0 when unknown.
+      tells_slowdown: Whether its reports tell how much slower it is now.
     """
 
     incarnation: int
@@ -84,6 +88,9 @@
     hinted_unhealthy: bool = False
     unanswered_s: float = 0.0
     unanswered_at: float = 0.0
+    others_at_report: int = 0
+    slowness: float = 0.0
+    tells_slowdown: bool = False
 
     def record_report(
         self, report: load_reports.LoadReport, now: float
@@ -122,7 +129,7 @@
         run_s = 0.0 if self.report is None else self.report.latency_s
         if waited_s > NO_ANSWER_RUNS * run_s:
             self.unanswered_s = max(
-                waited_s, self._estimate_unanswered_wait(now)
+                waited_s, self.estimate_unanswered_wait(now)
             )
             self.unanswered_at = now
 
@@ -166,9 +173,10 @@
         queue = (self.estimate_load(now) + 1) / self.estimate_limit(now)
         cost_s = queue * max(latency_s, MIN_LATENCY_S)
         wait_s = self.estimate_start_wait(now)
-        return max(cost_s, self._estimate_unanswered_wait(now)) + wait_s
+        return max(cost_s, self.estimate_unanswered_wait(now)) + wait_s
 
-    def _estimate_unanswered_wait(self, now: float) -> float:
+    def estimate_unanswered_wait(self, now: float) -> float:
+        """Returns how long calls wait there without an answer, in seconds."""
         age_share = (now - self.unanswered_at) / LATENCY_FADE_S
         return self.unanswered_s * max(0.0, 1 - age_share)
 
--- a/src/lovagesaddle/node/attempt_senders.py
+++ b/src/lovagesaddle/node/attempt_senders.py
@@ -17,6 +17,7 @@
 
 _DUPLICATE = admission_events.RefusalReason.DUPLICATE.value
 _DRAINING = admission_events.RefusalReason.DRAINING.value
+_EXPECTED_LATE = admission_events.RefusalReason.EXPECTED_LATE.value
 _RATE_LIMIT = admission_events.RefusalReason.RATE_LIMIT.value
 _SERVER_DOWN_CAUSES = frozenset(
     {
@@ -141,6 +142,8 @@
         return call_events.Ending.DRAINING
     if answer.cause in _SERVER_DOWN_CAUSES:
         return call_events.Ending.SERVER_DOWN
+    if answer.cause == _EXPECTED_LATE:
+        return call_events.Ending.EXPECTED_LATE
     if answer.cause == _RATE_LIMIT:
         return call_events.Ending.RATE_LIMITED
     if answer.cause == hop.ROUTE_OUTDATED:
--- a/src/lovagesaddle/node/call_runner.py
+++ b/src/lovagesaddle/node/call_runner.py
@@ -4,6 +4,7 @@
 import os
 import time
 
+import msgspec
 from returns import result
 
 from lovagesaddle.core.model import outcomes
@@ -98,6 +99,7 @@
             forwarded.request_id, arrived_at
         )
         self._answers: dict[int, hop.RunAnswer] = {}
+        self._may_move = False
         self._result: call_results.CallResult | None = None
         self._call = call_lib.Call(
             request=events.CallRequest(
@@ -195,7 +197,10 @@
             body_bytes=len(self._forwarded.body),
             needs_room=action.needs_room,
             skips_rate_limited=action.skips_rate_limited,
+            kind=self._match.route.name,
+            target_s=self._compute_target_left(),
         )
+        self._may_move = decision.may_move
         server = decision.server
         self._decisions.record(
             "server_picked",
@@ -291,14 +296,19 @@
             suspect=verdict is quarantine.Verdict.SUSPECT,
             known=self._routing.find_statement(action.server.server_id),
             publication=self._table.publication,
+            may_move=self._may_move or msgspec.UNSET,
         )
 
     def _compute_target_ms(self) -> int | None:
+        left_s = self._compute_target_left()
+        return None if left_s is None else int(left_s * MS_PER_S)
+
+    def _compute_target_left(self) -> float | None:
+        """Returns the time left of the target latency, in seconds, if any."""
         target_s = self._match.route.target_latency_s
         if not target_s:
             return None
-        left_s = self._arrived_at + target_s - time.monotonic()
-        return int(left_s * MS_PER_S)
+        return self._arrived_at + target_s - time.monotonic()
 
     def _make_answer(
         self, action: events.AnswerCaller
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -151,6 +151,8 @@
         body_bytes: int = 0,
         needs_room: bool = False,
         skips_rate_limited: bool = False,
+        kind: str = "",
+        target_s: float | None = None,
     ) -> balancer_events.Decision:
         """Returns the balancer's decision on a server for one attempt.
 
@@ -162,6 +164,9 @@
           needs_room: Whether to pick no server if all seem to be full.
           skips_rate_limited: Whether to pick no server if the stated rates of
             all seem to be used up.
+          kind: Kind of the request: name of its route.
+          target_s: Time left of its target latency, in seconds; None without
+            one.
         """
         event = balancer_events.Pick(
             service=service,
@@ -171,6 +176,8 @@
             body_bytes=body_bytes,
             needs_room=needs_room,
             skips_rate_limited=skips_rate_limited,
+            kind=kind,
+            target_s=target_s,
         )
         with self._lock:
             return self._balancer.pick(event, time.monotonic())
