--- a/src/lovagesaddle/core/routing/uneven_placement.py
+++ b/src/lovagesaddle/core/routing/uneven_placement.py
@@ -118,9 +118,11 @@
             if not stats[each.server_id].hinted_unhealthy
         ]
         pool = healthy or eligible
-        own = [
-            each for each in pool if each.failure_domain == self._failure_domain
-        ]
+        own: list[table.Candidate] = []
+        others: list[table.Candidate] = []
+        for each in pool:
+            is_own = each.failure_domain == self._failure_domain
+            (own if is_own else others).append(each)
         use = _compute_use(pool, stats)
 
         def expect(candidate: table.Candidate) -> float:
@@ -128,22 +130,27 @@
                 stats[candidate.server_id], event.kind, use, now
             )
 
-        target_s = event.target_s
-        if target_s is None or target_s <= 0:
-            target_s = 0.0
+        target_s = max(0.0, event.target_s or 0.0)
         best, best_s = self._draw(own or pool, expect)
         reason = _get_reason(own, healthy)
-        others = [each for each in pool if own and each not in own]
-        if others and best_s > target_s * self._options.stay_share:
+        # A request without a target, or late for it, leaves a full domain only.
+        leaves = (
+            best_s > target_s * self._options.stay_share
+            if target_s
+            else not _has_room(stats[best.server_id], use, now)
+        )
+        if own and others and leaves:
             other, other_s = self._draw(others, expect)
-            if other_s + target_s * self._options.gain_share < best_s:
+            gain_s = (target_s or best_s) * self._options.gain_share
+            if other_s + gain_s < best_s:
                 best, best_s = other, other_s
                 reason = events.PickReason.OTHER_DOMAIN
-        chosen = stats[best.server_id]
-        if not chosen.has_room(now, 1.0) and best_s > target_s:
+        has_room = _has_room(stats[best.server_id], use, now)
+        if not has_room and best_s > target_s:
             reason = events.PickReason.NO_ROOM
         may_move = (
             self._options.moves
+            and target_s > 0
             and not event.tried
             and len(pool) > 1
             and use < 1
@@ -220,6 +227,12 @@
     return freshness * reported + (1 - freshness) * unheard
 
 
+def _has_room(stats: server_stats.ServerStats, use: float, now: float) -> bool:
+    """Returns whether a slot is expected to be free for one more request."""
+    slots = stats.estimate_limit(now)
+    return _estimate_load(stats, use, slots, now) + 1 <= slots
+
+
 def _compute_use(pool: Sequence[table.Candidate], stats: Stats) -> float:
     """Returns the mean share of slots in use, by the newest reports."""
     uses = [
--- a/tests/test_uneven_servers.py
+++ b/tests/test_uneven_servers.py
@@ -60,7 +60,11 @@
         self.balancer.step(event, now)
 
     def pick(
-        self, now: float = 0.0, *, needs_room: bool = False
+        self,
+        now: float = 0.0,
+        *,
+        needs_room: bool = False,
+        target_s: float | None = 0.5,
     ) -> balancer_events.Decision:
         """Picks a server for one request."""
         event = balancer_events.Pick(
@@ -69,7 +73,7 @@
             candidates=self.candidates,
             needs_room=needs_room,
             kind=KIND,
-            target_s=0.5,
+            target_s=target_s,
         )
         return self.balancer.pick(event, now)
 
@@ -147,6 +151,10 @@
         is_own = each.failure_domain == "d0"
         entry.hear(each.server_id, running=5 if is_own else 0)
     assert entry.pick().reason is Reason.OWN_DOMAIN
+    for target_s in (None, -0.1):
+        decision = entry.pick(target_s=target_s)
+        assert decision.reason is Reason.OWN_DOMAIN
+        assert not decision.may_move
     for each in entry.candidates:
         if each.failure_domain == "d0":
             entry.hear(each.server_id, running=12)
