--- a/src/lovagesaddle/http/hop.py
+++ b/src/lovagesaddle/http/hop.py
@@ -54,6 +54,8 @@
       account_rank: Priority of that account; unset without one.
       key_id: Start of the digest of the key that the request carried;
         unset without an account.
+      may_move: True if the entry knows another server that may answer within
+        the target; else unset.
     """
 
     attempt_id: str
@@ -75,6 +77,7 @@
     account: str | msgspec.UnsetType = msgspec.UNSET
     account_rank: int | msgspec.UnsetType = msgspec.UNSET
     key_id: bytes | msgspec.UnsetType = msgspec.UNSET
+    may_move: bool | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
