Let the first document tell which kinds of routes a deployment has

Cause: download was refused everywhere, since it is an invalid word in most deployments and their settings don't differ from those that have it.

--- a/src/lovagesaddle/cli/change_commands.py
+++ b/src/lovagesaddle/cli/change_commands.py
@@ -55,9 +55,7 @@
         asked = cluster_requests.publish_services(
             client, published, publish_id=chosen_id, base_version=base
         )
-        found = _require_result(
-            asked, _describe_resend(folder, chosen_id, base)
-        )
+        found = require_result(asked, _describe_resend(folder, chosen_id, base))
         _print_result(found, json=json)
         if found.outcome is not commands.PublishOutcome.ACCEPTED:
             context_lib.exit_command(exits.Exit.REFUSED)
@@ -134,18 +132,17 @@
 ) -> None:
     with context_lib.open_client(context) as client:
         asked = client.write(request, operator_messages.ChangeReplicaAnswer)
-    found = _require_result(
-        asked, 'See "lovagesaddle status" for the replicas.'
-    )
+    found = require_result(asked, 'See "lovagesaddle status" for the replicas.')
     if not found.accepted:
         output.print_note(f"refused: {found.cause}")
         context_lib.exit_command(exits.Exit.REFUSED)
     typer.echo(found.cause or f"{request.action} {request.replica_id}: done")
 
 
-def _require_result(
+def require_result(
     found: client_lib.Answer[client_lib.AnswerT], remedy: str
 ) -> client_lib.AnswerT:
+    """Returns the answer to a change; ends the command if there is none."""
     if isinstance(found, result.Failure):
         output.print_note(output.describe_no_answer(found.failure()))
         output.print_note(
--- a/src/lovagesaddle/cli/main.py
+++ b/src/lovagesaddle/cli/main.py
@@ -11,6 +11,7 @@
 from lovagesaddle.cli import exits
 from lovagesaddle.cli import explain_command
 from lovagesaddle.cli import key_commands
+from lovagesaddle.cli import kind_commands
 from lovagesaddle.cli import read_commands
 from lovagesaddle.cli import trace_command
 from lovagesaddle.core import errors
@@ -46,6 +47,7 @@
         app.command()(command)
     app.add_typer(change_commands.make_replica_app(), name="replica")
     app.add_typer(key_commands.make_keys_app(), name="keys")
+    app.add_typer(kind_commands.make_kinds_app(), name="kinds")
     return app
 
 
--- a/src/lovagesaddle/control/operator_requests.py
+++ b/src/lovagesaddle/control/operator_requests.py
@@ -81,6 +81,8 @@
                 self._publish(request, reply)
             case operator_messages.ChangeReplicaRequest():
                 self._change_replica(request, reply)
+            case operator_messages.AddKindRequest():
+                self._add_kind(request, reply)
             case operator_messages.NewestRequest():
                 self._read_newest(request, reply)
             case operator_messages.StatusRequest():
@@ -129,6 +131,28 @@
             lambda cause: self._refuse(request.request_id, cause, reply),
         )
 
+    def _add_kind(
+        self, request: operator_messages.AddKindRequest, reply: Reply
+    ) -> None:
+        if not self._consensus.view().is_leader:
+            self._refuse(request.request_id, NOT_LEADER, reply)
+            return
+
+        def finish(_: int) -> None:
+            kinds = self._consensus.state.kinds or ()
+            self._log.info("kind_added", kind=request.kind, kinds=len(kinds))
+            reply(
+                operator_messages.AddKindAnswer(
+                    request_id=request.request_id, kinds=kinds
+                )
+            )
+
+        self._consensus.propose(
+            commands.AddKind(kind=request.kind),
+            finish,
+            lambda cause: self._refuse(request.request_id, cause, reply),
+        )
+
     def _read_newest(
         self, request: operator_messages.NewestRequest, reply: Reply
     ) -> None:
--- a/src/lovagesaddle/control/state_images.py
+++ b/src/lovagesaddle/control/state_images.py
@@ -50,12 +50,14 @@
       publications: Publications of the history, newest first.
       results: Results of recent publishes, as in `State`.
       document: Published document, as in `State`.
+      kinds: Additional kinds of routes, as in `State`.
     """
 
     snapshot: snapshots.Snapshot
     publications: tuple[StoredPublication, ...]
     results: tuple[state_lib.ResultRecord, ...]
     document: documents.Document | None
+    kinds: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 _IMAGES: codec.Registry[StoredState] = codec.Registry(
@@ -79,6 +81,7 @@
             publications=tuple(stored),
             results=state.results,
             document=state.document,
+            kinds=state.kinds,
         )
     )
 
@@ -114,6 +117,7 @@
         publications=tuple(reversed(records)),
         results=stored.results,
         document=stored.document,
+        kinds=stored.kinds,
     )
 
 
--- a/src/lovagesaddle/core/configuration/publication_edits.py
+++ b/src/lovagesaddle/core/configuration/publication_edits.py
@@ -53,6 +53,7 @@
                 state.snapshot.accounts or (), command.accounts or ()
             )
         ),
+        kinds=command.kinds,
     )
 
 
@@ -95,6 +96,7 @@
                 stored.removed_accounts or (),
             )
         ),
+        kinds=stored.kinds,
     )
 
 
--- a/src/lovagesaddle/core/configuration/state.py
+++ b/src/lovagesaddle/core/configuration/state.py
@@ -6,11 +6,14 @@
 
 import dataclasses
 
+import msgspec
+
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.configuration import digest
 from lovagesaddle.core.configuration import membership
 from lovagesaddle.core.configuration import references
 from lovagesaddle.core.configuration import route_changes
+from lovagesaddle.core.configuration import route_kinds
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import documents
 from lovagesaddle.core.model import operator_messages
@@ -53,12 +56,15 @@
         refused publish IDs, oldest first.
       document: Newest published document; None if no publication has had
         one.
+      kinds: Additional kinds of routes that this deployment has, sorted; unset
+        for none.
     """
 
     snapshot: snapshots.Snapshot
     publications: tuple[PublicationRecord, ...] = ()
     results: tuple[ResultRecord, ...] = ()
     document: documents.Document | None = None
+    kinds: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
 
     @property
     def publication_version(self) -> int:
@@ -123,6 +129,11 @@
                 state,
                 membership.assign_shards(state.snapshot, version, command),
             )
+        case commands.AddKind():
+            added = dataclasses.replace(
+                state, kinds=route_kinds.add(state.kinds, (command.kind,))
+            )
+            return _replace_snapshot(added, _advance_snapshot(added, version))
         case None:
             return _replace_snapshot(state, _advance_snapshot(state, version))
 
@@ -185,6 +196,7 @@
         )[-MAX_PUBLICATIONS:],
         results=results,
         document=_replace_document(state, command),
+        kinds=route_kinds.compute_kinds(state.kinds, state.document, command),
     )
     return Transition(state=accepted, result=result)
 
@@ -226,6 +238,7 @@
         return _make_conflict(state)
     causes = (
         *_check_serial(state, command),
+        *route_kinds.check_kinds(state.kinds, state.document, command),
         *references.check_references(command.services),
     )
     if causes:
--- a/src/lovagesaddle/core/model/commands.py
+++ b/src/lovagesaddle/core/model/commands.py
@@ -19,6 +19,19 @@
     cluster_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KindUse:
+    """A kind of route beyond those of every deployment, as a document uses it.
+
+    Attributes:
+      kind: Name of the kind.
+      place: Where the document first names it, for the cause of a refusal.
+    """
+
+    kind: str
+    place: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PublishServices:
     """Replaces the whole set of services in one transaction.
@@ -33,6 +46,7 @@
       document: Document that the services were read from, if it is stored.
       limits: Limits on callers; if None, each node uses its own settings.
       accounts: Client accounts, sorted by name; unset for none.
+      kinds: Additional kinds of routes that the document uses; unset for none.
     """
 
     publish_id: str
@@ -44,6 +58,7 @@
     accounts: tuple[services_lib.ClientAccount, ...] | msgspec.UnsetType = (
         msgspec.UNSET
     )
+    kinds: tuple[KindUse, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -60,6 +75,7 @@
       limits: As in PublishServices.
       accounts: Client accounts that the edit adds or changes; unset for none.
       removed_accounts: Names of those that it removes; unset for none.
+      kinds: As in PublishServices.
     """
 
     publish_id: str
@@ -73,6 +89,7 @@
         msgspec.UNSET
     )
     removed_accounts: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
+    kinds: tuple[KindUse, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -126,6 +143,13 @@
     shards: tuple[snapshots.Shard, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AddKind:
+    """Lets later documents use an additional kind of route."""
+
+    kind: str
+
+
 class PublishOutcome(enum.Enum):
     """Outcome of a publish."""
 
@@ -156,7 +180,9 @@
     causes: tuple[str, ...] = ()
 
 
-Command = FoundCluster | PublishServices | ChangeMembership | AssignShards
+Command = (
+    FoundCluster | PublishServices | ChangeMembership | AssignShards | AddKind
+)
 
 # The log stores publications as edits where possible.
 StoredCommand = Command | EditPublication
@@ -170,5 +196,6 @@
         4: AssignShards,
         5: EditPublication,
         6: PackedCommand,
+        7: AddKind,
     },
 )
--- a/src/lovagesaddle/core/model/operator_messages.py
+++ b/src/lovagesaddle/core/model/operator_messages.py
@@ -258,6 +258,27 @@
     cause: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AddKindRequest:
+    """Asks the leader to let documents use an additional kind of route."""
+
+    request_id: str
+    kind: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AddKindAnswer:
+    """Names the additional kinds of the deployment, after the change.
+
+    Attributes:
+      request_id: ID of the request.
+      kinds: All of them, sorted.
+    """
+
+    request_id: str
+    kinds: tuple[str, ...]
+
+
 OperatorMessage = (
     PublishRequest
     | EditRequest
@@ -275,6 +296,8 @@
     | ChangeReplicaAnswer
     | NewestRequest
     | NewestAnswer
+    | AddKindRequest
+    | AddKindAnswer
 )
 
 OPERATOR_MESSAGES: codec.Registry[OperatorMessage] = codec.Registry(
@@ -296,5 +319,7 @@
         14: NewestRequest,
         15: NewestAnswer,
         16: EditRequest,
+        17: AddKindRequest,
+        18: AddKindAnswer,
     },
 )
--- a/src/lovagesaddle/platform/documents.py
+++ b/src/lovagesaddle/platform/documents.py
@@ -16,7 +16,10 @@
 MS_PER_S = 1000
 MAX_SERIAL_DIGITS = 8
 HEX_DIGITS = frozenset(string.hexdigits)
-IDEMPOTENT_KIND = "idempotent"
+LARGE_ANSWER_KIND = "download"
+IDEMPOTENT_KINDS = frozenset({"idempotent", LARGE_ANSWER_KIND})
+# Kinds that only some deployments have; the replicated state holds which.
+ADDITIONAL_KINDS = frozenset({LARGE_ANSWER_KIND})
 OPERATOR = "platform"
 # Bodies are bounded by the limits on callers, which change independently of
 # the routes.
@@ -63,7 +66,7 @@
 class _Rule(msgspec.Struct, frozen=True, rename="pascal"):
     name: Text
     # States whether requests may be retried, not how the route is matched.
-    route_kind: Literal["idempotent", "non_idempotent", "upload"]
+    route_kind: Literal["idempotent", "non_idempotent", "upload", "download"]
     match: _Match
     action: _Action
     target_latency_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)] = 0
@@ -146,6 +149,25 @@
             header_timeout_s=configuration.limits.header_timeout_ms / MS_PER_S,
             idle_timeout_s=configuration.limits.idle_timeout_ms / MS_PER_S,
         ),
+        kinds=_find_additional_kinds(configuration) or msgspec.UNSET,
+    )
+
+
+def _find_additional_kinds(
+    configuration: _Configuration,
+) -> tuple[commands.KindUse, ...]:
+    """Returns the additional kinds, each with the first rule that names it."""
+    places: dict[str, str] = {}
+    for number, listener in enumerate(configuration.listeners):
+        for rule_number, rule in enumerate(listener.route_rules):
+            if rule.route_kind in ADDITIONAL_KINDS:
+                place = (
+                    f"$.Listeners[{number}].RouteRules[{rule_number}].RouteKind"
+                )
+                places.setdefault(rule.route_kind, place)
+    return tuple(
+        commands.KindUse(kind=kind, place=place)
+        for kind, place in sorted(places.items())
     )
 
 
@@ -211,7 +233,7 @@
         timeout_s=action.timeout_ms / MS_PER_S,
         retries=action.attempts - 1,
         priority=rule.priority,
-        idempotent=rule.route_kind == IDEMPOTENT_KIND,
+        idempotent=rule.route_kind in IDEMPOTENT_KINDS,
         callers=(),
         services=(),
         max_body_bytes=UNBOUNDED_BYTES,
@@ -221,6 +243,9 @@
             services.SplitPart(service=part.service, weight=part.weight)
             for part in action.weighted_split
         ),
+        has_large_answers=(
+            True if rule.route_kind == LARGE_ANSWER_KIND else msgspec.UNSET
+        ),
     )
 
 
--- a/tests/fake_replica.py
+++ b/tests/fake_replica.py
@@ -7,6 +7,7 @@
 import zmq
 
 from lovagesaddle.core.configuration import state as state_lib
+from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import operator_messages
 from lovagesaddle.settings import schema
 from lovagesaddle.transport import endpoint
@@ -119,6 +120,15 @@
                     stale_s=self.stale_s,
                     snapshot=self.state.snapshot,
                 )
+            case operator_messages.AddKindRequest():
+                self.state = state_lib.apply_command(
+                    self.state,
+                    self.state.snapshot.version + 1,
+                    commands.AddKind(kind=request.kind),
+                ).state
+                return operator_messages.AddKindAnswer(
+                    request_id=request.request_id, kinds=self.state.kinds or ()
+                )
             case operator_messages.ChangeReplicaRequest():
                 return operator_messages.ChangeReplicaAnswer(
                     request_id=request.request_id,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -188,6 +188,18 @@
     assert "too few would be left" in removed.stderr
 
 
+def test_kind_is_added_and_shown() -> None:
+    """A malformed kind is sent to no replica."""
+    with _Desk(DESK) as desk:
+        added = desk.run("kinds", "add", "download")
+        again = desk.run("kinds", "add", "download")
+        malformed = desk.run("kinds", "add", "Down load")
+    assert added.stdout == "kinds of this deployment: download\n", added.output
+    assert again.stdout == added.stdout
+    assert malformed.exit_code == exits.Exit.BAD_INPUT
+    assert "is no kind" in malformed.stderr
+
+
 def test_unresponsive_replicas_exit_3() -> None:
     """A read command without an answer names the replicas."""
     with _Desk(DESK, answered=False) as desk:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -141,4 +141,25 @@
         )
 
 
+def test_added_kind_reaches_every_replica() -> None:
+    """A follower forwards the operator; a restarted replica still has it."""
+    with control_cluster.ControlCluster() as cluster:
+        leader = cluster.find_leader()
+        answer = cluster.ask_leader(
+            lambda request_id: operator_messages.AddKindRequest(
+                request_id=request_id, kind="download"
+            ),
+            operator_messages.AddKindAnswer,
+        )
+        assert answer.kinds == ("download",)
+        cluster.stop(leader)
+        cluster.start(leader)
+        cluster.wait_until(
+            lambda: all(
+                cluster.get_state(name).kinds == ("download",)
+                for name in cluster.list_running()
+            )
+        )
+
+
 load_tests = fixtures.collect(__name__)
