Pass large answers from server to caller in parts

Cause: a download was read whole at the owner and again at the entry before its caller got a byte, so its memory was that of the answers. Change: on routes with large answers the owner reads at most 256 KiB ahead and sends parts that the entry asks for; the entry asks for one when the caller's connection has taken what came before. Up to 64 KiB are collected first, so a request whose answer breaks off early may go to another server; later the caller's connection is reset. Answers that fit a part cost no further message, and other routes are sent as before. Parts take turns on a link of known rate.

--- a/bench/hop_transports.py
+++ b/bench/hop_transports.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+from collections.abc import Iterable
 import contextlib
 import pathlib
 import queue
@@ -35,7 +36,7 @@
 ANSWERS_ADDRESS = "inproc://answers"
 
 
-def _echo(environ: Any, start_response: Any) -> list[bytes]:
+def _echo(environ: Any, start_response: Any) -> Iterable[bytes]:
     request = wsgi.read_request(environ)
     answer = wsgi.Answer(status=200, body=request.read_body())
     return wsgi.write_answer(answer, request.method, start_response)
--- a/bench/request_parts.py
+++ b/bench/request_parts.py
@@ -7,7 +7,7 @@
 """
 
 import argparse
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent import futures
 import functools
 import http
@@ -69,7 +69,7 @@
         self.adj = adjustments.Adjustments(ident="")
         self.server = self
 
-    def application(self, environ: Any, start_response: Any) -> list[bytes]:
+    def application(self, environ: Any, start_response: Any) -> Iterable[bytes]:
         request = wsgi.read_request(environ)
         answer = wsgi.Answer(status=200, headers=(REQUEST_ID,), body=bytes(600))
         return wsgi.write_answer(answer, request.method, start_response)
--- a/src/lovagesaddle/http/answer_budget.py
+++ b/src/lovagesaddle/http/answer_budget.py
@@ -93,6 +93,14 @@
         )
         return self._held_bytes + added_bytes <= limit_bytes
 
+    def shrink(self, held_bytes: int) -> None:
+        """Returns what is held beyond `held_bytes` to the budget."""
+        if held_bytes < self._held_bytes:
+            self._budget.resize(
+                _compute_excess(self._held_bytes), _compute_excess(held_bytes)
+            )
+            self._held_bytes = held_bytes
+
     def release(self) -> None:
         """Returns all held bytes to the budget."""
         if self._held_bytes > ASSURED_BYTES:
--- a/src/lovagesaddle/http/applications.py
+++ b/src/lovagesaddle/http/applications.py
@@ -1,6 +1,7 @@
 """Base class of the WSGI applications, which answer complete requests."""
 
 import abc
+from collections.abc import Iterable
 
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.http import wsgi
@@ -16,7 +17,7 @@
         self,
         environ: wsgi.Environ,
         start_response: wsgi.StartResponse,
-    ) -> list[bytes]:
+    ) -> Iterable[bytes]:
         """Answers one request, with 500 if `answer` raises an exception."""
         request = wsgi.read_request(environ)
         try:
--- a/src/lovagesaddle/http/channels.py
+++ b/src/lovagesaddle/http/channels.py
@@ -139,6 +139,15 @@
         finally:
             _serving.channel = None
 
+    def cut(self) -> None:
+        """Resets the connection, so that no answer on it seems whole.
+
+        May be called from any thread; what is unsent is discarded.
+        """
+        sockets.reset_on_close(self.socket)
+        # The loop would wait for space in a send buffer that nobody empties.
+        self.server.wake(self.handle_close)
+
     @property
     def idle(self) -> bool:
         """Whether no request is being read, run or answered."""
--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -6,7 +6,7 @@
 
 import collections
 import dataclasses
-import enum
+import functools
 import http.client
 import socket
 import threading
@@ -15,10 +15,11 @@
 
 from returns import result
 
-from lovagesaddle.core import errors
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.http import answer_budget
+from lovagesaddle.http import exchange_errors
 from lovagesaddle.http import headers as headers_lib
+from lovagesaddle.http import open_answers
 from lovagesaddle.http import requests
 from lovagesaddle.http import responses
 from lovagesaddle.http import sockets
@@ -36,32 +37,8 @@
 # earlier request and one late answer.
 MAX_LATE_ANSWERS = 2
 Request = requests.Request
-
-
-class FailureKind(enum.Enum):
-    """Kinds of failed exchanges; only NOT_SENT proves that nothing ran."""
-
-    NOT_SENT = "not-sent"
-    CLOSED = "closed"
-    TRUNCATED = "truncated"
-    MALFORMED = "malformed"
-    TOO_LARGE = "too-large"
-    TIMEOUT = "timeout"
-    CANCELLED = "cancelled"
-
-
-class ExchangeError(errors.LovagesaddleError):
-    """Raised when no complete answer was read.
-
-    Attributes:
-      kind: How the exchange failed.
-    """
-
-    def __init__(
-        self, *, step: str, peer: str, cause: str, kind: FailureKind
-    ) -> None:
-        super().__init__(step=step, peer=peer, cause=cause)
-        self.kind = kind
+FailureKind = exchange_errors.FailureKind
+ExchangeError = exchange_errors.ExchangeError
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -74,6 +51,9 @@
 
 
 ExchangeResult = result.Result[Reply, ExchangeError]
+OpenAnswer = open_answers.OpenAnswer[ExchangeError]
+OpenResult = result.Result[OpenAnswer, ExchangeError]
+_Read = Reply | OpenAnswer
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -141,12 +121,51 @@
           request: What to send.
           guard: Bounds the exchange; its end closes the connection.
         """
+        match self._begin(address, request, guard, None):
+            case result.Success(Reply() as reply):
+                return result.Success(reply)
+            case result.Failure(error):
+                return result.Failure(error)
+        raise AssertionError("unreachable")
+
+    def open_answer(
+        self,
+        address: str,
+        request: Request,
+        guard: watchdog.Guard,
+        held_bytes: int,
+    ) -> OpenResult:
+        """Sends a request and reads the begin of the answer.
+
+        Args:
+          address: `ip:port`.
+          request: What to send.
+          guard: Bounds the exchange until this method returns.
+          held_bytes: Bytes of the body that are read before that; an answer
+            with no more of them is read whole, and its connection released.
+        """
+        match self._begin(address, request, guard, held_bytes):
+            case result.Success(open_answers.OpenAnswer() as answer):
+                return result.Success(answer)
+            case result.Failure(error):
+                return result.Failure(error)
+        raise AssertionError("unreachable")
+
+    def _begin(
+        self,
+        address: str,
+        request: Request,
+        guard: watchdog.Guard,
+        held_bytes: int | None,
+    ) -> result.Result[_Read, ExchangeError]:
+        """Reads a whole answer, or opens it if `held_bytes` is given."""
         if not guard.remaining_s:
-            # The guard's own thread may not have run since a pause of the
-            # process, so the time is checked here too.
+            # The guard's thread may not have run since a pause of the process.
             cause = "the wait has ended"
             return result.Failure(
-                _fail("connect", address, cause, FailureKind.NOT_SENT)
+                exchange_errors.fail(
+                    "connect", address, cause, FailureKind.NOT_SENT
+                )
             )
         own_id = request.headers.get(self._request_id_header, "")
         try:
@@ -154,19 +173,22 @@
         except (OSError, ValueError, OverflowError) as error:
             # The address may come from a list that others wrote.
             return result.Failure(
-                _fail("connect", address, str(error), FailureKind.NOT_SENT)
+                exchange_errors.fail(
+                    "connect", address, str(error), FailureKind.NOT_SENT
+                )
             )
+
+        def end(head: responses.Head, keeps: bool) -> None:
+            idle_s = requests.parse_idle_timeout(head.headers) if keeps else 0.0
+            self._release(address, connection, idle_s, own_id)
+
         # On a new connection no answer to an earlier request can arrive late.
         late = MAX_LATE_ANSWERS if is_reused else 0
-        outcome = self._exchange(connection, address, request, guard, late)
-        match outcome:
-            case result.Success((reply, idle_s)):
-                self._release(address, connection, idle_s, own_id)
-                return result.Success(reply)
-            case result.Failure(error):
-                connection.close()
-                return result.Failure(error)
-        raise AssertionError("unreachable")
+        link = _Link(connection=connection, late=late, end=end)
+        outcome = self._exchange(address, request, guard, link, held_bytes)
+        if isinstance(outcome, result.Failure):
+            connection.close()
+        return outcome
 
     def _acquire(
         self, address: str, guard: watchdog.Guard, own_id: str
@@ -273,22 +295,14 @@
 
     def _exchange(
         self,
-        connection: http.client.HTTPConnection,
         address: str,
         request: Request,
         guard: watchdog.Guard,
-        late: int,
-    ) -> result.Result[tuple[Reply, float], ExchangeError]:
-        """Returns the answer and how long its connection may idle, in seconds.
-
-        Args:
-          connection: Connection to the peer.
-          address: `ip:port` of the peer.
-          request: What to send.
-          guard: Bounds the exchange.
-          late: Number of answers to earlier requests that may be skipped.
-        """
-        sock = connection.sock
+        link: "_Link",
+        held_bytes: int | None,
+    ) -> result.Result[_Read, ExchangeError]:
+        """Reads a whole answer, or opens it if `held_bytes` is given."""
+        sock = link.connection.sock
         step = "send request"
         allocation = answer_budget.Allocation(self._budget)
         reader = responses.AnswerReader(
@@ -299,64 +313,86 @@
                 watchdog.limit_wait(sock, guard)
                 sock.sendall(requests.encode_request(request, address))
                 step = "read answer"
-                read = self._read_matching(reader, address, request, late)
+                head, is_reusable = self._read_matching(
+                    reader, address, request, late=link.late
+                )
+                opened = open_answers.OpenAnswer(
+                    head=head,
+                    reader=reader,
+                    allocation=allocation,
+                    sock=sock,
+                    end=link.end,
+                    explain=functools.partial(
+                        exchange_errors.explain, step, address
+                    ),
+                    is_reusable=is_reusable,
+                )
+                if held_bytes is not None:
+                    opened.fill(held_bytes)
+                    # The open answer releases its own.
+                    allocation = answer_budget.Allocation(self._budget)
+                else:
+                    body = reader.read_body(head)
+                    opened.is_read = True
         except ExchangeError as error:
             return result.Failure(error)
         except (OSError, http.client.HTTPException, ValueError) as error:
-            kind = _classify(error, guard)
-            return result.Failure(_fail(step, address, repr(error), kind))
+            return result.Failure(
+                exchange_errors.explain(step, address, error, guard)
+            )
         finally:
             allocation.release()
-        return result.Success(read)
+        opened.settle()
+        if held_bytes is not None:
+            return result.Success(opened)
+        return result.Success(
+            Reply(status=head.status, headers=head.headers, body=body)
+        )
 
     def _read_matching(
         self,
         reader: responses.AnswerReader,
         address: str,
         request: Request,
+        *,
         late: int,
-    ) -> tuple[Reply, float]:
-        """Reads answers up to the one that belongs to the request.
+    ) -> tuple[responses.Head, bool]:
+        """Reads up to the head of the answer that belongs to the request.
 
         A server may send a second answer to an earlier request, which then
         arrives before the answer to this one.
+
+        Args:
+          reader: Reads answers.
+          address: `ip:port` of the peer.
+          request: What was sent.
+          late: Number of answers to earlier requests that may be skipped.
+
+        Returns:
+          The head, and whether it was the first one.
         """
         for left in range(late, -1, -1):
             head = reader.read_head()
             mismatch = self._find_mismatch(request, head, is_reused=bool(late))
             if mismatch and (not left or head.closes):
-                raise _fail(
+                raise exchange_errors.fail(
                     "check answer", address, mismatch, FailureKind.MALFORMED
                 )
             if head.is_unframed and not self._allows_unframed:
                 cause = "answer states no length, so its end can't be checked"
-                raise _fail(
+                raise exchange_errors.fail(
                     "read answer", address, cause, FailureKind.MALFORMED
                 )
-            body = reader.read_body(head)
-            if mismatch:
-                continue
-            idle_s = 0.0
-            if left == late and not (head.closes or reader.has_more()):
-                idle_s = requests.parse_idle_timeout(head.headers)
-            reply = Reply(status=head.status, headers=head.headers, body=body)
-            return reply, idle_s
+            if not mismatch:
+                return head, left == late
+            reader.read_body(head)
         raise AssertionError("unreachable")
 
 
-def _classify(error: Exception, guard: watchdog.Guard) -> FailureKind:
-    if guard.reason is watchdog.EndReason.CANCELLED:
-        return FailureKind.CANCELLED
-    if guard.reason is not None or isinstance(error, TimeoutError):
-        return FailureKind.TIMEOUT
-    if isinstance(error, responses.AnswerTooLargeError):
-        return FailureKind.TOO_LARGE
-    if isinstance(error, http.client.IncompleteRead):
-        return FailureKind.TRUNCATED
-    if isinstance(error, (http.client.RemoteDisconnected, OSError)):
-        return FailureKind.CLOSED
-    return FailureKind.MALFORMED
-
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Link:
+    """Holds the connection of one exchange, and what may arrive late on it."""
 
-def _fail(step: str, peer: str, cause: str, kind: FailureKind) -> ExchangeError:
-    return ExchangeError(step=step, peer=peer, cause=cause, kind=kind)
+    connection: http.client.HTTPConnection
+    late: int
+    end: open_answers.EndCallback
--- a/src/lovagesaddle/http/hop.py
+++ b/src/lovagesaddle/http/hop.py
@@ -21,6 +21,7 @@
 RUN_PATH = "/.lovagesaddle/run"
 QUARANTINED = "quarantined"
 ROUTE_OUTDATED = "route-outdated"
+UNKNOWN_BYTES = -1
 DIGEST_BYTES = 32
 HASH = "sha256"
 
@@ -52,6 +53,8 @@
       account: Name of the client account that sent the request; unset
         without one.
       account_rank: Priority of that account; unset without one.
+      takes_parts: Whether the entry asks for the rest of a large answer in
+        parts; unset for no.
     """
 
     attempt_id: str
@@ -72,6 +75,7 @@
     publication: int = 0
     account: str | msgspec.UnsetType = msgspec.UNSET
     account_rank: int | msgspec.UnsetType = msgspec.UNSET
+    takes_parts: bool | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -158,11 +162,14 @@
         refusal.
       status: HTTP status of a complete answer.
       headers: Headers of a complete answer.
-      body: Body of a complete answer.
+      body: Body of a complete answer, or its first part.
       load: Load of the backend server.
       marks: The crash mark of the request if the server died.
       stated: What the server has stated, if anything, or if the request told
         of an earlier statement.
+      rest_bytes: Size of the rest of the body, in bytes, for which the entry
+        asks in parts; `UNKNOWN_BYTES` if the server states none; unset if
+        `body` is whole.
     """
 
     attempt_id: str
@@ -175,9 +182,77 @@
     load: load_reports.LoadReport | None = None
     marks: tuple[quarantine.CrashMark, ...] = ()
     stated: known_statements.KnownStatement | None = None
+    rest_bytes: int | msgspec.UnsetType = msgspec.UNSET
 
 
-HopMessage = RunRequest | RunAnswer | BodyOffer | BodyPart | BodyTaken
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerPull:
+    """Asks an owner for the next part of an answer.
+
+    Attributes:
+      attempt_id: ID of the attempt.
+      offset: Bytes of the body that the entry has.
+      left_bytes: Size of the rest, in bytes; `UNKNOWN_BYTES` if not known.
+      remaining_ms: Time to the deadline, in milliseconds.
+      priority: Priority of the route.
+    """
+
+    attempt_id: str
+    offset: int
+    left_bytes: int
+    remaining_ms: int
+    priority: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerPart:
+    """Carries the next part of an answer.
+
+    Attributes:
+      attempt_id: ID of the attempt.
+      offset: Bytes of the body before this part.
+      data: The bytes of this part.
+      is_last: Whether the body ends with it, as the server framed it.
+    """
+
+    attempt_id: str
+    offset: int
+    data: bytes
+    is_last: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerDrop:
+    """Tells an owner that the rest of an answer is not needed.
+
+    The owner closes the connection to its server, and answers with
+    AnswerDropped.
+
+    Attributes:
+      attempt_id: ID of the attempt.
+    """
+
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerDropped:
+    """Confirms an AnswerDrop, also if the owner holds no such answer."""
+
+    attempt_id: str
+
+
+HopMessage = (
+    RunRequest
+    | RunAnswer
+    | BodyOffer
+    | BodyPart
+    | BodyTaken
+    | AnswerPull
+    | AnswerPart
+    | AnswerDrop
+    | AnswerDropped
+)
 
 MESSAGES: codec.Registry[HopMessage] = codec.Registry(
     name="hop message",
@@ -187,6 +262,10 @@
         3: BodyOffer,
         4: BodyPart,
         5: BodyTaken,
+        6: AnswerPull,
+        7: AnswerPart,
+        8: AnswerDrop,
+        9: AnswerDropped,
     },
 )
 
--- a/src/lovagesaddle/http/responses.py
+++ b/src/lovagesaddle/http/responses.py
@@ -6,6 +6,7 @@
 never stops sending.
 """
 
+from collections.abc import Iterator
 import dataclasses
 import http
 import http.client
@@ -83,6 +84,10 @@
         self._guard = guard
         self.is_paused = False
 
+    def rebind(self, guard: watchdog.Guard) -> None:
+        """Lets another guard bound the reads from now on."""
+        self._guard = guard
+
     def readable(self) -> bool:
         """Returns True, as `io.BufferedReader` refuses other streams."""
         return True
@@ -162,15 +167,42 @@
         if head.chunked:
             while size := self._read_chunk_size():
                 body.write(self._read_exactly(size))
-                if self._file.read(len(_LINE_END)) != _LINE_END:
-                    raise http.client.HTTPException("chunk exceeds its size")
-                self._count_framing(len(_LINE_END) - size)
+                self._end_chunk(size)
             self._read_headers()
         else:
             while piece := self._file.read(READ_BYTES):
                 body.write(piece)
         return body.getvalue()
 
+    def iterate_body(self, head: Head, piece_bytes: int) -> Iterator[bytes]:
+        """Yields the body that belongs to a head in pieces.
+
+        The pieces end only with the end of the body that its framing states;
+        whoever keeps a piece counts it.
+
+        Args:
+          head: Head of the answer.
+          piece_bytes: Most bytes of a piece.
+
+        Raises:
+          http.client.HTTPException: The body is malformed or truncated.
+          OSError: The connection broke or the wait has ended.
+        """
+        if head.length is not None:
+            yield from self._iterate_exactly(head.length, piece_bytes)
+        elif head.chunked:
+            while size := self._read_chunk_size():
+                yield from self._iterate_exactly(size, piece_bytes)
+                self._end_chunk(size)
+            self._read_headers()
+        else:
+            while piece := self._file.read(piece_bytes):
+                yield piece
+
+    def rebind(self, guard: watchdog.Guard) -> None:
+        """Lets another guard bound the reads from now on."""
+        self._reader.rebind(guard)
+
     def has_more(self) -> bool:
         """Returns whether bytes are buffered that were not read yet."""
         self._reader.is_paused = True
@@ -247,6 +279,17 @@
             size -= wanted
         return body.getvalue()
 
+    def _iterate_exactly(self, size: int, piece_bytes: int) -> Iterator[bytes]:
+        while size:
+            wanted = min(size, piece_bytes)
+            yield self._check_length(self._file.read(wanted), wanted)
+            size -= wanted
+
+    def _end_chunk(self, size: int) -> None:
+        if self._file.read(len(_LINE_END)) != _LINE_END:
+            raise http.client.HTTPException("chunk exceeds its size")
+        self._count_framing(len(_LINE_END) - size)
+
     def _check_length(self, data: bytes, wanted: int) -> bytes:
         if len(data) < wanted:
             raise http.client.IncompleteRead(b"", wanted - len(data))
--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -26,6 +26,8 @@
 # waitress buffers larger request bodies in a temporary file.
 SPOOL_BYTES = 512 * 1024
 RECV_BYTES = 64 * 1024
+# A task that writes an answer in parts waits while more than this is unsent.
+UNSENT_BYTES = 256 * 1024
 LOOKAHEAD_REQUESTS = 1
 STOP_POLL_S = 0.02
 IDLE_LINGER_S = 0.3
@@ -294,6 +296,7 @@
             "max_request_body_size": self._options.max_body_bytes + 1,
             "inbuf_overflow": SPOOL_BYTES,
             "recv_bytes": RECV_BYTES,
+            "outbuf_high_watermark": UNSENT_BYTES,
             "log_socket_errors": False,
             "clear_untrusted_proxy_headers": False,
         }
--- a/src/lovagesaddle/http/sockets.py
+++ b/src/lovagesaddle/http/sockets.py
@@ -44,6 +44,14 @@
     return bool(poll.poll(0))
 
 
+def reset_on_close(sock: socket.socket | None) -> None:
+    """Makes the close of a socket a reset, which discards unsent data."""
+    if sock is None:
+        return
+    with contextlib.suppress(OSError):  # The peer closed it first.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+
+
 def abort(sock: socket.socket) -> None:
     """Shuts a socket down in both directions and wakes threads waiting on it.
 
--- a/src/lovagesaddle/http/watchdog.py
+++ b/src/lovagesaddle/http/watchdog.py
@@ -70,6 +70,11 @@
             with self._lock:
                 self._callback = None
 
+    def call_on_end(self, callback: Callable[[], None]) -> None:
+        """Calls `callback` when the wait ends, instead of any earlier one."""
+        with self._lock:
+            self._callback = callback
+
     def check(self, now: float) -> None:
         """Ends the wait at its deadline or when the requester is gone."""
         if self.reason is not None:
@@ -170,6 +175,30 @@
         finally:
             del self._guards[id(guard)]
 
+    def call_at(
+        self, deadline: float, callback: Callable[[], None]
+    ) -> Callable[[], None]:
+        """Calls `callback` at a deadline, on the watchdog's thread.
+
+        Args:
+          deadline: Monotonic time, in seconds; earlier if all waits end before.
+          callback: Must not block.
+
+        Returns:
+          Cancels the call; may be called from `callback` too.
+        """
+        guard = Guard(min(deadline, self._latest), _is_never_gone)
+        guard.call_on_end(callback)
+        self._guards[id(guard)] = guard
+        guard.deadline = min(guard.deadline, self._latest)
+        if guard.deadline < self._next_scan_at:
+            self._wakeup.set()
+
+        def cancel() -> None:
+            self._guards.pop(id(guard), None)
+
+        return cancel
+
     def _run(self) -> None:
         idle_scans = 0
         while not self._stopped:
--- a/src/lovagesaddle/http/wsgi.py
+++ b/src/lovagesaddle/http/wsgi.py
@@ -1,6 +1,7 @@
 """Conversion between WSGI and the requests and answers of applications."""
 
-from collections.abc import Callable, Mapping
+import abc
+from collections.abc import Callable, Iterable, Iterator, Mapping
 import dataclasses
 import http
 import json
@@ -48,6 +49,27 @@
     body_s: float = 0.0
 
 
+class BodyParts(abc.ABC):
+    """Yields the body of an answer in parts, while it is being sent.
+
+    Attributes:
+      length: Size of the whole body, in bytes; None if unknown.
+    """
+
+    length: int | None
+
+    @abc.abstractmethod
+    def __iter__(self) -> Iterator[bytes]:
+        """Yields the parts.
+
+        An OSError ends the connection before the end of the body.
+        """
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Ends what still works on the body; called once it isn't needed."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Answer:
     """Holds the answer to a request.
@@ -55,12 +77,14 @@
     Attributes:
       status: HTTP status.
       headers: Names and values, without Content-Length and hop-by-hop headers.
-      body: The whole body.
+      body: The whole body, if it doesn't come in parts.
+      parts: The body in parts; None if it is whole.
     """
 
     status: int
     headers: headers_lib.Headers = ()
     body: bytes = b""
+    parts: BodyParts | None = None
 
 
 def read_request(environ: Environ) -> IncomingRequest:
@@ -90,9 +114,14 @@
 
 def write_answer(
     answer: Answer, method: str, start_response: StartResponse
-) -> list[bytes]:
+) -> Iterable[bytes]:
     """Starts a WSGI response and returns its body."""
     lines = list(answer.headers)
+    if answer.parts is not None:
+        if answer.parts.length is not None:
+            lines.append(("Content-Length", str(answer.parts.length)))
+        start_response(format_status(answer.status), lines)
+        return answer.parts
     if method != "HEAD":
         lines.append(("Content-Length", str(len(answer.body))))
     start_response(format_status(answer.status), lines)
--- a/src/lovagesaddle/node/application.py
+++ b/src/lovagesaddle/node/application.py
@@ -3,6 +3,8 @@
 import enum
 from typing import Any
 
+import msgspec
+
 from lovagesaddle.core import errors
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.http import applications
@@ -10,6 +12,7 @@
 from lovagesaddle.http import thread_pools
 from lovagesaddle.http import watchdog
 from lovagesaddle.http import wsgi
+from lovagesaddle.node import answer_turns as answer_turns_lib
 from lovagesaddle.node import entry as entry_lib
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import owner as owner_lib
@@ -17,6 +20,7 @@
 
 MS_PER_S = 1000
 OVERLOADED = "node-overloaded"
+LINK_FULL = "link-full"
 # The transfer of a smaller body is not logged: it takes no longer than the
 # rest of its request.
 MIN_LOGGED_BODY_BYTES = 16 * 1024
@@ -41,6 +45,8 @@
       signer: Checks and signs the messages between nodes.
       guards: Watches deadlines and entries that disconnect.
       source: Senders whose requests are answered.
+      answer_turns: Lets parts of large answers take turns on the link; None if
+        its rate is unknown.
     """
 
     def __init__(
@@ -51,7 +57,9 @@
         signer: hop.EnvelopeSigner,
         guards: watchdog.Watchdog,
         source: RequestSource = RequestSource.ALL,
+        answer_turns: answer_turns_lib.AnswerTurns | None = None,
     ) -> None:
+        self._answer_turns = answer_turns
         self._source = source
         self._entry = entry
         self._owner = owner
@@ -82,6 +90,12 @@
                 answer = self._run_attempt(message, request, arrived_at)
             case hop.BodyPart():
                 answer = self._owner.receive_part(message)
+            case hop.AnswerPull():
+                answer = self._pull(message, request, arrived_at)
+            case hop.AnswerDrop():
+                self._record_arrival(message.attempt_id)
+                self._owner.held.drop(message.attempt_id, "not-needed")
+                answer = hop.AnswerDropped(attempt_id=message.attempt_id)
             case _:
                 return _refuse_hop(400, "the message is not a request")
         return wsgi.Answer(
@@ -107,8 +121,65 @@
             if isinstance(message, hop.BodyOffer):
                 return self._owner.offer(message, guard)
             _log_body(message, request)
+            if message.takes_parts is True and self._answer_turns is not None:
+                return self._run_in_turns(message, guard, self._answer_turns)
             return self._owner.run(message, guard)
 
+    def _run_in_turns(
+        self,
+        message: hop.RunRequest,
+        guard: watchdog.Guard,
+        turns: answer_turns_lib.AnswerTurns,
+    ) -> hop.HopMessage:
+        """Runs an attempt whose answer may wait for the link.
+
+        It is refused before it runs if the link couldn't carry the answer in
+        time: it would only hold up those that can still arrive.
+        """
+        run_s = self._owner.estimate_run_time(message)
+        delay_s = turns.compute_delay(run_s, guard)
+        if delay_s:
+            return self._owner.refuse(message, LINK_FULL, delay_s)
+        answer = self._owner.run(message, guard)
+        if answer.rest_bytes is msgspec.UNSET or turns.send_first(
+            message, answer, guard
+        ):
+            return answer
+        return self._give_up(message.attempt_id)
+
+    def _pull(
+        self,
+        pull: hop.AnswerPull,
+        request: wsgi.IncomingRequest,
+        arrived_at: float,
+    ) -> hop.HopMessage:
+        self._record_arrival(pull.attempt_id)
+        deadline = arrived_at + pull.remaining_ms / MS_PER_S
+        with self._guards.watch(
+            deadline=deadline, is_gone=request.is_gone
+        ) as guard:
+            part = self._owner.held.pull(pull, guard)
+            if (
+                self._answer_turns is None
+                or isinstance(part, hop.RunAnswer)
+                or self._answer_turns.send_next(pull, part, guard)
+            ):
+                return part
+        return self._give_up(pull.attempt_id)
+
+    def _give_up(self, attempt_id: str) -> hop.RunAnswer:
+        """Drops an answer whose part could not be sent in time."""
+        self._owner.held.drop(attempt_id, "no-turn")
+        return hop.RunAnswer(
+            attempt_id=attempt_id,
+            outcome=hop.RunOutcome.TIMEOUT,
+            cause=LINK_FULL,
+        )
+
+    def _record_arrival(self, attempt_id: str) -> None:
+        if self._answer_turns is not None:
+            self._answer_turns.record_arrival(attempt_id)
+
 
 def classify(parsed: Any) -> thread_pools.PoolKind:
     """Returns the pool for a request that waitress has parsed."""
--- a/src/lovagesaddle/node/attempt_senders.py
+++ b/src/lovagesaddle/node/attempt_senders.py
@@ -48,6 +48,16 @@
     ) -> HopResult:
         """Returns the owner's answer, or the error of the exchange."""
 
+    def ask(
+        self,
+        server: table.Candidate,
+        message: hop.AnswerPull | hop.AnswerDrop,
+        guard: watchdog.Guard,
+    ) -> body_transfer.MessageResult:
+        """Asks the owner of a server about an answer that it holds."""
+        del message, guard
+        return _make_malformed(server.http_address, "parts are not asked for")
+
 
 class HttpAttemptSender(AttemptSender):
     """Sends signed messages over HTTP; calls the owner of this node directly.
@@ -101,6 +111,20 @@
         peer = server.http_address
         return _make_malformed(peer, "the answer is for another attempt")
 
+    def ask(
+        self,
+        server: table.Candidate,
+        message: hop.AnswerPull | hop.AnswerDrop,
+        guard: watchdog.Guard,
+    ) -> body_transfer.MessageResult:
+        """Returns the owner's reply, or the error of the exchange."""
+        if server.node_id != self._node_id:
+            return self._exchange(server, message, guard)
+        if isinstance(message, hop.AnswerPull):
+            return result.Success(self._owner.held.pull(message, guard))
+        self._owner.held.drop(message.attempt_id, "not-needed")
+        return result.Success(hop.AnswerDropped(attempt_id=message.attempt_id))
+
     def _exchange(
         self,
         server: table.Candidate,
--- a/src/lovagesaddle/node/call_answers.py
+++ b/src/lovagesaddle/node/call_answers.py
@@ -34,6 +34,7 @@
                 status=answered.status,
                 headers=remaining + id_header + outcome,
                 body=answered.body,
+                parts=answered.parts,
             )
         case result.Failure(failed):
             extra = id_header
--- a/src/lovagesaddle/node/call_results.py
+++ b/src/lovagesaddle/node/call_results.py
@@ -6,6 +6,7 @@
 
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.http import headers as headers_lib
+from lovagesaddle.http import wsgi
 
 CALLER_GONE_STATUS = 499
 CALLER_GONE_REASON = "caller-gone"
@@ -20,12 +21,14 @@
       headers: Headers for the caller; internal ones are removed.
       body: The whole body.
       outcome: Whether the request of a failed call ran; None if it succeeded.
+      parts: The body, if it is passed on in parts; None if it is whole.
     """
 
     status: int
     headers: headers_lib.Headers
     body: bytes
     outcome: outcomes.RequestOutcome | None
+    parts: wsgi.BodyParts | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/node/call_runner.py
+++ b/src/lovagesaddle/node/call_runner.py
@@ -4,6 +4,7 @@
 import os
 import time
 
+import msgspec
 from returns import result
 
 from lovagesaddle.core.model import outcomes
@@ -16,6 +17,7 @@
 from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
+from lovagesaddle.node import answer_parts
 from lovagesaddle.node import attempt_senders
 from lovagesaddle.node import call_results
 from lovagesaddle.node import decision_log
@@ -71,6 +73,7 @@
       attempt_sender: Sends attempts to owners.
       shared_quarantine: Gets the crash marks that owners report.
       names: Names of the headers that are sent to backend servers.
+      takes_parts: Whether a large answer may be passed on in parts.
     """
 
     def __init__(
@@ -85,7 +88,10 @@
         attempt_sender: attempt_senders.AttemptSender,
         shared_quarantine: shared_quarantine_lib.SharedQuarantine,
         names: header_names.HeaderNames = header_names.DEFAULT,
+        takes_parts: bool = False,
     ) -> None:
+        self._takes_parts = takes_parts
+        self._parts: dict[int, answer_parts.AnswerParts] = {}
         self._names = names
         self._forwarded = forwarded
         self._match = match
@@ -139,6 +145,8 @@
                     pending.append(following)
         if self._result is None:
             raise AssertionError("the call ended without a result")
+        for parts in self._parts.values():
+            parts.close()
         self._decisions.write(self._result, self._call.attempts)
         return self._result
 
@@ -229,7 +237,9 @@
                 number=action.number, ending=events.Ending.QUARANTINED
             )
         request = self._make_request(action, verdict)
-        outcome = self._attempt_sender.send(action.server, request, guard)
+        outcome = self._attempt_sender.send(action.server, request, guard).bind(
+            lambda answer: self._collect(action, request, answer, guard)
+        )
         if guard.reason is watchdog.EndReason.CANCELLED:
             return events.CallerGone()
         match outcome:
@@ -263,6 +273,26 @@
                 )
         raise AssertionError("unreachable")
 
+    def _collect(
+        self,
+        action: events.SendAttempt,
+        request: hop.RunRequest,
+        answer: hop.RunAnswer,
+        guard: watchdog.Guard,
+    ) -> attempt_senders.HopResult:
+        """Returns an answer, whole if it has few parts."""
+        if answer.rest_bytes is msgspec.UNSET:
+            return result.Success(answer)
+        parts = answer_parts.AnswerParts(
+            sender=self._attempt_sender,
+            server=action.server,
+            request=request,
+            answer=answer,
+            guard=guard,
+        )
+        self._parts[action.number] = parts
+        return parts.collect(answer)
+
     def _report_to_quarantine(self, answer: hop.RunAnswer) -> None:
         if answer.marks:
             self._shared_quarantine.add_marks(answer.marks)
@@ -291,6 +321,11 @@
             suspect=verdict is quarantine.Verdict.SUSPECT,
             known=self._routing.find_statement(action.server.server_id),
             publication=self._table.publication,
+            takes_parts=(
+                True
+                if self._takes_parts and self._match.route.has_large_answers
+                else msgspec.UNSET
+            ),
         )
 
     def _compute_target_ms(self) -> int | None:
@@ -304,11 +339,17 @@
         self, action: events.AnswerCaller
     ) -> call_results.Answered:
         answer = self._answers[action.number]
+        parts = self._parts.get(action.number)
+        if parts is not None and not parts.is_ended:
+            del self._parts[action.number]
+        else:
+            parts = None
         return call_results.Answered(
             status=answer.status,
             headers=answer.headers,
             body=answer.body,
             outcome=action.outcome,
+            parts=parts,
         )
 
     def _fail_call(self, action: events.FailCaller) -> None:
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -20,6 +20,7 @@
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.http import wsgi
+from lovagesaddle.node import answer_parts
 from lovagesaddle.node import attempt_senders
 from lovagesaddle.node import call_answers
 from lovagesaddle.node import call_results
@@ -273,9 +274,10 @@
             verdict=self._shared_quarantine.classify(fingerprint),
             body_s=request.body_s,
         )
-        runner = self._make_runner(accepted, forwarded)
         key = request.headers.get(KEY_HEADER) if self._claims_keys else None
-        if key is None or request.method in SAFE_METHODS:
+        is_claimed = key is not None and request.method not in SAFE_METHODS
+        runner = self._make_runner(accepted, forwarded, is_claimed)
+        if key is None or not is_claimed:
             call_result = self._run(runner, request.is_gone)
         elif claim_keys.is_valid_key(key):
             claim = self._open_claim(
@@ -301,7 +303,10 @@
         return ((self._names.caller_service, service),)
 
     def _make_runner(
-        self, accepted: "_Accepted", forwarded: call_runner.ForwardedRequest
+        self,
+        accepted: "_Accepted",
+        forwarded: call_runner.ForwardedRequest,
+        is_claimed: bool,
     ) -> call_runner.CallRunner:
         chain = accepted.chain
         return call_runner.CallRunner(
@@ -316,6 +321,8 @@
             attempt_sender=self._attempt_sender,
             shared_quarantine=self._shared_quarantine,
             names=self._names,
+            # The answer to a claimed key is stored whole.
+            takes_parts=not is_claimed,
         )
 
     def _open_claim(
@@ -344,10 +351,10 @@
     def _run(
         self, runner: call_runner.CallRunner, is_gone: Callable[[], bool]
     ) -> call_results.CallResult:
-        with self._guards.watch(
-            deadline=runner.deadline, is_gone=is_gone
-        ) as guard:
-            return runner.run(guard)
+        return answer_parts.run_guarded(
+            runner.run,
+            self._guards.watch(deadline=runner.deadline, is_gone=is_gone),
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/node/listeners.py
+++ b/src/lovagesaddle/node/listeners.py
@@ -7,6 +7,7 @@
 from lovagesaddle.http import thread_pools
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import admin
+from lovagesaddle.node import answer_turns as answer_turns_lib
 from lovagesaddle.node import application
 from lovagesaddle.node import entry as entry_lib
 from lovagesaddle.node import owner as owner_lib
@@ -28,12 +29,15 @@
       owner: Runs the attempts that other nodes send.
       signer: Checks and signs the messages between nodes.
       guards: Watches deadlines and requesters that disconnect.
+      answer_turns: Lets parts of large answers take turns on the link; None if
+        its rate is unknown.
     """
 
     entry: entry_lib.Entry
     owner: owner_lib.Owner
     signer: hop.EnvelopeSigner
     guards: watchdog.Watchdog
+    answer_turns: answer_turns_lib.AnswerTurns | None = None
 
 
 def open_listeners(
@@ -84,6 +88,7 @@
         signer=handlers.signer,
         guards=handlers.guards,
         source=source,
+        answer_turns=handlers.answer_turns,
     )
 
 
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -6,12 +6,14 @@
 
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import admission_events
+from lovagesaddle.core.routing import answer_scheduler
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import body_receiver as body_receiver_lib
+from lovagesaddle.node import held_answers
 from lovagesaddle.node import offered_bodies
 from lovagesaddle.node import owned_server
 from lovagesaddle.node import owner_answers
@@ -43,6 +45,7 @@
         at the service with the given name.
       stop_limit: Refuses what this node can't answer before it stops; refuses
         nothing if None.
+      held: Keeps large answers for entries that ask for their parts.
     """
 
     def __init__(
@@ -55,7 +58,11 @@
         body_receiver: body_receiver_lib.BodyReceiver | None = None,
         allows_route: RouteCheck | None = None,
         stop_limit: stop_limit_lib.StopLimit | None = None,
+        held: held_answers.HeldAnswers | None = None,
     ) -> None:
+        self.held = held or held_answers.HeldAnswers(
+            None, answer_scheduler.MAX_PART_BYTES
+        )
         self._stop_limit = stop_limit or stop_limit_lib.StopLimit(
             metrics.Metrics()
         )
@@ -65,7 +72,10 @@
         self._allows_route = allows_route or _allow_route
         self._body_receiver = body_receiver
         self._exchange = server_exchange.ServerExchange(
-            pool=pool, shared_quarantine=shared_quarantine, names=names
+            pool=pool,
+            shared_quarantine=shared_quarantine,
+            names=names,
+            held=self.held,
         )
         self._shared_quarantine = shared_quarantine
         self._options = options or owned_server.OwnerOptions()
@@ -175,9 +185,13 @@
         return owned is not None and owned.crashed
 
     def is_idle(self, server_id: str) -> bool:
-        """Returns whether a server has no request, or is not open."""
+        """Returns whether a server has no request, or is not open.
+
+        An answer that an entry has in part counts as a request.
+        """
         owned = self._owned.get(server_id)
-        return owned is None or owned.is_idle()
+        is_idle = owned is None or owned.is_idle()
+        return is_idle and not self.held.holds(server_id)
 
     def run(
         self, request: hop.RunRequest, guard: watchdog.Guard
@@ -251,6 +265,19 @@
             self._owned.get(offer.server_id), offer, guard
         )
 
+    def estimate_run_time(self, request: hop.RunRequest) -> float:
+        """Returns the expected run time of an attempt, in seconds."""
+        owned = self._owned.get(request.server_id)
+        return 0.0 if owned is None else owned.estimate_run_time(request.route)
+
+    def refuse(
+        self, request: hop.RunRequest, reason: str, retry_after_s: float
+    ) -> hop.RunAnswer:
+        """Refuses an attempt that is not run."""
+        self._bodies.drop(request)
+        owned = self._owned.get(request.server_id)
+        return owner_answers.make_refusal(request, reason, owned, retry_after_s)
+
     def receive_part(self, part: hop.BodyPart) -> hop.RunAnswer | hop.BodyTaken:
         """Receives a part of a body, or refuses its request."""
         return self._bodies.receive_part(self._owned.get(part.server_id), part)
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -10,6 +10,7 @@
 
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.model import services
+from lovagesaddle.core.routing import answer_scheduler
 from lovagesaddle.core.routing import body_scheduler
 from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import header_names
@@ -19,11 +20,13 @@
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import admin
+from lovagesaddle.node import answer_turns as answer_turns_lib
 from lovagesaddle.node import attempt_senders
 from lovagesaddle.node import body_receiver as body_receiver_lib
 from lovagesaddle.node import claims as claims_lib
 from lovagesaddle.node import control_thread
 from lovagesaddle.node import entry as entry_lib
+from lovagesaddle.node import held_answers
 from lovagesaddle.node import listeners
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import mesh_secret
@@ -138,6 +141,7 @@
         )
         self._shared_quarantine = shared_quarantine_lib.SharedQuarantine()
         self._stop_limit = stop_limit_lib.StopLimit(self.metrics)
+        self._watchdog = watchdog.Watchdog()
         self._owner = owner_lib.Owner(
             pool=self._pool,
             shared_quarantine=self._shared_quarantine,
@@ -146,6 +150,10 @@
             body_receiver=body_receiver,
             allows_route=self._routing.allows_route,
             stop_limit=self._stop_limit,
+            held=held_answers.HeldAnswers(
+                self._watchdog,
+                answer_scheduler.compute_part_bytes(link_bytes_s),
+            ),
         )
         self._servers = local_servers.LocalServers(
             node_id=settings.node_id, owner=self._owner
@@ -161,7 +169,6 @@
         self._claims = claims_lib.Claims(
             node_id=settings.node_id, is_enabled=settings.claims
         )
-        self._watchdog = watchdog.Watchdog()
         self._limits: services.CallerLimits | None = None
         signer = hop.EnvelopeSigner(mesh_secret.read(settings))
         self._http, self._hops = listeners.open_listeners(
@@ -171,6 +178,11 @@
                 owner=self._owner,
                 signer=signer,
                 guards=self._watchdog,
+                answer_turns=(
+                    answer_turns_lib.AnswerTurns(link_bytes_s)
+                    if link_bytes_s
+                    else None
+                ),
             ),
         )
         self._admin = listeners.open_admin_listener(
--- a/src/lovagesaddle/node/server_exchange.py
+++ b/src/lovagesaddle/node/server_exchange.py
@@ -1,5 +1,8 @@
 """Owner side: exchanges admitted attempts with a local backend server."""
 
+import contextlib
+import dataclasses
+
 from returns import result
 
 from lovagesaddle.core.routing import admission_events
@@ -10,6 +13,7 @@
 from lovagesaddle.http import hop
 from lovagesaddle.http import sockets
 from lovagesaddle.http import watchdog
+from lovagesaddle.node import held_answers
 from lovagesaddle.node import owned_server
 from lovagesaddle.node import owner_answers
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
@@ -26,6 +30,7 @@
       pool: Connections to the servers.
       shared_quarantine: Quarantine of requests that crash servers.
       names: Names of the headers that are sent to backend servers.
+      held: Keeps large answers for entries that ask for parts.
     """
 
     def __init__(
@@ -34,7 +39,9 @@
         pool: client.ConnectionPool,
         shared_quarantine: shared_quarantine_lib.SharedQuarantine,
         names: header_names.HeaderNames,
+        held: held_answers.HeldAnswers,
     ) -> None:
+        self._held = held
         self._names = names
         self._pool = pool
         self._shared_quarantine = shared_quarantine
@@ -55,6 +62,8 @@
             disconnects.
           running: How the quarantine treats the request.
         """
+        if request.takes_parts is True:
+            return self._run_in_parts(request, owned, guard, running)
         failed = True
         try:
             outcome = self._pool.exchange(
@@ -68,6 +77,62 @@
             owned.finish(request.attempt_id, failed=failed)
         return answer
 
+    def _run_in_parts(
+        self,
+        request: hop.RunRequest,
+        owned: owned_server.OwnedServer,
+        guard: watchdog.Guard,
+        running: quarantine.RunningRequest,
+    ) -> hop.RunAnswer:
+        """Runs an attempt whose answer may be large; see `run`.
+
+        The server's answer counts once its first part is there. What breaks off
+        later is no crash that a request is to blame for.
+        """
+        with contextlib.ExitStack() as stack:
+            stack.callback(owned.finish, request.attempt_id, failed=True)
+            opened = self._pool.open_answer(
+                owned.address,
+                self._format_request(request, owned, guard),
+                guard,
+                held_answers.HELD_BYTES,
+            )
+            if isinstance(opened, result.Failure):
+                return self._handle_failure(
+                    request, opened.failure(), owned, guard, running
+                )
+            answer = opened.unwrap()
+            head = client.Reply(
+                status=answer.status, headers=answer.headers, body=b""
+            )
+            made = self._make_answer(
+                request, result.Success(head), owned, guard, running
+            )
+            if made.outcome is not hop.RunOutcome.ANSWERED:
+                answer.close()
+                return made
+            # The slot is freed once the server has sent the whole answer.
+            stack.pop_all()
+        match self._held.start(request, owned, answer, guard):
+            case result.Success(piece):
+                made = dataclasses.replace(
+                    made, body=piece.data, load=owned.report()
+                )
+                if piece.is_last:
+                    return made
+                length = answer.head.length
+                return dataclasses.replace(
+                    made,
+                    rest_bytes=(
+                        hop.UNKNOWN_BYTES
+                        if length is None
+                        else length - len(piece.data)
+                    ),
+                )
+            case result.Failure(error):
+                return owner_answers.make_failure(request, error.kind, owned)
+        raise AssertionError("unreachable")
+
     def _make_answer(
         self,
         request: hop.RunRequest,
--- a/tests/endless_server.py
+++ b/tests/endless_server.py
@@ -8,6 +8,7 @@
 from typing import Any, Self
 from unittest import mock
 
+from lovagesaddle.http import sockets
 from tests import nodes
 
 # More than any limit that is tested. After that the server sends nothing more
@@ -30,6 +31,7 @@
         repetitions in one write.
       max_bytes: Number of repeated bytes after which nothing more is sent.
       closes: Whether the connection is then closed instead of kept open.
+      resets: Whether that close is a reset.
       waits: Whether the repeated bytes are sent after a second request.
     """
 
@@ -38,6 +40,7 @@
     gap_s: float = 0.0
     max_bytes: int = MAX_BYTES
     closes: bool = False
+    resets: bool = False
     waits: bool = False
 
 
@@ -115,6 +118,8 @@
             script = self._scripts[min(number, len(self._scripts) - 1)]
             with contextlib.suppress(OSError):
                 self._send(accepted, script)
+                if script.resets:
+                    sockets.reset_on_close(accepted)
                 while not script.closes and accepted.recv(PIECE_BYTES):
                     continue
             if not self._stopped.is_set():
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,6 +1,6 @@
 """Tests of the HTTP server: framing, limits and graceful stops."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from concurrent import futures
 import contextlib
 import io
@@ -37,7 +37,7 @@
         self.ran: list[str] = []
         self.release = threading.Event()
 
-    def __call__(self, environ: Any, start_response: Any) -> list[bytes]:
+    def __call__(self, environ: Any, start_response: Any) -> Iterable[bytes]:
         request = wsgi.read_request(environ)
         self.ran.append(request.path)
         if request.path == "/slow":
