Let parts of large answers take turns on the owner's link

Cause: whole answers fill a link of 6.3 Mbit/s, and small ones of the same server wait behind them. Change: two parts are on the link at a time, by rank and then by what is left of their answers; a request whose answer the link can't carry by its deadline is refused before it runs. On thin links the server of a route with large answers is picked as for a large body, its own node's first.

--- a/src/lovagesaddle/core/routing/answer_scheduler.py
+++ b/src/lovagesaddle/core/routing/answer_scheduler.py
@@ -135,8 +135,13 @@
           0 if it would arrive in time; a request that is refused for this has
           not run.
         """
-        link_s = self._mean_bytes / self._bytes_s
-        late_s = now + max(run_s, self.wait_s) + link_s - by
+        # An answer of usual size goes before those of which more is left.
+        ahead = self._mean_bytes + sum(
+            asked.left_bytes
+            for _, asked in self._waiting.values()
+            if asked.left_bytes <= self._mean_bytes
+        )
+        late_s = now + max(run_s, ahead / self._bytes_s) - by
         return max(MIN_RETRY_AFTER_S, late_s) if late_s > 0 else 0.0
 
     def step(self, event: Event, now: float) -> tuple[Granted, ...]:
--- a/src/lovagesaddle/node/call_runner.py
+++ b/src/lovagesaddle/node/call_runner.py
@@ -43,6 +43,8 @@
       fingerprint: Digest of method, service, route, target and body.
       verdict: How the quarantine treats the request.
       body_s: Time that the body took to arrive at this node, in seconds.
+      takes_parts: Whether a large answer may be passed on in parts; not if it
+        is to be stored for a claimed key.
     """
 
     request_id: str
@@ -53,6 +55,7 @@
     fingerprint: bytes
     verdict: quarantine.Verdict
     body_s: float = 0.0
+    takes_parts: bool = False
 
 
 def _generate_suffix() -> str:
@@ -73,7 +76,6 @@
       attempt_sender: Sends attempts to owners.
       shared_quarantine: Gets the crash marks that owners report.
       names: Names of the headers that are sent to backend servers.
-      takes_parts: Whether a large answer may be passed on in parts.
     """
 
     def __init__(
@@ -88,9 +90,7 @@
         attempt_sender: attempt_senders.AttemptSender,
         shared_quarantine: shared_quarantine_lib.SharedQuarantine,
         names: header_names.HeaderNames = header_names.DEFAULT,
-        takes_parts: bool = False,
     ) -> None:
-        self._takes_parts = takes_parts
         self._parts: dict[int, answer_parts.AnswerParts] = {}
         self._names = names
         self._forwarded = forwarded
@@ -201,6 +201,7 @@
             action.service,
             action.tried,
             body_bytes=len(self._forwarded.body),
+            has_large_answer=self._match.route.has_large_answers is True,
             needs_room=action.needs_room,
             skips_rate_limited=action.skips_rate_limited,
         )
@@ -323,7 +324,7 @@
             publication=self._table.publication,
             takes_parts=(
                 True
-                if self._takes_parts and self._match.route.has_large_answers
+                if forwarded.takes_parts and self._match.route.has_large_answers
                 else msgspec.UNSET
             ),
         )
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -263,6 +263,9 @@
             target=request.target,
             body_digest=body_digest,
         )
+        key = None
+        if self._claims_keys and request.method not in SAFE_METHODS:
+            key = request.headers.get(KEY_HEADER)
         forwarded = call_runner.ForwardedRequest(
             request_id=request_id,
             method=request.method,
@@ -273,11 +276,10 @@
             fingerprint=fingerprint,
             verdict=self._shared_quarantine.classify(fingerprint),
             body_s=request.body_s,
+            takes_parts=key is None,
         )
-        key = request.headers.get(KEY_HEADER) if self._claims_keys else None
-        is_claimed = key is not None and request.method not in SAFE_METHODS
-        runner = self._make_runner(accepted, forwarded, is_claimed)
-        if key is None or not is_claimed:
+        runner = self._make_runner(accepted, forwarded)
+        if key is None:
             call_result = self._run(runner, request.is_gone)
         elif claim_keys.is_valid_key(key):
             claim = self._open_claim(
@@ -303,10 +305,7 @@
         return ((self._names.caller_service, service),)
 
     def _make_runner(
-        self,
-        accepted: "_Accepted",
-        forwarded: call_runner.ForwardedRequest,
-        is_claimed: bool,
+        self, accepted: "_Accepted", forwarded: call_runner.ForwardedRequest
     ) -> call_runner.CallRunner:
         chain = accepted.chain
         return call_runner.CallRunner(
@@ -321,8 +320,6 @@
             attempt_sender=self._attempt_sender,
             shared_quarantine=self._shared_quarantine,
             names=self._names,
-            # The answer to a claimed key is stored whole.
-            takes_parts=not is_claimed,
         )
 
     def _open_claim(
--- a/src/lovagesaddle/node/owned_server.py
+++ b/src/lovagesaddle/node/owned_server.py
@@ -15,6 +15,7 @@
 from lovagesaddle.core.routing import queues
 from lovagesaddle.core.routing import server_statements
 from lovagesaddle.http import watchdog
+from lovagesaddle.node import answer_turns as answer_turns_lib
 from lovagesaddle.node import body_receiver as body_receiver_lib
 from lovagesaddle.observability import logs
 
@@ -72,6 +73,8 @@
         one piece.
       born_ms: Start of the server's process, in milliseconds since 1970; 0 if
         unknown.
+      answer_turns: Shares the outbound link among large answers; None if its
+        rate is unknown.
     """
 
     def __init__(
@@ -82,8 +85,11 @@
         instance: str = "",
         body_receiver: body_receiver_lib.BodyReceiver | None = None,
         born_ms: int = 0,
+        answer_turns: answer_turns_lib.AnswerTurns | None = None,
     ) -> None:
-        self._body_receiver = body_receiver
+        self._links = tuple(
+            link for link in (body_receiver, answer_turns) if link is not None
+        )
         self.server = server
         self.address = address
         self.instance = instance
@@ -105,9 +111,7 @@
         """Returns the load report that each answer to an entry contains."""
         with self.lock:
             report = self.admission.report(time.monotonic())
-        wait_s = (
-            0.0 if self._body_receiver is None else self._body_receiver.wait_s
-        )
+        wait_s = max((link.wait_s for link in self._links), default=0.0)
         if not wait_s:
             return report
         return dataclasses.replace(report, link_wait_s=wait_s)
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -12,6 +12,7 @@
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
+from lovagesaddle.node import answer_turns as answer_turns_lib
 from lovagesaddle.node import body_receiver as body_receiver_lib
 from lovagesaddle.node import held_answers
 from lovagesaddle.node import offered_bodies
@@ -46,6 +47,8 @@
       stop_limit: Refuses what this node can't answer before it stops; refuses
         nothing if None.
       held: Keeps large answers for entries that ask for their parts.
+      answer_turns: Shares the outbound link among large answers; None if its
+        rate is unknown.
     """
 
     def __init__(
@@ -59,7 +62,9 @@
         allows_route: RouteCheck | None = None,
         stop_limit: stop_limit_lib.StopLimit | None = None,
         held: held_answers.HeldAnswers | None = None,
+        answer_turns: answer_turns_lib.AnswerTurns | None = None,
     ) -> None:
+        self._answer_turns = answer_turns
         self.held = held or held_answers.HeldAnswers(
             None, answer_scheduler.MAX_PART_BYTES
         )
@@ -125,6 +130,7 @@
             instance,
             self._body_receiver,
             born_ms,
+            self._answer_turns,
         )
         if previous is not None and instance and previous.instance == instance:
             owned.adopt_rate(previous.admission.rate_limit)
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -142,6 +142,9 @@
         self._shared_quarantine = shared_quarantine_lib.SharedQuarantine()
         self._stop_limit = stop_limit_lib.StopLimit(self.metrics)
         self._watchdog = watchdog.Watchdog()
+        turns = (
+            answer_turns_lib.AnswerTurns(link_bytes_s) if link_bytes_s else None
+        )
         self._owner = owner_lib.Owner(
             pool=self._pool,
             shared_quarantine=self._shared_quarantine,
@@ -154,6 +157,7 @@
                 self._watchdog,
                 answer_scheduler.compute_part_bytes(link_bytes_s),
             ),
+            answer_turns=turns,
         )
         self._servers = local_servers.LocalServers(
             node_id=settings.node_id, owner=self._owner
@@ -178,11 +182,7 @@
                 owner=self._owner,
                 signer=signer,
                 guards=self._watchdog,
-                answer_turns=(
-                    answer_turns_lib.AnswerTurns(link_bytes_s)
-                    if link_bytes_s
-                    else None
-                ),
+                answer_turns=turns,
             ),
         )
         self._admin = listeners.open_admin_listener(
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -74,6 +74,7 @@
         self.options = options or RoutingOptions()
         large_bytes = balancer.LARGE_BODY_BYTES
         has_thin_link = 0 < part_bytes < large_bytes
+        self._thin_link_bytes = part_bytes if has_thin_link else 0
         if self.options.call.hedge:
             raise ValueError("attempts run one at a time, so none is hedged")
         self._table: table_lib.Table | None = None
@@ -149,6 +150,7 @@
         service: str,
         tried: frozenset[str],
         body_bytes: int = 0,
+        has_large_answer: bool = False,
         needs_room: bool = False,
         skips_rate_limited: bool = False,
     ) -> balancer_events.Decision:
@@ -159,6 +161,8 @@
           service: Name of the service.
           tried: IDs of servers that this call tried already.
           body_bytes: Size of the request's body, in bytes.
+          has_large_answer: Whether the answer may be large. On thin links the
+            server is then picked as for a large body.
           needs_room: Whether to pick no server if all seem to be full.
           skips_rate_limited: Whether to pick no server if the stated rates of
             all seem to be used up.
@@ -168,7 +172,9 @@
             version=table.version,
             candidates=table.list_candidates(service),
             tried=tried,
-            body_bytes=body_bytes,
+            body_bytes=max(
+                body_bytes, self._thin_link_bytes if has_large_answer else 0
+            ),
             needs_room=needs_room,
             skips_rate_limited=skips_rate_limited,
         )
