Don't pass on a status that is none, whoever reports it

Seen elsewhere: (a) an early 200 without a length, reset during a long upload, reached the client as complete; (b) so did an answer with status 000. Checked here: (a) does not happen, neither while the upload is being written nor after it, read whole or in parts: the failure is CLOSED. (b) does not happen for a server's answer, after an interim answer, nor for its health. The hop did the same as (b): an entry passed on whatever status an owner reported. Before: AssertionError: (0, <Success: RunAnswer(attempt_id='r.1', outcome=<RunOutcome.ANSWERED: 'answered'>, ... status=0, ...)>). Change: a final answer has a status of 200 to 599, else the attempt is lost. The operator's calls are answered by the programs themselves and read no answer over HTTP; the demo reads only its own.

--- a/src/lovagesaddle/node/attempt_senders.py
+++ b/src/lovagesaddle/node/attempt_senders.py
@@ -15,6 +15,9 @@
 from lovagesaddle.node import offered_bodies
 from lovagesaddle.node import owner as owner_lib
 
+# Statuses of final answers; lower ones are interim, or none at all.
+FIRST_STATUS = 200
+LAST_STATUS = 599
 _DUPLICATE = admission_events.RefusalReason.DUPLICATE.value
 _DRAINING = admission_events.RefusalReason.DRAINING.value
 _RATE_LIMIT = admission_events.RefusalReason.RATE_LIMIT.value
@@ -94,7 +97,7 @@
     ) -> HopResult:
         """Returns the owner's answer, or the error of the exchange."""
         if server.node_id == self._node_id:
-            return result.Success(self._owner.run(request, guard))
+            return _check_status(server, self._owner.run(request, guard))
         if self._part_bytes and len(request.body) > self._part_bytes:
             sent = body_transfer.send_body(
                 self._exchange, server, request, guard, self._part_bytes
@@ -105,7 +108,7 @@
         match self._exchange(server, request, guard):
             case result.Success(hop.RunAnswer() as answer):
                 if answer.attempt_id == request.attempt_id:
-                    return result.Success(answer)
+                    return _check_status(server, answer)
             case result.Failure(error):
                 return result.Failure(error)
         peer = server.http_address
@@ -153,6 +156,15 @@
         raise AssertionError("unreachable")
 
 
+def _check_status(server: table.Candidate, answer: hop.RunAnswer) -> HopResult:
+    """Returns an owner's answer, unless its status is not that of an answer."""
+    is_answer = answer.outcome is hop.RunOutcome.ANSWERED
+    if is_answer and not FIRST_STATUS <= answer.status <= LAST_STATUS:
+        cause = f"status {answer.status} is not that of an answer"
+        return _make_malformed(server.http_address, cause)
+    return result.Success(answer)
+
+
 def classify_answer(answer: hop.RunAnswer) -> call_events.Ending:
     """Returns how an attempt ended, by its owner's answer."""
     if answer.outcome is not hop.RunOutcome.REFUSED:
