--- a/src/lovagesaddle/node/node_gauges.py
+++ b/src/lovagesaddle/node/node_gauges.py
@@ -54,6 +54,16 @@
         lambda: owner.sent,
         kind="counter",
     )
+    metrics.set_gauge(
+        "held_answers",
+        "Large answers whose rest other nodes have not asked for yet.",
+        lambda: owner.held.count,
+    )
+    metrics.set_gauge(
+        "answer_link_wait_seconds",
+        "Time that the outbound link needs for the large answers held now.",
+        lambda: owner.answer_wait_s,
+    )
     metrics.set_gauge(
         "server_rate_limit",
         "Requests a second that the local backend server takes from"
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -94,6 +94,11 @@
         """Number of requests sent to local backend servers."""
         return self._sent.value
 
+    @property
+    def answer_wait_s(self) -> float:
+        """Time that the link needs for the large answers held, in seconds."""
+        return 0.0 if self._answer_turns is None else self._answer_turns.wait_s
+
     @property
     def rate_limit(self) -> float:
         """Lowest stated requests a second of a local server; -1 for none."""
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -73,6 +73,7 @@
       seen: Path, method and headers of each request.
       arrived: Monotonic time and ID of each request.
       run_s: Time that it runs each request, in seconds.
+      body: Body of its answers; if empty, that of the request follows "ran ".
       stated: Headers of its answers in which it states a limit, or that it
         leaves.
     """
@@ -90,6 +91,7 @@
         self.seen: list[dict[str, str]] = []
         self.arrived: list[tuple[float, str]] = []
         self.run_s = 0.0
+        self.body = b""
         self.stated: dict[str, str] = {}
         self._beat_address = beat_address
         self._sequence = 0
@@ -157,7 +159,8 @@
         )
         time.sleep(self.owner.run_s)
         stamp = {STAMP: f"{self.owner.instance}.{len(self.owner.seen)}"}
-        self._answer(200, b"ran " + body, stamp | self.owner.stated)
+        answered = self.owner.body or b"ran " + body
+        self._answer(200, answered, stamp | self.owner.stated)
 
     do_POST = do_GET  # noqa: N815
 
