Drop an answer that its entry has never got a part of

Cause: an entry whose caller left, or whose deadline passed, while the first part was on its way had nothing to drop, and the owner held the server's connection until the deadline. Change: the entry tells the owner then too, and the owner looks whether the entry is still there before it sends the first part. Measured: without the drop the new test fails.

--- a/src/lovagesaddle/core/routing/answer_scheduler.py
+++ b/src/lovagesaddle/core/routing/answer_scheduler.py
@@ -16,8 +16,9 @@
 # part of another.
 MAX_PARTS = 2
 # Time that the link takes for one part, and so about half of the longest time
-# that a small answer waits behind parts.
-PART_DURATION_S = 0.02
+# that a small answer waits behind parts. Shorter parts cost more messages, and
+# leave the link idle while busy nodes ask for the next one.
+PART_DURATION_S = 0.03
 MIN_PART_BYTES = 8 * 1024
 # Bounds the memory of an answer at each node where links are fast or unknown.
 MAX_PART_BYTES = 128 * 1024
--- a/src/lovagesaddle/node/answer_parts.py
+++ b/src/lovagesaddle/node/answer_parts.py
@@ -123,11 +123,7 @@
         """Tells the owner if the rest isn't needed, and frees the guard."""
         if not self._is_ended:
             self._is_ended = True
-            drop = hop.AnswerDrop(attempt_id=self._request.attempt_id)
-            guard = watchdog.Guard(
-                time.monotonic() + DROP_TIMEOUT_S, lambda: False
-            )
-            self._sender.ask(self._server, drop, guard)
+            drop(self._sender, self._server, self._request)
         self._owned.close()
 
     def _pull(self) -> result.Result[bytes, client.ExchangeError]:
@@ -198,6 +194,26 @@
         )
 
 
+def drop(
+    sender: attempt_senders.AttemptSender,
+    server: table.Candidate,
+    request: hop.RunRequest,
+) -> None:
+    """Tells an owner that the answer to an attempt is not needed."""
+    if request.takes_parts is not True:
+        return
+    guard = watchdog.Guard(time.monotonic() + DROP_TIMEOUT_S, lambda: False)
+    message = hop.AnswerDrop(attempt_id=request.attempt_id)
+    dropped = sender.ask(server, message, guard)
+    if isinstance(dropped, result.Failure):
+        _log.info(
+            "drop_failed",
+            attempt=request.attempt_id,
+            server=server.server_id,
+            cause=dropped.failure().cause,
+        )
+
+
 def run_guarded(
     run: Callable[[watchdog.Guard], call_results.CallResult],
     watch: contextlib.AbstractContextManager[watchdog.Guard],
--- a/src/lovagesaddle/node/application.py
+++ b/src/lovagesaddle/node/application.py
@@ -121,21 +121,24 @@
             if isinstance(message, hop.BodyOffer):
                 return self._owner.offer(message, guard)
             _log_body(message, request)
-            if message.takes_parts is True and self._answer_turns is not None:
-                return self._run_in_turns(message, guard, self._answer_turns)
-            return self._owner.run(message, guard)
+            if message.takes_parts is not True:
+                return self._owner.run(message, guard)
+            answer = self._run_in_turns(message, guard)
+            if answer.rest_bytes is not msgspec.UNSET and request.is_gone():
+                return self._give_up(message.attempt_id)
+            return answer
 
     def _run_in_turns(
-        self,
-        message: hop.RunRequest,
-        guard: watchdog.Guard,
-        turns: answer_turns_lib.AnswerTurns,
-    ) -> hop.HopMessage:
+        self, message: hop.RunRequest, guard: watchdog.Guard
+    ) -> hop.RunAnswer:
         """Runs an attempt whose answer may wait for the link.
 
         It is refused before it runs if the link couldn't carry the answer in
         time: it would only hold up those that can still arrive.
         """
+        turns = self._answer_turns
+        if turns is None:
+            return self._owner.run(message, guard)
         run_s = self._owner.estimate_run_time(message)
         delay_s = turns.compute_delay(run_s, guard)
         if delay_s:
--- a/src/lovagesaddle/node/call_runner.py
+++ b/src/lovagesaddle/node/call_runner.py
@@ -241,6 +241,9 @@
         outcome = self._attempt_sender.send(action.server, request, guard).bind(
             lambda answer: self._collect(action, request, answer, guard)
         )
+        if guard.reason is not None and isinstance(outcome, result.Failure):
+            # The owner may hold an answer whose first part was on its way.
+            answer_parts.drop(self._attempt_sender, action.server, request)
         if guard.reason is watchdog.EndReason.CANCELLED:
             return events.CallerGone()
         match outcome:
--- a/tests/test_large_answers.py
+++ b/tests/test_large_answers.py
@@ -7,6 +7,7 @@
 import functools
 import http.client
 import socket
+import threading
 import time
 from typing import Any
 from unittest import mock
@@ -19,7 +20,9 @@
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import answer_parts
+from lovagesaddle.node import answer_turns
 from lovagesaddle.node import attempt_senders
+from lovagesaddle.node import call_runner
 from lovagesaddle.node import program
 from tests import endless_server
 from tests import fixtures
@@ -320,6 +323,37 @@
     return len(closed) > count
 
 
+def test_caller_that_leaves_before_the_first_part_ends_the_work() -> None:
+    """The owner holds an answer of which the entry has never got a part."""
+    endless = Script(first=_make_head(10**9), repeated=PATTERN)
+    server = endless_server.EndlessServer(endless)
+    send_first = answer_turns.AnswerTurns.send_first
+    gone = threading.Event()
+
+    def outlast(*args: Any) -> bool:
+        # The turn comes just as the caller leaves.
+        sent = send_first(*args)
+        callers[0].close()
+        gone.wait(nodes.WAIT_S)
+        return sent
+
+    run = call_runner.CallRunner._send_attempt
+
+    def send(runner: Any, action: Any, guard: Any) -> Any:
+        event = run(runner, action, guard)
+        gone.set()
+        return event
+
+    with (
+        _run_mesh(server, timeout_s=60.0) as started,
+        mock.patch.object(answer_turns.AnswerTurns, "send_first", outlast),
+        mock.patch.object(call_runner.CallRunner, "_send_attempt", send),
+    ):
+        callers = [_open(started[0].http_address)]
+        nodes.wait_for(lambda: server.closed, "the server's connection")
+        assert not started[1]._owner.held.count
+
+
 def test_caller_that_does_not_read_stops_the_server() -> None:
     """Little is read ahead of it, and its route's timeout ends the answer."""
     endless = Script(first=_make_head(10**9), repeated=PATTERN)
