Close a large answer that is dropped while it is read

Cause: a drop beside a read that had just ended left the answer open, with its share of the answer budget, and both threads could free the slot. Measured: the new test fails without the change.

--- a/src/lovagesaddle/node/held_answers.py
+++ b/src/lovagesaddle/node/held_answers.py
@@ -42,13 +42,16 @@
         self.offset = 0
         self.lock = threading.Lock()
         self.cancel_expiry: Callable[[], None] = lambda: None
-        self._has_slot = True
+        # Holds one item, which the thread that frees the slot removes.
+        self._slots = [True]
 
     def free_slot(self, *, failed: bool) -> None:
         """Frees the slot at the server, once."""
-        if self._has_slot:
-            self._has_slot = False
-            self.owned.finish(self.request.attempt_id, failed=failed)
+        try:
+            self._slots.pop()
+        except IndexError:
+            return
+        self.owned.finish(self.request.attempt_id, failed=failed)
 
 
 class HeldAnswers:
@@ -117,6 +120,9 @@
             )
         with held.lock:
             taken = self._take(held, guard)
+            if self._held.get(pull.attempt_id) is not held:
+                # It was dropped meanwhile, which left the rest to this thread.
+                held.answer.close()
         match taken:
             case result.Success(piece):
                 if piece.is_last:
--- a/tests/test_large_answers.py
+++ b/tests/test_large_answers.py
@@ -18,11 +18,13 @@
 from lovagesaddle.core.routing import call_chain
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
+from lovagesaddle.http import open_answers
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import answer_parts
 from lovagesaddle.node import answer_turns
 from lovagesaddle.node import attempt_senders
 from lovagesaddle.node import call_runner
+from lovagesaddle.node import held_answers
 from lovagesaddle.node import program
 from tests import endless_server
 from tests import fixtures
@@ -278,6 +280,38 @@
         assert owner.is_idle(server_id)
 
 
+def test_answer_dropped_while_it_is_read_keeps_no_memory() -> None:
+    """The thread that reads a part then closes the answer."""
+    request = dataclasses.replace(
+        routing_mesh.make_run_request("r.1"), takes_parts=True
+    )
+    held = held_answers.HeldAnswers(None, 10)
+    answer = mock.Mock(status=200, is_read=False)
+    owned = mock.Mock()
+    guard = watchdog.Guard(time.monotonic() + nodes.WAIT_S, lambda: False)
+    part = open_answers.Piece(data=bytes(10), is_last=False)
+
+    def drop(*_: Any) -> Any:
+        if held.count:
+            held.drop("r.1", "test")
+        return result.Success(part)
+
+    answer.take.side_effect = drop
+    held.start(request, owned, answer, guard)
+    held.pull(
+        hop.AnswerPull(
+            attempt_id="r.1",
+            offset=10,
+            left_bytes=10,
+            remaining_ms=0,
+            priority=0,
+        ),
+        guard,
+    )
+    assert (answer.abort.call_count, answer.close.call_count) == (1, 1)
+    assert owned.finish.call_count == 1
+
+
 def test_owner_lost_between_parts_is_not_an_end() -> None:
     """An entry whose owner forgot the answer cuts the caller's connection."""
     server = endless_server.EndlessServer(
