--- a/src/lovagesaddle/node/call_runner.py
+++ b/src/lovagesaddle/node/call_runner.py
@@ -17,6 +17,7 @@
 from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
+from lovagesaddle.node import answer_parts
 from lovagesaddle.node import attempt_senders
 from lovagesaddle.node import call_results
 from lovagesaddle.node import decision_log
@@ -42,6 +43,8 @@
       fingerprint: Digest of method, service, route, target and body.
       verdict: How the quarantine treats the request.
       body_s: Time that the body took to arrive at this node, in seconds.
+      takes_parts: Whether a large answer may be passed on in parts; not if it
+        is to be stored for a claimed key.
     """
 
     request_id: str
@@ -52,6 +55,7 @@
     fingerprint: bytes
     verdict: quarantine.Verdict
     body_s: float = 0.0
+    takes_parts: bool = False
 
 
 def _generate_suffix() -> str:
@@ -89,6 +93,7 @@
         names: header_names.HeaderNames = header_names.DEFAULT,
         access: table_lib.Access | None = None,
     ) -> None:
+        self._parts: dict[int, answer_parts.AnswerParts] = {}
         self._names = names
         self._access = access
         self._account = None if access is None else access.account
@@ -150,6 +155,8 @@
                     pending.append(following)
         if self._result is None:
             raise AssertionError("the call ended without a result")
+        for parts in self._parts.values():
+            parts.close()
         self._decisions.write(self._result, self._call.attempts)
         return self._result
 
@@ -204,6 +211,7 @@
             action.service,
             action.tried,
             body_bytes=len(self._forwarded.body),
+            has_large_answer=self._match.route.has_large_answers is True,
             needs_room=action.needs_room,
             skips_rate_limited=action.skips_rate_limited,
             kind=self._match.route.name,
@@ -243,7 +251,12 @@
                 number=action.number, ending=events.Ending.QUARANTINED
             )
         request = self._make_request(action, verdict)
-        outcome = self._attempt_sender.send(action.server, request, guard)
+        outcome = self._attempt_sender.send(action.server, request, guard).bind(
+            lambda answer: self._collect(action, request, answer, guard)
+        )
+        if guard.reason is not None and isinstance(outcome, result.Failure):
+            # The owner may hold an answer whose first part was on its way.
+            answer_parts.drop(self._attempt_sender, action.server, request)
         if guard.reason is watchdog.EndReason.CANCELLED:
             return events.CallerGone()
         match outcome:
@@ -277,6 +290,26 @@
                 )
         raise AssertionError("unreachable")
 
+    def _collect(
+        self,
+        action: events.SendAttempt,
+        request: hop.RunRequest,
+        answer: hop.RunAnswer,
+        guard: watchdog.Guard,
+    ) -> attempt_senders.HopResult:
+        """Returns an answer, whole if it has few parts."""
+        if answer.rest_bytes is msgspec.UNSET:
+            return result.Success(answer)
+        parts = answer_parts.AnswerParts(
+            sender=self._attempt_sender,
+            server=action.server,
+            request=request,
+            answer=answer,
+            guard=guard,
+        )
+        self._parts[action.number] = parts
+        return parts.collect(answer)
+
     def _report_to_quarantine(self, answer: hop.RunAnswer) -> None:
         if answer.marks:
             self._shared_quarantine.add_marks(answer.marks)
@@ -315,6 +348,11 @@
                 else msgspec.UNSET
             ),
             may_move=self._may_move or msgspec.UNSET,
+            takes_parts=(
+                True
+                if forwarded.takes_parts and self._match.route.has_large_answers
+                else msgspec.UNSET
+            ),
         )
 
     def _compute_target_ms(self) -> int | None:
@@ -332,11 +370,17 @@
         self, action: events.AnswerCaller
     ) -> call_results.Answered:
         answer = self._answers[action.number]
+        parts = self._parts.get(action.number)
+        if parts is not None and not parts.is_ended:
+            del self._parts[action.number]
+        else:
+            parts = None
         return call_results.Answered(
             status=answer.status,
             headers=answer.headers,
             body=answer.body,
             outcome=action.outcome,
+            parts=parts,
         )
 
     def _fail_call(self, action: events.FailCaller) -> None:
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -16,6 +16,7 @@
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.http import watchdog
 from lovagesaddle.http import wsgi
+from lovagesaddle.node import answer_parts
 from lovagesaddle.node import attempt_senders
 from lovagesaddle.node import call_answers
 from lovagesaddle.node import call_results
@@ -263,6 +264,9 @@
             target=request.target,
             body_digest=body_digest,
         )
+        key = None
+        if self._claims_keys and request.method not in SAFE_METHODS:
+            key = request.headers.get(KEY_HEADER)
         forwarded = call_runner.ForwardedRequest(
             request_id=request_id,
             method=request.method,
@@ -277,10 +281,10 @@
             fingerprint=fingerprint,
             verdict=self._shared_quarantine.classify(fingerprint),
             body_s=request.body_s,
+            takes_parts=key is None,
         )
         runner = self._make_runner(accepted, forwarded)
-        key = request.headers.get(KEY_HEADER) if self._claims_keys else None
-        if key is None or request.method in SAFE_METHODS:
+        if key is None:
             call_result = self._run(runner, request.is_gone)
         elif claim_keys.is_valid_key(key):
             claim = self._open_claim(
@@ -345,13 +349,11 @@
     def _run(
         self, runner: call_runner.CallRunner, is_gone: Callable[[], bool]
     ) -> call_results.CallResult:
-        with (
+        return answer_parts.run_guarded(
+            runner.run,
+            self._guards.watch(deadline=runner.deadline, is_gone=is_gone),
             self._stop_limit.track(_name_calls(runner.service)),
-            self._guards.watch(
-                deadline=runner.deadline, is_gone=is_gone
-            ) as guard,
-        ):
-            return runner.run(guard)
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
