--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -196,7 +196,8 @@
         link_mbps: float = 1000.0,
         net: str = "",
     ) -> None:
-        self._net = net or f"127.{1 + os.getpid() % MAX_NETS}"
+        net = net or f"127.{1 + os.getpid() % MAX_NETS}"
+        self._net = net
         self._folder = folder
         self._link_mbps = link_mbps
         self._grace_s = grace_s
