Decide on roll-outs in the core

The order and its steps are log entries; owners count answers by version and route, the leader compares them and raises the share, completes or rolls back. Not connected yet.

--- a/src/lovagesaddle/core/configuration/state.py
+++ b/src/lovagesaddle/core/configuration/state.py
@@ -10,6 +10,7 @@
 from lovagesaddle.core.configuration import digest
 from lovagesaddle.core.configuration import membership
 from lovagesaddle.core.configuration import references
+from lovagesaddle.core.configuration import rollout_changes
 from lovagesaddle.core.configuration import route_changes
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import documents
@@ -114,15 +115,25 @@
         case commands.PublishServices():
             return _publish(state, version, command)
         case commands.ChangeMembership():
+            changed = membership.change_members(
+                state.snapshot, version, command
+            )
             return _replace_snapshot(
-                state,
-                membership.change_members(state.snapshot, version, command),
+                state, rollout_changes.add_first_versions(changed)
             )
         case commands.AssignShards():
             return _replace_snapshot(
                 state,
                 membership.assign_shards(state.snapshot, version, command),
             )
+        case commands.StartRollout():
+            return _replace_snapshot(
+                state, rollout_changes.start(state.snapshot, version, command)
+            )
+        case commands.StepRollout():
+            return _replace_snapshot(
+                state, rollout_changes.step(state.snapshot, version, command)
+            )
         case None:
             return _replace_snapshot(state, _advance_snapshot(state, version))
 
--- a/src/lovagesaddle/core/model/commands.py
+++ b/src/lovagesaddle/core/model/commands.py
@@ -126,6 +126,48 @@
     shards: tuple[snapshots.Shard, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StartRollout:
+    """Orders a roll-out of a version of a service's software.
+
+    Attributes:
+      service: Name of the service.
+      target: Version of the software to bring in.
+      ramp_s: Time in which it is to be done, in seconds.
+    """
+
+    service: str
+    target: str
+    ramp_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StepRollout:
+    """Changes the share of a running roll-out, or ends it.
+
+    Attributes:
+      service: Name of the service.
+      ordered_at: Log index of its order; the step of another one is ignored.
+      phase: Phase after the step.
+      weight: Share of the target version after the step, in thousandths.
+      elapsed_s: Time since the order, in seconds.
+    """
+
+    service: str
+    ordered_at: int
+    phase: snapshots.RolloutPhase
+    weight: int
+    elapsed_s: float
+
+
+class RolloutOutcome(enum.Enum):
+    """Outcome of the order of a roll-out."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    UNKNOWN_SERVICE = "unknown-service"
+
+
 class PublishOutcome(enum.Enum):
     """Outcome of a publish."""
 
@@ -156,7 +198,14 @@
     causes: tuple[str, ...] = ()
 
 
-Command = FoundCluster | PublishServices | ChangeMembership | AssignShards
+Command = (
+    FoundCluster
+    | PublishServices
+    | ChangeMembership
+    | AssignShards
+    | StartRollout
+    | StepRollout
+)
 
 # The log stores publications as edits where possible.
 StoredCommand = Command | EditPublication
@@ -170,5 +219,7 @@
         4: AssignShards,
         5: EditPublication,
         6: PackedCommand,
+        7: StartRollout,
+        8: StepRollout,
     },
 )
--- a/src/lovagesaddle/core/model/snapshots.py
+++ b/src/lovagesaddle/core/model/snapshots.py
@@ -85,14 +85,20 @@
 class Rollout:
     """The newest roll-out of a version of a service's software.
 
+    The first version that a service's servers announce counts as a completed
+    roll-out without an order.
+
     Attributes:
       service: Name of the service.
       target: Version of the software that is brought in.
       ramp_s: Time in which the operator wants it done, in seconds.
-      ordered_at: Log index of the order, which identifies the roll-out.
+      ordered_at: Log index of the order, which identifies the roll-out; 0
+        without an order.
       phase: What has become of it.
       weight: Share of the service's requests that may go to the target
         version, in thousandths.
+      previous: Version that it replaces; empty if none was known.
+      elapsed_s: Time from the order to the last step, in seconds.
     """
 
     service: str
@@ -101,6 +107,8 @@
     ordered_at: int
     phase: RolloutPhase
     weight: int
+    previous: str = ""
+    elapsed_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/lovagesaddle/core/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on roll-outs of new versions of backend servers."""
