Count answers by version at owners and choose versions at entries

Owners refuse what their own table's roll-outs do not allow and report to the leader while a roll-out runs; the leader proposes the steps. Off unless rollback-bound is set.

--- a/src/lovagesaddle/control/distribution.py
+++ b/src/lovagesaddle/control/distribution.py
@@ -5,12 +5,15 @@
 from lovagesaddle.control import ports
 from lovagesaddle.core import errors
 from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import messages
 from lovagesaddle.core.distribution import replica_agent
 from lovagesaddle.core.distribution import replica_events
 from lovagesaddle.core.model import peers
 from lovagesaddle.transport import endpoint as endpoint_lib
 from lovagesaddle.transport import log_lines
 
+EvidenceSink = Callable[[messages.RolloutReport, float], None]
+
 
 class Distribution(ports.Subsystem, ports.NodeVersions):
     """Connects `replica_agent.ReplicaAgent` to the endpoint and to consensus.
@@ -24,6 +27,8 @@
       lease_s: Lifetime of a node's lease, in seconds.
       expiry_share: Largest share of the nodes of a failure domain whose leases
         may expire at once, from 0 to 1.
+      deliver_evidence: Takes the nodes' reports on roll-outs while this replica
+        leads; None if versions are not rolled out.
     """
 
     def __init__(
@@ -36,11 +41,13 @@
         heartbeat_s: float,
         lease_s: float,
         expiry_share: float,
+        deliver_evidence: EvidenceSink | None = None,
     ) -> None:
         self._own_id = own_id
         self._endpoint = endpoint
         self._replica = replica
         self._list_replicas = list_replicas
+        self._deliver_evidence = deliver_evidence
         self._now = 0.0
         self._agent = replica_agent.ReplicaAgent(
             heartbeat_s=heartbeat_s,
@@ -107,6 +114,9 @@
                 self._endpoint.answer(action.route, self.channel, action.frame)
             case replica_events.Propose():
                 self._propose(action)
+            case replica_events.DeliverEvidence():
+                if self._deliver_evidence is not None:
+                    self._deliver_evidence(action.report, self._now)
             case events.Disconnect():
                 self._endpoint.disconnect(action.peer)
             case events.LogLine():
--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -21,6 +21,7 @@
 from lovagesaddle.control import ports
 from lovagesaddle.control import replica_changes
 from lovagesaddle.control import replica_links
+from lovagesaddle.control import rollouts as rollouts_lib
 from lovagesaddle.control import shard_assigner
 from lovagesaddle.core import errors
 from lovagesaddle.core.consensus import entries as entries_lib
@@ -295,6 +296,13 @@
         )
 
     def _make_subsystems(self) -> tuple[ports.Subsystem, ...]:
+        rollouts = (
+            rollouts_lib.Rollouts(
+                self._consensus, self._settings.exposure_share
+            )
+            if self._settings.rollback_bound_s
+            else None
+        )
         distributor = distribution.Distribution(
             own_id=self._settings.replica_id,
             endpoint=self._endpoint,
@@ -303,6 +311,9 @@
             heartbeat_s=self._settings.heartbeat_s,
             lease_s=self._settings.lease_s,
             expiry_share=self._settings.expiry_share,
+            deliver_evidence=None
+            if rollouts is None
+            else rollouts.add_evidence,
         )
         operators = operator_requests.OperatorRequests(
             own_id=self._settings.replica_id,
@@ -322,10 +333,16 @@
             operators=operators,
             wake=self._wake,
         )
-        subsystems = (operators, self._forwarder, distributor)
-        if not self._settings.claims:
-            return subsystems
-        return (*subsystems, shard_assigner.ShardAssigner(self._consensus))
+        subsystems: list[ports.Subsystem] = [
+            operators,
+            self._forwarder,
+            distributor,
+        ]
+        if rollouts is not None:
+            subsystems.append(rollouts)
+        if self._settings.claims:
+            subsystems.append(shard_assigner.ShardAssigner(self._consensus))
+        return tuple(subsystems)
 
     def _list_replicas(self) -> tuple[peers.Peer, ...]:
         members = self._consensus.replica.members.members
--- a/src/lovagesaddle/core/distribution/events.py
+++ b/src/lovagesaddle/core/distribution/events.py
@@ -9,6 +9,7 @@
 from lovagesaddle.core.distribution import messages
 from lovagesaddle.core.model import peers
 from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.rollouts import evidence as evidence_lib
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -54,6 +55,13 @@
     marks: tuple[messages.Mark, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EvidenceCounted:
+    """The owner counted how its servers answer during a roll-out."""
+
+    versions: tuple[evidence_lib.Evidence, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LeaveRequested:
     """The process is about to stop."""
@@ -154,6 +162,7 @@
     | LeaveRequested
     | InstallFailed
     | ProofRequested
+    | EvidenceCounted
 )
 Action = (
     Send | Answer | Disconnect | Install | RecordProof | DeliverMarks | LogLine
--- a/src/lovagesaddle/core/distribution/messages.py
+++ b/src/lovagesaddle/core/distribution/messages.py
@@ -12,6 +12,7 @@
 from lovagesaddle.core.model import peers
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.model import stamps
+from lovagesaddle.core.rollouts import evidence as evidence_lib
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -253,6 +254,23 @@
     replicas: tuple[peers.Peer, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RolloutReport:
+    """Tells the leader how the versions of a node's servers answer.
+
+    It is sent while a roll-out of their service runs.
+
+    Attributes:
+      node_id: Node that owns the servers.
+      incarnation: Incarnation of the node.
+      versions: What the servers of each version did since the order.
+    """
+
+    node_id: str
+    incarnation: int
+    versions: tuple[evidence_lib.Evidence, ...]
+
+
 DistributionMessage = (
     Join
     | JoinAccepted
@@ -270,6 +288,7 @@
     | MarkSpread
     | ReplicaReport
     | ReplicaList
+    | RolloutReport
 )
 
 DISTRIBUTION_MESSAGES: codec.Registry[DistributionMessage] = codec.Registry(
@@ -291,5 +310,6 @@
         14: MarkSpread,
         15: ReplicaReport,
         16: ReplicaList,
+        17: RolloutReport,
     },
 )
--- a/src/lovagesaddle/core/distribution/node_agent.py
+++ b/src/lovagesaddle/core/distribution/node_agent.py
@@ -152,6 +152,8 @@
                 self._puller.delay(REINSTALL_AFTER_S, now)
             case events.ProofRequested():
                 self._prober.request(now)
+            case events.EvidenceCounted():
+                return self._registration.report_evidence(event.versions)
             case _:
                 assert_never(event)
         return self._tick(now)
--- a/src/lovagesaddle/core/distribution/registration.py
+++ b/src/lovagesaddle/core/distribution/registration.py
@@ -9,12 +9,16 @@
 from lovagesaddle.core.distribution import wire
 from lovagesaddle.core.model import peers
 from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.rollouts import evidence as evidence_lib
 
 # The first retry delay is shorter than an election, so that after a power loss
 # of all machines a node joins soon after a leader is elected. The cap of the
 # delay is well below the time that such a restart of all machines may take.
 FIRST_RETRY_S = 0.25
 RETRY_CAP_S = 2.0
+# Reports to one replica before the next one gets them, in case it is lost. Each
+# report holds everything that the earlier ones held.
+REPORTS_PER_REPLICA = 4
 
 
 class Registration:
@@ -49,6 +53,7 @@
         self._superseded = False
         self._is_join_open = False
         self._next_request_at = 0.0
+        self._report_count = self._turn * REPORTS_PER_REPLICA
         self._backoff = backoff_lib.Backoff(
             first_s=FIRST_RETRY_S, cap_s=RETRY_CAP_S, random=random
         )
@@ -105,6 +110,22 @@
             del self._servers[server_id]
             self._request_now()
 
+    def report_evidence(
+        self, versions: tuple[evidence_lib.Evidence, ...]
+    ) -> tuple[events.Action, ...]:
+        """Returns the report on roll-outs; none before the join."""
+        if not self._accepted or self._superseded:
+            return ()
+        turn = self._report_count // REPORTS_PER_REPLICA
+        self._report_count += 1
+        message = messages.RolloutReport(
+            node_id=self._node.node_id,
+            incarnation=self._node.incarnation,
+            versions=versions,
+        )
+        replica = self._replicas[turn % len(self._replicas)]
+        return (events.Send(peer=replica, frame=wire.encode(message)),)
+
     def start_leaving(self) -> None:
         """Requests that this node leaves, as the process is about to stop."""
         self._leaving = True
--- a/src/lovagesaddle/core/distribution/replica_events.py
+++ b/src/lovagesaddle/core/distribution/replica_events.py
@@ -4,6 +4,7 @@
 
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import messages
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import peers
 from lovagesaddle.core.model import stamps
@@ -72,6 +73,13 @@
     command: commands.ChangeMembership
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DeliverEvidence:
+    """Passes a node's report on roll-outs to what decides on them."""
+
+    report: messages.RolloutReport
+
+
 ReplicaEvent = (
     events.FrameReceived
     | events.Tick
@@ -79,4 +87,4 @@
     | EntryApplied
     | EntryRefused
 )
-ReplicaAction = events.Action | Propose
+ReplicaAction = events.Action | Propose | DeliverEvidence
--- a/src/lovagesaddle/core/membership/registrar.py
+++ b/src/lovagesaddle/core/membership/registrar.py
@@ -108,7 +108,12 @@
     ) -> Actions:
         """Handles one message that concerns membership."""
         match message:
-            case messages.Join() | messages.ServerReport() | messages.Leave():
+            case (
+                messages.Join()
+                | messages.ServerReport()
+                | messages.Leave()
+                | messages.RolloutReport()
+            ):
                 return self._handle_or_forward(received, message, now)
             case _ if not self._is_replica(received.sender_id):
                 return (
@@ -142,14 +147,21 @@
     def _handle_or_forward(
         self,
         received: events.FrameReceived,
-        message: messages.Join | messages.ServerReport | messages.Leave,
+        message: messages.Join
+        | messages.ServerReport
+        | messages.Leave
+        | messages.RolloutReport,
         now: float,
     ) -> Actions:
         origin = received.sender_id
         if self._is_leader:
-            self._origins[origin] = ("", received.route)
+            if not isinstance(message, messages.RolloutReport):
+                self._origins[origin] = ("", received.route)
             return self._handle_as_leader(origin, message, now)
         if self._leader is None:
+            if isinstance(message, messages.RolloutReport):
+                # The next report holds the same counts.
+                return ()
             if isinstance(message, messages.Join) and self._pending_joins.add(
                 received, message, now
             ):
@@ -176,7 +188,11 @@
             message = wire.decode(forward.data, peer=forward.origin_id)
         except errors.CodecError as error:
             return (events.make_refusal_line(received, error.cause),)
-        self._origins[forward.origin_id] = (received.sender_id, received.route)
+        if not isinstance(message, messages.RolloutReport):
+            self._origins[forward.origin_id] = (
+                received.sender_id,
+                received.route,
+            )
         return self._handle_as_leader(forward.origin_id, message, now)
 
     def _handle_as_leader(
@@ -201,6 +217,8 @@
                     return (self._answer_join(origin, answer, now),)
             case messages.ServerReport() if message.node_id == origin:
                 self._batcher.add_report(message, now)
+            case messages.RolloutReport() if message.node_id == origin:
+                return (replica_events.DeliverEvidence(report=message),)
             case messages.Leave() if message.node_id == origin:
                 self._batcher.add_removal(origin, message.incarnation, now)
             case _:
--- a/src/lovagesaddle/core/rollouts/director.py
+++ b/src/lovagesaddle/core/rollouts/director.py
@@ -25,8 +25,10 @@
 MIN_EXPANSION_S = 5.5
 MIN_TRIAL_SHARE = 0.3
 # Weights after the trial, in thousandths, and the time for evidence at each.
-EXPANSION_WEIGHTS: Final = (250, 500, software_versions.FULL_WEIGHT)
-STEP_S = 0.8
+# The last one before the whole leaves little to the old servers, so that hardly
+# a request is refused twice by owners that have the newer table already.
+EXPANSION_WEIGHTS: Final = (300, 900, software_versions.FULL_WEIGHT)
+STEP_S = 0.7
 # Answers below which the version is not proved, unless little time is left;
 # the slack of the allowed share covers a service with so little traffic.
 MIN_ANSWERS = 30
@@ -99,6 +101,8 @@
         }
         for service in set(self._courses) - set(running):
             del self._courses[service]
+        if not running:
+            return
         nodes = {node.node_id: node.incarnation for node in snapshot.nodes}
         for service, rollout in running.items():
             course = self._courses.get(service)
--- a/src/lovagesaddle/core/routing/table.py
+++ b/src/lovagesaddle/core/routing/table.py
@@ -4,6 +4,7 @@
 the node puts in force by replacing one reference.
 """
 
+from collections.abc import Mapping
 import dataclasses
 import enum
 
@@ -11,6 +12,7 @@
 from lovagesaddle.core.model import paths
 from lovagesaddle.core.model import services as services_lib
 from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.rollouts import software_versions
 from lovagesaddle.core.routing import route_index
 
 Match = route_index.Match
@@ -98,6 +100,8 @@
       slots: Requests that the backend server runs at a time.
       is_warm: Whether the backend server gets its full share of requests at
         once, without a slow start.
+      is_incoming: Whether the backend server is of a version that is being
+        rolled out, and gets only that version's share.
     """
 
     server_id: str
@@ -107,6 +111,7 @@
     http_address: str
     slots: int
     is_warm: bool = False
+    is_incoming: bool = False
 
 
 class Table:
@@ -130,7 +135,10 @@
                 snapshot.services, snapshot.version
             )
         )
-        self._candidates = _compile_candidates(snapshot)
+        self._rollouts = {
+            rollout.service: rollout for rollout in snapshot.rollouts or ()
+        }
+        self._candidates = _compile_candidates(snapshot, self._rollouts)
 
     @property
     def version(self) -> int:
@@ -225,9 +233,26 @@
         )
 
     def list_candidates(self, service: str) -> tuple[Candidate, ...]:
-        """Returns a service's serving backend servers, by server ID."""
+        """Returns a service's serving backend servers, by server ID.
+
+        Those whose version may run no requests are left out.
+        """
         return self._candidates.get(service, ())
 
+    def find_incoming_weight(self, service: str) -> int | None:
+        """Returns the share of a version that is being rolled out.
+
+        Returns:
+          Thousandths of the service's requests; None if no roll-out runs.
+        """
+        rollout = self._rollouts.get(service)
+        if (
+            rollout is None
+            or rollout.phase is not snapshots.RolloutPhase.RUNNING
+        ):
+            return None
+        return rollout.weight
+
     def _make_miss(
         self, reason: MissReason, status: int, allow: tuple[str, ...] = ()
     ) -> Miss:
@@ -238,6 +263,7 @@
 
 def _compile_candidates(
     snapshot: snapshots.Snapshot,
+    rollouts: Mapping[str, snapshots.Rollout],
 ) -> dict[str, tuple[Candidate, ...]]:
     nodes = {node.node_id: node for node in snapshot.nodes}
     found: dict[str, list[Candidate]] = {}
@@ -247,6 +273,10 @@
             continue
         if _has_flaw(node, server):
             continue
+        rollout = rollouts.get(server.service)
+        software = server.software or ""
+        if not software_versions.may_run(rollout, software):
+            continue
         found.setdefault(server.service, []).append(
             Candidate(
                 server_id=server.server_id,
@@ -256,9 +286,35 @@
                 http_address=node.http_address,
                 slots=server.slots,
                 is_warm=server.is_warm,
+                is_incoming=software_versions.is_on_trial(rollout, software),
             )
         )
-    return {service: tuple(servers) for service, servers in found.items()}
+    return {
+        service: _keep_tried(tuple(servers), rollouts.get(service))
+        for service, servers in found.items()
+    }
+
+
+def _keep_tried(
+    servers: tuple[Candidate, ...], rollout: snapshots.Rollout | None
+) -> tuple[Candidate, ...]:
+    """Returns the servers without those of a new version that get nothing."""
+    incoming = [server for server in servers if server.is_incoming]
+    if rollout is None or not incoming:
+        return servers
+    tried = software_versions.select_tried(
+        [
+            (each.server_id, each.failure_domain, each.slots, each.is_warm)
+            for each in incoming
+        ],
+        sum(each.slots for each in servers if not each.is_incoming),
+        rollout.weight,
+    )
+    return tuple(
+        each
+        for each in servers
+        if not each.is_incoming or each.server_id in tried
+    )
 
 
 def _has_flaw(node: snapshots.Node, server: snapshots.BackendServer) -> bool:
--- a/src/lovagesaddle/http/hop.py
+++ b/src/lovagesaddle/http/hop.py
@@ -20,6 +20,8 @@
 
 RUN_PATH = "/.lovagesaddle/run"
 QUARANTINED = "quarantined"
+# Refuses a request whose server is of a version that may not run it.
+VERSION_BARRED = "version-barred"
 ROUTE_OUTDATED = "route-outdated"
 DIGEST_BYTES = 32
 HASH = "sha256"
--- a/src/lovagesaddle/node/control_thread.py
+++ b/src/lovagesaddle/node/control_thread.py
@@ -17,6 +17,7 @@
 from lovagesaddle.core.distribution import relay_tree
 from lovagesaddle.core.model import peers
 from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.rollouts import evidence
 from lovagesaddle.node import ports
 from lovagesaddle.observability import logs
 from lovagesaddle.settings import schema
@@ -139,6 +140,10 @@
         """Asks for a proof of the configuration's age; see the base class."""
         self._post_event(events.ProofRequested())
 
+    def report_evidence(self, versions: tuple[evidence.Evidence, ...]) -> None:
+        """See base class."""
+        self._post_event(events.EvidenceCounted(versions=versions))
+
     def spread_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
         """Sends crash marks to every node."""
         mark_messages = tuple(
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -18,6 +18,7 @@
 from lovagesaddle.node import seen_attempts
 from lovagesaddle.node import server_exchange
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
+from lovagesaddle.node import software_gate as software_gate_lib
 from lovagesaddle.node import stop_limit as stop_limit_lib
 from lovagesaddle.observability import logs
 from lovagesaddle.observability import metrics
@@ -43,6 +44,8 @@
         at the service with the given name.
       stop_limit: Refuses what this node can't answer before it stops; refuses
         nothing if None.
+      software_gate: Refuses requests for servers of versions that may run none;
+        refuses nothing if None.
     """
 
     def __init__(
@@ -55,7 +58,11 @@
         body_receiver: body_receiver_lib.BodyReceiver | None = None,
         allows_route: RouteCheck | None = None,
         stop_limit: stop_limit_lib.StopLimit | None = None,
+        software_gate: software_gate_lib.SoftwareGate | None = None,
     ) -> None:
+        self._software_gate = software_gate or software_gate_lib.SoftwareGate(
+            0.0, lambda: None, metrics.Metrics()
+        )
         self._stop_limit = stop_limit or stop_limit_lib.StopLimit(
             metrics.Metrics()
         )
@@ -119,6 +126,7 @@
         if previous is not None and instance and previous.instance == instance:
             owned.adopt_rate(previous.admission.rate_limit)
         self._owned[server.server_id] = owned
+        self._software_gate.add_server(server)
         _log.info(
             "server_opened",
             server=server.server_id,
@@ -147,6 +155,7 @@
         owned = self._owned.pop(server_id, None)
         if owned is not None:
             owned.step(admission_events.ServerDown())
+            self._software_gate.remove_server(server_id)
         _log.info("server_closed", server=server_id, reason=reason)
 
     def drain(self, server_id: str) -> None:
@@ -219,6 +228,32 @@
             return owner_answers.make_refusal(
                 request, hop.ROUTE_OUTDATED, owned
             )
+        if not self._software_gate.enter(owned.server):
+            self._bodies.drop(request)
+            return self._refuse_version(request, owned)
+        try:
+            return self._run_allowed(request, owned, guard)
+        finally:
+            self._software_gate.leave(owned.server)
+
+    def _refuse_version(
+        self, request: hop.RunRequest, owned: owned_server.OwnedServer
+    ) -> hop.RunAnswer:
+        if logs.allows_request_line(failed=True):
+            _log.info(
+                "version_barred",
+                attempt=request.attempt_id,
+                server=request.server_id,
+                software=owned.server.software or "",
+            )
+        return owner_answers.make_refusal(request, hop.VERSION_BARRED, owned)
+
+    def _run_allowed(
+        self,
+        request: hop.RunRequest,
+        owned: owned_server.OwnedServer,
+        guard: watchdog.Guard,
+    ) -> hop.RunAnswer:
         if request.offset:
             completed = self._bodies.complete(request)
             if completed is None:
@@ -236,9 +271,18 @@
         running = self._admit(request, owned, guard)
         if isinstance(running, hop.RunAnswer):
             return running
+        if not self._software_gate.may_send(owned.server):
+            owned.step(
+                admission_events.Cancelled(request_id=request.attempt_id)
+            )
+            return self._refuse_version(request, owned)
         owned.start(request.attempt_id, running)
         self._sent.add()
+        sent_at = time.monotonic()
         answer = self._exchange.run(request, owned, guard, running)
+        self._software_gate.count_answer(
+            owned.server, request.route, sent_at, answer
+        )
         if owned.stated.is_leaving and not owned.draining:
             self._drain_leaving(owned)
         return answer
--- a/src/lovagesaddle/node/ports.py
+++ b/src/lovagesaddle/node/ports.py
@@ -9,6 +9,7 @@
 
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.rollouts import evidence
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.transport import endpoint
 
@@ -76,6 +77,10 @@
     def request_proof(self) -> None:
         """Asks for a proof of the configuration's age, without waiting."""
 
+    @abc.abstractmethod
+    def report_evidence(self, versions: tuple[evidence.Evidence, ...]) -> None:
+        """Sends the leader how local servers answer during a roll-out."""
+
     @abc.abstractmethod
     def spread_marks(self, marks: tuple[CrashMark, ...]) -> None:
         """Sends crash marks to every node, with the next heartbeats."""
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -38,6 +38,7 @@
 from lovagesaddle.node import server_heartbeats
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
 from lovagesaddle.node import shutdown
+from lovagesaddle.node import software_gate as software_gate_lib
 from lovagesaddle.node import stop_limit as stop_limit_lib
 from lovagesaddle.node import table_proofs
 from lovagesaddle.observability import logs
@@ -138,6 +139,11 @@
         )
         self._shared_quarantine = shared_quarantine_lib.SharedQuarantine()
         self._stop_limit = stop_limit_lib.StopLimit(self.metrics)
+        self._software_gate = software_gate_lib.SoftwareGate(
+            settings.rollback_bound_s,
+            self._table_proofs.compute_age,
+            self.metrics,
+        )
         self._owner = owner_lib.Owner(
             pool=self._pool,
             shared_quarantine=self._shared_quarantine,
@@ -146,6 +152,7 @@
             body_receiver=body_receiver,
             allows_route=self._routing.allows_route,
             stop_limit=self._stop_limit,
+            software_gate=self._software_gate,
         )
         self._servers = local_servers.LocalServers(
             node_id=settings.node_id, owner=self._owner
@@ -202,6 +209,8 @@
             self._servers.connect(control)
             self._shared_quarantine.connect(control)
             self._claims.connect(control)
+            self._software_gate.connect(control.report_evidence)
+            stack.enter_context(self._software_gate)
             self._table_proofs.connect(control)
             node_gauges.register_gauges(
                 self.metrics,
@@ -267,6 +276,7 @@
                 + listeners.ENVELOPE_MARGIN_BYTES
             )
         self._claims.install(hashed.snapshot, joined=joined)
+        self._software_gate.install(hashed.snapshot)
         is_first = self._routing.table is None
         self._routing.install(hashed, joined=joined)
         if is_first and joined and self._discovery is not None:
--- a/src/lovagesaddle/node/routing.py
+++ b/src/lovagesaddle/node/routing.py
@@ -15,6 +15,7 @@
 from lovagesaddle.core.routing import retries
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.core.routing import traffic_split
+from lovagesaddle.core.routing import version_choice
 from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import hop
 from lovagesaddle.observability import logs
@@ -91,6 +92,7 @@
             policy=self.options.policy,
             source=random.Random(),
         )
+        self._random = random.Random()
         self._known_servers = 0
         self._lock = threading.Lock()
         self._retry_policies: dict[str, retries.RetryPolicy] = {}
@@ -166,7 +168,12 @@
         event = balancer_events.Pick(
             service=service,
             version=table.version,
-            candidates=table.list_candidates(service),
+            candidates=version_choice.choose_version(
+                table.list_candidates(service),
+                table.find_incoming_weight(service),
+                tried,
+                self._random.random(),
+            ),
             tried=tried,
             body_bytes=body_bytes,
             needs_room=needs_room,
--- a/src/lovagesaddle/node/software_gate.py
+++ b/src/lovagesaddle/node/software_gate.py
@@ -1,4 +1,4 @@
-"""Lets servers of allowed versions run requests, and reports how they answer."""
+"""Lets servers of allowed versions run requests and reports their answers."""
 
 from collections.abc import Callable
 import threading
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -14,6 +14,9 @@
 PositiveSeconds = Annotated[
     float, msgspec.Meta(gt=0, le=3600, extra={"unit": units.Unit.DURATION})
 ]
+OptionalSeconds = Annotated[
+    float, msgspec.Meta(ge=0, le=3600, extra={"unit": units.Unit.DURATION})
+]
 Size = Annotated[int, msgspec.Meta(ge=0, extra={"unit": units.Unit.SIZE})]
 ControlAddress = Annotated[
     str, msgspec.Meta(pattern=r"^tcp://[0-9]+(\.[0-9]+){3}:[0-9]{1,5}$")
@@ -113,6 +116,11 @@
         the IPs are used: a seed's replica has its IP as name and listens on
         the port of `address`.
       grace_s: Time after SIGTERM at which the process is killed, in seconds.
+      exposure_share: Largest share of a service's requests that may reach a
+        new version of its software before it is proved.
+      rollback_bound_s: Time within which every node stops sending to a bad
+        version of a service's software, in seconds; 0 if versions are not
+        rolled out. Has to be the same at all replicas and nodes.
     """
 
     replica_id: Identifier
@@ -131,6 +139,8 @@
     tolerated_losses: Annotated[int, msgspec.Meta(ge=0, le=3)] = 0
     seeds: HttpAddresses = ()
     grace_s: PositiveSeconds = 10.0
+    exposure_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.1
+    rollback_bound_s: OptionalSeconds = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -179,6 +189,9 @@
         Bodies of any size are then sent in one piece.
       max_table_age_s: Time within which an accepted configuration is in force,
         in seconds. A node whose table may be older gives no final refusal.
+      rollback_bound_s: Time within which every node stops sending to a bad
+        version of a service's software, in seconds; 0 if versions are not
+        rolled out.
     """
 
     node_id: Identifier
@@ -208,6 +221,7 @@
     retry_reserve: Annotated[int, msgspec.Meta(ge=0)] = 0
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     max_table_age_s: PositiveSeconds = 2.0
+    rollback_bound_s: OptionalSeconds = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/mesh.py
+++ b/tests/mesh.py
@@ -16,6 +16,7 @@
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.configuration import state as state_lib
 from lovagesaddle.core.distribution import events
+from lovagesaddle.core.distribution import messages
 from lovagesaddle.core.distribution import node_agent
 from lovagesaddle.core.distribution import replica_agent
 from lovagesaddle.core.distribution import replica_events
@@ -99,6 +100,8 @@
         is not delivered if it returns True.
       entries: Number of log entries.
       sent: Sender, target and content of every frame sent.
+      on_evidence: Called with a leader and each report on roll-outs that it
+        gets.
     """
 
     def __init__(
@@ -124,6 +127,9 @@
         self.state = state_lib.make_initial_state()
         self.entries = 0
         self.sent: list[tuple[str, str, bytes]] = []
+        self.on_evidence: Callable[[str, messages.RolloutReport], None] = (
+            lambda *_: None
+        )
         self.intercept: Callable[[str, str, bytes], bool] = lambda *_: False
         self._hashed = state_lib.make_initial_snapshot()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -288,7 +294,9 @@
     def _carry_out_at_replica(
         self, replica_id: str, action: replica_events.ReplicaAction
     ) -> None:
-        if not isinstance(action, replica_events.Propose):
+        if isinstance(action, replica_events.DeliverEvidence):
+            self.on_evidence(replica_id, action.report)
+        elif not isinstance(action, replica_events.Propose):
             self._send(replica_id, 0, action)
         elif replica_id not in self._isolated:
             version = self.commit(action.command)
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -17,6 +17,7 @@
 from lovagesaddle.core.configuration import delta
 from lovagesaddle.core.model import services
 from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.rollouts import evidence
 from lovagesaddle.core.routing import shard_plan
 from lovagesaddle.node import owned_server
 from lovagesaddle.node import ports
@@ -53,6 +54,7 @@
       proves: Whether each version is proved to stay the newest.
       held_back: IDs of nodes that receive no further version.
       on_proof_requested: Called when a node asks for a proof.
+      evidence: Reports on roll-outs, each with the ID of its node.
     """
 
     def __init__(self, *services_: services.Service) -> None:
@@ -71,6 +73,7 @@
         self.proves = True
         self.held_back: set[str] = set()
         self.on_proof_requested: Callable[[], None] = lambda: None
+        self.evidence: list[tuple[str, tuple[evidence.Evidence, ...]]] = []
 
     @property
     def snapshot(self) -> snapshots.Snapshot:
@@ -216,6 +219,10 @@
         """See base class."""
         self._control.on_proof_requested()
 
+    def report_evidence(self, versions: tuple[evidence.Evidence, ...]) -> None:
+        """See base class."""
+        self._control.evidence.append((self._node_id, versions))
+
     def spread_marks(self, marks: tuple[ports.CrashMark, ...]) -> None:
         """See base class."""
         self._control.spread_marks(marks)
