Take orders of roll-outs from operators and versions from heartbeats

POST Rollouts.Start and GET Rollouts.Get where the settings carry rollback-bound, lovagesaddle rollout start and show; elsewhere the calls get 404 as before.

--- a/src/lovagesaddle/cli/main.py
+++ b/src/lovagesaddle/cli/main.py
@@ -12,6 +12,7 @@
 from lovagesaddle.cli import explain_command
 from lovagesaddle.cli import key_commands
 from lovagesaddle.cli import read_commands
+from lovagesaddle.cli import rollout_commands
 from lovagesaddle.cli import trace_command
 from lovagesaddle.core import errors
 
@@ -45,6 +46,7 @@
     ):
         app.command()(command)
     app.add_typer(change_commands.make_replica_app(), name="replica")
+    app.add_typer(rollout_commands.make_rollout_app(), name="rollout")
     app.add_typer(key_commands.make_keys_app(), name="keys")
     return app
 
--- a/src/lovagesaddle/control/forwarder.py
+++ b/src/lovagesaddle/control/forwarder.py
@@ -43,7 +43,8 @@
 class Forwarder(ports.Subsystem):
     """Passes requests from other threads to the leader.
 
-    Any thread may call `publish` and `read_newest`; only the replica's thread
+    Any thread may call `publish`, `read_newest`, `start_rollout` and
+    `read_rollout`; only the replica's thread
     may call the other methods. A leader answers a request itself. A follower
     sends it to the leader over its own link, or refuses it at once if no
     leader is known.
@@ -111,6 +112,40 @@
             _make_error("read the newest publication", answer)
         )
 
+    def start_rollout(
+        self, order: commands.StartRollout, timeout_s: float
+    ) -> result.Result[commands.RolloutOutcome, LeaderUnavailableError]:
+        """Orders a roll-out and waits for the outcome of the order.
+
+        Args:
+          order: What to roll out. Resending the same order is safe.
+          timeout_s: Timeout, in seconds.
+        """
+        request = operator_messages.StartRolloutRequest(
+            request_id=self._next_request_id(), order=order
+        )
+        answer = self._ask(request, timeout_s)
+        if isinstance(answer, operator_messages.StartRolloutAnswer):
+            return result.Success(answer.outcome)
+        return result.Failure(_make_error("order a roll-out", answer))
+
+    def read_rollout(
+        self, service: str, timeout_s: float
+    ) -> result.Result[operator_messages.RolloutAnswer, LeaderUnavailableError]:
+        """Returns the newest roll-out of a service, by a linearizable read.
+
+        Args:
+          service: Name of the service.
+          timeout_s: Timeout, in seconds.
+        """
+        request = operator_messages.RolloutRequest(
+            request_id=self._next_request_id(), service=service
+        )
+        answer = self._ask(request, timeout_s)
+        if isinstance(answer, operator_messages.RolloutAnswer):
+            return result.Success(answer)
+        return result.Failure(_make_error("read a roll-out", answer))
+
     @property
     def channel(self) -> endpoint_lib.Channel:
         """The channel whose messages this subsystem receives."""
--- a/src/lovagesaddle/control/operator_requests.py
+++ b/src/lovagesaddle/control/operator_requests.py
@@ -5,6 +5,7 @@
 from lovagesaddle.control import consensus as consensus_lib
 from lovagesaddle.control import ports
 from lovagesaddle.control import replica_changes
+from lovagesaddle.control import rollout_requests
 from lovagesaddle.core.configuration import publication_edits
 from lovagesaddle.core.consensus import entries as entries_lib
 from lovagesaddle.core.consensus import events
@@ -31,6 +32,7 @@
       consensus: Consensus of this replica.
       replicas: Adds, removes and replaces replicas.
       node_versions: Reports which versions the nodes hold.
+      rolls_out: Whether versions of services' software are rolled out.
     """
 
     def __init__(
@@ -41,7 +43,11 @@
         consensus: consensus_lib.Consensus,
         replicas: replica_changes.ReplicaChanges,
         node_versions: ports.NodeVersions,
+        rolls_out: bool = False,
     ) -> None:
+        self._rollouts = rollout_requests.RolloutRequests(
+            consensus, self._refuse, is_enabled=rolls_out
+        )
         self._log = logs.get_logger("operators")
         self._own_id = own_id
         self._endpoint = endpoint
@@ -83,6 +89,10 @@
                 self._change_replica(request, reply)
             case operator_messages.NewestRequest():
                 self._read_newest(request, reply)
+            case operator_messages.StartRolloutRequest():
+                self._rollouts.start(request, reply)
+            case operator_messages.RolloutRequest():
+                self._rollouts.read(request, reply)
             case operator_messages.StatusRequest():
                 reply(self._describe_status(request))
             case operator_messages.HistoryRequest():
--- a/src/lovagesaddle/control/program.py
+++ b/src/lovagesaddle/control/program.py
@@ -325,6 +325,7 @@
                 tolerated=self._settings.tolerated_losses,
             ),
             node_versions=distributor,
+            rolls_out=rollouts is not None,
         )
         self._forwarder = forwarder_lib.Forwarder(
             own_id=self._settings.replica_id,
--- a/src/lovagesaddle/core/model/commands.py
+++ b/src/lovagesaddle/core/model/commands.py
@@ -166,6 +166,7 @@
     ACCEPTED = "accepted"
     CONFLICT = "conflict"
     UNKNOWN_SERVICE = "unknown-service"
+    DISABLED = "disabled"
 
 
 class PublishOutcome(enum.Enum):
--- a/src/lovagesaddle/core/model/operator_messages.py
+++ b/src/lovagesaddle/core/model/operator_messages.py
@@ -258,6 +258,43 @@
     cause: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StartRolloutRequest:
+    """Asks the leader to accept the order of a roll-out."""
+
+    request_id: str
+    order: commands.StartRollout
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StartRolloutAnswer:
+    """The outcome of an order, sent once a majority has synced it to disk."""
+
+    request_id: str
+    outcome: commands.RolloutOutcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RolloutRequest:
+    """Asks the leader for a roll-out, as a linearizable read.
+
+    Attributes:
+      request_id: Repeated by the answer.
+      service: Service whose newest roll-out is asked for.
+    """
+
+    request_id: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RolloutAnswer:
+    """The newest roll-out of a service; None if none was ordered."""
+
+    request_id: str
+    rollout: snapshots.Rollout | None
+
+
 OperatorMessage = (
     PublishRequest
     | EditRequest
@@ -275,6 +312,10 @@
     | ChangeReplicaAnswer
     | NewestRequest
     | NewestAnswer
+    | StartRolloutRequest
+    | StartRolloutAnswer
+    | RolloutRequest
+    | RolloutAnswer
 )
 
 OPERATOR_MESSAGES: codec.Registry[OperatorMessage] = codec.Registry(
@@ -296,5 +337,9 @@
         14: NewestRequest,
         15: NewestAnswer,
         16: EditRequest,
+        17: StartRolloutRequest,
+        18: StartRolloutAnswer,
+        19: RolloutRequest,
+        20: RolloutAnswer,
     },
 )
--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -8,6 +8,8 @@
 import time
 from typing import Any
 
+import msgspec
+
 from lovagesaddle.core import errors
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.node import owner as owner_lib
@@ -32,6 +34,8 @@
       born_ms: Start time of its process, in milliseconds since 1970; 0 if
         unknown.
       is_warm: Whether it is past the slow period after its start.
+      software: Version of its software; empty if it is unknown or versions are
+        not rolled out.
     """
 
     service: str
@@ -41,6 +45,7 @@
     instance: str = ""
     born_ms: int = 0
     is_warm: bool = False
+    software: str = ""
 
 
 class AnnouncementError(errors.LovagesaddleError):
@@ -269,6 +274,7 @@
             connections=announcement.connections,
             state=snapshots.ServerState.SERVING,
             is_warm=announcement.is_warm,
+            software=announcement.software or msgspec.UNSET,
         )
 
 
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -240,6 +240,11 @@
         own = self._settings.service
         return service == own or self._routing.has_service(service)
 
+    @property
+    def rolls_out(self) -> bool:
+        """Whether versions of services' software are rolled out."""
+        return self._settings.rollback_bound_s > 0
+
     @property
     def is_ready(self) -> bool:
         """Whether callers should send requests to this node.
--- a/src/lovagesaddle/platform/control_main.py
+++ b/src/lovagesaddle/platform/control_main.py
@@ -8,10 +8,12 @@
 from lovagesaddle.control import main as control_main
 from lovagesaddle.control import program as control_lib
 from lovagesaddle.core import errors
+from lovagesaddle.http import applications
 from lovagesaddle.observability import logs
 from lovagesaddle.observability import metrics as metrics_lib
 from lovagesaddle.platform import endpoints
 from lovagesaddle.platform import operator_endpoints
+from lovagesaddle.platform import rollout_endpoint
 from lovagesaddle.platform import settings as settings_lib
 from lovagesaddle.platform import startup
 from lovagesaddle.settings import loader
@@ -38,10 +40,14 @@
 
     @contextlib.contextmanager
     def attach(replica: control_lib.ControlProgram) -> Iterator[None]:
-        documents = operator_endpoints.ConfigurationEndpoint(replica.forwarder)
+        calls: applications.Application = (
+            operator_endpoints.ConfigurationEndpoint(replica.forwarder)
+        )
+        if settings.rollback_bound_s:
+            calls = rollout_endpoint.RolloutEndpoint(replica.forwarder, calls)
         with (
             endpoints.open_endpoint(
-                documents,
+                calls,
                 addresses.operator_address,
                 max_body_bytes=operator_endpoints.MAX_DOCUMENT_BYTES,
             ),
--- a/src/lovagesaddle/platform/heartbeats.py
+++ b/src/lovagesaddle/platform/heartbeats.py
@@ -4,7 +4,7 @@
 """
 
 import dataclasses
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -35,6 +35,8 @@
     cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
     # Start of the server's process, in milliseconds since 1970.
     born: Number = msgspec.field(default=UNKNOWN_BORN_MS, name="born")
+    # Read only where versions are rolled out; elsewhere it may be anything.
+    version: Any = None
 
 
 class _Farewell(msgspec.Struct, frozen=True):
@@ -60,12 +62,16 @@
     is_leaving: bool
 
 
-def parse_heartbeat(instance: str, content: bytes) -> Beat:
+def parse_heartbeat(
+    instance: str, content: bytes, *, reads_version: bool = False
+) -> Beat:
     """Returns the heartbeat in the body of a call.
 
     Args:
       instance: Name of the server, from the path of the call.
       content: Body of the call.
+      reads_version: Whether versions are rolled out, so that the version of the
+        server's software is needed.
 
     Raises:
       HeartbeatError: The body is malformed.
@@ -76,6 +82,11 @@
         raise _make_error(instance, str(error)) from error
     if not addresses.has_valid_port(heartbeat.address):
         raise _make_error(instance, f"port of {heartbeat.address} is invalid")
+    software = ""
+    if reads_version:
+        software = heartbeat.version
+        if not isinstance(software, str) or not software:
+            raise _make_error(instance, "the version of its software is absent")
     return Beat(
         announcement=local_servers.Announcement(
             service=heartbeat.service,
@@ -86,6 +97,7 @@
             instance=instance,
             born_ms=heartbeat.born,
             is_warm=not heartbeat.cold_remaining_ms,
+            software=software,
         ),
         sequence=heartbeat.sequence,
         is_leaving=heartbeat.state == "draining",
--- a/src/lovagesaddle/platform/node_endpoints.py
+++ b/src/lovagesaddle/platform/node_endpoints.py
@@ -58,7 +58,11 @@
 
     def _handle_heartbeat(self, request: wsgi.IncomingRequest) -> wsgi.Answer:
         instance = request.path.removeprefix(HEARTBEAT_PATH)
-        heartbeat = heartbeats.parse_heartbeat(instance, request.read_body())
+        heartbeat = heartbeats.parse_heartbeat(
+            instance,
+            request.read_body(),
+            reads_version=self._node.rolls_out,
+        )
         service = heartbeat.announcement.service
         if not self._node.knows_service(service):
             raise heartbeats.HeartbeatError(
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -36,14 +36,16 @@
 HEARTBEAT_INTERVAL_S = 0.2
 GRACE_S = 6
 _PLACE = re.compile(r"\{\{([A-Za-z.0-9]+)\}\}")
-_SECTION = re.compile(r"\{\{([#^])(\w+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
+_SECTION = re.compile(r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
 
 
 def fill_in(template: str, fields: dict[str, Any]) -> str:
     """Returns a settings file with the platform's fields substituted."""
 
     def expand(match: re.Match[str]) -> str:
-        value = fields[match[2]]
+        value: Any = fields
+        for key in match[2].split("."):
+            value = value.get(key) if isinstance(value, dict) else None
         if bool(value) != (match[1] == "#"):
             return ""
         if not isinstance(value, dict):
