--- a/src/lovagesaddle/core/rollouts/comparison.py
+++ b/src/lovagesaddle/core/rollouts/comparison.py
@@ -9,7 +9,7 @@
 too: if the new version is as good as the bound on the version in use, a result
 as bad as the observed one has at most the probability `exp(-evidence)`. A
 roll-out of 16 s looks 64 times at up to 25 routes, two spans and 8 measures, so
-that the error of all looks together is at most 25,600 * exp(-18) = 0.0004.
+that the error of all looks together is at most 25,600 * exp(-14) = 0.02.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
@@ -20,9 +20,10 @@
 from lovagesaddle.core.rollouts import evidence
 
 # Evidence at which a version counts as bad; see above.
-BAD_EVIDENCE = 18.0
-# Evidence at which the share of a version is not raised: 1 in 400.
-DOUBT_EVIDENCE = 6.0
+BAD_EVIDENCE = 14.0
+# Evidence at which the share of a version is not raised: 1 in 90. It is raised
+# later if more answers disperse the doubt.
+DOUBT_EVIDENCE = 4.5
 # Fewer bad answers than these show nothing.
 MIN_BAD_ANSWERS = 5
 # Fewer answers of the version in use on one route are no standard; those on all
@@ -36,6 +37,12 @@
 # Classes above the median of the version in use from which an answer counts as
 # slow: 2.4 times, and up to 9 times.
 SLOW_CLASSES = range(4, 11)
+# The new servers are compared with the worst ones in use but this share: the
+# few that are tried may all be of the slow kind. Owners with fewer answers tell
+# too little, and fewer owners are no standard.
+WORST_SHARE = 0.2
+MIN_OWNER_ANSWERS = 12
+MIN_OWNERS = 5
 # The worst servers, by this share, are left out.
 TRIM_DIVISOR = 3
 
@@ -81,50 +88,71 @@
       old: Answers by route of each owner of the version in use.
       new: Answers by route of each owner of the new version.
     """
-    standards = _merge_all(old)
-    all_old = standards.pop("", evidence.Tally())
-    findings = [Finding(verdict=Verdict.GOOD)]
+    by_owner = [_add_total(tallies) for tallies in old]
     by_server = [_add_total(tallies) for tallies in new]
+    all_old = [each[""] for each in by_owner]
+    findings = [Finding(verdict=Verdict.GOOD)]
     for route in sorted({name for each in by_server for name in each}):
         tried = [each[route] for each in by_server if route in each]
-        standard = standards.get(route, all_old)
-        if standard.answered < MIN_STANDARD:
-            standard = all_old
-        findings.extend(_compare_route(route, standard, tried))
+        in_use = [each[route] for each in by_owner if route in each]
+        if sum(tally.answered for tally in in_use) < MIN_STANDARD:
+            in_use = all_old
+        findings.extend(_compare_route(route, in_use, tried))
     return max(findings, key=lambda finding: finding.evidence)
 
 
 def _compare_route(
-    route: str, standard: evidence.Tally, tried: Sequence[evidence.Tally]
+    route: str,
+    in_use: Sequence[evidence.Tally],
+    tried: Sequence[evidence.Tally],
 ) -> Iterable[Finding]:
     yield _judge(
         route,
         "failures",
         [(tally.failed, tally.answered) for tally in tried],
-        _find_rate(standard.failed, standard.answered, FAILURE_MARGIN),
+        _find_rate(
+            [(tally.failed, tally.answered) for tally in in_use],
+            FAILURE_MARGIN,
+        ),
     )
-    if standard.answered < MIN_STANDARD:
+    total = evidence.Tally()
+    for tally in in_use:
+        total.merge(tally)
+    if total.answered < MIN_STANDARD:
         return
-    median = standard.find_median()
+    median = total.find_median()
     for distance in SLOW_CLASSES:
-        number = median + distance
         yield _judge(
             route,
             "slowness",
-            [(tally.count_above(number), tally.answered) for tally in tried],
-            _find_rate(
-                standard.count_above(number),
-                standard.answered,
-                SLOWNESS_MARGIN,
-            ),
+            _count_slow(tried, median + distance),
+            _find_rate(_count_slow(in_use, median + distance), SLOWNESS_MARGIN),
         )
 
 
-def _find_rate(bad: int, answered: int, margin: float) -> float:
-    """Returns the share of bad answers that a good version may have."""
+def _count_slow(
+    tallies: Sequence[evidence.Tally], number: int
+) -> list[tuple[int, int]]:
+    return [(tally.count_above(number), tally.answered) for tally in tallies]
+
+
+def _find_rate(counts: list[tuple[int, int]], margin: float) -> float:
+    """Returns the share of bad answers that a good version may have.
+
+    Args:
+      counts: Bad and all answers of each owner of the version in use.
+      margin: Share that is allowed beyond theirs.
+    """
+    bad = sum(each[0] for each in counts)
+    answered = sum(each[1] for each in counts)
     # One bad answer more than seen, as few answers may hide it.
-    share = (bad + 1) / (answered + 2)
-    return min(0.99, RATE_FACTOR * share + margin)
+    share = RATE_FACTOR * (bad + 1) / (answered + 2)
+    shares = sorted(
+        each[0] / each[1] for each in counts if each[1] >= MIN_OWNER_ANSWERS
+    )
+    if len(shares) >= MIN_OWNERS:
+        share = max(share, shares[int((1 - WORST_SHARE) * len(shares))])
+    return min(0.99, share + margin)
 
 
 def _judge(
@@ -166,14 +194,6 @@
     return answered * evidence_each
 
 
-def _merge_all(owners: Iterable[Tallies]) -> dict[str, evidence.Tally]:
-    merged: dict[str, evidence.Tally] = {}
-    for tallies in owners:
-        for route, tally in _add_total(tallies).items():
-            merged.setdefault(route, evidence.Tally()).merge(tally)
-    return merged
-
-
 def _add_total(tallies: Tallies) -> dict[str, evidence.Tally]:
     """Returns the tallies with that of all routes, under the empty name."""
     total = evidence.Tally()
--- a/src/lovagesaddle/core/rollouts/course.py
+++ b/src/lovagesaddle/core/rollouts/course.py
@@ -75,17 +75,13 @@
         self, rollout: snapshots.Rollout, version: int, now: float
     ) -> None:
         self.rollout = rollout
-        self.changed_at = now
         self._weight_version = version
         self._started_at = now - rollout.elapsed_s
         self._series: dict[tuple[str, str], _Series] = {}
 
-    def replace(
-        self, rollout: snapshots.Rollout, version: int, now: float
-    ) -> None:
+    def replace(self, rollout: snapshots.Rollout, version: int) -> None:
         """Records the present state of the roll-out."""
         if rollout.weight != self.rollout.weight:
-            self.changed_at = now
             self._weight_version = version
         self.rollout = rollout
 
@@ -93,6 +89,10 @@
         """Returns the time since the order, in seconds."""
         return now - self._started_at
 
+    def compute_step_age(self, now: float) -> float:
+        """Returns the time since the last step, in seconds."""
+        return self.compute_age(now) - self.rollout.elapsed_s
+
     def add(
         self,
         node_id: str,
--- a/src/lovagesaddle/core/rollouts/director.py
+++ b/src/lovagesaddle/core/rollouts/director.py
@@ -22,22 +22,27 @@
 # version that turns bad later is seen while few requests reach it: some steps,
 # the end of the requests at old servers and a lost leader take as long.
 EXPANSION_SHARE = 0.4
-MIN_EXPANSION_S = 5.5
+MIN_EXPANSION_S = 6.0
 MIN_TRIAL_SHARE = 0.3
-# Weights after the trial, in thousandths, and the time for evidence at each.
+# Weights after the trial, in thousandths.
 # The last one before the whole leaves little to the old servers, so that hardly
 # a request is refused twice by owners that have the newer table already.
 EXPANSION_WEIGHTS: Final = (300, 900, software_versions.FULL_WEIGHT)
-STEP_S = 0.7
+# Time at a weight before the next one, for a report, its comparison and some
+# answers under more load; the next one is then seen by other owners already.
+MIN_STEP_S = 0.7
+FIRST_STEP_S = 1.6
 # Answers below which the version is not proved, unless little time is left;
 # the slack of the allowed share covers a service with so little traffic.
 MIN_ANSWERS = 30
 LAST_MOMENT_S = 4.5
+# Time before the deadline from which the share is raised to the whole at once.
+LAST_STEP_S = 2.0
 # Share of the ramp for which the trial waits for servers that are still slow
 # after their start.
 WARM_UP_SHARE = 0.35
 # A new leader waits for a round of reports.
-SETTLE_S = 1.0
+SETTLE_S = 0.6
 # Share of the slots in use that the new servers need.
 MIN_SLOT_SHARE = 0.5
 # Time after the deadline at which a roll-out without enough servers ends.
@@ -114,7 +119,7 @@
                     rollout, snapshot.version, now
                 )
             else:
-                course.replace(rollout, snapshot.version, now)
+                course.replace(rollout, snapshot.version)
                 course.retain(nodes)
 
     def add_evidence(
@@ -209,7 +214,9 @@
         left_s = rollout.ramp_s - age_s
         if age_s < compute_trial_s(rollout.ramp_s):
             return None
-        if now < course.changed_at + STEP_S:
+        is_first = rollout.weight == EXPANSION_WEIGHTS[0]
+        step_s = FIRST_STEP_S if is_first else MIN_STEP_S
+        if course.compute_step_age(now) < step_s:
             return None
         answered = _count_answered(course)
         if answered < MIN_ANSWERS and left_s > LAST_MOMENT_S:
@@ -220,7 +227,10 @@
         if not target or slots < needed:
             return None
         weight = next(
-            each for each in EXPANSION_WEIGHTS if each > rollout.weight
+            each
+            for each in EXPANSION_WEIGHTS
+            if each > rollout.weight
+            and (left_s > LAST_STEP_S or each == EXPANSION_WEIGHTS[-1])
         )
         return _make_raise(course, weight, "as good so far", finding, now)
 
--- a/src/lovagesaddle/core/rollouts/software_versions.py
+++ b/src/lovagesaddle/core/rollouts/software_versions.py
@@ -10,10 +10,10 @@
 FULL_WEIGHT = 1000
 # A roll-out judges servers apart, so that one that is slow or faulty by itself
 # does not pass for a bad version.
-MIN_TRIAL_SERVERS = 4
-# Room beyond the share of requests, so that a tried server is as busy as those
-# of the version in use and not busier.
-TRIAL_ROOM = 1.1
+MIN_TRIAL_SERVERS = 3
+# Room relative to the share of requests: a tried server is as busy as those
+# of the version in use.
+TRIAL_ROOM = 1.0
 # Above it, servers of the target version may also take what those of the
 # version in use can't.
 HALF_WEIGHT = 500
