--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -36,6 +36,7 @@
       disks: File operations by replica ID; the real ones if absent.
       tolerated_losses: Number of replicas that may be lost at a time, for
         automatic repairs; 0 disables them.
+      rollback_bound_s: Bound on roll-backs, in seconds; 0 for no roll-outs.
     """
 
     def __init__(
@@ -43,7 +44,9 @@
         disks: Mapping[str, disk_lib.Disk] | None = None,
         *,
         tolerated_losses: int = 0,
+        rollback_bound_s: float = 0.0,
     ) -> None:
+        self._rollback_bound_s = rollback_bound_s
         self._tolerated_losses = tolerated_losses
         self._disks = disks or {}
         self._stack = contextlib.ExitStack()
@@ -90,6 +93,7 @@
             replicas=self.replicas,
             election_timeout_s=ELECTION_TIMEOUT_S,
             tolerated_losses=self._tolerated_losses,
+            rollback_bound_s=self._rollback_bound_s,
         )
 
     def add(self, name: str) -> None:
