--- a/src/lovagesaddle/core/distribution/registration.py
+++ b/src/lovagesaddle/core/distribution/registration.py
@@ -16,9 +16,10 @@
 # delay is well below the time that such a restart of all machines may take.
 FIRST_RETRY_S = 0.25
 RETRY_CAP_S = 2.0
-# Reports to one replica before the next one gets them, in case it is lost. Each
-# report holds everything that the earlier ones held.
-REPORTS_PER_REPLICA = 4
+# Reports go to two replicas by turns, in case one is lost: each holds all
+# that the earlier ones held. After this number, another replica takes the place
+# of one of the two.
+REPORTS_PER_PAIR = 8
 
 
 class Registration:
@@ -53,7 +54,7 @@
         self._superseded = False
         self._is_join_open = False
         self._next_request_at = 0.0
-        self._report_count = self._turn * REPORTS_PER_REPLICA
+        self._report_count = self._turn * REPORTS_PER_PAIR
         self._backoff = backoff_lib.Backoff(
             first_s=FIRST_RETRY_S, cap_s=RETRY_CAP_S, random=random
         )
@@ -116,7 +117,7 @@
         """Returns the report on roll-outs; none before the join."""
         if not self._accepted or self._superseded:
             return ()
-        turn = self._report_count // REPORTS_PER_REPLICA
+        turn = self._report_count // REPORTS_PER_PAIR + self._report_count % 2
         self._report_count += 1
         message = messages.RolloutReport(
             node_id=self._node.node_id,
--- a/src/lovagesaddle/core/rollouts/comparison.py
+++ b/src/lovagesaddle/core/rollouts/comparison.py
@@ -8,8 +8,8 @@
 The test is the Chernoff bound of a binomial count, which holds for few samples
 too: if the new version is as good as the bound on the version in use, a result
 as bad as the observed one has at most the probability `exp(-evidence)`. A
-roll-out of 16 s looks 64 times at up to 25 routes, two spans and 8 measures, so
-that the error of all looks together is at most 25,600 * exp(-14) = 0.02.
+roll-out of 16 s looks 40 times at up to 13 routes, two spans and 5 measures, so
+that the error of all looks together is at most 5,200 * exp(-14) = 0.005.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
@@ -36,7 +36,7 @@
 SLOWNESS_MARGIN = 0.05
 # Classes above the median of the version in use from which an answer counts as
 # slow: 2.4 times, and up to 9 times.
-SLOW_CLASSES = range(4, 11)
+SLOW_CLASSES = range(4, 11, 2)
 # The new servers are compared with the worst ones in use but this share: the
 # few that are tried may all be of the slow kind. Owners with fewer answers tell
 # too little, and fewer owners are no standard.
@@ -121,21 +121,21 @@
     if total.answered < MIN_STANDARD:
         return
     median = total.find_median()
+    tried_above = [tally.accumulate() for tally in tried]
+    in_use_above = [tally.accumulate() for tally in in_use]
     for distance in SLOW_CLASSES:
+        number = min(median + distance, evidence.CLASS_COUNT - 1)
         yield _judge(
             route,
             "slowness",
-            _count_slow(tried, median + distance),
-            _find_rate(_count_slow(in_use, median + distance), SLOWNESS_MARGIN),
+            [(above[number], above[0]) for above in tried_above],
+            _find_rate(
+                [(above[number], above[0]) for above in in_use_above],
+                SLOWNESS_MARGIN,
+            ),
         )
 
 
-def _count_slow(
-    tallies: Sequence[evidence.Tally], number: int
-) -> list[tuple[int, int]]:
-    return [(tally.count_above(number), tally.answered) for tally in tallies]
-
-
 def _find_rate(counts: list[tuple[int, int]], margin: float) -> float:
     """Returns the share of bad answers that a good version may have.
 
--- a/src/lovagesaddle/core/rollouts/course.py
+++ b/src/lovagesaddle/core/rollouts/course.py
@@ -48,14 +48,10 @@
         if len(self._tallies) < 2:
             return self.get_whole()
         first, last = self._tallies[0][1], self._tallies[-1][1]
-        recent: _Tallies = {}
-        for route, tally in last.items():
-            difference = evidence_lib.Tally()
-            difference.merge(tally)
-            if route in first:
-                difference.merge(first[route], -1)
-            recent[route] = difference
-        return recent
+        return {
+            route: tally.subtract(first[route]) if route in first else tally
+            for route, tally in last.items()
+        }
 
 
 class Course:
--- a/src/lovagesaddle/core/rollouts/director.py
+++ b/src/lovagesaddle/core/rollouts/director.py
@@ -15,7 +15,8 @@
 from lovagesaddle.core.rollouts import evidence as evidence_lib
 from lovagesaddle.core.rollouts import software_versions
 
-EVALUATION_S = 0.25
+# As often as owners report.
+EVALUATION_S = 0.4
 # Part of the allowed share that is used until the version is proved.
 TRIAL_SHARE = 0.8
 # The share stays at the trial until this time before the deadline, so that a
--- a/src/lovagesaddle/core/rollouts/evidence.py
+++ b/src/lovagesaddle/core/rollouts/evidence.py
@@ -7,7 +7,9 @@
 
 from collections.abc import Iterable
 import dataclasses
+import itertools
 import math
+import operator
 
 FIRST_EDGE_S = 0.001
 # Ratio of neighbouring edges: a version that is several times slower than
@@ -15,7 +17,7 @@
 EDGE_RATIO = 1.25
 CLASS_COUNT = 64
 # Routes beyond it are counted together, under the empty name.
-MAX_ROUTES = 24
+MAX_ROUTES = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -88,15 +90,21 @@
         self.failed += failed
         self.times[find_class(run_s)] += 1
 
-    def merge(self, other: "Tally", sign: int = 1) -> None:
-        """Adds the counts of another tally, or with sign -1 takes them off."""
-        self.failed += sign * other.failed
-        for number, count in enumerate(other.times):
-            self.times[number] += sign * count
+    def merge(self, other: "Tally") -> None:
+        """Adds the counts of another tally."""
+        self.failed += other.failed
+        self.times = list(map(operator.add, self.times, other.times))
 
-    def count_above(self, number: int) -> int:
-        """Returns the answers in the classes from `number` on."""
-        return sum(self.times[number:])
+    def subtract(self, earlier: "Tally") -> "Tally":
+        """Returns what has come since an earlier tally of the same answers."""
+        return Tally(
+            self.failed - earlier.failed,
+            list(map(operator.sub, self.times, earlier.times)),
+        )
+
+    def accumulate(self) -> list[int]:
+        """Returns the answers in each class and those above it."""
+        return list(itertools.accumulate(reversed(self.times)))[::-1]
 
     def find_median(self) -> int:
         """Returns the class of the median run time."""
--- a/tests/rollout_mesh.py
+++ b/tests/rollout_mesh.py
@@ -238,6 +238,7 @@
                 owner.counts.install(
                     hashed.snapshot.rollouts or (), hashed.version, now
                 )
+                owner.report_at = now
         if owner.counts.is_reporting and now >= owner.report_at:
             owner.report_at = now + REPORT_S
             self.mesh.step(
