--- a/src/lovagesaddle/node/admin.py
+++ b/src/lovagesaddle/node/admin.py
@@ -26,6 +26,7 @@
     address: Address
     slots: Count
     connections: Count
+    version: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -110,6 +111,7 @@
                 address=body.address,
                 slots=body.slots,
                 connections=body.connections,
+                software=body.version,
             )
         )
         return wsgi.make_json(200, {"token": token})
--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -67,9 +67,18 @@
     Args:
       node_id: ID of this node.
       owner: Admits requests to the servers.
+      rolls_out: Whether versions of services' software are rolled out; they are
+        not reported otherwise.
     """
 
-    def __init__(self, *, node_id: str, owner: owner_lib.Owner) -> None:
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        owner: owner_lib.Owner,
+        rolls_out: bool = False,
+    ) -> None:
+        self._rolls_out = rolls_out
         self._node_id = node_id
         self._owner = owner
         self._control: ports.ControlPort | None = None
@@ -274,7 +283,8 @@
             connections=announcement.connections,
             state=snapshots.ServerState.SERVING,
             is_warm=announcement.is_warm,
-            software=announcement.software or msgspec.UNSET,
+            software=(announcement.software if self._rolls_out else "")
+            or msgspec.UNSET,
         )
 
 
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -155,7 +155,9 @@
             software_gate=self._software_gate,
         )
         self._servers = local_servers.LocalServers(
-            node_id=settings.node_id, owner=self._owner
+            node_id=settings.node_id,
+            owner=self._owner,
+            rolls_out=self.rolls_out,
         )
         self.heartbeats = server_heartbeats.ServerHeartbeats(
             self._servers,
