--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -8,6 +8,8 @@
 import time
 from typing import Any
 
+import msgspec
+
 from lovagesaddle.core import errors
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.node import owner as owner_lib
@@ -32,6 +34,8 @@
       born_ms: Start time of its process, in milliseconds since 1970; 0 if
         unknown.
       is_warm: Whether it is past the slow period after its start.
+      software: Version of its software; empty if it is unknown or versions are
+        not rolled out.
     """
 
     service: str
@@ -41,6 +45,7 @@
     instance: str = ""
     born_ms: int = 0
     is_warm: bool = False
+    software: str = ""
 
 
 class AnnouncementError(errors.LovagesaddleError):
@@ -62,9 +67,18 @@
     Args:
       node_id: ID of this node.
       owner: Admits requests to the servers.
+      rolls_out: Whether versions of services' software are rolled out; they are
+        not reported otherwise.
     """
 
-    def __init__(self, *, node_id: str, owner: owner_lib.Owner) -> None:
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        owner: owner_lib.Owner,
+        rolls_out: bool = False,
+    ) -> None:
+        self._rolls_out = rolls_out
         self._node_id = node_id
         self._owner = owner
         self._control: ports.ControlPort | None = None
@@ -269,6 +283,8 @@
             connections=announcement.connections,
             state=snapshots.ServerState.SERVING,
             is_warm=announcement.is_warm,
+            software=(announcement.software if self._rolls_out else "")
+            or msgspec.UNSET,
         )
 
 
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -42,6 +42,7 @@
 from lovagesaddle.node import server_heartbeats
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
 from lovagesaddle.node import shutdown
+from lovagesaddle.node import software_gate as software_gate_lib
 from lovagesaddle.node import stop_limit as stop_limit_lib
 from lovagesaddle.node import table_proofs
 from lovagesaddle.observability import logs
@@ -145,6 +146,11 @@
         )
         self._shared_quarantine = shared_quarantine_lib.SharedQuarantine()
         self._stop_limit = stop_limit_lib.StopLimit(self.metrics)
+        self._software_gate = software_gate_lib.SoftwareGate(
+            settings.rollback_bound_s,
+            self._table_proofs.compute_age,
+            self.metrics,
+        )
         self._watchdog = watchdog.Watchdog()
         turns = (
             answer_turns_lib.AnswerTurns(link_bytes_s) if link_bytes_s else None
@@ -162,9 +168,12 @@
                 answer_scheduler.compute_part_bytes(link_bytes_s),
             ),
             answer_turns=turns,
+            software_gate=self._software_gate,
         )
         self._servers = local_servers.LocalServers(
-            node_id=settings.node_id, owner=self._owner
+            node_id=settings.node_id,
+            owner=self._owner,
+            rolls_out=self.rolls_out,
         )
         self.heartbeats = server_heartbeats.ServerHeartbeats(
             self._servers,
@@ -225,6 +234,8 @@
             self._shared_quarantine.connect(control)
             self._claims.connect(control)
             self._quotas.connect(control)
+            self._software_gate.connect(control.report_evidence)
+            stack.enter_context(self._software_gate)
             self._table_proofs.connect(control)
             node_gauges.register_gauges(
                 self.metrics,
@@ -254,6 +265,11 @@
         own = self._settings.service
         return service == own or self._routing.has_service(service)
 
+    @property
+    def rolls_out(self) -> bool:
+        """Whether versions of services' software are rolled out."""
+        return self._settings.rollback_bound_s > 0
+
     @property
     def is_ready(self) -> bool:
         """Whether callers should send requests to this node.
@@ -291,6 +307,7 @@
             )
         self._claims.install(hashed.snapshot, joined=joined)
         self._quotas.install(hashed.snapshot, joined=joined)
+        self._software_gate.install(hashed.snapshot)
         is_first = self._routing.table is None
         self._routing.install(hashed, joined=joined)
         if is_first and joined and self._discovery is not None:
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -117,6 +117,11 @@
         the IPs are used: a seed's replica has its IP as name and listens on
         the port of `address`.
       grace_s: Time after SIGTERM at which the process is killed, in seconds.
+      exposure_share: Largest share of a service's requests that may reach a
+        new version of its software before it is proved.
+      rollback_bound_s: Time within which every node stops sending to a bad
+        version of a service's software, in seconds; 0 if versions are not
+        rolled out. Has to be the same at all replicas and nodes.
     """
 
     replica_id: Identifier
@@ -135,6 +140,8 @@
     tolerated_losses: Annotated[int, msgspec.Meta(ge=0, le=3)] = 0
     seeds: HttpAddresses = ()
     grace_s: PositiveSeconds = 10.0
+    exposure_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.1
+    rollback_bound_s: OptionalSeconds = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -192,6 +199,9 @@
         taken away is refused by every node, in touch with control or not, in
         seconds; 0 for no bound. A node whose table may be older than most of
         it takes no key.
+      rollback_bound_s: Time within which every node stops sending to a bad
+        version of a service's software, in seconds; 0 if versions are not
+        rolled out.
     """
 
     node_id: Identifier
@@ -225,6 +235,7 @@
     quota_overrun: Annotated[float, msgspec.Meta(ge=0, le=10)] = 0.0
     quota_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     withdrawal_bound_s: OptionalSeconds = 0.0
+    rollback_bound_s: OptionalSeconds = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -45,7 +45,7 @@
     def expand(match: re.Match[str]) -> str:
         value: Any = fields
         for key in match[2].split("."):
-            value = value.get(key)
+            value = value.get(key) if isinstance(value, dict) else None
         if bool(value) != (match[1] == "#"):
             return ""
         if not isinstance(value, dict):
