--- a/src/lovagesaddle/control/operator_requests.py
+++ b/src/lovagesaddle/control/operator_requests.py
@@ -95,6 +95,14 @@
                 self._rollouts.start(request, reply)
             case operator_messages.RolloutRequest():
                 self._rollouts.read(request, reply)
+            case _:
+                self._answer_read(request, reply)
+
+    def _answer_read(
+        self, request: operator_messages.OperatorMessage, reply: Reply
+    ) -> None:
+        """Answers a request by what this replica knows, whether it leads."""
+        match request:
             case operator_messages.StatusRequest():
                 reply(self._describe_status(request))
             case operator_messages.HistoryRequest():
