Share an owner's room between client accounts

Load: one account sends nine times its usual. By targets alone it got nine times the room, and the others were refused. Accounts are now measured by what was served to them against what is usual for them; the rank of an account goes before the route's.

--- a/src/lovagesaddle/core/routing/admission.py
+++ b/src/lovagesaddle/core/routing/admission.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from lovagesaddle.core import state_machine
+from lovagesaddle.core.routing import account_shares
 from lovagesaddle.core.routing import admission_events as events
 from lovagesaddle.core.routing import concurrency_limits
 from lovagesaddle.core.routing import load_reports
@@ -42,7 +43,8 @@
         self._slots = limit.limit
         self._held_back = 0
         self._shares = served_shares.ServedShares()
-        self._queue = queues.Queue(order, self._shares)
+        self._accounts = account_shares.AccountShares()
+        self._queue = queues.Queue(order, self._shares, self._accounts)
         self._queue_share = queue_share
         self._running = running_requests.RunningRequests()
         self._rate = request_rates.RequestRate()
@@ -204,7 +206,13 @@
             kind=event.kind,
             suspect=event.suspect,
             has_reservation=event.has_reservation,
+            account=event.account,
+            account_rank=(
+                event.account_rank if event.account else queues.NO_ACCOUNT_RANK
+            ),
         )
+        if event.account:
+            self._accounts.record_asked(event.account, now)
         if event.may_move and self._is_expected_late(waiting, now):
             actions.append(
                 self._refuse(event, events.RefusalReason.EXPECTED_LATE, now)
@@ -303,6 +311,8 @@
             slowdown = self._stated.estimate_slowdown(now) or 1.0
             self._running.start(first, now, slowdown)
             self._shares.record_served(first.kind, now)
+            if first.account:
+                self._accounts.record_served(first.account, now)
             actions.append(
                 events.Admitted(
                     request_id=first.request_id,
--- a/src/lovagesaddle/core/routing/admission_events.py
+++ b/src/lovagesaddle/core/routing/admission_events.py
@@ -40,6 +40,8 @@
         beforehand; such a request is queued even if the queue is full.
       may_move: Whether the entry knows another server that may answer within
         the target, so that the request is refused if this one can't.
+      account: Client account that sent it; empty without one.
+      account_rank: Priority of that account; 0 is the most urgent.
     """
 
     request_id: str
@@ -50,6 +52,8 @@
     suspect: bool = False
     has_reservation: bool = False
     may_move: bool = False
+    account: str = ""
+    account_rank: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/lovagesaddle/core/routing/queues.py
+++ b/src/lovagesaddle/core/routing/queues.py
@@ -1,9 +1,11 @@
 """Queue of the requests that wait for a slot, and its orders."""
 
 import abc
+import bisect
 from collections.abc import Callable, Sequence
 import dataclasses
 
+from lovagesaddle.core.routing import account_shares
 from lovagesaddle.core.routing import run_times
 from lovagesaddle.core.routing import served_shares
 
@@ -16,6 +18,13 @@
 NEXT_PRIORITY_FACTOR = 0.5
 # Granularity at which served shares are compared.
 SHARE_STEP = 0.05
+# An account with less than the first of these parts of its usual room is served
+# first, one with more than the others later. They are far apart, so that
+# the chance of a few arrivals does not outweigh the priorities of routes.
+ACCOUNT_PARTS = (0.5, 1.75, 3.0)
+USUAL_LEVEL = 1
+# Before every account: calls that servers make for requests in progress.
+NO_ACCOUNT_RANK = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -34,6 +43,9 @@
       suspect: Whether the request may crash the server.
       has_reservation: Whether a place in the queue was reserved for the request
         before its body was sent.
+      account: Client account that sent it; empty for calls of servers and
+        where there are no accounts.
+      account_rank: Priority of that account, which goes before the route's.
     """
 
     request_id: str
@@ -45,6 +57,8 @@
     kind: str = ""
     suspect: bool = False
     has_reservation: bool = False
+    account: str = ""
+    account_rank: int = NO_ACCOUNT_RANK
 
 
 SortKey = tuple[float, ...]
@@ -57,10 +71,13 @@
     Attributes:
       run_s: Expected run time, in seconds.
       served_share: Share of its recent requests that got a slot, 0 to 1.
+      account_part: What was served to the request's account lately, relative
+        to what is usual for it; None without an account.
     """
 
     run_s: float
     served_share: float = 1.0
+    account_part: float | None = None
 
 
 class QueueOrder(abc.ABC):
@@ -153,16 +170,28 @@
     the latter get only the slots that are left over, which may be none. Here a
     kind whose served share falls below its fair share, relative to priority 0,
     is served first, and kinds of one priority get equal shares.
+
+    Client accounts that compete for the room come before that: one that was
+    given much less than its usual is served first and one that has had a
+    multiple of it last, whatever they send. Among the others the account's
+    rank decides, then the route.
     """
 
     def make_sort_key(
         self, waiting: Waiting, stats: KindStats, now: float
     ) -> SortKey:
-        """Returns the lateness, level of the served share and target order."""
+        """Returns lateness, account, level of the share and target order."""
         is_late, *rest = super().make_sort_key(waiting, stats, now)
         due_share = compute_due_share(waiting.priority)
         level = int(stats.served_share / due_share / SHARE_STEP)
-        return is_late, level, *rest
+        if stats.account_part is None:
+            is_starved = stats.served_share / due_share < ACCOUNT_PARTS[0]
+            account_level = USUAL_LEVEL - is_starved
+        else:
+            account_due = compute_due_share(waiting.account_rank)
+            part = stats.account_part / account_due
+            account_level = bisect.bisect_right(ACCOUNT_PARTS, part)
+        return is_late, account_level, waiting.account_rank, level, *rest
 
 
 def compute_due_share(priority: int) -> float:
@@ -181,13 +210,16 @@
     Args:
       order: Decides which request is served next and which is evicted.
       shares: Served share of each kind; the owner updates it.
+      accounts: Room of each client account; the owner updates it.
     """
 
     def __init__(
         self,
         order: QueueOrder,
         shares: served_shares.ServedShares | None = None,
+        accounts: account_shares.AccountShares | None = None,
     ) -> None:
+        self._accounts = accounts or account_shares.AccountShares()
         self._order = order
         self._shares = shares or served_shares.ServedShares()
         self._waiting: dict[str, Waiting] = {}
@@ -286,6 +318,7 @@
     ) -> Callable[[Waiting], SortKey]:
         # Looks the statistics up once per kind: requests are many, kinds few.
         stats_of: dict[str, KindStats] = {}
+        part_of = self._compute_account_parts(now)
 
         def sort_key(waiting: Waiting) -> SortKey:
             stats = stats_of.get(waiting.kind)
@@ -294,10 +327,27 @@
                     run_s=times.estimate(waiting.kind),
                     served_share=self._shares.get_share(waiting.kind),
                 )
+            if waiting.account:
+                part = part_of.get(waiting.request_id, 0.0)
+                stats = dataclasses.replace(stats, account_part=part)
             return self._order.make_sort_key(waiting, stats, now)
 
         return sort_key
 
+    def _compute_account_parts(self, now: float) -> dict[str, float]:
+        """Returns the part of its account that each request would reach."""
+        ahead_of: dict[str, int] = {}
+        parts: dict[str, float] = {}
+        for waiting in self._waiting.values():
+            if not waiting.account:
+                continue
+            ahead = ahead_of.get(waiting.account, 0)
+            ahead_of[waiting.account] = ahead + 1
+            parts[waiting.request_id] = self._accounts.compute_part(
+                waiting.account, now, ahead=ahead
+            )
+        return parts
+
     def pop_all(self) -> tuple[Waiting, ...]:
         """Removes and returns every request, in the order of arrival."""
         requests = tuple(self._waiting.values())
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -406,6 +406,8 @@
             suspect=suspect,
             has_reservation=bool(request.offset),
             may_move=request.may_move is True,
+            account=request.account or "",
+            account_rank=request.account_rank or 0,
         )
         decision = owned.admit(arrived, guard)
         if isinstance(decision, admission_events.Refused):
