--- a/src/lovagesaddle/node/owned_server.py
+++ b/src/lovagesaddle/node/owned_server.py
@@ -21,6 +21,7 @@
 from lovagesaddle.observability import logs
 
 MAX_LOGGED_CHARS = 64
+USUAL_SLOWDOWN = 1.0
 _log = logs.get_logger("owner")
 
 LimitFactory = Callable[[int], concurrency_limits.LimitPolicy]
@@ -34,6 +35,9 @@
       make_limit: Creates the concurrency limit of a server from its slots.
       order: Order of the queue.
       queue_share: Length of the queue as a share of the concurrency limit.
+      assumes_usual_speed: Whether a server that tells its load without its
+        slowdown counts as telling that it works as usual, so that entries
+        place requests by expected time there too.
     """
 
     make_limit: LimitFactory = concurrency_limits.FixedLimit
@@ -41,6 +45,7 @@
         default_factory=queues.FairShareOrder
     )
     queue_share: float = admission.QUEUE_SHARE
+    assumes_usual_speed: bool = False
 
 
 class _Waiter:
@@ -92,6 +97,7 @@
         self._links = tuple(
             link for link in (body_receiver, answer_turns) if link is not None
         )
+        self._assumes_usual_speed = options.assumes_usual_speed
         self.server = server
         self.address = address
         self.instance = instance
@@ -241,7 +247,9 @@
                 )
             return
         if load.slowdown is None:
-            return
+            if not self._assumes_usual_speed:
+                return
+            load = dataclasses.replace(load, slowdown=USUAL_SLOWDOWN)
         is_first = self.admission.stated_slowdown is None
         self.step(admission_events.LoadStated(load=load))
         if is_first:
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -54,6 +54,7 @@
 # VM.
 EXIT_S = 0.4
 BYTES_PER_MBIT = 125_000
+EXPECTED_TIME = "expected-time"
 # Two TCP retransmissions stay unacknowledged only if the link or VM is down.
 HOP_ACK_TIMEOUT_S = 0.6
 _log = logs.get_logger("node")
@@ -158,7 +159,7 @@
         self._owner = owner_lib.Owner(
             pool=self._pool,
             shared_quarantine=self._shared_quarantine,
-            options=owner_options,
+            options=owner_options or _make_owner_options(settings),
             names=names,
             body_receiver=body_receiver,
             allows_route=self._routing.allows_route,
@@ -406,6 +407,14 @@
         )
 
 
+def _make_owner_options(
+    settings: schema.NodeSettings,
+) -> owned_server.OwnerOptions:
+    return owned_server.OwnerOptions(
+        assumes_usual_speed=settings.placement == EXPECTED_TIME
+    )
+
+
 def _make_routing_options(
     settings: schema.NodeSettings,
 ) -> routing_lib.RoutingOptions:
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -38,6 +38,7 @@
     str, msgspec.Meta(pattern=r"^([a-z0-9][a-z0-9._-]{0,62})?$")
 ]
 NonEmpty = Annotated[str, msgspec.Meta(min_length=1)]
+Placement = Literal["usual", "expected-time"]
 LogLevel = Literal["debug", "info", "warning", "error"]
 
 
@@ -199,6 +200,9 @@
         taken away is refused by every node, in touch with control or not, in
         seconds; 0 for no bound. A node whose table may be older than most of
         it takes no key.
+      placement: "usual" places requests by expected time only on servers that
+        tell how much slower they are now; "expected-time" also on those that
+        tell their load without it.
       rollback_bound_s: Time within which every node stops sending to a bad
         version of a service's software, in seconds; 0 if versions are not
         rolled out.
@@ -231,6 +235,7 @@
     retry_reserve: Annotated[int, msgspec.Meta(ge=0)] = 0
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     max_table_age_s: PositiveSeconds = 2.0
+    placement: Placement = "usual"
     quota_window_s: OptionalSeconds = 0.0
     quota_overrun: Annotated[float, msgspec.Meta(ge=0, le=10)] = 0.0
     quota_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
--- a/tests/test_server_load.py
+++ b/tests/test_server_load.py
@@ -15,6 +15,7 @@
 from lovagesaddle.core.routing import server_load
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
+from lovagesaddle.node import owned_server
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
 from tests import fixtures
@@ -25,12 +26,18 @@
 KIND = "lookup"
 
 
-def _run(*loads: str, status: int = 200) -> list[hop.RunAnswer]:
+def _run(
+    *loads: str,
+    status: int = 200,
+    options: owned_server.OwnerOptions | None = None,
+) -> list[hop.RunAnswer]:
     """Returns the owner's answers while its server tells the given loads."""
     pool = test_server_limits.StatingPool()
     pool.status = status
     owner = owner_lib.Owner(
-        pool=pool, shared_quarantine=shared_quarantine_lib.SharedQuarantine()
+        pool=pool,
+        shared_quarantine=shared_quarantine_lib.SharedQuarantine(),
+        options=options,
     )
     owner.open(routing_mesh.make_server(0), "127.0.0.1:1", "i-1", 1)
     answers = []
@@ -135,6 +142,15 @@
     assert answer.load.slowdown is msgspec.UNSET
 
 
+def test_three_figures_place_by_time_where_settings_say_so() -> None:
+    """Uneven servers without a slowdown were left to the usual placement."""
+    options = owned_server.OwnerOptions(assumes_usual_speed=True)
+    answers = _run("1,0,4", "1,0,4", options=options)
+    for answer in answers:
+        assert answer.load is not None
+        assert answer.load.slowdown == 1.0
+
+
 def test_sound_load_counts_after_a_malformed_one() -> None:
     """A malformed load neither ends the thread nor the reports."""
     loads = ("1,0,20,250", "9" * 5000, "1,0,20,x")
