Report the version of a server that was found before it announced itself

Cause: a node finds its server by the health endpoint, without a version; the first heartbeat was then taken for the known one, so that the version never reached the replicas and the server got no request. Change: the first heartbeat completes what is reported, without a new incarnation.

--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -124,7 +124,13 @@
         with self._lock:
             entry = self._get_entry(announcement.service, "confirm")
             entry.announcement = announcement
-            self._owner.identify(entry.server.server_id, announcement.born_ms)
+            software = self._get_software(announcement)
+            is_new = entry.server.software != software
+            # A server found through its health endpoint has no version yet.
+            entry.server = dataclasses.replace(entry.server, software=software)
+            self._owner.identify(entry.server, announcement.born_ms)
+            if is_new:
+                self._report_server(entry.server)
             if entry.server.state is not snapshots.ServerState.DRAINING:
                 self.announce(announcement)
 
@@ -283,10 +289,17 @@
             connections=announcement.connections,
             state=snapshots.ServerState.SERVING,
             is_warm=announcement.is_warm,
-            software=(announcement.software if self._rolls_out else "")
-            or msgspec.UNSET,
+            software=self._get_software(announcement),
         )
 
+    def _get_software(
+        self, announcement: Announcement
+    ) -> str | msgspec.UnsetType:
+        """Returns the version to report; unset if none is rolled out."""
+        if not self._rolls_out:
+            return msgspec.UNSET
+        return announcement.software or msgspec.UNSET
+
 
 def _create_token() -> str:
     return TOKEN_PREFIX + secrets.token_urlsafe(TOKEN_BYTES)
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -181,10 +181,16 @@
             instance=instance,
         )
 
-    def identify(self, server_id: str, born_ms: int) -> None:
-        """Sets the start of a server's process, in milliseconds since 1970."""
-        owned = self._owned.get(server_id)
+    def identify(self, server: snapshots.BackendServer, born_ms: int) -> None:
+        """Sets what became known of a server's process after it was opened.
+
+        Args:
+          server: The server, with the version of its software.
+          born_ms: Start of its process, in milliseconds since 1970.
+        """
+        owned = self._owned.get(server.server_id)
         if owned is not None:
+            owned.server = server
             owned.born_ms = born_ms
 
     def watch_leaving(self, report: LeavingReport) -> None:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -195,7 +195,7 @@
     answer = _run(owner, "r.1", known)
     assert answer.cause == admission_events.RefusalReason.DRAINING.value
     assert _run(owner, "r.2").outcome is hop.RunOutcome.ANSWERED
-    owner.identify(routing_mesh.make_server(0).server_id, BORN_MS + 1)
+    owner.identify(routing_mesh.make_server(0), BORN_MS + 1)
     answer = _run(owner, "r.3", known)
     assert answer.outcome is hop.RunOutcome.ANSWERED
 
