Publish client accounts from a file beside the service files

Cause: only the platform's documents could publish accounts.

Change: DIR/accounts.ini has the accounts with the digests of their keys, and a route with callers = any can need one. Mistakes are located, and a digest that may be a key isn't repeated.

--- a/src/lovagesaddle/cli/change_commands.py
+++ b/src/lovagesaddle/cli/change_commands.py
@@ -46,6 +46,7 @@
 ) -> None:
     """Publish every service file under a folder as one transaction."""
     published = context_lib.load_services(folder)
+    accounts = context_lib.load_accounts(folder)
     chosen_id = publish_id or uuid.uuid4().hex
     with context_lib.open_client(context) as client:
         if base == BASE_NOT_GIVEN:
@@ -53,7 +54,11 @@
                 cluster_requests.fetch_base_version(client)
             )
         asked = cluster_requests.publish_services(
-            client, published, publish_id=chosen_id, base_version=base
+            client,
+            published,
+            publish_id=chosen_id,
+            base_version=base,
+            accounts=accounts,
         )
         found = _require_result(
             asked, _describe_resend(folder, chosen_id, base)
--- a/src/lovagesaddle/cli/cluster_requests.py
+++ b/src/lovagesaddle/cli/cluster_requests.py
@@ -7,6 +7,8 @@
 import dataclasses
 import time
 
+import msgspec
+
 from lovagesaddle.cli import client as client_lib
 from lovagesaddle.core.model import commands
 from lovagesaddle.core.model import operator_messages
@@ -77,17 +79,19 @@
     *,
     publish_id: str,
     base_version: int,
+    accounts: tuple[services.ClientAccount, ...] = (),
 ) -> client_lib.Answer[commands.PublishResult]:
-    """Sends `published` to the leader and returns the result.
+    """Sends services and accounts to the leader and returns the result.
 
-    On failure the outcome is unknown: to learn it, the same publish ID, base
-    and services must be sent again.
+    On failure the outcome is unknown: to learn it, the same publish ID, base,
+    services and accounts must be sent again.
     """
     command = commands.PublishServices(
         publish_id=publish_id,
         operator=client.settings.operator,
         base_version=base_version,
         services=published,
+        accounts=accounts or msgspec.UNSET,
     )
     request = operator_messages.PublishRequest(
         request_id=client_lib.UNASSIGNED_ID, command=command
--- a/src/lovagesaddle/cli/context.py
+++ b/src/lovagesaddle/cli/context.py
@@ -40,6 +40,11 @@
     return _require_valid(service_folders.load_folder(folder))
 
 
+def load_accounts(folder: pathlib.Path) -> tuple[services.ClientAccount, ...]:
+    """Returns a folder's accounts; prints mistakes and exits on failure."""
+    return _require_valid(service_folders.load_accounts(folder))
+
+
 def require_answer(found: result.Result[T, client_lib.NoAnswer]) -> T:
     """Returns the answer to a read request; ends the command on failure."""
     if isinstance(found, result.Failure):
--- a/src/lovagesaddle/cli/read_commands.py
+++ b/src/lovagesaddle/cli/read_commands.py
@@ -26,6 +26,7 @@
 def check(folder: Folder, json: Json = False) -> None:
     """Check every service file under a folder, without a cluster."""
     found = context_lib.load_services(folder)
+    context_lib.load_accounts(folder)
     if json:
         output.print_json(found)
         return
--- a/src/lovagesaddle/cli/service_folders.py
+++ b/src/lovagesaddle/cli/service_folders.py
@@ -5,6 +5,7 @@
 from returns import result
 
 from lovagesaddle.core import errors
+from lovagesaddle.core.configuration import account_files
 from lovagesaddle.core.configuration import service_files
 from lovagesaddle.core.configuration import service_sets
 
@@ -36,6 +37,22 @@
     return result.Failure((*problems, *found))
 
 
+def load_accounts(folder: pathlib.Path) -> account_files.Parsed:
+    """Returns the client accounts of a folder; none without their file.
+
+    The failure lists every mistake.
+    """
+    path = folder / account_files.FILE_NAME
+    if not path.exists():
+        return result.Success(())
+    try:
+        source = _read(path)
+    except (OSError, ValueError) as error:
+        problem = _make_problem(path, f"can't be read: {error}")
+        return result.Failure((problem,))
+    return account_files.parse_accounts(source.text, file=source.file)
+
+
 def _read(path: pathlib.Path) -> service_sets.SourceFile:
     size = path.stat().st_size
     if size > MAX_FILE_BYTES:
--- a/src/lovagesaddle/core/configuration/comparison.py
+++ b/src/lovagesaddle/core/configuration/comparison.py
@@ -5,6 +5,8 @@
 import enum
 from typing import TypeVar
 
+import msgspec
+
 from lovagesaddle.core.model import services
 
 ItemT = TypeVar("ItemT", services.Caller, services.Route)
@@ -121,6 +123,8 @@
         return f"{value.service}:{value.weight}"
     if isinstance(value, tuple):
         return " ".join(_format(item) for item in value) or "none"
+    if value is msgspec.UNSET:
+        return "no"
     if isinstance(value, bool):
         return "yes" if value else "no"
     return str(value)
--- a/src/lovagesaddle/core/configuration/service_files.py
+++ b/src/lovagesaddle/core/configuration/service_files.py
@@ -3,6 +3,8 @@
 import dataclasses
 import re
 
+import msgspec
+
 from lovagesaddle.core import errors
 from lovagesaddle.core.configuration import ini
 from lovagesaddle.core.configuration import sections
@@ -240,6 +242,9 @@
         problems.append(
             section.make_problem("split", "the weights add up to 0")
         )
+    if route.needs_account and route.callers != ANY:
+        cause = "only a route with callers = any can need an account"
+        problems.append(section.make_problem("needs-account", cause))
     if not route.callers and not route.services:
         cause = "nobody may use the route; name callers or services"
         problems.append(section.make_problem("callers", cause))
@@ -273,6 +278,7 @@
         is_open=section.callers == ANY,
         target_latency_s=section.target_latency_s or 0.0,
         split=section.split,
+        needs_account=True if section.needs_account else msgspec.UNSET,
     )
 
 
--- a/src/lovagesaddle/core/configuration/service_sections.py
+++ b/src/lovagesaddle/core/configuration/service_sections.py
@@ -81,3 +81,4 @@
     max_body_bytes: _BodySize = 1024**2
     target_latency_s: _Timeout | None = None
     split: _Shares = ()
+    needs_account: _Switch = False
