--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -87,6 +87,29 @@
     assert bases == [1, 0]
 
 
+def test_accounts_of_the_folder_are_published() -> None:
+    """A publish has the accounts of the folder, and a mistake stops it."""
+    text = f"[account pulo]\ndigests = {DIGEST}\n"
+    with _Desk(DESK) as desk:
+        path = desk.folder / "accounts.ini"
+        path.write_text(text, encoding="utf-8")
+        desk.run("publish", str(desk.folder))
+        accounts = desk.cluster.state.snapshot.accounts
+        path.write_text(text.replace("digests", "digest"), encoding="utf-8")
+        statuses = [
+            desk.run(command, str(desk.folder)).exit_code
+            for command in ("check", "publish")
+        ]
+        path.unlink()
+        desk.run("publish", str(desk.folder))
+        remaining = desk.cluster.state.snapshot.accounts
+    assert [(each.name, each.digests) for each in accounts or ()] == [
+        ("pulo", (DIGEST,))
+    ]
+    assert statuses == [exits.Exit.BAD_INPUT, exits.Exit.BAD_INPUT]
+    assert not remaining
+
+
 def test_conflict_names_the_winner() -> None:
     """A publish on an old base exits 1 and names the winning publish."""
     with _Desk(DESK) as desk:
