--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,7 @@
     "version_ids",
     "claim_cost",
     "virtual_policies",
+    "quotas",
     "hops",
     "calls",
 )
