Leave every part of a quota tokens where the rule has no slack

Without burst, overrun and slack the capacity was 0, so that no request was ever admitted. Mutant that fails: the least capacity left out of the rate.

--- a/src/lovagesaddle/core/routing/quota_rules.py
+++ b/src/lovagesaddle/core/routing/quota_rules.py
@@ -15,6 +15,10 @@
 LEASES_IN_WINDOW = 5
 PROOF_S = 4.0
 RATE_PART_OF_OVERRUN = 0.5
+# Tokens of the whole mesh with which every part has two, and the largest part
+# of a bound that is taken from the rate for them.
+LEAST_TOKENS = 12.0
+LEAST_PART = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -52,9 +56,13 @@
     def compute_rate(self, account: services.ClientAccount) -> float:
         """Returns the tokens a second of the whole mesh."""
         extra = self.overrun * RATE_PART_OF_OVERRUN
-        return account.rate_per_s * (1 + extra)
+        left = self.compute_bound(account) - self._compute_least(account)
+        return min(account.rate_per_s * (1 + extra), left / self.window_s)
 
     def compute_capacity(self, account: services.ClientAccount) -> float:
         """Returns the tokens of the whole mesh, those in leases included."""
         inflow = self.compute_rate(account) * self.window_s
         return self.compute_bound(account) - inflow
+
+    def _compute_least(self, account: services.ClientAccount) -> float:
+        return min(LEAST_TOKENS, LEAST_PART * self.compute_bound(account))
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -275,6 +275,18 @@
         assert bool(count_granted(holder, 60.1, "e")) is total
 
 
+def test_rule_without_slack_leaves_tokens_for_every_part() -> None:
+    """A bucket without burst and slack would hold no token at all."""
+    rules = dataclasses.replace(RULES, overrun=0.0, slack=0.0)
+    for rate, burst in ((10.0, 0.0), (0.5, 0.0), (4.0, 4.0), (300.0, 300.0)):
+        account = quota_mesh.make_account("a", rate, burst)
+        capacity = rules.compute_capacity(account)
+        assert capacity > 0
+        assert rules.compute_rate(account) > 0
+        inflow = rules.compute_rate(account) * rules.window_s
+        assert capacity + inflow <= rate * rules.window_s + burst + 1e-9
+
+
 def test_holders_follow_from_the_nodes_alone() -> None:
     """Whatever tables a node had before, all agree on who holds a part."""
     source = random.Random(3)
