Ask no holder of a quota without a proof of the table's age

While control was lost, every request of an entry without tokens asked up to six holders that could not grant anything either, most of them in other failure domains. Mutant that fails: asks without a proof.

--- a/src/lovagesaddle/core/routing/quotas.py
+++ b/src/lovagesaddle/core/routing/quotas.py
@@ -29,6 +29,7 @@
         self, *, node_id: str, rules: quota_rules.QuotaRules, now: float
     ) -> None:
         self._node_id = node_id
+        self._rules = rules
         self._holder = quota_holder.QuotaHolder(
             node_id=node_id, rules=rules, now=now
         )
@@ -83,8 +84,16 @@
         """Counts the requests that wait for a token."""
         self._ledger.change_waiting(account, by)
 
-    def judge(self, account: str, now: float) -> tuple[Verdict, float]:
-        """See `quota_ledger.QuotaLedger.judge`."""
+    def judge(
+        self, account: str, *, now: float, table_age_s: float | None
+    ) -> tuple[Verdict, float]:
+        """See `quota_ledger.QuotaLedger.judge`.
+
+        A node whose table is not proved young enough asks nobody: it can't
+        tell who holds the parts, and the holders may be no better off.
+        """
+        if not self._is_proved(table_age_s):
+            return Verdict.UNKNOWN, quota_ledger.SILENCE_S
         return self._ledger.judge(account, now)
 
     def give_back(self, receipt: Receipt) -> bool:
@@ -118,9 +127,14 @@
         """Returns the tokens of its parts that ran out without a report."""
         return self._holder.count_expired()
 
+    def _is_proved(self, table_age_s: float | None) -> bool:
+        return table_age_s is not None and table_age_s <= self._rules.proof_s
+
     def _ask(
         self, account: str, now: float, table_age_s: float | None
     ) -> tuple[Send, ...]:
+        if not self._is_proved(table_age_s):
+            return ()
         asks = self._ledger.plan_asks(account, now)
         return self._send(asks, now, table_age_s)
 
--- a/src/lovagesaddle/node/quotas.py
+++ b/src/lovagesaddle/node/quotas.py
@@ -167,11 +167,14 @@
         assert self._quotas is not None
         with self._lock:
             now = clocks.read_uptime()
+            age_s = self._proofs.compute_age()
             receipt, sends = self._quotas.retry(
-                name, now=now, table_age_s=self._proofs.compute_age()
+                name, now=now, table_age_s=age_s
             )
             if receipt is None and not sends:
-                verdict, retry_s = self._quotas.judge(name, now)
+                verdict, retry_s = self._quotas.judge(
+                    name, now=now, table_age_s=age_s
+                )
                 if verdict is not quotas_lib.Verdict.WAIT:
                     is_over = verdict is quotas_lib.Verdict.OVER
                     return Refused(is_over=is_over, retry_after_s=retry_s)
--- a/tests/quota_mesh.py
+++ b/tests/quota_mesh.py
@@ -252,7 +252,9 @@
             name, now=self.now, table_age_s=self._compute_age(entry)
         )
         is_admitted = receipt is not None
-        verdict, _ = node.judge(name, self.now)
+        verdict, _ = node.judge(
+            name, now=self.now, table_age_s=self._compute_age(entry)
+        )
         self.busy_s += time.perf_counter() - started
         self._send(entry, sends)
         waits = verdict is quotas.Verdict.WAIT and self.now < ends_at
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -310,6 +310,19 @@
             assert parts.find_holders(account) == fresh.find_holders(account)
 
 
+def test_entries_without_a_proof_ask_nobody() -> None:
+    """While control is lost, asks in vain would fill the links."""
+    mesh = quota_mesh.QuotaMesh(12, (LARGE,))
+    mesh.stale = {0}
+    mesh.run(12.0)
+    mesh.send_poisson(LARGE.name, LARGE.rate_per_s, 12.0, 16.0)
+    sent = mesh.sent
+    mesh.run(17.0)
+    assert mesh.sent == sent
+    record = mesh.records[LARGE.name]
+    assert record.unknown == len(record.sent) > 100
+
+
 def make_ledger() -> quota_ledger.QuotaLedger:
     """Returns the ledger of an entry with one holder, `h`."""
     parts = quota_parts.PartMap((quota_mesh.make_node("h", "d"),))
