Check again what waited at an owner, in a test

Mutants on which tests.test_software_gate fails: no check before sending, none at acceptance, a table with every version, running requests that never end.

--- a/tests/test_software_gate.py
+++ b/tests/test_software_gate.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import dataclasses
 import json
 
 from bench import backend
@@ -10,7 +11,10 @@
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.node import program
+from lovagesaddle.node import software_gate
+from lovagesaddle.observability import metrics
 from tests import fixtures
+from tests import mesh as mesh_lib
 from tests import nodes
 
 SERVICE = "orderdesk"
@@ -47,10 +51,10 @@
         yield mesh, started
 
 
-def _change(
-    mesh: nodes.Mesh, phase: snapshots.RolloutPhase, weight: int
-) -> None:
-    rollout = snapshots.Rollout(
+def _make_rollout(
+    phase: snapshots.RolloutPhase, weight: int
+) -> snapshots.Rollout:
+    return snapshots.Rollout(
         service=SERVICE,
         target="v2",
         previous="v1",
@@ -59,7 +63,12 @@
         phase=phase,
         weight=weight,
     )
-    mesh.control.change(rollouts=(rollout,))
+
+
+def _change(
+    mesh: nodes.Mesh, phase: snapshots.RolloutPhase, weight: int
+) -> None:
+    mesh.control.change(rollouts=(_make_rollout(phase, weight),))
 
 
 def _send(node: program.NodeProgram) -> set[int]:
@@ -82,6 +91,39 @@
             assert _send(started[-1]) == {200}
             expected[number] += REQUESTS
             assert _count(started) == expected, (phase, weight)
+        # The entry itself knows which servers may run requests.
+        table = started[-1]._routing.table
+        assert table is not None
+        (known,) = table.list_candidates(SERVICE)
+        assert known.server_id == "n1/orderdesk"
+
+
+def test_a_request_that_waited_is_checked_again() -> None:
+    """A roll-back stops what is in the queues of the new servers, too."""
+    age_s = [0.1]
+    gate = software_gate.SoftwareGate(
+        ROLLBACK_S, lambda: age_s[0], metrics.Metrics()
+    )
+    server = dataclasses.replace(mesh_lib.make_server("n"), software="v2")
+
+    def install(phase: snapshots.RolloutPhase, weight: int) -> None:
+        rollout = _make_rollout(phase, weight)
+        gate.install(
+            snapshots.Snapshot(
+                cluster_id="c", version=weight, rollouts=(rollout,)
+            )
+        )
+
+    install(RUNNING, 80)
+    assert gate.enter(server)
+    assert gate.may_send(server)
+    age_s[0] = ROLLBACK_S
+    assert not gate.enter(server)
+    assert not gate.may_send(server)
+    age_s[0] = 0.1
+    install(snapshots.RolloutPhase.ROLLED_BACK, 0)
+    assert not gate.enter(server)
+    assert not gate.may_send(server)
 
 
 def test_an_owner_refuses_what_an_older_table_sends() -> None:
