--- a/tests/test_node_quotas.py
+++ b/tests/test_node_quotas.py
@@ -36,6 +36,13 @@
 # control holds, in seconds.
 LATER_S = 1000.0
 TEMPLATE = pathlib.Path(__file__).parents[1] / "deploy" / "node.ini"
+BOUNDS = (
+    "QuotaWindowS",
+    "QuotaOverrun",
+    "QuotaSlack",
+    "RevokeClosed",
+    "RollbackMs",
+)
 FILLED = {
     "Node": "n",
     "Zone": "a",
@@ -153,7 +160,7 @@
 def _fill(**bounds: str) -> schema.NodeSettings:
     """Returns the settings by the platform's template."""
     text = TEMPLATE.read_text(encoding="utf-8").partition("[platform]")[0]
-    for name in ("QuotaWindowS", "QuotaOverrun", "QuotaSlack", "RevokeClosed"):
+    for name in BOUNDS:
         if name not in bounds:
             section = r"# {{#Bounds\." + name + "}}.*# {{/Bounds." + name + "}}"
             text = re.sub(section, "", text, flags=re.S)
