--- a/src/lovagesaddle/node/call_runner.py
+++ b/src/lovagesaddle/node/call_runner.py
@@ -1,6 +1,5 @@
 """Runs one call: carries out the actions of its state machine."""
 
-import dataclasses
 import os
 import time
 
@@ -14,13 +13,13 @@
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import table as table_lib
-from lovagesaddle.http import headers as headers_lib
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import answer_parts
 from lovagesaddle.node import attempt_senders
 from lovagesaddle.node import call_results
 from lovagesaddle.node import decision_log
+from lovagesaddle.node import forwarded_requests
 from lovagesaddle.node import routing as routing_lib
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
 from lovagesaddle.observability import logs
@@ -30,34 +29,6 @@
 _log = logs.get_logger("call")
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ForwardedRequest:
-    """Holds the part of a caller's request that is sent to backend servers.
-
-    Attributes:
-      request_id: ID of the call.
-      method: HTTP method, in upper case.
-      target: Path and query.
-      headers: Headers without those that are internal or per connection.
-      body: The whole body.
-      fingerprint: Digest of method, service, route, target and body.
-      verdict: How the quarantine treats the request.
-      body_s: Time that the body took to arrive at this node, in seconds.
-      takes_parts: Whether a large answer may be passed on in parts; not if it
-        is to be stored for a claimed key.
-    """
-
-    request_id: str
-    method: str
-    target: str
-    headers: headers_lib.Headers
-    body: bytes
-    fingerprint: bytes
-    verdict: quarantine.Verdict
-    body_s: float = 0.0
-    takes_parts: bool = False
-
-
 def _generate_suffix() -> str:
     """Returns a random suffix that distinguishes requests with the same ID."""
     return os.urandom(SUFFIX_BYTES).hex()
@@ -82,7 +53,7 @@
     def __init__(
         self,
         *,
-        forwarded: ForwardedRequest,
+        forwarded: forwarded_requests.ForwardedRequest,
         match: table_lib.Match,
         chain: chain_lib.Chain,
         table: table_lib.Table,
--- a/src/lovagesaddle/node/control_thread.py
+++ b/src/lovagesaddle/node/control_thread.py
@@ -330,3 +330,17 @@
 
 class _InstallError(Exception):
     """A version could not be put in force; the actions after it are dropped."""
+
+
+def create(
+    settings: schema.NodeSettings,
+    context: zmq.Context[zmq.Socket[bytes]],
+    sink: ports.SnapshotSink,
+) -> ControlThread:
+    """Returns the control thread of a node, not yet started."""
+    return ControlThread(
+        settings=settings,
+        http_address=settings.http_address,
+        sink=sink,
+        context=context,
+    )
--- a/src/lovagesaddle/node/entry.py
+++ b/src/lovagesaddle/node/entry.py
@@ -24,6 +24,7 @@
 from lovagesaddle.node import claimed_calls
 from lovagesaddle.node import claims as claims_lib
 from lovagesaddle.node import credentials
+from lovagesaddle.node import forwarded_requests
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import quotas as quotas_lib
 from lovagesaddle.node import refusals
@@ -193,7 +194,7 @@
         if self._stop_limit.refuses(
             request=chain.request_id,
             deadline=deadline,
-            kind=_name_calls(match.service),
+            kind=stop_limit_lib.name_calls(match.service),
             estimate_run_time=lambda: self._routing.estimate_run_time(
                 match.service
             ),
@@ -267,7 +268,7 @@
         key = None
         if self._claims_keys and request.method not in SAFE_METHODS:
             key = request.headers.get(KEY_HEADER)
-        forwarded = call_runner.ForwardedRequest(
+        forwarded = forwarded_requests.ForwardedRequest(
             request_id=request_id,
             method=request.method,
             target=request.target,
@@ -305,7 +306,9 @@
         return call_answers.make_answer(call_result, request_id, self._names)
 
     def _make_runner(
-        self, accepted: "_Accepted", forwarded: call_runner.ForwardedRequest
+        self,
+        accepted: "_Accepted",
+        forwarded: forwarded_requests.ForwardedRequest,
     ) -> call_runner.CallRunner:
         chain = accepted.chain
         return call_runner.CallRunner(
@@ -352,7 +355,7 @@
         return answer_parts.run_guarded(
             runner.run,
             self._guards.watch(deadline=runner.deadline, is_gone=is_gone),
-            self._stop_limit.track(_name_calls(runner.service)),
+            self._stop_limit.track(stop_limit_lib.name_calls(runner.service)),
         )
 
 
@@ -382,11 +385,6 @@
         self.body = body
 
 
-def _name_calls(service: str) -> str:
-    """Returns the kind of the calls of a service, as the stop limit has it."""
-    return f"calls of {service}"
-
-
 def _format_age(age_s: float | None) -> str:
     return "none" if age_s is None else str(int(age_s * MS_PER_S))
 
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -5,14 +5,15 @@
 import time
 
 from lovagesaddle.core.model import snapshots
+from lovagesaddle.core.routing import admission
 from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import answer_scheduler
 from lovagesaddle.core.routing import header_names
-from lovagesaddle.core.routing import quarantine
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
 from lovagesaddle.http import watchdog
 from lovagesaddle.node import answer_turns as answer_turns_lib
+from lovagesaddle.node import attempt_admitter
 from lovagesaddle.node import body_receiver as body_receiver_lib
 from lovagesaddle.node import held_answers
 from lovagesaddle.node import offered_bodies
@@ -95,7 +96,7 @@
         self._owned: dict[str, owned_server.OwnedServer] = {}
         self._seen_attempts = seen_attempts.SeenAttempts()
         self._sent = metrics.Counter()
-        self._expected_late = metrics.Counter()
+        self._admitter = attempt_admitter.AttemptAdmitter(shared_quarantine)
         self._report_leaving: LeavingReport = _ignore_leaving
 
     @property
@@ -111,34 +112,24 @@
     @property
     def rate_limit(self) -> float:
         """Lowest stated requests a second of a local server; -1 for none."""
-        limits = [
-            owned.admission.rate_limit
-            for owned in tuple(self._owned.values())
-            if owned.admission.rate_limit is not None
-        ]
-        return min(limits, default=NO_RATE_LIMIT)
+        limits = [each.rate_limit for each in self._list_admissions()]
+        return min((x for x in limits if x is not None), default=NO_RATE_LIMIT)
 
     @property
     def slowdown(self) -> float:
         """Highest told slowdown of a local server; -1 if none is told."""
-        told = [
-            owned.admission.stated_slowdown
-            for owned in tuple(self._owned.values())
-            if owned.admission.stated_slowdown is not None
-        ]
-        return max(told, default=NO_SLOWDOWN)
+        told = [each.stated_slowdown for each in self._list_admissions()]
+        return max((x for x in told if x is not None), default=NO_SLOWDOWN)
 
     @property
     def held_back(self) -> int:
         """Slots of local servers left free as they make requests wait."""
-        return sum(
-            owned.admission.held_back for owned in tuple(self._owned.values())
-        )
+        return sum(each.held_back for each in self._list_admissions())
 
     @property
     def expected_late(self) -> int:
         """Number of requests refused as they would have missed their target."""
-        return self._expected_late.value
+        return self._admitter.expected_late
 
     def open(
         self,
@@ -324,7 +315,7 @@
         ):
             reason = admission_events.RefusalReason.DRAINING.value
             return owner_answers.make_refusal(request, reason, owned)
-        running = self._admit(request, owned, guard)
+        running = self._admitter.admit(request, owned, guard)
         if isinstance(running, hop.RunAnswer):
             return running
         if not self._software_gate.may_send(owned.server):
@@ -387,69 +378,14 @@
             self._drain_leaving(owned)
         return True
 
+    def _list_admissions(self) -> list[admission.Admission]:
+        return [owned.admission for owned in tuple(self._owned.values())]
+
     def _drain_leaving(self, owned: owned_server.OwnedServer) -> None:
         owned.drain()
         server = owned.server
         self._report_leaving(server.server_id, server.incarnation)
 
-    def _admit(
-        self,
-        request: hop.RunRequest,
-        owned: owned_server.OwnedServer,
-        guard: watchdog.Guard,
-    ) -> quarantine.RunningRequest | hop.RunAnswer:
-        """Waits for a slot; returns the admitted request or a refusal."""
-        classification = self._classify(request)
-        if classification is quarantine.Verdict.REFUSED:
-            return owner_answers.make_refusal(request, hop.QUARANTINED, owned)
-        suspect = classification is quarantine.Verdict.SUSPECT
-        arrived = admission_events.Arrived(
-            request_id=request.attempt_id,
-            priority=request.priority,
-            deadline=guard.deadline,
-            kind=request.route,
-            target=_compute_target_time(request, time.monotonic()),
-            suspect=suspect,
-            has_reservation=bool(request.offset),
-            may_move=request.may_move is True,
-            account=request.account or "",
-            account_rank=request.account_rank or 0,
-        )
-        decision = owned.admit(arrived, guard)
-        if isinstance(decision, admission_events.Refused):
-            late = admission_events.RefusalReason.EXPECTED_LATE
-            if decision.reason is late:
-                self._expected_late.add()
-            if logs.allows_request_line(failed=True):
-                _log.info(
-                    "refused",
-                    attempt=request.attempt_id,
-                    server=request.server_id,
-                    reason=decision.reason.value,
-                    running=owned.admission.running,
-                    waiting=owned.admission.waiting,
-                    rate_limit=owned.admission.rate_limit,
-                    slowdown=owned.admission.stated_slowdown,
-                )
-            return owner_answers.make_refusal(
-                request, decision.reason.value, owned, decision.retry_after_s
-            )
-        if self._classify(request) is quarantine.Verdict.REFUSED:
-            # The request was quarantined while it waited, because of crash
-            # marks from other nodes or another crash on this node.
-            owned.step(
-                admission_events.Cancelled(request_id=request.attempt_id)
-            )
-            return owner_answers.make_refusal(request, hop.QUARANTINED, owned)
-        return quarantine.RunningRequest(
-            fingerprint=request.fingerprint, suspected=suspect
-        )
-
-    def _classify(self, request: hop.RunRequest) -> quarantine.Verdict:
-        return self._shared_quarantine.classify(
-            request.fingerprint, hinted=request.suspect
-        )
-
 
 def _ignore_leaving(server_id: str, incarnation: int) -> None:
     """Does nothing; the owner itself refuses new requests."""
@@ -460,9 +396,3 @@
     """Leaves the choice of the service to the entry."""
     del request, service
     return True
-
-
-def _compute_target_time(request: hop.RunRequest, now: float) -> float | None:
-    if request.target_ms is None:
-        return None
-    return now + request.target_ms / MS_PER_S
--- a/src/lovagesaddle/node/program.py
+++ b/src/lovagesaddle/node/program.py
@@ -12,9 +12,7 @@
 from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import answer_scheduler
 from lovagesaddle.core.routing import body_scheduler
-from lovagesaddle.core.routing import call as call_lib
 from lovagesaddle.core.routing import header_names
-from lovagesaddle.core.routing import retries
 from lovagesaddle.http import answer_budget
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
@@ -31,6 +29,7 @@
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import mesh_secret
 from lovagesaddle.node import node_gauges
+from lovagesaddle.node import node_policies
 from lovagesaddle.node import owned_server
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import ports
@@ -54,7 +53,6 @@
 # VM.
 EXIT_S = 0.4
 BYTES_PER_MBIT = 125_000
-EXPECTED_TIME = "expected-time"
 # Two TCP retransmissions stay unacknowledged only if the link or VM is down.
 HOP_ACK_TIMEOUT_S = 0.6
 _log = logs.get_logger("node")
@@ -66,18 +64,6 @@
 ]
 
 
-def make_control_thread(
-    settings: schema.NodeSettings, context: Context, sink: ports.SnapshotSink
-) -> control_thread.ControlThread:
-    """Creates the control thread of a node; a `ControlFactory`."""
-    return control_thread.ControlThread(
-        settings=settings,
-        http_address=settings.http_address,
-        sink=sink,
-        context=context,
-    )
-
-
 class NodeProgram(ports.SnapshotSink):
     """Serves callers, other nodes and the local backend server.
 
@@ -105,7 +91,7 @@
         settings: schema.NodeSettings,
         context: Context,
         *,
-        make_control: ControlFactory = make_control_thread,
+        make_control: ControlFactory = control_thread.create,
         routing_options: routing_lib.RoutingOptions | None = None,
         owner_options: owned_server.OwnerOptions | None = None,
         names: header_names.HeaderNames = header_names.DEFAULT,
@@ -128,7 +114,8 @@
         )
         self._routing = routing_lib.Routing(
             failure_domain=settings.failure_domain,
-            options=routing_options or _make_routing_options(settings),
+            options=routing_options
+            or node_policies.make_routing_options(settings),
             node_id=settings.node_id,
             part_bytes=self._part_bytes,
         )
@@ -159,7 +146,7 @@
         self._owner = owner_lib.Owner(
             pool=self._pool,
             shared_quarantine=self._shared_quarantine,
-            options=owner_options or _make_owner_options(settings),
+            options=owner_options or node_policies.make_owner_options(settings),
             names=names,
             body_receiver=body_receiver,
             allows_route=self._routing.allows_route,
@@ -405,27 +392,3 @@
             caller_service=self._settings.service,
             claims_keys=self._settings.claims,
         )
-
-
-def _make_owner_options(
-    settings: schema.NodeSettings,
-) -> owned_server.OwnerOptions:
-    return owned_server.OwnerOptions(
-        assumes_usual_speed=settings.placement == EXPECTED_TIME
-    )
-
-
-def _make_routing_options(
-    settings: schema.NodeSettings,
-) -> routing_lib.RoutingOptions:
-    def make_budget() -> retries.RetryPolicy:
-        return retries.RetryBudget(
-            cap=routing_lib.MAX_MOVES,
-            share=settings.retry_share,
-            reserve=settings.retry_reserve,
-        )
-
-    return routing_lib.RoutingOptions(
-        make_retry_policy=make_budget,
-        call=call_lib.CallOptions(moves_need_room=True),
-    )
--- a/src/lovagesaddle/node/stop_limit.py
+++ b/src/lovagesaddle/node/stop_limit.py
@@ -86,3 +86,8 @@
                 left_ms=int((schedule.requests_end_at - now) * MS_PER_S),
             )
         return True
+
+
+def name_calls(service: str) -> str:
+    """Returns the kind of an entry's calls of a service, for `track`."""
+    return f"calls of {service}"
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -17,6 +17,7 @@
 from lovagesaddle.node import attempt_senders
 from lovagesaddle.node import call_results
 from lovagesaddle.node import call_runner
+from lovagesaddle.node import forwarded_requests
 from lovagesaddle.node import routing as routing_lib
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
 from tests import fixtures
@@ -109,7 +110,7 @@
     assert isinstance(match, table_lib.Match)
     arrived_at = time.monotonic()
     runner = call_runner.CallRunner(
-        forwarded=call_runner.ForwardedRequest(
+        forwarded=forwarded_requests.ForwardedRequest(
             request_id="r",
             method="POST",
             target="/orders",
