--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -232,7 +232,7 @@
     probe: Switch = True
     unframed_answers: Switch = False
     retry_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.2
-    retry_reserve: Annotated[int, msgspec.Meta(ge=0)] = 0
+    retry_reserve: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     max_table_age_s: PositiveSeconds = 2.0
     placement: Placement = "usual"
--- a/tests/test_node_quotas.py
+++ b/tests/test_node_quotas.py
@@ -55,7 +55,7 @@
     "Limits.MemoryMb": "200",
     "Limits.LinkMbps": "2.35",
     "SeedAddrs": "127.0.0.1:5",
-    "Bounds.RetryBudgetExtra": "166",
+    "Bounds.RetryBudgetExtra": "31.32",
     "Bounds.ConfigApplyMs": "2000",
 }
 
@@ -177,6 +177,11 @@
     return settings
 
 
+def test_bounds_of_the_platform_may_be_fractions() -> None:
+    """A node did not start where the retry reserve was a fraction."""
+    assert _fill().retry_reserve == 31.32
+
+
 def test_template_takes_the_rule_of_the_platform() -> None:
     """A platform without quotas names none of their bounds."""
     assert quotas_lib.make_rules(_fill()) is None
