--- a/src/lovagesaddle/node/quotas.py
+++ b/src/lovagesaddle/node/quotas.py
@@ -33,6 +33,10 @@
 WAIT_S = 0.12
 # When a caller returns whose wait ended before the answers came, in seconds.
 LATE_ANSWERS_S = 0.25
+# Least time until a caller returns to holders that have nothing left, in
+# seconds. One of them may be asked again sooner, but the account's other
+# callers ask it as well.
+LEAST_RETRY_S = 0.25
 # Callers that were refused together return spread over this share more.
 RETRY_SPREAD = 0.5
 MS_PER_S = 1000
@@ -179,7 +183,10 @@
                 )
                 if verdict is not quotas_lib.Verdict.WAIT:
                     is_over = verdict is quotas_lib.Verdict.OVER
-                    return Refused(is_over=is_over, retry_after_s=retry_s)
+                    return Refused(
+                        is_over=is_over,
+                        retry_after_s=max(retry_s, LEAST_RETRY_S),
+                    )
                 if now >= ends_at:
                     return Refused(is_over=False, retry_after_s=LATE_ANSWERS_S)
                 changed = self._changed.setdefault(
--- a/tests/test_node_quotas.py
+++ b/tests/test_node_quotas.py
@@ -4,6 +4,7 @@
 import contextlib
 import pathlib
 import re
+import time
 from typing import Any
 from unittest import mock
 import urllib.request
@@ -14,9 +15,12 @@
 
 from lovagesaddle import clocks
 from lovagesaddle.core.model import outcomes
+from lovagesaddle.core.routing import quotas as core_quotas
 from lovagesaddle.core.routing import table as table_lib
 from lovagesaddle.node import program
 from lovagesaddle.node import quotas as quotas_lib
+from lovagesaddle.node import table_proofs
+from lovagesaddle.observability import metrics as metrics_lib
 from lovagesaddle.settings import loader
 from lovagesaddle.settings import schema
 from tests import fixtures
@@ -134,6 +138,32 @@
         assert replies[-1].headers[outcomes.OUTCOME_HEADER] == "not-run"
 
 
+def test_callers_of_a_used_up_account_return_spread_and_not_at_once() -> None:
+    """Hundreds of callers were told to return within 4 to 59 ms."""
+    quotas = quotas_lib.Quotas(
+        node_id="n",
+        rules=quota_mesh.RULES,
+        proofs=table_proofs.TableProofs(2.0),
+        metrics=metrics_lib.Metrics(),
+    )
+    with (
+        mock.patch.object(
+            core_quotas.NodeQuotas,
+            "judge",
+            lambda *_, **__: (core_quotas.Verdict.OVER, 0.004),
+        ),
+        mock.patch.object(
+            core_quotas.NodeQuotas, "admit", lambda *_, **__: (None, ())
+        ),
+        mock.patch.object(
+            core_quotas.NodeQuotas, "retry", lambda *_, **__: (None, ())
+        ),
+    ):
+        refused = quotas.admit(ACCOUNT, time.monotonic() + 1)
+    assert isinstance(refused, quotas_lib.Refused)
+    assert refused.retry_after_s >= quotas_lib.LEAST_RETRY_S
+
+
 def test_request_that_did_not_run_keeps_its_token() -> None:
     """A server that is gone costs the account nothing."""
     with run_mesh(**QUOTA) as (control, started):
