--- a/src/lovagesaddle/node/claims.py
+++ b/src/lovagesaddle/node/claims.py
@@ -15,7 +15,6 @@
 from typing import Self
 
 from lovagesaddle import ticker
-from lovagesaddle.core import errors
 from lovagesaddle.core.model import snapshots
 from lovagesaddle.core.routing import claim_client
 from lovagesaddle.core.routing import claim_events as events
@@ -23,6 +22,7 @@
 from lovagesaddle.core.routing import claim_keys
 from lovagesaddle.core.routing import claim_messages as messages
 from lovagesaddle.core.routing import shard_plan
+from lovagesaddle.node import peer_messages
 from lovagesaddle.node import ports
 from lovagesaddle.observability import logs
 from lovagesaddle.transport import endpoint
@@ -261,15 +261,10 @@
             self._control.send(node_id, endpoint.Channel.CLAIMS, data)
 
     def _receive(self, sender_id: str, data: bytes) -> None:
-        try:
-            message = messages.CLAIM_MESSAGES.decode(data, peer=sender_id)
-        except errors.CodecError as error:
-            _log.warning(
-                "message_dropped",
-                step=error.step,
-                peer=error.peer,
-                cause=error.cause,
-            )
+        message = peer_messages.decode(
+            messages.CLAIM_MESSAGES, data, peer=sender_id, log=_log
+        )
+        if message is None:
             return
         self._handle(sender_id, message)
 
--- a/src/lovagesaddle/node/quotas.py
+++ b/src/lovagesaddle/node/quotas.py
@@ -10,7 +10,6 @@
 import time
 
 from lovagesaddle import clocks
-from lovagesaddle.core import errors
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.model import services
 from lovagesaddle.core.model import snapshots
@@ -21,6 +20,7 @@
 from lovagesaddle.core.routing import quotas as quotas_lib
 from lovagesaddle.http import wsgi
 from lovagesaddle.node import call_answers
+from lovagesaddle.node import peer_messages
 from lovagesaddle.node import ports
 from lovagesaddle.node import quota_metrics
 from lovagesaddle.node import table_proofs
@@ -208,15 +208,10 @@
 
     def _receive(self, sender_id: str, data: bytes) -> None:
         assert self._quotas is not None
-        try:
-            message = messages.QUOTA_MESSAGES.decode(data, peer=sender_id)
-        except errors.CodecError as error:
-            _log.warning(
-                "message_dropped",
-                step=error.step,
-                peer=error.peer,
-                cause=error.cause,
-            )
+        message = peer_messages.decode(
+            messages.QUOTA_MESSAGES, data, peer=sender_id, log=_log
+        )
+        if message is None:
             return
         with self._lock:
             sends = self._quotas.receive(
