--- a/src/lovagesaddle/node/node_policies.py
+++ b/src/lovagesaddle/node/node_policies.py
@@ -6,15 +6,13 @@
 from lovagesaddle.node import routing as routing_lib
 from lovagesaddle.settings import schema
 
-EXPECTED_TIME = "expected-time"
-
 
 def make_owner_options(
     settings: schema.NodeSettings,
 ) -> owned_server.OwnerOptions:
     """Returns the policies of the owner that the settings ask for."""
     return owned_server.OwnerOptions(
-        assumes_usual_speed=settings.placement == EXPECTED_TIME
+        assumes_usual_speed=settings.placement == schema.EXPECTED_TIME
     )
 
 
--- a/src/lovagesaddle/settings/schema.py
+++ b/src/lovagesaddle/settings/schema.py
@@ -38,6 +38,7 @@
     str, msgspec.Meta(pattern=r"^([a-z0-9][a-z0-9._-]{0,62})?$")
 ]
 NonEmpty = Annotated[str, msgspec.Meta(min_length=1)]
+EXPECTED_TIME: Literal["expected-time"] = "expected-time"
 Placement = Literal["usual", "expected-time"]
 LogLevel = Literal["debug", "info", "warning", "error"]
 
--- a/tests/test_node_quotas.py
+++ b/tests/test_node_quotas.py
@@ -21,10 +21,12 @@
 from lovagesaddle.node import quotas as quotas_lib
 from lovagesaddle.node import table_proofs
 from lovagesaddle.observability import metrics as metrics_lib
+from lovagesaddle.platform import settings as settings_lib
 from lovagesaddle.settings import loader
 from lovagesaddle.settings import schema
 from tests import fixtures
 from tests import nodes
+from tests import platform_stand_in
 from tests import quota_mesh
 from tests import served_mesh
 
@@ -40,28 +42,6 @@
 # control holds, in seconds.
 LATER_S = 1000.0
 TEMPLATE = pathlib.Path(__file__).parents[1] / "deploy" / "node.ini"
-BOUNDS = (
-    "QuotaWindowS",
-    "QuotaOverrun",
-    "QuotaSlack",
-    "RevokeClosed",
-    "RollbackMs",
-)
-FILLED = {
-    "Node": "n",
-    "Zone": "a",
-    "Region": "r",
-    "AppAddr": "127.0.0.1:1",
-    "ListenAddrs.Outbound": "127.0.0.1:2",
-    "Ip": "127.0.0.1",
-    "InnerPortRange.0": "3",
-    "InnerPortRange.1": "4",
-    "Limits.MemoryMb": "200",
-    "Limits.LinkMbps": "2.35",
-    "SeedAddrs": "127.0.0.1:5",
-    "Bounds.RetryBudgetExtra": "31.32",
-    "Bounds.ConfigApplyMs": "2000",
-}
 
 
 @contextlib.contextmanager
@@ -187,23 +167,21 @@
         )
 
 
-def _fill(**bounds: str) -> schema.NodeSettings:
+def _fill(**bounds: float) -> schema.NodeSettings:
     """Returns the settings by the platform's template."""
-    text = TEMPLATE.read_text(encoding="utf-8").partition("[platform]")[0]
-    for name in BOUNDS:
-        if name not in bounds:
-            section = r"# {{#Bounds\." + name + "}}.*# {{/Bounds." + name + "}}"
-            text = re.sub(section, "", text, flags=re.S)
-        text = text.replace("{{Bounds." + name + "}}", bounds.get(name, ""))
-    for name, value in FILLED.items():
-        text = text.replace("{{" + name + "}}", value)
-    text = re.sub(r"{{.*?}}", "", text)
+    platform = platform_stand_in.Platform(pathlib.Path("unused"))
+    fields = platform._describe("127.0.0.1", is_first=True)
+    fields["Bounds"] |= {"RetryBudgetExtra": 31.32, **bounds}
     with contextlib.ExitStack() as stack:
         path = fixtures.make_folder(stack) / "node.ini"
-        path.write_text(text, encoding="utf-8")
+        path.write_text(
+            platform_stand_in.fill_in(TEMPLATE.read_text("utf-8"), fields),
+            encoding="utf-8",
+        )
         loaded = loader.load_node(path, ignored_sections=("platform", "bounds"))
-    assert isinstance(loaded, result.Success), loaded
-    settings: schema.NodeSettings = loaded.unwrap()
+        assert isinstance(loaded, result.Success), loaded
+        applied = settings_lib.apply_bounds(path, loaded.unwrap())
+    settings: schema.NodeSettings = applied.unwrap()
     return settings
 
 
@@ -216,7 +194,7 @@
     """A platform without quotas names none of their bounds."""
     assert quotas_lib.make_rules(_fill()) is None
     rules = quotas_lib.make_rules(
-        _fill(QuotaWindowS="5", QuotaOverrun="0.1", QuotaSlack="20")
+        _fill(QuotaWindowS=5, QuotaOverrun=0.1, QuotaSlack=20)
     )
     assert rules == quota_mesh.RULES
 
--- a/tests/test_tenants_of_the_platform.py
+++ b/tests/test_tenants_of_the_platform.py
@@ -11,6 +11,7 @@
 from lovagesaddle.core.model import services
 from lovagesaddle.core.routing import account_keys
 from lovagesaddle.platform import documents
+from lovagesaddle.platform import settings as settings_lib
 from lovagesaddle.settings import loader
 from tests import fixtures
 from tests import platform_stand_in
@@ -135,8 +136,11 @@
             path.write_text(
                 platform_stand_in.fill_in(template, fields), encoding="utf-8"
             )
-            settings = loader.load_node(
-                path, ignored_sections=("platform", "bounds")
+            settings = settings_lib.apply_bounds(
+                path,
+                loader.load_node(
+                    path, ignored_sections=("platform", "bounds")
+                ).unwrap(),
             ).unwrap()
         assert settings.withdrawal_bound_s == expected_s, bounds
 
