Count a request under the version that it entered with

Cause: the version of a found server may become known while a request runs; it entered under no version and left under the new one, whose running requests then counted one less for good, so that a roll-out could complete while an old server was at work. Change: the server is read once, and the gate learns its version. The new test fails without the change (running 1 and -1).

--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -27,7 +27,6 @@
 from lovagesaddle.observability import logs
 from lovagesaddle.observability import metrics
 
-MS_PER_S = 1000
 NO_RATE_LIMIT = -1.0
 NO_SLOWDOWN = -1.0
 LeavingReport = Callable[[str, int], None]
@@ -183,6 +182,7 @@
         if owned is not None:
             owned.server = server
             owned.born_ms = born_ms
+            self._software_gate.add_server(server)
 
     def watch_leaving(self, report: LeavingReport) -> None:
         """Sets what is called when an answer states that its server leaves.
@@ -274,13 +274,15 @@
             return owner_answers.make_refusal(
                 request, hop.ROUTE_OUTDATED, owned
             )
-        if not self._software_gate.enter(owned.server):
+        # Its version may become known while the request runs.
+        server = owned.server
+        if not self._software_gate.enter(server):
             self._bodies.drop(request)
             return self._refuse_version(request, owned)
         try:
             return self._run_allowed(request, owned, guard)
         finally:
-            self._software_gate.leave(owned.server)
+            self._software_gate.leave(server)
 
     def _refuse_version(
         self, request: hop.RunRequest, owned: owned_server.OwnedServer
--- a/tests/test_discovered_versions.py
+++ b/tests/test_discovered_versions.py
@@ -1,15 +1,22 @@
 """Tests of the version of a server that was found by its health endpoint."""
 
 import dataclasses
+import time
 from unittest import mock
 
 from lovagesaddle.core.model import snapshots
+from lovagesaddle.http import client
+from lovagesaddle.http import hop
+from lovagesaddle.http import watchdog
 from lovagesaddle.node import local_servers
 from lovagesaddle.node import owner as owner_lib
 from lovagesaddle.node import ports
 from lovagesaddle.node import server_heartbeats
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
+from lovagesaddle.node import software_gate
+from lovagesaddle.observability import metrics
 from tests import fixtures
+from tests import routing_mesh
 from tests import test_server_limits
 
 ANNOUNCED = local_servers.Announcement(
@@ -57,4 +64,53 @@
     assert not found.software
 
 
+class _AnnouncingPool(test_server_limits.StatingPool):
+    """The version of the server becomes known while a request runs."""
+
+    def __init__(self, server: snapshots.BackendServer) -> None:
+        super().__init__()
+        self.owner: owner_lib.Owner | None = None
+        self._server = server
+
+    def exchange(
+        self, address: str, request: client.Request, guard: watchdog.Guard
+    ) -> client.ExchangeResult:
+        """Returns an empty answer after the announcement."""
+        assert self.owner is not None
+        self.owner.identify(self._server, 1000)
+        return super().exchange(address, request, guard)
+
+
+def test_request_that_began_without_a_version_leaves_no_count_behind() -> None:
+    """Old servers count as idle, and not as less, once it has ended."""
+    found = routing_mesh.make_server(0)
+    announced = dataclasses.replace(found, software="v1")
+    pool = _AnnouncingPool(announced)
+    gate = software_gate.SoftwareGate(5.0, lambda: 0.0, metrics.Metrics())
+    pool.owner = owner_lib.Owner(
+        pool=pool,
+        shared_quarantine=shared_quarantine_lib.SharedQuarantine(),
+        software_gate=gate,
+    )
+    pool.owner.open(found, "127.0.0.1:1", "i-1")
+    guard = watchdog.Guard(time.monotonic() + 60.0, lambda: False)
+    answer = pool.owner.run(routing_mesh.make_run_request("r.1"), guard)
+    assert answer.outcome is hop.RunOutcome.ANSWERED
+    rollout = snapshots.Rollout(
+        service=found.service,
+        target="v2",
+        previous="v1",
+        ramp_s=12.0,
+        ordered_at=7,
+        phase=snapshots.RolloutPhase.RUNNING,
+        weight=100,
+    )
+    gate.install(
+        snapshots.Snapshot(cluster_id="c", version=8, rollouts=(rollout,))
+    )
+    reports = gate._counts.make_reports(0.0)
+    assert {report.software for report in reports} == {"", "v1"}
+    assert {report.running for report in reports} == {0}
+
+
 load_tests = fixtures.collect(__name__)
