Build the sort key of a waiting request in one step

An arrival and an end at an owner of 18 slots in overload took 177 us on, 247 us with accounts in the key, 142 us now (best of three, 20,000 each). The order is the same.

--- a/src/lovagesaddle/core/routing/queues.py
+++ b/src/lovagesaddle/core/routing/queues.py
@@ -4,6 +4,7 @@
 import bisect
 from collections.abc import Callable, Sequence
 import dataclasses
+import functools
 
 from lovagesaddle.core.routing import account_shares
 from lovagesaddle.core.routing import run_times
@@ -181,19 +182,25 @@
         self, waiting: Waiting, stats: KindStats, now: float
     ) -> SortKey:
         """Returns lateness, account, level of the share and target order."""
-        is_late, *rest = super().make_sort_key(waiting, stats, now)
-        due_share = compute_due_share(waiting.priority)
-        level = int(stats.served_share / due_share / SHARE_STEP)
+        share = stats.served_share / compute_due_share(waiting.priority)
         if stats.account_part is None:
-            is_starved = stats.served_share / due_share < ACCOUNT_PARTS[0]
-            account_level = USUAL_LEVEL - is_starved
+            account_level = USUAL_LEVEL - (share < ACCOUNT_PARTS[0])
         else:
-            account_due = compute_due_share(waiting.account_rank)
-            part = stats.account_part / account_due
+            due_share = compute_due_share(waiting.account_rank)
+            part = stats.account_part / due_share
             account_level = bisect.bisect_right(ACCOUNT_PARTS, part)
-        return is_late, account_level, waiting.account_rank, level, *rest
+        return (
+            now + stats.run_s > waiting.target,
+            account_level,
+            waiting.account_rank,
+            int(share / SHARE_STEP),
+            waiting.priority,
+            waiting.target,
+            waiting.number,
+        )
 
 
+@functools.lru_cache(maxsize=64)
 def compute_due_share(priority: int) -> float:
     """Returns the fair served share of a priority relative to priority 0."""
     if priority <= 0:
