End a program without waiting for its threads

Cause: a node that had answered everything and left the mesh took 0.3 s of a busy VM for the interpreter's end, and would wait for any thread that was still at work: 2 of 5 stops with a grace period of 6 s beside a load of 32 were killed at 6.02 s. Change: once the program has closed what it owns, the process ends at once, with its exit status.

--- a/src/lovagesaddle/platform/startup.py
+++ b/src/lovagesaddle/platform/startup.py
@@ -1,9 +1,11 @@
 """Starts the control and node programs on the platform."""
 
 from collections.abc import Callable
+import os
 import pathlib
 import signal
-from typing import Annotated, TypeVar
+import sys
+from typing import Annotated, NoReturn, TypeVar
 
 from returns import result
 import typer
@@ -37,4 +39,22 @@
     # SIGHUP reports changed settings; its default action would end the
     # process.
     signal.signal(signal.SIGHUP, lambda *_: _log.info("settings_changed"))
-    typer.run(command)
+    try:
+        typer.run(command)
+    except SystemExit as ended:
+        _end_process(ended.code)
+
+
+def _end_process(code: str | int | None) -> NoReturn:
+    """Ends the process at once, without waiting for its threads.
+
+    The program has closed what it owns. A thread that still waits for a backend
+    server would keep the process until the platform kills it, and the
+    interpreter's own end takes a third of a second on a busy VM.
+    """
+    if isinstance(code, str):
+        print(code, file=sys.stderr)
+        code = 1
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code or 0)
