--- a/review/9/case.py
+++ b/review/9/case.py
@@ -15,7 +15,7 @@
 SHED_SHARE = 0.55
 SHED_S = 8.5
 PAUSE_S = 1.0
-WINDOWS = 5
+WINDOWS = 9
 NODES = 5
 # "The upstream is back after some seconds."
 DOWN_S = 3.0
@@ -111,7 +111,7 @@
 
 def play(record: stand_ins.Record, has_trouble: bool) -> int:
     """Plays the case; returns the exit status."""
-    with stand_ins.Mesh(record, nodes=NODES) as mesh:
+    with stand_ins.Mesh(record, nodes=NODES, has_zones=True) as mesh:
         desk = Desk(mesh)
         document = stand_ins.make_document("00000001")
         record.write(f"publish: {mesh.publish(document)}")
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -36,6 +36,7 @@
 NOT_RUN = "Lovagesaddle-Not-Run"
 HELD, BROKEN, NOT_POSSIBLE = 0, 1, 2
 SLOTS = 18
+ZONES = 3
 HEARTBEAT_S = 1.5
 WAIT_S = 20.0
 PORTS = range(15_000, 31_000)
@@ -281,17 +282,18 @@
         """Ends like a process: every connection is closed."""
         self._stops_beats.set()
         self.has_ended = True
-        self._server.server_close()
+        self._server.stop_listening()
         self._server.close_connections()
         self._server.shutdown()
+        self._server.server_close()
 
     def crash(self, request_id: str) -> None:
         """Ends while a request runs."""
         self.record.write(f"{self.instance} crashes on {request_id}")
-        threading.Thread(target=self.end, daemon=True).start()
         self.has_ended = True
-        self._server.server_close()
+        self._server.stop_listening()
         self._server.close_connections()
+        threading.Thread(target=self.end, daemon=True).start()
         if self.on_crash is not None:
             self.on_crash(self, request_id)
 
@@ -327,6 +329,13 @@
     def handle_error(self, request: Any, client_address: Any) -> None:
         del request, client_address
 
+    def stop_listening(self) -> None:
+        """Refuses connections at once, also while a thread waits for one."""
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
     def close_connections(self) -> None:
         """Closes every open connection."""
         for each in tuple(self._open):
@@ -402,7 +411,8 @@
       record: Gets a line for what happens to a process.
       nodes: Number of nodes.
       memory_mb: Memory of a node's machine.
-      has_zones: Whether each node has a zone of its own.
+      has_zones: Whether the nodes are spread over three zones; else all are
+        in one.
     """
 
     def __init__(
@@ -580,11 +590,15 @@
             timeout_s=deadline_ms / 1000,
         )
 
+    def _find_zone(self, ip: str) -> str:
+        number = int(ip.split(".")[-1]) % ZONES if self._has_zones else 0
+        return f"zone-{number}"
+
     def _describe(self, ip: str, *, is_first: bool) -> dict[str, Any]:
         return {
             "Node": f"vm-{ip}",
             "Ip": ip,
-            "Zone": f"z{ip.split('.')[-1]}" if self._has_zones else "a",
+            "Zone": self._find_zone(ip),
             "Region": "r",
             "Service": SERVICE,
             "AppAddr": f"{ip}:{self.app}",
