--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,10 +17,12 @@
 LARGE_BYTES = 60_000_000
 # The largest upload of the site's traffic is some 360 KB.
 USUAL_BYTES = 360_000
+# The deadline of manifest-up.
+DEADLINE_MS = 800
 UPLOADS = 2
 KEPT = 10
 ALLOWED_LOSSES = 3
-RUN_S = 1.2
+RUN_S = 0.45
 STABLE_S = 3.5
 SAMPLE_S = 0.002
 RESTART_S = 0.5
@@ -89,7 +91,7 @@
         headers = {
             "Host": stand_ins.HOST,
             stand_ins.REQUEST_ID: self.last_id,
-            stand_ins.DEADLINE: "2000",
+            stand_ins.DEADLINE: "600",
         }
         try:
             self._connection.request("POST", "/orders/7", b"body", headers)
@@ -152,7 +154,7 @@
 
 def _upload(mesh: stand_ins.Mesh, ip: str, name: str, size: int) -> None:
     reply = mesh.ask(
-        ip, name, path="/logos/7", body=bytes(size), deadline_ms=2000
+        ip, name, path="/logos/7", body=bytes(size), deadline_ms=DEADLINE_MS
     )
     mesh.record.write(f"{name} got {reply.status} {reply.body!r}")
 
