--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -41,6 +41,7 @@
 WAIT_S = 20.0
 PORTS = range(15_000, 31_000)
 INNER_PORTS = 16
+METRICS_PORT = 9464
 BOUNDS = {
     "SeedLagS": 3,
     "AddrReuseS": 2,
@@ -154,6 +155,30 @@
     return _PLACE.sub(find, _SECTION.sub(expand, template))
 
 
+def _find_net(controls: int, nodes: int) -> str:
+    """Returns the first half of addresses that no other mesh uses.
+
+    The programs have fixed ports for their metrics.
+    """
+    for _ in range(200):
+        net = f"127.{random.randint(10, 250)}"
+        ips = [f"{net}.1.{n + 1}" for n in range(controls)]
+        ips += [f"{net}.2.{n + 1}" for n in range(nodes)]
+        if all(_is_free(ip, METRICS_PORT) for ip in ips):
+            return net
+    raise NotPossibleError("no free addresses")
+
+
+def _is_free(ip: str, port: int) -> bool:
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((ip, port))
+        except OSError:
+            return False
+    return True
+
+
 def _find_ports(net: str, count: int) -> int:
     """Returns the first of some ports that are free on a machine's address."""
     for _ in range(200):
@@ -427,7 +452,7 @@
         self._has_zones = has_zones
         self._memory_mb = memory_mb
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
-        self._net = f"127.{random.randint(10, 250)}"
+        self._net = _find_net(3, nodes)
         first = _find_ports(self._net, INNER_PORTS + 4)
         self._inner = first
         self._outbound, self._ready, self.app, self._control = range(
@@ -552,6 +577,10 @@
                 if status not in (0, 408, 429) and status < 500:
                     return status
             time.sleep(0.1)
+        states = {ip: each.poll() for ip, each in self.programs.items()}
+        self.record.write(f"exits: {states}")
+        for ip in self.controls:
+            self.record.write(f"log of {ip}: {self.read_log(ip)[:1500]}")
         raise NotPossibleError("no replica answered the document")
 
     def wait_until_served(self, ips: list[str]) -> None:
