--- a/review/7/case.py
+++ b/review/7/case.py
@@ -22,7 +22,7 @@
 UPLOADS = 2
 KEPT = 10
 ALLOWED_LOSSES = 3
-RUN_S = 0.45
+RUN_S = 0.4
 STABLE_S = 3.5
 SAMPLE_S = 0.002
 RESTART_S = 0.5
@@ -82,9 +82,17 @@
         self._connection = http.client.HTTPConnection(
             mesh.get_outbound(ip), timeout=5.0
         )
+        self.ended = threading.Event()
         self.is_cut = False
         self.last_id = ""
 
+    def go_on(self) -> None:
+        """Sends one request after the other until told to end, or cut."""
+        number = 0
+        while not (self.ended.is_set() or self.is_cut):
+            number += 1
+            self.send(f"kept-{number}")
+
     def send(self, name: str) -> int:
         """Sends a request; returns the status, or 0 without an answer."""
         self.last_id = f"{name}-{self.number}"
@@ -132,20 +140,26 @@
         for upstream in mesh.upstreams:
             upstream.run_s = RUN_S
         threads = [
-            threading.Thread(target=client.send, args=("kept",))
+            threading.Thread(target=client.go_on, daemon=True)
             for client in clients
         ]
         for thread in threads:
             thread.start()
-        time.sleep(RUN_S / 4)
+        time.sleep(RUN_S)
         size = LARGE_BYTES if has_trouble else USUAL_BYTES
         record.write(f"{UPLOADS} clients upload {size} bytes each")
-        for number in range(UPLOADS):
-            thread = threading.Thread(
+        uploads = [
+            threading.Thread(
                 target=_upload, args=(mesh, entry, f"upload-{number}", size)
             )
+            for number in range(UPLOADS)
+        ]
+        for thread in uploads:
             thread.start()
-            threads.append(thread)
+        for thread in uploads:
+            thread.join()
+        for client in clients:
+            client.ended.set()
         for thread in threads:
             thread.join()
         limit.stop()
