--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -161,7 +161,7 @@
     The programs have fixed ports for their metrics.
     """
     for _ in range(200):
-        net = f"127.{random.randint(10, 250)}"
+        net = f"127.{random.randint(11, 250)}"
         ips = [f"{net}.1.{n + 1}" for n in range(controls)]
         ips += [f"{net}.2.{n + 1}" for n in range(nodes)]
         if all(_is_free(ip, METRICS_PORT) for ip in ips):
