--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -41,6 +41,8 @@
 WAIT_S = 20.0
 PORTS = range(15_000, 31_000)
 INNER_PORTS = 16
+FIRST_NET = 11
+NETS = 240
 METRICS_PORT = 9464
 BOUNDS = {
     "SeedLagS": 3,
@@ -158,10 +160,11 @@
 def _find_net(controls: int, nodes: int) -> str:
     """Returns the first half of addresses that no other mesh uses.
 
-    The programs have fixed ports for their metrics.
+    The programs have fixed ports for their metrics. The search starts at the
+    process ID, so that meshes that start together get different addresses.
     """
-    for _ in range(200):
-        net = f"127.{random.randint(11, 250)}"
+    for number in range(NETS):
+        net = f"127.{FIRST_NET + (os.getpid() + number) % NETS}"
         ips = [f"{net}.1.{n + 1}" for n in range(controls)]
         ips += [f"{net}.2.{n + 1}" for n in range(nodes)]
         if all(_is_free(ip, METRICS_PORT) for ip in ips):
