A node ends its stop only when no connection is open

Cause: the stop ended at the first moment without a request in progress, but an open connection may bring the next one.

Change: the number of open connections is part of the decision, and connections are closed as they become idle from the moment at which the listener is closed. Once none is open, none can bring a request. The wait of one second is gone.

--- a/src/lovagesaddle/core/routing/graceful_shutdown.py
+++ b/src/lovagesaddle/core/routing/graceful_shutdown.py
@@ -3,9 +3,10 @@
 The backend servers of the VM outlive the node. So their slots are still served
 while callers move to other nodes, and the servers are drained only after that.
 The node listens until the servers are idle, since their running requests may
-call other services through it. All times follow from the grace period, at
-whose end the process is killed: a request is taken only if it can be answered
-before that.
+call other services through it. It ends once no connection of a requester is
+open, since any open one may still bring a request. All times follow from the
+grace period, at whose end the process is killed: a request is taken only if it
+can be answered before that.
 """
 
 import dataclasses
@@ -74,7 +75,8 @@
     SERVING: no shutdown was requested.
     LEAVING: all requests are served; callers are asked to use other nodes.
     DRAINING: the owner refuses new requests and finishes the running ones.
-    CLOSING: no new request can arrive; requests in progress are answered.
+    CLOSING: no new connection is accepted; the open ones are closed as they
+      become idle, and requests that arrive on them until then are answered.
     STOPPED: the process may exit.
     """
 
@@ -112,11 +114,14 @@
     Attributes:
       in_progress: Number of requests of callers and local services that have
         no complete answer yet.
+      connections: Number of their open connections, also of those without a
+        request.
       settling: Number of claims whose end was not yet acknowledged by their
         holders.
     """
 
     in_progress: int
+    connections: int = 0
     settling: int = 0
 
 
@@ -147,7 +152,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CloseListeners:
-    """Closes the listening sockets; open connections stay."""
+    """Closes the listening sockets, and idle connections from now on."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -176,6 +181,7 @@
         self._servers: tuple[str, ...] = ()
         self._busy: set[str] = set()
         self._in_progress = 0
+        self._connections = 0
         self._settling = 0
 
     @property
@@ -193,6 +199,7 @@
                 self._busy.discard(event.server_id)
             case InProgressChanged():
                 self._in_progress = event.in_progress
+                self._connections = event.connections
                 self._settling = event.settling
             case Tick():
                 pass
@@ -224,7 +231,9 @@
                 return
             self._stage = Stage.CLOSING
             actions.append(CloseListeners())
-        if is_overdue or not (self._in_progress or self._settling):
+        if is_overdue or not (
+            self._in_progress or self._connections or self._settling
+        ):
             self._stage = Stage.STOPPED
             actions.append(
                 Exit(
--- a/src/lovagesaddle/http/server.py
+++ b/src/lovagesaddle/http/server.py
@@ -199,6 +199,18 @@
         connections = tuple(self._server.active_channels.values())
         return sum(not each.idle for each in connections)
 
+    def count_connections(self) -> int:
+        """Returns how many connections are open, with or without a request."""
+        return len(self._server.active_channels)
+
+    def close_idle(self) -> None:
+        """Closes connections that have been without a request for a moment."""
+        idle_since = time.time() - IDLE_LINGER_S
+        swept = threading.Event()
+        sweep = functools.partial(self._server.close_idle, idle_since)
+        self._run_on_loop(sweep, swept)
+        swept.wait(STOP_POLL_S)
+
     def close_listener(self) -> None:
         """Closes the listener and adds `Connection: close` to answers."""
         if self._server.accepting:
@@ -239,11 +251,7 @@
         while self._server.active_channels:
             if time.monotonic() - started >= grace_s:
                 return False
-            idle_since = time.time() - IDLE_LINGER_S
-            swept = threading.Event()
-            sweep = functools.partial(self._server.close_idle, idle_since)
-            self._run_on_loop(sweep, swept)
-            swept.wait(STOP_POLL_S)
+            self.close_idle()
             time.sleep(STOP_POLL_S)
         return True
 
--- a/src/lovagesaddle/node/shutdown.py
+++ b/src/lovagesaddle/node/shutdown.py
@@ -14,8 +14,6 @@
 
 MS_PER_S = 1000
 POLL_INTERVAL_S = 0.02
-# Longest wait for idle connections to be closed by their callers.
-IDLE_GRACE_S = 1.0
 _log = logs.get_logger("shutdown")
 
 
@@ -54,7 +52,6 @@
         self._http_servers = tuple(dict.fromkeys((http, hops)))
         self._claims = claims
         self._shutdown = graceful_shutdown.GracefulShutdown()
-        self._answers_end_at = 0.0
         self._exit: graceful_shutdown.Exit | None = None
 
     def run(self, grace_s: float) -> bool:
@@ -69,6 +66,9 @@
         self._step(begin)
         while self._exit is None:
             time.sleep(POLL_INTERVAL_S)
+            if self._shutdown.stage is graceful_shutdown.Stage.CLOSING:
+                for server in self._http_servers:
+                    server.close_idle()
             for server_id in begin.servers:
                 if self._owner.is_idle(server_id):
                     self._step(
@@ -79,6 +79,10 @@
                     in_progress=sum(
                         server.count_busy() for server in self._http_servers
                     ),
+                    connections=sum(
+                        server.count_connections()
+                        for server in self._http_servers
+                    ),
                     settling=self._claims.count_open(),
                 )
             )
@@ -89,16 +93,12 @@
             cut=self._exit.cut,
             busy_servers=",".join(self._exit.busy_servers),
         )
-        stopped = [self._close(server) for server in self._http_servers]
+        stopped = [
+            server.stop(grace_s=0.0, on_cut=self._log_cut)
+            for server in self._http_servers
+        ]
         return all(stopped) and is_clean
 
-    def _close(self, server: server_lib.HttpServer) -> bool:
-        """Closes all connections; returns whether each request was answered."""
-        left_s = max(0.0, self._answers_end_at - time.monotonic())
-        return server.stop(
-            grace_s=min(IDLE_GRACE_S, left_s), on_cut=self._log_cut
-        )
-
     def _log_cut(self, request: channels.OpenRequest) -> None:
         _log.warning(
             "request_cut",
@@ -113,7 +113,6 @@
                 case graceful_shutdown.DrainServer():
                     self._servers.drain_server(action.server_id)
                 case graceful_shutdown.LimitRequests():
-                    self._answers_end_at = action.schedule.answers_end_at
                     self._stop_limit.begin(action.schedule)
                     self._guards.end_waits_at(action.schedule.requests_end_at)
                     for server in self._http_servers:
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -373,9 +373,14 @@
 def open_request(address: str, **headers: str) -> socket.socket:
     """Sends a GET request and returns the connection; reads no answer."""
     host, _, port = address.rpartition(":")
+    sock = socket.create_connection((host, int(port)), WAIT_S)
+    send_on(sock, **headers)
+    return sock
+
+
+def send_on(sock: socket.socket, **headers: str) -> None:
+    """Sends a GET request on an open connection."""
     lines = [f"Host: {HOST}", f"Authorization: Bearer {TOKEN}"]
     lines += [f"{k.replace('_', '-')}: {v}" for k, v in headers.items()]
-    sock = socket.create_connection((host, int(port)), WAIT_S)
     head = "\r\n".join(["GET / HTTP/1.1", *lines])
     sock.sendall(head.encode() + b"\r\n\r\n")
-    return sock
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -64,6 +64,21 @@
     assert _tick(node, 6.0) == ()
 
 
+def test_node_does_not_end_while_a_connection_may_bring_a_request() -> None:
+    """A stop ended when no request was in progress and cut the next ones."""
+    node = _begin()
+    gap = graceful_shutdown.InProgressChanged(in_progress=0, connections=1)
+    node.step(gap, 0.1)
+    assert _tick(node, 3.0) == (graceful_shutdown.CloseListeners(),)
+    arrived = graceful_shutdown.InProgressChanged(in_progress=1, connections=1)
+    assert node.step(arrived, 3.1) == ()
+    assert node.step(gap, 9.0) == ()
+    closed = graceful_shutdown.InProgressChanged(in_progress=0, connections=0)
+    assert node.step(closed, 9.5) == (
+        graceful_shutdown.Exit(cut=0, busy_servers=()),
+    )
+
+
 def test_slots_are_served_while_callers_move_away() -> None:
     """A server is drained only once callers had time to leave the node."""
     node = _begin("s0")
--- /dev/null
+++ b/tests/test_stopping_nodes.py
@@ -0,0 +1,59 @@
+"""Tests of requests that reach a node shortly before its planned stop ends."""
+
+from concurrent import futures
+import socket
+
+from lovagesaddle.http import server as server_lib
+from lovagesaddle.node import program
+from tests import fixtures
+from tests import nodes
+from tests import served_mesh
+
+
+def test_request_on_an_open_connection_is_answered_before_the_end() -> None:
+    """A stop cut a request that came when no other was in progress."""
+    with (
+        served_mesh.run_mesh() as (_, started, server),
+        futures.ThreadPoolExecutor() as pool,
+    ):
+        served_mesh.announce(started[1], server)
+        stopped = pool.submit(started[0].shut_down)
+        with _open_last_connection(started[0]) as caller:
+            nodes.send_on(caller, Run_Ms="1500")
+            assert caller.recv(65536).startswith(b"HTTP/1.1 200 OK")
+        assert stopped.result()
+
+
+def _open_last_connection(node: program.NodeProgram) -> socket.socket:
+    """Returns the last connection that a stopping node has accepted."""
+    server = node._http
+    last: socket.socket | None = None
+    while (newest := _open(server)) is not None:
+        if last is not None:
+            last.close()
+        last = newest
+    assert last is not None
+    return last
+
+
+def _open(server: server_lib.HttpServer) -> socket.socket | None:
+    """Returns a connection; None if the server no longer accepts any."""
+    listener = server._server
+    host, _, port = server.address.rpartition(":")
+    try:
+        opened = socket.create_connection((host, int(port)), nodes.WAIT_S)
+    except ConnectionRefusedError:
+        return None
+    address = opened.getsockname()
+
+    def is_accepted() -> bool:
+        accepted = tuple(listener.active_channels.values())
+        return any(each.addr == address for each in accepted)
+
+    nodes.wait_for(
+        lambda: is_accepted() or not listener.accepting, "the connection"
+    )
+    return opened if is_accepted() else None
+
+
+load_tests = fixtures.collect(__name__)
