A stage of a stop ends by a report made after it began

A report made before the listener closed may miss a connection that was accepted until then.

test_end_is_decided_by_a_report_made_after_the_listener_closed failed before (Exit in the step that closes the listener). test_callers_get_time_to_move_away counted the two actions of that one step; it now names the one that remains, CloseListeners.

--- a/src/lovagesaddle/core/routing/graceful_shutdown.py
+++ b/src/lovagesaddle/core/routing/graceful_shutdown.py
@@ -4,9 +4,10 @@
 while callers move to other nodes, and the servers are drained only after that.
 The node listens until the servers are idle, since their running requests may
 call other services through it. It ends once no connection of a requester is
-open, since any open one may still bring a request. All times follow from the
-grace period, at whose end the process is killed: a request is taken only if it
-can be answered before that.
+open, since any open one may still bring a request. Each stage ends by a report
+that was made after the stage began: an earlier one may miss what came until
+then. All times follow from the grace period, at whose end the process is killed:
+a request is taken only if it can be answered before that.
 """
 
 import dataclasses
@@ -180,9 +181,9 @@
         self._schedule: Schedule | None = None
         self._servers: tuple[str, ...] = ()
         self._busy: set[str] = set()
-        self._in_progress = 0
-        self._connections = 0
-        self._settling = 0
+        self._report = InProgressChanged(in_progress=0)
+        # Whether the report was made in the present stage.
+        self._is_current = False
 
     @property
     def stage(self) -> Stage:
@@ -198,9 +199,8 @@
             case ServerDrained():
                 self._busy.discard(event.server_id)
             case InProgressChanged():
-                self._in_progress = event.in_progress
-                self._connections = event.connections
-                self._settling = event.settling
+                self._report = event
+                self._is_current = True
             case Tick():
                 pass
         self._advance(now, actions)
@@ -221,7 +221,7 @@
         if self._stage is Stage.LEAVING:
             if now < self._schedule.callers_left_at:
                 return
-            self._stage = Stage.DRAINING
+            self._enter(Stage.DRAINING)
             self._busy = set(self._servers)
             actions.extend(
                 DrainServer(server_id=server_id) for server_id in self._servers
@@ -229,15 +229,21 @@
         if self._stage is Stage.DRAINING:
             if not is_overdue and self._busy:
                 return
-            self._stage = Stage.CLOSING
+            self._enter(Stage.CLOSING)
             actions.append(CloseListeners())
-        if is_overdue or not (
-            self._in_progress or self._connections or self._settling
-        ):
-            self._stage = Stage.STOPPED
+        report = self._report
+        is_done = self._is_current and not (
+            report.in_progress or report.connections or report.settling
+        )
+        if is_overdue or is_done:
+            self._enter(Stage.STOPPED)
             actions.append(
                 Exit(
-                    cut=self._in_progress,
+                    cut=report.in_progress,
                     busy_servers=tuple(sorted(self._busy)),
                 )
             )
+
+    def _enter(self, stage: Stage) -> None:
+        self._stage = stage
+        self._is_current = False
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -79,6 +79,17 @@
     )
 
 
+def test_end_is_decided_by_a_report_made_after_the_listener_closed() -> None:
+    """A connection that was accepted since the last report was cut."""
+    node = _begin()
+    nothing = graceful_shutdown.InProgressChanged(in_progress=0)
+    assert node.step(nothing, 3.0) == (graceful_shutdown.CloseListeners(),)
+    assert _tick(node, 3.1) == ()
+    accepted = graceful_shutdown.InProgressChanged(in_progress=0, connections=1)
+    assert node.step(accepted, 3.2) == ()
+    assert len(node.step(nothing, 3.3)) == 1
+
+
 def test_slots_are_served_while_callers_move_away() -> None:
     """A server is drained only once callers had time to leave the node."""
     node = _begin("s0")
@@ -93,7 +104,9 @@
     """An idle node still listens for LINGER_S after the shutdown began."""
     node = _begin()
     assert _tick(node, graceful_shutdown.LINGER_S / 2) == ()
-    assert len(_tick(node, graceful_shutdown.LINGER_S)) == 2
+    assert _tick(node, graceful_shutdown.LINGER_S) == (
+        graceful_shutdown.CloseListeners(),
+    )
 
 
 def test_time_limit_ends_the_shutdown_and_counts_cut_requests() -> None:
