Servers that are announced during a stop are drained, too

The stop drained the servers that were announced when SIGTERM came. One that was announced later, such as a server that restarted, got new requests from other nodes as long as the node listened, and the stop did not wait for large answers of which others had only a part.

Now the registry drains all servers and those that follow, and the core gets the IDs of all busy servers with each report, in place of one event a server.

test_server_that_is_announced_during_a_stop_is_drained failed before: the server's state was serving.

--- a/src/lovagesaddle/core/routing/graceful_shutdown.py
+++ b/src/lovagesaddle/core/routing/graceful_shutdown.py
@@ -6,8 +6,8 @@
 call other services through it. It ends once no connection of a requester is
 open, since any open one may still bring a request. Each stage ends by a report
 that was made after the stage began: an earlier one may miss what came until
-then. All times follow from the grace period, at whose end the process is killed:
-a request is taken only if it can be answered before that.
+then. All times follow from the grace period, at whose end the process is
+killed: a request is taken only if it can be answered before that.
 """
 
 import dataclasses
@@ -94,23 +94,14 @@
 
     Attributes:
       grace_s: Time until the process is killed, in seconds.
-      servers: IDs of the local backend servers to drain.
     """
 
     grace_s: float
-    servers: tuple[str, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ServerDrained:
-    """Reports that a local backend server is idle after a drain, or gone."""
-
-    server_id: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class InProgressChanged:
-    """Reports the number of requests in progress at the entry node.
+    """Reports what is in progress at the node.
 
     Attributes:
       in_progress: Number of requests of callers and local services that have
@@ -119,11 +110,14 @@
         request.
       settling: Number of claims whose end was not yet acknowledged by their
         holders.
+      busy_servers: IDs of the local backend servers that run requests, or of
+        whose answers other nodes have only a part, sorted.
     """
 
     in_progress: int
     connections: int = 0
     settling: int = 0
+    busy_servers: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -131,14 +125,12 @@
     """Reports that time has passed."""
 
 
-Event = Begin | ServerDrained | InProgressChanged | Tick
+Event = Begin | InProgressChanged | Tick
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class DrainServer:
-    """Sends `admission.Drain` to a server's owner and announces the drain."""
-
-    server_id: str
+class DrainServers:
+    """Drains the local backend servers, also those that are announced later."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -170,7 +162,7 @@
     busy_servers: tuple[str, ...]
 
 
-Action = DrainServer | LimitRequests | CloseListeners | Exit
+Action = DrainServers | LimitRequests | CloseListeners | Exit
 
 
 class GracefulShutdown(state_machine.StateMachine[Event, Action]):
@@ -179,8 +171,6 @@
     def __init__(self) -> None:
         self._stage = Stage.SERVING
         self._schedule: Schedule | None = None
-        self._servers: tuple[str, ...] = ()
-        self._busy: set[str] = set()
         self._report = InProgressChanged(in_progress=0)
         # Whether the report was made in the present stage.
         self._is_current = False
@@ -196,8 +186,6 @@
         match event:
             case Begin():
                 self._begin(event, now, actions)
-            case ServerDrained():
-                self._busy.discard(event.server_id)
             case InProgressChanged():
                 self._report = event
                 self._is_current = True
@@ -211,7 +199,6 @@
             return
         self._stage = Stage.LEAVING
         self._schedule = make_schedule(now, event.grace_s)
-        self._servers = event.servers
         actions.append(LimitRequests(schedule=self._schedule))
 
     def _advance(self, now: float, actions: list[Action]) -> None:
@@ -222,26 +209,21 @@
             if now < self._schedule.callers_left_at:
                 return
             self._enter(Stage.DRAINING)
-            self._busy = set(self._servers)
-            actions.extend(
-                DrainServer(server_id=server_id) for server_id in self._servers
-            )
+            actions.append(DrainServers())
+        report = self._report
         if self._stage is Stage.DRAINING:
-            if not is_overdue and self._busy:
+            is_idle = self._is_current and not report.busy_servers
+            if not (is_overdue or is_idle):
                 return
             self._enter(Stage.CLOSING)
             actions.append(CloseListeners())
-        report = self._report
         is_done = self._is_current and not (
             report.in_progress or report.connections or report.settling
         )
         if is_overdue or is_done:
             self._enter(Stage.STOPPED)
             actions.append(
-                Exit(
-                    cut=report.in_progress,
-                    busy_servers=tuple(sorted(self._busy)),
-                )
+                Exit(cut=report.in_progress, busy_servers=report.busy_servers)
             )
 
     def _enter(self, stage: Stage) -> None:
--- a/src/lovagesaddle/node/held_answers.py
+++ b/src/lovagesaddle/node/held_answers.py
@@ -77,12 +77,14 @@
         """Number of answers whose rest was not asked for yet."""
         return len(self._held)
 
+    def list_server_ids(self) -> frozenset[str]:
+        """Returns the IDs of the servers whose answers are held."""
+        held = tuple(self._held.values())
+        return frozenset(each.request.server_id for each in held)
+
     def holds(self, server_id: str) -> bool:
         """Returns whether an answer of a server is held."""
-        return any(
-            held.request.server_id == server_id
-            for held in tuple(self._held.values())
-        )
+        return server_id in self.list_server_ids()
 
     def start(
         self,
--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -82,6 +82,7 @@
         self._node_id = node_id
         self._owner = owner
         self._control: ports.ControlPort | None = None
+        self._drains = False
         self._entries: dict[str, _Entry] = {}
         self._services_by_token: dict[str, str] = {}
         self._lock = threading.RLock()
@@ -154,17 +155,12 @@
             for service in tuple(self._entries):
                 self.withdraw(service, reason)
 
-    def drain_server(self, server_id: str) -> None:
-        """Drains a server; does nothing if it is no longer announced."""
+    def drain_all(self) -> None:
+        """Drains every server, also those that are announced from now on."""
         with self._lock:
-            for service, entry in tuple(self._entries.items()):
-                if entry.server.server_id == server_id:
-                    self.drain(service)
-
-    def list_server_ids(self) -> tuple[str, ...]:
-        """Returns the IDs of the announced servers."""
-        with self._lock:
-            return tuple(e.server.server_id for e in self._entries.values())
+            self._drains = True
+            for service in tuple(self._entries):
+                self.drain(service)
 
     def withdraw(self, service: str, reason: str) -> None:
         """Removes a server that is gone.
@@ -257,7 +253,10 @@
             announcement.instance,
             announcement.born_ms,
         )
-        self._report_server(entry.server)
+        if self._drains:
+            self.drain(announcement.service)
+        else:
+            self._report_server(entry.server)
         return token
 
     def _get_entry(self, service: str, step: str) -> _Entry:
--- a/src/lovagesaddle/node/owner.py
+++ b/src/lovagesaddle/node/owner.py
@@ -234,6 +234,13 @@
         is_idle = owned is None or owned.is_idle()
         return is_idle and not self.held.holds(server_id)
 
+    def list_busy(self) -> tuple[str, ...]:
+        """Returns the IDs of the servers that aren't idle, sorted."""
+        server_ids = {*self._owned, *self.held.list_server_ids()}
+        return tuple(
+            sorted(each for each in server_ids if not self.is_idle(each))
+        )
+
     def run(
         self, request: hop.RunRequest, guard: watchdog.Guard
     ) -> hop.RunAnswer:
--- a/src/lovagesaddle/node/shutdown.py
+++ b/src/lovagesaddle/node/shutdown.py
@@ -60,20 +60,12 @@
         Args:
           grace_s: Time until the process is killed, in seconds.
         """
-        begin = graceful_shutdown.Begin(
-            grace_s=grace_s, servers=self._servers.list_server_ids()
-        )
-        self._step(begin)
+        self._step(graceful_shutdown.Begin(grace_s=grace_s))
         while self._exit is None:
             time.sleep(POLL_INTERVAL_S)
             if self._shutdown.stage is graceful_shutdown.Stage.CLOSING:
                 for server in self._http_servers:
                     server.close_idle()
-            for server_id in begin.servers:
-                if self._owner.is_idle(server_id):
-                    self._step(
-                        graceful_shutdown.ServerDrained(server_id=server_id)
-                    )
             self._step(
                 graceful_shutdown.InProgressChanged(
                     in_progress=sum(
@@ -84,6 +76,7 @@
                         for server in self._http_servers
                     ),
                     settling=self._claims.count_open(),
+                    busy_servers=self._owner.list_busy(),
                 )
             )
         is_clean = not self._exit.cut and not self._exit.busy_servers
@@ -110,8 +103,8 @@
     def _step(self, event: graceful_shutdown.Event) -> None:
         for action in self._shutdown.step(event, time.monotonic()):
             match action:
-                case graceful_shutdown.DrainServer():
-                    self._servers.drain_server(action.server_id)
+                case graceful_shutdown.DrainServers():
+                    self._servers.drain_all()
                 case graceful_shutdown.LimitRequests():
                     self._stop_limit.begin(action.schedule)
                     self._guards.end_waits_at(action.schedule.requests_end_at)
--- a/tests/test_stopping_nodes.py
+++ b/tests/test_stopping_nodes.py
@@ -3,12 +3,18 @@
 from concurrent import futures
 import socket
 
+from bench import backend
+from bench import stand_in
+
+from lovagesaddle.core.model import snapshots
 from lovagesaddle.http import server as server_lib
 from lovagesaddle.node import program
 from tests import fixtures
 from tests import nodes
 from tests import served_mesh
 
+DRAINING = snapshots.ServerState.DRAINING
+
 
 def test_request_on_an_open_connection_is_answered_before_the_end() -> None:
     """A stop cut a request that came when no other was in progress."""
@@ -24,6 +30,30 @@
         assert stopped.result()
 
 
+def test_server_that_is_announced_during_a_stop_is_drained() -> None:
+    """It got new requests from the other nodes until the end of the stop."""
+    with (
+        served_mesh.run_mesh() as (mesh, started, server),
+        backend.Backend(stand_in.BackendOptions()) as late,
+        futures.ThreadPoolExecutor() as pool,
+    ):
+        running = pool.submit(
+            nodes.send, started[1].http_address, "POST", Run_Ms="4000"
+        )
+        nodes.wait_for(lambda: server.state.running, "the request to run")
+        stopped = pool.submit(started[0].shut_down)
+        nodes.wait_for(lambda: _list_states(mesh) == [DRAINING], "the drain")
+        served_mesh.announce(started[0], late)
+        assert _list_states(mesh) == [DRAINING]
+        assert nodes.send(started[1].http_address).status == 503
+        assert running.result().status == 200
+        assert stopped.result()
+
+
+def _list_states(mesh: nodes.Mesh) -> list[snapshots.ServerState]:
+    return [server.state for server in mesh.control.snapshot.servers]
+
+
 def _open_last_connection(node: program.NodeProgram) -> socket.socket:
     """Returns the last connection that a stopping node has accepted."""
     server = node._http
