Only heartbeats sent since the node started count without a health answer

Cause: a heartbeat with Sequence 1 registered its server whatever the server at the address answered. "No message of a process is older than its first heartbeat" holds for sending, not for arrival. The other rule without the server's word, three heartbeats over two seconds, is of the same kind.

Change: before the node has run for longer than a heartbeat is on its way, the server at the address has to confirm its heartbeat. Discovery confirms the one that waits as soon as the first table tells the health path, so that new servers are not known later than before.

test_late_first_heartbeat_does_not_restore_a_leaving_server failed before. test_first_heartbeat_of_a_process_registers_it_at_once and test_server_whose_health_is_false_is_known_by_its_heartbeats asserted the two rules; test_heartbeat_sent_since_the_node_started_needs_no_health, test_server_is_known_at_once_when_its_health_is and test_health_does_not_confirm_a_server_that_has_left replace them.

--- a/src/lovagesaddle/core/membership/server_confirmation.py
+++ b/src/lovagesaddle/core/membership/server_confirmation.py
@@ -1,21 +1,20 @@
 """Decides whether a heartbeat is of a server that runs at its address now.
 
-A node remembers nothing through a restart, and a heartbeat may arrive seconds
-late: its sender may have announced its leave to the node's earlier process, or
-another server may have taken over the address. So until a server is known, its
-heartbeat counts only with what the server at the address says of itself.
+A node remembers nothing through a restart, and any heartbeat may arrive seconds
+late, the first one of a process too: its sender may have announced its leave to
+the node's earlier process, or another server may have taken over the address.
+So until a server is known, its heartbeat counts only if it was sent since the
+node started, or if the server at the address vouches for it.
 """
 
 import dataclasses
 
 from lovagesaddle.core.membership import heartbeat_order
 
-# No message of a process is older than its first heartbeat.
-FIRST_SEQUENCE = 1
-# Without a health answer that confirms it, a server is one whose heartbeats go
-# on. Late ones are few and arrive together.
-CONFIRMING_HEARTBEATS = 3
-CONFIRMING_S = 2.0
+# Longest time that a heartbeat is on its way. One that arrives later than this
+# after the start of the node was sent since then, and this process would know
+# if its sender had left.
+MAX_DELAY_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -31,38 +30,22 @@
     is_serving: bool
 
 
-class ServerConfirmation:
-    """Tracks the heartbeats of a server that is not known yet."""
+def confirms(
+    stamp: heartbeat_order.HeartbeatStamp,
+    health: Health | None,
+    *,
+    node_age_s: float,
+) -> bool:
+    """Returns whether the server of a heartbeat may be registered.
 
-    def __init__(self) -> None:
-        self._process = ("", 0)
-        self._count = 0
-        self._first_at = 0.0
-
-    def confirm(
-        self,
-        stamp: heartbeat_order.HeartbeatStamp,
-        health: Health | None,
-        now: float,
-    ) -> bool:
-        """Returns whether the server of a heartbeat may be registered.
-
-        Args:
-          stamp: The heartbeat; newer than all before it.
-          health: What the server at the address answered, or None.
-          now: Monotonic time in seconds.
-        """
-        if health is not None and health.instance != stamp.instance:
+    Args:
+      stamp: The heartbeat; newer than all before it.
+      health: What the server at the address answered, or None.
+      node_age_s: Time since the node started, in seconds.
+    """
+    if health is not None:
+        if health.instance != stamp.instance:
             return False
-        process = (stamp.instance, stamp.born_ms)
-        if process != self._process:
-            self._process = process
-            self._count = 0
-            self._first_at = now
-        self._count += 1
-        if health is not None and health.is_serving:
+        if health.is_serving:
             return True
-        return stamp.sequence == FIRST_SEQUENCE or (
-            self._count >= CONFIRMING_HEARTBEATS
-            and now - self._first_at >= CONFIRMING_S
-        )
+    return node_age_s > MAX_DELAY_S
--- a/src/lovagesaddle/node/server_discovery.py
+++ b/src/lovagesaddle/node/server_discovery.py
@@ -62,15 +62,24 @@
             self.stop()
             return
         path = self._find_health_path(self._service)
-        found = self._find_server(path) if path else None
-        if found is not None and self._heartbeats.add_discovered(found):
+        if path and self._find_server(path):
             self.stop()
 
-    def _find_server(self, path: str) -> local_servers.Announcement | None:
+    def _find_server(self, path: str) -> bool:
+        """Returns whether a server is known now."""
         answer = server_health.request_health(self._address, path, self._names)
-        if answer is None or not answer.is_serving:
-            return None
-        if not (answer.instance and answer.slots):
+        if answer is None or not (answer.is_serving and answer.instance):
+            return False
+        if self._heartbeats.confirm(answer.instance):
+            return True
+        found = self._describe(answer)
+        return found is not None and self._heartbeats.add_discovered(found)
+
+    def _describe(
+        self, answer: server_health.HealthAnswer
+    ) -> local_servers.Announcement | None:
+        """Returns an announcement in place of the server's own."""
+        if not answer.slots:
             return None
         service = self._read_service()
         if service != self._service:
--- a/src/lovagesaddle/node/server_heartbeats.py
+++ b/src/lovagesaddle/node/server_heartbeats.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+import dataclasses
 
 from lovagesaddle import clocks
 from lovagesaddle.core.membership import heartbeat_order
@@ -16,6 +17,15 @@
 _log = logs.get_logger("beats")
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Unconfirmed:
+    """A heartbeat of a server that isn't registered yet."""
+
+    stamp: heartbeat_order.HeartbeatStamp
+    announcement: Announcement
+    is_leaving: bool
+
+
 class ServerHeartbeats:
     """Registers and withdraws the local backend server by its heartbeats.
 
@@ -41,7 +51,8 @@
         self._check_health = check_health
         self._read_clock = read_clock
         self._order = heartbeat_order.HeartbeatOrder()
-        self._confirmation = server_confirmation.ServerConfirmation()
+        self._started_at = read_clock()
+        self._unconfirmed: _Unconfirmed | None = None
         self._is_confirmed = False
         self._leaving_instance = ""
         self._service = ""
@@ -88,11 +99,16 @@
         with self._servers.lock_changes():
             if not self._order.is_newest(stamp):
                 return
-            if self._is_known(announcement) or self._confirmation.confirm(
-                stamp, health, self._read_clock()
+            if self._is_known(announcement) or server_confirmation.confirms(
+                stamp,
+                health,
+                node_age_s=self._read_clock() - self._started_at,
             ):
                 self._apply(announcement, is_leaving=is_leaving)
                 return
+            self._unconfirmed = _Unconfirmed(
+                stamp=stamp, announcement=announcement, is_leaving=is_leaving
+            )
         _log.info(
             "server_unconfirmed",
             service=announcement.service,
@@ -118,6 +134,26 @@
                 if known.instance == instance and (is_latest or is_discovered):
                     self._servers.withdraw(known.service, "it said farewell")
 
+    def confirm(self, instance: str) -> bool:
+        """Registers the server of the newest heartbeat, if it was found.
+
+        Args:
+          instance: Instance ID of the server that was found to be serving.
+
+        Returns:
+          Whether a server is known now, so that discovery is finished.
+        """
+        with self._servers.lock_changes():
+            waiting = self._unconfirmed
+            if (
+                waiting is not None
+                and waiting.announcement.instance == instance
+                and not waiting.is_leaving
+                and self._order.is_newest(waiting.stamp)
+            ):
+                self._apply(waiting.announcement, is_leaving=False)
+            return not self.needs_discovery()
+
     def add_discovered(self, announcement: Announcement) -> bool:
         """Registers a server that was found through its health endpoint.
 
@@ -150,6 +186,7 @@
 
     def _apply(self, announcement: Announcement, *, is_leaving: bool) -> None:
         self._is_confirmed = True
+        self._unconfirmed = None
         self._service = announcement.service
         self._withdraw_others(announcement.service)
         if is_leaving:
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -29,6 +29,8 @@
 STAMP = "Lovagesaddle-Server-Stamp"
 CALLER = "Lovagesaddle-Caller-Service"
 EXPECTED = "Lovagesaddle-Expect-Instance"
+INSTANCE = "Lovagesaddle-Instance-Id"
+HEALTH_PATH = "/health"
 CONTROLS = 3
 SLOTS = 4
 METRICS_PORT = "9464"
@@ -148,9 +150,13 @@
     owner: BackendServer
 
     def do_GET(self) -> None:
-        """Runs a request."""
+        """Runs a request, or answers a health check."""
         length = int(self.headers.get("Content-Length") or 0)
         body = self.rfile.read(length)
+        if self.path == HEALTH_PATH:
+            # What a server states in its other answers is left out.
+            self._answer(200, b"", {INSTANCE: self.owner.instance})
+            return
         if self.headers.get(EXPECTED) != self.owner.instance:
             self._answer(421, b"", {"Lovagesaddle-Not-Run": "1"})
             return
@@ -355,7 +361,7 @@
                     ],
                 }
             ],
-            "Clusters": [{"Name": SERVICE, "HealthPath": "/health"}],
+            "Clusters": [{"Name": SERVICE, "HealthPath": HEALTH_PATH}],
         }
     ).encode()
 
--- a/tests/test_beats.py
+++ b/tests/test_beats.py
@@ -28,7 +28,7 @@
 
 @contextlib.contextmanager
 def _answer_health(
-    node: program.NodeProgram, health: server_confirmation.Health
+    node: program.NodeProgram, health: server_confirmation.Health | None
 ) -> Iterator[None]:
     with mock.patch.object(node.heartbeats, "_check_health", lambda _: health):
         yield
@@ -120,41 +120,63 @@
         assert not _list_serving(mesh)
 
 
-def test_server_whose_health_is_false_is_known_by_its_heartbeats() -> None:
-    """A server that goes on sending heartbeats is registered in the end."""
-    confirmation = server_confirmation.ServerConfirmation()
+def test_late_first_heartbeat_does_not_restore_a_leaving_server() -> None:
+    """A server that had said farewell was registered against its own answer.
+
+    Its first heartbeat arrived last, after a restart of the node.
+    """
+    leaving = server_confirmation.Health(instance="i-1", is_serving=False)
+    for health in (leaving, None):
+        with _run_node() as (mesh, node), _answer_health(node, health):
+            node.heartbeats.handle_heartbeat(HEARTBEAT, 1, is_leaving=False)
+            assert not _list_serving(mesh)
+            assert not node.heartbeats.service
+
+
+def test_heartbeat_sent_since_the_node_started_needs_no_health() -> None:
+    """A server whose health check is false was never used."""
+    stamp = heartbeat_order.HeartbeatStamp(
+        instance="i-1", born_ms=BORN_MS, sequence=43
+    )
     failing = server_confirmation.Health(instance="i-1", is_serving=False)
+    other = server_confirmation.Health(instance="i-2", is_serving=False)
+    longest_s = server_confirmation.MAX_DELAY_S
+    # Heartbeats may arrive seconds late.
+    assert longest_s >= 7.0
     for health in (failing, None):
-        born_ms = BORN_MS + (health is None)
-
-        def confirm(
-            sequence: int,
-            now: float,
-            health: server_confirmation.Health | None = health,
-            born_ms: int = born_ms,
-        ) -> bool:
-            return confirmation.confirm(
-                heartbeat_order.HeartbeatStamp(
-                    instance="i-1", born_ms=born_ms, sequence=sequence
-                ),
-                health,
-                now,
+        for age_s in (0.0, 2.5, longest_s):
+            assert not server_confirmation.confirms(
+                stamp, health, node_age_s=age_s
             )
-
-        assert not confirm(40, 10.0)
-        # Late heartbeats arrive together.
-        assert not confirm(41, 10.1)
-        assert not confirm(42, 10.2)
-        assert confirm(43, 12.1)
+        assert server_confirmation.confirms(
+            stamp, health, node_age_s=longest_s + 0.1
+        )
+    assert not server_confirmation.confirms(
+        stamp, other, node_age_s=longest_s + 0.1
+    )
 
 
-def test_first_heartbeat_of_a_process_registers_it_at_once() -> None:
-    """No earlier message of the process can have announced its leaving."""
+def test_server_is_known_at_once_when_its_health_is() -> None:
+    """A new server waited for its next heartbeat."""
     with _run_node() as (mesh, node):
         node.heartbeats.handle_heartbeat(HEARTBEAT, 1, is_leaving=False)
+        assert not _list_serving(mesh)
+        assert not node.heartbeats.confirm("i-2")
+        assert node.heartbeats.confirm("i-1")
         assert _list_serving(mesh) == ["n0/orderdesk"]
 
 
+def test_health_does_not_confirm_a_server_that_has_left() -> None:
+    """The answer may be older than the server's last message."""
+    with _run_node() as (mesh, node):
+        node.heartbeats.handle_heartbeat(HEARTBEAT, 1, is_leaving=False)
+        node.heartbeats.handle_heartbeat(HEARTBEAT, 2, is_leaving=True)
+        assert not node.heartbeats.confirm("i-1")
+        node.heartbeats.handle_deregistration("i-1", BORN_MS)
+        assert not node.heartbeats.confirm("i-1")
+        assert not _list_serving(mesh)
+
+
 def test_discovered_server_is_the_one_that_sends_heartbeats() -> None:
     """Its first heartbeat changes nothing, and it can announce its leaving."""
     with _run_node() as (mesh, node):
@@ -190,7 +212,8 @@
     other = dataclasses.replace(
         HEARTBEAT, service="artwork", instance="i-2", born_ms=BORN_MS + 5000
     )
-    with _run_node() as (mesh, node):
+    present = server_confirmation.Health(instance="i-1", is_serving=True)
+    with _run_node() as (mesh, node), _answer_health(node, present):
         node.heartbeats.handle_heartbeat(HEARTBEAT, 1, is_leaving=False)
         node.heartbeats.handle_heartbeat(other, 1, is_leaving=False)
         assert _list_serving(mesh) == ["n0/artwork"]
--- a/tools/promises.py
+++ b/tools/promises.py
@@ -275,6 +275,7 @@
         ),
         tests=(
             "test_late_heartbeat_does_not_restore_a_leaving_server",
+            "test_late_first_heartbeat_does_not_restore_a_leaving_server",
             "test_server_that_left_meanwhile_is_not_discovered",
             "test_acks_of_an_earlier_incarnation_renew_nothing",
             "test_join_older_than_a_restart_is_dropped",
