A farewell is kept also if it comes before any heartbeat

A late heartbeat that arrived after the farewell of its process registered the server, if the node had not heard of that process before: after a restart, or for a server that replaced a known one. And the late farewell of an earlier server hid from discovery that the present one had announced its leave.

Change: HeartbeatOrder records the stop of any process that is not known to be an earlier one; the leaving instance changes with it only.

--- a/src/lovagesaddle/core/membership/heartbeat_order.py
+++ b/src/lovagesaddle/core/membership/heartbeat_order.py
@@ -50,16 +50,28 @@
     def record_stop(self, instance: str, born_ms: int) -> bool:
         """Records that a server stopped; returns False if it isn't the newest.
 
+        The stop may arrive before any heartbeat of its process.
+
         Args:
           instance: Name of the server.
           born_ms: Start time of its process, in milliseconds since 1970; 0 if
             the server did not send it.
         """
         newest = self._newest
-        if newest is None or newest.instance != instance:
-            return False
-        if born_ms and born_ms < newest.born_ms:
+        if newest is not None and not born_ms:
+            if newest.instance != instance:
+                # Nothing tells which of the two started later.
+                return False
+            born_ms = newest.born_ms
+        if newest is not None and born_ms < newest.born_ms:
             return False
+        if newest is None or (newest.instance, newest.born_ms) != (
+            instance,
+            born_ms,
+        ):
+            self._newest = HeartbeatStamp(
+                instance=instance, born_ms=born_ms, sequence=0
+            )
         self._is_stopped = True
         return True
 
--- a/src/lovagesaddle/node/server_heartbeats.py
+++ b/src/lovagesaddle/node/server_heartbeats.py
@@ -127,8 +127,9 @@
             it was not sent.
         """
         with self._servers.lock_changes():
-            self._leaving_instance = instance
             is_latest = self._order.record_stop(instance, born_ms)
+            if is_latest or not born_ms:
+                self._leaving_instance = instance
             for known in self._servers.list_announcements():
                 is_discovered = not known.born_ms
                 if known.instance == instance and (is_latest or is_discovered):
--- a/tests/test_beats.py
+++ b/tests/test_beats.py
@@ -156,6 +156,24 @@
     )
 
 
+def test_late_heartbeat_after_the_farewell_restores_no_server() -> None:
+    """A farewell that came before any heartbeat left no trace."""
+    present = server_confirmation.Health(instance="i-1", is_serving=True)
+    with _run_node() as (mesh, node), _answer_health(node, present):
+        node.heartbeats.handle_deregistration("i-1", BORN_MS)
+        node.heartbeats.handle_heartbeat(HEARTBEAT, 40, is_leaving=False)
+        assert not _list_serving(mesh)
+
+
+def test_farewell_of_an_earlier_server_does_not_hide_a_later_one() -> None:
+    """A health answer brought back a server that had announced its leave."""
+    with _run_node() as (mesh, node):
+        node.heartbeats.handle_heartbeat(HEARTBEAT, 40, is_leaving=True)
+        node.heartbeats.handle_deregistration("i-0", BORN_MS - 5000)
+        assert not node.heartbeats.add_discovered(DISCOVERED)
+        assert not _list_serving(mesh)
+
+
 def test_server_is_known_at_once_when_its_health_is() -> None:
     """A new server waited for its next heartbeat."""
     with _run_node() as (mesh, node):
