A drained server stays drained when a probe reaches it after a crash

A draining server that closes a request's connection while it takes no new one counts as crashed, though it may only be overloaded. The next probe that reached it opened it again as serving, against its announced leave.

Now only servers that were not drained are opened again by a probe. A new process announces itself and is opened then, as before.

test_drained_server_that_seems_to_crash_stays_drained failed before.

--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -60,6 +60,11 @@
     probe_failures: int = 0
     states_leaving: bool = False
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether the server was told to leave, or said that it leaves."""
+        return self.server.state is snapshots.ServerState.DRAINING
+
 
 class LocalServers:
     """Holds the announced servers and their tokens, and reports changes.
@@ -132,7 +137,7 @@
             self._owner.identify(entry.server, announcement.born_ms)
             if is_new:
                 self._report_server(entry.server)
-            if entry.server.state is not snapshots.ServerState.DRAINING:
+            if not entry.is_draining:
                 self.announce(announcement)
 
     def drain(self, service: str) -> None:
@@ -212,7 +217,9 @@
                 return
             entry.probe_failures = 0
             if self._owner.has_crashed(entry.server.server_id):
-                self._open(entry.announcement)
+                # A server that was drained has to announce itself again.
+                if not entry.is_draining:
+                    self._open(entry.announcement)
             else:
                 self._owner.mark_up(entry.server.server_id)
 
--- a/tests/test_beats.py
+++ b/tests/test_beats.py
@@ -174,6 +174,20 @@
         assert not _list_serving(mesh)
 
 
+def test_drained_server_that_seems_to_crash_stays_drained() -> None:
+    """A probe that reached it again restored a server that was leaving."""
+    present = server_confirmation.Health(instance="i-1", is_serving=True)
+    with _run_node() as (mesh, node), _answer_health(node, present):
+        node.heartbeats.handle_heartbeat(HEARTBEAT, 40, is_leaving=False)
+        node.heartbeats.handle_heartbeat(HEARTBEAT, 41, is_leaving=True)
+        node._owner._owned["n0/orderdesk"].mark_crashed()
+        node._servers.record_probe_success(SERVICE)
+        assert not _list_serving(mesh)
+        restarted = dataclasses.replace(HEARTBEAT, born_ms=BORN_MS + 5000)
+        node.heartbeats.handle_heartbeat(restarted, 1, is_leaving=False)
+        assert _list_serving(mesh) == ["n0/orderdesk"]
+
+
 def test_server_is_known_at_once_when_its_health_is() -> None:
     """A new server waited for its next heartbeat."""
     with _run_node() as (mesh, node):
