Freed bodies are given back to the system, not kept by each thread

Faulty backend servers that send bodies without end took nodes of 150 MB to 162 MB with six callers and to 296 MB with thirty, though at most 18.75 MB of answers are in use at a time. The platform kills such a process, and the requests of all others there end with it.

Cause: glibc raises its thresholds to the largest block that was freed, and the heap of each thread then keeps the largest body that the thread has read.

--- a/src/lovagesaddle/control/main.py
+++ b/src/lovagesaddle/control/main.py
@@ -11,6 +11,7 @@
 import typer
 import zmq
 
+from lovagesaddle import allocator
 from lovagesaddle.control import program as program_lib
 from lovagesaddle.control import replica_discovery
 from lovagesaddle.control import verification
@@ -88,6 +89,7 @@
         ) as program,
         attach(program),
     ):
+        allocator.return_large_blocks()
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: program.stop())
         try:
--- a/src/lovagesaddle/node/main.py
+++ b/src/lovagesaddle/node/main.py
@@ -10,6 +10,7 @@
 import typer
 import zmq
 
+from lovagesaddle import allocator
 from lovagesaddle import stop_signals
 from lovagesaddle.core import errors
 from lovagesaddle.core.routing import header_names
@@ -94,6 +95,7 @@
             ) as node,
             attach(node),
         ):
+            allocator.return_large_blocks()
             print(node.http_address, node.admin_address, flush=True)
             signals.wait()
             return 0 if node.shut_down() else EXIT_REQUESTS_CUT
--- a/tests/platform_stand_in.py
+++ b/tests/platform_stand_in.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import dataclasses
 import http.client
 import http.server
 import json
@@ -29,9 +30,12 @@
 STAMP = "Lovagesaddle-Server-Stamp"
 CALLER = "Lovagesaddle-Caller-Service"
 EXPECTED = "Lovagesaddle-Expect-Instance"
+NOT_RUN = "Lovagesaddle-Not-Run"
 INSTANCE = "Lovagesaddle-Instance-Id"
 HEALTH_PATH = "/health"
 CONTROLS = 3
+# Memory of each VM, in MB.
+MEMORY_MB = 150
 SLOTS = 4
 METRICS_PORT = "9464"
 MAX_NETS = 250
@@ -70,6 +74,21 @@
     return _PLACE.sub(find, _SECTION.sub(expand, template))
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Endless:
+    """An answer whose body never ends.
+
+    Attributes:
+      status: Its status.
+      headers: Its headers, beside those of each answer.
+      piece: Bytes that are sent again and again after the head.
+    """
+
+    status: int
+    headers: dict[str, str]
+    piece: bytes
+
+
 class BackendServer:
     """A backend server that sends heartbeats and records its requests.
 
@@ -80,6 +99,7 @@
       body: Body of its answers; if empty, that of the request follows "ran ".
       stated: Headers of its answers in which it states a limit, or that it
         leaves.
+      endless: Answers without an end, by the start of the request's path.
     """
 
     def __init__(
@@ -97,6 +117,7 @@
         self.run_s = 0.0
         self.body = b""
         self.stated: dict[str, str] = {}
+        self.endless: dict[str, Endless] = {}
         self._beat_address = beat_address
         self._sequence = 0
         self._born = int(time.time() * 1000)
@@ -158,13 +179,17 @@
             self._answer(200, b"", {INSTANCE: self.owner.instance})
             return
         if self.headers.get(EXPECTED) != self.owner.instance:
-            self._answer(421, b"", {"Lovagesaddle-Not-Run": "1"})
+            self._answer(421, b"", {NOT_RUN: "1"})
             return
         request_id = self.headers.get(REQUEST_ID, "")
         self.owner.arrived.append((time.monotonic(), request_id))
         self.owner.seen.append(
             {"path": self.path, "method": self.command, **dict(self.headers)}
         )
+        for prefix, endless in self.owner.endless.items():
+            if self.path.startswith(prefix):
+                self._send_without_end(endless)
+                return
         time.sleep(self.owner.run_s)
         stamp = {STAMP: f"{self.owner.instance}.{len(self.owner.seen)}"}
         answered = self.owner.body or b"ran " + body
@@ -172,6 +197,19 @@
 
     do_POST = do_GET  # noqa: N815
 
+    def _send_without_end(self, endless: Endless) -> None:
+        """Sends a body until the connection is closed."""
+        self.close_connection = True
+        self.send_response(endless.status)
+        for name, value in endless.headers.items():
+            self.send_header(name, value)
+        self.send_header(REQUEST_ID, self.headers.get(REQUEST_ID, ""))
+        self.send_header(STAMP, f"{self.owner.instance}.0")
+        self.end_headers()
+        with contextlib.suppress(OSError):
+            while True:
+                self.wfile.write(endless.piece)
+
     def _answer(
         self, status: int, body: bytes, headers: dict[str, str]
     ) -> None:
@@ -320,7 +358,7 @@
                 "RetryBudgetExtra": 58,
                 "ConfigApplyMs": 2000,
             },
-            "Limits": {"LinkMbps": self._link_mbps, "MemoryMb": 150},
+            "Limits": {"LinkMbps": self._link_mbps, "MemoryMb": MEMORY_MB},
         }
 
 
