An answer counts to the memory budget until its requester has it

Complete bodies of 8 MB took nodes of 150 MB to 135 MB with thirty callers, though 18.75 MB of answers may be in use at a time.

Cause: an answer left the budget as soon as it was read. Then it was encoded, signed, written and held for its requester, up to four copies that only the divisor of the budget stood for, and the next ones were read meanwhile.

Change: the allocations of the answers that a thread reads for its request are released when the connection has sent all, or is closed.

Answers of up to 64 KiB are assured, as before.

test_answer_counts_until_its_caller_has_it and test_answer_to_a_caller_that_left_is_released fail when the allocations are released with the end of the thread's work, as before.

--- a/src/lovagesaddle/http/answer_budget.py
+++ b/src/lovagesaddle/http/answer_budget.py
@@ -1,5 +1,7 @@
-"""Memory budget shared by all answers that are being read."""
+"""Memory budget shared by all answers that are being read or passed on."""
 
+from collections.abc import Iterator
+import contextlib
 import threading
 
 # An answer's body exists in up to four copies: as read, encoded, signed and
@@ -16,7 +18,7 @@
 
 
 class AnswerBudget:
-    """Bounds the bytes of all answers that are being read.
+    """Bounds the bytes of all answers that are being read or passed on.
 
     Answers that never end must not use up the memory for the others. Each
     answer may therefore hold at most as many bytes as are still free, so the
@@ -76,6 +78,11 @@
         self._budget = budget
         self._held_bytes = 0
 
+    @property
+    def holds_budget(self) -> bool:
+        """Whether it holds more than the assured bytes."""
+        return self._held_bytes > ASSURED_BYTES
+
     def grow(self, added_bytes: int) -> bool:
         """Reserves more bytes; returns whether the budget allows it."""
         grown_bytes = self._held_bytes + added_bytes
@@ -108,5 +115,53 @@
         self._held_bytes = 0
 
 
+class PassedAnswers:
+    """Allocations of the answers that the answer to one request is made of."""
+
+    def __init__(self) -> None:
+        self._allocations: list[Allocation] = []
+
+    def __bool__(self) -> bool:
+        return bool(self._allocations)
+
+    def add(self, allocation: Allocation) -> None:
+        """Adds an allocation; `release` ends it."""
+        self._allocations.append(allocation)
+
+    def release(self) -> None:
+        """Returns all of them to their budgets."""
+        while self._allocations:
+            self._allocations.pop().release()
+
+
+_serving = threading.local()
+
+
+@contextlib.contextmanager
+def collect() -> Iterator[PassedAnswers]:
+    """Collects what this thread reads while it serves a request.
+
+    Whoever sends the answer releases the allocations after that.
+    """
+    passed = PassedAnswers()
+    _serving.passed = passed
+    try:
+        yield passed
+    finally:
+        _serving.passed = None
+
+
+def keep(allocation: Allocation) -> None:
+    """Keeps an allocation until the request of this thread is answered.
+
+    On a thread that serves no request it is released.
+    """
+    passed: PassedAnswers | None = getattr(_serving, "passed", None)
+    if passed is None or not allocation.holds_budget:
+        allocation.release()
+    else:
+        passed.add(allocation)
+
+
 def _compute_excess(held_bytes: int) -> int:
     return max(0, held_bytes - ASSURED_BYTES)
--- a/src/lovagesaddle/http/channels.py
+++ b/src/lovagesaddle/http/channels.py
@@ -1,5 +1,6 @@
 """Connections of requesters at an HTTP server based on waitress."""
 
+import collections
 import dataclasses
 import threading
 import time
@@ -7,6 +8,7 @@
 
 from waitress import channel
 
+from lovagesaddle.http import answer_budget
 from lovagesaddle.http import parser
 from lovagesaddle.http import sockets
 from lovagesaddle.observability import logs
@@ -47,6 +49,12 @@
     # Whether a task's thread is writing to the socket.
     is_writing = False
 
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        self._unsent: collections.deque[answer_budget.PassedAnswers] = (
+            collections.deque()
+        )
+        super().__init__(*args, **kwargs)
+
     def add_channel(self, map: Any = None) -> None:  # noqa: A002
         """Registers the connection with the server, on the loop's thread."""
         super().add_channel(map)
@@ -134,10 +142,41 @@
         _serving.channel = self
         if self.connected and sockets.is_closed_by_peer(self.socket):
             self.connected = False
-        try:
-            super().service()
-        finally:
-            _serving.channel = None
+        with answer_budget.collect() as passed:
+            try:
+                super().service()
+            finally:
+                _serving.channel = None
+                self._release_once_sent(passed)
+
+    def handle_close(self) -> None:
+        """Closes the connection and discards what is unsent."""
+        super().handle_close()
+        self._release_sent()
+
+    def _flush_some(self, do_close: bool = True) -> bool:
+        """Sends what the socket takes; returns whether that was anything."""
+        has_sent = bool(super()._flush_some(do_close))
+        if not self.total_outbufs_len:
+            self._release_sent()
+        return has_sent
+
+    def _release_once_sent(self, passed: answer_budget.PassedAnswers) -> None:
+        """Releases the memory of an answer when the requester has it."""
+        if not passed:
+            return
+        self._unsent.append(passed)
+        # The loop may have sent the rest meanwhile.
+        if not self.total_outbufs_len:
+            self._release_sent()
+
+    def _release_sent(self) -> None:
+        while True:
+            try:
+                passed = self._unsent.popleft()
+            except IndexError:
+                return
+            passed.release()
 
     def cut(self) -> None:
         """Resets the connection, so that no answer on it seems whole.
--- a/src/lovagesaddle/http/client.py
+++ b/src/lovagesaddle/http/client.py
@@ -334,6 +334,9 @@
                 else:
                     body = reader.read_body(head)
                     opened.is_read = True
+                    # The body is passed on, which takes memory until then.
+                    answer_budget.keep(allocation)
+                    allocation = answer_budget.Allocation(self._budget)
         except ExchangeError as error:
             return result.Failure(error)
         except (OSError, http.client.HTTPException, ValueError) as error:
--- a/tools/promises.py
+++ b/tools/promises.py
@@ -363,6 +363,19 @@
         limits="Backend servers that don't repeat the request ID.",
         tests=("test_refusal_that_is_repeated_refuses_no_other_request",),
     ),
+    Subject(
+        tag="reported:endless-body",
+        text=(
+            "A backend server sends bytes without end, the process keeps them"
+            " and runs out of memory, and the requests of others there end."
+        ),
+        tests=(
+            "test_bodies_without_end_keep_a_node_within_its_memory",
+            "test_answer_counts_until_its_caller_has_it",
+            "test_answers_that_grow_on_leave_room_for_others",
+            "test_line_without_an_end_is_given_up",
+        ),
+    ),
     Subject(
         tag="reported:cut-head",
         text=(
