A connection has its list of requests before others can find it

The process ended with "'Channel' object has no attribute 'requests'".

Cause: waitress registers a connection in its base class's constructor, and sets its requests after that. The thread that stops the node counts requests every 20 ms; a count in between ended the stop by the error.

Change: Channel sets its requests before the base class's constructor.

--- a/src/lovagesaddle/http/channels.py
+++ b/src/lovagesaddle/http/channels.py
@@ -53,6 +53,8 @@
         self._unsent: collections.deque[answer_budget.PassedAnswers] = (
             collections.deque()
         )
+        # waitress sets it after other threads can find the connection.
+        self.requests: list[parser.StrictParser] = []
         super().__init__(*args, **kwargs)
 
     def add_channel(self, map: Any = None) -> None:  # noqa: A002
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,6 +10,7 @@
 import threading
 import types
 from typing import Any
+from unittest import mock
 
 from lovagesaddle.core.model import outcomes
 from lovagesaddle.core.model import services
@@ -385,6 +386,26 @@
         assert "/left" not in application.ran
 
 
+def test_connection_that_is_being_set_up_is_counted() -> None:
+    """An error in the count ended a planned stop and cut every request."""
+    register = channels.Channel.add_channel
+    counts: list[int] = []
+    with _serve() as (_, server):
+
+        def register_and_count(channel: Any, sockets: Any = None) -> None:
+            # From here on other threads find the connection.
+            register(channel, sockets)
+            counts.append(server.count_busy())
+            counts.append(len(server._server.list_open_requests()))
+
+        with mock.patch.object(
+            channels.Channel, "add_channel", register_and_count
+        ):
+            got = _ask(server, b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+    assert got.startswith(b"HTTP/1.1 200 OK")
+    assert counts == [0, 0]
+
+
 def _block_loop(server: server_lib.HttpServer, gate: threading.Event) -> None:
     """Blocks the event loop of a server until `gate` is set."""
     blocked = threading.Event()
--- a/tools/promises.py
+++ b/tools/promises.py
@@ -265,6 +265,7 @@
             "test_planned_stop_of_a_node_cuts_nothing",
             "test_shut_down_finishes_what_runs",
             "test_request_on_an_open_connection_is_answered_before_the_end",
+            "test_connection_that_is_being_set_up_is_counted",
         ),
     ),
     Subject(
