--- a/src/lovagesaddle/http/thread_pools.py
+++ b/src/lovagesaddle/http/thread_pools.py
@@ -87,10 +87,6 @@
         kind = self._reserve(self._classify(task.requests[0]))
         self._pools[kind].submit(self._serve, kind, task)
 
-    def count_running(self) -> int:
-        """Returns how many requests wait for a thread or are served."""
-        return sum(self._task_counts.values())
-
     def shutdown(
         self, cancel_pending: bool = True, timeout: float = 0.0
     ) -> bool:
--- a/src/lovagesaddle/node/local_servers.py
+++ b/src/lovagesaddle/node/local_servers.py
@@ -87,7 +87,7 @@
         self._node_id = node_id
         self._owner = owner
         self._control: ports.ControlPort | None = None
-        self._drains = False
+        self._drains_all = False
         self._entries: dict[str, _Entry] = {}
         self._services_by_token: dict[str, str] = {}
         self._lock = threading.RLock()
@@ -163,7 +163,7 @@
     def drain_all(self) -> None:
         """Drains every server, also those that are announced from now on."""
         with self._lock:
-            self._drains = True
+            self._drains_all = True
             for service in tuple(self._entries):
                 self.drain(service)
 
@@ -260,7 +260,7 @@
             announcement.instance,
             announcement.born_ms,
         )
-        if self._drains:
+        if self._drains_all:
             self.drain(announcement.service)
         else:
             self._report_server(entry.server)
--- a/tests/test_unsent_answers.py
+++ b/tests/test_unsent_answers.py
@@ -52,7 +52,10 @@
         nodes.open_request(server.address) as caller,
     ):
         nodes.wait_for(
-            lambda: application.is_answered and not dispatcher.count_running(),
+            lambda: (
+                application.is_answered
+                and not server._server.list_open_requests()
+            ),
             "the thread",
         )
         yield caller
