Only an answer of a run clears a request of crashing servers

Cause: the owner cleared a request by any complete answer, also by one that says that it hasn't run. The quarantine then forgot its marks and took it for a request that is usually answered. The entry did the same for 429 and 503 without the header, which say nothing of a run.

Change: both clear a request by answers that don't count as failed only.

--- a/src/lovagesaddle/node/call_runner.py
+++ b/src/lovagesaddle/node/call_runner.py
@@ -20,6 +20,7 @@
 from lovagesaddle.node import call_results
 from lovagesaddle.node import decision_log
 from lovagesaddle.node import forwarded_requests
+from lovagesaddle.node import owner_answers
 from lovagesaddle.node import routing as routing_lib
 from lovagesaddle.node import shared_quarantine as shared_quarantine_lib
 from lovagesaddle.observability import logs
@@ -284,7 +285,7 @@
     def _report_to_quarantine(self, answer: hop.RunAnswer) -> None:
         if answer.marks:
             self._shared_quarantine.add_marks(answer.marks)
-        if answer.outcome is hop.RunOutcome.ANSWERED:
+        if not owner_answers.has_failed(answer):
             self._shared_quarantine.clear(self._forwarded.fingerprint)
 
     def _make_request(
--- a/src/lovagesaddle/node/server_exchange.py
+++ b/src/lovagesaddle/node/server_exchange.py
@@ -143,16 +143,18 @@
     ) -> hop.RunAnswer:
         match outcome:
             case result.Success(reply):
-                self._shared_quarantine.clear(request.fingerprint)
                 stated = owner_answers.find_statement(reply, self._names)
                 if stated is not None:
                     owned.record_statement(stated, request.attempt_id)
                 load = owner_answers.find_load(reply, self._names)
                 if load:
                     owned.record_load(load, request.attempt_id)
-                return owner_answers.make_answer(
+                answer = owner_answers.make_answer(
                     request, reply, owned, self._names
                 )
+                if not owner_answers.has_failed(answer):
+                    self._shared_quarantine.clear(request.fingerprint)
+                return answer
             case result.Failure(error):
                 return self._handle_failure(
                     request, error, owned, guard, running
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -8,6 +8,7 @@
 from lovagesaddle.core.routing import admission_events
 from lovagesaddle.core.routing import header_names
 from lovagesaddle.core.routing import known_statements
+from lovagesaddle.core.routing import quarantine
 from lovagesaddle.core.routing import server_statements
 from lovagesaddle.http import client
 from lovagesaddle.http import hop
@@ -245,4 +246,32 @@
         )
 
 
+def test_answer_that_says_nothing_of_the_request_clears_no_suspect() -> None:
+    """A request went on crashing servers while others shed it unrun."""
+    shared = shared_quarantine_lib.SharedQuarantine()
+    pool = StatingPool()
+    owner = owner_lib.Owner(pool=pool, shared_quarantine=shared)
+    owner.open(routing_mesh.make_server(0), "127.0.0.1:1", INSTANCE, BORN_MS)
+    request = routing_mesh.make_run_request("a")
+    mark = quarantine.make_mark(
+        server_id="crashed",
+        incarnation=1,
+        fingerprint=request.fingerprint,
+        suspected=False,
+    )
+    shared.add_marks((mark,))
+    not_run = (header_names.DEFAULT.not_run, "1")
+    for status, headers, verdict in (
+        (503, (not_run,), quarantine.Verdict.SUSPECT),
+        (400, (not_run,), quarantine.Verdict.SUSPECT),
+        (421, (), quarantine.Verdict.SUSPECT),
+        (503, (), quarantine.Verdict.SUSPECT),
+        (429, (), quarantine.Verdict.SUSPECT),
+        (500, (), quarantine.Verdict.CLEAR),
+    ):
+        pool.status, pool.headers = status, headers
+        _run(owner, f"attempt-{status}-{len(headers)}")
+        assert shared.classify(request.fingerprint) is verdict, status
+
+
 load_tests = fixtures.collect(__name__)
