An unexpected error in a stop cuts no request

An error in the thread that stops a node ended the stop, and leaving the program's context closed every connection under the requests in progress.

Now it is logged as stop_step_failed, and the stop goes on: by the next report, or by its schedule if none comes.

test_error_in_a_stop_cuts_no_request failed before: the error left shut_down.

--- a/src/lovagesaddle/node/shutdown.py
+++ b/src/lovagesaddle/node/shutdown.py
@@ -53,6 +53,7 @@
         self._claims = claims
         self._shutdown = graceful_shutdown.GracefulShutdown()
         self._exit: graceful_shutdown.Exit | None = None
+        self._failures: set[str] = set()
 
     def run(self, grace_s: float) -> bool:
         """Shuts down; returns whether no request was cut off.
@@ -63,22 +64,13 @@
         self._step(graceful_shutdown.Begin(grace_s=grace_s))
         while self._exit is None:
             time.sleep(POLL_INTERVAL_S)
-            if self._shutdown.stage is graceful_shutdown.Stage.CLOSING:
-                for server in self._http_servers:
-                    server.close_idle()
-            self._step(
-                graceful_shutdown.InProgressChanged(
-                    in_progress=sum(
-                        server.count_busy() for server in self._http_servers
-                    ),
-                    connections=sum(
-                        server.count_connections()
-                        for server in self._http_servers
-                    ),
-                    settling=self._claims.count_open(),
-                    busy_servers=self._owner.list_busy(),
-                )
-            )
+            try:
+                self._report_progress()
+            except Exception as error:
+                # Without a report the stop ends by its schedule. An error that
+                # left here would cut every request at once.
+                self._log_failure(error)
+                self._step(graceful_shutdown.Tick())
         is_clean = not self._exit.cut and not self._exit.busy_servers
         _log.info(
             "node_drained",
@@ -92,6 +84,30 @@
         ]
         return all(stopped) and is_clean
 
+    def _report_progress(self) -> None:
+        if self._shutdown.stage is graceful_shutdown.Stage.CLOSING:
+            for server in self._http_servers:
+                server.close_idle()
+        self._step(
+            graceful_shutdown.InProgressChanged(
+                in_progress=sum(
+                    server.count_busy() for server in self._http_servers
+                ),
+                connections=sum(
+                    server.count_connections() for server in self._http_servers
+                ),
+                settling=self._claims.count_open(),
+                busy_servers=self._owner.list_busy(),
+            )
+        )
+
+    def _log_failure(self, error: Exception) -> None:
+        """Logs an unexpected error, once for each cause."""
+        cause = repr(error)
+        if cause not in self._failures:
+            self._failures.add(cause)
+            _log.error("stop_step_failed", cause=cause)
+
     def _log_cut(self, request: channels.OpenRequest) -> None:
         _log.warning(
             "request_cut",
--- a/tests/test_stopping_nodes.py
+++ b/tests/test_stopping_nodes.py
@@ -2,6 +2,7 @@
 
 from concurrent import futures
 import socket
+from unittest import mock
 
 from bench import backend
 from bench import stand_in
@@ -13,6 +14,7 @@
 from tests import nodes
 from tests import served_mesh
 
+ERRORS = 5
 DRAINING = snapshots.ServerState.DRAINING
 
 
@@ -50,6 +52,29 @@
         assert stopped.result()
 
 
+def test_error_in_a_stop_cuts_no_request() -> None:
+    """An unexpected error ended the stop, and every request with it."""
+    count_busy = server_lib.HttpServer.count_busy
+    errors = iter(range(ERRORS))
+
+    def fail_at_first(server: server_lib.HttpServer) -> int:
+        if next(errors, None) is not None:
+            raise RuntimeError("a count went wrong")
+        return count_busy(server)
+
+    with (
+        served_mesh.run_mesh() as (_, started, server),
+        futures.ThreadPoolExecutor() as pool,
+        mock.patch.object(server_lib.HttpServer, "count_busy", fail_at_first),
+    ):
+        running = pool.submit(
+            nodes.send, started[0].http_address, "POST", Run_Ms="1000"
+        )
+        nodes.wait_for(lambda: server.state.running, "the request to run")
+        assert started[0].shut_down()
+        assert running.result().status == 200
+
+
 def _list_states(mesh: nodes.Mesh) -> list[snapshots.ServerState]:
     return [server.state for server in mesh.control.snapshot.servers]
 
