--- a/review/platform_3.py
+++ b/review/platform_3.py
@@ -257,6 +257,10 @@
             return call(self._beat_address, "POST", path, content, kind, 1.0)[0]
         return 0
 
+    def loses_answer(self) -> bool:
+        """Returns whether the answer to the newest request is lost."""
+        return False
+
     def count_ran(self, request_id: str) -> int:
         """Returns how often it ran a request."""
         return sum(each[1] == request_id for each in tuple(self.ran))
@@ -302,6 +306,10 @@
         owner.ran.append((time.monotonic(), request_id, self.path, size))
         owner.record.add(f"run {owner.instance} {request_id} {size} bytes")
         time.sleep(owner.run_s)
+        if owner.loses_answer():
+            owner.record.add(f"lose {owner.instance} {request_id}")
+            self.close_connection = True
+            return
         stamp = f"{owner.instance}.{len(owner.ran)}"
         self._send(200, b"ran %d" % size, {STAMP: stamp})
 
@@ -484,10 +492,16 @@
         self.processes[ip].wait()
 
     def add_upstream(
-        self, ip: str, instance: str, *, beats: bool = True, **options: Any
+        self,
+        ip: str,
+        instance: str,
+        *,
+        beats: bool = True,
+        kind: type[Upstream] = Upstream,
+        **options: Any,
     ) -> Upstream:
         """Starts the upstream of a sidecar."""
-        upstream = Upstream(
+        upstream = kind(
             f"{ip}:{self.app}",
             f"{ip}:{self.control}",
             instance,
