--- a/review/platform_3.py
+++ b/review/platform_3.py
@@ -5,6 +5,7 @@
 nothing but Python's own library.
 """
 
+from collections.abc import Callable
 import contextlib
 import http.client
 import http.server
@@ -22,6 +23,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from typing import Any, Self
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -39,6 +41,7 @@
 BASE = "Lovagesaddle-Base-Version"
 HEALTH_PATH = "/health"
 HEARTBEAT_S = 1.5
+COULD_NOT_RUN = 2
 # The bounds of the site that the claims name (SYSTEM.md).
 BOUNDS = {
     "SeedLagS": 3,
@@ -584,6 +587,16 @@
         return status, got, content
 
 
+def run_case(main: Callable[[], int]) -> int:
+    """Returns the exit status of a case; 2 if it could not run to its end."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+    try:
+        return main()
+    except Exception:
+        traceback.print_exc()
+        return COULD_NOT_RUN
+
+
 def make_rule(
     name: str, kind: str, prefix: str, action: dict[str, Any] | None = None
 ) -> dict[str, Any]:
