--- a/review/platform_3.py
+++ b/review/platform_3.py
@@ -229,6 +229,10 @@
         if beats:
             threading.Thread(target=self._beat, daemon=True).start()
 
+    def end_beats(self) -> None:
+        """Sends no more heartbeats, as after a farewell."""
+        self._ended.set()
+
     def stop(self) -> None:
         """Ends at once, like a process that is killed."""
         self._ended.set()
